--- /dev/null
+++ b/cmd/harbour/main.go
@@ -0,0 +1,86 @@
+// Harbour is the trial tool: it starts a fleet on one machine as the platform
+// would, drives it with stand-in callers, brings about faults, and judges every
+// promise from what callers and operators saw.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"dahlialock/internal/fleet"
+)
+
+type up struct {
+	deployment, folder, binaries string
+}
+
+func (*up) Name() string     { return "up" }
+func (*up) Synopsis() string { return "start a fleet and keep it until interrupted" }
+func (*up) Usage() string    { return "up [-deployment small|fjordlys|qureshi] [-folder DIR]\n" }
+func (up *up) SetFlags(set *flag.FlagSet) {
+	set.StringVar(&up.deployment, "deployment", "small", "the `size`: small, fjordlys or qureshi")
+	set.StringVar(&up.folder, "folder", "", "`folder` for settings, logs and data; a new one if not given")
+	set.StringVar(&up.binaries, "binaries", ownFolder(), "`folder` of the daemons' programs")
+}
+
+func ownFolder() string {
+	path, fault := os.Executable()
+	if fault != nil {
+		return "bin"
+	}
+	return filepath.Dir(path)
+}
+
+func (up *up) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	deployment, found := fleet.Deployments[up.deployment]
+	if !found {
+		fmt.Fprintf(os.Stderr, "harbour: no deployment is named %q\n", up.deployment)
+		return subcommands.ExitUsageError
+	}
+	folder := up.folder
+	if folder == "" {
+		made, fault := os.MkdirTemp("", "harbour-")
+		if fault != nil {
+			fmt.Fprintln(os.Stderr, "harbour:", fault)
+			return subcommands.ExitFailure
+		}
+		folder = made
+	}
+	running, fault := fleet.New(deployment, folder, up.binaries)
+	if fault == nil {
+		fault = running.StartAll()
+	}
+	if fault != nil {
+		fmt.Fprintln(os.Stderr, "harbour:", fault)
+		return subcommands.ExitFailure
+	}
+	defer running.StopAll()
+	fmt.Printf("folder   %s\nkey      %s\n", folder, fleet.Key)
+	if fault := running.WaitReady(60*time.Second, running.Names()...); fault != nil {
+		fmt.Fprintln(os.Stderr, "harbour:", fault)
+	}
+	for _, name := range running.Names() {
+		daemon := running.Daemons[name]
+		fmt.Printf("%-10s %-7s ctl %-18s caller %s\n", daemon.Name, daemon.Locality, daemon.Control, daemon.Caller)
+	}
+	fmt.Println("the fleet is up; interrupt to stop it")
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	<-signals
+	return subcommands.ExitSuccess
+}
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(&up{}, "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/cmd/lantern/main.go
@@ -0,0 +1,44 @@
+// The lantern daemon: the proxy that holds client connections.
+package main
+
+import (
+	"net/http"
+	"os"
+	"time"
+
+	"dahlialock/internal/beacon"
+	"dahlialock/internal/berth"
+	"dahlialock/internal/lamp"
+	"dahlialock/internal/mooring"
+	"dahlialock/internal/props"
+)
+
+func main() {
+	os.Exit(berth.Main(beacon.KindLantern, os.Args[1:], build))
+}
+
+func build(settings props.Props, self beacon.Member, _ berth.Stored) (berth.Build, error) {
+	key := []byte(settings.Key)
+	machine := lamp.New(lamp.Props{Self: self, Tender: settings.Tender, Key: key, OriginsMost: settings.OriginsMost})
+	return berth.Build{
+		Machine: machine,
+		Ready:   func(now time.Time) bool { return machine.Ready(now) },
+		Stop:    lamp.Stop{},
+		Slow:    func(channel uint64) any { return lamp.CloseChannel{Channel: channel, Why: "slow"} },
+		Visit: func(local uint64, method, path string, body []byte) any {
+			return lamp.ControlVisit{Local: local, Method: method, Path: path, Body: body}
+		},
+		Find: func(local uint64, visit, message, origin string) any {
+			return lamp.FindDecisions{Local: local, Visit: visit, Message: message, Origin: origin}
+		},
+		Counters: func() any {
+			subscribing, publishing := machine.Fairway().Hosted()
+			return map[string]any{
+				"lantern": machine.Counts, "overlay": machine.Fairway().Counts, "peers_subscribing": subscribing, "peers_publishing": publishing,
+				"load": machine.Load(),
+			}
+		},
+		Caller: func(at *berth.Berth) http.Handler { return mooring.New(settings.Name, key, at) },
+		Reload: func(after props.Props) { machine.SetOriginsMost(after.OriginsMost) },
+	}, nil
+}
--- /dev/null
+++ b/internal/beacon/follower.go
@@ -0,0 +1,226 @@
+// A Follower keeps a daemon level with the control state: it asks with the
+// version that it has and is answered when there is news. It begins at the
+// seeds, learns the pilots from redirections and from the view, and goes round
+// them when one stays silent. Nothing older than what it holds is ever taken,
+// and the first answer counts only if it came fresh.
+package beacon
+
+import (
+	"time"
+
+	"dahlialock/internal/helm"
+)
+
+// Spans of following.
+const (
+	HoldAsk      = 600 * time.Millisecond
+	PatientHold  = 10 * time.Second
+	askLimit     = HoldAsk + 500*time.Millisecond
+	patientLimit = PatientHold + time.Second
+	FreshFor     = time.Second
+	ConfirmedFor = 2500 * time.Millisecond
+)
+
+// Follower is the state machine.
+type Follower struct {
+	self      Member
+	seeds     []string
+	pilots    []string
+	guess     int
+	primary   string
+	nonce     uint64
+	askedAt   time.Time
+	waiting   bool
+	patient   bool
+	fixed     bool
+	Index     uint64
+	Version   uint64
+	Epoch     uint64
+	Document  []byte
+	Births    map[string]uint64
+	Members   map[string]Member
+	Places    map[string]Placement
+	Orders    Orders
+	Confirmed time.Time
+	load      func() Load
+	timers    *helm.Timers
+}
+
+// NewFollower makes a follower that asks the given seeds first.
+func NewFollower(self Member, seeds []string, load func() Load) *Follower {
+	return &Follower{
+		self: self, seeds: seeds, pilots: seeds, load: load,
+		Members: map[string]Member{}, Places: map[string]Placement{}, timers: helm.NewTimers(),
+	}
+}
+
+// Start begins asking.
+func (follower *Follower) Start(now time.Time) { follower.timers.Arm("ask", now) }
+
+// NextDue is when the follower wants to run again.
+func (follower *Follower) NextDue() time.Time { return follower.timers.Next() }
+
+// Fix lets the follower ask its first seed only, as a lantern asks its tender.
+func (follower *Follower) Fix() { follower.fixed = true }
+
+// Primary is the primary's address, as far as it is known.
+func (follower *Follower) Primary() string { return follower.primary }
+
+// Upstream is the address that is presently asked.
+func (follower *Follower) Upstream() string {
+	if follower.fixed {
+		return follower.seeds[0]
+	}
+	if follower.primary != "" {
+		return follower.primary
+	}
+	if len(follower.pilots) == 0 {
+		return ""
+	}
+	return follower.pilots[follower.guess%len(follower.pilots)]
+}
+
+// Patient makes the follower content with slower answers, as a resting
+// lantern is.
+func (follower *Follower) Patient(now time.Time, patient bool) {
+	if follower.patient != patient {
+		follower.patient = patient
+		follower.timers.Arm("ask", now)
+	}
+}
+
+// Hurry asks at once.
+func (follower *Follower) Hurry(now time.Time) {
+	if follower.waiting && now.Sub(follower.askedAt) < 50*time.Millisecond {
+		return
+	}
+	follower.timers.Arm("ask", now)
+}
+
+// Due runs the timers that expired.
+func (follower *Follower) Due(now time.Time, effects *helm.Effects) {
+	for _, key := range follower.timers.Expired(now) {
+		switch key {
+		case "ask":
+			follower.ask(now, effects)
+		case "limit":
+			follower.waiting = false
+			follower.primary = ""
+			follower.guess++
+			follower.ask(now, effects)
+		}
+	}
+}
+
+func (follower *Follower) ask(now time.Time, effects *helm.Effects) {
+	follower.nonce++
+	follower.askedAt, follower.waiting = now, true
+	limit := askLimit
+	if follower.patient {
+		limit = patientLimit
+	}
+	follower.timers.Disarm("ask")
+	follower.timers.Arm("limit", now.Add(limit))
+	effects.Send(follower.Upstream(), Ask{
+		Self: follower.self, Nonce: follower.nonce, Index: follower.Index, Version: follower.Version,
+		Load: follower.load(), Patient: follower.patient,
+	})
+}
+
+// Redirected follows the hint of a pilot that is not primary.
+func (follower *Follower) Redirected(now time.Time, redirect Redirect) {
+	if redirect.Nonce != follower.nonce {
+		return
+	}
+	follower.learnPilots(redirect.Pilots)
+	known := redirect.Primary != "" && redirect.Primary != follower.primary
+	if known && redirect.Epoch >= follower.Epoch {
+		follower.primary = redirect.Primary
+		follower.timers.Arm("ask", now)
+		return
+	}
+	follower.primary = ""
+	follower.guess++
+	follower.timers.Arm("ask", now.Add(150*time.Millisecond))
+}
+
+func (follower *Follower) learnPilots(addresses []string) {
+	if len(addresses) > 0 {
+		follower.pilots = addresses
+	}
+}
+
+// Taken says what changed with a piece of news.
+type Taken struct {
+	Answered bool
+	View     bool
+	Document bool
+}
+
+// Take takes news that is not older than what is held.
+func (follower *Follower) Take(now time.Time, news News) Taken {
+	if news.Epoch < follower.Epoch || news.Index < follower.Index || news.Version < follower.Version {
+		return Taken{}
+	}
+	var taken Taken
+	if news.Nonce == follower.nonce {
+		follower.waiting = false
+		follower.timers.Disarm("limit")
+		follower.timers.Arm("ask", now)
+		taken.Answered = true
+	}
+	if follower.Index == 0 && (!taken.Answered || now.Sub(follower.askedAt) > FreshFor) {
+		return taken
+	}
+	if taken.Answered {
+		if follower.askedAt.After(follower.Confirmed) {
+			follower.Confirmed = follower.askedAt
+		}
+	}
+	follower.primary = news.Primary
+	follower.Epoch = news.Epoch
+	follower.Orders = news.Orders
+	if news.Version > follower.Version && news.Document != nil {
+		follower.Version, follower.Document = news.Version, news.Document
+		taken.Document = true
+	}
+	if news.Changed && (news.Index > follower.Index) {
+		follower.Index = news.Index
+		follower.Births = news.Births
+		follower.Members = make(map[string]Member, len(news.Members))
+		follower.pilots = nil
+		for _, member := range news.Members {
+			follower.Members[member.Name] = member
+			if member.Kind == KindPilot && member.Alive {
+				follower.pilots = append(follower.pilots, member.Address)
+			}
+		}
+		if len(follower.pilots) == 0 {
+			follower.pilots = follower.seeds
+		}
+		follower.Places = make(map[string]Placement, len(news.Placements))
+		for _, place := range news.Placements {
+			follower.Places[place.Strand] = place
+		}
+		taken.View = true
+	}
+	return taken
+}
+
+// Adopt takes a configuration that another daemon had sooner.
+func (follower *Follower) Adopt(version uint64, document []byte, births map[string]uint64) bool {
+	if version <= follower.Version || follower.Index == 0 {
+		return false
+	}
+	follower.Version, follower.Document, follower.Births = version, document, births
+	return true
+}
+
+// Other names another pilot to try than the one presently asked.
+func (follower *Follower) Other() string {
+	if len(follower.pilots) == 0 {
+		return follower.Upstream()
+	}
+	follower.guess++
+	return follower.pilots[follower.guess%len(follower.pilots)]
+}
--- /dev/null
+++ b/internal/beacon/member.go
@@ -0,0 +1,263 @@
+// Members of the cohort, and the ring that names each member's watchers. Every
+// daemon computes the same ring from the same view, so that nobody has to be
+// told whom it watches.
+package beacon
+
+import (
+	"hash/fnv"
+	"slices"
+	"strings"
+	"time"
+
+	"dahlialock/internal/flare"
+	"dahlialock/internal/helm"
+)
+
+// Kinds of daemons.
+const (
+	KindLantern = "lantern"
+	KindTender  = "tender"
+	KindKeeper  = "keeper"
+	KindPilot   = "pilot"
+)
+
+// Member is one daemon as the cohort knows it.
+type Member struct {
+	Name        string `json:"name"`
+	Kind        string `json:"kind"`
+	Address     string `json:"address"`
+	Control     string `json:"ctl"`
+	Caller      string `json:"caller,omitempty"`
+	Locality    string `json:"locality"`
+	Incarnation uint64 `json:"incarnation"`
+	Disk        string `json:"disk,omitempty"`
+	Alive       bool   `json:"alive"`
+	Joined      uint64 `json:"joined"`
+	Retiring    bool   `json:"retiring,omitempty"`
+	Retired     bool   `json:"retired,omitempty"`
+	Resting     bool   `json:"resting,omitempty"`
+}
+
+// Placement is where one strand lives in one of its epochs.
+type Placement struct {
+	Strand     string   `json:"strand"`
+	Epoch      uint64   `json:"epoch"`
+	First      string   `json:"first"`
+	Understudy string   `json:"understudy"`
+	Complete   bool     `json:"complete"`
+	Safe       []string `json:"safe"`
+}
+
+// Load is what a daemon observes of itself; it is not kept, only reported.
+type Load struct {
+	Origins   int
+	Room      int
+	Visits    uint64
+	Delivered uint64
+	Ready     bool
+	Resting   bool
+	Strands   []string
+	Delays    map[string]time.Duration
+}
+
+// Ask is a daemon's question with what it has; it is answered on news.
+type Ask struct {
+	Self    Member
+	Nonce   uint64
+	Index   uint64
+	Version uint64
+	Load    Load
+	Patient bool
+}
+
+// News answers an Ask.
+type News struct {
+	For        string
+	Nonce      uint64
+	Epoch      uint64
+	Primary    string
+	Index      uint64
+	Version    uint64
+	Document   []byte
+	Changed    bool
+	Members    []Member
+	Placements []Placement
+	Births     map[string]uint64
+	Orders     Orders
+}
+
+// Orders are what the economy asks of one lantern.
+type Orders struct {
+	Rest    bool
+	Empty   bool
+	Pace    int
+	Targets []string
+}
+
+// Redirect tells who is primary, as far as the sender knows.
+type Redirect struct {
+	For     string
+	Nonce   uint64
+	Epoch   uint64
+	Primary string
+	Pilots  []string
+}
+
+// Heartbeat goes to a few watchers.
+type Heartbeat struct {
+	Name        string
+	Incarnation uint64
+	Index       uint64
+}
+
+// Suspicion tells the primary whom a watcher does not hear.
+type Suspicion struct {
+	Reporter string
+	Silent   []Suspect
+}
+
+// Suspect is one silent member.
+type Suspect struct {
+	Name        string
+	Incarnation uint64
+	Silence     time.Duration
+}
+
+// ChartAsk asks any daemon for a configuration newer than the asker's.
+type ChartAsk struct {
+	Version uint64
+}
+
+// ChartReturn gives it.
+type ChartReturn struct {
+	Version  uint64
+	Document []byte
+	Births   map[string]uint64
+}
+
+// Farewell comes from a daemon that is stopping on purpose.
+type Farewell struct {
+	Name        string
+	Incarnation uint64
+}
+
+// StrandComplete comes from a first whose understudy has everything.
+type StrandComplete struct {
+	Strand string
+	Epoch  uint64
+}
+
+// ControlVisit carries an operator's request on to the primary.
+type ControlVisit struct {
+	Visit  uint64
+	Method string
+	Path   string
+	Body   []byte
+}
+
+// ControlReturn is its answer.
+type ControlReturn struct {
+	Visit      uint64
+	Status     int
+	Body       []byte
+	RetryAfter time.Duration
+	Redirect   string
+}
+
+func init() {
+	flare.MustRegister(307, Farewell{})
+	flare.MustRegister(308, StrandComplete{})
+	flare.MustRegister(309, ControlVisit{})
+	flare.MustRegister(310, ControlReturn{})
+	flare.MustRegister(300, Ask{})
+	flare.MustRegister(301, News{})
+	flare.MustRegister(302, Redirect{})
+	flare.MustRegister(303, Heartbeat{})
+	flare.MustRegister(304, Suspicion{})
+	flare.MustRegister(305, ChartAsk{})
+	flare.MustRegister(306, ChartReturn{})
+}
+
+// Watchers is how many members watch each.
+const Watchers = 3
+
+func ringPlace(name string) uint64 {
+	sum := fnv.New64a()
+	_, _ = sum.Write([]byte(name))
+	mixed := sum.Sum64()
+	mixed ^= mixed >> 33
+	mixed *= 0xff51afd7ed558ccd
+	mixed ^= mixed >> 33
+	return mixed
+}
+
+// Ring is the order of the living members by the hash of their names.
+type Ring struct {
+	members []Member
+}
+
+// NewRing makes the ring of a view. Tenders don't watch, and neither do
+// resting lanterns, which are to do almost nothing.
+func NewRing(members map[string]Member) Ring {
+	var ring Ring
+	for _, member := range helm.Sorted(members) {
+		if member.Alive && !member.Resting && member.Kind != KindTender {
+			ring.members = append(ring.members, member)
+		}
+	}
+	slices.SortFunc(ring.members, func(left, right Member) int {
+		leftPlace, rightPlace := ringPlace(left.Name), ringPlace(right.Name)
+		switch {
+		case leftPlace < rightPlace:
+			return -1
+		case leftPlace > rightPlace:
+			return 1
+		}
+		return strings.Compare(left.Name, right.Name)
+	})
+	return ring
+}
+
+// WatchersOf names the members that watch one: those that follow it on the
+// ring, at least one of them in another locality where there is any.
+func (ring Ring) WatchersOf(watched Member) []Member {
+	place := ringPlace(watched.Name)
+	start, _ := slices.BinarySearchFunc(ring.members, place, func(member Member, place uint64) int {
+		if ringPlace(member.Name) <= place {
+			return -1
+		}
+		return 1
+	})
+	var near, chosen []Member
+	for step := range ring.members {
+		member := ring.members[(start+step)%len(ring.members)]
+		if member.Name != watched.Name {
+			near = append(near, member)
+		}
+	}
+	localities := map[string]int{}
+	for _, member := range near {
+		if len(chosen) == Watchers {
+			break
+		}
+		if localities[member.Locality] < Watchers-1 {
+			localities[member.Locality]++
+			chosen = append(chosen, member)
+		}
+	}
+	for _, member := range near {
+		if len(chosen) >= Watchers {
+			break
+		}
+		if !slices.ContainsFunc(chosen, func(other Member) bool { return other.Name == member.Name }) {
+			chosen = append(chosen, member)
+		}
+	}
+	return chosen
+}
+
+// Equal compares orders.
+func (orders Orders) Equal(other Orders) bool {
+	return orders.Rest == other.Rest && orders.Empty == other.Empty && orders.Pace == other.Pace &&
+		slices.Equal(orders.Targets, other.Targets)
+}
--- /dev/null
+++ b/internal/caller/caller.go
@@ -0,0 +1,211 @@
+// Package caller is a client of a lantern, as a client program would be: it
+// opens a channel, sends visits, answers pings, follows moves within a
+// twentieth of a second, and resumes with its newest cursor after a cut. The
+// command line and the stand-in callers of trials use it.
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Answer is a visit's answer.
+type Answer struct {
+	Status       int    `json:"-"`
+	Outcome      string `json:"outcome"`
+	Code         string `json:"code"`
+	Text         string `json:"text"`
+	Visit        string `json:"visit"`
+	RetryAfterMs int64  `json:"retry_after_ms"`
+	Again        bool   `json:"again"`
+	Cursor       string `json:"cursor"`
+	Missed       int    `json:"missed"`
+}
+
+// Event is one line of a channel.
+type Event struct {
+	Event    string          `json:"event"`
+	Channel  string          `json:"channel"`
+	Daemon   string          `json:"daemon"`
+	Locality string          `json:"locality"`
+	Version  uint64          `json:"version"`
+	Space    string          `json:"space"`
+	Topic    string          `json:"topic"`
+	Sender   string          `json:"sender"`
+	Seq      uint64          `json:"seq"`
+	Data     json.RawMessage `json:"data"`
+	Cursor   string          `json:"cursor"`
+	Code     string          `json:"code"`
+	To       string          `json:"to"`
+	ToName   string          `json:"to_name"`
+}
+
+// Subscription names a topic or a prefix.
+type Subscription struct {
+	Space  string  `json:"space"`
+	Topic  *string `json:"topic,omitempty"`
+	Prefix *string `json:"prefix,omitempty"`
+}
+
+// Caller is one origin's client.
+type Caller struct {
+	Token string
+	HTTP  *http.Client
+}
+
+// NewClient makes an HTTP client that keeps its connections; source may bind
+// them to a local address.
+func NewClient(source string) *http.Client {
+	dialer := &net.Dialer{Timeout: time.Second}
+	if source != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(source)}
+	}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true,
+	}}
+}
+
+// Visit posts one visit.
+func (caller *Caller) Visit(within context.Context, address, path string, body any) (Answer, error) {
+	packed, fault := json.Marshal(body)
+	if fault != nil {
+		return Answer{}, fault
+	}
+	request, fault := http.NewRequestWithContext(within, http.MethodPost, "http://"+address+path, bytes.NewReader(packed))
+	if fault != nil {
+		return Answer{}, fault
+	}
+	request.Header.Set("Authorization", "Bearer "+caller.Token)
+	request.Header.Set("Content-Type", "application/json")
+	response, fault := caller.HTTP.Do(request)
+	if fault != nil {
+		return Answer{}, fault
+	}
+	defer func() { _ = response.Body.Close() }()
+	body2, fault := io.ReadAll(response.Body)
+	if fault != nil {
+		return Answer{}, fault
+	}
+	answer := Answer{Status: response.StatusCode}
+	if fault := json.Unmarshal(body2, &answer); fault != nil {
+		return Answer{}, fmt.Errorf("status %d: %w", response.StatusCode, fault)
+	}
+	return answer, nil
+}
+
+// Channel is an open channel.
+type Channel struct {
+	Address string
+	Name    string
+	Hello   Event
+	Events  chan Event
+	cancel  context.CancelFunc
+}
+
+// Refusal says why a channel was not opened.
+type Refusal struct{ Answer Answer }
+
+func (refusal Refusal) Error() string {
+	return fmt.Sprintf("status %d %s: %s", refusal.Answer.Status, refusal.Answer.Code, refusal.Answer.Text)
+}
+
+// Open opens a channel and waits for its hello.
+func (caller *Caller) Open(within context.Context, address string) (*Channel, error) {
+	living, cancel := context.WithCancel(within)
+	request, fault := http.NewRequestWithContext(living, http.MethodGet, "http://"+address+"/v1/channel", nil)
+	if fault != nil {
+		cancel()
+		return nil, fault
+	}
+	request.Header.Set("Authorization", "Bearer "+caller.Token)
+	// Opening must not hang on a daemon that is frozen.
+	opened := make(chan struct{})
+	stopOpening := time.AfterFunc(3*time.Second, func() {
+		select {
+		case <-opened:
+		default:
+			cancel()
+		}
+	})
+	response, fault := caller.HTTP.Do(request)
+	if fault != nil {
+		cancel()
+		return nil, fault
+	}
+	if response.StatusCode != http.StatusOK {
+		var answer Answer
+		body, _ := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		_ = json.Unmarshal(body, &answer)
+		answer.Status = response.StatusCode
+		cancel()
+		return nil, Refusal{Answer: answer}
+	}
+	reader := bufio.NewReaderSize(response.Body, 64<<10)
+	channel := &Channel{Address: address, Events: make(chan Event, 64), cancel: cancel}
+	line, fault := reader.ReadBytes('\n')
+	if fault == nil {
+		fault = json.Unmarshal(line, &channel.Hello)
+	}
+	close(opened)
+	stopOpening.Stop()
+	if fault != nil {
+		_ = response.Body.Close()
+		cancel()
+		return nil, fault
+	}
+	channel.Name = channel.Hello.Channel
+	go func() {
+		defer close(channel.Events)
+		defer func() { _ = response.Body.Close() }()
+		for {
+			line, fault := reader.ReadBytes('\n')
+			if fault != nil {
+				return
+			}
+			var event Event
+			if json.Unmarshal(line, &event) != nil {
+				return
+			}
+			select {
+			case channel.Events <- event:
+			case <-living.Done():
+				return
+			}
+		}
+	}()
+	return channel, nil
+}
+
+// Close ends a channel.
+func (channel *Channel) Close() { channel.cancel() }
+
+// Subscribe adds subscriptions to a channel, or resumes a place.
+func (caller *Caller) Subscribe(within context.Context, channel *Channel, subscriptions []Subscription, cursor string) (Answer, error) {
+	body := map[string]any{"channel": channel.Name}
+	if subscriptions != nil {
+		body["subscriptions"] = subscriptions
+	}
+	if cursor != "" {
+		body["cursor"] = cursor
+	}
+	return caller.Visit(within, channel.Address, "/v1/subscribe", body)
+}
+
+// Publish sends a message.
+func (caller *Caller) Publish(within context.Context, address, space, topic string, seq uint64, data any) (Answer, error) {
+	return caller.Visit(within, address, "/v1/publish", map[string]any{"space": space, "topic": topic, "seq": seq, "data": data})
+}
+
+// Pong answers a ping.
+func (caller *Caller) Pong(within context.Context, channel *Channel) error {
+	_, fault := caller.Visit(within, channel.Address, "/v1/pong", map[string]any{"channel": channel.Name})
+	return fault
+}
--- /dev/null
+++ b/internal/fairway/fairway.go
@@ -0,0 +1,1084 @@
+// The overlay, after VAST's Voronoi-based overlay network. Each area that this
+// daemon's origins subscribe to, or publish at, has one peer here. A peer keeps
+// its own Voronoi region, always knows the enclosing neighbours beyond its
+// edges, knows the peers inside its area if it subscribes, and knows every
+// subscriber whose area meets its region. A joining peer's request is forwarded
+// greedily to the acceptor whose region covers its point; from there it walks
+// from neighbour to neighbour, and each one it greets tells it of more: the
+// neighbours they have in common, the subscribers over the part of the region
+// that it took, and, if it subscribes, the neighbours beyond the edges that its
+// area meets. Knowledge is mutual, so a publisher's peer holds its subscriber
+// list, from which come the destination daemons, each once.
+package fairway
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"dahlialock/internal/flare"
+	"dahlialock/internal/helm"
+)
+
+// Spans and bounds of the overlay.
+const (
+	greetLimit   = 300 * time.Millisecond
+	greetTries   = 4
+	joinLimit    = 400 * time.Millisecond
+	joinTries    = 5
+	hopLimit     = 48
+	healing      = 1
+	healFor      = 2 * time.Second
+	compareEvery = 4 * time.Second
+	quietFor     = 60 * time.Second
+	sweepEvery   = 5 * time.Second
+)
+
+// PeerKey names one peer for ever.
+type PeerKey struct {
+	_      struct{} `cbor:",toarray"`
+	Daemon string
+	Life   uint64
+	Number uint64
+}
+
+func (key PeerKey) compare(other PeerKey) int {
+	if order := strings.Compare(key.Daemon, other.Daemon); order != 0 {
+		return order
+	}
+	if key.Life != other.Life {
+		if key.Life < other.Life {
+			return -1
+		}
+		return 1
+	}
+	if key.Number < other.Number {
+		return -1
+	}
+	if key.Number > other.Number {
+		return 1
+	}
+	return 0
+}
+
+// Peer is what others know of one.
+type Peer struct {
+	_          struct{} `cbor:",toarray"`
+	Key        PeerKey
+	At         Point
+	Area       Area
+	Subscribes bool
+	Change     uint64
+}
+
+// Kinds of signals between peers.
+const (
+	SignalJoin uint8 = iota + 1
+	SignalWelcome
+	SignalGreet
+	SignalGreeted
+	SignalLeave
+	SignalGone
+	SignalNobody
+)
+
+// Signal is one message from peer to peer.
+type Signal struct {
+	_        struct{} `cbor:",toarray"`
+	Kind     uint8
+	Space    string
+	To       PeerKey
+	From     Peer
+	Peers    []Peer
+	Boundary []Peer
+	Hops     uint8
+}
+
+// Signals is what one daemon's peers say to another daemon's in one step.
+type Signals struct {
+	Signals []Signal
+}
+
+func init() {
+	flare.MustRegister(400, Signals{})
+}
+
+// Lantern is another daemon that hosts peers.
+type Lantern struct {
+	Name    string
+	Address string
+	Joined  uint64
+}
+
+// Settled is called once a peer knows its surroundings, or gave up waiting.
+type Settled func(now time.Time, effects *helm.Effects, settled bool)
+
+type outstanding struct {
+	until time.Time
+	tries int
+}
+
+type hosted struct {
+	self      Peer
+	space     *space
+	known     map[PeerKey]Peer
+	cell      Cell
+	greeted   map[PeerKey]uint64
+	pending   map[PeerKey]*outstanding
+	joining   *outstanding
+	joinAsked map[string]bool
+	waiting   []Settled
+	holders   int
+	lastUse   time.Time
+	publishes bool
+	stuck     bool
+	queued    bool
+	healUntil time.Time
+}
+
+type space struct {
+	name  string
+	peers map[Area]*hosted
+	byKey map[PeerKey]*hosted
+	turn  int
+}
+
+// Counts are running sums for measurements and tests.
+type Counts struct {
+	Joins, Hops, Greets, SignalsOut, BatchesOut, Leaves, Probes, ProbeFinds uint64
+}
+
+// Fairway is one daemon's part of the overlay.
+type Fairway struct {
+	daemon   string
+	life     uint64
+	number   uint64
+	change   uint64
+	lanterns map[string]Lantern
+	spaces   map[string]*space
+	timers   *helm.Timers
+	out      map[string][]Signal
+	Counts   Counts
+}
+
+// New makes the overlay part of one daemon; Live and View come before any peer.
+func New(daemon string) *Fairway {
+	return &Fairway{
+		daemon: daemon, lanterns: map[string]Lantern{}, spaces: map[string]*space{},
+		timers: helm.NewTimers(), out: map[string][]Signal{},
+	}
+}
+
+// NextDue is when the overlay wants to run again.
+func (fairway *Fairway) NextDue() time.Time { return fairway.timers.Next() }
+
+// Subscribe adds one holder to the subscribing peer of an area.
+func (fairway *Fairway) Subscribe(now time.Time, spaceName string, area Area, settled Settled, effects *helm.Effects) {
+	peer, made := fairway.peer(now, spaceName, area)
+	peer.holders++
+	if !peer.self.Subscribes {
+		peer.self.Subscribes = true
+		fairway.change++
+		peer.self.Change = fairway.change
+		if !made {
+			fairway.regreet(now, peer)
+		}
+	}
+	fairway.await(now, peer, made, settled, effects)
+}
+
+// Unsubscribe takes one holder away; with the last the peer stops subscribing,
+// and leaves if nobody publishes there either.
+func (fairway *Fairway) Unsubscribe(now time.Time, spaceName string, area Area, effects *helm.Effects) {
+	here, found := fairway.spaces[spaceName]
+	if !found {
+		return
+	}
+	peer, found := here.peers[area]
+	if !found || peer.holders == 0 {
+		return
+	}
+	peer.holders--
+	if peer.holders == 0 {
+		peer.self.Subscribes = false
+		fairway.change++
+		peer.self.Change = fairway.change
+		if peer.publishes {
+			for key := range sortedPeers(peer.known) {
+				fairway.greet(now, peer, peer.known[key])
+			}
+		} else {
+			fairway.leave(peer)
+		}
+	}
+	fairway.flush(effects)
+}
+
+// Publish makes sure that an area has a publishing peer and tells when its
+// subscriber list is there.
+func (fairway *Fairway) Publish(now time.Time, spaceName string, area Area, settled Settled, effects *helm.Effects) {
+	peer, made := fairway.peer(now, spaceName, area)
+	peer.publishes = true
+	peer.lastUse = now
+	fairway.await(now, peer, made, settled, effects)
+}
+
+// Destinations lists the daemons, this one left out, that hold subscribers of
+// an area: the publishing peer's subscriber list.
+func (fairway *Fairway) Destinations(spaceName string, area Area) []string {
+	here, found := fairway.spaces[spaceName]
+	if !found {
+		return nil
+	}
+	peer, found := here.peers[area]
+	if !found {
+		return nil
+	}
+	names := map[string]bool{}
+	for _, known := range peer.known {
+		if known.Subscribes && known.Area.Covers(area) && known.Key.Daemon != fairway.daemon {
+			names[known.Key.Daemon] = true
+		}
+	}
+	var destinations []string
+	for name := range helm.Sorted(names) {
+		if _, alive := fairway.lanterns[name]; alive {
+			destinations = append(destinations, name)
+		}
+	}
+	return destinations
+}
+
+// Settled tells whether an area's peer knows its surroundings.
+func (fairway *Fairway) Settled(spaceName string, area Area) bool {
+	here, found := fairway.spaces[spaceName]
+	if !found {
+		return false
+	}
+	peer, found := here.peers[area]
+	return found && peer.joining == nil && len(peer.pending) == 0
+}
+
+// Hosted counts the peers here, by space.
+func (fairway *Fairway) Hosted() (subscribing, publishing int) {
+	for _, here := range fairway.spaces {
+		for _, peer := range here.peers {
+			if peer.self.Subscribes {
+				subscribing++
+			}
+			if peer.publishes {
+				publishing++
+			}
+		}
+	}
+	return subscribing, publishing
+}
+
+// Forget drops a removed space with all its peers.
+func (fairway *Fairway) Forget(now time.Time, spaceName string, effects *helm.Effects) {
+	here, found := fairway.spaces[spaceName]
+	if !found {
+		return
+	}
+	for _, peer := range here.sorted() {
+		waiting := peer.waiting
+		peer.waiting = nil
+		for _, settled := range waiting {
+			settled(now, effects, false)
+		}
+	}
+	delete(fairway.spaces, spaceName)
+}
+
+// LeaveAll lets every peer leave, before the daemon ends.
+func (fairway *Fairway) LeaveAll(effects *helm.Effects) {
+	for _, here := range helm.Sorted(fairway.spaces) {
+		for _, peer := range here.sorted() {
+			fairway.leave(peer)
+		}
+	}
+	fairway.flush(effects)
+}
+
+func (here *space) sorted() []*hosted {
+	peers := make([]*hosted, 0, len(here.peers))
+	for _, peer := range here.peers {
+		peers = append(peers, peer)
+	}
+	slices.SortFunc(peers, func(left, right *hosted) int { return left.self.Key.compare(right.self.Key) })
+	return peers
+}
+
+func sortedPeers(known map[PeerKey]Peer) func(yield func(PeerKey, Peer) bool) {
+	return func(yield func(PeerKey, Peer) bool) {
+		keys := make([]PeerKey, 0, len(known))
+		for key := range known {
+			keys = append(keys, key)
+		}
+		slices.SortFunc(keys, PeerKey.compare)
+		for _, key := range keys {
+			peer, found := known[key]
+			if found && !yield(key, peer) {
+				return
+			}
+		}
+	}
+}
+
+func (fairway *Fairway) peer(now time.Time, spaceName string, area Area) (peer *hosted, made bool) {
+	here, found := fairway.spaces[spaceName]
+	if !found {
+		here = &space{name: spaceName, peers: map[Area]*hosted{}, byKey: map[PeerKey]*hosted{}}
+		fairway.spaces[spaceName] = here
+	}
+	if peer, found = here.peers[area]; found {
+		return peer, false
+	}
+	fairway.number++
+	key := PeerKey{Daemon: fairway.daemon, Life: fairway.life, Number: fairway.number}
+	fairway.change++
+	peer = &hosted{
+		self:  Peer{Key: key, At: area.reference(fairway.daemon, fairway.number), Area: area, Change: fairway.change},
+		space: here, known: map[PeerKey]Peer{}, greeted: map[PeerKey]uint64{}, pending: map[PeerKey]*outstanding{},
+		joinAsked: map[string]bool{}, lastUse: now,
+	}
+	peer.cell = newCell(peer.self.At)
+	here.peers[area] = peer
+	here.byKey[key] = peer
+	fairway.timers.ArmSooner("sweep", now.Add(sweepEvery))
+	fairway.timers.ArmSooner("compare", now.Add(compareEvery))
+	return peer, true
+}
+
+func (fairway *Fairway) await(now time.Time, peer *hosted, made bool, settled Settled, effects *helm.Effects) {
+	if settled != nil {
+		peer.waiting = append(peer.waiting, settled)
+	}
+	if made {
+		fairway.join(now, peer)
+	}
+	fairway.checkSettled(now, peer, effects)
+	fairway.flush(effects)
+}
+
+func (fairway *Fairway) checkSettled(now time.Time, peer *hosted, effects *helm.Effects) {
+	if peer.joining != nil || len(peer.pending) > 0 {
+		return
+	}
+	fairway.release(now, peer, !peer.stuck, effects)
+}
+
+func (fairway *Fairway) release(now time.Time, peer *hosted, settled bool, effects *helm.Effects) {
+	waiting := peer.waiting
+	peer.waiting = nil
+	for _, done := range waiting {
+		done(now, effects, settled)
+	}
+}
+
+// Sending.
+
+func (fairway *Fairway) signal(daemon string, signal Signal) {
+	lantern, alive := fairway.lanterns[daemon]
+	if !alive {
+		return
+	}
+	fairway.Counts.SignalsOut++
+	fairway.out[lantern.Address] = append(fairway.out[lantern.Address], signal)
+}
+
+func (fairway *Fairway) flush(effects *helm.Effects) {
+	for address, signals := range helm.Sorted(fairway.out) {
+		fairway.Counts.BatchesOut++
+		effects.Send(address, Signals{Signals: signals})
+	}
+	clear(fairway.out)
+}
+
+// Joining.
+
+func (fairway *Fairway) join(now time.Time, peer *hosted) {
+	fairway.Counts.Joins++
+	if peer.joining == nil {
+		peer.joining = &outstanding{}
+	}
+	peer.joining.tries++
+	peer.joining.until = now.Add(joinLimit)
+	fairway.timers.ArmSooner("limits", peer.joining.until)
+	clear(peer.joinAsked)
+	peer.queued = false
+	request := Signal{Kind: SignalJoin, Space: peer.space.name, From: peer.self}
+	if start := fairway.nearestHosted(peer.space, peer.self.At, peer); start != nil {
+		fairway.forward(now, start, request, false)
+		return
+	}
+	for _, other := range peer.space.peers {
+		if other != peer && other.joining != nil && !other.queued {
+			// The first peer here is still looking for the others.
+			peer.queued = true
+			return
+		}
+	}
+	for name := range helm.Sorted(fairway.lanterns) {
+		peer.joinAsked[name] = true
+		fairway.signal(name, request)
+	}
+	if len(peer.joinAsked) == 0 {
+		fairway.joined(now, peer)
+	}
+}
+
+// joined ends a peer's joining and lets those go on that waited for it.
+func (fairway *Fairway) joined(now time.Time, peer *hosted) {
+	peer.joining = nil
+	fairway.timers.ArmSooner("settle", now)
+	for _, other := range peer.space.sorted() {
+		if other.queued {
+			other.queued = false
+			fairway.join(now, other)
+		}
+	}
+}
+
+// nearestHosted finds the hosted peer nearest to a point.
+func (fairway *Fairway) nearestHosted(here *space, at Point, without *hosted) *hosted {
+	var best *hosted
+	bestDistance := 0.0
+	for _, peer := range here.peers {
+		if peer == without || peer.joining != nil && without != nil {
+			continue
+		}
+		away := distance(peer.self.At, at)
+		if best == nil || away < bestDistance || away == bestDistance && peer.self.Key.compare(best.self.Key) < 0 {
+			best, bestDistance = peer, away
+		}
+	}
+	return best
+}
+
+// forward moves a join on to the nearest peer known, or accepts it here.
+func (fairway *Fairway) forward(now time.Time, at *hosted, request Signal, fromAway bool) {
+	target := request.From.At
+	for {
+		best, bestDistance := at.self, distance(at.self.At, target)
+		for key, known := range at.known {
+			if key == request.From.Key {
+				continue
+			}
+			away := distance(known.At, target)
+			if away < bestDistance || away == bestDistance && key.compare(best.Key) < 0 {
+				best, bestDistance = known, away
+			}
+		}
+		if best.Key == at.self.Key {
+			fairway.accept(now, at, request)
+			return
+		}
+		if next, here := at.space.byKey[best.Key]; here {
+			at = next
+			continue
+		}
+		if _, alive := fairway.lanterns[best.Key.Daemon]; !alive {
+			fairway.drop(now, at, best.Key)
+			continue
+		}
+		if request.Hops >= hopLimit {
+			fairway.accept(now, at, request)
+			return
+		}
+		request.Hops++
+		request.To = best.Key
+		fairway.Counts.Hops++
+		fairway.signal(best.Key.Daemon, request)
+		return
+	}
+}
+
+// accept answers a join as the acceptor.
+func (fairway *Fairway) accept(now time.Time, acceptor *hosted, request Signal) {
+	answer := fairway.introduce(now, acceptor, request.From)
+	answer.Kind = SignalWelcome
+	answer.Hops = request.Hops
+	fairway.tell(now, request.From.Key, answer)
+}
+
+// tell hands a signal to a peer, here or away.
+func (fairway *Fairway) tell(now time.Time, key PeerKey, signal Signal) {
+	signal.To = key
+	if key.Daemon != fairway.daemon {
+		fairway.signal(key.Daemon, signal)
+		return
+	}
+	if key.Life == fairway.life {
+		fairway.handle(now, signal, nil)
+	}
+}
+
+// introduce makes a newcomer known to a hosted peer and gathers what the
+// newcomer ought to know.
+func (fairway *Fairway) introduce(now time.Time, peer *hosted, newcomer Peer) Signal {
+	answer := Signal{Space: peer.space.name, From: peer.self}
+	if newcomer.Key == peer.self.Key {
+		return answer
+	}
+	wasKnown := peer.cell.owns(newcomer.Key)
+	taken := fairway.note(peer, newcomer)
+	include := map[PeerKey]Peer{}
+	offer := func(keys []PeerKey) {
+		for _, key := range keys {
+			if known, found := peer.known[key]; found && key != newcomer.Key {
+				include[key] = known
+			}
+		}
+	}
+	if peer.cell.owns(newcomer.Key) && len(taken) > 0 {
+		offer(peer.cell.beside(newcomer.Key))
+	} else {
+		offer(peer.cell.owners())
+	}
+	for key, known := range peer.known {
+		if !known.Subscribes || key == newcomer.Key {
+			continue
+		}
+		over := known.Area.Contains(newcomer.At)
+		if !over && len(taken) > 0 {
+			over = polygonMeets(peer.self.At, taken, known.Area)
+		} else if !over && wasKnown {
+			over = peer.cell.meets(known.Area)
+		}
+		if over {
+			include[key] = known
+		}
+	}
+	for key, known := range peer.known {
+		if newcomer.Subscribes && key != newcomer.Key && newcomer.Area.Contains(known.At) {
+			include[key] = known
+		}
+	}
+	for _, known := range sortedPeers(include) {
+		answer.Peers = append(answer.Peers, known)
+	}
+	if newcomer.Subscribes {
+		for _, key := range peer.cell.boundary(newcomer.Area) {
+			if known, found := peer.known[key]; found && key != newcomer.Key {
+				answer.Boundary = append(answer.Boundary, known)
+			}
+		}
+	}
+	return answer
+}
+
+// note records what is known of another peer, and returns the part of the
+// region that it took.
+func (fairway *Fairway) note(peer *hosted, other Peer) []corner {
+	earlier, found := peer.known[other.Key]
+	if found && earlier.Change > other.Change {
+		return nil
+	}
+	peer.known[other.Key] = other
+	if found {
+		return nil
+	}
+	taken, _ := peer.cell.clip(other.At, other.Key)
+	return taken
+}
+
+// learn considers peers that somebody told of, and greets those that matter.
+func (fairway *Fairway) learn(now time.Time, peer *hosted, others []Peer, always bool) bool {
+	news := false
+	for _, other := range others {
+		if other.Key == peer.self.Key {
+			continue
+		}
+		if other.Key.Daemon == fairway.daemon {
+			current, here := peer.space.byKey[other.Key]
+			if !here {
+				continue
+			}
+			other = current.self
+		} else if _, alive := fairway.lanterns[other.Key.Daemon]; !alive {
+			continue
+		}
+		earlier, known := peer.known[other.Key]
+		if known && earlier.Change >= other.Change {
+			if peer.greeted[other.Key] < peer.self.Change && (always || fairway.matters(peer, other)) {
+				fairway.greet(now, peer, other)
+			}
+			continue
+		}
+		if !always && !known && !fairway.matters(peer, other) {
+			continue
+		}
+		news = true
+		fairway.note(peer, other)
+		if peer.greeted[other.Key] < peer.self.Change {
+			fairway.greet(now, peer, other)
+		}
+	}
+	return news
+}
+
+func (fairway *Fairway) matters(peer *hosted, other Peer) bool {
+	if peer.cell.owns(other.Key) || peer.cell.cuts(other.At) {
+		return true
+	}
+	if peer.self.Subscribes && peer.self.Area.Contains(other.At) {
+		return true
+	}
+	return other.Subscribes && (other.Area.Contains(peer.self.At) || peer.cell.meets(other.Area))
+}
+
+func (fairway *Fairway) greet(now time.Time, peer *hosted, other Peer) {
+	peer.greeted[other.Key] = peer.self.Change
+	fairway.Counts.Greets++
+	greeting := Signal{Kind: SignalGreet, Space: peer.space.name, To: other.Key, From: peer.self}
+	if other.Key.Daemon == fairway.daemon {
+		if neighbour, here := peer.space.byKey[other.Key]; here {
+			answer := fairway.introduce(now, neighbour, peer.self)
+			fairway.learn(now, peer, answer.Peers, false)
+			fairway.learn(now, peer, answer.Boundary, true)
+		}
+		return
+	}
+	if now.Before(peer.healUntil) {
+		greeting.Hops = healing
+	}
+	waiting, found := peer.pending[other.Key]
+	if !found {
+		waiting = &outstanding{}
+		peer.pending[other.Key] = waiting
+	}
+	waiting.tries++
+	waiting.until = now.Add(greetLimit)
+	fairway.timers.ArmSooner("limits", waiting.until)
+	fairway.signal(other.Key.Daemon, greeting)
+}
+
+// regreet tells all whom a peer knows that its part has changed, and walks its
+// area anew.
+func (fairway *Fairway) regreet(now time.Time, peer *hosted) {
+	for _, known := range sortedPeers(peer.known) {
+		if peer.greeted[known.Key] < peer.self.Change {
+			fairway.greet(now, peer, known)
+		}
+	}
+}
+
+// drop forgets a peer that is gone.
+func (fairway *Fairway) drop(now time.Time, peer *hosted, key PeerKey) {
+	if _, found := peer.known[key]; !found {
+		delete(peer.pending, key)
+		return
+	}
+	delete(peer.known, key)
+	delete(peer.greeted, key)
+	delete(peer.pending, key)
+	if peer.cell.owns(key) {
+		fairway.rebuild(now, peer)
+	}
+}
+
+// rebuild makes a region anew from all peers that this daemon knows of in the
+// space, so that a hole left by one daemon's loss closes at once where another
+// hosted peer knows who is on the far side.
+func (fairway *Fairway) rebuild(now time.Time, peer *hosted) {
+	before := peer.cell.owners()
+	peer.healUntil = now.Add(healFor)
+	peer.cell = newCell(peer.self.At)
+	for _, known := range sortedPeers(peer.known) {
+		peer.cell.clip(known.At, known.Key)
+	}
+	for _, other := range peer.space.sorted() {
+		if other == peer {
+			continue
+		}
+		if peer.cell.cuts(other.self.At) {
+			fairway.learn(now, peer, []Peer{other.self}, false)
+		}
+		for _, key := range other.cell.owners() {
+			known, found := other.known[key]
+			if found && key != peer.self.Key && peer.cell.cuts(known.At) {
+				fairway.learn(now, peer, []Peer{known}, false)
+			}
+		}
+	}
+	for _, key := range peer.cell.owners() {
+		if !slices.Contains(before, key) {
+			if known, found := peer.known[key]; found {
+				fairway.greet(now, peer, known)
+			}
+		}
+	}
+}
+
+// Leaving.
+
+func (fairway *Fairway) leave(peer *hosted) {
+	fairway.Counts.Leaves++
+	delete(peer.space.peers, peer.self.Area)
+	delete(peer.space.byKey, peer.self.Key)
+	var parting []Peer
+	for _, key := range peer.cell.owners() {
+		parting = append(parting, peer.known[key])
+	}
+	for _, known := range sortedPeers(peer.known) {
+		if known.Subscribes && !peer.cell.owns(known.Key) && peer.cell.meets(known.Area) {
+			parting = append(parting, known)
+		}
+	}
+	for key := range sortedPeers(peer.known) {
+		farewell := Signal{Kind: SignalLeave, Space: peer.space.name, To: key, From: peer.self, Peers: parting}
+		if key.Daemon != fairway.daemon {
+			fairway.signal(key.Daemon, farewell)
+		} else if neighbour, here := peer.space.byKey[key]; here {
+			fairway.left(time.Time{}, neighbour, farewell)
+		}
+	}
+}
+
+func (fairway *Fairway) left(now time.Time, peer *hosted, farewell Signal) {
+	fairway.drop(now, peer, farewell.From.Key)
+	fairway.learn(now, peer, farewell.Peers, false)
+}
+
+// Taking signals.
+
+// Take handles what another daemon's peers say.
+func (fairway *Fairway) Take(now time.Time, signals Signals, effects *helm.Effects) {
+	for _, signal := range signals.Signals {
+		fairway.handle(now, signal, effects)
+	}
+	fairway.flush(effects)
+}
+
+func (fairway *Fairway) handle(now time.Time, signal Signal, effects *helm.Effects) {
+	here, found := fairway.spaces[signal.Space]
+	if signal.Kind == SignalJoin {
+		fairway.onJoin(now, here, signal)
+		return
+	}
+	var peer *hosted
+	if found {
+		peer = here.byKey[signal.To]
+	}
+	if peer == nil {
+		if signal.Kind == SignalGreet || signal.Kind == SignalWelcome {
+			fairway.signal(signal.From.Key.Daemon, Signal{Kind: SignalGone, Space: signal.Space, To: signal.From.Key, From: Peer{Key: signal.To}})
+		}
+		return
+	}
+	switch signal.Kind {
+	case SignalNobody:
+		fairway.onNobody(now, peer, signal.From.Key.Daemon)
+	case SignalWelcome:
+		peer.stuck = false
+		peer.greeted[signal.From.Key] = peer.self.Change
+		fairway.learn(now, peer, []Peer{signal.From}, true)
+		fairway.learn(now, peer, signal.Peers, false)
+		fairway.learn(now, peer, signal.Boundary, true)
+		if peer.joining != nil {
+			fairway.joined(now, peer)
+		}
+	case SignalGreet:
+		answer := fairway.introduce(now, peer, signal.From)
+		answer.Kind = SignalGreeted
+		fairway.tell(now, signal.From.Key, answer)
+		if signal.Hops == healing && peer.self.Subscribes {
+			// The region of a peer that heals has grown; what lies beyond it
+			// may now meet this area.
+			fairway.greet(now, peer, signal.From)
+		}
+	case SignalGreeted:
+		delete(peer.pending, signal.From.Key)
+		fairway.note(peer, signal.From)
+		fairway.learn(now, peer, signal.Peers, false)
+		fairway.learn(now, peer, signal.Boundary, true)
+	case SignalLeave:
+		fairway.left(now, peer, signal)
+	case SignalGone:
+		fairway.drop(now, peer, signal.From.Key)
+	}
+	if effects != nil {
+		fairway.checkSettled(now, peer, effects)
+	} else {
+		fairway.timers.ArmSooner("settle", now)
+	}
+}
+
+func (fairway *Fairway) onJoin(now time.Time, here *space, request Signal) {
+	if here == nil || len(here.peers) == 0 {
+		fairway.signal(request.From.Key.Daemon, Signal{
+			Kind: SignalNobody, Space: request.Space, To: request.From.Key, From: Peer{Key: PeerKey{Daemon: fairway.daemon}},
+		})
+		return
+	}
+	if request.To.Daemon != "" {
+		if _, present := here.byKey[request.To]; !present {
+			fairway.signal(request.From.Key.Daemon, Signal{Kind: SignalGone, Space: request.Space, To: request.From.Key, From: Peer{Key: request.To}})
+		}
+	}
+	start := fairway.nearestHosted(here, request.From.At, nil)
+	fairway.forward(now, start, request, true)
+}
+
+// onNobody counts the daemons that host no peer in a space; when all say so,
+// the joining peer is the first.
+func (fairway *Fairway) onNobody(now time.Time, peer *hosted, daemon string) {
+	if peer.joining == nil || peer.queued || len(peer.joinAsked) == 0 {
+		return
+	}
+	delete(peer.joinAsked, daemon)
+	for name := range peer.joinAsked {
+		if _, alive := fairway.lanterns[name]; alive {
+			return
+		}
+	}
+	fairway.joined(now, peer)
+}
+
+// Changes in the cohort.
+
+// View follows the cohort: peers of daemons that are gone leave, and a daemon
+// that comes, or comes again, is probed so that two halves of a split overlay
+// find each other.
+func (fairway *Fairway) View(now time.Time, lanterns map[string]Lantern, effects *helm.Effects) {
+	earlier := fairway.lanterns
+	fairway.lanterns = lanterns
+	for name, before := range helm.Sorted(earlier) {
+		after, alive := lanterns[name]
+		if alive && after.Joined == before.Joined {
+			continue
+		}
+		fairway.dropDaemon(now, name, after.Joined, effects)
+	}
+	for name, lantern := range helm.Sorted(lanterns) {
+		if before, known := earlier[name]; known && before.Joined == lantern.Joined {
+			continue
+		}
+		fairway.probeAll(now, name)
+	}
+	fairway.flush(effects)
+}
+
+// dropDaemon drops the peers of a daemon's earlier lives; life is zero where it
+// is gone.
+func (fairway *Fairway) dropDaemon(now time.Time, daemon string, life uint64, effects *helm.Effects) {
+	for _, here := range helm.Sorted(fairway.spaces) {
+		for _, peer := range here.sorted() {
+			rebuild := false
+			for key := range sortedPeers(peer.known) {
+				if key.Daemon != daemon || key.Life == life {
+					continue
+				}
+				rebuild = rebuild || peer.cell.owns(key)
+				delete(peer.known, key)
+				delete(peer.greeted, key)
+			}
+			for key := range peer.pending {
+				if key.Daemon == daemon && key.Life != life {
+					delete(peer.pending, key)
+				}
+			}
+			if peer.joining != nil && peer.joinAsked[daemon] {
+				fairway.onNobody(now, peer, daemon)
+			}
+			if rebuild {
+				fairway.rebuild(now, peer)
+				for _, key := range peer.cell.owners() {
+					if known, found := peer.known[key]; found {
+						fairway.greet(now, peer, known)
+					}
+				}
+			}
+			fairway.checkSettled(now, peer, effects)
+		}
+	}
+}
+
+// probeAll sends each hosted peer's join through one other daemon, which shows
+// neighbours that this side did not know.
+func (fairway *Fairway) probeAll(now time.Time, daemon string) {
+	for _, here := range helm.Sorted(fairway.spaces) {
+		for _, peer := range here.sorted() {
+			fairway.probe(peer, daemon)
+		}
+	}
+}
+
+func (fairway *Fairway) probe(peer *hosted, daemon string) {
+	fairway.Counts.Probes++
+	fairway.signal(daemon, Signal{Kind: SignalJoin, Space: peer.space.name, From: peer.self})
+}
+
+// Due runs the timers that expired.
+func (fairway *Fairway) Due(now time.Time, effects *helm.Effects) {
+	for _, key := range fairway.timers.Expired(now) {
+		switch key {
+		case "limits":
+			fairway.limits(now, effects)
+		case "compare":
+			fairway.compare(now, effects)
+		case "sweep":
+			fairway.sweep(now)
+		case "settle":
+			for _, here := range helm.Sorted(fairway.spaces) {
+				for _, peer := range here.sorted() {
+					if len(peer.waiting) > 0 {
+						fairway.checkSettled(now, peer, effects)
+					}
+				}
+			}
+		}
+	}
+	fairway.flush(effects)
+}
+
+func (fairway *Fairway) limits(now time.Time, effects *helm.Effects) {
+	var next time.Time
+	for _, here := range helm.Sorted(fairway.spaces) {
+		for _, peer := range here.sorted() {
+			if peer.joining != nil && !peer.joining.until.After(now) {
+				if peer.joining.tries >= joinTries {
+					peer.joining = nil
+					peer.stuck = true
+				} else {
+					fairway.join(now, peer)
+				}
+			}
+			for key := range sortedPending(peer.pending) {
+				waiting := peer.pending[key]
+				if waiting.until.After(now) {
+					continue
+				}
+				known, found := peer.known[key]
+				if !found || waiting.tries >= greetTries {
+					// It stays known; a comparison greets it again.
+					delete(peer.pending, key)
+					peer.greeted[key] = 0
+					continue
+				}
+				fairway.greet(now, peer, known)
+			}
+			for _, waiting := range peer.pending {
+				next = helm.Earliest(next, waiting.until)
+			}
+			if peer.joining != nil {
+				next = helm.Earliest(next, peer.joining.until)
+			}
+			fairway.checkSettled(now, peer, effects)
+		}
+	}
+	if !next.IsZero() {
+		fairway.timers.ArmSooner("limits", next)
+	}
+}
+
+func sortedPending(pending map[PeerKey]*outstanding) func(yield func(PeerKey) bool) {
+	return func(yield func(PeerKey) bool) {
+		keys := make([]PeerKey, 0, len(pending))
+		for key := range pending {
+			keys = append(keys, key)
+		}
+		slices.SortFunc(keys, PeerKey.compare)
+		for _, key := range keys {
+			if _, found := pending[key]; found && !yield(key) {
+				return
+			}
+		}
+	}
+}
+
+// compare lets a few peers in turn greet their enclosing neighbours again and
+// send their join through another daemon. What a lost signal, a split or a
+// misjudged edge left out is found so, whoever lost it.
+func (fairway *Fairway) compare(now time.Time, effects *helm.Effects) {
+	any := false
+	var names []string
+	for name := range helm.Sorted(fairway.lanterns) {
+		names = append(names, name)
+	}
+	for _, here := range helm.Sorted(fairway.spaces) {
+		peers := here.sorted()
+		if len(peers) == 0 {
+			continue
+		}
+		any = true
+		count := max(1, len(peers)/64)
+		for range count {
+			peer := peers[here.turn%len(peers)]
+			here.turn++
+			if peer.joining != nil || peer.stuck {
+				peer.stuck = false
+				peer.joining = nil
+				fairway.join(now, peer)
+				continue
+			}
+			for _, key := range peer.cell.owners() {
+				if known, found := peer.known[key]; found && key.Daemon != fairway.daemon {
+					fairway.greet(now, peer, known)
+				}
+			}
+			for _, known := range sortedPeers(peer.known) {
+				if peer.greeted[known.Key] < peer.self.Change {
+					fairway.greet(now, peer, known)
+				}
+			}
+			if len(names) > 0 {
+				fairway.probe(peer, names[here.turn/len(peers)%len(names)])
+			}
+		}
+	}
+	if any {
+		fairway.timers.Arm("compare", now.Add(compareEvery))
+	}
+}
+
+// sweep lets publishing peers go that nobody used for a while.
+func (fairway *Fairway) sweep(now time.Time) {
+	any := false
+	for _, here := range helm.Sorted(fairway.spaces) {
+		for _, peer := range here.sorted() {
+			any = true
+			if !peer.publishes || now.Sub(peer.lastUse) < quietFor {
+				continue
+			}
+			peer.publishes = false
+			if !peer.self.Subscribes {
+				fairway.leave(peer)
+			}
+		}
+	}
+	if any {
+		fairway.timers.Arm("sweep", now.Add(sweepEvery))
+	}
+}
+
+// Live begins this daemon's next life in the cohort: a first one, or one after
+// the others had taken it for lost. Every peer joins anew under a new key.
+func (fairway *Fairway) Live(now time.Time, life uint64, effects *helm.Effects) {
+	if fairway.life == life {
+		return
+	}
+	fairway.life = life
+	for _, here := range helm.Sorted(fairway.spaces) {
+		for _, peer := range here.sorted() {
+			delete(here.byKey, peer.self.Key)
+			fairway.number++
+			fairway.change++
+			peer.self.Key.Life, peer.self.Key.Number = life, fairway.number
+			peer.self.Change = fairway.change
+			peer.known, peer.greeted, peer.pending = map[PeerKey]Peer{}, map[PeerKey]uint64{}, map[PeerKey]*outstanding{}
+			peer.cell = newCell(peer.self.At)
+			peer.joining, peer.queued = nil, false
+			here.byKey[peer.self.Key] = peer
+		}
+		peers := here.sorted()
+		for _, peer := range peers {
+			peer.joining, peer.queued = &outstanding{}, true
+		}
+		if len(peers) > 0 {
+			fairway.join(now, peers[0])
+		}
+	}
+	fairway.flush(effects)
+}
--- /dev/null
+++ b/internal/fairway/plane.go
@@ -0,0 +1,275 @@
+// The plane on which topics lie, after VAST's spatial publish and subscribe:
+// each part of a topic's path picks a cell in a grid inside the square of the
+// part before it, so that a prefix is one square and a topic a small one, and
+// every topic under a prefix lies inside that prefix's square. A peer's
+// reference point lies inside its area, moved by a hash of its daemon's name so
+// that no two peers share a point.
+package fairway
+
+import (
+	"hash/fnv"
+	"math"
+	"strings"
+)
+
+const (
+	gridBits  = 5
+	gridSide  = 1 << gridBits
+	depthMost = 4
+)
+
+// Point is a place in the unit square.
+type Point struct {
+	_ struct{} `cbor:",toarray"`
+	X float64
+	Y float64
+}
+
+// Area is a square in the unit square.
+type Area struct {
+	_    struct{} `cbor:",toarray"`
+	X    float64
+	Y    float64
+	Size float64
+}
+
+// Whole is the area of everything.
+var Whole = Area{Size: 1}
+
+// AreaOf is the square of a path: of a topic, or of a prefix.
+func AreaOf(path string) Area {
+	area := Whole
+	if path == "" {
+		return area
+	}
+	for depth, part := range strings.Split(path, "/") {
+		if depth == depthMost {
+			break
+		}
+		sum := fnv.New64a()
+		_, _ = sum.Write([]byte(part))
+		mixed := sum.Sum64()
+		mixed ^= mixed >> 29
+		mixed *= 0xbf58476d1ce4e5b9
+		mixed ^= mixed >> 32
+		area.Size /= gridSide
+		area.X += float64(mixed%gridSide) * area.Size
+		area.Y += float64(mixed>>gridBits%gridSide) * area.Size
+	}
+	return area
+}
+
+// Contains tells whether a point lies inside.
+func (area Area) Contains(point Point) bool {
+	return point.X >= area.X && point.X < area.X+area.Size && point.Y >= area.Y && point.Y < area.Y+area.Size
+}
+
+// Covers tells whether another area lies inside. Areas are cells of one grid,
+// so they either nest or don't meet.
+func (area Area) Covers(other Area) bool {
+	return area.Size >= other.Size && area.Contains(Point{X: other.X + other.Size/2, Y: other.Y + other.Size/2})
+}
+
+// reference is a peer's point: near the middle, moved by a hash.
+func (area Area) reference(daemon string, number uint64) Point {
+	sum := fnv.New64a()
+	_, _ = sum.Write([]byte(daemon))
+	mixed := sum.Sum64() + number*0x9e3779b97f4a7c15
+	mixed ^= mixed >> 30
+	mixed *= 0xbf58476d1ce4e5b9
+	mixed ^= mixed >> 27
+	mixed *= 0x94d049bb133111eb
+	mixed ^= mixed >> 31
+	across, along := float64(mixed>>40)/(1<<24), float64(mixed>>16&0xffffff)/(1<<24)
+	return Point{X: area.X + area.Size*(0.1+0.8*across), Y: area.Y + area.Size*(0.1+0.8*along)}
+}
+
+func distance(left, right Point) float64 {
+	across, along := left.X-right.X, left.Y-right.Y
+	return across*across + along*along
+}
+
+// Cell is a peer's own Voronoi region, clipped to the unit square, in
+// coordinates relative to the peer, with the owner of each edge: the enclosing
+// neighbour beyond it, or nobody at the border of the square.
+type Cell struct {
+	middle  Point
+	corners []corner
+}
+
+type corner struct {
+	x, y float64
+	// owner is beyond the edge from this corner to the next.
+	owner PeerKey
+}
+
+func newCell(middle Point) Cell {
+	left, low, right, high := -middle.X, -middle.Y, 1-middle.X, 1-middle.Y
+	return Cell{middle: middle, corners: []corner{{x: left, y: low}, {x: right, y: low}, {x: right, y: high}, {x: left, y: high}}}
+}
+
+// side is positive where a corner is nearer to the other point.
+func (cell *Cell) side(at corner, across, along float64) float64 {
+	return at.x*across + at.y*along - (across*across+along*along)/2
+}
+
+// cuts tells whether another point would take part of the cell.
+func (cell *Cell) cuts(other Point) bool {
+	across, along := other.X-cell.middle.X, other.Y-cell.middle.Y
+	for _, at := range cell.corners {
+		if cell.side(at, across, along) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// clip takes away what is nearer to another point, and tells whether anything
+// was. The part taken away is returned as a polygon.
+func (cell *Cell) clip(other Point, owner PeerKey) (taken []corner, changed bool) {
+	across, along := other.X-cell.middle.X, other.Y-cell.middle.Y
+	if across == 0 && along == 0 {
+		return nil, false
+	}
+	if !cell.cuts(other) {
+		return nil, false
+	}
+	var kept []corner
+	count := len(cell.corners)
+	for position, here := range cell.corners {
+		next := cell.corners[(position+1)%count]
+		hereSide, nextSide := cell.side(here, across, along), cell.side(next, across, along)
+		if hereSide <= 0 {
+			kept = append(kept, here)
+		} else {
+			taken = append(taken, here)
+		}
+		if hereSide <= 0 && nextSide > 0 || hereSide > 0 && nextSide <= 0 {
+			share := hereSide / (hereSide - nextSide)
+			crossing := corner{x: here.x + share*(next.x-here.x), y: here.y + share*(next.y-here.y)}
+			if hereSide <= 0 {
+				crossing.owner = owner
+			} else {
+				crossing.owner = here.owner
+			}
+			kept = append(kept, crossing)
+			taken = append(taken, crossing)
+		}
+	}
+	cell.corners = kept
+	return taken, true
+}
+
+// owners lists the enclosing neighbours, in the order of the edges.
+func (cell *Cell) owners() []PeerKey {
+	var owners []PeerKey
+	for _, at := range cell.corners {
+		if at.owner.Daemon == "" {
+			continue
+		}
+		known := false
+		for _, earlier := range owners {
+			known = known || earlier == at.owner
+		}
+		if !known {
+			owners = append(owners, at.owner)
+		}
+	}
+	return owners
+}
+
+func (cell *Cell) owns(key PeerKey) bool {
+	for _, at := range cell.corners {
+		if at.owner == key {
+			return true
+		}
+	}
+	return false
+}
+
+// beside lists the owners of the edges next to one owner's edge: the peers that
+// the two have in common.
+func (cell *Cell) beside(key PeerKey) []PeerKey {
+	var found []PeerKey
+	count := len(cell.corners)
+	for position, at := range cell.corners {
+		if at.owner != key {
+			continue
+		}
+		for _, step := range []int{count - 1, 1} {
+			other := cell.corners[(position+step)%count].owner
+			if other.Daemon != "" && other != key {
+				found = append(found, other)
+			}
+		}
+	}
+	return found
+}
+
+// meets tells whether an area and the cell have a point in common.
+func (cell *Cell) meets(area Area) bool { return polygonMeets(cell.middle, cell.corners, area) }
+
+func polygonMeets(middle Point, polygon []corner, area Area) bool {
+	if len(polygon) == 0 {
+		return false
+	}
+	left, right := area.X-middle.X, area.X+area.Size-middle.X
+	low, high := area.Y-middle.Y, area.Y+area.Size-middle.Y
+	for _, bound := range []struct{ across, along, most float64 }{{-1, 0, -left}, {1, 0, right}, {0, -1, -low}, {0, 1, high}} {
+		var kept []corner
+		for position, here := range polygon {
+			next := polygon[(position+1)%len(polygon)]
+			hereSide := here.x*bound.across + here.y*bound.along - bound.most
+			nextSide := next.x*bound.across + next.y*bound.along - bound.most
+			if hereSide <= 0 {
+				kept = append(kept, here)
+			}
+			if hereSide <= 0 && nextSide > 0 || hereSide > 0 && nextSide <= 0 {
+				share := hereSide / (hereSide - nextSide)
+				kept = append(kept, corner{x: here.x + share*(next.x-here.x), y: here.y + share*(next.y-here.y)})
+			}
+		}
+		if len(kept) == 0 {
+			return false
+		}
+		polygon = kept
+	}
+	return true
+}
+
+// boundary lists the neighbours beyond those edges that meet an area: their
+// regions meet it too.
+func (cell *Cell) boundary(area Area) []PeerKey {
+	var found []PeerKey
+	for position, here := range cell.corners {
+		if here.owner.Daemon == "" {
+			continue
+		}
+		next := cell.corners[(position+1)%len(cell.corners)]
+		if segmentMeets(cell.middle, here, next, area) {
+			found = append(found, here.owner)
+		}
+	}
+	return found
+}
+
+// segmentMeets widens the area a little, so that an edge along its border
+// counts.
+func segmentMeets(middle Point, from, to corner, area Area) bool {
+	wider := area.Size * 1e-9
+	least, most := 0.0, 1.0
+	for _, axis := range []struct{ start, step, low, high float64 }{
+		{from.x, to.x - from.x, area.X - middle.X - wider, area.X + area.Size - middle.X + wider},
+		{from.y, to.y - from.y, area.Y - middle.Y - wider, area.Y + area.Size - middle.Y + wider},
+	} {
+		if axis.step == 0 {
+			if axis.start < axis.low || axis.start > axis.high {
+				return false
+			}
+			continue
+		}
+		enter, leave := (axis.low-axis.start)/axis.step, (axis.high-axis.start)/axis.step
+		least, most = math.Max(least, math.Min(enter, leave)), math.Min(most, math.Max(enter, leave))
+	}
+	return least <= most
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,367 @@
+// Package fleet starts a whole fleet on one machine as the platform would: each
+// daemon a plain process with its own settings file, TERM and then KILL after
+// six seconds, readiness asked every second. Localities are ranges of loopback
+// addresses, and the delays between them are set through the daemons' trial
+// settings. It is a test tool; no daemon uses it.
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"dahlialock/internal/beacon"
+)
+
+// Deployment is the size of a fleet.
+type Deployment struct {
+	Name     string
+	Lanterns int
+	Keepers  int
+	Pilots   int
+	Places   int
+	Delay    time.Duration
+	Port     int
+}
+
+// Deployments are the two of the brief, and a small one for quick trials.
+var Deployments = map[string]Deployment{
+	"fjordlys": {Name: "fjordlys", Lanterns: 7, Keepers: 3, Pilots: 5, Places: 3, Delay: 500 * time.Microsecond, Port: 21000},
+	"qureshi":  {Name: "qureshi", Lanterns: 9, Keepers: 3, Pilots: 5, Places: 3, Delay: 1500 * time.Microsecond, Port: 22000},
+	"small":    {Name: "small", Lanterns: 3, Keepers: 3, Pilots: 3, Places: 3, Delay: 500 * time.Microsecond, Port: 23000},
+}
+
+// Key is the fleet's key in trials.
+const Key = "harbour-trial-key-0123456789"
+
+// Trial is what is imposed on one daemon's links.
+type Trial struct {
+	Delays map[string]string  `json:"delays,omitempty"`
+	Loss   map[string]float64 `json:"loss,omitempty"`
+	Cuts   []string           `json:"cuts,omitempty"`
+}
+
+// Daemon is one process of the fleet.
+type Daemon struct {
+	Name     string
+	Kind     string
+	Locality string
+	Address  string
+	Control  string
+	Caller   string
+	folder   string
+	settings map[string]any
+	binary   string
+	command  *exec.Cmd
+	exited   chan struct{}
+	Starts   int
+}
+
+// Fleet is all of them.
+type Fleet struct {
+	Deployment Deployment
+	Daemons    map[string]*Daemon
+	folder     string
+	names      []string
+}
+
+// Place is the name of a locality.
+func Place(number int) string { return "zone-" + string(rune('a'+number)) }
+
+// Prefix is the range of addresses of a locality.
+func Prefix(number int) string { return fmt.Sprintf("127.0.%d.", number+1) }
+
+// New lays out a fleet in a folder; binaries are in another.
+func New(deployment Deployment, folder, binaries string) (*Fleet, error) {
+	fleet := &Fleet{Deployment: deployment, Daemons: map[string]*Daemon{}, folder: folder}
+	port := deployment.Port
+	next := func(number int) string {
+		port++
+		return fmt.Sprintf("%s%d:%d", Prefix(number), port%200+10, port)
+	}
+	var pilots, seeds []string
+	for number := range deployment.Pilots {
+		pilots = append(pilots, next(number%deployment.Places))
+	}
+	seeds = pilots[:min(3, len(pilots))]
+	add := func(kind string, number int, address string, more map[string]any) *Daemon {
+		place := number % deployment.Places
+		daemon := &Daemon{
+			Name: fmt.Sprintf("%s-%d", kind, number+1), Kind: kind, Locality: Place(place), Address: address, Control: next(place),
+			binary: filepath.Join(binaries, kind),
+		}
+		daemon.folder = filepath.Join(folder, daemon.Name)
+		daemon.settings = map[string]any{
+			"name": daemon.Name, "address": daemon.Address, "ctl": daemon.Control, "locality": daemon.Locality, "seeds": seeds,
+			"trial": Trial{Delays: fleet.delays(place)},
+		}
+		for key, value := range more {
+			daemon.settings[key] = value
+		}
+		fleet.Daemons[daemon.Name] = daemon
+		fleet.names = append(fleet.names, daemon.Name)
+		return daemon
+	}
+	for number := range deployment.Pilots {
+		add(beacon.KindPilot, number, pilots[number], map[string]any{
+			"pilots": deployment.Pilots, "data": filepath.Join(folder, fmt.Sprintf("pilot-%d", number+1), "data"),
+		})
+	}
+	for number := range deployment.Keepers {
+		add(beacon.KindKeeper, number, next(number%deployment.Places), map[string]any{
+			"data": filepath.Join(folder, fmt.Sprintf("keeper-%d", number+1), "data"),
+		})
+	}
+	for number := range deployment.Lanterns {
+		place := number % deployment.Places
+		lanternAddress, tenderAddress, callerAddress := next(place), next(place), next(place)
+		lantern := add(beacon.KindLantern, number, lanternAddress, map[string]any{"tender": tenderAddress, "caller": callerAddress, "key": Key})
+		lantern.Caller = callerAddress
+		add(beacon.KindTender, number, tenderAddress, map[string]any{"lantern": lanternAddress})
+	}
+	for _, daemon := range fleet.Daemons {
+		if fault := os.MkdirAll(daemon.folder, 0o755); fault != nil {
+			return nil, fault
+		}
+		if fault := daemon.writeSettings(); fault != nil {
+			return nil, fault
+		}
+	}
+	return fleet, nil
+}
+
+func (fleet *Fleet) delays(place int) map[string]string {
+	delays := map[string]string{}
+	for other := range fleet.Deployment.Places {
+		if other != place && fleet.Deployment.Delay > 0 {
+			delays[Prefix(other)] = fleet.Deployment.Delay.String()
+		}
+	}
+	return delays
+}
+
+func (daemon *Daemon) settingsPath() string { return filepath.Join(daemon.folder, "props.json") }
+
+func (daemon *Daemon) writeSettings() error {
+	body, fault := json.MarshalIndent(daemon.settings, "", "  ")
+	if fault != nil {
+		return fault
+	}
+	draft := daemon.settingsPath() + ".draft"
+	if fault := os.WriteFile(draft, body, 0o644); fault != nil {
+		return fault
+	}
+	return os.Rename(draft, daemon.settingsPath())
+}
+
+// SetTrial changes what is imposed on a daemon's links, without a signal.
+func (fleet *Fleet) SetTrial(name string, change func(trial *Trial)) error {
+	daemon := fleet.Daemons[name]
+	trial := daemon.settings["trial"].(Trial)
+	trial.Cuts, trial.Loss = nil, nil
+	change(&trial)
+	daemon.settings["trial"] = trial
+	return daemon.writeSettings()
+}
+
+// Edit changes a daemon's settings file to any text, without a signal.
+func (fleet *Fleet) Edit(name string, text []byte) error {
+	return os.WriteFile(fleet.Daemons[name].settingsPath(), text, 0o644)
+}
+
+// Restore writes a daemon's right settings again.
+func (fleet *Fleet) Restore(name string) error { return fleet.Daemons[name].writeSettings() }
+
+// Names lists the daemons in the order in which they are started.
+func (fleet *Fleet) Names() []string { return fleet.names }
+
+// OfKind lists the daemons of one kind.
+func (fleet *Fleet) OfKind(kind string) []*Daemon {
+	var found []*Daemon
+	for _, name := range fleet.names {
+		if fleet.Daemons[name].Kind == kind {
+			found = append(found, fleet.Daemons[name])
+		}
+	}
+	return found
+}
+
+// Start starts one daemon.
+func (fleet *Fleet) Start(name string) error {
+	daemon := fleet.Daemons[name]
+	log, fault := os.OpenFile(filepath.Join(daemon.folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if fault != nil {
+		return fault
+	}
+	defer func() { _ = log.Close() }()
+	command := exec.Command(daemon.binary, "-props", daemon.settingsPath())
+	command.Stderr, command.Stdout = log, log
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if fault := command.Start(); fault != nil {
+		return fault
+	}
+	exited := make(chan struct{})
+	daemon.command, daemon.exited = command, exited
+	daemon.Starts++
+	go func() {
+		_ = command.Wait()
+		close(exited)
+	}()
+	return nil
+}
+
+// StartAll starts every daemon.
+func (fleet *Fleet) StartAll() error {
+	for _, name := range fleet.names {
+		if fault := fleet.Start(name); fault != nil {
+			return fault
+		}
+	}
+	return nil
+}
+
+// Signal sends a signal to a daemon.
+func (fleet *Fleet) Signal(name string, signal syscall.Signal) {
+	if daemon := fleet.Daemons[name]; daemon.Running() {
+		_ = daemon.command.Process.Signal(signal)
+	}
+}
+
+// Running tells whether a daemon's process is there.
+func (daemon *Daemon) Running() bool {
+	if daemon.command == nil {
+		return false
+	}
+	select {
+	case <-daemon.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// Process is the daemon's process number.
+func (daemon *Daemon) Process() int { return daemon.command.Process.Pid }
+
+// ExitCode is how the last process ended.
+func (daemon *Daemon) ExitCode() int {
+	<-daemon.exited
+	return daemon.command.ProcessState.ExitCode()
+}
+
+// Kill ends a daemon at once.
+func (fleet *Fleet) Kill(name string) {
+	fleet.Signal(name, syscall.SIGKILL)
+	if daemon := fleet.Daemons[name]; daemon.command != nil {
+		<-daemon.exited
+	}
+}
+
+// Stop asks politely, and forcibly after six seconds; it tells how long it took
+// and whether force was needed.
+func (fleet *Fleet) Stop(name string) (time.Duration, bool) {
+	daemon := fleet.Daemons[name]
+	if !daemon.Running() {
+		return 0, false
+	}
+	began := time.Now()
+	fleet.Signal(name, syscall.SIGTERM)
+	select {
+	case <-daemon.exited:
+		return time.Since(began), false
+	case <-time.After(6 * time.Second):
+		fleet.Kill(name)
+		return time.Since(began), true
+	}
+}
+
+// StopAll ends all daemons.
+func (fleet *Fleet) StopAll() {
+	done := make(chan struct{})
+	for _, name := range fleet.names {
+		go func() {
+			fleet.Signal(name, syscall.SIGCONT)
+			fleet.Stop(name)
+			done <- struct{}{}
+		}()
+	}
+	for range fleet.names {
+		<-done
+	}
+}
+
+// Wipe empties a stopped daemon's data folder.
+func (fleet *Fleet) Wipe(name string) error {
+	return os.RemoveAll(filepath.Join(fleet.Daemons[name].folder, "data"))
+}
+
+// LogPath is where a daemon logs.
+func (fleet *Fleet) LogPath(name string) string {
+	return filepath.Join(fleet.Daemons[name].folder, "log")
+}
+
+var probe = &http.Client{Timeout: 900 * time.Millisecond, Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}}
+
+// Ready asks a daemon's readiness once.
+func (daemon *Daemon) Ready() bool {
+	response, fault := probe.Get("http://" + daemon.Control + "/ready")
+	if fault != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// Self reads a daemon's counters.
+func (daemon *Daemon) Self() (map[string]any, error) {
+	response, fault := probe.Get("http://" + daemon.Control + "/v1/self")
+	if fault != nil {
+		return nil, fault
+	}
+	defer func() { _ = response.Body.Close() }()
+	var value map[string]any
+	return value, json.NewDecoder(response.Body).Decode(&value)
+}
+
+// WaitReady waits until all the named daemons are ready.
+func (fleet *Fleet) WaitReady(limit time.Duration, names ...string) error {
+	until := time.Now().Add(limit)
+	for {
+		var missing []string
+		for _, name := range names {
+			if !fleet.Daemons[name].Ready() {
+				missing = append(missing, name)
+			}
+		}
+		if len(missing) == 0 {
+			return nil
+		}
+		if time.Now().After(until) {
+			return fmt.Errorf("not ready after %s: %s", limit, strings.Join(missing, ", "))
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// ProcessorTime is the processor time that a daemon's process has used.
+func (daemon *Daemon) ProcessorTime() time.Duration {
+	body, fault := os.ReadFile(fmt.Sprintf("/proc/%d/stat", daemon.Process()))
+	if fault != nil {
+		return 0
+	}
+	text := string(body)
+	fields := strings.Fields(text[strings.LastIndexByte(text, ')')+1:])
+	if len(fields) < 13 {
+		return 0
+	}
+	user, _ := strconv.ParseInt(fields[11], 10, 64)
+	system, _ := strconv.ParseInt(fields[12], 10, 64)
+	return time.Duration(user+system) * 10 * time.Millisecond
+}
--- /dev/null
+++ b/internal/lamp/channel.go
@@ -0,0 +1,755 @@
+// Channels and what they subscribe to. A subscription to kept topics begins by
+// learning the heads of its strands, or, with a cursor, by fetching all that was
+// missed; until that is done its live messages wait, so that nothing is handed
+// over twice, skipped or out of order. Several interests resumed together are
+// filled as one, since a sender's order runs across them.
+package lamp
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"dahlialock/internal/chart"
+	"dahlialock/internal/foghorn"
+	"dahlialock/internal/helm"
+	"dahlialock/internal/soundings"
+	"dahlialock/internal/strand"
+)
+
+const (
+	gotMemory    = 100 * time.Second
+	markMemory   = 40 * time.Second
+	fetchRetry   = 250 * time.Millisecond
+	backlogMost  = 200000
+	refetchMost  = 64
+	everyFetchTo = 512
+)
+
+type mark struct {
+	seq uint64
+	at  time.Time
+}
+
+type subscription struct {
+	since     map[string]uint64
+	notBefore map[string]uint64
+	filling   bool
+}
+
+type channel struct {
+	name          string
+	origin        string
+	subscriptions map[Interest]*subscription
+	got           map[string]map[uint64]time.Time
+	marks         map[string]map[string]mark
+	buffer        []Carry
+	floors        map[string]uint64
+	passBuffer    []Pass
+	pongAt        time.Time
+	pingAt        time.Time
+	movedAt       time.Time
+}
+
+func (channel *channel) filling() bool {
+	for _, subscription := range channel.subscriptions {
+		if subscription.filling {
+			return true
+		}
+	}
+	return false
+}
+
+// emit hands an event to a channel's writer.
+func (lantern *Lantern) emit(id uint64, event Event, effects *helm.Effects) {
+	effects.Delivers = append(effects.Delivers, helm.Deliver{Channel: id, Event: event})
+}
+
+func (lantern *Lantern) openChannel(now time.Time, visit OpenChannel, effects *helm.Effects) {
+	lantern.Counts.Visits++
+	switch {
+	case lantern.stopping:
+		effects.Return(visit.Visit, refused(503, "stopping", "this daemon is stopping", comeBackSoon))
+		return
+	case !lantern.Confirmed(now):
+		effects.Return(visit.Visit, refused(503, "unconfirmed", "this daemon can't confirm its configuration", comeBackLater))
+		return
+	case len(lantern.channels) >= lantern.props.OriginsMost:
+		effects.Return(visit.Visit, refused(503, "full", "this daemon holds all the channels it may", comeBackSoon))
+		return
+	}
+	lantern.channels[visit.Channel] = &channel{
+		name: visit.Name, origin: visit.Origin, subscriptions: map[Interest]*subscription{},
+		got: map[string]map[uint64]time.Time{}, marks: map[string]map[string]mark{}, pongAt: now, pingAt: now,
+	}
+	lantern.timers.ArmSooner("tick", now.Add(tickEvery))
+	lantern.ring.Record(now, "", "", visit.Origin, "channel-opened", "channel", visit.Name)
+	effects.Note(foghorn.ChannelOpened, "origin", visit.Origin)
+	effects.Return(visit.Visit, accepted(nil))
+	lantern.emit(visit.Channel, Event{
+		Event: "hello", Channel: visit.Name, Daemon: lantern.props.Self.Name, Locality: lantern.props.Self.Locality, Version: lantern.Version(),
+	}, effects)
+}
+
+func (lantern *Lantern) closeChannel(now time.Time, visit CloseChannel, effects *helm.Effects) {
+	channel, found := lantern.channels[visit.Channel]
+	if !found {
+		return
+	}
+	for interest, subscription := range channel.subscriptions {
+		lantern.dropSubscription(now, visit.Channel, interest, subscription, effects)
+	}
+	delete(lantern.channels, visit.Channel)
+	number := foghorn.ChannelClosed
+	if visit.Why == "slow" {
+		number = foghorn.ChannelSlow
+	}
+	effects.Note(number, "origin", channel.origin, "why", visit.Why)
+	lantern.ring.Record(now, "", "", channel.origin, "channel-closed", "why", visit.Why)
+}
+
+func (lantern *Lantern) tendChannel(now time.Time, id uint64, channel *channel, effects *helm.Effects) {
+	for _, got := range channel.got {
+		for offset, at := range got {
+			if now.Sub(at) > gotMemory {
+				delete(got, offset)
+			}
+		}
+	}
+	for _, marks := range channel.marks {
+		for sender, mark := range marks {
+			if now.Sub(mark.at) > markMemory {
+				delete(marks, sender)
+			}
+		}
+	}
+	if !channel.movedAt.IsZero() {
+		if now.Sub(channel.movedAt) > moveLinger {
+			effects.Delivers = append(effects.Delivers, helm.Deliver{Channel: id, Event: Event{Event: "gone", Code: "moved"}, Close: true})
+			lantern.closeChannel(now, CloseChannel{Channel: id, Why: "moved"}, effects)
+		}
+		return
+	}
+	if now.Sub(channel.pongAt) > pongLimit {
+		effects.Delivers = append(effects.Delivers, helm.Deliver{
+			Channel: id, Event: Event{Event: "gone", Code: "no-pong", Cursor: lantern.cursor(now, channel)}, Close: true,
+		})
+		lantern.closeChannel(now, CloseChannel{Channel: id, Why: "no-pong"}, effects)
+		return
+	}
+	if now.Sub(channel.pingAt) >= pingEvery {
+		channel.pingAt = now
+		lantern.emit(id, Event{Event: "ping", Cursor: lantern.cursor(now, channel)}, effects)
+	}
+}
+
+func (lantern *Lantern) pong(now time.Time, visit Pong, effects *helm.Effects) {
+	channel, found := lantern.channels[visit.Channel]
+	if !found || channel.origin != visit.Origin {
+		effects.Return(visit.Visit, refused(404, "no-such-channel", "this channel is not open here", 0))
+		return
+	}
+	channel.pongAt = now
+	effects.Return(visit.Visit, accepted(nil))
+}
+
+// Subscribing.
+
+// fetch is a round of questions to keepers: for a subscribing channel, or for a
+// tracker that verifies what it has.
+type fetch struct {
+	channel   uint64
+	visit     Subscribe
+	interests []Interest
+	resumes   bool
+	strands   map[string]*fetched
+	records   map[string][]strand.Record
+	rounds    int
+	joins     int
+	failed    bool
+	limit     time.Time
+	tracker   string
+	version   uint64
+	answered  bool
+}
+
+type fetched struct {
+	from     uint64
+	after    uint64
+	until    uint64
+	skip     []uint64
+	waiting  bool
+	done     bool
+	askedAt  time.Time
+	topics   []string
+	prefixes []string
+}
+
+func (lantern *Lantern) subscribe(now time.Time, visit Subscribe, effects *helm.Effects) {
+	lantern.Counts.Visits++
+	lantern.trySubscribe(now, visit, false, effects)
+}
+
+func (lantern *Lantern) answerSubscribe(now time.Time, visit Subscribe, answer Answer, effects *helm.Effects) {
+	switch answer.Outcome {
+	case OutcomeAccepted:
+		lantern.Counts.Accepted++
+	default:
+		lantern.Counts.RefusedVisits++
+	}
+	lantern.ring.Record(now, visit.VisitName, "", visit.Origin, "answered", "outcome", answer.Outcome, "code", answer.Code)
+	effects.Return(visit.Visit, answer)
+}
+
+func (lantern *Lantern) trySubscribe(now time.Time, visit Subscribe, looked bool, effects *helm.Effects) {
+	answer := func(returned Answer) { lantern.answerSubscribe(now, visit, returned, effects) }
+	channel, found := lantern.channels[visit.Channel]
+	if !found || channel.origin != visit.Origin {
+		answer(refused(404, "no-such-channel", "this channel is not open here", 0))
+		return
+	}
+	if !channel.movedAt.IsZero() {
+		answer(refused(409, "moved", "this channel was asked to move", 0))
+		return
+	}
+	var place cursor
+	if visit.Cursor != "" {
+		var code string
+		if place, code = openCursor(lantern.props.Key, visit.Origin, visit.Cursor); code != "" {
+			answer(refused(400, code, "the cursor is not one of this origin's", 0))
+			return
+		}
+		if len(visit.Interests) == 0 {
+			visit.Interests = lantern.living(place.Interests)
+		}
+	}
+	judged := &Judged{Kind: "subscribe", Origin: visit.Origin, Paths: visit.Interests, Looked: looked}
+	retry := func(now time.Time, effects *helm.Effects) { lantern.trySubscribe(now, visit, true, effects) }
+	if !lantern.judge(now, judged, visit.VisitName, retry, answer) {
+		return
+	}
+	if len(channel.subscriptions)+len(visit.Interests) > interestsMost {
+		answer(refused(429, "too-many-subscriptions", "a channel holds 256 subscriptions at most", 0))
+		return
+	}
+	round := &fetch{
+		channel: visit.Channel, visit: visit, resumes: visit.Cursor != "", strands: map[string]*fetched{},
+		records: map[string][]strand.Record{}, limit: now.Add(subscribeLimit),
+	}
+	for space, marks := range place.Marks {
+		for sender, seq := range marks {
+			channel.markSeen(now, space, sender, seq)
+		}
+	}
+	for _, interest := range visit.Interests {
+		if _, present := channel.subscriptions[interest]; present {
+			continue
+		}
+		round.interests = append(round.interests, interest)
+	}
+	if len(round.interests) == 0 {
+		answer(accepted(map[string]any{"subscriptions": len(channel.subscriptions)}))
+		return
+	}
+	lantern.nextVisit++
+	id := lantern.nextVisit
+	lantern.fetches[id] = round
+	round.joins = 1
+	lantern.timers.ArmSooner("limits", round.limit)
+	for _, interest := range round.interests {
+		lantern.addSubscription(now, channel, visit.Channel, interest)
+	}
+	for _, interest := range round.interests {
+		state := lantern.spaces[interest.Space]
+		for _, name := range lantern.strandsOf(state, interest) {
+			asked, found := round.strands[name]
+			if !found {
+				asked = &fetched{from: everything, after: everything}
+				round.strands[name] = asked
+			}
+			if at, resumes := place.Strands[name]; resumes {
+				asked.from, asked.after, asked.skip = at.Floor, at.Floor, at.Extras
+				channel.hadAlready(now, name, at.Extras)
+				if since, later := at.Since[interest.key()]; later {
+					channel.notBefore(interest, name, since)
+				}
+			}
+			if interest.Wide {
+				asked.prefixes = append(asked.prefixes, interest.Path)
+			} else {
+				asked.topics = append(asked.topics, interest.Path)
+			}
+		}
+		round.joins++
+		lantern.fairway.Subscribe(now, state.name, areaOf(state.space, interest.Path), func(now time.Time, effects *helm.Effects, settled bool) {
+			round.joins--
+			round.failed = round.failed || !settled
+			lantern.advanceFetch(now, id, round, place, effects)
+		}, effects)
+	}
+	lantern.ring.Record(now, visit.VisitName, "", visit.Origin, "joining", "interests", len(round.interests), "resumes", round.resumes)
+	round.joins--
+	lantern.advanceFetch(now, id, round, place, effects)
+}
+
+// living leaves out interests of a cursor whose space is gone.
+func (lantern *Lantern) living(interests []Interest) []Interest {
+	var found []Interest
+	for _, interest := range interests {
+		if _, present := lantern.spaces[interest.Space]; present {
+			found = append(found, interest)
+		}
+	}
+	return found
+}
+
+// hadAlready notes offsets that the origin had before it came here.
+func (channel *channel) hadAlready(now time.Time, name string, offsets []uint64) {
+	got := channel.got[name]
+	if got == nil {
+		got = map[uint64]time.Time{}
+		channel.got[name] = got
+	}
+	for _, offset := range offsets {
+		got[offset] = now
+	}
+}
+
+// notBefore notes that an interest began above the place's floor.
+func (channel *channel) notBefore(interest Interest, name string, since uint64) {
+	subscription := channel.subscriptions[interest]
+	if subscription.notBefore == nil {
+		subscription.notBefore = map[string]uint64{}
+	}
+	subscription.notBefore[name] = since
+}
+
+// asksFor tells whether a missed message is one that an interest asked for at
+// the time.
+func (channel *channel) asksFor(interests []Interest, carry Carry) bool {
+	space, _ := spaceOf(carry.Strand)
+	for _, interest := range interests {
+		subscription, found := channel.subscriptions[interest]
+		if found && interest.Space == space && interest.matches(carry.Record.Topic) && carry.Record.Offset > subscription.notBefore[carry.Strand] {
+			return true
+		}
+	}
+	return false
+}
+
+func (lantern *Lantern) strandsOf(state *spaceState, interest Interest) []string {
+	if state.space.Promise != chart.Kept {
+		return nil
+	}
+	if !interest.Wide {
+		return []string{lantern.strandOf(state, interest.Path)}
+	}
+	var names []string
+	for number := range state.space.Strands() {
+		names = append(names, strandName(state.name, number))
+	}
+	return names
+}
+
+func (lantern *Lantern) addSubscription(now time.Time, channel *channel, id uint64, interest Interest) {
+	state := lantern.spaces[interest.Space]
+	channel.subscriptions[interest] = &subscription{since: map[string]uint64{}, filling: true}
+	table := state.topics
+	if interest.Wide {
+		table = state.wides
+	}
+	if table[interest.Path] == nil {
+		table[interest.Path] = map[uint64]bool{}
+	}
+	table[interest.Path][id] = true
+	for _, name := range lantern.strandsOf(state, interest) {
+		channel.subscriptions[interest].since[name] = everything
+		lantern.follow(now, name).add(interest)
+	}
+}
+
+func (lantern *Lantern) dropSubscription(now time.Time, id uint64, interest Interest, subscription *subscription, effects *helm.Effects) {
+	channel := lantern.channels[id]
+	delete(channel.subscriptions, interest)
+	state, found := lantern.spaces[interest.Space]
+	if !found {
+		return
+	}
+	table := state.topics
+	if interest.Wide {
+		table = state.wides
+	}
+	delete(table[interest.Path], id)
+	if len(table[interest.Path]) == 0 {
+		delete(table, interest.Path)
+	}
+	for _, name := range lantern.strandsOf(state, interest) {
+		if tracker, followed := lantern.trackers[name]; followed && tracker.remove(interest) {
+			delete(lantern.trackers, name)
+		}
+	}
+	lantern.fairway.Unsubscribe(now, state.name, areaOf(state.space, interest.Path), effects)
+}
+
+func (lantern *Lantern) unsubscribe(now time.Time, visit Unsubscribe, effects *helm.Effects) {
+	lantern.Counts.Visits++
+	channel, found := lantern.channels[visit.Channel]
+	if !found || channel.origin != visit.Origin {
+		effects.Return(visit.Visit, refused(404, "no-such-channel", "this channel is not open here", 0))
+		return
+	}
+	for _, interest := range visit.Interests {
+		if subscription, present := channel.subscriptions[interest]; present {
+			lantern.dropSubscription(now, visit.Channel, interest, subscription, effects)
+		}
+	}
+	effects.Return(visit.Visit, accepted(map[string]any{"subscriptions": len(channel.subscriptions)}))
+}
+
+// advanceFetch goes on once the overlay peers have settled: it asks the first
+// of each strand, and ends when all have answered.
+func (lantern *Lantern) advanceFetch(now time.Time, id uint64, round *fetch, place cursor, effects *helm.Effects) {
+	if round.joins > 0 || lantern.fetches[id] != round {
+		return
+	}
+	if round.failed {
+		lantern.failFetch(now, id, round, "no-neighbours", effects)
+		return
+	}
+	round.joins = 0
+	open := false
+	for name, asked := range helm.Sorted(round.strands) {
+		if !asked.done {
+			open = true
+			if !asked.waiting {
+				lantern.ask(now, id, name, asked, effects)
+			}
+		}
+	}
+	if !open {
+		lantern.completeFetch(now, id, round, effects)
+	}
+}
+
+func (lantern *Lantern) ask(now time.Time, id uint64, name string, asked *fetched, effects *helm.Effects) {
+	asked.waiting, asked.askedAt = true, now
+	lantern.timers.ArmSooner("limits", now.Add(fetchRetry))
+	address, _, found := lantern.firstOf(name)
+	if !found {
+		lantern.follower.Hurry(now)
+		return
+	}
+	lantern.Counts.Fetches++
+	effects.Send(address, strand.Fetch{
+		Strand: name, Visit: id, After: asked.after, Topics: asked.topics, Prefixes: asked.prefixes, Skip: asked.skip,
+	})
+}
+
+func (lantern *Lantern) tendFetch(now time.Time, id uint64, round *fetch, effects *helm.Effects) time.Time {
+	if !round.limit.After(now) {
+		lantern.failFetch(now, id, round, "no-answer", effects)
+		return time.Time{}
+	}
+	next := round.limit
+	if round.joins > 0 {
+		return next
+	}
+	for name, asked := range helm.Sorted(round.strands) {
+		if asked.done || !asked.waiting {
+			continue
+		}
+		if !asked.askedAt.Add(fetchRetry).After(now) {
+			lantern.ask(now, id, name, asked, effects)
+		}
+		next = helm.Earliest(next, asked.askedAt.Add(fetchRetry))
+	}
+	return next
+}
+
+func (lantern *Lantern) failFetch(now time.Time, id uint64, round *fetch, code string, effects *helm.Effects) {
+	delete(lantern.fetches, id)
+	if round.tracker != "" {
+		if tracker, found := lantern.trackers[round.tracker]; found {
+			tracker.verifying = false
+			tracker.wanted = true
+			lantern.timers.ArmSooner("verify", now.Add(verifyEvery))
+		}
+		return
+	}
+	if channel, found := lantern.channels[round.channel]; found {
+		for _, interest := range round.interests {
+			if subscription, present := channel.subscriptions[interest]; present && subscription.filling {
+				lantern.dropSubscription(now, round.channel, interest, subscription, effects)
+			}
+		}
+		lantern.drain(now, round.channel, channel, effects)
+	}
+	lantern.answerSubscribe(now, round.visit, refused(503, code, "the place could not be found in time; nothing is subscribed", comeBackSoon), effects)
+}
+
+func (lantern *Lantern) onFetchReturn(now time.Time, returned strand.FetchReturn, effects *helm.Effects) {
+	round, found := lantern.fetches[returned.Visit]
+	if !found {
+		return
+	}
+	asked, wanted := round.strands[returned.Strand]
+	if !wanted || asked.done {
+		return
+	}
+	place, placed := lantern.follower.Places[returned.Strand]
+	if !returned.Ready || !placed || returned.Epoch < place.Epoch {
+		if !returned.Ready {
+			lantern.follower.Hurry(now)
+		}
+		return
+	}
+	if asked.after != everything && asked.after < returned.Base && round.tracker == "" {
+		// What lies between was kept for the holding time and is gone.
+		lantern.lostPlace(now, returned.Visit, round, effects)
+		return
+	}
+	asked.waiting = false
+	if asked.after == everything {
+		asked.until = returned.Head
+	} else {
+		asked.until = max(returned.Until, min(asked.after, returned.Head))
+		round.records[returned.Strand] = append(round.records[returned.Strand], returned.Records...)
+		if asked.until < returned.Head {
+			asked.after = asked.until
+			lantern.ask(now, returned.Visit, returned.Strand, asked, effects)
+			return
+		}
+	}
+	asked.done = true
+	lantern.advanceFetch(now, returned.Visit, round, cursor{}, effects)
+}
+
+func (lantern *Lantern) lostPlace(now time.Time, id uint64, round *fetch, effects *helm.Effects) {
+	delete(lantern.fetches, id)
+	if channel, found := lantern.channels[round.channel]; found {
+		for _, interest := range round.interests {
+			if subscription, present := channel.subscriptions[interest]; present && subscription.filling {
+				lantern.dropSubscription(now, round.channel, interest, subscription, effects)
+			}
+		}
+	}
+	lantern.answerSubscribe(now, round.visit, refused(410, "place-lost", "what was missed is older than the space holds; subscribe without the cursor", 0), effects)
+}
+
+// completeFetch ends a round: for a tracker it takes what was missed; for a
+// channel it hands over the missed messages in an order that fits all senders.
+func (lantern *Lantern) completeFetch(now time.Time, id uint64, round *fetch, effects *helm.Effects) {
+	if round.tracker != "" {
+		delete(lantern.fetches, id)
+		lantern.verified(now, round, effects)
+		return
+	}
+	channel, found := lantern.channels[round.channel]
+	if !found {
+		delete(lantern.fetches, id)
+		return
+	}
+	ordered, again := merge(round)
+	if len(again) > 0 && round.rounds < refetchMost {
+		// A message refers to one that another strand had not yet told of.
+		round.rounds++
+		for _, name := range again {
+			asked := round.strands[name]
+			asked.done, asked.after = false, asked.until
+		}
+		lantern.advanceFetch(now, id, round, cursor{}, effects)
+		return
+	}
+	delete(lantern.fetches, id)
+	for _, interest := range round.interests {
+		subscription, present := channel.subscriptions[interest]
+		if !present {
+			continue
+		}
+		subscription.filling = false
+		for name := range subscription.since {
+			if asked, wanted := round.strands[name]; wanted {
+				subscription.since[name] = asked.until
+				if tracker, followed := lantern.trackers[name]; followed {
+					tracker.begin(interest, asked.until)
+				}
+			}
+		}
+	}
+	// Until all of it is handed over, a cursor must still say where it began.
+	channel.floors = map[string]uint64{}
+	for name, asked := range round.strands {
+		if asked.from != everything {
+			channel.floors[name] = asked.from
+		}
+	}
+	missed := 0
+	for _, each := range ordered {
+		if channel.asksFor(round.interests, each) {
+			missed++
+			lantern.hand(now, round.channel, channel, each, effects)
+		}
+	}
+	channel.floors = nil
+	lantern.answerSubscribe(now, round.visit, accepted(map[string]any{
+		"subscriptions": len(channel.subscriptions), "resumed": round.resumes, "missed": missed, "cursor": lantern.cursor(now, channel),
+	}), effects)
+	lantern.drain(now, round.channel, channel, effects)
+	lantern.timers.ArmSooner("follow", now)
+	lantern.pump(now, effects)
+}
+
+// merge puts the records of several strands in an order in which each strand's
+// records and each sender's messages follow each other. It names the strands
+// that must be asked again for a record that another one refers to.
+func merge(round *fetch) (ordered []Carry, again []string) {
+	at := map[string]int{}
+	reached := map[string]uint64{}
+	for {
+		progress, left := false, false
+		again = nil
+		for name, records := range helm.Sorted(round.records) {
+			for at[name] < len(records) {
+				record := records[at[name]]
+				before := record.Before
+				other, wanted := round.strands[before.Strand]
+				if wanted && before.Strand != name && strand.Matches(before.Topic, other.topics, other.prefixes) {
+					if before.Offset > other.until {
+						again = append(again, before.Strand)
+						left = true
+						break
+					}
+					waits := false
+					for position := at[before.Strand]; position < len(round.records[before.Strand]); position++ {
+						waits = waits || round.records[before.Strand][position].Offset == before.Offset
+					}
+					if waits {
+						left = true
+						break
+					}
+				}
+				ordered = append(ordered, Carry{Strand: name, Record: record})
+				reached[name] = record.Offset
+				at[name]++
+				progress = true
+			}
+		}
+		if !left {
+			return ordered, nil
+		}
+		if !progress {
+			slices.Sort(again)
+			return ordered, slices.Compact(again)
+		}
+	}
+}
+
+// drain hands over what waited while a channel was being filled.
+func (lantern *Lantern) drain(now time.Time, id uint64, channel *channel, effects *helm.Effects) {
+	if channel.filling() {
+		return
+	}
+	buffer, passes := channel.buffer, channel.passBuffer
+	channel.buffer, channel.passBuffer = nil, nil
+	for _, carry := range buffer {
+		lantern.offer(now, id, channel, carry, effects)
+	}
+	for _, message := range passes {
+		lantern.offerPass(now, id, channel, message, effects)
+	}
+}
+
+// Handing over.
+
+// offer gives a kept message to a channel, if one of its subscriptions wants it
+// and it has not had it.
+func (lantern *Lantern) offer(now time.Time, id uint64, channel *channel, carry Carry, effects *helm.Effects) {
+	space, _ := spaceOf(carry.Strand)
+	wanted, waits := false, false
+	for interest, subscription := range channel.subscriptions {
+		if interest.Space != space || !interest.matches(carry.Record.Topic) {
+			continue
+		}
+		if subscription.filling {
+			waits = true
+			continue
+		}
+		wanted = wanted || carry.Record.Offset > subscription.since[carry.Strand]
+	}
+	if channel.filling() && (wanted || waits) {
+		// While any part is being filled the whole channel waits, since a
+		// sender's order runs across its subscriptions.
+		channel.buffer = append(channel.buffer, carry)
+		return
+	}
+	if wanted {
+		lantern.hand(now, id, channel, carry, effects)
+	}
+}
+
+func (interest Interest) matches(topic string) bool {
+	if interest.Wide {
+		return strand.Under(topic, interest.Path)
+	}
+	return topic == interest.Path
+}
+
+// hand gives a kept message to a channel once.
+func (lantern *Lantern) hand(now time.Time, id uint64, channel *channel, carry Carry, effects *helm.Effects) {
+	got := channel.got[carry.Strand]
+	if got == nil {
+		got = map[uint64]time.Time{}
+		channel.got[carry.Strand] = got
+	}
+	if _, had := got[carry.Record.Offset]; had || !channel.movedAt.IsZero() {
+		return
+	}
+	got[carry.Record.Offset] = now
+	space, _ := spaceOf(carry.Strand)
+	lantern.Counts.Delivered++
+	lantern.ring.Record(now, "", soundings.MessageName(space, carry.Record.Sender, carry.Record.Seq), channel.origin, "delivered",
+		"strand", carry.Strand, "offset", carry.Record.Offset)
+	lantern.emit(id, Event{
+		Event: "message", Space: space, Topic: carry.Record.Topic, Sender: carry.Record.Sender, Seq: carry.Record.Seq,
+		Data: json.RawMessage(carry.Record.Data), Cursor: lantern.cursor(now, channel),
+	}, effects)
+}
+
+func (channel *channel) markSeen(now time.Time, space, sender string, seq uint64) bool {
+	marks := channel.marks[space]
+	if marks == nil {
+		marks = map[string]mark{}
+		channel.marks[space] = marks
+	}
+	if marks[sender].seq >= seq {
+		return false
+	}
+	marks[sender] = mark{seq: seq, at: now}
+	return true
+}
+
+func (lantern *Lantern) offerPass(now time.Time, id uint64, channel *channel, message Pass, effects *helm.Effects) {
+	if !channel.movedAt.IsZero() {
+		return
+	}
+	space, _ := spaceOf(message.Space + "/")
+	wanted := false
+	for interest, subscription := range channel.subscriptions {
+		if interest.Space == space && interest.matches(message.Topic) {
+			if subscription.filling || channel.filling() {
+				channel.passBuffer = append(channel.passBuffer, message)
+				return
+			}
+			wanted = true
+		}
+	}
+	if !wanted || !channel.markSeen(now, message.Space, message.Sender, message.Seq) {
+		return
+	}
+	lantern.Counts.Delivered++
+	lantern.ring.Record(now, "", soundings.MessageName(space, message.Sender, message.Seq), channel.origin, "delivered")
+	lantern.emit(id, Event{
+		Event: "message", Space: space, Topic: message.Topic, Sender: message.Sender, Seq: message.Seq,
+		Data: json.RawMessage(message.Data), Cursor: lantern.cursor(now, channel),
+	}, effects)
+}
--- /dev/null
+++ b/internal/lamp/cursor.go
@@ -0,0 +1,148 @@
+// A cursor is a returning client's place: what it subscribes to, how far each
+// strand was handed to it, and the newest seq of each sender it saw in passing
+// spaces. It is opaque to callers, bound to its origin by a keyed sum, and
+// refused if forged, of another origin, or of an unknown layout.
+package lamp
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"slices"
+	"strings"
+	"time"
+
+	"dahlialock/internal/flare"
+)
+
+const (
+	cursorLayout = 1
+	sumSize      = 12
+	cursorLimit  = 256 << 10
+)
+
+type position struct {
+	_      struct{} `cbor:",toarray"`
+	Floor  uint64
+	Extras []uint64
+	Since  map[string]uint64
+}
+
+type cursor struct {
+	_         struct{} `cbor:",toarray"`
+	Layout    uint8
+	Origin    string
+	Interests []Interest
+	Strands   map[string]position
+	Marks     map[string]map[string]uint64
+}
+
+func sign(key, body []byte) []byte {
+	sum := hmac.New(sha256.New, key)
+	_, _ = sum.Write([]byte("cursor"))
+	_, _ = sum.Write(body)
+	return sum.Sum(nil)[:sumSize]
+}
+
+func seal(key []byte, place cursor) string {
+	body := flare.MustMarshal(place)
+	return base64.RawURLEncoding.EncodeToString(append(sign(key, body), body...))
+}
+
+// openCursor reads a cursor; the code says why it is refused.
+func openCursor(key []byte, origin, text string) (cursor, string) {
+	if len(text) > cursorLimit {
+		return cursor{}, "bad-cursor"
+	}
+	packed, fault := base64.RawURLEncoding.DecodeString(text)
+	if fault != nil || len(packed) <= sumSize || !hmac.Equal(packed[:sumSize], sign(key, packed[sumSize:])) {
+		return cursor{}, "bad-cursor"
+	}
+	var place cursor
+	if fault := flare.Unmarshal(packed[sumSize:], &place); fault != nil || place.Layout != cursorLayout {
+		return cursor{}, "bad-cursor"
+	}
+	if place.Origin != origin {
+		return cursor{}, "other-origin"
+	}
+	return place, ""
+}
+
+// cursor tells a channel's present place.
+func (lantern *Lantern) cursor(now time.Time, channel *channel) string {
+	place := cursor{Layout: cursorLayout, Origin: channel.origin, Strands: map[string]position{}, Marks: map[string]map[string]uint64{}}
+	floor := func(name string, at uint64) {
+		present, found := place.Strands[name]
+		if !found || at < present.Floor {
+			present.Floor = at
+		}
+		place.Strands[name] = present
+	}
+	for interest, subscription := range channel.subscriptions {
+		if subscription.filling {
+			continue
+		}
+		place.Interests = append(place.Interests, interest)
+		for name, since := range subscription.since {
+			if tracker, followed := lantern.trackers[name]; followed {
+				since = max(since, tracker.verified)
+			}
+			floor(name, since)
+		}
+	}
+	slices.SortFunc(place.Interests, compareInterests)
+	// What waits in the buffer, or in a backlog that is being handed over, was
+	// not yet given.
+	for _, carry := range channel.buffer {
+		if _, live := place.Strands[carry.Strand]; live {
+			floor(carry.Strand, carry.Record.Offset-1)
+		}
+	}
+	for name, at := range channel.floors {
+		floor(name, at)
+	}
+	for name, at := range place.Strands {
+		for offset := range channel.got[name] {
+			if offset > at.Floor {
+				at.Extras = append(at.Extras, offset)
+			}
+		}
+		slices.Sort(at.Extras)
+		for interest, subscription := range channel.subscriptions {
+			if since, found := subscription.since[name]; found && !subscription.filling && since > at.Floor && channel.floors == nil {
+				if at.Since == nil {
+					at.Since = map[string]uint64{}
+				}
+				at.Since[interest.key()] = since
+			}
+		}
+		place.Strands[name] = at
+	}
+	for space, marks := range channel.marks {
+		copied := map[string]uint64{}
+		for sender, mark := range marks {
+			if now.Sub(mark.at) < markMemory {
+				copied[sender] = mark.seq
+			}
+		}
+		if len(copied) > 0 {
+			place.Marks[space] = copied
+		}
+	}
+	return seal(lantern.props.Key, place)
+}
+
+func (interest Interest) key() string {
+	wide := "t"
+	if interest.Wide {
+		wide = "w"
+	}
+	return wide + interest.Path
+}
+
+func compareInterests(left, right Interest) int {
+	if order := strings.Compare(left.Space, right.Space); order != 0 {
+		return order
+	}
+	return strings.Compare(left.key(), right.key())
+}
--- /dev/null
+++ b/internal/lamp/lantern.go
@@ -0,0 +1,595 @@
+// A Lantern is the proxy daemon's state machine: it holds client connections,
+// hosts the overlay's peers, passes every visit through the policies, and fans
+// messages out. It follows the control state through the tender beside it. It
+// delivers only while it knows that its configuration is the newest: a frame
+// that shows a higher version holds delivery until the lantern has caught up,
+// and a lantern that nobody confirmed for a while holds it too.
+package lamp
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"dahlialock/internal/beacon"
+	"dahlialock/internal/chart"
+	"dahlialock/internal/cutter"
+	"dahlialock/internal/fairway"
+	"dahlialock/internal/foghorn"
+	"dahlialock/internal/helm"
+	"dahlialock/internal/pilotage"
+	"dahlialock/internal/soundings"
+	"dahlialock/internal/strand"
+)
+
+// Spans and bounds of a lantern.
+const (
+	pingEvery      = 5 * time.Second
+	pongLimit      = 16 * time.Second
+	tickEvery      = time.Second
+	moveEvery      = 100 * time.Millisecond
+	moveLinger     = 1500 * time.Millisecond
+	stopLimit      = 3500 * time.Millisecond
+	heldMost       = 20000
+	interestsMost  = 256
+	comeBackSoon   = 250 * time.Millisecond
+	comeBackLater  = time.Second
+	patience       = 700 * time.Millisecond
+	lookLimit      = 600 * time.Millisecond
+	subscribeLimit = 1500 * time.Millisecond
+)
+
+// Props are a lantern daemon's settings.
+type Props struct {
+	Self        beacon.Member
+	Tender      string
+	Key         []byte
+	OriginsMost int
+}
+
+type lookout struct {
+	until time.Time
+	then  func(now time.Time, effects *helm.Effects)
+}
+
+type deferred struct {
+	meta    helm.Meta
+	message any
+}
+
+// Counts are running sums for measurements and tests.
+type Counts struct {
+	Visits, Accepted, RefusedVisits, UnsettledVisits uint64
+	CopiesOut, CopiesIn, CopiesStray, Delivered      uint64
+	Holes, Fetches, Verifies, Moves, Looks           uint64
+}
+
+// Lantern is the state machine.
+type Lantern struct {
+	props    Props
+	follower *beacon.Follower
+	pulse    *beacon.Pulse
+	cutter   *cutter.Cutter
+	fairway  *fairway.Fairway
+	ring     *soundings.Ring
+	timers   *helm.Timers
+	policies []Policy
+
+	config   chart.Configuration
+	life     uint64
+	channels map[uint64]*channel
+	moving   map[uint64]bool
+	spaces   map[string]*spaceState
+	senders  map[senderKey]*sender
+	trackers map[string]*tracker
+
+	nextVisit uint64
+	appends   map[uint64]*publication
+	recalls   map[uint64]*recall
+	fetches   map[uint64]*fetch
+
+	behind    uint64
+	deferred  []deferred
+	looks     []lookout
+	stopping  bool
+	stopUntil time.Time
+	wasReady  bool
+	turn      int
+	Counts    Counts
+}
+
+type spaceState struct {
+	space  chart.Space
+	name   string
+	topics map[string]map[uint64]bool
+	wides  map[string]map[uint64]bool
+}
+
+// New makes a lantern.
+func New(props Props) *Lantern {
+	if props.OriginsMost == 0 {
+		props.OriginsMost = 2000
+	}
+	lantern := &Lantern{
+		props: props, fairway: fairway.New(props.Self.Name), ring: soundings.NewRing(props.Self.Name), timers: helm.NewTimers(),
+		channels: map[uint64]*channel{}, moving: map[uint64]bool{}, spaces: map[string]*spaceState{},
+		senders: map[senderKey]*sender{}, trackers: map[string]*tracker{},
+		appends: map[uint64]*publication{}, recalls: map[uint64]*recall{}, fetches: map[uint64]*fetch{},
+	}
+	lantern.policies = standardPolicies()
+	lantern.follower = beacon.NewFollower(props.Self, []string{props.Tender}, lantern.load)
+	lantern.pulse = beacon.NewPulse(props.Self)
+	lantern.follower.Fix()
+	lantern.cutter = cutter.New(func() string {
+		if primary := lantern.follower.Primary(); primary != "" {
+			return primary
+		}
+		return props.Tender
+	}, lantern.follower.Other)
+	return lantern
+}
+
+// Version is the configuration version in force here.
+func (lantern *Lantern) Version() uint64 { return lantern.follower.Version }
+
+// Follower gives the lantern's view, for its ctl.
+func (lantern *Lantern) Follower() *beacon.Follower { return lantern.follower }
+
+// Fairway gives the overlay part, for counters and tests.
+func (lantern *Lantern) Fairway() *fairway.Fairway { return lantern.fairway }
+
+// Configuration is the one in force, for the simulator's checks.
+func (lantern *Lantern) Configuration() chart.Configuration { return lantern.config }
+
+func (lantern *Lantern) load() beacon.Load {
+	return beacon.Load{
+		Origins: len(lantern.channels), Room: lantern.props.OriginsMost - len(lantern.channels), Visits: lantern.Counts.Visits,
+		Delivered: lantern.Counts.Delivered, Ready: lantern.wasReady, Resting: lantern.Resting(),
+	}
+}
+
+// Resting tells whether the lantern was asked to rest and holds nobody.
+func (lantern *Lantern) Resting() bool {
+	return lantern.follower.Orders.Rest && len(lantern.channels) == 0 && !lantern.stopping
+}
+
+// Confirmed tells whether the lantern may trust that its configuration is the
+// newest.
+func (lantern *Lantern) Confirmed(now time.Time) bool {
+	limit := beacon.ConfirmedFor
+	return lantern.follower.Index > 0 && lantern.behind <= lantern.follower.Version &&
+		now.Sub(lantern.follower.Confirmed) <= limit && !lantern.pulse.Isolated(now)
+}
+
+// Ready tells whether the platform should send new connections here.
+func (lantern *Lantern) Ready(now time.Time) bool {
+	return lantern.Confirmed(now) && !lantern.stopping && !lantern.follower.Orders.Rest &&
+		len(lantern.channels) < lantern.props.OriginsMost && !slices.Contains(lantern.config.Drains, lantern.props.Self.Name)
+}
+
+// Start begins the lantern's work.
+func (lantern *Lantern) Start(now time.Time, effects *helm.Effects) {
+	lantern.follower.Start(now)
+	lantern.pulse.Start(now)
+	lantern.timers.Arm("tick", now.Add(tickEvery))
+}
+
+// NextDue is when the lantern wants to run again.
+func (lantern *Lantern) NextDue() time.Time {
+	return helm.Earliest(lantern.follower.NextDue(), lantern.pulse.NextDue(), lantern.cutter.NextDue(),
+		lantern.fairway.NextDue(), lantern.timers.Next())
+}
+
+// Due runs whatever is due.
+func (lantern *Lantern) Due(now time.Time, effects *helm.Effects) {
+	lantern.follower.Due(now, effects)
+	lantern.pulse.Due(now, effects)
+	lantern.cutter.Due(now, effects)
+	lantern.fairway.Due(now, effects)
+	for _, key := range lantern.timers.Expired(now) {
+		switch key {
+		case "tick":
+			lantern.tick(now, effects)
+		case "move":
+			lantern.moveSome(now, effects)
+		case "looks":
+			lantern.endLooks(now, effects)
+		case "limits":
+			lantern.limits(now, effects)
+		case "verify":
+			lantern.verifyAll(now, effects)
+		case "follow":
+			lantern.followHeads(now, effects)
+		case "stop":
+			lantern.stopStep(now, effects)
+		}
+	}
+	lantern.noteReady(now, effects)
+}
+
+func (lantern *Lantern) noteReady(now time.Time, effects *helm.Effects) {
+	ready := lantern.Ready(now)
+	if ready == lantern.wasReady {
+		return
+	}
+	lantern.wasReady = ready
+	if ready {
+		effects.Note(foghorn.Ready, "version", lantern.Version())
+		return
+	}
+	effects.Note(foghorn.NotReady, "isolated", lantern.pulse.Isolated(now), "confirmed", lantern.Confirmed(now), "stopping", lantern.stopping, "rest", lantern.follower.Orders.Rest)
+}
+
+// Command takes what the adapters bring.
+func (lantern *Lantern) Command(now time.Time, command any, effects *helm.Effects) {
+	switch body := command.(type) {
+	case OpenChannel:
+		lantern.openChannel(now, body, effects)
+	case CloseChannel:
+		lantern.closeChannel(now, body, effects)
+	case Subscribe:
+		lantern.subscribe(now, body, effects)
+	case Unsubscribe:
+		lantern.unsubscribe(now, body, effects)
+	case Publish:
+		lantern.publish(now, body, effects)
+	case Pong:
+		lantern.pong(now, body, effects)
+	case ControlVisit:
+		lantern.cutter.Carry(now, body.Local, body.Method, body.Path, body.Body, effects)
+	case FindDecisions:
+		effects.Return(body.Local, lantern.ring.Find(body.Visit, body.Message, body.Origin))
+	case Stop:
+		lantern.beginStop(now, effects)
+	}
+	lantern.noteReady(now, effects)
+}
+
+// Message takes what other daemons say.
+func (lantern *Lantern) Message(now time.Time, meta helm.Meta, message any, effects *helm.Effects) {
+	if meta.From != lantern.props.Tender && meta.From != lantern.props.Self.Address {
+		lantern.pulse.Heard(now)
+	}
+	if meta.Version > lantern.follower.Version && meta.Version > lantern.behind {
+		lantern.behind = meta.Version
+		lantern.follower.Hurry(now)
+		effects.Send(meta.From, beacon.ChartAsk{Version: lantern.follower.Version})
+	}
+	switch message.(type) {
+	case Carry, Pass:
+		if !lantern.Confirmed(now) {
+			if len(lantern.deferred) < heldMost {
+				lantern.deferred = append(lantern.deferred, deferred{meta: meta, message: message})
+			}
+			return
+		}
+	}
+	lantern.take(now, meta, message, effects)
+	lantern.noteReady(now, effects)
+}
+
+func (lantern *Lantern) take(now time.Time, meta helm.Meta, message any, effects *helm.Effects) {
+	switch body := message.(type) {
+	case beacon.News:
+		lantern.onNews(now, body, effects)
+	case beacon.Redirect:
+		lantern.follower.Redirected(now, beacon.Redirect{For: body.For, Nonce: body.Nonce})
+	case beacon.Heartbeat:
+		lantern.pulse.Beat(now, body)
+	case beacon.ControlReturn:
+		lantern.cutter.Take(now, meta.From, body, effects)
+	case beacon.ChartAsk:
+		if lantern.follower.Version > body.Version {
+			effects.Send(meta.From, beacon.ChartReturn{
+				Version: lantern.follower.Version, Document: lantern.follower.Document, Births: lantern.follower.Births,
+			})
+		}
+	case beacon.ChartReturn:
+		if lantern.follower.Adopt(body.Version, body.Document, body.Births) {
+			lantern.enforce(now, effects)
+			lantern.resume(now, effects)
+		}
+	case fairway.Signals:
+		lantern.fairway.Take(now, body, effects)
+	case Carry:
+		lantern.Counts.CopiesIn++
+		lantern.onCarry(now, body, effects)
+	case Pass:
+		lantern.Counts.CopiesIn++
+		lantern.onPass(now, body, effects)
+	case strand.AppendReturn:
+		lantern.onAppendReturn(now, body, effects)
+	case strand.FetchReturn:
+		lantern.onFetchReturn(now, body, effects)
+	case strand.SenderReturn:
+		lantern.onSenderReturn(now, body, effects)
+	case strand.Heads:
+		lantern.onHeads(now, body, effects)
+	}
+}
+
+// News.
+
+func (lantern *Lantern) onNews(now time.Time, news beacon.News, effects *helm.Effects) {
+	wasResting := lantern.Resting()
+	taken := lantern.follower.Take(now, news)
+	if taken.View {
+		lantern.viewed(now, effects)
+	}
+	if taken.Document {
+		lantern.enforce(now, effects)
+	}
+	if resting := lantern.Resting(); resting != wasResting {
+		lantern.follower.Patient(now, resting)
+		lantern.pulse.Rest(now, resting)
+		if resting {
+			lantern.timers.Disarm("tick")
+			effects.Note(foghorn.LanternRested, "lantern", lantern.props.Self.Name)
+		} else {
+			lantern.timers.ArmSooner("tick", now.Add(tickEvery))
+			effects.Note(foghorn.LanternWoken, "lantern", lantern.props.Self.Name)
+		}
+	}
+	if lantern.follower.Orders.Empty && !lantern.timers.Armed("move") {
+		lantern.timers.Arm("move", now)
+	}
+	lantern.resume(now, effects)
+}
+
+// resume goes on with what was held back, and with visits that waited for a
+// look at the news.
+func (lantern *Lantern) resume(now time.Time, effects *helm.Effects) {
+	if !lantern.Confirmed(now) {
+		return
+	}
+	held := lantern.deferred
+	lantern.deferred = nil
+	for _, each := range held {
+		lantern.take(now, each.meta, each.message, effects)
+	}
+	lantern.endLooks(now, effects)
+}
+
+func (lantern *Lantern) viewed(now time.Time, effects *helm.Effects) {
+	lantern.pulse.Take(now, lantern.follower.Members, lantern.follower.Upstream(), lantern.follower.Index)
+	others := map[string]fairway.Lantern{}
+	for name, member := range helm.Sorted(lantern.follower.Members) {
+		if name == lantern.props.Self.Name {
+			if member.Alive && member.Incarnation == lantern.props.Self.Incarnation {
+				lantern.life = member.Joined
+			}
+			continue
+		}
+		if member.Kind == beacon.KindLantern && member.Alive {
+			others[name] = fairway.Lantern{Name: name, Address: member.Address, Joined: member.Joined}
+		}
+	}
+	lantern.fairway.View(now, others, effects)
+	if lantern.life > 0 {
+		lantern.fairway.Live(now, lantern.life, effects)
+	}
+	lantern.placesChanged(now, effects)
+}
+
+// spaceName names a space since its birth.
+func (lantern *Lantern) spaceName(name string) (string, bool) {
+	birth, found := lantern.follower.Births[name]
+	if !found {
+		return "", false
+	}
+	full := pilotage.StrandName(name, birth, 0)
+	return full[:strings.LastIndex(full, "/")], true
+}
+
+// enforce puts the newest configuration in force. It is only ever called with
+// a version above the one before.
+func (lantern *Lantern) enforce(now time.Time, effects *helm.Effects) {
+	config, faults := chart.Read(lantern.follower.Document)
+	if len(faults) > 0 || config.Version < lantern.config.Version {
+		panic("a configuration was handed on that may not be in force")
+	}
+	lantern.config = config
+	for name, state := range helm.Sorted(lantern.spaces) {
+		space, found := config.Spaces[name]
+		full, born := lantern.spaceName(name)
+		if found && born && full == state.name {
+			state.space = space
+			continue
+		}
+		lantern.endSpace(now, name, state, effects)
+	}
+	for name, space := range helm.Sorted(config.Spaces) {
+		if _, found := lantern.spaces[name]; found {
+			continue
+		}
+		if full, born := lantern.spaceName(name); born {
+			lantern.spaces[name] = &spaceState{space: space, name: full, topics: map[string]map[uint64]bool{}, wides: map[string]map[uint64]bool{}}
+		}
+	}
+	effects.Note(foghorn.NewsTaken, "version", config.Version, "spaces", len(config.Spaces))
+	lantern.ring.Record(now, "", "", "", "configuration", "version", config.Version)
+}
+
+func (lantern *Lantern) endSpace(now time.Time, name string, state *spaceState, effects *helm.Effects) {
+	delete(lantern.spaces, name)
+	for id, channel := range helm.Sorted(lantern.channels) {
+		ended := false
+		for interest := range channel.subscriptions {
+			if interest.Space == name {
+				delete(channel.subscriptions, interest)
+				ended = true
+			}
+		}
+		if ended {
+			lantern.emit(id, Event{Event: "ended", Space: name, Code: "space-removed"}, effects)
+		}
+	}
+	for full := range helm.Sorted(lantern.trackers) {
+		if strings.HasPrefix(full, state.name+"/") {
+			delete(lantern.trackers, full)
+		}
+	}
+	for key, sender := range helm.Sorted(lantern.sendersOf(name)) {
+		for _, waiting := range sender.queue {
+			lantern.settlePublication(now, waiting, refused(404, "no-such-space", "the space was removed", 0), effects)
+		}
+		sender.queue = nil
+		_ = key
+	}
+	for key := range lantern.senders {
+		if key.space == name {
+			delete(lantern.senders, key)
+		}
+	}
+	lantern.fairway.Forget(now, state.name, effects)
+}
+
+func (lantern *Lantern) sendersOf(space string) map[string]*sender {
+	found := map[string]*sender{}
+	for key, sender := range lantern.senders {
+		if key.space == space {
+			found[key.sender] = sender
+		}
+	}
+	return found
+}
+
+// look asks for news once, for all visits that met an unknown space meanwhile,
+// and then lets them go on.
+func (lantern *Lantern) look(now time.Time, then func(now time.Time, effects *helm.Effects)) {
+	if len(lantern.looks) == 0 {
+		lantern.Counts.Looks++
+		lantern.follower.Hurry(now)
+	}
+	until := now.Add(lookLimit)
+	lantern.looks = append(lantern.looks, lookout{until: until, then: then})
+	lantern.timers.ArmSooner("looks", until)
+}
+
+func (lantern *Lantern) endLooks(now time.Time, effects *helm.Effects) {
+	looks := lantern.looks
+	lantern.looks = nil
+	for _, look := range looks {
+		look.then(now, effects)
+	}
+}
+
+// tick does the slow periodic work: pings, silent channels, idle senders.
+func (lantern *Lantern) tick(now time.Time, effects *helm.Effects) {
+	lantern.timers.Arm("tick", now.Add(tickEvery))
+	for id, channel := range helm.Sorted(lantern.channels) {
+		lantern.tendChannel(now, id, channel, effects)
+	}
+	for key, sender := range lantern.senders {
+		if len(sender.queue) == 0 && now.Sub(sender.lastUse) > senderIdle {
+			delete(lantern.senders, key)
+		}
+	}
+	for _, tracker := range lantern.trackers {
+		tracker.prune(now)
+	}
+}
+
+// Moving and stopping.
+
+// targets lists the lanterns to which origins may be sent, the best first.
+func (lantern *Lantern) targets() []beacon.Member {
+	var members []beacon.Member
+	for _, name := range lantern.follower.Orders.Targets {
+		if member, found := lantern.follower.Members[name]; found && member.Alive {
+			members = append(members, member)
+		}
+	}
+	if len(members) > 0 {
+		return members
+	}
+	for pass := range 2 {
+		for name, member := range helm.Sorted(lantern.follower.Members) {
+			near := member.Locality == lantern.props.Self.Locality
+			if name != lantern.props.Self.Name && member.Kind == beacon.KindLantern && member.Alive && !member.Resting &&
+				!slices.Contains(lantern.config.Drains, name) && near == (pass == 0) {
+				members = append(members, member)
+			}
+		}
+		if len(members) >= 2 {
+			break
+		}
+	}
+	return members
+}
+
+func (lantern *Lantern) moveSome(now time.Time, effects *helm.Effects) {
+	orders := lantern.follower.Orders
+	if !orders.Empty && !lantern.stopping {
+		return
+	}
+	count := max(1, orders.Pace/int(time.Second/moveEvery))
+	if lantern.stopping {
+		count = max(count, (len(lantern.channels)+9)/10)
+	}
+	targets := lantern.targets()
+	if len(targets) == 0 {
+		lantern.timers.Arm("move", now.Add(5*moveEvery))
+		return
+	}
+	for id, channel := range helm.Sorted(lantern.channels) {
+		if channel.movedAt.IsZero() && !channel.filling() {
+			lantern.turn++
+			lantern.move(now, id, channel, targets[lantern.turn%min(len(targets), 3)], effects)
+			if count--; count == 0 {
+				break
+			}
+		}
+	}
+	if len(lantern.channels) > 0 {
+		lantern.timers.Arm("move", now.Add(moveEvery))
+	}
+}
+
+func (lantern *Lantern) move(now time.Time, id uint64, channel *channel, target beacon.Member, effects *helm.Effects) {
+	lantern.Counts.Moves++
+	event := Event{Event: "move", To: target.Caller, ToName: target.Name, Cursor: lantern.cursor(now, channel)}
+	channel.movedAt = now
+	lantern.ring.Record(now, "", "", channel.origin, "moved", "to", target.Name, "stopping", lantern.stopping)
+	effects.Note(foghorn.ChannelMoved, "origin", channel.origin, "to", target.Name)
+	lantern.emit(id, event, effects)
+}
+
+func (lantern *Lantern) beginStop(now time.Time, effects *helm.Effects) {
+	if lantern.stopping {
+		return
+	}
+	lantern.stopping = true
+	lantern.stopUntil = now.Add(stopLimit)
+	lantern.timers.Arm("move", now)
+	lantern.timers.Arm("stop", now.Add(moveEvery))
+}
+
+// stopStep ends the lantern once its origins are gone, or its time is up.
+func (lantern *Lantern) stopStep(now time.Time, effects *helm.Effects) {
+	if len(lantern.channels) > 0 && now.Before(lantern.stopUntil) || len(lantern.appends) > 0 && now.Before(lantern.stopUntil.Add(-time.Second)) {
+		lantern.timers.Arm("stop", now.Add(moveEvery))
+		return
+	}
+	for id, channel := range helm.Sorted(lantern.channels) {
+		effects.Delivers = append(effects.Delivers, helm.Deliver{
+			Channel: id, Event: Event{Event: "gone", Code: "stopping", Cursor: lantern.cursor(now, channel)}, Close: true,
+		})
+	}
+	lantern.fairway.LeaveAll(effects)
+	for _, member := range helm.Sorted(lantern.follower.Members) {
+		if member.Kind == beacon.KindPilot {
+			effects.Send(member.Address, beacon.Farewell{Name: lantern.props.Self.Name, Incarnation: lantern.props.Self.Incarnation})
+		}
+	}
+	effects.Stop = true
+}
+
+const everything = uint64(math.MaxUint64)
+
+// Load is what the lantern reports of itself.
+func (lantern *Lantern) Load() beacon.Load { return lantern.load() }
+
+// SetOriginsMost changes how many channels the lantern may hold.
+func (lantern *Lantern) SetOriginsMost(most int) { lantern.props.OriginsMost = most }
--- /dev/null
+++ b/internal/lamp/messages.go
@@ -0,0 +1,152 @@
+// What lanterns say to each other about messages, what their adapters bring in
+// from callers, and what goes back to callers.
+package lamp
+
+import (
+	"encoding/json"
+	"time"
+
+	"dahlialock/internal/flare"
+	"dahlialock/internal/strand"
+)
+
+// Carry is the one copy of a kept message for one destination daemon.
+type Carry struct {
+	_      struct{} `cbor:",toarray"`
+	Strand string
+	Record strand.Record
+}
+
+// Pass is the one copy of a passing message for one destination daemon.
+type Pass struct {
+	_      struct{} `cbor:",toarray"`
+	Space  string
+	Topic  string
+	Sender string
+	Seq    uint64
+	Data   []byte
+}
+
+func init() {
+	flare.MustRegister(600, Carry{})
+	flare.MustRegister(601, Pass{})
+}
+
+// Interest is what a subscription asks for: one topic, or all under a prefix.
+type Interest struct {
+	_     struct{} `cbor:",toarray"`
+	Space string
+	Path  string
+	Wide  bool
+}
+
+// Commands from the adapters.
+type (
+	// OpenChannel begins a channel for an origin.
+	OpenChannel struct {
+		Visit   uint64
+		Channel uint64
+		Name    string
+		Origin  string
+	}
+	// CloseChannel ends it.
+	CloseChannel struct {
+		Channel uint64
+		Why     string
+	}
+	// Subscribe adds interests to a channel, from a cursor on if there is one.
+	Subscribe struct {
+		Visit     uint64
+		VisitName string
+		Channel   uint64
+		Origin    string
+		Interests []Interest
+		Cursor    string
+	}
+	// Unsubscribe takes interests away.
+	Unsubscribe struct {
+		Visit     uint64
+		VisitName string
+		Channel   uint64
+		Origin    string
+		Interests []Interest
+	}
+	// Publish sends a message on.
+	Publish struct {
+		Visit     uint64
+		VisitName string
+		Origin    string
+		Sender    string
+		Space     string
+		Topic     string
+		Seq       uint64
+		Data      []byte
+	}
+	// Pong answers a ping.
+	Pong struct {
+		Visit   uint64
+		Channel uint64
+		Origin  string
+	}
+	// ControlVisit is an operator's request at this daemon's own ctl.
+	ControlVisit struct {
+		Local  uint64
+		Method string
+		Path   string
+		Body   []byte
+	}
+	// FindDecisions asks the ring of recorded decisions.
+	FindDecisions struct {
+		Local                  uint64
+		Visit, Message, Origin string
+	}
+	// Stop asks the lantern to end in good order.
+	Stop struct{}
+)
+
+// Answer goes back to a caller: accepted, refused for sure, or unsettled.
+type Answer struct {
+	Status     int
+	Outcome    string
+	Code       string
+	Text       string
+	RetryAfter time.Duration
+	Fields     map[string]any
+}
+
+// Outcomes as callers see them.
+const (
+	OutcomeAccepted  = "accepted"
+	OutcomeRefused   = "refused"
+	OutcomeUnsettled = "unsettled"
+)
+
+func accepted(fields map[string]any) Answer {
+	return Answer{Status: 200, Outcome: OutcomeAccepted, Fields: fields}
+}
+
+func refused(status int, code, text string, back time.Duration) Answer {
+	return Answer{Status: status, Outcome: OutcomeRefused, Code: code, Text: text, RetryAfter: back}
+}
+
+func unsettled(code, text string, back time.Duration) Answer {
+	return Answer{Status: 503, Outcome: OutcomeUnsettled, Code: code, Text: text, RetryAfter: back}
+}
+
+// Event is one line on a channel.
+type Event struct {
+	Event    string          `json:"event"`
+	Channel  string          `json:"channel,omitempty"`
+	Daemon   string          `json:"daemon,omitempty"`
+	Locality string          `json:"locality,omitempty"`
+	Version  uint64          `json:"version,omitempty"`
+	Space    string          `json:"space,omitempty"`
+	Topic    string          `json:"topic,omitempty"`
+	Sender   string          `json:"sender,omitempty"`
+	Seq      uint64          `json:"seq,omitempty"`
+	Data     json.RawMessage `json:"data,omitempty"`
+	Cursor   string          `json:"cursor,omitempty"`
+	Code     string          `json:"code,omitempty"`
+	To       string          `json:"to,omitempty"`
+	ToName   string          `json:"to_name,omitempty"`
+}
--- /dev/null
+++ b/internal/lamp/tracker.go
@@ -0,0 +1,409 @@
+// A tracker follows one strand for all the subscribers here. It hands messages
+// over only when what they follow was handed over: the topic's message before,
+// and the sender's message before wherever it is kept. What is missing is
+// fetched from the strand's first. The first tells the head of the strand as it
+// moves, and the tracker then verifies that it missed nothing up to there, so
+// that a lost last message shows too.
+package lamp
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"dahlialock/internal/chart"
+	"dahlialock/internal/foghorn"
+	"dahlialock/internal/helm"
+	"dahlialock/internal/soundings"
+	"dahlialock/internal/strand"
+)
+
+const (
+	verifyEvery = time.Second
+	holeAfter   = 40 * time.Millisecond
+	followEvery = 2 * time.Second
+	skipMost    = 2048
+)
+
+type followed struct {
+	interest Interest
+	holders  int
+	since    uint64
+}
+
+type tracker struct {
+	name      string
+	space     string
+	shared    bool
+	interests map[Interest]*followed
+	version   uint64
+	verified  uint64
+	began     bool
+	head      uint64
+	delivered map[uint64]time.Time
+	held      map[uint64]strand.Record
+	verifying bool
+	wanted    bool
+}
+
+// spaceOf takes a strand's name apart.
+func spaceOf(name string) (space, full string) {
+	full, _, _ = strings.Cut(name, "/")
+	space, _, _ = strings.Cut(full, "~")
+	return space, full
+}
+
+func (lantern *Lantern) follow(now time.Time, name string) *tracker {
+	present, found := lantern.trackers[name]
+	if !found {
+		space, _ := spaceOf(name)
+		present = &tracker{
+			name: name, space: space, interests: map[Interest]*followed{}, delivered: map[uint64]time.Time{}, held: map[uint64]strand.Record{},
+		}
+		if state, known := lantern.spaces[space]; known {
+			present.shared = state.space.Order == chart.OrderChannel
+		}
+		lantern.trackers[name] = present
+		lantern.timers.ArmSooner("follow", now)
+	}
+	return present
+}
+
+func (tracker *tracker) add(interest Interest) {
+	present, found := tracker.interests[interest]
+	if !found {
+		present = &followed{interest: interest, since: everything}
+		tracker.interests[interest] = present
+		tracker.version++
+	}
+	present.holders++
+}
+
+// remove takes one holder away and tells whether nobody is left.
+func (tracker *tracker) remove(interest Interest) bool {
+	present, found := tracker.interests[interest]
+	if !found {
+		return len(tracker.interests) == 0
+	}
+	present.holders--
+	if present.holders == 0 {
+		delete(tracker.interests, interest)
+	}
+	return len(tracker.interests) == 0
+}
+
+// begin notes from where on an interest is live.
+func (tracker *tracker) begin(interest Interest, since uint64) {
+	if present, found := tracker.interests[interest]; found && since < present.since {
+		present.since = since
+	}
+	if !tracker.began {
+		tracker.began = true
+		tracker.verified = since
+		tracker.head = max(tracker.head, since)
+	}
+}
+
+// startOf is from where on a topic is followed live; everything if not yet.
+func (tracker *tracker) startOf(topic string) (since uint64, followedAtAll bool) {
+	since = everything
+	for interest, present := range tracker.interests {
+		if tracker.shared || interest.matches(topic) {
+			followedAtAll = true
+			since = min(since, present.since)
+		}
+	}
+	return since, followedAtAll
+}
+
+// settled tells whether a message was handed over here or need not be.
+func (tracker *tracker) settled(topic string, offset uint64) bool {
+	if offset <= tracker.verified && tracker.began {
+		return true
+	}
+	if _, had := tracker.delivered[offset]; had {
+		return true
+	}
+	since, matters := tracker.startOf(topic)
+	return !matters || offset <= since && since != everything
+}
+
+func (tracker *tracker) prune(now time.Time) {
+	for offset, at := range tracker.delivered {
+		if offset <= tracker.verified && now.Sub(at) > verifyEvery {
+			delete(tracker.delivered, offset)
+		}
+	}
+}
+
+func (lantern *Lantern) onCarry(now time.Time, carry Carry, effects *helm.Effects) {
+	tracker, found := lantern.trackers[carry.Strand]
+	if !found {
+		lantern.Counts.CopiesStray++
+		return
+	}
+	offset := carry.Record.Offset
+	if _, had := tracker.delivered[offset]; had || tracker.began && offset <= tracker.verified {
+		return
+	}
+	if _, matters := tracker.startOf(carry.Record.Topic); !matters {
+		lantern.Counts.CopiesStray++
+		return
+	}
+	if len(tracker.held) < heldMost {
+		tracker.held[offset] = carry.Record
+	}
+	tracker.head = max(tracker.head, offset)
+	lantern.pump(now, effects)
+	if _, waits := tracker.held[offset]; waits && tracker.began {
+		lantern.Counts.Holes++
+		effects.Note(foghorn.HoleFound, "strand", carry.Strand, "offset", offset, "prior", carry.Record.Prior)
+		lantern.ring.Record(now, "", soundings.MessageName(tracker.space, carry.Record.Sender, carry.Record.Seq), "", "waits",
+			"strand", carry.Strand, "offset", offset, "prior", carry.Record.Prior, "before", carry.Record.Before.Offset, "verified", tracker.verified)
+		tracker.wanted = true
+		lantern.timers.ArmSooner("verify", now.Add(holeAfter))
+		if before, known := lantern.trackers[carry.Record.Before.Strand]; known && !before.settled(carry.Record.Before.Topic, carry.Record.Before.Offset) {
+			before.wanted = true
+		}
+	}
+}
+
+// ripe tells whether a held message may be handed over.
+func (lantern *Lantern) ripe(tracker *tracker, record strand.Record) bool {
+	since, matters := tracker.startOf(record.Topic)
+	if matters && since == everything || !tracker.began {
+		return false
+	}
+	if tracker.shared && record.Offset > 1 && !tracker.settled(record.Topic, record.Offset-1) {
+		return false
+	}
+	if !tracker.shared && !tracker.settled(record.Topic, record.Prior) {
+		return false
+	}
+	before := record.Before
+	if before.Strand == "" || before.Strand == tracker.name && before.Offset >= record.Offset {
+		return true
+	}
+	other, found := lantern.trackers[before.Strand]
+	return !found || other.settled(before.Topic, before.Offset)
+}
+
+// pump hands over all that has become ripe, until nothing more does.
+func (lantern *Lantern) pump(now time.Time, effects *helm.Effects) {
+	for progress := true; progress; {
+		progress = false
+		for _, tracker := range helm.Sorted(lantern.trackers) {
+			for offset, record := range helm.Sorted(tracker.held) {
+				if _, had := tracker.delivered[offset]; had || tracker.began && offset <= tracker.verified {
+					delete(tracker.held, offset)
+					continue
+				}
+				if !lantern.ripe(tracker, record) {
+					continue
+				}
+				delete(tracker.held, offset)
+				progress = true
+				lantern.deliver(now, tracker, record, effects)
+			}
+		}
+	}
+}
+
+func (lantern *Lantern) deliver(now time.Time, tracker *tracker, record strand.Record, effects *helm.Effects) {
+	tracker.delivered[record.Offset] = now
+	if tracker.shared && record.Offset == tracker.verified+1 {
+		tracker.verified = record.Offset
+	}
+	state, found := lantern.spaces[tracker.space]
+	if !found {
+		return
+	}
+	for id := range helm.Sorted(state.holders(record.Topic)) {
+		if channel, open := lantern.channels[id]; open {
+			lantern.offer(now, id, channel, Carry{Strand: tracker.name, Record: record}, effects)
+		}
+	}
+}
+
+// holders lists the channels with a subscription that matches a topic exactly,
+// whatever else shares the topic's square.
+func (state *spaceState) holders(topic string) map[uint64]bool {
+	found := map[uint64]bool{}
+	for id := range state.topics[topic] {
+		found[id] = true
+	}
+	if len(state.wides) == 0 {
+		return found
+	}
+	for end := len(topic); end >= 0; end-- {
+		if end == len(topic) || end == 0 || topic[end] == '/' {
+			for id := range state.wides[topic[:end]] {
+				found[id] = true
+			}
+		}
+	}
+	return found
+}
+
+func (lantern *Lantern) onPass(now time.Time, message Pass, effects *helm.Effects) {
+	space, _ := spaceOf(message.Space + "/")
+	state, found := lantern.spaces[space]
+	if !found || state.name != message.Space {
+		lantern.Counts.CopiesStray++
+		return
+	}
+	holders := state.holders(message.Topic)
+	if len(holders) == 0 {
+		lantern.Counts.CopiesStray++
+	}
+	for id := range helm.Sorted(holders) {
+		if channel, open := lantern.channels[id]; open {
+			lantern.offerPass(now, id, channel, message, effects)
+		}
+	}
+}
+
+// Verifying.
+
+func (lantern *Lantern) onHeads(now time.Time, heads strand.Heads, effects *helm.Effects) {
+	for _, head := range heads.Heads {
+		tracker, found := lantern.trackers[head.Strand]
+		if !found || head.Epoch < lantern.follower.Places[head.Strand].Epoch {
+			continue
+		}
+		tracker.head = max(tracker.head, head.Offset)
+		if tracker.began && head.Offset > tracker.verified {
+			tracker.wanted = true
+			lantern.timers.ArmSooner("verify", now.Add(verifyEvery/2))
+		}
+	}
+}
+
+func (lantern *Lantern) verifyAll(now time.Time, effects *helm.Effects) {
+	for name, tracker := range helm.Sorted(lantern.trackers) {
+		if !tracker.wanted || tracker.verifying || !tracker.began {
+			continue
+		}
+		tracker.wanted = false
+		lantern.verify(now, name, tracker, effects)
+	}
+}
+
+func (lantern *Lantern) verify(now time.Time, name string, tracker *tracker, effects *helm.Effects) {
+	if tracker.shared && tracker.head <= tracker.verified && len(tracker.held) == 0 {
+		return
+	}
+	lantern.Counts.Verifies++
+	tracker.verifying = true
+	asked := &fetched{after: tracker.verified}
+	for interest := range tracker.interests {
+		if tracker.shared {
+			asked.prefixes = []string{""}
+			break
+		}
+		if interest.Wide {
+			asked.prefixes = append(asked.prefixes, interest.Path)
+		} else {
+			asked.topics = append(asked.topics, interest.Path)
+		}
+	}
+	slices.Sort(asked.topics)
+	slices.Sort(asked.prefixes)
+	for offset := range tracker.delivered {
+		if offset > tracker.verified && len(asked.skip) < skipMost {
+			asked.skip = append(asked.skip, offset)
+		}
+	}
+	for offset := range tracker.held {
+		if len(asked.skip) < skipMost {
+			asked.skip = append(asked.skip, offset)
+		}
+	}
+	slices.Sort(asked.skip)
+	lantern.nextVisit++
+	round := &fetch{
+		tracker: name, version: tracker.version, strands: map[string]*fetched{name: asked}, records: map[string][]strand.Record{},
+		limit: now.Add(subscribeLimit),
+	}
+	lantern.fetches[lantern.nextVisit] = round
+	lantern.timers.ArmSooner("limits", round.limit)
+	lantern.ask(now, lantern.nextVisit, name, asked, effects)
+}
+
+// verified takes the answer to a verification: the missing messages go the way
+// of all others, and once they were handed over the strand is verified so far.
+func (lantern *Lantern) verified(now time.Time, round *fetch, effects *helm.Effects) {
+	tracker, found := lantern.trackers[round.tracker]
+	if !found {
+		return
+	}
+	tracker.verifying = false
+	until := round.strands[round.tracker].until
+	records := round.records[round.tracker]
+	for _, record := range records {
+		if _, had := tracker.delivered[record.Offset]; !had && record.Offset > tracker.verified {
+			tracker.held[record.Offset] = record
+		}
+	}
+	if len(records) > 0 {
+		effects.Note(foghorn.HoleFilled, "strand", round.tracker, "records", len(records), "until", until)
+		for _, record := range records {
+			lantern.ring.Record(now, "", soundings.MessageName(tracker.space, record.Sender, record.Seq), "", "repaired", "strand", round.tracker, "offset", record.Offset)
+		}
+	}
+	// The answer holds all of this strand up to there, so nothing within it is
+	// missing; only another strand may still hold a message back.
+	lantern.pump(now, effects)
+	if tracker.version == round.version {
+		limit := until
+		for offset := range tracker.held {
+			limit = min(limit, offset-1)
+		}
+		if limit > tracker.verified {
+			tracker.verified = limit
+			lantern.pump(now, effects)
+		}
+	}
+	if tracker.version != round.version || len(tracker.held) > 0 || tracker.head > tracker.verified {
+		tracker.wanted = true
+		pause := verifyEvery
+		if len(tracker.held) > 0 || tracker.version != round.version {
+			pause = holeAfter
+		}
+		for _, record := range tracker.held {
+			if before, known := lantern.trackers[record.Before.Strand]; known && !before.settled(record.Before.Topic, record.Before.Offset) {
+				before.wanted = true
+			}
+		}
+		lantern.timers.ArmSooner("verify", now.Add(pause))
+	}
+}
+
+// followHeads asks the keepers that are first for the strands followed here to
+// tell their heads, and asks again before they forget.
+func (lantern *Lantern) followHeads(now time.Time, effects *helm.Effects) {
+	byKeeper := map[string][]string{}
+	for name := range helm.Sorted(lantern.trackers) {
+		if address, _, found := lantern.firstOf(name); found {
+			byKeeper[address] = append(byKeeper[address], name)
+		}
+	}
+	for address, names := range helm.Sorted(byKeeper) {
+		effects.Send(address, strand.Follow{Strands: names})
+	}
+	if len(lantern.trackers) > 0 {
+		lantern.timers.Arm("follow", now.Add(followEvery))
+	}
+}
+
+// placesChanged sends what waits for a keeper to the strand's new first.
+func (lantern *Lantern) placesChanged(now time.Time, effects *helm.Effects) {
+	for _, item := range helm.Sorted(lantern.appends) {
+		if from, known := lantern.senders[item.key]; known && now.Sub(item.sentAt) > 50*time.Millisecond {
+			lantern.sendAppend(now, from, item, effects)
+		}
+	}
+	if len(lantern.trackers) > 0 {
+		lantern.timers.ArmSooner("follow", now)
+	}
+}
--- /dev/null
+++ b/internal/logbook/logbook.go
@@ -0,0 +1,312 @@
+// Package logbook keeps a daemon's own state on a small disk: two slots that
+// are written in turn, with a short log between. A slot holds a whole frame
+// with a generation; the log of a generation holds the entries after it. A
+// write lasts only once it is synced, file and folder both. On opening, the
+// newest whole slot wins and the logs after it are replayed; a torn tail is
+// cut, and damage anywhere else is an error that the owner must answer by
+// rebuilding its copy from another holder.
+package logbook
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+
+	"github.com/joomcode/errorx"
+)
+
+var (
+	namespace = errorx.NewNamespace("logbook")
+	// ErrorDamage says that bytes which had been synced are no longer right.
+	ErrorDamage = namespace.NewType("damage")
+	// ErrorDisk says that the disk itself refused.
+	ErrorDisk = namespace.NewType("disk")
+)
+
+// EntryLimit bounds one entry or frame.
+const EntryLimit = 1 << 30
+
+const (
+	slotMagic   = "dlslot01"
+	logMagic    = "dllog001"
+	prefixSize  = 16
+	entryHeader = 8
+)
+
+var table = crc32.MakeTable(crc32.Castagnoli)
+
+// Folder is the disk as the logbook sees it. Nothing lasts before Sync of the
+// file, and no name lasts before SyncFolder.
+type Folder interface {
+	Read(name string) ([]byte, bool, error)
+	Create(name string, body []byte) error
+	Append(name string, body []byte) error
+	Truncate(name string, size int64) error
+	Sync(name string) error
+	Remove(name string) error
+	SyncFolder() error
+}
+
+// Recovered is what a logbook held when it was opened.
+type Recovered struct {
+	Blank   bool
+	Frame   []byte
+	Entries [][]byte
+	Torn    int
+}
+
+// Logbook is an open logbook; one owner uses it.
+type Logbook struct {
+	folder     Folder
+	generation uint64
+	logSize    int64
+	Syncs      int64
+}
+
+func slotName(generation uint64) string {
+	if generation%2 == 0 {
+		return "slot-even"
+	}
+	return "slot-odd"
+}
+
+func logName(generation uint64) string {
+	return fmt.Sprintf("log-%d", generation%3)
+}
+
+func seal(magic string, generation uint64) []byte {
+	prefix := make([]byte, prefixSize, prefixSize+entryHeader)
+	copy(prefix, magic)
+	binary.BigEndian.PutUint64(prefix[8:], generation)
+	return prefix
+}
+
+func appendEntry(body []byte, generation uint64, entry []byte) []byte {
+	var header [entryHeader]byte
+	binary.BigEndian.PutUint32(header[:], uint32(len(entry)))
+	binary.BigEndian.PutUint32(header[4:], checksum(generation, entry))
+	body = append(body, header[:]...)
+	return append(body, entry...)
+}
+
+func checksum(generation uint64, entry []byte) uint32 {
+	var prefix [12]byte
+	binary.BigEndian.PutUint64(prefix[:], generation)
+	binary.BigEndian.PutUint32(prefix[8:], uint32(len(entry)))
+	return crc32.Update(crc32.Checksum(prefix[:], table), table, entry)
+}
+
+func readEntry(body []byte, generation uint64) (entry, rest []byte, whole bool) {
+	if len(body) < entryHeader {
+		return nil, nil, false
+	}
+	length := int64(binary.BigEndian.Uint32(body))
+	if length > EntryLimit || int64(len(body)) < entryHeader+length {
+		return nil, nil, false
+	}
+	entry = body[entryHeader : entryHeader+length]
+	if binary.BigEndian.Uint32(body[4:]) != checksum(generation, entry) {
+		return nil, nil, false
+	}
+	return entry, body[entryHeader+length:], true
+}
+
+func readPrefix(body []byte, magic string) (generation uint64, rest []byte, whole bool) {
+	if len(body) < prefixSize || string(body[:8]) != magic {
+		return 0, nil, false
+	}
+	return binary.BigEndian.Uint64(body[8:]), body[prefixSize:], true
+}
+
+type slot struct {
+	present, whole bool
+	generation     uint64
+	frame          []byte
+}
+
+func readSlot(folder Folder, name string) (slot, error) {
+	body, found, fault := folder.Read(name)
+	if fault != nil {
+		return slot{}, ErrorDisk.Wrap(fault, "reading %s", name)
+	}
+	if !found {
+		return slot{}, nil
+	}
+	generation, rest, whole := readPrefix(body, slotMagic)
+	if !whole {
+		return slot{present: true}, nil
+	}
+	frame, rest, whole := readEntry(rest, generation)
+	if !whole || len(rest) != 0 || slotName(generation) != name {
+		return slot{present: true}, nil
+	}
+	return slot{present: true, whole: true, generation: generation, frame: frame}, nil
+}
+
+// Open reads a folder, making it if it is blank.
+func Open(folder Folder) (*Logbook, Recovered, error) {
+	even, fault := readSlot(folder, "slot-even")
+	if fault != nil {
+		return nil, Recovered{}, fault
+	}
+	odd, fault := readSlot(folder, "slot-odd")
+	if fault != nil {
+		return nil, Recovered{}, fault
+	}
+	newest := even
+	if odd.whole && (!even.whole || odd.generation > even.generation) {
+		newest = odd
+	}
+	book := &Logbook{folder: folder}
+	if !newest.whole {
+		return book, Recovered{Blank: true}, book.found(even.present && odd.present)
+	}
+	recovered := Recovered{Frame: newest.frame}
+	book.generation = newest.generation
+	fault = book.replay(&recovered, even.present && odd.present && !(even.whole && odd.whole))
+	return book, recovered, fault
+}
+
+func (book *Logbook) found(bothDamaged bool) error {
+	if bothDamaged {
+		return ErrorDamage.New("neither slot is whole")
+	}
+	for generation := range uint64(3) {
+		if _, found, fault := book.folder.Read(logName(generation)); fault != nil || found {
+			if fault != nil {
+				return ErrorDisk.Wrap(fault, "reading a log")
+			}
+			if _, slotFound, _ := book.folder.Read("slot-odd"); !slotFound {
+				return ErrorDamage.New("a log without any slot")
+			}
+		}
+	}
+	return book.Checkpoint(nil)
+}
+
+func (book *Logbook) replay(recovered *Recovered, otherTorn bool) error {
+	for {
+		name := logName(book.generation)
+		body, found, fault := book.folder.Read(name)
+		if fault != nil {
+			return ErrorDisk.Wrap(fault, "reading %s", name)
+		}
+		generation, rest, whole := uint64(0), []byte(nil), false
+		if found {
+			generation, rest, whole = readPrefix(body, logMagic)
+		}
+		if !whole || generation != book.generation {
+			// The slot was synced but its log was not begun yet.
+			return book.beginLog()
+		}
+		kept := len(body) - len(rest)
+		for len(rest) > 0 {
+			entry, after, whole := readEntry(rest, generation)
+			if !whole {
+				break
+			}
+			recovered.Entries = append(recovered.Entries, entry)
+			kept = len(body) - len(after)
+			rest = after
+		}
+		if len(rest) == 0 {
+			book.logSize = int64(kept)
+			next, _, _ := book.folder.Read(logName(book.generation + 1))
+			if followed, _, whole := readPrefix(next, logMagic); whole && followed == book.generation+1 {
+				if !otherTorn {
+					return ErrorDamage.New("log %d follows without its slot", followed)
+				}
+				book.generation++
+				continue
+			}
+			return nil
+		}
+		if laterEntry(rest, generation) {
+			return ErrorDamage.New("%s is damaged at byte %d", name, kept)
+		}
+		recovered.Torn = len(rest)
+		book.logSize = int64(kept)
+		if fault := book.folder.Truncate(name, int64(kept)); fault != nil {
+			return ErrorDisk.Wrap(fault, "cutting %s", name)
+		}
+		return book.sync(name)
+	}
+}
+
+// laterEntry tells a torn tail from damage: after a tail that a power cut tore
+// no whole entry can follow, as each batch is synced before the next begins.
+func laterEntry(rest []byte, generation uint64) bool {
+	for offset := 1; offset+entryHeader <= len(rest); offset++ {
+		length := int64(binary.BigEndian.Uint32(rest[offset:]))
+		if length == 0 || length > int64(len(rest)-offset-entryHeader) {
+			continue
+		}
+		if _, _, whole := readEntry(rest[offset:], generation); whole {
+			return true
+		}
+	}
+	return false
+}
+
+func (book *Logbook) sync(name string) error {
+	book.Syncs++
+	if fault := book.folder.Sync(name); fault != nil {
+		return ErrorDisk.Wrap(fault, "syncing %s", name)
+	}
+	return nil
+}
+
+// Append puts entries on the disk; they last when it returns without error.
+func (book *Logbook) Append(entries [][]byte) error {
+	var body []byte
+	for _, entry := range entries {
+		body = appendEntry(body, book.generation, entry)
+	}
+	name := logName(book.generation)
+	if fault := book.folder.Append(name, body); fault != nil {
+		return ErrorDisk.Wrap(fault, "appending to %s", name)
+	}
+	book.logSize += int64(len(body))
+	return book.sync(name)
+}
+
+// LogSize is the size of the present log, by which an owner decides when to
+// write a frame.
+func (book *Logbook) LogSize() int64 {
+	return book.logSize
+}
+
+// Checkpoint writes a frame that stands for all entries so far into the other
+// slot and begins a new log after it.
+func (book *Logbook) Checkpoint(frame []byte) error {
+	generation := book.generation + 1
+	body := appendEntry(seal(slotMagic, generation), generation, frame)
+	name := slotName(generation)
+	if fault := book.folder.Create(name, body); fault != nil {
+		return ErrorDisk.Wrap(fault, "writing %s", name)
+	}
+	if fault := book.sync(name); fault != nil {
+		return fault
+	}
+	if fault := book.folder.SyncFolder(); fault != nil {
+		return ErrorDisk.Wrap(fault, "syncing the folder")
+	}
+	book.generation = generation
+	return book.beginLog()
+}
+
+func (book *Logbook) beginLog() error {
+	prefix := seal(logMagic, book.generation)
+	name := logName(book.generation)
+	if fault := book.folder.Create(name, prefix); fault != nil {
+		return ErrorDisk.Wrap(fault, "beginning %s", name)
+	}
+	book.logSize = int64(len(prefix))
+	if fault := book.sync(name); fault != nil {
+		return fault
+	}
+	if fault := book.folder.SyncFolder(); fault != nil {
+		return ErrorDisk.Wrap(fault, "syncing the folder")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/logbook/logbook_test.go
@@ -0,0 +1,104 @@
+// The logbook against an oracle: whatever the disk loses at a power cut, what
+// was synced is there again, and damage to synced bytes is never passed over.
+package logbook
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+)
+
+func replayed(recovered Recovered) []string {
+	var found []string
+	if len(recovered.Frame) > 0 {
+		found = append(found, string(recovered.Frame))
+	}
+	for _, entry := range recovered.Entries {
+		found = append(found, string(entry))
+	}
+	return found
+}
+
+func TestSyncedEntriesOutlastPowerCuts(t *testing.T) {
+	for seed := range uint64(300) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		disk := NewMemoryFolder()
+		var lasting []string
+		for round := range 12 {
+			book, recovered, fault := Open(disk)
+			assert.NilError(t, fault, "seed %d round %d", seed, round)
+			assert.DeepEqual(t, replayed(recovered), lasting)
+			for step := range random.IntN(8) {
+				if random.IntN(4) == 0 {
+					frame := fmt.Sprintf("frame %d.%d", round, step)
+					assert.NilError(t, book.Checkpoint([]byte(frame)))
+					lasting = []string{frame}
+					continue
+				}
+				var entries [][]byte
+				for number := range 1 + random.IntN(3) {
+					text := fmt.Sprintf("entry %d.%d.%d", round, step, number)
+					entries = append(entries, []byte(text))
+					lasting = append(lasting, text)
+				}
+				assert.NilError(t, book.Append(entries))
+			}
+			if random.IntN(2) == 0 {
+				torn := appendEntry(nil, book.generation, []byte("never synced"))
+				assert.NilError(t, disk.Append(logName(book.generation), torn))
+				disk.PowerCut(random.IntN(len(torn)))
+			} else if random.IntN(3) == 0 {
+				generation := book.generation + 1
+				body := appendEntry(seal(slotMagic, generation), generation, []byte("frame that was cut"))
+				assert.NilError(t, disk.Create(slotName(generation), body[:random.IntN(len(body))]))
+			}
+		}
+	}
+}
+
+func TestDamageIsReported(t *testing.T) {
+	for at := prefixSize; at < 80; at++ {
+		disk := NewMemoryFolder()
+		book, _, fault := Open(disk)
+		assert.NilError(t, fault)
+		for number := range 6 {
+			assert.NilError(t, book.Append([][]byte{[]byte(fmt.Sprintf("entry number %d", number))}))
+		}
+		assert.Assert(t, disk.Damage(logName(book.generation), at))
+		_, _, fault = Open(disk)
+		assert.Assert(t, errorx.IsOfType(fault, ErrorDamage), "byte %d: %v", at, fault)
+	}
+}
+
+func TestDamagedNewestSlotFallsBack(t *testing.T) {
+	disk := NewMemoryFolder()
+	book, _, fault := Open(disk)
+	assert.NilError(t, fault)
+	assert.NilError(t, book.Checkpoint([]byte("first")))
+	assert.NilError(t, book.Append([][]byte{[]byte("a")}))
+	assert.NilError(t, book.Checkpoint([]byte("second")))
+	assert.NilError(t, book.Append([][]byte{[]byte("b")}))
+	disk.Damage(slotName(book.generation), prefixSize+entryHeader+1)
+	_, recovered, fault := Open(disk)
+	assert.NilError(t, fault)
+	assert.DeepEqual(t, replayed(recovered), []string{"first", "a", "b"})
+}
+
+func FuzzOpen(f *testing.F) {
+	f.Add([]byte(slotMagic), []byte(logMagic))
+	f.Fuzz(func(t *testing.T, slotBody, logBody []byte) {
+		disk := NewMemoryFolder()
+		_ = disk.Create("slot-odd", slotBody)
+		_ = disk.Create("log-1", logBody)
+		book, recovered, fault := Open(disk)
+		if fault == nil {
+			assert.NilError(t, book.Append([][]byte{[]byte("after")}))
+			_, again, fault := Open(disk)
+			assert.NilError(t, fault)
+			assert.Equal(t, len(again.Entries), len(recovered.Entries)+1)
+		}
+	})
+}
--- /dev/null
+++ b/internal/pilotage/state.go
@@ -0,0 +1,141 @@
+// The control state: the configuration in force, the members of the cohort and
+// where every strand lives. It changes only by commands, which are applied in
+// the same order and with the same result on primary and backup.
+package pilotage
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"dahlialock/internal/beacon"
+	"dahlialock/internal/chart"
+	"dahlialock/internal/flare"
+	"dahlialock/internal/helm"
+)
+
+// Command is one change of the control state.
+type Command struct {
+	Version  uint64
+	Document []byte
+	Members  []beacon.Member
+	Places   []beacon.Placement
+	Settled  []beacon.StrandComplete
+}
+
+// State is the control state itself.
+type State struct {
+	Index    uint64
+	Version  uint64
+	Document []byte
+	Births   map[string]uint64
+	Natures  map[string]string
+	Members  map[string]beacon.Member
+	Places   map[string]beacon.Placement
+}
+
+func newState() *State {
+	return &State{
+		Births: map[string]uint64{}, Natures: map[string]string{},
+		Members: map[string]beacon.Member{}, Places: map[string]beacon.Placement{},
+	}
+}
+
+// StrandName names one strand of one space since its birth, so that a space
+// that is removed and comes again begins anew.
+func StrandName(space string, birth uint64, number int) string {
+	return fmt.Sprintf("%s~%d/%d", space, birth, number)
+}
+
+// Apply changes the state by one command.
+func (state *State) Apply(_ time.Time, packed []byte) {
+	var command Command
+	if fault := flare.Unmarshal(packed, &command); fault != nil {
+		panic(fault)
+	}
+	state.Index++
+	if command.Version > state.Version {
+		state.takeConfiguration(command)
+	}
+	for _, member := range command.Members {
+		earlier, found := state.Members[member.Name]
+		member.Joined = earlier.Joined
+		if member.Alive && (!found || !earlier.Alive || earlier.Incarnation != member.Incarnation) {
+			member.Joined = state.Index
+		}
+		state.Members[member.Name] = member
+	}
+	for _, place := range command.Places {
+		if earlier, found := state.Places[place.Strand]; found && earlier.Epoch >= place.Epoch {
+			continue
+		}
+		state.Places[place.Strand] = place
+	}
+	for _, settled := range command.Settled {
+		place, found := state.Places[settled.Strand]
+		if !found || place.Epoch != settled.Epoch || place.Complete {
+			continue
+		}
+		place.Complete = true
+		place.Safe = []string{holder(state.Members[place.First]), holder(state.Members[place.Understudy])}
+		state.Places[settled.Strand] = place
+	}
+}
+
+// holder names a keeper together with its disk, so that a wiped keeper is not
+// taken for a holder of what it lost.
+func holder(member beacon.Member) string { return member.Name + "@" + member.Disk }
+
+func (state *State) takeConfiguration(command Command) {
+	configuration, faults := chart.Read(command.Document)
+	if len(faults) > 0 {
+		panic("a command with a faulty configuration")
+	}
+	state.Version, state.Document = command.Version, command.Document
+	for name := range helm.Sorted(state.Births) {
+		space, found := configuration.Spaces[name]
+		if !found || state.Natures[name] != nature(space) {
+			delete(state.Births, name)
+			delete(state.Natures, name)
+		}
+	}
+	for name, space := range helm.Sorted(configuration.Spaces) {
+		if _, found := state.Births[name]; !found {
+			state.Births[name] = command.Version
+			state.Natures[name] = nature(space)
+		}
+	}
+	wanted := state.strands(configuration)
+	for strand := range helm.Sorted(state.Places) {
+		if !slices.Contains(wanted, strand) {
+			delete(state.Places, strand)
+		}
+	}
+}
+
+func nature(space chart.Space) string { return string(space.Promise) + "/" + string(space.Order) }
+
+func (state *State) strands(configuration chart.Configuration) []string {
+	var names []string
+	for name, space := range helm.Sorted(configuration.Spaces) {
+		for number := range space.Strands() {
+			names = append(names, StrandName(name, state.Births[name], number))
+		}
+	}
+	return names
+}
+
+// Frame is the whole state.
+func (state *State) Frame() []byte { return flare.MustMarshal(state) }
+
+// Restore takes a whole state in place of this one.
+func (state *State) Restore(packed []byte) error {
+	restored := newState()
+	if fault := flare.Unmarshal(packed, restored); fault != nil {
+		return fault
+	}
+	*state = *restored
+	return nil
+}
+
+func mustPack(command Command) []byte { return flare.MustMarshal(command) }
--- /dev/null
+++ b/internal/soundings/soundings.go
@@ -0,0 +1,85 @@
+// Package soundings keeps a bounded ring of recorded decisions: why a visit or
+// a message went where it went. Every daemon has one and serves it at ctl, and
+// sextant asks them all. Entries about one message share its space, sender and
+// seq, which is how those of several daemons are put together.
+package soundings
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Size is how many decisions a daemon remembers.
+const Size = 16384
+
+// Entry is one decision.
+type Entry struct {
+	At      time.Time      `json:"at"`
+	Daemon  string         `json:"daemon"`
+	Visit   string         `json:"visit,omitempty"`
+	Message string         `json:"message,omitempty"`
+	Origin  string         `json:"origin,omitempty"`
+	Step    string         `json:"step"`
+	Detail  map[string]any `json:"detail,omitempty"`
+}
+
+// Ring is the bounded memory; one owner uses it.
+type Ring struct {
+	daemon  string
+	entries []Entry
+	next    int
+}
+
+// NewRing makes an empty ring.
+func NewRing(daemon string) *Ring { return &Ring{daemon: daemon} }
+
+// MessageName is how a message is named across daemons.
+func MessageName(space, sender string, seq uint64) string {
+	space, _, _ = strings.Cut(space, "~")
+	return fmt.Sprintf("%s/%s/%d", space, sender, seq)
+}
+
+// Record adds a decision in place of the oldest; details come in pairs.
+func (ring *Ring) Record(now time.Time, visit, message, origin, step string, details ...any) {
+	entry := Entry{At: now, Daemon: ring.daemon, Visit: visit, Message: message, Origin: origin, Step: step}
+	if len(details) > 0 {
+		entry.Detail = make(map[string]any, len(details)/2)
+		for position := 0; position+1 < len(details); position += 2 {
+			entry.Detail[details[position].(string)] = details[position+1]
+		}
+	}
+	if len(ring.entries) < Size {
+		ring.entries = append(ring.entries, entry)
+		return
+	}
+	ring.entries[ring.next] = entry
+	ring.next = (ring.next + 1) % Size
+}
+
+// Find lists the entries about a visit, a message or an origin, oldest first.
+func (ring *Ring) Find(visit, message, origin string) []Entry {
+	found := []Entry{}
+	messages := map[string]bool{}
+	if message != "" {
+		messages[message] = true
+	}
+	each := func(check func(Entry)) {
+		for step := range ring.entries {
+			check(ring.entries[(ring.next+step)%len(ring.entries)])
+		}
+	}
+	if visit != "" {
+		each(func(entry Entry) {
+			if entry.Visit == visit && entry.Message != "" {
+				messages[entry.Message] = true
+			}
+		})
+	}
+	each(func(entry Entry) {
+		if visit != "" && entry.Visit == visit || entry.Message != "" && messages[entry.Message] || origin != "" && entry.Origin == origin {
+			found = append(found, entry)
+		}
+	})
+	return found
+}
--- /dev/null
+++ b/internal/strand/messages.go
@@ -0,0 +1,159 @@
+// The words between lanterns and keepers, and between the two keepers of a
+// strand.
+package strand
+
+import (
+	"time"
+
+	"dahlialock/internal/flare"
+)
+
+// Mark points at a sender's previous message, wherever it is kept.
+type Mark struct {
+	_      struct{} `cbor:",toarray"`
+	Strand string
+	Offset uint64
+	Topic  string
+}
+
+// Record is one kept message. Prior is the offset of the topic's message
+// before it, and Before is the sender's message before it, so that whoever
+// receives it sees every hole.
+type Record struct {
+	_      struct{} `cbor:",toarray"`
+	Offset uint64
+	Epoch  uint64
+	Topic  string
+	Sender string
+	Seq    uint64
+	Data   []byte
+	At     time.Time
+	Prior  uint64
+	Before Mark
+}
+
+// Append asks the first to keep a message.
+type Append struct {
+	Strand string
+	Visit  uint64
+	Topic  string
+	Sender string
+	Seq    uint64
+	Data   []byte
+	Before Mark
+}
+
+// Outcomes of an append.
+const (
+	Accepted uint8 = iota + 1
+	Refused
+	Unsettled
+)
+
+// AppendReturn answers it.
+type AppendReturn struct {
+	Strand     string
+	Visit      uint64
+	Outcome    uint8
+	Code       string
+	RetryAfter time.Duration
+	Epoch      uint64
+	Again      bool
+	Record     Record
+}
+
+// Copy carries records from the first to the understudy, after the record at
+// After of epoch AfterEpoch.
+type Copy struct {
+	Strand     string
+	Epoch      uint64
+	After      uint64
+	AfterEpoch uint64
+	Records    []Record
+}
+
+// CopyReturn says how far the understudy's disk reaches, or that it needs more.
+type CopyReturn struct {
+	Strand    string
+	Epoch     uint64
+	Have      uint64
+	HaveEpoch uint64
+	Mismatch  bool
+	Older     uint64
+}
+
+// Frame carries a whole strand.
+type Frame struct {
+	Strand string
+	Epoch  uint64
+	State  []byte
+}
+
+// Fetch asks for records after an offset that match an interest.
+type Fetch struct {
+	Strand   string
+	Visit    uint64
+	After    uint64
+	Topics   []string
+	Prefixes []string
+	Skip     []uint64
+}
+
+// FetchReturn gives them, all up to Until.
+type FetchReturn struct {
+	Strand  string
+	Visit   uint64
+	Epoch   uint64
+	Base    uint64
+	Head    uint64
+	Until   uint64
+	Records []Record
+	Ready   bool
+}
+
+// Follow asks to be told the heads of strands.
+type Follow struct {
+	Strands []string
+}
+
+// Head is how far a strand's accepted messages reach.
+type Head struct {
+	_      struct{} `cbor:",toarray"`
+	Strand string
+	Epoch  uint64
+	Offset uint64
+}
+
+// Heads tells them.
+type Heads struct {
+	Heads []Head
+}
+
+// SenderAsk asks where a sender's newest message is.
+type SenderAsk struct {
+	Visit   uint64
+	Strands []string
+	Sender  string
+}
+
+// SenderReturn tells it.
+type SenderReturn struct {
+	Visit   uint64
+	Ready   bool
+	LastSeq uint64
+	Last    Mark
+}
+
+func init() {
+	flare.MustRegister(509, SenderAsk{})
+	flare.MustRegister(510, SenderReturn{})
+	flare.MustRegister(500, Append{})
+	flare.MustRegister(501, AppendReturn{})
+	flare.MustRegister(502, Copy{})
+	flare.MustRegister(503, CopyReturn{})
+	flare.MustRegister(504, Frame{})
+	flare.MustRegister(505, Fetch{})
+	flare.MustRegister(506, FetchReturn{})
+	flare.MustRegister(507, Follow{})
+	flare.MustRegister(508, Heads{})
+}
