--- /dev/null
+++ b/internal/watchbill/watch.go
@@ -0,0 +1,1224 @@
+// A Watch is one pilot's part in the control state: founding, epochs, tenure
+// and the copying of commands from primary to backup. Each epoch's record is
+// decided once by a majority of the roster, by ballots, so that two pilots that
+// ask at the same time can't both win; between epochs nothing is agreed by
+// majority: the primary syncs a command, its backup syncs it, and then it is
+// answered. A witness grants a ballot to another than the primary only when
+// the tenure that it granted has run out on its own clock; the primary counts
+// its tenure from when it asked and takes a tenth off for clocks that run
+// apart. No answer is given without a backup that is level.
+package watchbill
+
+import (
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"dahlialock/internal/flare"
+	"dahlialock/internal/foghorn"
+	"dahlialock/internal/helm"
+)
+
+// Spans of the watch bill. The tenure is the longest wait in a takeover.
+const (
+	TenureLength  = 3 * time.Second
+	renewEvery    = 500 * time.Millisecond
+	lostAfter     = 2 * time.Second
+	helloEvery    = 300 * time.Millisecond
+	retryEvery    = 400 * time.Millisecond
+	confirmLimit  = time.Second
+	frameLogLimit = 4 << 20
+)
+
+// Ledger is the control state that is copied. Apply and Restore are
+// deterministic.
+type Ledger interface {
+	Apply(now time.Time, command []byte)
+	Frame() []byte
+	Restore(state []byte) error
+}
+
+// Props are a pilot's own settings.
+type Props struct {
+	Self  Pilot
+	Count int
+	Seeds []string
+}
+
+// Outcome of a submitted command or a confirmation.
+type Outcome int
+
+// The outcomes: it lasts; it surely did not happen; nobody can tell yet.
+const (
+	Committed Outcome = iota
+	Refused
+	Unsettled
+)
+
+type continuation func(now time.Time, effects *helm.Effects)
+
+// Done is told the outcome of a command.
+type Done func(now time.Time, effects *helm.Effects, outcome Outcome)
+
+type submitted struct {
+	command []byte
+	done    Done
+	index   uint64
+	synced  bool
+	limit   time.Time
+}
+
+type confirmation struct {
+	done  Done
+	limit time.Time
+}
+
+type attempt struct {
+	ballot   Ballot
+	epoch    uint64
+	own      Record
+	value    Record
+	promises map[string]Promise
+	accepts  map[string]bool
+	phase    int
+}
+
+type duty struct {
+	holder string
+	until  time.Time
+}
+
+// Watch is the state machine.
+type Watch struct {
+	props   Props
+	ledger  Ledger
+	durable Durable
+	index   uint64
+	spare   *spareFrame
+	blank   bool
+	timers  *helm.Timers
+
+	token     uint64
+	synced    map[uint64]continuation
+	logBytes  int
+	diskIndex uint64
+
+	diskComplete uint64
+	passedOver   []string
+	forgetful    time.Time
+	known        map[string]Hello
+	recallNonce  uint64
+	recalls      map[string]Durable
+	grantedUntil time.Time
+
+	nonce        uint64
+	renewals     map[uint64]time.Time
+	grants       map[uint64]map[string]bool
+	tenureUntil  time.Time
+	tenureHeld   bool
+	backupHeard  time.Time
+	backupLevel  bool
+	leveled      bool
+	primaryHeard time.Time
+	lastGrant    map[string]time.Time
+
+	queue       []*submitted
+	replacing   bool
+	takingOver  bool
+	spareName   string
+	spareReady  bool
+	spareAsked  time.Time
+	trying      *attempt
+	ballotCount uint64
+	confirms    map[uint64]confirmation
+	duties      map[string]duty
+	tenures     map[string]*Tenure
+}
+
+// New makes a watch from what its disk held.
+func New(props Props, ledger Ledger, frame []byte, entries [][]byte) (*Watch, error) {
+	watch := &Watch{
+		props: props, ledger: ledger, timers: helm.NewTimers(),
+		synced: map[uint64]continuation{}, known: map[string]Hello{}, recalls: map[string]Durable{},
+		renewals: map[uint64]time.Time{}, grants: map[uint64]map[string]bool{},
+		lastGrant: map[string]time.Time{}, confirms: map[uint64]confirmation{}, duties: map[string]duty{}, tenures: map[string]*Tenure{},
+	}
+	if len(frame) > 0 {
+		var held diskFrame
+		if fault := flare.Unmarshal(frame, &held); fault != nil {
+			return nil, fault
+		}
+		watch.durable, watch.index, watch.spare = held.Durable, held.Index, held.Spare
+		if len(held.State) > 0 {
+			if fault := ledger.Restore(held.State); fault != nil {
+				return nil, fault
+			}
+		}
+	}
+	for _, packed := range entries {
+		var entry diskEntry
+		if fault := flare.Unmarshal(packed, &entry); fault != nil {
+			return nil, fault
+		}
+		switch {
+		case entry.Durable != nil:
+			watch.durable = *entry.Durable
+		case entry.Spare != nil:
+			watch.spare = entry.Spare
+		case entry.State != nil:
+			if fault := ledger.Restore(entry.State); fault != nil {
+				return nil, fault
+			}
+			watch.index = entry.Index
+		case entry.Index == watch.index+1:
+			ledger.Apply(time.Time{}, entry.Command)
+			watch.index = entry.Index
+		}
+	}
+	watch.diskIndex, watch.diskComplete = watch.index, watch.durable.Complete
+	watch.blank = watch.durable.Record.Epoch == 0
+	return watch, nil
+}
+
+// Record is the newest decided epoch this pilot knows.
+func (watch *Watch) Record() Record { return watch.durable.Record }
+
+// Index is how many commands the state holds.
+func (watch *Watch) Index() uint64 { return watch.index }
+
+// Blank tells whether no epoch is known yet.
+func (watch *Watch) Blank() bool { return watch.blank }
+
+// Complete is the epoch for which this pilot's state is known to be whole.
+func (watch *Watch) Complete() uint64 { return watch.durable.Complete }
+
+// Known lists the pilots met so far, and the roster.
+func (watch *Watch) Known() []Pilot {
+	if watch.durable.Record.Epoch > 0 {
+		return watch.durable.Record.Roster
+	}
+	pilots := []Pilot{watch.props.Self}
+	for _, hello := range helm.Sorted(watch.known) {
+		pilots = append(pilots, hello.Self)
+	}
+	return pilots
+}
+
+// Primary tells who is primary in the newest known epoch.
+func (watch *Watch) Primary() (Pilot, bool) {
+	return watch.durable.Record.Find(watch.durable.Record.Primary)
+}
+
+// IsPrimary tells whether this pilot is the recorded primary.
+func (watch *Watch) IsPrimary() bool {
+	return !watch.blank && watch.durable.Record.Primary == watch.props.Self.Name
+}
+
+func (watch *Watch) isBackup() bool {
+	return !watch.blank && watch.durable.Record.Backup == watch.props.Self.Name
+}
+
+// HoldsTenure tells whether this pilot may act as primary at this moment.
+func (watch *Watch) HoldsTenure(now time.Time) bool {
+	return watch.IsPrimary() && now.Before(watch.tenureUntil) && watch.durable.Complete == watch.durable.Record.Epoch
+}
+
+// Serving tells whether it may also answer: its backup is level and alive.
+func (watch *Watch) Serving(now time.Time) bool {
+	return watch.HoldsTenure(now) && watch.backupLevel && !watch.replacing && now.Sub(watch.backupHeard) < lostAfter
+}
+
+// Speaking tells whether what this pilot's state holds was acknowledged by two
+// disks, so that it may be told on even while a backup is being replaced.
+func (watch *Watch) Speaking(now time.Time) bool {
+	return watch.HoldsTenure(now) && watch.leveled
+}
+
+// TenureLeft is how long the tenure still runs.
+func (watch *Watch) TenureLeft(now time.Time) time.Duration {
+	if !watch.HoldsTenure(now) {
+		return 0
+	}
+	return watch.tenureUntil.Sub(now)
+}
+
+// NextDue is when the watch wants to run again.
+func (watch *Watch) NextDue() time.Time { return watch.timers.Next() }
+
+// Start begins the watch; a pilot that was restarted waits out a whole tenure
+// before it lets anybody but the primary have an epoch.
+func (watch *Watch) Start(now time.Time, effects *helm.Effects) {
+	watch.grantedUntil = now.Add(TenureLength)
+	watch.forgetful = now.Add(TenureLength)
+	watch.primaryHeard = now
+	watch.timers.Arm("hello", now)
+	watch.timers.Arm("renew", now)
+}
+
+// Persistence.
+
+func (watch *Watch) write(effects *helm.Effects, entry diskEntry, then continuation) {
+	watch.token++
+	watch.synced[watch.token] = then
+	packed := flare.MustMarshal(entry)
+	watch.logBytes += len(packed)
+	effects.Writes = append(effects.Writes, helm.Write{Token: watch.token, Entries: [][]byte{packed}})
+}
+
+func (watch *Watch) saveDurable(effects *helm.Effects, then continuation) {
+	copied := watch.durable
+	watch.write(effects, diskEntry{Durable: &copied}, func(now time.Time, effects *helm.Effects) {
+		watch.diskComplete = copied.Complete
+		if then != nil {
+			then(now, effects)
+		}
+	})
+}
+
+// Synced goes on with what waited for the disk.
+func (watch *Watch) Synced(now time.Time, token uint64, effects *helm.Effects) {
+	then, found := watch.synced[token]
+	if !found {
+		return
+	}
+	delete(watch.synced, token)
+	if then != nil {
+		then(now, effects)
+	}
+	if watch.logBytes > frameLogLimit && len(watch.synced) == 0 && len(watch.queue) == 0 {
+		watch.logBytes = 0
+		watch.token++
+		watch.synced[watch.token] = nil
+		effects.Writes = append(effects.Writes, helm.Write{Token: watch.token, Frame: flare.MustMarshal(diskFrame{
+			Durable: watch.durable, Index: watch.index, State: watch.ledger.Frame(), Spare: watch.spare,
+		})})
+	}
+}
+
+// Due runs the timers that expired.
+func (watch *Watch) Due(now time.Time, effects *helm.Effects) {
+	for _, key := range watch.timers.Expired(now) {
+		switch key {
+		case "hello":
+			watch.hello(now, effects)
+		case "renew":
+			watch.renew(now, effects)
+		case "retry":
+			watch.retry(now, effects)
+		case "limits":
+			watch.limits(now, effects)
+		}
+	}
+}
+
+// Founding and finding.
+
+func (watch *Watch) greeting() Hello {
+	known := watch.Known()
+	return Hello{Self: watch.props.Self, Count: watch.props.Count, Known: known, Blank: watch.blank, Record: watch.durable.Record}
+}
+
+func (watch *Watch) hello(now time.Time, effects *helm.Effects) {
+	pause := helloEvery
+	if !watch.blank {
+		pause = 5 * time.Second
+	}
+	watch.timers.Arm("hello", now.Add(pause))
+	targets := map[string]bool{}
+	if watch.blank {
+		for _, seed := range watch.props.Seeds {
+			targets[seed] = true
+		}
+	}
+	for _, pilot := range watch.Known() {
+		targets[pilot.Address] = true
+	}
+	delete(targets, watch.props.Self.Address)
+	greeting := watch.greeting()
+	for address := range helm.Sorted(targets) {
+		effects.Send(address, greeting)
+	}
+	if !watch.blank {
+		return
+	}
+	watch.recall(effects)
+	watch.found(now, effects)
+}
+
+func (watch *Watch) recall(effects *helm.Effects) {
+	for _, hello := range helm.Sorted(watch.known) {
+		if hello.Blank {
+			continue
+		}
+		watch.recallNonce++
+		for _, pilot := range hello.Record.Roster {
+			if pilot.Name != watch.props.Self.Name {
+				effects.Send(pilot.Address, RecallAsk{Nonce: watch.recallNonce})
+			}
+		}
+		return
+	}
+}
+
+func (watch *Watch) found(now time.Time, effects *helm.Effects) {
+	if watch.trying != nil || len(watch.known)+1 != watch.props.Count {
+		return
+	}
+	roster := []Pilot{watch.props.Self}
+	for _, hello := range helm.Sorted(watch.known) {
+		if !hello.Blank || hello.Count != watch.props.Count {
+			return
+		}
+		roster = append(roster, hello.Self)
+	}
+	slices.SortFunc(roster, func(left, right Pilot) int {
+		if left.Name < right.Name {
+			return -1
+		}
+		return 1
+	})
+	if roster[0].Name != watch.props.Self.Name {
+		return
+	}
+	backup := roster[1].Name
+	for _, pilot := range roster[1:] {
+		if pilot.Locality != roster[0].Locality {
+			backup = pilot.Name
+			break
+		}
+	}
+	watch.begin(now, Record{Epoch: 1, Primary: roster[0].Name, Backup: backup, Roster: roster}, effects)
+}
+
+func (watch *Watch) onHello(now time.Time, from string, hello Hello, effects *helm.Effects) {
+	if watch.blank {
+		watch.known[hello.Self.Name] = hello
+		if hello.Record.Epoch == 1 && watch.durable.Accepted.Epoch == 1 {
+			watch.learn(now, hello.Record, effects)
+			return
+		}
+		for _, pilot := range hello.Known {
+			if _, met := watch.known[pilot.Name]; !met && pilot.Name != watch.props.Self.Name {
+				effects.Send(pilot.Address, watch.greeting())
+			}
+		}
+		return
+	}
+	if hello.Blank || hello.Record.Epoch < watch.durable.Record.Epoch {
+		effects.Send(from, watch.greeting())
+		return
+	}
+	watch.learn(now, hello.Record, effects)
+}
+
+func (watch *Watch) onRecallReturn(now time.Time, from string, recalled RecallReturn, effects *helm.Effects) {
+	if !watch.blank || recalled.Nonce != watch.recallNonce || recalled.Durable.Record.Epoch == 0 {
+		return
+	}
+	watch.recalls[from] = recalled.Durable
+	newest := Durable{}
+	for _, held := range helm.Sorted(watch.recalls) {
+		if held.Record.Epoch > newest.Record.Epoch {
+			newest = Durable{Record: held.Record}
+		}
+	}
+	if len(watch.recalls) < newest.Record.Majority() {
+		return
+	}
+	for _, held := range helm.Sorted(watch.recalls) {
+		if held.Record.Epoch != newest.Record.Epoch {
+			continue
+		}
+		if newest.Promised.Before(held.Promised) {
+			newest.Promised = held.Promised
+		}
+		if newest.AcceptedBallot.Before(held.AcceptedBallot) {
+			newest.AcceptedBallot, newest.Accepted = held.AcceptedBallot, held.Accepted
+		}
+	}
+	newest.Recalled = true
+	watch.durable = newest
+	watch.blank = false
+	watch.trying = nil
+	watch.grantedUntil = now.Add(TenureLength)
+	watch.primaryHeard = now
+	effects.Note(foghorn.Recalled, "epoch", newest.Record.Epoch)
+	watch.saveDurable(effects, nil)
+}
+
+// Deciding an epoch.
+
+func (watch *Watch) begin(now time.Time, own Record, effects *helm.Effects) {
+	watch.ballotCount = max(watch.ballotCount, watch.durable.Promised.Count) + 1
+	watch.trying = &attempt{
+		ballot: Ballot{Count: watch.ballotCount, Name: watch.props.Self.Name}, epoch: own.Epoch, own: own,
+		promises: map[string]Promise{}, accepts: map[string]bool{}, phase: 1,
+	}
+	prepare := Prepare{Epoch: own.Epoch, Ballot: watch.trying.ballot}
+	for _, pilot := range own.Roster {
+		if pilot.Name == watch.props.Self.Name {
+			watch.onPrepare(now, pilot.Address, prepare, effects)
+		} else {
+			effects.Send(pilot.Address, prepare)
+		}
+	}
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(watch.props.Self.Name))
+	_, _ = sum.Write([]byte{byte(watch.ballotCount)})
+	watch.timers.Arm("retry", now.Add(retryEvery+time.Duration(sum.Sum32()%300)*time.Millisecond))
+}
+
+func (watch *Watch) quorum() int {
+	if watch.trying.epoch == 1 {
+		return len(watch.trying.own.Roster)
+	}
+	return watch.trying.own.Majority()
+}
+
+func (watch *Watch) nameOf(address string, roster []Pilot) string {
+	for _, pilot := range roster {
+		if pilot.Address == address {
+			return pilot.Name
+		}
+	}
+	return ""
+}
+
+func (watch *Watch) onPrepare(now time.Time, from string, prepare Prepare, effects *helm.Effects) {
+	if prepare.Epoch <= watch.durable.Record.Epoch {
+		watch.reply(now, from, Decided{Record: watch.durable.Record}, effects)
+		return
+	}
+	if prepare.Epoch != watch.durable.Record.Epoch+1 || (watch.blank && prepare.Epoch != 1) {
+		watch.askRecord(from, effects)
+		return
+	}
+	refusal := Promise{Epoch: prepare.Epoch, Ballot: prepare.Ballot, Promised: watch.durable.Promised}
+	if !watch.durable.Promised.Before(prepare.Ballot) {
+		watch.reply(now, from, refusal, effects)
+		return
+	}
+	if prepare.Epoch > 1 && prepare.Ballot.Name != watch.durable.Record.Primary && now.Before(watch.grantedUntil) {
+		refusal.Wait = watch.grantedUntil.Sub(now)
+		watch.reply(now, from, refusal, effects)
+		return
+	}
+	watch.durable.Promised = prepare.Ballot
+	given := Promise{
+		Epoch: prepare.Epoch, Ballot: prepare.Ballot, Given: true,
+		AcceptedBallot: watch.durable.AcceptedBallot, Accepted: watch.durable.Accepted,
+	}
+	watch.saveDurable(effects, func(now time.Time, effects *helm.Effects) {
+		watch.reply(now, from, given, effects)
+	})
+}
+
+// reply sends an answer, or takes it at once where a pilot asked itself.
+func (watch *Watch) reply(now time.Time, to string, message any, effects *helm.Effects) {
+	if to != watch.props.Self.Address {
+		effects.Send(to, message)
+		return
+	}
+	watch.Message(now, helm.Meta{From: to}, message, effects)
+}
+
+func (watch *Watch) askRecord(from string, effects *helm.Effects) {
+	effects.Send(from, watch.greeting())
+}
+
+func (watch *Watch) onPromise(now time.Time, from string, promise Promise, effects *helm.Effects) {
+	trying := watch.trying
+	if trying == nil || trying.phase != 1 || promise.Ballot != trying.ballot || promise.Epoch != trying.epoch {
+		return
+	}
+	if !promise.Given {
+		watch.ballotCount = max(watch.ballotCount, promise.Promised.Count)
+		return
+	}
+	name := watch.nameOf(from, trying.own.Roster)
+	if name == "" {
+		return
+	}
+	trying.promises[name] = promise
+	if len(trying.promises) < watch.quorum() {
+		return
+	}
+	trying.phase = 2
+	trying.value = trying.own
+	best := Ballot{}
+	for _, held := range helm.Sorted(trying.promises) {
+		if held.Accepted.Epoch == trying.epoch && best.Before(held.AcceptedBallot) {
+			best, trying.value = held.AcceptedBallot, held.Accepted
+		}
+	}
+	accept := Accept{Epoch: trying.epoch, Ballot: trying.ballot, Record: trying.value}
+	for _, pilot := range trying.own.Roster {
+		if pilot.Name == watch.props.Self.Name {
+			watch.onAccept(now, pilot.Address, accept, effects)
+		} else {
+			effects.Send(pilot.Address, accept)
+		}
+	}
+}
+
+func (watch *Watch) onAccept(now time.Time, from string, accept Accept, effects *helm.Effects) {
+	if accept.Epoch <= watch.durable.Record.Epoch {
+		watch.reply(now, from, Decided{Record: watch.durable.Record}, effects)
+		return
+	}
+	if accept.Epoch != watch.durable.Record.Epoch+1 || accept.Ballot.Before(watch.durable.Promised) {
+		return
+	}
+	watch.durable.Promised = accept.Ballot
+	watch.durable.AcceptedBallot, watch.durable.Accepted = accept.Ballot, accept.Record
+	taken := Accepted{Epoch: accept.Epoch, Ballot: accept.Ballot, Taken: true}
+	watch.saveDurable(effects, func(now time.Time, effects *helm.Effects) {
+		watch.reply(now, from, taken, effects)
+	})
+}
+
+func (watch *Watch) onAccepted(now time.Time, from string, accepted Accepted, effects *helm.Effects) {
+	trying := watch.trying
+	if trying == nil || trying.phase != 2 || accepted.Ballot != trying.ballot || accepted.Epoch != trying.epoch {
+		return
+	}
+	name := watch.nameOf(from, trying.own.Roster)
+	if name == "" {
+		return
+	}
+	trying.accepts[name] = true
+	if len(trying.accepts) < watch.quorum() {
+		return
+	}
+	record := trying.value
+	watch.trying = nil
+	for _, pilot := range record.Roster {
+		if pilot.Name != watch.props.Self.Name {
+			effects.Send(pilot.Address, Decided{Record: record})
+		}
+	}
+	watch.learn(now, record, effects)
+}
+
+// learn takes a decided record that is newer than the present one.
+func (watch *Watch) learn(now time.Time, record Record, effects *helm.Effects) {
+	if record.Epoch <= watch.durable.Record.Epoch || watch.blank && record.Epoch != 1 {
+		return
+	}
+	if watch.blank && watch.durable.Accepted.Epoch != 1 {
+		return
+	}
+	earlier := watch.durable
+	self := watch.props.Self.Name
+	complete := uint64(0)
+	switch {
+	case record.Epoch == 1:
+		complete = 1
+	case record.Primary != self && record.Backup != self:
+	case watch.spare != nil && watch.spare.For == record.Epoch && record.Backup == self:
+		if fault := watch.ledger.Restore(watch.spare.State); fault == nil {
+			watch.index = watch.spare.Index
+			complete = record.Epoch
+			taken := watch.index
+			watch.write(effects, diskEntry{Index: taken, State: watch.spare.State}, func(time.Time, *helm.Effects) {
+				watch.diskIndex = taken
+			})
+		}
+	case record.Epoch == earlier.Record.Epoch+1 && earlier.Complete == earlier.Record.Epoch &&
+		(earlier.Record.Primary == self || earlier.Record.Backup == self):
+		complete = record.Epoch
+	}
+	watch.durable = Durable{Record: record, Complete: complete}
+	watch.blank = false
+	watch.spare = nil
+	watch.trying = nil
+	watch.leveled = record.Epoch == 1 || watch.spareReady && record.Primary == self
+	watch.takingOver, watch.replacing, watch.spareName, watch.spareReady = false, false, "", false
+	watch.passedOver = nil
+	watch.backupLevel = false
+	watch.backupHeard, watch.primaryHeard = now, now
+	watch.renewals, watch.grants = map[uint64]time.Time{}, map[uint64]map[string]bool{}
+	watch.timers.Disarm("retry")
+	if record.Epoch == 1 {
+		effects.Note(foghorn.Founded, "primary", record.Primary, "backup", record.Backup)
+	}
+	effects.Note(foghorn.EpochDecided, "epoch", record.Epoch, "primary", record.Primary, "backup", record.Backup, "complete", complete)
+	watch.saveDurable(effects, nil)
+	if record.Primary != self {
+		watch.tenureUntil = time.Time{}
+		watch.dropQueue(now, effects)
+	} else {
+		watch.resumeQueue(effects)
+		watch.timers.Arm("renew", now)
+	}
+}
+
+func (watch *Watch) dropQueue(now time.Time, effects *helm.Effects) {
+	queue := watch.queue
+	watch.queue = nil
+	for _, waiting := range queue {
+		waiting.done(now, effects, Unsettled)
+	}
+	confirms := watch.confirms
+	watch.confirms = map[uint64]confirmation{}
+	for _, waiting := range helm.Sorted(confirms) {
+		waiting.done(now, effects, Unsettled)
+	}
+}
+
+// retry starts an attempt over after it got stuck, or gives it up.
+func (watch *Watch) retry(now time.Time, effects *helm.Effects) {
+	if watch.trying == nil {
+		return
+	}
+	own := watch.trying.own
+	if own.Epoch <= watch.durable.Record.Epoch {
+		watch.trying = nil
+		return
+	}
+	watch.trying = nil
+	if watch.blank {
+		return
+	}
+	if watch.takingOver || watch.replacing {
+		watch.begin(now, own, effects)
+	}
+}
+
+// Tenure.
+
+func (watch *Watch) renew(now time.Time, effects *helm.Effects) {
+	watch.timers.Arm("renew", now.Add(renewEvery))
+	if watch.blank {
+		return
+	}
+	if watch.IsPrimary() && watch.durable.Complete == watch.durable.Record.Epoch {
+		watch.watchTenure(now, effects)
+		watch.nonce++
+		watch.renewals[watch.nonce] = now
+		watch.grants[watch.nonce] = map[string]bool{}
+		delete(watch.renewals, watch.nonce-16)
+		delete(watch.grants, watch.nonce-16)
+		for _, pilot := range watch.durable.Record.Roster {
+			if pilot.Name != watch.props.Self.Name {
+				effects.Send(pilot.Address, Renew{Epoch: watch.durable.Record.Epoch, Nonce: watch.nonce})
+			}
+		}
+		watch.grantOwn(now, effects)
+		watch.watchBackup(now, effects)
+		return
+	}
+	if watch.isBackup() && watch.durable.Complete == watch.durable.Record.Epoch {
+		watch.watchPrimary(now, effects)
+	}
+}
+
+// grantOwn counts the primary's own vote, unless it has promised a ballot away.
+func (watch *Watch) grantOwn(now time.Time, effects *helm.Effects) {
+	if watch.promisedAway() {
+		return
+	}
+	watch.grantedUntil = now.Add(TenureLength)
+	watch.countGrant(now, watch.props.Self.Name, watch.nonce, effects)
+}
+
+func (watch *Watch) promisedAway() bool {
+	promised := watch.durable.Promised
+	return promised.Count > 0 && promised.Name != watch.durable.Record.Primary
+}
+
+func (watch *Watch) countGrant(now time.Time, name string, nonce uint64, effects *helm.Effects) {
+	asked, found := watch.renewals[nonce]
+	if !found {
+		return
+	}
+	watch.grants[nonce][name] = true
+	if len(watch.grants[nonce]) < watch.durable.Record.Majority() {
+		return
+	}
+	until := asked.Add(TenureLength * 9 / 10)
+	if until.After(watch.tenureUntil) {
+		watch.tenureUntil = until
+	}
+	if !watch.tenureHeld && now.Before(watch.tenureUntil) {
+		watch.tenureHeld = true
+		effects.Note(foghorn.TenureGained, "epoch", watch.durable.Record.Epoch)
+	}
+}
+
+func (watch *Watch) watchTenure(now time.Time, effects *helm.Effects) {
+	if now.Before(watch.tenureUntil) {
+		return
+	}
+	if watch.tenureHeld {
+		watch.tenureHeld = false
+		effects.Note(foghorn.TenureLost, "epoch", watch.durable.Record.Epoch)
+	}
+	// Witnesses that promised a ballot away grant nothing more in this epoch;
+	// if that candidate is gone, the primary asks for the next epoch itself.
+	if watch.tenureUntil.IsZero() || now.Sub(watch.tenureUntil) < lostAfter || watch.trying != nil || watch.replacing {
+		return
+	}
+	if now.Sub(watch.backupHeard) < lostAfter {
+		record := watch.durable.Record
+		record.Epoch++
+		watch.replacing = true
+		watch.begin(now, record, effects)
+	}
+}
+
+func (watch *Watch) onRenew(now time.Time, from string, renew Renew, effects *helm.Effects) {
+	record := watch.durable.Record
+	if watch.blank || renew.Epoch < record.Epoch {
+		if !watch.blank {
+			effects.Send(from, Decided{Record: record})
+		}
+		return
+	}
+	if renew.Epoch > record.Epoch {
+		watch.askRecord(from, effects)
+		return
+	}
+	if watch.promisedAway() || watch.nameOf(from, record.Roster) != record.Primary || watch.takingOver {
+		return
+	}
+	watch.primaryHeard = now
+	watch.grantedUntil = now.Add(TenureLength)
+	effects.Send(from, Grant{Epoch: renew.Epoch, Nonce: renew.Nonce, Index: watch.diskIndex, Complete: watch.diskComplete})
+}
+
+func (watch *Watch) onGrant(now time.Time, from string, grant Grant, effects *helm.Effects) {
+	record := watch.durable.Record
+	if !watch.IsPrimary() || grant.Epoch != record.Epoch {
+		return
+	}
+	name := watch.nameOf(from, record.Roster)
+	if name == "" {
+		return
+	}
+	watch.lastGrant[name] = now
+	watch.countGrant(now, name, grant.Nonce, effects)
+	if name != record.Backup {
+		return
+	}
+	watch.backupHeard = now
+	if watch.replacing || watch.durable.Complete != record.Epoch {
+		return
+	}
+	level := grant.Complete == record.Epoch && grant.Index == watch.index
+	inFlight := len(watch.queue) > 0 && watch.queue[0].index > 0
+	if !level && !inFlight {
+		watch.backupLevel = false
+		effects.Send(from, Frame{Epoch: record.Epoch, For: record.Epoch, Index: watch.index, State: watch.ledger.Frame()})
+		return
+	}
+	if level && !watch.backupLevel {
+		watch.backupLevel, watch.leveled = true, true
+		effects.Note(foghorn.BackupComplete, "backup", record.Backup, "index", watch.index)
+		watch.resumeQueue(effects)
+	}
+	if inFlight && watch.queue[0].synced {
+		watch.sendAppend(effects)
+	}
+}
+
+// Replacing a lost backup, and taking over from a lost primary.
+
+func (watch *Watch) chooseSpare(now time.Time, without ...string) (Pilot, bool) {
+	var fallback *Pilot
+	for _, pilot := range watch.durable.Record.Roster {
+		if pilot.Name == watch.props.Self.Name || slices.Contains(without, pilot.Name) {
+			continue
+		}
+		if heard, found := watch.lastGrant[pilot.Name]; watch.IsPrimary() && (!found || now.Sub(heard) > lostAfter) {
+			continue
+		}
+		if pilot.Locality != watch.props.Self.Locality {
+			return pilot, true
+		}
+		if fallback == nil {
+			copied := pilot
+			fallback = &copied
+		}
+	}
+	if fallback != nil {
+		return *fallback, true
+	}
+	return Pilot{}, false
+}
+
+func (watch *Watch) watchBackup(now time.Time, effects *helm.Effects) {
+	if !watch.HoldsTenure(now) {
+		return
+	}
+	if watch.replacing {
+		watch.pushSpare(now, effects, watch.durable.Record.Backup)
+		return
+	}
+	if now.Sub(watch.backupHeard) < lostAfter {
+		return
+	}
+	effects.Note(foghorn.BackupLost, "backup", watch.durable.Record.Backup, "epoch", watch.durable.Record.Epoch)
+	watch.replacing = true
+	watch.backupLevel = false
+	watch.pushSpare(now, effects, watch.durable.Record.Backup)
+}
+
+func (watch *Watch) watchPrimary(now time.Time, effects *helm.Effects) {
+	if now.Sub(watch.primaryHeard) < lostAfter {
+		return
+	}
+	if !watch.takingOver {
+		watch.takingOver = true
+		effects.Note(foghorn.TakeoverBegun, "epoch", watch.durable.Record.Epoch, "primary", watch.durable.Record.Primary)
+	}
+	watch.pushSpare(now, effects, watch.durable.Record.Primary)
+}
+
+// pushSpare readies a spare for the next epoch: it gets the whole state first,
+// and only then is a majority asked. A spare that stays silent is passed over.
+func (watch *Watch) pushSpare(now time.Time, effects *helm.Effects, lost string) {
+	if watch.trying != nil || watch.spareReady {
+		return
+	}
+	if watch.spareName == "" || now.Sub(watch.spareAsked) > 2*renewEvery {
+		skipped := []string{lost}
+		if watch.spareName != "" {
+			watch.passedOver = append(watch.passedOver, watch.spareName)
+		}
+		chosen, found := watch.chooseSpare(now, append(skipped, watch.passedOver...)...)
+		if !found {
+			watch.spareName, watch.passedOver = "", nil
+			return
+		}
+		watch.spareName, watch.spareAsked = chosen.Name, now
+	}
+	chosen, _ := watch.durable.Record.Find(watch.spareName)
+	effects.Send(chosen.Address, Frame{
+		Epoch: watch.durable.Record.Epoch, For: watch.durable.Record.Epoch + 1, Index: watch.index, State: watch.ledger.Frame(),
+	})
+}
+
+func (watch *Watch) onFrame(now time.Time, from string, frame Frame, effects *helm.Effects) {
+	record := watch.durable.Record
+	if watch.blank {
+		return
+	}
+	if frame.Epoch != record.Epoch {
+		if frame.Epoch < record.Epoch {
+			effects.Send(from, Decided{Record: record})
+		} else {
+			watch.askRecord(from, effects)
+		}
+		return
+	}
+	returned := FrameReturn{Epoch: frame.Epoch, For: frame.For, Index: frame.Index}
+	sender := watch.nameOf(from, record.Roster)
+	if frame.For == record.Epoch+1 && (sender == record.Primary || sender == record.Backup) {
+		watch.spare = &spareFrame{For: frame.For, Index: frame.Index, State: frame.State}
+		watch.write(effects, diskEntry{Spare: watch.spare}, func(_ time.Time, effects *helm.Effects) {
+			effects.Send(from, returned)
+		})
+		return
+	}
+	if frame.For != record.Epoch || sender != record.Primary || !watch.isBackup() || watch.takingOver {
+		return
+	}
+	if fault := watch.ledger.Restore(frame.State); fault != nil {
+		return
+	}
+	watch.index = frame.Index
+	watch.write(effects, diskEntry{Index: frame.Index, State: frame.State}, func(time.Time, *helm.Effects) {
+		watch.diskIndex = frame.Index
+	})
+	watch.durable.Complete = record.Epoch
+	watch.saveDurable(effects, func(_ time.Time, effects *helm.Effects) {
+		effects.Send(from, returned)
+	})
+}
+
+func (watch *Watch) onFrameReturn(now time.Time, from string, returned FrameReturn, effects *helm.Effects) {
+	record := watch.durable.Record
+	if returned.Epoch != record.Epoch {
+		return
+	}
+	name := watch.nameOf(from, record.Roster)
+	if returned.For == record.Epoch+1 {
+		if name != watch.spareName || returned.Index != watch.index || watch.spareReady || watch.trying != nil {
+			return
+		}
+		if !watch.takingOver && !(watch.replacing && watch.HoldsTenure(now)) {
+			return
+		}
+		watch.spareReady = true
+		next := Record{Epoch: record.Epoch + 1, Primary: watch.props.Self.Name, Backup: name, Roster: record.Roster}
+		watch.begin(now, next, effects)
+		return
+	}
+	if name == record.Backup && watch.IsPrimary() && returned.Index == watch.index && !watch.replacing {
+		watch.backupHeard = now
+		if !watch.backupLevel {
+			watch.backupLevel, watch.leveled = true, true
+			effects.Note(foghorn.BackupComplete, "backup", name, "index", watch.index)
+			watch.resumeQueue(effects)
+		}
+	}
+}
+
+// Commands.
+
+// Submit copies a command to both disks and then tells done. It is refused at
+// once where this pilot may not act.
+func (watch *Watch) Submit(now time.Time, command []byte, limit time.Duration, done Done, effects *helm.Effects) {
+	if !watch.HoldsTenure(now) || watch.replacing {
+		done(now, effects, Refused)
+		return
+	}
+	watch.queue = append(watch.queue, &submitted{command: command, done: done, limit: now.Add(limit)})
+	watch.timers.ArmSooner("limits", now.Add(limit))
+	if len(watch.queue) == 1 && watch.backupLevel {
+		watch.resumeQueue(effects)
+	}
+}
+
+// Waiting tells how many commands are not yet committed.
+func (watch *Watch) Waiting() int { return len(watch.queue) }
+
+func (watch *Watch) resumeQueue(effects *helm.Effects) {
+	if len(watch.queue) == 0 {
+		return
+	}
+	head := watch.queue[0]
+	if head.index == 0 {
+		if !watch.backupLevel {
+			return
+		}
+		head.index = watch.index + 1
+		epoch := watch.durable.Record.Epoch
+		watch.write(effects, diskEntry{Index: head.index, Command: head.command}, func(_ time.Time, effects *helm.Effects) {
+			head.synced = true
+			if len(watch.queue) > 0 && watch.queue[0] == head && watch.durable.Record.Epoch == epoch {
+				watch.sendAppend(effects)
+			}
+		})
+		return
+	}
+	if head.synced {
+		watch.sendAppend(effects)
+	}
+}
+
+func (watch *Watch) sendAppend(effects *helm.Effects) {
+	head := watch.queue[0]
+	backup, found := watch.durable.Record.Find(watch.durable.Record.Backup)
+	if !found || watch.replacing {
+		return
+	}
+	effects.Send(backup.Address, Append{Epoch: watch.durable.Record.Epoch, Index: head.index, Command: head.command})
+}
+
+func (watch *Watch) onAppend(now time.Time, from string, entry Append, effects *helm.Effects) {
+	record := watch.durable.Record
+	if watch.blank || entry.Epoch != record.Epoch {
+		if !watch.blank && entry.Epoch < record.Epoch {
+			effects.Send(from, Decided{Record: record})
+		}
+		return
+	}
+	if !watch.isBackup() || watch.durable.Complete != record.Epoch || watch.takingOver || watch.promisedAway() ||
+		watch.nameOf(from, record.Roster) != record.Primary {
+		return
+	}
+	watch.primaryHeard = now
+	returned := AppendReturn{Epoch: entry.Epoch, Index: entry.Index}
+	if entry.Index == watch.index+1 {
+		watch.ledger.Apply(now, entry.Command)
+		watch.index = entry.Index
+		watch.write(effects, diskEntry{Index: entry.Index, Command: entry.Command}, func(_ time.Time, effects *helm.Effects) {
+			watch.diskIndex = max(watch.diskIndex, entry.Index)
+			effects.Send(from, returned)
+		})
+		return
+	}
+	if entry.Index <= watch.diskIndex {
+		effects.Send(from, returned)
+	}
+}
+
+func (watch *Watch) onAppendReturn(now time.Time, returned AppendReturn, effects *helm.Effects) {
+	if !watch.IsPrimary() || returned.Epoch != watch.durable.Record.Epoch || len(watch.queue) == 0 {
+		return
+	}
+	head := watch.queue[0]
+	if head.index != returned.Index || head.index != watch.index+1 || !head.synced {
+		return
+	}
+	watch.ledger.Apply(now, head.command)
+	watch.index = head.index
+	watch.backupHeard = now
+	watch.queue = watch.queue[1:]
+	outcome := Committed
+	if !watch.HoldsTenure(now) {
+		outcome = Unsettled
+	}
+	head.done(now, effects, outcome)
+	watch.resumeQueue(effects)
+}
+
+// Confirm asks the backup whether the present epoch still stands, so that an
+// answer read from the primary's state can't be an old one.
+func (watch *Watch) Confirm(now time.Time, done Done, effects *helm.Effects) {
+	if !watch.Serving(now) {
+		done(now, effects, Refused)
+		return
+	}
+	watch.nonce++
+	watch.confirms[watch.nonce] = confirmation{done: done, limit: now.Add(confirmLimit)}
+	watch.timers.ArmSooner("limits", now.Add(confirmLimit))
+	backup, _ := watch.durable.Record.Find(watch.durable.Record.Backup)
+	effects.Send(backup.Address, Confirm{Epoch: watch.durable.Record.Epoch, Nonce: watch.nonce})
+}
+
+func (watch *Watch) onConfirm(now time.Time, from string, confirm Confirm, effects *helm.Effects) {
+	if watch.blank || confirm.Epoch != watch.durable.Record.Epoch || !watch.isBackup() || watch.promisedAway() || watch.takingOver {
+		return
+	}
+	effects.Send(from, ConfirmReturn{Epoch: confirm.Epoch, Nonce: confirm.Nonce, Index: watch.index})
+}
+
+func (watch *Watch) onConfirmReturn(now time.Time, returned ConfirmReturn, effects *helm.Effects) {
+	waiting, found := watch.confirms[returned.Nonce]
+	if !found || returned.Epoch != watch.durable.Record.Epoch {
+		return
+	}
+	delete(watch.confirms, returned.Nonce)
+	if !watch.Serving(now) || now.After(waiting.limit) {
+		waiting.done(now, effects, Unsettled)
+		return
+	}
+	waiting.done(now, effects, Committed)
+}
+
+// limits gives up on what waited too long; a command that may already be on a
+// disk is unsettled, one that was never begun is refused.
+func (watch *Watch) limits(now time.Time, effects *helm.Effects) {
+	var next time.Time
+	for nonce, waiting := range helm.Sorted(watch.confirms) {
+		if !waiting.limit.After(now) {
+			delete(watch.confirms, nonce)
+			waiting.done(now, effects, Unsettled)
+		} else if next.IsZero() || waiting.limit.Before(next) {
+			next = waiting.limit
+		}
+	}
+	var kept []*submitted
+	for position, waiting := range watch.queue {
+		if waiting.limit.IsZero() || waiting.limit.After(now) {
+			kept = append(kept, waiting)
+			if !waiting.limit.IsZero() && (next.IsZero() || waiting.limit.Before(next)) {
+				next = waiting.limit
+			}
+			continue
+		}
+		if position == 0 && waiting.index > 0 {
+			// It stays at the head until it settles, but its caller is told.
+			waiting.done(now, effects, Unsettled)
+			waiting.done = func(time.Time, *helm.Effects, Outcome) {}
+			waiting.limit = time.Time{}
+			kept = append(kept, waiting)
+			continue
+		}
+		waiting.done(now, effects, Refused)
+	}
+	watch.queue = kept
+	if !next.IsZero() {
+		watch.timers.Arm("limits", next)
+	}
+}
+
+// Duties.
+
+func (watch *Watch) onDutyAsk(now time.Time, from string, ask DutyAsk, effects *helm.Effects) {
+	name := watch.nameOf(from, watch.durable.Record.Roster)
+	if watch.blank || name == "" {
+		return
+	}
+	held := watch.duties[ask.Duty]
+	if ask.Leave {
+		if held.holder == name {
+			delete(watch.duties, ask.Duty)
+		}
+		return
+	}
+	// A witness that was restarted has forgotten whom it granted a duty to.
+	if now.Before(watch.forgetful) || held.holder != name && now.Before(held.until) {
+		watch.reply(now, from, DutyReturn{Duty: ask.Duty, Nonce: ask.Nonce, Holder: held.holder}, effects)
+		return
+	}
+	watch.duties[ask.Duty] = duty{holder: name, until: now.Add(TenureLength)}
+	watch.reply(now, from, DutyReturn{Duty: ask.Duty, Nonce: ask.Nonce, Given: true, Holder: name}, effects)
+}
+
+// AskDuty asks the roster for a duty's tenure; the answers go to Tenure.
+func (watch *Watch) AskDuty(now time.Time, tenure *Tenure, effects *helm.Effects) {
+	if watch.blank {
+		return
+	}
+	ask := tenure.ask(now, watch.durable.Record.Majority())
+	for _, pilot := range watch.durable.Record.Roster {
+		if pilot.Name == watch.props.Self.Name {
+			watch.onDutyAsk(now, pilot.Address, ask, effects)
+		} else {
+			effects.Send(pilot.Address, ask)
+		}
+	}
+}
+
+// Message takes what other pilots say; it tells whether it was for the watch.
+func (watch *Watch) Message(now time.Time, meta helm.Meta, message any, effects *helm.Effects) bool {
+	switch body := message.(type) {
+	case Hello:
+		watch.onHello(now, meta.From, body, effects)
+	case RecallAsk:
+		if !watch.blank {
+			effects.Send(meta.From, RecallReturn{Nonce: body.Nonce, Durable: watch.durable})
+		}
+	case RecallReturn:
+		watch.onRecallReturn(now, meta.From, body, effects)
+	case Prepare:
+		watch.onPrepare(now, meta.From, body, effects)
+	case Promise:
+		watch.onPromise(now, meta.From, body, effects)
+	case Accept:
+		watch.onAccept(now, meta.From, body, effects)
+	case Accepted:
+		watch.onAccepted(now, meta.From, body, effects)
+	case Decided:
+		watch.learn(now, body.Record, effects)
+	case Renew:
+		watch.onRenew(now, meta.From, body, effects)
+	case Grant:
+		watch.onGrant(now, meta.From, body, effects)
+	case Append:
+		watch.onAppend(now, meta.From, body, effects)
+	case AppendReturn:
+		watch.onAppendReturn(now, body, effects)
+	case Frame:
+		watch.onFrame(now, meta.From, body, effects)
+	case FrameReturn:
+		watch.onFrameReturn(now, meta.From, body, effects)
+	case Confirm:
+		watch.onConfirm(now, meta.From, body, effects)
+	case ConfirmReturn:
+		watch.onConfirmReturn(now, body, effects)
+	case DutyAsk:
+		watch.onDutyAsk(now, meta.From, body, effects)
+	case DutyReturn:
+		if tenure, found := watch.tenures[body.Duty]; found && body.Given {
+			tenure.given(watch.nameOf(meta.From, watch.durable.Record.Roster), body.Nonce)
+		}
+	default:
+		return false
+	}
+	return true
+}
