Overlay: tombstones, owed subscribers and waiting joins; oracle tests

Cause: (1) word of a peer that had left went round for ever: each side dropped it, healed, asked its neighbours and learned of it again. (2) a subscriber over the part of a region that a newcomer took was not named to it when the newcomer had become known by another way first. (3) two peers that joined at once could each be the other's acceptor and know nobody else. Excluded: numeric trouble in the cells (regions match brute force exactly). Conclusion: gone peers are remembered for 30 s and tellers corrected; what is owed to a newcomer goes with the next signal; joins wait for a joining peer.

--- /dev/null
+++ b/internal/fairway/cells_test.go
@@ -0,0 +1,50 @@
+// The second half of the oracle: each peer's region and enclosing neighbours
+// must be those of the true Voronoi diagram over all peers, and each peer must
+// know every subscriber whose area meets its region.
+package fairway
+
+import (
+	"fmt"
+	"slices"
+)
+
+func (net *net) wrongCells() []string {
+	var all []Peer
+	for _, part := range net.parts {
+		if here := part.spaces["space"]; here != nil {
+			for _, peer := range here.peers {
+				all = append(all, peer.self)
+			}
+		}
+	}
+	var wrong []string
+	for name, part := range net.parts {
+		here := part.spaces["space"]
+		if here == nil {
+			continue
+		}
+		for _, peer := range here.sorted() {
+			cell := newCell(peer.self.At)
+			for _, other := range all {
+				if other.Key != peer.self.Key {
+					cell.clip(other.At, other.Key)
+				}
+			}
+			truth, got := cell.owners(), peer.cell.owners()
+			slices.SortFunc(truth, PeerKey.compare)
+			slices.SortFunc(got, PeerKey.compare)
+			if !slices.Equal(truth, got) {
+				wrong = append(wrong, fmt.Sprintf("%s %v area %v sub %v joining %v stuck %v known %d:\n  truth %v\n  got   %v", name, peer.self.Key.Number, peer.self.Area, peer.self.Subscribes, peer.joining != nil, peer.stuck, len(peer.known), truth, got))
+			}
+			for _, other := range all {
+				if other.Key == peer.self.Key || !other.Subscribes {
+					continue
+				}
+				if _, known := peer.known[other.Key]; !known && cell.meets(other.Area) {
+					wrong = append(wrong, fmt.Sprintf("%s %d (area %v) does not know subscriber %v (area %v)", name, peer.self.Key.Number, peer.self.Area, other.Key, other.Area))
+				}
+			}
+		}
+	}
+	return wrong
+}
--- a/internal/fairway/fairway.go
+++ b/internal/fairway/fairway.go
@@ -29,6 +29,8 @@
 	hopLimit     = 48
 	healing      = 1
 	healFor      = 2 * time.Second
+	freshFor     = 3 * time.Second
+	goneFor      = 30 * time.Second
 	compareEvery = 4 * time.Second
 	quietFor     = 60 * time.Second
 	sweepEvery   = 5 * time.Second
@@ -80,6 +82,7 @@
 	SignalLeave
 	SignalGone
 	SignalNobody
+	SignalTell
 )
 
 // Signal is one message from peer to peer.
@@ -124,6 +127,8 @@
 	known     map[PeerKey]Peer
 	cell      Cell
 	greeted   map[PeerKey]uint64
+	notedAt   map[PeerKey]time.Time
+	owed      map[PeerKey]map[PeerKey]bool
 	pending   map[PeerKey]*outstanding
 	joining   *outstanding
 	joinAsked map[string]bool
@@ -133,6 +138,7 @@
 	publishes bool
 	stuck     bool
 	queued    bool
+	requests  []Signal
 	healUntil time.Time
 }
 
@@ -140,6 +146,7 @@
 	name  string
 	peers map[Area]*hosted
 	byKey map[PeerKey]*hosted
+	gone  map[PeerKey]time.Time
 	turn  int
 }
 
@@ -328,7 +335,7 @@
 func (fairway *Fairway) peer(now time.Time, spaceName string, area Area) (peer *hosted, made bool) {
 	here, found := fairway.spaces[spaceName]
 	if !found {
-		here = &space{name: spaceName, peers: map[Area]*hosted{}, byKey: map[PeerKey]*hosted{}}
+		here = &space{name: spaceName, peers: map[Area]*hosted{}, byKey: map[PeerKey]*hosted{}, gone: map[PeerKey]time.Time{}}
 		fairway.spaces[spaceName] = here
 	}
 	if peer, found = here.peers[area]; found {
@@ -340,6 +347,7 @@
 	peer = &hosted{
 		self:  Peer{Key: key, At: area.reference(fairway.daemon, fairway.number), Area: area, Change: fairway.change},
 		space: here, known: map[PeerKey]Peer{}, greeted: map[PeerKey]uint64{}, pending: map[PeerKey]*outstanding{},
+		notedAt: map[PeerKey]time.Time{}, owed: map[PeerKey]map[PeerKey]bool{},
 		joinAsked: map[string]bool{}, lastUse: now,
 	}
 	peer.cell = newCell(peer.self.At)
@@ -409,7 +417,7 @@
 	peer.queued = false
 	request := Signal{Kind: SignalJoin, Space: peer.space.name, From: peer.self}
 	if start := fairway.nearestHosted(peer.space, peer.self.At, peer); start != nil {
-		fairway.forward(now, start, request, false)
+		fairway.forward(now, start, request)
 		return
 	}
 	for _, other := range peer.space.peers {
@@ -432,6 +440,11 @@
 func (fairway *Fairway) joined(now time.Time, peer *hosted) {
 	peer.joining = nil
 	fairway.timers.ArmSooner("settle", now)
+	requests := peer.requests
+	peer.requests = nil
+	for _, request := range requests {
+		fairway.forward(now, peer, request)
+	}
 	for _, other := range peer.space.sorted() {
 		if other.queued {
 			other.queued = false
@@ -445,7 +458,7 @@
 	var best *hosted
 	bestDistance := 0.0
 	for _, peer := range here.peers {
-		if peer == without || peer.joining != nil && without != nil {
+		if peer == without || peer.joining != nil {
 			continue
 		}
 		away := distance(peer.self.At, at)
@@ -456,8 +469,19 @@
 	return best
 }
 
+// anyJoining finds a peer that is itself still looking for others, the first
+// by key.
+func (here *space) anyJoining() *hosted {
+	for _, peer := range here.sorted() {
+		if peer.joining != nil {
+			return peer
+		}
+	}
+	return nil
+}
+
 // forward moves a join on to the nearest peer known, or accepts it here.
-func (fairway *Fairway) forward(now time.Time, at *hosted, request Signal, fromAway bool) {
+func (fairway *Fairway) forward(now time.Time, at *hosted, request Signal) {
 	target := request.From.At
 	for {
 		best, bestDistance := at.self, distance(at.self.At, target)
@@ -475,6 +499,10 @@
 			return
 		}
 		if next, here := at.space.byKey[best.Key]; here {
+			if next.joining != nil {
+				next.requests = append(next.requests, request)
+				return
+			}
 			at = next
 			continue
 		}
@@ -521,8 +549,8 @@
 	if newcomer.Key == peer.self.Key {
 		return answer
 	}
-	wasKnown := peer.cell.owns(newcomer.Key)
-	taken := fairway.note(peer, newcomer)
+	_, wasKnown := peer.known[newcomer.Key]
+	fairway.note(now, peer, newcomer)
 	include := map[PeerKey]Peer{}
 	offer := func(keys []PeerKey) {
 		for _, key := range keys {
@@ -531,7 +559,7 @@
 			}
 		}
 	}
-	if peer.cell.owns(newcomer.Key) && len(taken) > 0 {
+	if peer.cell.owns(newcomer.Key) && !wasKnown {
 		offer(peer.cell.beside(newcomer.Key))
 	} else {
 		offer(peer.cell.owners())
@@ -540,12 +568,7 @@
 		if !known.Subscribes || key == newcomer.Key {
 			continue
 		}
-		over := known.Area.Contains(newcomer.At)
-		if !over && len(taken) > 0 {
-			over = polygonMeets(peer.self.At, taken, known.Area)
-		} else if !over && wasKnown {
-			over = peer.cell.meets(known.Area)
-		}
+		over := known.Area.Contains(newcomer.At) || wasKnown && peer.cell.meets(known.Area)
 		if over {
 			include[key] = known
 		}
@@ -555,6 +578,7 @@
 			include[key] = known
 		}
 	}
+	fairway.owes(peer, newcomer.Key, include)
 	for _, known := range sortedPeers(include) {
 		answer.Peers = append(answer.Peers, known)
 	}
@@ -569,23 +593,69 @@
 }
 
 // note records what is known of another peer, and returns the part of the
-// region that it took.
-func (fairway *Fairway) note(peer *hosted, other Peer) []corner {
+// region that it took. Subscribers over that part are owed to it: they are
+// named in the next signal that goes to it.
+func (fairway *Fairway) note(now time.Time, peer *hosted, other Peer) {
 	earlier, found := peer.known[other.Key]
 	if found && earlier.Change > other.Change {
-		return nil
+		return
 	}
 	peer.known[other.Key] = other
+	if other.Subscribes && !earlier.Subscribes {
+		fairway.passOn(now, peer, other)
+	}
 	if found {
-		return nil
+		return
 	}
+	peer.notedAt[other.Key] = now
 	taken, _ := peer.cell.clip(other.At, other.Key)
-	return taken
+	if len(taken) == 0 {
+		return
+	}
+	owed := map[PeerKey]bool{}
+	for key, known := range peer.known {
+		if known.Subscribes && key != other.Key && polygonMeets(peer.self.At, taken, known.Area) {
+			owed[key] = true
+		}
+	}
+	if peer.self.Subscribes && polygonMeets(peer.self.At, taken, peer.self.Area) {
+		owed[peer.self.Key] = true
+	}
+	if len(owed) > 0 {
+		peer.owed[other.Key] = owed
+	}
+}
+
+// owes takes out what is owed to another peer.
+func (fairway *Fairway) owes(peer *hosted, key PeerKey, include map[PeerKey]Peer) {
+	for owed := range peer.owed[key] {
+		if known, found := peer.known[owed]; found {
+			include[owed] = known
+		} else if owed == peer.self.Key {
+			include[owed] = peer.self
+		}
+	}
+	delete(peer.owed, key)
+}
+
+// passOn names a subscriber that has just become known to the neighbours that
+// took part of this peer's region a moment ago: the subscriber may have looked
+// here for a part that is theirs now.
+func (fairway *Fairway) passOn(now time.Time, peer *hosted, subscriber Peer) {
+	for _, key := range peer.cell.owners() {
+		if key == subscriber.Key || now.Sub(peer.notedAt[key]) > freshFor {
+			continue
+		}
+		if key.Daemon != fairway.daemon {
+			fairway.signal(key.Daemon, Signal{Kind: SignalTell, Space: peer.space.name, To: key, From: peer.self, Peers: []Peer{subscriber}})
+		} else if neighbour, here := peer.space.byKey[key]; here {
+			fairway.learn(now, neighbour, peer.self.Key, []Peer{subscriber}, false)
+		}
+	}
 }
 
 // learn considers peers that somebody told of, and greets those that matter.
-func (fairway *Fairway) learn(now time.Time, peer *hosted, others []Peer, always bool) bool {
-	news := false
+func (fairway *Fairway) learn(now time.Time, peer *hosted, teller PeerKey, others []Peer, always bool) {
 	for _, other := range others {
 		if other.Key == peer.self.Key {
 			continue
@@ -593,9 +663,13 @@
 		if other.Key.Daemon == fairway.daemon {
 			current, here := peer.space.byKey[other.Key]
 			if !here {
+				fairway.correct(peer, teller, other.Key)
 				continue
 			}
 			other = current.self
+		} else if _, left := peer.space.gone[other.Key]; left {
+			fairway.correct(peer, teller, other.Key)
+			continue
 		} else if _, alive := fairway.lanterns[other.Key.Daemon]; !alive {
 			continue
 		}
@@ -609,13 +683,25 @@
 		if !always && !known && !fairway.matters(peer, other) {
 			continue
 		}
-		news = true
-		fairway.note(peer, other)
+		fairway.note(now, peer, other)
 		if peer.greeted[other.Key] < peer.self.Change {
 			fairway.greet(now, peer, other)
 		}
 	}
-	return news
+}
+
+// correct tells a peer that one it spoke of is gone, so that the word of it
+// does not go round for ever.
+func (fairway *Fairway) correct(peer *hosted, teller, gone PeerKey) {
+	if teller.Daemon == fairway.daemon {
+		if neighbour, here := peer.space.byKey[teller]; here && neighbour != peer {
+			fairway.drop(time.Time{}, neighbour, gone)
+		}
+		return
+	}
+	if teller != gone {
+		fairway.signal(teller.Daemon, Signal{Kind: SignalGone, Space: peer.space.name, To: teller, From: Peer{Key: gone}})
+	}
 }
 
 func (fairway *Fairway) matters(peer *hosted, other Peer) bool {
@@ -629,18 +715,32 @@
 }
 
 func (fairway *Fairway) greet(now time.Time, peer *hosted, other Peer) {
+	fairway.greetAs(now, peer, other, now.Before(peer.healUntil))
+}
+
+func (fairway *Fairway) greetAs(now time.Time, peer *hosted, other Peer, heals bool) {
 	peer.greeted[other.Key] = peer.self.Change
 	fairway.Counts.Greets++
 	greeting := Signal{Kind: SignalGreet, Space: peer.space.name, To: other.Key, From: peer.self}
 	if other.Key.Daemon == fairway.daemon {
 		if neighbour, here := peer.space.byKey[other.Key]; here {
+			owed := map[PeerKey]Peer{}
+			fairway.owes(peer, other.Key, owed)
+			for _, known := range sortedPeers(owed) {
+				fairway.learn(now, neighbour, peer.self.Key, []Peer{known}, false)
+			}
 			answer := fairway.introduce(now, neighbour, peer.self)
-			fairway.learn(now, peer, answer.Peers, false)
-			fairway.learn(now, peer, answer.Boundary, true)
+			fairway.learn(now, peer, neighbour.self.Key, answer.Peers, false)
+			fairway.learn(now, peer, neighbour.self.Key, answer.Boundary, true)
 		}
 		return
 	}
-	if now.Before(peer.healUntil) {
+	owed := map[PeerKey]Peer{}
+	fairway.owes(peer, other.Key, owed)
+	for _, known := range sortedPeers(owed) {
+		greeting.Peers = append(greeting.Peers, known)
+	}
+	if heals {
 		greeting.Hops = healing
 	}
 	waiting, found := peer.pending[other.Key]
@@ -672,6 +772,8 @@
 	}
 	delete(peer.known, key)
 	delete(peer.greeted, key)
+	delete(peer.notedAt, key)
+	delete(peer.owed, key)
 	delete(peer.pending, key)
 	if peer.cell.owns(key) {
 		fairway.rebuild(now, peer)
@@ -693,12 +795,12 @@
 			continue
 		}
 		if peer.cell.cuts(other.self.At) {
-			fairway.learn(now, peer, []Peer{other.self}, false)
+			fairway.learn(now, peer, other.self.Key, []Peer{other.self}, false)
 		}
 		for _, key := range other.cell.owners() {
 			known, found := other.known[key]
 			if found && key != peer.self.Key && peer.cell.cuts(known.At) {
-				fairway.learn(now, peer, []Peer{known}, false)
+				fairway.learn(now, peer, other.self.Key, []Peer{known}, false)
 			}
 		}
 	}
@@ -738,7 +840,7 @@
 
 func (fairway *Fairway) left(now time.Time, peer *hosted, farewell Signal) {
 	fairway.drop(now, peer, farewell.From.Key)
-	fairway.learn(now, peer, farewell.Peers, false)
+	fairway.learn(now, peer, farewell.From.Key, farewell.Peers, false)
 }
 
 // Taking signals.
@@ -762,7 +864,7 @@
 		peer = here.byKey[signal.To]
 	}
 	if peer == nil {
-		if signal.Kind == SignalGreet || signal.Kind == SignalWelcome {
+		if signal.Kind == SignalGreet || signal.Kind == SignalWelcome || signal.Kind == SignalGreeted {
 			fairway.signal(signal.From.Key.Daemon, Signal{Kind: SignalGone, Space: signal.Space, To: signal.From.Key, From: Peer{Key: signal.To}})
 		}
 		return
@@ -773,29 +875,34 @@
 	case SignalWelcome:
 		peer.stuck = false
 		peer.greeted[signal.From.Key] = peer.self.Change
-		fairway.learn(now, peer, []Peer{signal.From}, true)
-		fairway.learn(now, peer, signal.Peers, false)
-		fairway.learn(now, peer, signal.Boundary, true)
+		fairway.learn(now, peer, signal.From.Key, []Peer{signal.From}, true)
+		fairway.learn(now, peer, signal.From.Key, signal.Peers, false)
+		fairway.learn(now, peer, signal.From.Key, signal.Boundary, true)
 		if peer.joining != nil {
 			fairway.joined(now, peer)
 		}
+	case SignalTell:
+		fairway.learn(now, peer, signal.From.Key, signal.Peers, false)
 	case SignalGreet:
+		fairway.learn(now, peer, signal.From.Key, signal.Peers, false)
 		answer := fairway.introduce(now, peer, signal.From)
 		answer.Kind = SignalGreeted
 		fairway.tell(now, signal.From.Key, answer)
 		if signal.Hops == healing && peer.self.Subscribes {
 			// The region of a peer that heals has grown; what lies beyond it
 			// may now meet this area.
-			fairway.greet(now, peer, signal.From)
+			fairway.greetAs(now, peer, signal.From, false)
 		}
 	case SignalGreeted:
 		delete(peer.pending, signal.From.Key)
-		fairway.note(peer, signal.From)
-		fairway.learn(now, peer, signal.Peers, false)
-		fairway.learn(now, peer, signal.Boundary, true)
+		fairway.note(now, peer, signal.From)
+		fairway.learn(now, peer, signal.From.Key, signal.Peers, false)
+		fairway.learn(now, peer, signal.From.Key, signal.Boundary, true)
 	case SignalLeave:
+		here.gone[signal.From.Key] = now
 		fairway.left(now, peer, signal)
 	case SignalGone:
+		here.gone[signal.From.Key] = now
 		fairway.drop(now, peer, signal.From.Key)
 	}
 	if effects != nil {
@@ -817,8 +924,17 @@
 			fairway.signal(request.From.Key.Daemon, Signal{Kind: SignalGone, Space: request.Space, To: request.From.Key, From: Peer{Key: request.To}})
 		}
 	}
-	start := fairway.nearestHosted(here, request.From.At, nil)
-	fairway.forward(now, start, request, true)
+	if named, present := here.byKey[request.To]; present && named.joining != nil {
+		// Somebody has accepted that peer, but it does not know its
+		// surroundings yet; the request waits for it.
+		named.requests = append(named.requests, request)
+		return
+	}
+	if start := fairway.nearestHosted(here, request.From.At, nil); start != nil {
+		fairway.forward(now, start, request)
+		return
+	}
+	fairway.accept(now, here.anyJoining(), request)
 }
 
 // onNobody counts the daemons that host no peer in a space; when all say so,
@@ -873,6 +989,8 @@
 				rebuild = rebuild || peer.cell.owns(key)
 				delete(peer.known, key)
 				delete(peer.greeted, key)
+				delete(peer.notedAt, key)
+				delete(peer.owed, key)
 			}
 			for key := range peer.pending {
 				if key.Daemon == daemon && key.Life != life {
@@ -939,7 +1057,7 @@
 		for _, peer := range here.sorted() {
 			if peer.joining != nil && !peer.joining.until.After(now) {
 				if peer.joining.tries >= joinTries {
-					peer.joining = nil
+					peer.joining, peer.requests = nil, nil
 					peer.stuck = true
 				} else {
 					fairway.join(now, peer)
@@ -1037,6 +1155,11 @@
 func (fairway *Fairway) sweep(now time.Time) {
 	any := false
 	for _, here := range helm.Sorted(fairway.spaces) {
+		for key, at := range here.gone {
+			if now.Sub(at) > goneFor {
+				delete(here.gone, key)
+			}
+		}
 		for _, peer := range here.sorted() {
 			any = true
 			if !peer.publishes || now.Sub(peer.lastUse) < quietFor {
@@ -1068,6 +1191,7 @@
 			peer.self.Key.Life, peer.self.Key.Number = life, fairway.number
 			peer.self.Change = fairway.change
 			peer.known, peer.greeted, peer.pending = map[PeerKey]Peer{}, map[PeerKey]uint64{}, map[PeerKey]*outstanding{}
+			peer.notedAt, peer.owed = map[PeerKey]time.Time{}, map[PeerKey]map[PeerKey]bool{}
 			peer.cell = newCell(peer.self.At)
 			peer.joining, peer.queued = nil, false
 			here.byKey[peer.self.Key] = peer
