A sender's order: trails in place of one mark, freshness, passing resends

Cause: a record named only its sender's message just before. Where the subscriber's daemon had no interest in that one, the chain broke, and an older missing message of interest did not hold a later one back. Resends in passing spaces were refused at a lantern that had not seen the sender before. Excluded: the keepers' order (strands were always in order), the fill order. Conclusion: a record carries its sender's messages of the last 6 s; whoever has verified all strands within 5 s knows the older ones.

--- a/internal/lamp/channel.go
+++ b/internal/lamp/channel.go
@@ -248,7 +248,7 @@
 		round.interests = append(round.interests, interest)
 	}
 	if len(round.interests) == 0 {
-		answer(accepted(map[string]any{"subscriptions": len(channel.subscriptions)}))
+		answer(accepted(map[string]any{"subscriptions": len(channel.subscriptions), "cursor": lantern.cursor(now, channel)}))
 		return
 	}
 	lantern.nextVisit++
@@ -604,32 +604,22 @@
 // that must be asked again for a record that another one refers to.
 func merge(round *fetch) (ordered []Carry, again []string) {
 	at := map[string]int{}
-	reached := map[string]uint64{}
 	for {
 		progress, left := false, false
 		again = nil
 		for name, records := range helm.Sorted(round.records) {
 			for at[name] < len(records) {
 				record := records[at[name]]
-				before := record.Before
-				other, wanted := round.strands[before.Strand]
-				if wanted && before.Strand != name && strand.Matches(before.Topic, other.topics, other.prefixes) {
-					if before.Offset > other.until {
-						again = append(again, before.Strand)
-						left = true
-						break
-					}
-					waits := false
-					for position := at[before.Strand]; position < len(round.records[before.Strand]); position++ {
-						waits = waits || round.records[before.Strand][position].Offset == before.Offset
-					}
-					if waits {
-						left = true
-						break
-					}
+				_, full := spaceOf(name)
+				missing, waits := round.before(full, name, record, at)
+				if len(missing) > 0 {
+					again = append(again, missing...)
+				}
+				if len(missing) > 0 || waits {
+					left = true
+					break
 				}
 				ordered = append(ordered, Carry{Strand: name, Record: record})
-				reached[name] = record.Offset
 				at[name]++
 				progress = true
 			}
@@ -644,6 +634,39 @@
 	}
 }
 
+// before tells what a missed message must wait for: strands to be asked again,
+// since they were asked before what it refers to was kept, or records that are
+// here and have not had their turn.
+func (round *fetch) before(full, name string, record strand.Record, at map[string]int) (missing []string, waits bool) {
+	for _, mark := range record.Before.Marks {
+		other := strandName(full, int(mark.Strand))
+		asked, wanted := round.strands[other]
+		if !wanted || other == name || !strand.Matches(mark.Topic, asked.topics, asked.prefixes) {
+			continue
+		}
+		if mark.Offset > asked.until {
+			missing = append(missing, other)
+		}
+		for _, each := range round.records[other][at[other]:] {
+			waits = waits || each.Offset == mark.Offset
+		}
+	}
+	for _, reach := range record.Before.Floor {
+		other := strandName(full, int(reach.Strand))
+		asked, wanted := round.strands[other]
+		if !wanted || other == name {
+			continue
+		}
+		if reach.Offset > asked.until {
+			missing = append(missing, other)
+		}
+		for _, each := range round.records[other][at[other]:] {
+			waits = waits || each.Offset <= reach.Offset
+		}
+	}
+	return missing, waits
+}
+
 // drain hands over what waited while a channel was being filled.
 func (lantern *Lantern) drain(now time.Time, id uint64, channel *channel, effects *helm.Effects) {
 	if channel.filling() {
--- a/internal/lamp/lantern.go
+++ b/internal/lamp/lantern.go
@@ -89,14 +89,15 @@
 	recalls   map[uint64]*recall
 	fetches   map[uint64]*fetch
 
-	behind    uint64
-	deferred  []deferred
-	looks     []lookout
-	stopping  bool
-	stopUntil time.Time
-	wasReady  bool
-	turn      int
-	Counts    Counts
+	followedAt time.Time
+	behind     uint64
+	deferred   []deferred
+	looks      []lookout
+	stopping   bool
+	stopUntil  time.Time
+	wasReady   bool
+	turn       int
+	Counts     Counts
 }
 
 type spaceState struct {
--- a/internal/lamp/publish.go
+++ b/internal/lamp/publish.go
@@ -7,7 +7,9 @@
 package lamp
 
 import (
+	"cmp"
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"dahlialock/internal/chart"
@@ -41,13 +43,39 @@
 	queue     []*publication
 	lastSeq   uint64
 	recalled  bool
-	last      strand.Mark
+	trail     []trailed
+	arrived   time.Time
 	recent    map[uint64]sentMemory
 	blocked   uint64
 	blockedAt time.Time
 	lastUse   time.Time
 }
 
+// trailed is a message of a sender that was accepted a moment ago.
+type trailed struct {
+	mark strand.Mark
+	seq  uint64
+	at   time.Time
+}
+
+// before tells the trail that goes with a sender's next message.
+func (from *sender) before(now time.Time) strand.Trail {
+	from.trail = slices.DeleteFunc(from.trail, func(each trailed) bool { return now.Sub(each.at) > strand.TrailFor })
+	var trail strand.Trail
+	older := max(0, len(from.trail)-strand.TrailMost)
+	floors := map[uint8]uint64{}
+	for _, each := range from.trail[:older] {
+		floors[each.mark.Strand] = max(floors[each.mark.Strand], each.mark.Offset)
+	}
+	for number, offset := range helm.Sorted(floors) {
+		trail.Floor = append(trail.Floor, strand.Reach{Strand: number, Offset: offset})
+	}
+	for _, each := range from.trail[older:] {
+		trail.Marks = append(trail.Marks, each.mark)
+	}
+	return trail
+}
+
 type publication struct {
 	visit    Publish
 	key      senderKey
@@ -64,7 +92,7 @@
 	waiting int
 	ready   bool
 	lastSeq uint64
-	last    strand.Mark
+	recent  []strand.Recent
 	limit   time.Time
 }
 
@@ -93,7 +121,7 @@
 	}
 	from, found := lantern.senders[item.key]
 	if !found {
-		from = &sender{recent: map[uint64]sentMemory{}}
+		from = &sender{recent: map[uint64]sentMemory{}, arrived: now}
 		lantern.senders[item.key] = from
 	}
 	from.lastUse = now
@@ -235,9 +263,9 @@
 		lantern.follower.Hurry(now)
 		return
 	}
-	before := from.last
-	if before.Strand == item.strand && before.Topic == item.visit.Topic {
-		before = strand.Mark{}
+	var before strand.Trail
+	if state, known := lantern.spaces[item.visit.Space]; known && state.space.Strands() > 1 {
+		before = from.before(now)
 	}
 	item.open++
 	lantern.ring.Record(now, item.visit.VisitName, soundings.MessageName(item.visit.Space, item.visit.Sender, item.visit.Seq),
@@ -261,7 +289,10 @@
 	case strand.Accepted:
 		if from, known := lantern.senders[item.key]; known {
 			from.lastSeq = max(from.lastSeq, item.visit.Seq)
-			from.last = strand.Mark{Strand: returned.Strand, Offset: returned.Record.Offset, Topic: item.visit.Topic}
+			from.trail = append(from.trail, trailed{
+				mark: strand.Mark{Strand: strand.NumberIn(returned.Strand), Offset: returned.Record.Offset, Topic: item.visit.Topic},
+				seq:  item.visit.Seq, at: now,
+			})
 		}
 		if state, present := lantern.spaces[item.visit.Space]; present && !returned.Again {
 			lantern.fanOutKept(now, state, returned.Strand, returned.Record, item, effects)
@@ -315,9 +346,8 @@
 	}
 	asked.waiting--
 	asked.ready = asked.ready && returned.Ready
-	if returned.LastSeq > asked.lastSeq {
-		asked.lastSeq, asked.last = returned.LastSeq, returned.Last
-	}
+	asked.lastSeq = max(asked.lastSeq, returned.LastSeq)
+	asked.recent = append(asked.recent, returned.Recent...)
 	if asked.waiting > 0 {
 		return
 	}
@@ -331,7 +361,11 @@
 		lantern.finish(now, from.queue[0], refused(503, "strand-moving", "a strand of the space is being taken over", comeBackLater), effects)
 		return
 	}
-	from.recalled, from.lastSeq, from.last = true, asked.lastSeq, asked.last
+	from.recalled, from.lastSeq, from.trail = true, asked.lastSeq, nil
+	slices.SortFunc(asked.recent, func(left, right strand.Recent) int { return cmp.Compare(left.Seq, right.Seq) })
+	for _, each := range asked.recent {
+		from.trail = append(from.trail, trailed{mark: each.Mark, seq: each.Seq, at: now.Add(-each.Age / 2)})
+	}
 	lantern.begin(now, from, effects)
 }
 
@@ -383,10 +417,13 @@
 		lantern.finish(now, item, accepted(map[string]any{"again": true}), effects)
 		return
 	}
-	if visit.Seq <= from.lastSeq {
+	if visit.Seq <= from.lastSeq && now.Sub(from.arrived) > seqMemory {
 		lantern.finish(now, item, refused(409, "old-seq", "this seq is not above the sender's newest", 0), effects)
 		return
 	}
+	// A sender that came here a moment ago may send again what another lantern
+	// passed on. It is passed on once more, and whoever had it, or a later one,
+	// lets it fall.
 	area := areaOf(state.space, visit.Topic)
 	lantern.fairway.Publish(now, state.name, area, func(now time.Time, effects *helm.Effects, settled bool) {
 		if item.answered {
@@ -396,7 +433,7 @@
 			lantern.finish(now, item, refused(503, "no-neighbours", "the overlay is being mended", comeBackSoon), effects)
 			return
 		}
-		from.lastSeq = visit.Seq
+		from.lastSeq = max(from.lastSeq, visit.Seq)
 		from.recent[visit.Seq] = sentMemory{digest: passDigest(visit.Topic, visit.Data), at: now}
 		for seq, memory := range from.recent {
 			if now.Sub(memory.at) > seqMemory {
--- a/internal/lamp/tracker.go
+++ b/internal/lamp/tracker.go
@@ -44,6 +44,9 @@
 	held      map[uint64]strand.Record
 	verifying bool
 	wanted    bool
+	freshAt   time.Time
+	askedAt   time.Time
+	full      string
 }
 
 // spaceOf takes a strand's name apart.
@@ -56,9 +59,9 @@
 func (lantern *Lantern) follow(now time.Time, name string) *tracker {
 	present, found := lantern.trackers[name]
 	if !found {
-		space, _ := spaceOf(name)
+		space, full := spaceOf(name)
 		present = &tracker{
-			name: name, space: space, interests: map[Interest]*followed{}, delivered: map[uint64]time.Time{}, held: map[uint64]strand.Record{},
+			name: name, space: space, full: full, freshAt: now, interests: map[Interest]*followed{}, delivered: map[uint64]time.Time{}, held: map[uint64]strand.Record{},
 		}
 		if state, known := lantern.spaces[space]; known {
 			present.shared = state.space.Order == chart.OrderChannel
@@ -159,17 +162,54 @@
 		lantern.Counts.Holes++
 		effects.Note(foghorn.HoleFound, "strand", carry.Strand, "offset", offset, "prior", carry.Record.Prior)
 		lantern.ring.Record(now, "", soundings.MessageName(tracker.space, carry.Record.Sender, carry.Record.Seq), "", "waits",
-			"strand", carry.Strand, "offset", offset, "prior", carry.Record.Prior, "before", carry.Record.Before.Offset, "verified", tracker.verified)
+			"strand", carry.Strand, "offset", offset, "prior", carry.Record.Prior, "before", carry.Record.Before.Marks, "verified", tracker.verified)
 		tracker.wanted = true
 		lantern.timers.ArmSooner("verify", now.Add(holeAfter))
-		if before, known := lantern.trackers[carry.Record.Before.Strand]; known && !before.settled(carry.Record.Before.Topic, carry.Record.Before.Offset) {
-			before.wanted = true
+		lantern.wantBefore(tracker, carry.Record)
+	}
+}
+
+// wantBefore marks the strands in which something before a message is missing.
+func (lantern *Lantern) wantBefore(tracker *tracker, record strand.Record) {
+	for _, mark := range record.Before.Marks {
+		if other, found := lantern.trackers[strandName(tracker.full, int(mark.Strand))]; found && !other.settled(mark.Topic, mark.Offset) {
+			other.wanted = true
+		}
+	}
+	for _, reach := range record.Before.Floor {
+		if other, found := lantern.trackers[strandName(tracker.full, int(reach.Strand))]; found && !other.reached(reach.Offset) {
+			other.wanted = true
 		}
 	}
 }
 
+// reached tells whether all of a strand up to an offset is settled here.
+func (tracker *tracker) reached(offset uint64) bool {
+	if tracker.began && offset <= tracker.verified {
+		return true
+	}
+	for _, present := range tracker.interests {
+		if present.since == everything || present.since < offset {
+			return false
+		}
+	}
+	return true
+}
+
+// fresh tells whether every strand of a space that is followed here was
+// verified lately, so that nothing older than a trail can be missing.
+func (lantern *Lantern) fresh(now time.Time, full string) bool {
+	for name, other := range lantern.trackers {
+		if other.full == full && other.began && now.Sub(other.freshAt) > strand.FreshFor {
+			_ = name
+			return false
+		}
+	}
+	return true
+}
+
 // ripe tells whether a held message may be handed over.
-func (lantern *Lantern) ripe(tracker *tracker, record strand.Record) bool {
+func (lantern *Lantern) ripe(now time.Time, tracker *tracker, record strand.Record) bool {
 	since, matters := tracker.startOf(record.Topic)
 	if matters && since == everything || !tracker.began {
 		return false
@@ -180,12 +220,22 @@
 	if !tracker.shared && !tracker.settled(record.Topic, record.Prior) {
 		return false
 	}
-	before := record.Before
-	if before.Strand == "" || before.Strand == tracker.name && before.Offset >= record.Offset {
+	if tracker.shared {
 		return true
 	}
-	other, found := lantern.trackers[before.Strand]
-	return !found || other.settled(before.Topic, before.Offset)
+	for _, mark := range record.Before.Marks {
+		other, found := lantern.trackers[strandName(tracker.full, int(mark.Strand))]
+		if found && !(other == tracker && mark.Offset >= record.Offset) && !other.settled(mark.Topic, mark.Offset) {
+			return false
+		}
+	}
+	for _, reach := range record.Before.Floor {
+		other, found := lantern.trackers[strandName(tracker.full, int(reach.Strand))]
+		if found && !(other == tracker && reach.Offset >= record.Offset) && !other.reached(reach.Offset) {
+			return false
+		}
+	}
+	return lantern.fresh(now, tracker.full)
 }
 
 // pump hands over all that has become ripe, until nothing more does.
@@ -198,7 +248,7 @@
 					delete(tracker.held, offset)
 					continue
 				}
-				if !lantern.ripe(tracker, record) {
+				if !lantern.ripe(now, tracker, record) {
 					continue
 				}
 				delete(tracker.held, offset)
@@ -275,8 +325,17 @@
 		if tracker.began && head.Offset > tracker.verified {
 			tracker.wanted = true
 			lantern.timers.ArmSooner("verify", now.Add(verifyEvery/2))
+		} else if tracker.began {
+			tracker.freshen(lantern.followedAt)
 		}
 	}
+	lantern.pump(now, effects)
+}
+
+func (tracker *tracker) freshen(at time.Time) {
+	if at.After(tracker.freshAt) {
+		tracker.freshAt = at
+	}
 }
 
 func (lantern *Lantern) verifyAll(now time.Time, effects *helm.Effects) {
@@ -295,6 +354,7 @@
 	}
 	lantern.Counts.Verifies++
 	tracker.verifying = true
+	tracker.askedAt = now
 	asked := &fetched{after: tracker.verified}
 	for interest := range tracker.interests {
 		if tracker.shared {
@@ -361,8 +421,11 @@
 		}
 		if limit > tracker.verified {
 			tracker.verified = limit
-			lantern.pump(now, effects)
 		}
+		if limit >= until {
+			tracker.freshen(tracker.askedAt)
+		}
+		lantern.pump(now, effects)
 	}
 	if tracker.version != round.version || len(tracker.held) > 0 || tracker.head > tracker.verified {
 		tracker.wanted = true
@@ -371,9 +434,7 @@
 			pause = holeAfter
 		}
 		for _, record := range tracker.held {
-			if before, known := lantern.trackers[record.Before.Strand]; known && !before.settled(record.Before.Topic, record.Before.Offset) {
-				before.wanted = true
-			}
+			lantern.wantBefore(tracker, record)
 		}
 		lantern.timers.ArmSooner("verify", now.Add(pause))
 	}
@@ -383,6 +444,7 @@
 // tell their heads, and asks again before they forget.
 func (lantern *Lantern) followHeads(now time.Time, effects *helm.Effects) {
 	byKeeper := map[string][]string{}
+	lantern.followedAt = now
 	for name := range helm.Sorted(lantern.trackers) {
 		if address, _, found := lantern.firstOf(name); found {
 			byKeeper[address] = append(byKeeper[address], name)
--- a/internal/strand/keeper.go
+++ b/internal/strand/keeper.go
@@ -351,7 +351,7 @@
 	case Fetch:
 		keeper.onFetch(meta.From, body, effects)
 	case SenderAsk:
-		keeper.onSenderAsk(meta.From, body, effects)
+		keeper.onSenderAsk(now, meta.From, body, effects)
 	case Follow:
 		keeper.onFollow(now, meta.From, body, effects)
 	}
@@ -791,9 +791,9 @@
 	effects.Send(from, answer)
 }
 
-// onSenderAsk tells where a sender's newest message is among the strands that
+// onSenderAsk tells where a sender's newest messages are among the strands that
 // this keeper is first for, so that a sender that moved keeps its order.
-func (keeper *Keeper) onSenderAsk(from string, ask SenderAsk, effects *helm.Effects) {
+func (keeper *Keeper) onSenderAsk(now time.Time, from string, ask SenderAsk, effects *helm.Effects) {
 	answer := SenderReturn{Visit: ask.Visit, Ready: keeper.Ready()}
 	for _, name := range ask.Strands {
 		strand, found := keeper.strands[name]
@@ -802,14 +802,19 @@
 			continue
 		}
 		sender, known := strand.log.Senders[ask.Sender]
-		if !known || sender.LastSeq < answer.LastSeq {
+		if !known {
 			continue
 		}
-		answer.LastSeq = sender.LastSeq
-		answer.Last = Mark{}
-		memory := sender.Recent[sender.LastSeq]
-		if records := strand.log.after(memory.Offset - 1); memory.Offset > strand.log.Base && len(records) > 0 {
-			answer.Last = Mark{Strand: name, Offset: memory.Offset, Topic: records[0].Topic}
+		answer.LastSeq = max(answer.LastSeq, sender.LastSeq)
+		for seq, memory := range helm.Sorted(sender.Recent) {
+			age := now.Sub(memory.At)
+			records := strand.log.after(memory.Offset - 1)
+			if age > 2*TrailFor || memory.Offset <= strand.log.Base || len(records) == 0 {
+				continue
+			}
+			answer.Recent = append(answer.Recent, Recent{
+				Mark: Mark{Strand: NumberIn(name), Offset: memory.Offset, Topic: records[0].Topic}, Seq: seq, Age: age,
+			})
 		}
 	}
 	effects.Send(from, answer)
--- a/internal/strand/messages.go
+++ b/internal/strand/messages.go
@@ -8,16 +8,40 @@
 	"dahlialock/internal/flare"
 )
 
-// Mark points at a sender's previous message, wherever it is kept.
+// Mark points at a message of the same sender and space: the number of its
+// strand, its offset and its topic.
 type Mark struct {
 	_      struct{} `cbor:",toarray"`
-	Strand string
+	Strand uint8
 	Offset uint64
 	Topic  string
 }
 
+// Reach is how far a sender's earlier messages go in one strand.
+type Reach struct {
+	_      struct{} `cbor:",toarray"`
+	Strand uint8
+	Offset uint64
+}
+
+// Trail is what a sender sent before: each message of the last moments, and
+// where there were too many of them, how far the older ones of those go.
+type Trail struct {
+	_     struct{} `cbor:",toarray"`
+	Marks []Mark
+	Floor []Reach
+}
+
+// Spans of a trail: what is older than TrailFor is known to have been handed
+// over by whoever verified within FreshFor.
+const (
+	TrailFor  = 6 * time.Second
+	FreshFor  = 5 * time.Second
+	TrailMost = 12
+)
+
 // Record is one kept message. Prior is the offset of the topic's message
-// before it, and Before is the sender's message before it, so that whoever
+// before it, and Before are the sender's messages before it, so that whoever
 // receives it sees every hole.
 type Record struct {
 	_      struct{} `cbor:",toarray"`
@@ -29,7 +53,7 @@
 	Data   []byte
 	At     time.Time
 	Prior  uint64
-	Before Mark
+	Before Trail
 }
 
 // Append asks the first to keep a message.
@@ -40,7 +64,7 @@
 	Sender string
 	Seq    uint64
 	Data   []byte
-	Before Mark
+	Before Trail
 	// OnlyAgain asks to acknowledge the message if it is kept, and not to keep
 	// it anew: the sender has a later one somewhere.
 	OnlyAgain bool
@@ -139,12 +163,20 @@
 	Sender  string
 }
 
+// Recent is a mark with the time at which it was kept.
+type Recent struct {
+	_    struct{} `cbor:",toarray"`
+	Mark Mark
+	Seq  uint64
+	Age  time.Duration
+}
+
 // SenderReturn tells it.
 type SenderReturn struct {
 	Visit   uint64
 	Ready   bool
 	LastSeq uint64
-	Last    Mark
+	Recent  []Recent
 }
 
 func init() {
--- a/internal/strand/strand.go
+++ b/internal/strand/strand.go
@@ -7,6 +7,7 @@
 import (
 	"hash/fnv"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -153,3 +154,13 @@
 	mixed ^= mixed >> 33
 	return int(mixed % uint64(strands))
 }
+
+// NumberIn is the number at the end of a strand's name.
+func NumberIn(name string) uint8 {
+	_, text, _ := strings.Cut(name, "/")
+	number, fault := strconv.ParseUint(text, 10, 8)
+	if fault != nil {
+		panic("a strand's name without a number: " + name)
+	}
+	return uint8(number)
+}
