Held messages no longer keep a strand from being fresh

Cause: a strand counted as fresh only when nothing was held back, and what was held back could not go while a strand was stale: a deadlock after any pause. Conclusion: fresh means that all is here; of each sender's held messages only the lowest seq may go.

--- a/internal/lamp/tracker.go
+++ b/internal/lamp/tracker.go
@@ -7,6 +7,7 @@
 package lamp
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -238,23 +239,40 @@
 	return lantern.fresh(now, tracker.full)
 }
 
-// pump hands over all that has become ripe, until nothing more does.
+// waiting is a held message of a sender, with its strand.
+type waiting struct {
+	tracker *tracker
+	record  strand.Record
+}
+
+// pump hands over all that has become ripe, until nothing more does. Of each
+// sender's held messages in a space only the one with the lowest seq may go.
 func (lantern *Lantern) pump(now time.Time, effects *helm.Effects) {
-	for progress := true; progress; {
-		progress = false
-		for _, tracker := range helm.Sorted(lantern.trackers) {
-			for offset, record := range helm.Sorted(tracker.held) {
-				if _, had := tracker.delivered[offset]; had || tracker.began && offset <= tracker.verified {
-					delete(tracker.held, offset)
-					continue
-				}
-				if !lantern.ripe(now, tracker, record) {
-					continue
-				}
+	bySender := map[string][]waiting{}
+	for _, tracker := range helm.Sorted(lantern.trackers) {
+		for offset, record := range helm.Sorted(tracker.held) {
+			if _, had := tracker.delivered[offset]; had || tracker.began && offset <= tracker.verified {
 				delete(tracker.held, offset)
+				continue
+			}
+			key := tracker.full + " " + record.Sender
+			bySender[key] = append(bySender[key], waiting{tracker: tracker, record: record})
+		}
+	}
+	for key := range bySender {
+		slices.SortStableFunc(bySender[key], func(left, right waiting) int { return cmp.Compare(left.record.Seq, right.record.Seq) })
+	}
+	for progress := len(bySender) > 0; progress; {
+		progress = false
+		for key, queue := range helm.Sorted(bySender) {
+			for len(queue) > 0 && lantern.ripe(now, queue[0].tracker, queue[0].record) {
+				next := queue[0]
+				queue = queue[1:]
+				delete(next.tracker.held, next.record.Offset)
 				progress = true
-				lantern.deliver(now, tracker, record, effects)
+				lantern.deliver(now, next.tracker, next.record, effects)
 			}
+			bySender[key] = queue
 		}
 	}
 }
@@ -422,9 +440,8 @@
 		if limit > tracker.verified {
 			tracker.verified = limit
 		}
-		if limit >= until {
-			tracker.freshen(tracker.askedAt)
-		}
+		// All up to there is here now, though some of it may have to wait.
+		tracker.freshen(tracker.askedAt)
 		lantern.pump(now, effects)
 	}
 	if tracker.version != round.version || len(tracker.held) > 0 || tracker.head > tracker.verified {
@@ -469,3 +486,27 @@
 		lantern.timers.ArmSooner("follow", now)
 	}
 }
+
+// TrackerStatus is one strand as it is followed here.
+type TrackerStatus struct {
+	Verified  uint64        `json:"verified"`
+	Head      uint64        `json:"head"`
+	Held      int           `json:"held"`
+	Began     bool          `json:"began"`
+	Verifying bool          `json:"verifying"`
+	Wanted    bool          `json:"wanted"`
+	Fresh     time.Duration `json:"fresh"`
+	Interests int           `json:"interests"`
+}
+
+// Trackers tells of every strand followed here, for ctl and the simulator.
+func (lantern *Lantern) Trackers(now time.Time) map[string]TrackerStatus {
+	statuses := map[string]TrackerStatus{}
+	for name, tracker := range lantern.trackers {
+		statuses[name] = TrackerStatus{
+			Verified: tracker.verified, Head: tracker.head, Held: len(tracker.held), Began: tracker.began, Verifying: tracker.verifying,
+			Wanted: tracker.wanted, Fresh: now.Sub(tracker.freshAt), Interests: len(tracker.interests),
+		}
+	}
+	return statuses
+}
--- a/internal/swell/scenario.go
+++ b/internal/swell/scenario.go
@@ -12,9 +12,11 @@
 	"time"
 
 	"dahlialock/internal/beacon"
+	"dahlialock/internal/helm"
 	"dahlialock/internal/lamp"
 	"dahlialock/internal/oracle"
 	"dahlialock/internal/pilotage"
+	"dahlialock/internal/strand"
 )
 
 // Scenario is one kind of run.
@@ -301,9 +303,30 @@
 			swell.Oracle.Violate(oracle.NotBack, "%s is still not served %s after the last fault", client.Name, wait)
 		}
 	}
+	swell.describe()
 	swell.Oracle.Close(swell.Now)
 }
 
+// describe traces what is still under way at the end.
+func (swell *Swell) describe() {
+	if swell.Trace == nil {
+		return
+	}
+	for _, node := range swell.Nodes(beacon.KindLantern) {
+		for name, status := range helm.Sorted(node.Lantern().Trackers(node.local())) {
+			swell.trace("%s ready %v %s: %+v", node.Name, node.Ready(), name, status)
+		}
+	}
+	for _, node := range swell.Nodes(beacon.KindKeeper) {
+		for name, status := range helm.Sorted(node.Machine.(*strand.Keeper).Strands()) {
+			swell.trace("%s %s: %+v", node.Name, name, status)
+		}
+	}
+	for _, client := range swell.clients {
+		swell.trace("%s at %s connected %v subscribed %v outbox %d", client.Name, client.node.Name, client.connected, client.subscribed, len(client.outbox))
+	}
+}
+
 // ServiceBack measures how long after a moment every caller can publish and is
 // subscribed again.
 func (swell *Swell) ServiceBack(what string) {
