A wiped keeper serves nothing; a channel being filled has no cursor

Conclusion: a first serves only with a disk that the placement counts as a holder; a channel that holds nothing has no cursor.

--- a/internal/lamp/cursor.go
+++ b/internal/lamp/cursor.go
@@ -68,8 +68,12 @@
 	return place, ""
 }
 
-// cursor tells a channel's present place.
+// cursor tells a channel's present place. A channel that is still being filled,
+// or holds nothing, has none: its origin's earlier place still stands.
 func (lantern *Lantern) cursor(now time.Time, channel *channel) string {
+	if len(channel.subscriptions) == 0 || channel.floors == nil && channel.filling() {
+		return ""
+	}
 	place := cursor{Layout: cursorLayout, Origin: channel.origin, Strands: map[string]position{}, Marks: map[string]map[string]uint64{}}
 	floor := func(name string, at uint64) {
 		present, found := place.Strands[name]
--- a/internal/strand/keeper.go
+++ b/internal/strand/keeper.go
@@ -390,8 +390,7 @@
 	}
 	for name, strand := range helm.Sorted(keeper.strands) {
 		place, placed := keeper.follower.Places[name]
-		own := keeper.props.Self.Name + "@" + keeper.disk
-		needed := placed && (place.First == keeper.props.Self.Name || place.Understudy == keeper.props.Self.Name || slices.Contains(place.Safe, own))
+		needed := placed && (place.First == keeper.props.Self.Name || place.Understudy == keeper.props.Self.Name || slices.Contains(place.Safe, keeper.holder()))
 		if !needed {
 			keeper.giveUp(strand, "removed", effects)
 			delete(keeper.strands, name)
@@ -434,7 +433,14 @@
 	}
 }
 
-func (keeper *Keeper) isFirst(strand *held) bool { return strand.place.First == keeper.props.Self.Name }
+// isFirst tells whether this keeper, with the disk that it has now, may act as
+// a strand's first: a keeper whose disk was wiped is named first by news that
+// does not know of it yet, and holds nothing.
+func (keeper *Keeper) isFirst(strand *held) bool {
+	return strand.place.First == keeper.props.Self.Name && slices.Contains(strand.place.Safe, keeper.holder())
+}
+
+func (keeper *Keeper) holder() string { return keeper.props.Self.Name + "@" + keeper.disk }
 
 // Appending.
 
@@ -636,7 +642,7 @@
 		effects.Send(from, CopyReturn{Strand: copied.Strand, Epoch: copied.Epoch, Older: strand.place.Epoch})
 		return
 	}
-	if copied.Epoch > strand.place.Epoch || keeper.isFirst(strand) {
+	if copied.Epoch > strand.place.Epoch || strand.place.Understudy != keeper.props.Self.Name {
 		// News of this epoch is on its way; the first will send again.
 		keeper.follower.Hurry(now)
 		return
@@ -744,7 +750,7 @@
 
 func (keeper *Keeper) onFrame(now time.Time, from string, frame Frame, effects *helm.Effects) {
 	strand, found := keeper.strands[frame.Strand]
-	if !keeper.Ready() || !found || frame.Epoch != strand.place.Epoch || keeper.isFirst(strand) {
+	if !keeper.Ready() || !found || frame.Epoch != strand.place.Epoch || strand.place.Understudy != keeper.props.Self.Name {
 		return
 	}
 	log := newLog(frame.Strand)
