A joining peer asks until it has an acceptor

Cause: after five unanswered joins a peer gave up for minutes, though the way had only led through a daemon whose loss was not noticed yet; subscriptions at that area were refused all that while. Conclusion: there is nothing to gain from giving up a join.

--- a/internal/fairway/cells_test.go
+++ b/internal/fairway/cells_test.go
@@ -34,7 +34,7 @@
 			slices.SortFunc(truth, PeerKey.compare)
 			slices.SortFunc(got, PeerKey.compare)
 			if !slices.Equal(truth, got) {
-				wrong = append(wrong, fmt.Sprintf("%s %v area %v sub %v joining %v stuck %v known %d:\n  truth %v\n  got   %v", name, peer.self.Key.Number, peer.self.Area, peer.self.Subscribes, peer.joining != nil, peer.stuck, len(peer.known), truth, got))
+				wrong = append(wrong, fmt.Sprintf("%s %v area %v sub %v joining %v known %d:\n  truth %v\n  got   %v", name, peer.self.Key.Number, peer.self.Area, peer.self.Subscribes, peer.joining != nil, len(peer.known), truth, got))
 			}
 			for _, other := range all {
 				if other.Key == peer.self.Key || !other.Subscribes {
--- a/internal/fairway/fairway.go
+++ b/internal/fairway/fairway.go
@@ -25,7 +25,6 @@
 	greetLimit   = 300 * time.Millisecond
 	greetTries   = 4
 	joinLimit    = 400 * time.Millisecond
-	joinTries    = 5
 	hopLimit     = 48
 	healing      = 1
 	healFor      = 2 * time.Second
@@ -136,7 +135,6 @@
 	holders   int
 	lastUse   time.Time
 	publishes bool
-	stuck     bool
 	queued    bool
 	requests  []Signal
 	healUntil time.Time
@@ -373,14 +371,10 @@
 	if peer.joining != nil || len(peer.pending) > 0 {
 		return
 	}
-	fairway.release(now, peer, !peer.stuck, effects)
-}
-
-func (fairway *Fairway) release(now time.Time, peer *hosted, settled bool, effects *helm.Effects) {
 	waiting := peer.waiting
 	peer.waiting = nil
 	for _, done := range waiting {
-		done(now, effects, settled)
+		done(now, effects, true)
 	}
 }
 
@@ -873,7 +867,6 @@
 	case SignalNobody:
 		fairway.onNobody(now, peer, signal.From.Key.Daemon)
 	case SignalWelcome:
-		peer.stuck = false
 		peer.greeted[signal.From.Key] = peer.self.Change
 		fairway.learn(now, peer, signal.From.Key, []Peer{signal.From}, true)
 		fairway.learn(now, peer, signal.From.Key, signal.Peers, false)
@@ -1056,12 +1049,9 @@
 	for _, here := range helm.Sorted(fairway.spaces) {
 		for _, peer := range here.sorted() {
 			if peer.joining != nil && !peer.joining.until.After(now) {
-				if peer.joining.tries >= joinTries {
-					peer.joining, peer.requests = nil, nil
-					peer.stuck = true
-				} else {
-					fairway.join(now, peer)
-				}
+				// Without an acceptor there is nothing to go on with; the
+				// cohort will tell if the way leads through a lost daemon.
+				fairway.join(now, peer)
 			}
 			for key := range sortedPending(peer.pending) {
 				waiting := peer.pending[key]
@@ -1125,10 +1115,7 @@
 		for range count {
 			peer := peers[here.turn%len(peers)]
 			here.turn++
-			if peer.joining != nil || peer.stuck {
-				peer.stuck = false
-				peer.joining = nil
-				fairway.join(now, peer)
+			if peer.joining != nil {
 				continue
 			}
 			for _, key := range peer.cell.owners() {
--- a/internal/swell/client.go
+++ b/internal/swell/client.go
@@ -195,6 +195,7 @@
 			return
 		}
 		answer, matches := value.(lamp.Answer)
+		swell.trace("%s at %s subscribes, resumes %v: %s %s %v", client.Name, client.node.Name, resumes, answer.Outcome, answer.Code, answer.Fields["missed"])
 		switch {
 		case !alive || !matches:
 			client.cut(turn, 20*time.Millisecond)
