Looking for the primary asks all pilots; a fill reaches what is verified

Cause: (1) after the primary's loss each follower tried one pilot after another for a second each, behind its tender once more. (2) a channel's fill could end below what its strand had been verified to for others, and the messages between were dropped as known.

--- a/internal/beacon/follower.go
+++ b/internal/beacon/follower.go
@@ -6,6 +6,7 @@
 package beacon
 
 import (
+	"slices"
 	"time"
 
 	"dahlialock/internal/helm"
@@ -15,7 +16,8 @@
 const (
 	HoldAsk      = 600 * time.Millisecond
 	PatientHold  = 10 * time.Second
-	askLimit     = HoldAsk + 500*time.Millisecond
+	askLimit     = HoldAsk + 300*time.Millisecond
+	searchEvery  = 300 * time.Millisecond
 	patientLimit = PatientHold + time.Second
 	FreshFor     = time.Second
 	ConfirmedFor = 2500 * time.Millisecond
@@ -33,6 +35,7 @@
 	waiting   bool
 	patient   bool
 	fixed     bool
+	searching bool
 	Index     uint64
 	Version   uint64
 	Epoch     uint64
@@ -49,7 +52,7 @@
 // NewFollower makes a follower that asks the given seeds first.
 func NewFollower(self Member, seeds []string, load func() Load) *Follower {
 	return &Follower{
-		self: self, seeds: seeds, pilots: seeds, load: load,
+		self: self, seeds: seeds, pilots: seeds, load: load, searching: true,
 		Members: map[string]Member{}, Places: map[string]Placement{}, timers: helm.NewTimers(),
 	}
 }
@@ -105,8 +108,7 @@
 			follower.ask(now, effects)
 		case "limit":
 			follower.waiting = false
-			follower.primary = ""
-			follower.guess++
+			follower.searching = true
 			follower.ask(now, effects)
 		}
 	}
@@ -119,34 +121,66 @@
 	if follower.patient {
 		limit = patientLimit
 	}
+	if follower.searching {
+		limit = searchEvery
+	}
 	follower.timers.Disarm("ask")
 	follower.timers.Arm("limit", now.Add(limit))
-	effects.Send(follower.Upstream(), Ask{
+	for _, address := range follower.Upstreams() {
+		follower.askAt(address, effects)
+	}
+}
+
+func (follower *Follower) askAt(address string, effects *helm.Effects) {
+	effects.Send(address, Ask{
 		Self: follower.self, Nonce: follower.nonce, Index: follower.Index, Version: follower.Version,
 		Load: follower.load(), Patient: follower.patient,
 	})
 }
 
-// Redirected follows the hint of a pilot that is not primary.
-func (follower *Follower) Redirected(now time.Time, redirect Redirect) {
+// Upstreams are the addresses that are presently asked: the primary, or while
+// it is being looked for all pilots that are known.
+func (follower *Follower) Upstreams() []string {
+	if follower.fixed {
+		return follower.seeds[:1]
+	}
+	if follower.primary != "" && !follower.searching {
+		return []string{follower.primary}
+	}
+	addresses := append([]string(nil), follower.pilots...)
+	for _, seed := range follower.seeds {
+		if !slices.Contains(addresses, seed) {
+			addresses = append(addresses, seed)
+		}
+	}
+	return addresses
+}
+
+// Redirected learns from a pilot that is not primary. A primary that it names
+// and that was not asked yet is asked at once.
+func (follower *Follower) Redirected(now time.Time, redirect Redirect, effects *helm.Effects) {
 	if redirect.Nonce != follower.nonce {
 		return
 	}
+	asked := follower.Upstreams()
 	follower.learnPilots(redirect.Pilots)
-	known := redirect.Primary != "" && redirect.Primary != follower.primary
-	if known && redirect.Epoch >= follower.Epoch {
-		follower.primary = redirect.Primary
-		follower.timers.Arm("ask", now)
+	if follower.fixed {
 		return
 	}
-	follower.primary = ""
-	follower.guess++
-	follower.timers.Arm("ask", now.Add(150*time.Millisecond))
+	if !follower.searching {
+		follower.searching = true
+		follower.timers.Arm("limit", now.Add(searchEvery/3))
+	}
+	if redirect.Primary != "" && !slices.Contains(asked, redirect.Primary) {
+		follower.askAt(redirect.Primary, effects)
+	}
 }
 
 func (follower *Follower) learnPilots(addresses []string) {
-	if len(addresses) > 0 {
-		follower.pilots = addresses
+	for _, address := range addresses {
+		if !slices.Contains(follower.pilots, address) {
+			follower.pilots = append(slices.Clone(follower.pilots), address)
+		}
 	}
 }
 
@@ -164,7 +198,7 @@
 	}
 	var taken Taken
 	if news.Nonce == follower.nonce {
-		follower.waiting = false
+		follower.waiting, follower.searching = false, false
 		follower.timers.Disarm("limit")
 		follower.timers.Arm("ask", now)
 		taken.Answered = true
--- a/internal/lamp/channel.go
+++ b/internal/lamp/channel.go
@@ -550,12 +550,22 @@
 		return
 	}
 	ordered, again := merge(round)
+	for name, asked := range helm.Sorted(round.strands) {
+		// The strand was verified further for others meanwhile; what lies
+		// between was not kept here for this channel.
+		if tracker, followed := lantern.trackers[name]; followed && tracker.began && asked.until < tracker.verified {
+			again = append(again, name)
+		}
+	}
 	if len(again) > 0 && round.rounds < refetchMost {
 		// A message refers to one that another strand had not yet told of.
 		round.rounds++
 		for _, name := range again {
 			asked := round.strands[name]
-			asked.done, asked.after = false, asked.until
+			asked.done = false
+			if asked.from != everything {
+				asked.after = asked.until
+			}
 		}
 		lantern.advanceFetch(now, id, round, cursor{}, effects)
 		return
--- a/internal/lamp/lantern.go
+++ b/internal/lamp/lantern.go
@@ -275,7 +275,7 @@
 	case beacon.News:
 		lantern.onNews(now, body, effects)
 	case beacon.Redirect:
-		lantern.follower.Redirected(now, beacon.Redirect{For: body.For, Nonce: body.Nonce})
+		lantern.follower.Redirected(now, body, effects)
 	case beacon.Heartbeat:
 		lantern.pulse.Beat(now, body)
 	case beacon.ControlReturn:
--- a/internal/pilotage/pilot.go
+++ b/internal/pilotage/pilot.go
@@ -187,7 +187,7 @@
 			pilot.pulse.Take(now, pilot.follower.Members, pilot.follower.Upstream(), pilot.follower.Index)
 		}
 	case beacon.Redirect:
-		pilot.follower.Redirected(now, body)
+		pilot.follower.Redirected(now, body, effects)
 	case beacon.Heartbeat:
 		pilot.pulse.Beat(now, body)
 	case beacon.Suspicion:
--- a/internal/strand/keeper.go
+++ b/internal/strand/keeper.go
@@ -329,7 +329,7 @@
 	case beacon.News:
 		keeper.onNews(now, body, effects)
 	case beacon.Redirect:
-		keeper.follower.Redirected(now, body)
+		keeper.follower.Redirected(now, body, effects)
 	case beacon.Heartbeat:
 		keeper.pulse.Beat(now, body)
 	case beacon.ControlReturn:
--- a/internal/swell/client.go
+++ b/internal/swell/client.go
@@ -333,7 +333,7 @@
 	swell := client.swell
 	item.inFlight = true
 	item.tries++
-	began := swell.Now
+	began, node := swell.Now, client.node
 	message := item.message
 	swell.Oracle.Try(message, item.topic, item.data, began)
 	settled := false
@@ -343,6 +343,7 @@
 		}
 		settled = true
 		item.inFlight = false
+		swell.trace("%s try %d at %s on %s: %s", message, item.tries, node.Name, item.topic, outcome)
 		swell.Oracle.Answered(message, outcome, began, swell.Now)
 		if again < 0 || item.tries > 60 {
 			client.outbox = slices.DeleteFunc(client.outbox, func(other *outgoing) bool { return other == item })
--- a/internal/tender/tender.go
+++ b/internal/tender/tender.go
@@ -5,6 +5,7 @@
 package tender
 
 import (
+	"slices"
 	"time"
 
 	"dahlialock/internal/beacon"
@@ -113,13 +114,15 @@
 	case beacon.Ask:
 		if meta.From == tender.props.Lantern {
 			tender.relayed = relayed{ask: body, sentAt: now, open: true}
-			effects.Send(tender.follower.Upstream(), body)
+			for _, address := range tender.follower.Upstreams() {
+				effects.Send(address, body)
+			}
 		}
 	case beacon.News:
 		tender.onNews(now, body, effects)
 	case beacon.Redirect:
 		if body.For == tender.props.Self.Name {
-			tender.follower.Redirected(now, body)
+			tender.follower.Redirected(now, body, effects)
 			return
 		}
 		tender.redirectLantern(now, body, effects)
@@ -170,16 +173,14 @@
 	}
 }
 
-// redirectLantern sends the lantern's question to the primary that a pilot
-// named, unless it was asked there already.
+// redirectLantern lets a pilot that is not primary correct this tender's view of
+// who is, so that the lantern's next question goes the right way.
 func (tender *Tender) redirectLantern(now time.Time, redirect beacon.Redirect, effects *helm.Effects) {
 	if !tender.relayed.open || redirect.Nonce != tender.relayed.ask.Nonce {
 		return
 	}
-	tender.relayed.open = false
-	if redirect.Primary != "" && redirect.Primary != tender.follower.Upstream() {
+	if redirect.Primary != "" && !slices.Contains(tender.follower.Upstreams(), redirect.Primary) {
 		effects.Send(redirect.Primary, tender.relayed.ask)
-		return
 	}
-	effects.Send(tender.props.Lantern, beacon.Redirect{For: redirect.For, Nonce: redirect.Nonce})
+	tender.follower.Hurry(now)
 }
