Runs are reproducible; joins that wait for each other go on

Cause: (1) a closing channel left its overlay areas in map order. (2) with lost signals, joining peers could hold off each other's requests in a ring.

--- a/internal/fairway/fairway.go
+++ b/internal/fairway/fairway.go
@@ -94,6 +94,7 @@
 	Peers    []Peer
 	Boundary []Peer
 	Hops     uint8
+	Tries    uint8
 }
 
 // Signals is what one daemon's peers say to another daemon's in one step.
@@ -409,7 +410,7 @@
 	fairway.timers.ArmSooner("limits", peer.joining.until)
 	clear(peer.joinAsked)
 	peer.queued = false
-	request := Signal{Kind: SignalJoin, Space: peer.space.name, From: peer.self}
+	request := Signal{Kind: SignalJoin, Space: peer.space.name, From: peer.self, Tries: uint8(min(peer.joining.tries, 255))}
 	if start := fairway.nearestHosted(peer.space, peer.self.At, peer); start != nil {
 		fairway.forward(now, start, request)
 		return
@@ -493,7 +494,7 @@
 			return
 		}
 		if next, here := at.space.byKey[best.Key]; here {
-			if next.joining != nil {
+			if next.holdsOff(request) {
 				next.requests = append(next.requests, request)
 				return
 			}
@@ -917,7 +918,7 @@
 			fairway.signal(request.From.Key.Daemon, Signal{Kind: SignalGone, Space: request.Space, To: request.From.Key, From: Peer{Key: request.To}})
 		}
 	}
-	if named, present := here.byKey[request.To]; present && named.joining != nil {
+	if named, present := here.byKey[request.To]; present && named.holdsOff(request) {
 		// Somebody has accepted that peer, but it does not know its
 		// surroundings yet; the request waits for it.
 		named.requests = append(named.requests, request)
@@ -930,6 +931,13 @@
 	fairway.accept(now, here.anyJoining(), request)
 }
 
+// holdsOff tells whether a request should wait at a peer that is still joining.
+// One that was tried before may be part of a ring of requests that wait for
+// each other, and goes on with what there is.
+func (peer *hosted) holdsOff(request Signal) bool {
+	return peer.joining != nil && len(peer.known) == 0 && request.Tries <= 2
+}
+
 // onNobody counts the daemons that host no peer in a space; when all say so,
 // the joining peer is the first.
 func (fairway *Fairway) onNobody(now time.Time, peer *hosted, daemon string) {
--- a/internal/lamp/channel.go
+++ b/internal/lamp/channel.go
@@ -51,6 +51,16 @@
 	movedAt       time.Time
 }
 
+// interests lists what a channel subscribes to, in order.
+func (channel *channel) interests() []Interest {
+	interests := make([]Interest, 0, len(channel.subscriptions))
+	for interest := range channel.subscriptions {
+		interests = append(interests, interest)
+	}
+	slices.SortFunc(interests, compareInterests)
+	return interests
+}
+
 func (channel *channel) filling() bool {
 	for _, subscription := range channel.subscriptions {
 		if subscription.filling {
@@ -96,8 +106,8 @@
 	if !found {
 		return
 	}
-	for interest, subscription := range channel.subscriptions {
-		lantern.dropSubscription(now, visit.Channel, interest, subscription, effects)
+	for _, interest := range channel.interests() {
+		lantern.dropSubscription(now, visit.Channel, interest, channel.subscriptions[interest], effects)
 	}
 	delete(lantern.channels, visit.Channel)
 	number := foghorn.ChannelClosed
--- a/internal/swell/client.go
+++ b/internal/swell/client.go
@@ -246,6 +246,7 @@
 		client.takeCursor(event.Cursor)
 		switch event.Event {
 		case "message":
+			swell.trace("%s at %s gets %s/%s/%d on %s", client.Name, client.node.Name, event.Space, event.Sender, event.Seq, event.Topic)
 			swell.Oracle.Got(client.Name, oracle.Message{Space: event.Space, Sender: event.Sender, Seq: event.Seq}, event.Topic, string(event.Data), swell.Now)
 		case "ping":
 			swell.Call(client.node, func(visit uint64) any {
