--- a/cmd/harbour/main.go
+++ b/cmd/harbour/main.go
@@ -82,6 +82,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&up{}, "")
 	subcommands.Register(&hunt{}, "")
+	subcommands.Register(&trial{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- /dev/null
+++ b/internal/foghorn/foghorn_test.go
@@ -0,0 +1,41 @@
+// The catalogue in the code and the one in the docs are the same list.
+package foghorn
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+)
+
+func TestDocsAndCodeHaveTheSameEvents(t *testing.T) {
+	body, fault := os.ReadFile("../../docs/events.md")
+	assert.NilError(t, fault)
+	rows := map[string]bool{}
+	for _, line := range strings.Split(string(body), "\n") {
+		if strings.HasPrefix(line, "| ") && !strings.HasPrefix(line, "| number") && !strings.HasPrefix(line, "| ---") {
+			rows[line] = true
+		}
+	}
+	assert.Equal(t, len(rows), len(Catalogue))
+	for number, words := range Catalogue {
+		row := fmt.Sprintf("| %d | %s | %s |", number, strings.Replace(words.Level.String(), "warning", "warn", 1), words.Text)
+		assert.Assert(t, rows[row], "the docs lack %s", row)
+	}
+}
+
+func TestAnEventIsOneLineWithItsNumber(t *testing.T) {
+	var written bytes.Buffer
+	New(&written, "lantern-1", logrus.InfoLevel).Report(MemberLost, "member", "keeper-2")
+	var line map[string]any
+	assert.NilError(t, json.Unmarshal(written.Bytes(), &line))
+	assert.Equal(t, line["number"], float64(MemberLost))
+	assert.Equal(t, line["member"], "keeper-2")
+	assert.Equal(t, line["daemon"], "lantern-1")
+	assert.Equal(t, strings.Count(written.String(), "\n"), 1)
+}
--- a/internal/lamp/publish.go
+++ b/internal/lamp/publish.go
@@ -383,7 +383,9 @@
 		destinations := lantern.fairway.Destinations(state.name, area)
 		lantern.spread(now, item, destinations, settled, carry, effects)
 	}
-	lantern.onCarry(now, carry, effects)
+	if _, followed := lantern.trackers[name]; followed {
+		lantern.onCarry(now, carry, effects)
+	}
 	if lantern.fairway.Settled(state.name, area) {
 		spread(now, effects, true)
 		return
@@ -449,7 +451,9 @@
 			}
 		}
 		message := Pass{Space: state.name, Topic: visit.Topic, Sender: visit.Sender, Seq: visit.Seq, Data: visit.Data}
-		lantern.onPass(now, message, effects)
+		if len(state.holders(visit.Topic)) > 0 {
+			lantern.onPass(now, message, effects)
+		}
 		lantern.spread(now, item, lantern.fairway.Destinations(state.name, area), true, message, effects)
 		lantern.finish(now, item, accepted(map[string]any{"again": false}), effects)
 	}, effects)
