--- a/cmd/keeper/main.go
+++ b/cmd/keeper/main.go
@@ -27,6 +27,9 @@
 		Visit: func(local uint64, method, path string, body []byte) any {
 			return strand.Visit{Local: local, Method: method, Path: path, Body: body}
 		},
+		Find: func(local uint64, visit, message, origin string) any {
+			return strand.FindDecisions{Local: local, Visit: visit, Message: message, Origin: origin}
+		},
 		Counters: func() any { return map[string]any{"keeper": machine.Counts, "strands": machine.Strands()} },
 	}, nil
 }
--- a/internal/strand/keeper.go
+++ b/internal/strand/keeper.go
@@ -18,6 +18,7 @@
 	"dahlialock/internal/flare"
 	"dahlialock/internal/foghorn"
 	"dahlialock/internal/helm"
+	"dahlialock/internal/soundings"
 )
 
 // Spans of a keeper's work.
@@ -50,6 +51,12 @@
 	Body   []byte
 }
 
+// FindDecisions asks the ring of recorded decisions.
+type FindDecisions struct {
+	Local                  uint64
+	Visit, Message, Origin string
+}
+
 // Stop asks the keeper to end in good order.
 type Stop struct{}
 
@@ -108,6 +115,7 @@
 	pulse     *beacon.Pulse
 	cutter    *cutter.Cutter
 	timers    *helm.Timers
+	ring      *soundings.Ring
 	followers map[string]*follower
 	config    chart.Configuration
 	stopping  bool
@@ -125,7 +133,7 @@
 // New makes a keeper from what its disk held.
 func New(props Props, frame []byte, entries [][]byte) (*Keeper, error) {
 	keeper := &Keeper{
-		props: props, strands: map[string]*held{}, timers: helm.NewTimers(),
+		props: props, strands: map[string]*held{}, timers: helm.NewTimers(), ring: soundings.NewRing(props.Self.Name),
 		followers: map[string]*follower{}, pending: map[uint64][]afterSync{}, dirty: map[string]bool{},
 	}
 	if len(frame) > 0 {
@@ -287,6 +295,8 @@
 		}
 	case Visit:
 		keeper.cutter.Carry(now, body.Local, body.Method, body.Path, body.Body, effects)
+	case FindDecisions:
+		effects.Return(body.Local, keeper.ring.Find(body.Visit, body.Message, body.Origin))
 	case Stop:
 		keeper.stopping = true
 		for _, member := range helm.Sorted(keeper.follower.Members) {
@@ -453,6 +463,7 @@
 		if found {
 			epoch = strand.place.Epoch
 		}
+		keeper.ring.Record(now, "", soundings.MessageName(visit.Strand, visit.Sender, visit.Seq), visit.Sender, "not-kept", "strand", visit.Strand, "code", code, "epoch", epoch)
 		effects.Send(from, AppendReturn{Strand: visit.Strand, Visit: visit.Visit, Outcome: Refused, Code: code, RetryAfter: back, Epoch: epoch})
 	}
 	if !keeper.Ready() || !found || !keeper.isFirst(strand) {
@@ -538,6 +549,8 @@
 			continue
 		}
 		keeper.Counts.Accepted++
+		keeper.ring.Record(now, "", soundings.MessageName(strand.log.Name, records[0].Sender, records[0].Seq), records[0].Sender, "accepted",
+			"strand", strand.log.Name, "epoch", strand.place.Epoch, "offset", offset, "first", strand.place.First, "understudy", strand.place.Understudy)
 		for _, each := range waiters {
 			effects.Send(each.from, AppendReturn{
 				Strand: strand.log.Name, Visit: each.visit, Outcome: Accepted, Epoch: strand.place.Epoch, Record: records[0],
--- a/internal/swell/swell_test.go
+++ b/internal/swell/swell_test.go
@@ -30,3 +30,51 @@
 	}
 	assert.Equal(t, sums[0], sums[1])
 }
+
+// Seeds that once failed stay here with the scenario and what they showed.
+var remembered = []struct {
+	scenario string
+	seed     uint64
+	showed   string
+}{
+	{"wipe-keeper", 3, "a wiped keeper acted as first on a blank log"},
+	{"kill-lantern", 1, "a ping carried a place without interests"},
+	{"kill-lantern", 2, "a join was given up while its way led through a lost daemon"},
+	{"lose-place", 24, "followers went round the pilots one by one"},
+	{"calm", 15, "a fill ended below what its strand was verified to"},
+	{"resets", 70, "a sender came back to a lantern with an old trail"},
+	{"freeze-lantern", 0, "held messages kept a strand from being fresh"},
+	{"vanish", 0, "the chain of a sender's messages broke at one of no interest"},
+	{"resets", 5, "a resend after a move was refused in a passing space"},
+}
+
+func judge(t *testing.T, scenario Scenario, seed uint64) {
+	t.Helper()
+	run := Run(scenario, seed, Small, nil)
+	for _, line := range run.Oracle.Violations() {
+		t.Errorf("harbour swell -scenario %s -from %d -seeds 1 -trace: %s", scenario.Name, seed, line)
+	}
+	assert.Assert(t, run.Oracle.Accepted > 200 && run.Oracle.Delivered > 1000, "seed %d did little: %s", seed, run.Oracle.Summary())
+}
+
+func TestScenariosKeepThePromises(t *testing.T) {
+	for _, scenario := range Scenarios() {
+		t.Run(scenario.Name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(2) {
+				judge(t, scenario, 1000+seed)
+			}
+		})
+	}
+}
+
+func TestRememberedSeeds(t *testing.T) {
+	for _, each := range remembered {
+		t.Run(fmt.Sprintf("%s-%d", each.scenario, each.seed), func(t *testing.T) {
+			t.Parallel()
+			scenario, found := Find(each.scenario)
+			assert.Assert(t, found)
+			judge(t, scenario, each.seed)
+		})
+	}
+}
