--- a/cmd/harbour/origin.go
+++ b/cmd/harbour/origin.go
@@ -31,6 +31,7 @@
 	interests []oracle.Interest
 	served    atomic.Bool
 	address   atomic.Pointer[string]
+	last      atomic.Pointer[string]
 	resets    chan struct{}
 	ended     chan struct{}
 	cancel    context.CancelFunc
@@ -72,6 +73,7 @@
 		if number%120 == 7 {
 			each.interests = append(each.interests, oracle.Interest{Space: "boards", Wide: true})
 		}
+		each.tell("begins")
 		run.origins = append(run.origins, each)
 		go each.live()
 	}
@@ -86,6 +88,11 @@
 	}
 }
 
+func (origin *trialOrigin) tell(text string, values ...any) {
+	line := fmt.Sprintf(text, values...)
+	origin.last.Store(&line)
+}
+
 func (origin *trialOrigin) stop() { origin.cancel() }
 
 func subscriptions(interests []oracle.Interest) []caller.Subscription {
@@ -116,9 +123,11 @@
 			time.Sleep(200 * time.Millisecond)
 			continue
 		}
+		origin.tell("opening at %s", target)
 		channel, fault := origin.caller.Open(origin.living, target)
 		target = ""
 		if fault != nil {
+			origin.tell("opening: %v", fault)
 			time.Sleep(100 * time.Millisecond)
 			continue
 		}
@@ -148,6 +157,7 @@
 
 func (origin *trialOrigin) subscribe(channel *caller.Channel, cursor *string, cutAt time.Time) bool {
 	for origin.living.Err() == nil {
+		origin.tell("subscribing at %s", channel.Address)
 		within, cancel := context.WithTimeout(origin.living, 3*time.Second)
 		wanted := subscriptions(origin.interests)
 		resumes := *cursor != ""
@@ -156,6 +166,7 @@
 		}
 		answer, fault := origin.caller.Subscribe(within, channel, wanted, *cursor)
 		cancel()
+		origin.tell("subscribing at %s: %v %+v", channel.Address, fault, answer)
 		switch {
 		case fault != nil:
 			return false
--- a/cmd/harbour/trial.go
+++ b/cmd/harbour/trial.go
@@ -308,11 +308,16 @@
 	}
 	time.Sleep(2 * time.Second)
 	stopSample := make(chan struct{})
-	go run.sample(stopSample)
+	sampled := make(chan struct{})
+	go func() {
+		defer close(sampled)
+		run.sample(stopSample)
+	}()
 	began := time.Now()
 	run.startOrigins()
 	if !run.waitSubscribed(60 * time.Second) {
 		fmt.Println("not all origins are subscribed")
+		run.tellUnserved()
 	}
 	fmt.Printf("%d origins subscribed after %s\n", len(run.origins), time.Since(began).Round(10*time.Millisecond))
 	before := run.measure()
@@ -334,6 +339,7 @@
 	time.Sleep(20 * time.Second)
 	served := run.waitSubscribed(5 * time.Second)
 	close(stopSample)
+	<-sampled
 	for _, each := range run.origins {
 		each.stop()
 	}
@@ -341,6 +347,7 @@
 	at := time.Now()
 	run.book.note(func(oracle *oracle.Oracle) {
 		if !served {
+			run.tellUnserved()
 			oracle.Violate("not-back", "not all origins are served at the end")
 		}
 		oracle.Close(at)
@@ -371,6 +378,14 @@
 	return false
 }
 
+func (run *trialRun) tellUnserved() {
+	for _, each := range run.origins {
+		if !each.served.Load() {
+			fmt.Printf("  %s: %s\n", each.name, *each.last.Load())
+		}
+	}
+}
+
 type measured struct {
 	processor  map[string]time.Duration
 	bytesAway  float64
--- a/internal/berth/daemon.go
+++ b/internal/berth/daemon.go
@@ -14,6 +14,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -343,6 +344,8 @@
 		writeJSON(writer, http.StatusOK, map[string]any{"version": configuration.Version, "spaces": len(configuration.Spaces)})
 	})
 	mux.HandleFunc("/v1/", process.sendOn)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/heap", pprof.Handler("heap").ServeHTTP)
 	return mux
 }
 
--- a/internal/lamp/channel.go
+++ b/internal/lamp/channel.go
@@ -42,6 +42,7 @@
 	origin        string
 	subscriptions map[Interest]*subscription
 	got           map[string]map[uint64]time.Time
+	above         map[string]map[uint64]bool
 	marks         map[string]map[string]mark
 	buffer        []Carry
 	floors        map[string]uint64
@@ -90,7 +91,7 @@
 	}
 	lantern.channels[visit.Channel] = &channel{
 		name: visit.Name, origin: visit.Origin, subscriptions: map[Interest]*subscription{},
-		got: map[string]map[uint64]time.Time{}, marks: map[string]map[string]mark{}, pongAt: now, pingAt: now,
+		got: map[string]map[uint64]time.Time{}, above: map[string]map[uint64]bool{}, marks: map[string]map[string]mark{}, pongAt: now, pingAt: now,
 	}
 	lantern.timers.ArmSooner("tick", now.Add(tickEvery))
 	lantern.ring.Record(now, "", "", visit.Origin, "channel-opened", "channel", visit.Name)
@@ -315,14 +316,23 @@
 
 // hadAlready notes offsets that the origin had before it came here.
 func (channel *channel) hadAlready(now time.Time, name string, offsets []uint64) {
-	got := channel.got[name]
-	if got == nil {
-		got = map[uint64]time.Time{}
-		channel.got[name] = got
-	}
 	for _, offset := range offsets {
-		got[offset] = now
+		channel.takes(now, name, offset)
+	}
+}
+
+// takes notes that the origin has a message now, and tells whether it had not.
+// What is above the place's floor is kept apart, since every cursor names it.
+func (channel *channel) takes(now time.Time, name string, offset uint64) bool {
+	if channel.got[name] == nil {
+		channel.got[name], channel.above[name] = map[uint64]time.Time{}, map[uint64]bool{}
 	}
+	if _, had := channel.got[name][offset]; had {
+		return false
+	}
+	channel.got[name][offset] = now
+	channel.above[name][offset] = true
+	return true
 }
 
 // notBefore notes that an interest began above the place's floor.
@@ -692,11 +702,14 @@
 	if channel.filling() {
 		return
 	}
-	buffer, passes := channel.buffer, channel.passBuffer
-	channel.buffer, channel.passBuffer = nil, nil
-	for _, carry := range buffer {
+	// What is left in the buffer keeps the cursor's floor below it.
+	for len(channel.buffer) > 0 {
+		carry := channel.buffer[0]
+		channel.buffer = channel.buffer[1:]
 		lantern.offer(now, id, channel, carry, effects)
 	}
+	passes := channel.passBuffer
+	channel.passBuffer = nil
 	for _, message := range passes {
 		lantern.offerPass(now, id, channel, message, effects)
 	}
@@ -739,15 +752,9 @@
 
 // hand gives a kept message to a channel once.
 func (lantern *Lantern) hand(now time.Time, id uint64, channel *channel, carry Carry, effects *helm.Effects) {
-	got := channel.got[carry.Strand]
-	if got == nil {
-		got = map[uint64]time.Time{}
-		channel.got[carry.Strand] = got
-	}
-	if _, had := got[carry.Record.Offset]; had || !channel.movedAt.IsZero() {
+	if !channel.movedAt.IsZero() || !channel.takes(now, carry.Strand, carry.Record.Offset) {
 		return
 	}
-	got[carry.Record.Offset] = now
 	space, _ := spaceOf(carry.Strand)
 	lantern.Counts.Delivered++
 	lantern.ring.Record(now, "", soundings.MessageName(space, carry.Record.Sender, carry.Record.Seq), channel.origin, "delivered",
--- a/internal/lamp/cursor.go
+++ b/internal/lamp/cursor.go
@@ -106,11 +106,7 @@
 		floor(name, at)
 	}
 	for name, at := range place.Strands {
-		for offset := range channel.got[name] {
-			if offset > at.Floor {
-				at.Extras = append(at.Extras, offset)
-			}
-		}
+		at.Extras = channel.extras(name, at.Floor)
 		slices.Sort(at.Extras)
 		for interest, subscription := range channel.subscriptions {
 			if since, found := subscription.since[name]; found && !subscription.filling && since > at.Floor && channel.floors == nil {
@@ -150,3 +146,26 @@
 	}
 	return strings.Compare(left.key(), right.key())
 }
+
+// extras lists what the origin has above a floor. In the ordinary case floors
+// only rise, and what falls below one is let go; while a backlog is handed over
+// the floor is an older one, and all that is remembered counts.
+func (channel *channel) extras(name string, floor uint64) []uint64 {
+	var extras []uint64
+	if channel.floors != nil {
+		for offset := range channel.got[name] {
+			if offset > floor {
+				extras = append(extras, offset)
+			}
+		}
+		return extras
+	}
+	for offset := range channel.above[name] {
+		if offset > floor {
+			extras = append(extras, offset)
+		} else {
+			delete(channel.above[name], offset)
+		}
+	}
+	return extras
+}
