A crowd's tries make progress; a retrying origin keeps its channel

Their channels then ended for want of pongs, since a client reads no events while it subscribes. After: the peer stays 6 s after a try was given up on; a subscribe counts as a sign of life.

--- a/cmd/harbour/origin.go
+++ b/cmd/harbour/origin.go
@@ -183,6 +183,8 @@
 				})
 			}
 			return true
+		case answer.Code == "no-such-channel" || answer.Code == "moved":
+			return false
 		case answer.RetryAfterMs > 0:
 			time.Sleep(time.Duration(answer.RetryAfterMs) * time.Millisecond)
 		default:
--- a/internal/lamp/channel.go
+++ b/internal/lamp/channel.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"dahlialock/internal/chart"
+	"dahlialock/internal/fairway"
 	"dahlialock/internal/foghorn"
 	"dahlialock/internal/helm"
 	"dahlialock/internal/soundings"
@@ -18,12 +19,11 @@
 )
 
 const (
-	gotMemory    = 100 * time.Second
-	markMemory   = 40 * time.Second
-	fetchRetry   = 250 * time.Millisecond
-	backlogMost  = 200000
-	refetchMost  = 64
-	everyFetchTo = 512
+	gotMemory   = 100 * time.Second
+	markMemory  = 40 * time.Second
+	fetchRetry  = 250 * time.Millisecond
+	lingerFor   = 6 * time.Second
+	refetchMost = 64
 )
 
 type mark struct {
@@ -108,7 +108,7 @@
 		return
 	}
 	for _, interest := range channel.interests() {
-		lantern.dropSubscription(now, visit.Channel, interest, channel.subscriptions[interest], effects)
+		lantern.dropSubscription(now, visit.Channel, interest, channel.subscriptions[interest].filling, effects)
 	}
 	delete(lantern.channels, visit.Channel)
 	number := foghorn.ChannelClosed
@@ -219,6 +219,7 @@
 		answer(refused(404, "no-such-channel", "this channel is not open here", 0))
 		return
 	}
+	channel.pongAt = now
 	if !channel.movedAt.IsZero() {
 		answer(refused(409, "moved", "this channel was asked to move", 0))
 		return
@@ -388,7 +389,10 @@
 	}
 }
 
-func (lantern *Lantern) dropSubscription(now time.Time, id uint64, interest Interest, subscription *subscription, effects *helm.Effects) {
+// dropSubscription ends a subscription. Where it was given up on before its
+// overlay peer had settled, the peer stays for a while, so that the origin's
+// next try finds it further on instead of beginning anew.
+func (lantern *Lantern) dropSubscription(now time.Time, id uint64, interest Interest, linger bool, effects *helm.Effects) {
 	channel := lantern.channels[id]
 	delete(channel.subscriptions, interest)
 	state, found := lantern.spaces[interest.Space]
@@ -408,7 +412,31 @@
 			delete(lantern.trackers, name)
 		}
 	}
-	lantern.fairway.Unsubscribe(now, state.name, areaOf(state.space, interest.Path), effects)
+	area := areaOf(state.space, interest.Path)
+	if linger {
+		lantern.lingering = append(lantern.lingering, lingered{space: state.name, area: area, until: now.Add(lingerFor)})
+		return
+	}
+	lantern.fairway.Unsubscribe(now, state.name, area, effects)
+}
+
+// lingered is an overlay holding that outlives its subscription for a while.
+type lingered struct {
+	space string
+	area  fairway.Area
+	until time.Time
+}
+
+func (lantern *Lantern) endLingering(now time.Time, effects *helm.Effects) {
+	kept := lantern.lingering[:0]
+	for _, each := range lantern.lingering {
+		if each.until.After(now) {
+			kept = append(kept, each)
+			continue
+		}
+		lantern.fairway.Unsubscribe(now, each.space, each.area, effects)
+	}
+	lantern.lingering = kept
 }
 
 func (lantern *Lantern) unsubscribe(now time.Time, visit Unsubscribe, effects *helm.Effects) {
@@ -419,8 +447,8 @@
 		return
 	}
 	for _, interest := range visit.Interests {
-		if subscription, present := channel.subscriptions[interest]; present {
-			lantern.dropSubscription(now, visit.Channel, interest, subscription, effects)
+		if _, present := channel.subscriptions[interest]; present {
+			lantern.dropSubscription(now, visit.Channel, interest, false, effects)
 		}
 	}
 	effects.Return(visit.Visit, accepted(map[string]any{"subscriptions": len(channel.subscriptions)}))
@@ -499,7 +527,7 @@
 	if channel, found := lantern.channels[round.channel]; found {
 		for _, interest := range round.interests {
 			if subscription, present := channel.subscriptions[interest]; present && subscription.filling {
-				lantern.dropSubscription(now, round.channel, interest, subscription, effects)
+				lantern.dropSubscription(now, round.channel, interest, true, effects)
 			}
 		}
 		lantern.drain(now, round.channel, channel, effects)
@@ -549,7 +577,7 @@
 	if channel, found := lantern.channels[round.channel]; found {
 		for _, interest := range round.interests {
 			if subscription, present := channel.subscriptions[interest]; present && subscription.filling {
-				lantern.dropSubscription(now, round.channel, interest, subscription, effects)
+				lantern.dropSubscription(now, round.channel, interest, true, effects)
 			}
 		}
 	}
--- a/internal/lamp/lantern.go
+++ b/internal/lamp/lantern.go
@@ -93,6 +93,7 @@
 	behind     uint64
 	deferred   []deferred
 	looks      []lookout
+	lingering  []lingered
 	stopping   bool
 	stopUntil  time.Time
 	wasReady   bool
@@ -485,6 +486,7 @@
 	for id, channel := range helm.Sorted(lantern.channels) {
 		lantern.tendChannel(now, id, channel, effects)
 	}
+	lantern.endLingering(now, effects)
 	for key, sender := range lantern.senders {
 		if len(sender.queue) == 0 && now.Sub(sender.lastUse) > senderIdle {
 			delete(lantern.senders, key)
--- a/internal/swell/client.go
+++ b/internal/swell/client.go
@@ -215,6 +215,8 @@
 			swell.trace("%s lost its place, cut %s ago", client.Name, swell.Now.Sub(client.cutAt))
 			swell.Oracle.PlaceLost(client.Name, client.cutAt, swell.Now)
 			client.Gone = true
+		case answer.Code == "no-such-channel" || answer.Code == "moved":
+			client.cut(turn, 20*time.Millisecond)
 		case answer.RetryAfter > 0:
 			swell.After(answer.RetryAfter, func() {
 				if client.turn == turn {
