A search for the primary is answered at once

Cause: a follower that looks for the primary asks anew each 0.3 s and takes only the answer to its newest question; the primary held questions without news for 0.6 s, so the answer never fitted until something changed. Excluded: the tender (it passed all on), the primary (others were answered). Before: the new follower test stays unconfirmed (9.98 s and rising). After: confirmed within 1.2 s.

--- a/internal/beacon/follower.go
+++ b/internal/beacon/follower.go
@@ -36,6 +36,7 @@
 	patient   bool
 	fixed     bool
 	searching bool
+	hurried   bool
 	Index     uint64
 	Version   uint64
 	Epoch     uint64
@@ -97,6 +98,7 @@
 	if follower.waiting && now.Sub(follower.askedAt) < 50*time.Millisecond {
 		return
 	}
+	follower.hurried = true
 	follower.timers.Arm("ask", now)
 }
 
@@ -134,7 +136,7 @@
 func (follower *Follower) askAt(address string, effects *helm.Effects) {
 	effects.Send(address, Ask{
 		Self: follower.self, Nonce: follower.nonce, Index: follower.Index, Version: follower.Version,
-		Load: follower.load(), Patient: follower.patient,
+		Load: follower.load(), Patient: follower.patient, Urgent: follower.searching || follower.hurried,
 	})
 }
 
@@ -198,7 +200,7 @@
 	}
 	var taken Taken
 	if news.Nonce == follower.nonce {
-		follower.waiting, follower.searching = false, false
+		follower.waiting, follower.searching, follower.hurried = false, false, false
 		follower.timers.Disarm("limit")
 		follower.timers.Arm("ask", now)
 		taken.Answered = true
--- a/internal/beacon/member.go
+++ b/internal/beacon/member.go
@@ -68,6 +68,9 @@
 	Version uint64
 	Load    Load
 	Patient bool
+	// Urgent asks to be answered at once, news or not: the asker looks for the
+	// primary, or a visit waits for what there is.
+	Urgent bool
 }
 
 // News answers an Ask.
--- a/internal/lamp/channel.go
+++ b/internal/lamp/channel.go
@@ -662,6 +662,17 @@
 // that must be asked again for a record that another one refers to.
 func merge(round *fetch) (ordered []Carry, again []string) {
 	at := map[string]int{}
+	// What is older than a trail is ordered by the sender's seq alone.
+	turns := map[string][]uint64{}
+	for name, records := range round.records {
+		_, full := spaceOf(name)
+		for _, record := range records {
+			turns[full+" "+record.Sender] = append(turns[full+" "+record.Sender], record.Seq)
+		}
+	}
+	for key := range turns {
+		slices.Sort(turns[key])
+	}
 	for {
 		progress, left := false, false
 		again = nil
@@ -673,10 +684,12 @@
 				if len(missing) > 0 {
 					again = append(again, missing...)
 				}
-				if len(missing) > 0 || waits {
+				turn := full + " " + record.Sender
+				if len(missing) > 0 || waits || turns[turn][0] < record.Seq {
 					left = true
 					break
 				}
+				turns[turn] = turns[turn][1:]
 				ordered = append(ordered, Carry{Strand: name, Record: record})
 				at[name]++
 				progress = true
@@ -685,6 +698,11 @@
 		if !left {
 			return ordered, nil
 		}
+		if !progress && len(again) == 0 {
+			// Only a sender that published through two lanterns at once, out
+			// of its own order, brings this about.
+			return append(ordered, leftOver(round, at)...), nil
+		}
 		if !progress {
 			slices.Sort(again)
 			return ordered, slices.Compact(again)
@@ -692,6 +710,18 @@
 	}
 }
 
+// leftOver lists what could not be ordered, by the time at which it was kept.
+func leftOver(round *fetch, at map[string]int) []Carry {
+	var rest []Carry
+	for name, records := range helm.Sorted(round.records) {
+		for _, record := range records[at[name]:] {
+			rest = append(rest, Carry{Strand: name, Record: record})
+		}
+	}
+	slices.SortStableFunc(rest, func(left, right Carry) int { return left.Record.At.Compare(right.Record.At) })
+	return rest
+}
+
 // before tells what a missed message must wait for: strands to be asked again,
 // since they were asked before what it refers to was kept, or records that are
 // here and have not had their turn.
--- a/internal/lamp/tracker.go
+++ b/internal/lamp/tracker.go
@@ -24,6 +24,7 @@
 	holeAfter   = 40 * time.Millisecond
 	followEvery = 2 * time.Second
 	skipMost    = 2048
+	knotAfter   = 8 * time.Second
 )
 
 type followed struct {
@@ -43,6 +44,7 @@
 	head      uint64
 	delivered map[uint64]time.Time
 	held      map[uint64]strand.Record
+	heldSince map[uint64]time.Time
 	verifying bool
 	wanted    bool
 	freshAt   time.Time
@@ -62,7 +64,7 @@
 	if !found {
 		space, full := spaceOf(name)
 		present = &tracker{
-			name: name, space: space, full: full, freshAt: now, interests: map[Interest]*followed{}, delivered: map[uint64]time.Time{}, held: map[uint64]strand.Record{},
+			name: name, space: space, full: full, freshAt: now, interests: map[Interest]*followed{}, delivered: map[uint64]time.Time{}, held: map[uint64]strand.Record{}, heldSince: map[uint64]time.Time{},
 		}
 		if state, known := lantern.spaces[space]; known {
 			present.shared = state.space.Order == chart.OrderChannel
@@ -133,6 +135,11 @@
 }
 
 func (tracker *tracker) prune(now time.Time) {
+	for offset := range tracker.heldSince {
+		if _, waits := tracker.held[offset]; !waits {
+			delete(tracker.heldSince, offset)
+		}
+	}
 	for offset, at := range tracker.delivered {
 		if offset <= tracker.verified && now.Sub(at) > verifyEvery {
 			delete(tracker.delivered, offset)
@@ -200,9 +207,8 @@
 // fresh tells whether every strand of a space that is followed here was
 // verified lately, so that nothing older than a trail can be missing.
 func (lantern *Lantern) fresh(now time.Time, full string) bool {
-	for name, other := range lantern.trackers {
+	for _, other := range lantern.trackers {
 		if other.full == full && other.began && now.Sub(other.freshAt) > strand.FreshFor {
-			_ = name
 			return false
 		}
 	}
@@ -227,6 +233,11 @@
 	if tracker.shared {
 		return true
 	}
+	// Where all is fresh nothing can be missing for long; what still waits is
+	// from a sender that published out of its own order through two lanterns.
+	if since, noted := tracker.heldSince[record.Offset]; noted && now.Sub(since) > knotAfter && lantern.fresh(now, tracker.full) {
+		return true
+	}
 	for _, mark := range record.Before.Marks {
 		other, found := lantern.trackers[strandName(tracker.full, int(mark.Strand))]
 		if found && !(other == tracker && mark.Offset >= record.Offset) && !other.settled(mark.Topic, mark.Offset) {
@@ -258,6 +269,9 @@
 				delete(tracker.held, offset)
 				continue
 			}
+			if _, noted := tracker.heldSince[offset]; !noted {
+				tracker.heldSince[offset] = now
+			}
 			key := tracker.full + " " + record.Sender
 			bySender[key] = append(bySender[key], waiting{tracker: tracker, record: record})
 		}
--- a/internal/pilotage/pilot.go
+++ b/internal/pilotage/pilot.go
@@ -229,7 +229,7 @@
 		hold = beacon.PatientHold
 	}
 	item := held{from: from, ask: ask, limit: now.Add(hold)}
-	if ask.Index != pilot.state.Index || ask.Version != pilot.state.Version {
+	if ask.Index != pilot.state.Index || ask.Version != pilot.state.Version || ask.Urgent {
 		pilot.give(now, item, effects)
 		return
 	}
