--- a/internal/beacon/follower.go
+++ b/internal/beacon/follower.go
@@ -15,10 +15,10 @@
 // Spans of following.
 const (
 	HoldAsk      = 600 * time.Millisecond
-	PatientHold  = 10 * time.Second
+	PatientHold  = 1500 * time.Millisecond
 	askLimit     = HoldAsk + 300*time.Millisecond
 	searchEvery  = 300 * time.Millisecond
-	patientLimit = PatientHold + time.Second
+	patientLimit = PatientHold + 300*time.Millisecond
 	FreshFor     = time.Second
 	ConfirmedFor = 2500 * time.Millisecond
 )
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -128,6 +128,7 @@
 	bench.garbage()
 	bench.settings()
 	bench.moves()
+	bench.damage()
 	bench.retires()
 }
 
@@ -340,6 +341,61 @@
 	assert.NilError(t, bench.fleet.WaitReady(wide, "lantern-2"))
 }
 
+// damage flips a byte in the middle of a keeper's log: it is reported, put
+// aside, and the copy rebuilt; what was accepted is still there for a cursor.
+func (bench *bench) damage() {
+	t, within := bench.t, context.Background()
+	reader, writer := bench.origin("dan"), bench.origin("ada")
+	channel, fault := reader.Open(within, bench.fleet.Daemons["lantern-1"].Caller)
+	assert.NilError(t, fault)
+	answer, fault := reader.Subscribe(within, channel, []caller.Subscription{{Space: "boards", Prefix: new(string)}}, "")
+	assert.NilError(t, fault)
+	assert.Equal(t, answer.Status, 200, "%+v", answer)
+	channel.Close()
+	for seq := range uint64(20) {
+		kept, fault := writer.Publish(within, bench.fleet.Daemons["lantern-3"].Caller, "boards", fmt.Sprintf("damage/%d", seq), 200+seq, seq)
+		assert.NilError(t, fault)
+		assert.Equal(t, kept.Outcome, "accepted", "%+v", kept)
+	}
+	bench.fleet.Kill("keeper-1")
+	data := filepath.Join(filepath.Dir(bench.fleet.LogPath("keeper-1")), "data")
+	logs, fault := filepath.Glob(filepath.Join(data, "log-*"))
+	assert.NilError(t, fault)
+	assert.Assert(t, len(logs) > 0)
+	for _, name := range logs {
+		body, fault := os.ReadFile(name)
+		assert.NilError(t, fault)
+		if len(body) < 200 {
+			continue
+		}
+		body[len(body)/3] ^= 0x5a
+		assert.NilError(t, os.WriteFile(name, body, 0o644))
+	}
+	assert.NilError(t, bench.fleet.Start("keeper-1"))
+	bench.logs("keeper-1", `"number":1041`)
+	assert.NilError(t, bench.fleet.WaitReady(wide, "keeper-1"))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		again, fault := reader.Open(within, bench.fleet.Daemons["lantern-2"].Caller)
+		if fault != nil {
+			return poll.Continue("%v", fault)
+		}
+		defer again.Close()
+		resumed, fault := reader.Subscribe(within, again, nil, answer.Cursor)
+		if fault != nil || resumed.Status != 200 {
+			return poll.Continue("%v %+v", fault, resumed)
+		}
+		assert.Equal(t, resumed.Missed, 20)
+		return poll.Success()
+	}, poll.WithTimeout(wide))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		_, output := bench.command("dahlialock", "placement", "-ctl", bench.fleet.Daemons["pilot-2"].Control)
+		if strings.Contains(output, "false") || !strings.Contains(output, "true") {
+			return poll.Continue("not all strands are complete")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(wide))
+}
+
 func (bench *bench) retires() {
 	t := bench.t
 	code, output := bench.command("dahlialock", "keeper", "-wait", "40s", "-ctl", bench.fleet.Daemons["tender-1"].Control, "retire", "keeper-2")
--- a/internal/swell/swell.go
+++ b/internal/swell/swell.go
@@ -57,25 +57,26 @@
 
 // Swell is one run.
 type Swell struct {
-	Seed    uint64
-	Random  *rand.Rand
-	Now     time.Time
-	Oracle  *oracle.Oracle
-	Size    Size
-	Trace   func(line string)
-	started time.Time
-	queue   events
-	order   uint64
-	nodes   map[string]*Node
-	byPort  map[string]*Node
-	arrival map[string]time.Time
-	cuts    map[string]bool
-	loss    float64
-	clients []*Client
-	number  uint64
-	Events  int
-	Sent    map[string]int
-	Away    int64
+	Seed     uint64
+	Random   *rand.Rand
+	Now      time.Time
+	Oracle   *oracle.Oracle
+	Size     Size
+	Trace    func(line string)
+	started  time.Time
+	queue    events
+	order    uint64
+	nodes    map[string]*Node
+	byPort   map[string]*Node
+	arrival  map[string]time.Time
+	cuts     map[string]bool
+	loss     float64
+	clients  []*Client
+	operator *Operator
+	number   uint64
+	Events   int
+	Sent     map[string]int
+	Away     int64
 }
 
 // Node is one daemon of the run.
