--- a/cmd/harbour/main.go
+++ b/cmd/harbour/main.go
@@ -39,25 +39,28 @@
 	return filepath.Dir(path)
 }
 
-func (up *up) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	deployment, found := fleet.Deployments[up.deployment]
+// begin lays a fleet out in a folder, a new one if none is named, and starts it.
+func begin(name, folder, binaries string) (*fleet.Fleet, string, error) {
+	deployment, found := fleet.Deployments[name]
 	if !found {
-		fmt.Fprintf(os.Stderr, "harbour: no deployment is named %q\n", up.deployment)
-		return subcommands.ExitUsageError
+		return nil, "", fmt.Errorf("no deployment is named %q", name)
 	}
-	folder := up.folder
 	if folder == "" {
 		made, fault := os.MkdirTemp("", "harbour-")
 		if fault != nil {
-			fmt.Fprintln(os.Stderr, "harbour:", fault)
-			return subcommands.ExitFailure
+			return nil, "", fault
 		}
 		folder = made
 	}
-	running, fault := fleet.New(deployment, folder, up.binaries)
-	if fault == nil {
-		fault = running.StartAll()
+	running, fault := fleet.New(deployment, folder, binaries)
+	if fault != nil {
+		return nil, folder, fault
 	}
+	return running, folder, running.StartAll()
+}
+
+func (up *up) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	running, folder, fault := begin(up.deployment, up.folder, up.binaries)
 	if fault != nil {
 		fmt.Fprintln(os.Stderr, "harbour:", fault)
 		return subcommands.ExitFailure
--- a/cmd/harbour/trial.go
+++ b/cmd/harbour/trial.go
@@ -94,31 +94,14 @@
 }
 
 func (trial *trial) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	deployment, found := fleet.Deployments[trial.deployment]
-	if !found {
-		fmt.Fprintf(os.Stderr, "harbour: no deployment is named %q\n", trial.deployment)
-		return subcommands.ExitUsageError
-	}
-	folder := trial.folder
-	if folder == "" {
-		made, fault := os.MkdirTemp("", "harbour-")
-		if fault != nil {
-			fmt.Fprintln(os.Stderr, "harbour:", fault)
-			return subcommands.ExitFailure
-		}
-		folder = made
-		if !trial.keep {
-			defer func() { _ = os.RemoveAll(made) }()
-		}
-	}
-	running, fault := fleet.New(deployment, folder, trial.binaries)
-	if fault == nil {
-		fault = running.StartAll()
-	}
+	running, folder, fault := begin(trial.deployment, trial.folder, trial.binaries)
 	if fault != nil {
 		fmt.Fprintln(os.Stderr, "harbour:", fault)
 		return subcommands.ExitFailure
 	}
+	if trial.folder == "" && !trial.keep {
+		defer func() { _ = os.RemoveAll(folder) }()
+	}
 	defer running.StopAll()
 	if fault := running.WaitReady(60*time.Second, running.Names()...); fault != nil {
 		fmt.Fprintln(os.Stderr, "harbour:", fault)
--- a/internal/beacon/follower.go
+++ b/internal/beacon/follower.go
@@ -260,3 +260,10 @@
 	follower.guess++
 	return follower.pilots[follower.guess%len(follower.pilots)]
 }
+
+// AnswerChart gives a daemon that asks a configuration newer than its own.
+func (follower *Follower) AnswerChart(to string, ask ChartAsk, effects *helm.Effects) {
+	if follower.Version > ask.Version {
+		effects.Send(to, ChartReturn{Version: follower.Version, Document: follower.Document, Births: follower.Births})
+	}
+}
--- a/internal/lamp/lantern.go
+++ b/internal/lamp/lantern.go
@@ -285,11 +285,7 @@
 	case beacon.ControlReturn:
 		lantern.cutter.Take(now, meta.From, body, effects)
 	case beacon.ChartAsk:
-		if lantern.follower.Version > body.Version {
-			effects.Send(meta.From, beacon.ChartReturn{
-				Version: lantern.follower.Version, Document: lantern.follower.Document, Births: lantern.follower.Births,
-			})
-		}
+		lantern.follower.AnswerChart(meta.From, body, effects)
 	case beacon.ChartReturn:
 		if lantern.follower.Adopt(body.Version, body.Document, body.Births) {
 			lantern.enforce(now, effects)
--- a/internal/mooring/mooring.go
+++ b/internal/mooring/mooring.go
@@ -137,6 +137,16 @@
 	return walk.Object("$", value, keys...), true
 }
 
+// enter admits a visit and reads its body.
+func (mooring *Mooring) enter(writer http.ResponseWriter, visit *http.Request, walk *chart.Reader, keys ...string) (name, origin string, members map[string]*fastjson.Value, whole bool) {
+	name = mooring.visitName()
+	if origin, whole = mooring.admit(writer, visit, name); !whole {
+		return name, "", nil, false
+	}
+	members, whole = mooring.read(writer, visit, name, walk, keys...)
+	return name, origin, members, whole
+}
+
 func (mooring *Mooring) faulty(writer http.ResponseWriter, name string, walk *chart.Reader) {
 	code := walk.Faults[0].Code
 	answer := refuse(http.StatusBadRequest, code, walk.Faults[0].String())
@@ -285,13 +295,8 @@
 }
 
 func (mooring *Mooring) subscribe(writer http.ResponseWriter, visit *http.Request) {
-	name := mooring.visitName()
-	origin, admitted := mooring.admit(writer, visit, name)
-	if !admitted {
-		return
-	}
 	var walk chart.Reader
-	members, whole := mooring.read(writer, visit, name, &walk, "channel", "subscriptions", "cursor")
+	name, origin, members, whole := mooring.enter(writer, visit, &walk, "channel", "subscriptions", "cursor")
 	if !whole {
 		return
 	}
@@ -319,13 +324,8 @@
 }
 
 func (mooring *Mooring) unsubscribe(writer http.ResponseWriter, visit *http.Request) {
-	name := mooring.visitName()
-	origin, admitted := mooring.admit(writer, visit, name)
-	if !admitted {
-		return
-	}
 	var walk chart.Reader
-	members, whole := mooring.read(writer, visit, name, &walk, "channel", "subscriptions")
+	name, origin, members, whole := mooring.enter(writer, visit, &walk, "channel", "subscriptions")
 	if !whole {
 		return
 	}
@@ -344,13 +344,8 @@
 }
 
 func (mooring *Mooring) publish(writer http.ResponseWriter, visit *http.Request) {
-	name := mooring.visitName()
-	origin, admitted := mooring.admit(writer, visit, name)
-	if !admitted {
-		return
-	}
 	var walk chart.Reader
-	members, whole := mooring.read(writer, visit, name, &walk, "space", "topic", "sender", "seq", "data")
+	name, origin, members, whole := mooring.enter(writer, visit, &walk, "space", "topic", "sender", "seq", "data")
 	if !whole {
 		return
 	}
@@ -374,13 +369,8 @@
 }
 
 func (mooring *Mooring) pong(writer http.ResponseWriter, visit *http.Request) {
-	name := mooring.visitName()
-	origin, admitted := mooring.admit(writer, visit, name)
-	if !admitted {
-		return
-	}
 	var walk chart.Reader
-	members, whole := mooring.read(writer, visit, name, &walk, "channel")
+	name, origin, members, whole := mooring.enter(writer, visit, &walk, "channel")
 	if !whole {
 		return
 	}
--- a/internal/pilotage/pilot.go
+++ b/internal/pilotage/pilot.go
@@ -204,9 +204,7 @@
 	case beacon.ControlReturn:
 		pilot.cutter.Take(now, meta.From, body, effects)
 	case beacon.ChartAsk:
-		if pilot.follower.Version > body.Version {
-			effects.Send(meta.From, beacon.ChartReturn{Version: pilot.follower.Version, Document: pilot.follower.Document, Births: pilot.follower.Births})
-		}
+		pilot.follower.AnswerChart(meta.From, body, effects)
 	}
 }
 
--- a/internal/strand/keeper.go
+++ b/internal/strand/keeper.go
@@ -345,11 +345,7 @@
 	case beacon.ControlReturn:
 		keeper.cutter.Take(now, meta.From, body, effects)
 	case beacon.ChartAsk:
-		if keeper.follower.Version > body.Version {
-			effects.Send(meta.From, beacon.ChartReturn{
-				Version: keeper.follower.Version, Document: keeper.follower.Document, Births: keeper.follower.Births,
-			})
-		}
+		keeper.follower.AnswerChart(meta.From, body, effects)
 	case Append:
 		keeper.onAppend(now, meta.From, body, effects)
 	case Copy:
--- a/internal/tender/tender.go
+++ b/internal/tender/tender.go
@@ -135,11 +135,7 @@
 	case beacon.ControlReturn:
 		tender.cutter.Take(now, meta.From, body, effects)
 	case beacon.ChartAsk:
-		if tender.follower.Version > body.Version {
-			effects.Send(meta.From, beacon.ChartReturn{
-				Version: tender.follower.Version, Document: tender.follower.Document, Births: tender.follower.Births,
-			})
-		}
+		tender.follower.AnswerChart(meta.From, body, effects)
 	}
 	tender.settle(effects)
 }
