--- a/internal/swell/scenario.go
+++ b/internal/swell/scenario.go
@@ -36,6 +36,7 @@
 	Version uint64          `json:"version"`
 	Spaces  []spaceDocument `json:"spaces"`
 	Economy any             `json:"economy,omitempty"`
+	Drains  []string        `json:"drains,omitempty"`
 }
 
 // Operator puts and reads configurations at random daemons.
@@ -44,6 +45,7 @@
 	version uint64
 	extra   bool
 	economy any
+	drains  []string
 	sent    map[uint64][]byte
 }
 
@@ -54,7 +56,7 @@
 	if operator.extra {
 		spaces = append(spaces, spaceDocument{Name: "brief", Promise: "passing"})
 	}
-	body, fault := json.Marshal(document{Version: operator.version, Spaces: spaces, Economy: operator.economy})
+	body, fault := json.Marshal(document{Version: operator.version, Spaces: spaces, Economy: operator.economy, Drains: operator.drains})
 	must(fault)
 	return body
 }
@@ -661,6 +663,20 @@
 		swell.every(length, 80*time.Millisecond, 150*time.Millisecond, swell.operator.read)
 		single["kill-primary"](swell, length)
 	},
+	"drain": func(swell *Swell, length time.Duration) {
+		// An operator empties a lantern; ten seconds later nobody is on it.
+		swell.After(2*time.Second, func() {
+			node := swell.pickUp(beacon.KindLantern)
+			swell.operator.drains = []string{node.Name}
+			swell.operator.next(func() {
+				swell.After(10*time.Second, func() {
+					if node.Up && node.Lantern().Load().Origins > 0 && len(swell.operator.drains) > 0 {
+						swell.Oracle.Violate("drain", "%s still holds %d origins", node.Name, node.Lantern().Load().Origins)
+					}
+				})
+			})
+		})
+	},
 	"retire": func(swell *Swell, length time.Duration) {
 		swell.After(2*time.Second, func() {
 			node := swell.pickUp(beacon.KindKeeper)
@@ -784,7 +800,7 @@
 	found = append(found, Scenario{Name: "pairs", Length: 30 * time.Second, Faults: func(swell *Swell, length time.Duration) {
 		for range 2 {
 			name := names[swell.Random.IntN(len(names))]
-			for name == "remove-space" || name == "rest-and-crowd" || name == "wipe-keeper" || name == "lose-place" {
+			for name == "remove-space" || name == "rest-and-crowd" || name == "drain" || name == "wipe-keeper" || name == "lose-place" {
 				name = names[swell.Random.IntN(len(names))]
 			}
 			swell.trace("fault: %s", name)
