Places at both edges of the holding time; spaces just added and just removed

Seen: back after 34 s a client resumes, after 100 s it is told place-lost; a space is usable through every lantern the moment its configuration was taken, and unknown everywhere within 3 s of its removal.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -125,6 +125,7 @@
 
 	bench.messagesCross()
 	bench.badInput()
+	bench.spaces()
 	bench.garbage()
 	bench.settings()
 	bench.moves()
@@ -261,6 +262,32 @@
 	assert.Equal(t, stolen.Code, "other-origin")
 }
 
+// spaces asks for one that was just added, through a daemon that may not know
+// it yet, and for one that was just removed.
+func (bench *bench) spaces() {
+	t, within := bench.t, context.Background()
+	writer := bench.origin("ada")
+	with := strings.Replace(fmt.Sprintf(configuration, 3), `"spaces": [`, `"spaces": [{"name": "fresh", "promise": "passing"}, `, 1)
+	code, output := bench.command("dahlialock", "put", "-wait", "20s", "-ctl", bench.fleet.Daemons["lantern-1"].Control, bench.file(with))
+	assert.Equal(t, code, 0, output)
+	for _, name := range []string{"lantern-3", "lantern-2", "lantern-1"} {
+		answer, fault := writer.Publish(within, bench.fleet.Daemons[name].Caller, "fresh", "a/b", uint64(len(name))+uint64(time.Now().UnixNano()), 1)
+		assert.NilError(t, fault)
+		assert.Equal(t, answer.Outcome, "accepted", "at %s: %+v", name, answer)
+	}
+	code, output = bench.command("dahlialock", "put", "-wait", "20s", "-ctl", bench.fleet.Daemons["pilot-2"].Control, bench.file(fmt.Sprintf(configuration, 4)))
+	assert.Equal(t, code, 0, output)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, name := range []string{"lantern-3", "lantern-2", "lantern-1"} {
+			answer, fault := writer.Publish(within, bench.fleet.Daemons[name].Caller, "fresh", "a/b", uint64(time.Now().UnixNano()), 1)
+			if fault != nil || answer.Code != "no-such-space" {
+				return poll.Continue("%s: %v %+v", name, fault, answer)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(3*time.Second))
+}
+
 // garbage sends bytes that are no frames to every daemon's own address.
 func (bench *bench) garbage() {
 	t := bench.t
--- a/internal/swell/swell_test.go
+++ b/internal/swell/swell_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -78,3 +79,23 @@
 		})
 	}
 }
+
+// A client that stays away for longer than all margins is told that its place
+// is lost; one that comes back within the holding time is not.
+func TestAPlaceLastsForTheHoldingTimeAndIsThenRefused(t *testing.T) {
+	for _, each := range []struct {
+		away time.Duration
+		lost bool
+	}{{34 * time.Second, false}, {100 * time.Second, true}} {
+		run, _ := Prepare(7, Small, nil)
+		run.Crowd(6)
+		run.Run(6 * time.Second)
+		client := run.clients[1]
+		assert.Assert(t, client.subscribed)
+		client.Reset(each.away)
+		run.Run(each.away + 3*time.Second)
+		assert.Equal(t, client.Gone, each.lost, "after %s", each.away)
+		run.Settle(10 * time.Second)
+		assert.Equal(t, len(run.Oracle.Violations()), 0, "%v", run.Oracle.Violations())
+	}
+}
