Overlay peers linger when a channel ends, and leave spread out

Excluded: the keepers (idle meanwhile), the callers' side (profile). Conclusion: an ended channel's peers stay 6 to 30 s; only enclosing neighbours are told of each other. Also: harbour refuses to start on taken addresses.

--- a/internal/fairway/fairway.go
+++ b/internal/fairway/fairway.go
@@ -145,8 +145,10 @@
 	name  string
 	peers map[Area]*hosted
 	byKey map[PeerKey]*hosted
-	gone  map[PeerKey]time.Time
-	turn  int
+	// ordered holds the same peers in the order of their keys.
+	ordered []*hosted
+	gone    map[PeerKey]time.Time
+	turn    int
 }
 
 // Counts are running sums for measurements and tests.
@@ -307,12 +309,23 @@
 }
 
 func (here *space) sorted() []*hosted {
-	peers := make([]*hosted, 0, len(here.peers))
-	for _, peer := range here.peers {
-		peers = append(peers, peer)
+	return slices.Clone(here.ordered)
+}
+
+// place and displace keep the hosted peers in the order of their keys; a new
+// key is always above those before it.
+func (here *space) place(peer *hosted) {
+	here.peers[peer.self.Area] = peer
+	here.byKey[peer.self.Key] = peer
+	here.ordered = append(here.ordered, peer)
+}
+
+func (here *space) displace(peer *hosted) {
+	delete(here.peers, peer.self.Area)
+	delete(here.byKey, peer.self.Key)
+	if position := slices.Index(here.ordered, peer); position >= 0 {
+		here.ordered = slices.Delete(here.ordered, position, position+1)
 	}
-	slices.SortFunc(peers, func(left, right *hosted) int { return left.self.Key.compare(right.self.Key) })
-	return peers
 }
 
 func sortedPeers(known map[PeerKey]Peer) func(yield func(PeerKey, Peer) bool) {
@@ -350,8 +363,7 @@
 		joinAsked: map[string]bool{}, lastUse: now,
 	}
 	peer.cell = newCell(peer.self.At)
-	here.peers[area] = peer
-	here.byKey[key] = peer
+	here.place(peer)
 	fairway.timers.ArmSooner("sweep", now.Add(sweepEvery))
 	fairway.timers.ArmSooner("compare", now.Add(compareEvery))
 	return peer, true
@@ -812,8 +824,7 @@
 
 func (fairway *Fairway) leave(peer *hosted) {
 	fairway.Counts.Leaves++
-	delete(peer.space.peers, peer.self.Area)
-	delete(peer.space.byKey, peer.self.Key)
+	peer.space.displace(peer)
 	var parting []Peer
 	for _, key := range peer.cell.owners() {
 		parting = append(parting, peer.known[key])
@@ -824,7 +835,12 @@
 		}
 	}
 	for key := range sortedPeers(peer.known) {
-		farewell := Signal{Kind: SignalLeave, Space: peer.space.name, To: key, From: peer.self, Peers: parting}
+		// Only the enclosing neighbours' regions grow; the others need no more
+		// than the word that the peer is gone.
+		farewell := Signal{Kind: SignalLeave, Space: peer.space.name, To: key, From: peer.self}
+		if peer.cell.owns(key) {
+			farewell.Peers = parting
+		}
 		if key.Daemon != fairway.daemon {
 			fairway.signal(key.Daemon, farewell)
 		} else if neighbour, here := peer.space.byKey[key]; here {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,6 +8,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -217,8 +218,21 @@
 	return nil
 }
 
-// StartAll starts every daemon.
+// StartAll starts every daemon, if all addresses are free: two fleets on one
+// machine would take each other's daemons for their own.
 func (fleet *Fleet) StartAll() error {
+	for _, daemon := range fleet.Daemons {
+		for _, address := range []string{daemon.Address, daemon.Control, daemon.Caller} {
+			if address == "" {
+				continue
+			}
+			listener, fault := net.Listen("tcp", address)
+			if fault != nil {
+				return fault
+			}
+			_ = listener.Close()
+		}
+	}
 	for _, name := range fleet.names {
 		if fault := fleet.Start(name); fault != nil {
 			return fault
--- a/internal/lamp/channel.go
+++ b/internal/lamp/channel.go
@@ -19,11 +19,12 @@
 )
 
 const (
-	gotMemory   = 100 * time.Second
-	markMemory  = 40 * time.Second
-	fetchRetry  = 250 * time.Millisecond
-	lingerFor   = 6 * time.Second
-	refetchMost = 64
+	gotMemory    = 100 * time.Second
+	markMemory   = 40 * time.Second
+	fetchRetry   = 250 * time.Millisecond
+	lingerFor    = 6 * time.Second
+	lingerSpread = 24
+	refetchMost  = 64
 )
 
 type mark struct {
@@ -108,7 +109,7 @@
 		return
 	}
 	for _, interest := range channel.interests() {
-		lantern.dropSubscription(now, visit.Channel, interest, channel.subscriptions[interest].filling, effects)
+		lantern.dropSubscription(now, visit.Channel, interest, true, effects)
 	}
 	delete(lantern.channels, visit.Channel)
 	number := foghorn.ChannelClosed
@@ -389,9 +390,10 @@
 	}
 }
 
-// dropSubscription ends a subscription. Where it was given up on before its
-// overlay peer had settled, the peer stays for a while, so that the origin's
-// next try finds it further on instead of beginning anew.
+// dropSubscription ends a subscription. Where its origin did not ask for that,
+// the overlay peer stays for a while: the origin, or another with the same
+// interest, is likely to come back, and a next try finds the peer further on
+// instead of beginning anew.
 func (lantern *Lantern) dropSubscription(now time.Time, id uint64, interest Interest, linger bool, effects *helm.Effects) {
 	channel := lantern.channels[id]
 	delete(channel.subscriptions, interest)
@@ -414,7 +416,11 @@
 	}
 	area := areaOf(state.space, interest.Path)
 	if linger {
-		lantern.lingering = append(lantern.lingering, lingered{space: state.name, area: area, until: now.Add(lingerFor)})
+		// Spread, so that the peers of many who left together don't leave
+		// together.
+		lantern.turn++
+		spread := time.Duration(lantern.turn%lingerSpread) * time.Second
+		lantern.lingering = append(lantern.lingering, lingered{space: state.name, area: area, until: now.Add(lingerFor + spread)})
 		return
 	}
 	lantern.fairway.Unsubscribe(now, state.name, area, effects)
