--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -19,32 +19,32 @@
 // Answer is a visit's answer.
 type Answer struct {
 	Status       int    `json:"-"`
-	Outcome      string `json:"outcome"`
-	Code         string `json:"code"`
-	Text         string `json:"text"`
-	Visit        string `json:"visit"`
-	RetryAfterMs int64  `json:"retry_after_ms"`
-	Again        bool   `json:"again"`
-	Cursor       string `json:"cursor"`
-	Missed       int    `json:"missed"`
+	Outcome      string `json:"outcome,omitempty"`
+	Code         string `json:"code,omitempty"`
+	Text         string `json:"text,omitempty"`
+	Visit        string `json:"visit,omitempty"`
+	RetryAfterMs int64  `json:"retry_after_ms,omitempty"`
+	Again        bool   `json:"again,omitempty"`
+	Cursor       string `json:"cursor,omitempty"`
+	Missed       int    `json:"missed,omitempty"`
 }
 
 // Event is one line of a channel.
 type Event struct {
-	Event    string          `json:"event"`
-	Channel  string          `json:"channel"`
-	Daemon   string          `json:"daemon"`
-	Locality string          `json:"locality"`
-	Version  uint64          `json:"version"`
-	Space    string          `json:"space"`
-	Topic    string          `json:"topic"`
-	Sender   string          `json:"sender"`
-	Seq      uint64          `json:"seq"`
-	Data     json.RawMessage `json:"data"`
-	Cursor   string          `json:"cursor"`
-	Code     string          `json:"code"`
-	To       string          `json:"to"`
-	ToName   string          `json:"to_name"`
+	Event    string          `json:"event,omitempty"`
+	Channel  string          `json:"channel,omitempty"`
+	Daemon   string          `json:"daemon,omitempty"`
+	Locality string          `json:"locality,omitempty"`
+	Version  uint64          `json:"version,omitempty"`
+	Space    string          `json:"space,omitempty"`
+	Topic    string          `json:"topic,omitempty"`
+	Sender   string          `json:"sender,omitempty"`
+	Seq      uint64          `json:"seq,omitempty"`
+	Data     json.RawMessage `json:"data,omitempty"`
+	Cursor   string          `json:"cursor,omitempty"`
+	Code     string          `json:"code,omitempty"`
+	To       string          `json:"to,omitempty"`
+	ToName   string          `json:"to_name,omitempty"`
 }
 
 // Subscription names a topic or a prefix.
