--- a/cmd/harbour/trial.go
+++ b/cmd/harbour/trial.go
@@ -284,6 +284,8 @@
 		oracle.Space("urgent", true, false)
 		oracle.Space("decisions", true, true)
 		oracle.Space("cursors", false, false)
+		oracle.AnswerWithin("boards", 1500*time.Millisecond)
+		oracle.AnswerWithin("urgent", time.Second)
 	})
 	if !run.nextConfiguration(20 * time.Second) {
 		fmt.Println("no configuration was taken")
--- a/internal/oracle/oracle.go
+++ b/internal/oracle/oracle.go
@@ -77,6 +77,7 @@
 	kept    bool
 	channel bool
 	removed time.Time
+	within  time.Duration
 }
 
 type put struct {
@@ -101,6 +102,7 @@
 	Refused     int
 	Unsettled   int
 	Answers     []time.Duration
+	Late        int
 }
 
 // New makes an empty book.
@@ -144,6 +146,11 @@
 	oracle.spaces[name] = &space{kept: kept, channel: channel}
 }
 
+// AnswerWithin tells how soon a space's publications are promised an answer.
+func (oracle *Oracle) AnswerWithin(name string, limit time.Duration) {
+	oracle.spaces[name].within = limit
+}
+
 // Removed tells that the removal of a space was taken.
 func (oracle *Oracle) Removed(name string, at time.Time) {
 	if here, found := oracle.spaces[name]; found {
@@ -174,6 +181,9 @@
 			each.accepted, each.acceptedAt = true, at
 		}
 		oracle.Answers = append(oracle.Answers, at.Sub(began))
+		if here, found := oracle.spaces[message.Space]; found && here.within > 0 && at.Sub(began) > here.within {
+			oracle.Late++
+		}
 	case "refused":
 		oracle.Refused++
 		each.refused++
@@ -393,9 +403,9 @@
 		}
 		return oracle.Answers[min(len(oracle.Answers)-1, int(share*float64(len(oracle.Answers))))]
 	}
-	return fmt.Sprintf("accepted %d, refused %d, unsettled %d, delivered %d; answers half %s, most %s, slowest %s; violations %d",
+	return fmt.Sprintf("accepted %d, refused %d, unsettled %d, delivered %d; answers half %s, most %s, slowest %s, late %d; violations %d",
 		oracle.Accepted, oracle.Refused, oracle.Unsettled, oracle.Delivered,
-		part(0.5).Round(100*time.Microsecond), part(0.99).Round(100*time.Microsecond), part(1).Round(100*time.Microsecond), oracle.total())
+		part(0.5).Round(100*time.Microsecond), part(0.99).Round(100*time.Microsecond), part(1).Round(100*time.Microsecond), oracle.Late, oracle.total())
 }
 
 func (oracle *Oracle) total() int {
--- a/internal/oracle/oracle_test.go
+++ b/internal/oracle/oracle_test.go
@@ -104,3 +104,16 @@
 		}
 	}
 }
+
+func TestLateAnswersAreCounted(t *testing.T) {
+	start := time.Unix(5000, 0)
+	oracle := New()
+	oracle.Space("urgent", true, false)
+	oracle.AnswerWithin("urgent", time.Second)
+	for seq, took := range []time.Duration{time.Millisecond, time.Second, 1001 * time.Millisecond} {
+		message := Message{Space: "urgent", Sender: "cy", Seq: uint64(seq + 1)}
+		oracle.Try(message, "a", "data", start)
+		oracle.Answered(message, "accepted", start, start.Add(took))
+	}
+	assert.Equal(t, oracle.Late, 1)
+}
