One digest, one drop of unfilled subscriptions, one list of what is owed

Cause: a read of the whole change found logic written twice (the message digest in keeper and lantern, the loop that ends unfilled subscriptions, the gathering of owed subscribers) and indirections without use. Behaviour stays as it is.

--- a/internal/fairway/fairway.go
+++ b/internal/fairway/fairway.go
@@ -153,7 +153,7 @@
 
 // Counts are running sums for measurements and tests.
 type Counts struct {
-	Joins, Hops, Greets, SignalsOut, BatchesOut, Leaves, Probes, ProbeFinds uint64
+	Joins, Hops, Greets, SignalsOut, BatchesOut, Leaves, Probes uint64
 }
 
 // Fairway is one daemon's part of the overlay.
@@ -599,9 +599,9 @@
 	return answer
 }
 
-// note records what is known of another peer, and returns the part of the
-// region that it took. Subscribers over that part are owed to it: they are
-// named in the next signal that goes to it.
+// note records what is known of another peer. Subscribers over the part of the
+// region that it takes are owed to it: they are named in the next signal that
+// goes to it.
 func (fairway *Fairway) note(now time.Time, peer *hosted, other Peer) {
 	earlier, found := peer.known[other.Key]
 	if found && earlier.Change > other.Change {
@@ -645,6 +645,17 @@
 	delete(peer.owed, key)
 }
 
+// owedTo lists what is owed to another peer, and takes it out.
+func (fairway *Fairway) owedTo(peer *hosted, key PeerKey) []Peer {
+	include := map[PeerKey]Peer{}
+	fairway.owes(peer, key, include)
+	var owed []Peer
+	for _, known := range sortedPeers(include) {
+		owed = append(owed, known)
+	}
+	return owed
+}
+
 // passOn names a subscriber that has just become known to the neighbours that
 // took part of this peer's region a moment ago: the subscriber may have looked
 // here for a part that is theirs now.
@@ -731,22 +742,14 @@
 	greeting := Signal{Kind: SignalGreet, Space: peer.space.name, To: other.Key, From: peer.self}
 	if other.Key.Daemon == fairway.daemon {
 		if neighbour, here := peer.space.byKey[other.Key]; here {
-			owed := map[PeerKey]Peer{}
-			fairway.owes(peer, other.Key, owed)
-			for _, known := range sortedPeers(owed) {
-				fairway.learn(now, neighbour, peer.self.Key, []Peer{known}, false)
-			}
+			fairway.learn(now, neighbour, peer.self.Key, fairway.owedTo(peer, other.Key), false)
 			answer := fairway.introduce(now, neighbour, peer.self)
 			fairway.learn(now, peer, neighbour.self.Key, answer.Peers, false)
 			fairway.learn(now, peer, neighbour.self.Key, answer.Boundary, true)
 		}
 		return
 	}
-	owed := map[PeerKey]Peer{}
-	fairway.owes(peer, other.Key, owed)
-	for _, known := range sortedPeers(owed) {
-		greeting.Peers = append(greeting.Peers, known)
-	}
+	greeting.Peers = fairway.owedTo(peer, other.Key)
 	if heals {
 		greeting.Hops = healing
 	}
--- a/internal/lamp/channel.go
+++ b/internal/lamp/channel.go
@@ -531,11 +531,7 @@
 		return
 	}
 	if channel, found := lantern.channels[round.channel]; found {
-		for _, interest := range round.interests {
-			if subscription, present := channel.subscriptions[interest]; present && subscription.filling {
-				lantern.dropSubscription(now, round.channel, interest, true, effects)
-			}
-		}
+		lantern.dropFilling(now, round, channel, effects)
 		lantern.drain(now, round.channel, channel, effects)
 	}
 	lantern.answerSubscribe(now, round.visit, refused(503, code, "the place could not be found in time; nothing is subscribed", comeBackSoon), effects)
@@ -578,14 +574,19 @@
 	lantern.advanceFetch(now, returned.Visit, round, cursor{}, effects)
 }
 
+// dropFilling ends the subscriptions that a round did not come to fill.
+func (lantern *Lantern) dropFilling(now time.Time, round *fetch, channel *channel, effects *helm.Effects) {
+	for _, interest := range round.interests {
+		if subscription, present := channel.subscriptions[interest]; present && subscription.filling {
+			lantern.dropSubscription(now, round.channel, interest, true, effects)
+		}
+	}
+}
+
 func (lantern *Lantern) lostPlace(now time.Time, id uint64, round *fetch, effects *helm.Effects) {
 	delete(lantern.fetches, id)
 	if channel, found := lantern.channels[round.channel]; found {
-		for _, interest := range round.interests {
-			if subscription, present := channel.subscriptions[interest]; present && subscription.filling {
-				lantern.dropSubscription(now, round.channel, interest, true, effects)
-			}
-		}
+		lantern.dropFilling(now, round, channel, effects)
 	}
 	lantern.answerSubscribe(now, round.visit, refused(410, "place-lost", "what was missed is older than the space holds; subscribe without the cursor", 0), effects)
 }
--- a/internal/lamp/publish.go
+++ b/internal/lamp/publish.go
@@ -8,7 +8,6 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 	"time"
 
@@ -406,18 +405,10 @@
 
 // Passing messages.
 
-func passDigest(topic string, data []byte) uint64 {
-	sum := fnv.New64a()
-	_, _ = sum.Write([]byte(topic))
-	_, _ = sum.Write([]byte{0})
-	_, _ = sum.Write(data)
-	return sum.Sum64()
-}
-
 func (lantern *Lantern) passOn(now time.Time, state *spaceState, from *sender, item *publication, effects *helm.Effects) {
 	visit := item.visit
 	if memory, known := from.recent[visit.Seq]; known {
-		if memory.digest != passDigest(visit.Topic, visit.Data) {
+		if memory.digest != strand.Digest(visit.Topic, visit.Data) {
 			lantern.finish(now, item, refused(409, "seq-reused", "this seq was used for another message", 0), effects)
 			return
 		}
@@ -444,7 +435,7 @@
 			from.arrived = now
 		}
 		from.lastSeq = max(from.lastSeq, visit.Seq)
-		from.recent[visit.Seq] = sentMemory{digest: passDigest(visit.Topic, visit.Data), at: now}
+		from.recent[visit.Seq] = sentMemory{digest: strand.Digest(visit.Topic, visit.Data), at: now}
 		for seq, memory := range from.recent {
 			if now.Sub(memory.at) > seqMemory {
 				delete(from.recent, seq)
--- a/internal/pilotage/control.go
+++ b/internal/pilotage/control.go
@@ -37,15 +37,15 @@
 		if status == http.StatusServiceUnavailable {
 			returned.RetryAfter = comeBack
 		}
-		pilot.reply(now, from, returned, effects)
+		effects.Send(from, returned)
 	}
 	if !pilot.watch.Serving(now) {
 		primary, found := pilot.watch.Primary()
 		if found && primary.Name != pilot.props.Self.Name {
-			pilot.reply(now, from, beacon.ControlReturn{
+			effects.Send(from, beacon.ControlReturn{
 				Visit: visit.Visit, Status: http.StatusServiceUnavailable, Redirect: primary.Address, RetryAfter: comeBack,
 				Body: cutter.Error("no-primary", "the primary does not answer", nil),
-			}, effects)
+			})
 			return
 		}
 		give(effects, http.StatusServiceUnavailable, cutter.Error("no-primary", "no pilot can serve at this moment", nil))
@@ -97,10 +97,6 @@
 	}
 }
 
-func (pilot *Pilot) reply(now time.Time, to string, message any, effects *helm.Effects) {
-	effects.Send(to, message)
-}
-
 // confirmed answers a question only after the backup said that the epoch stands.
 func (pilot *Pilot) confirmed(now time.Time, give answer, effects *helm.Effects, read func() (int, any)) {
 	pilot.watch.Confirm(now, func(_ time.Time, effects *helm.Effects, outcome watchbill.Outcome) {
--- a/internal/strand/keeper.go
+++ b/internal/strand/keeper.go
@@ -468,7 +468,7 @@
 	}
 	sender := strand.log.Senders[visit.Sender]
 	if memory, known := sender.Recent[visit.Seq]; known && !helm.Mutated("no-resend-memory") {
-		if memory.Digest != digest(visit.Topic, visit.Data) {
+		if memory.Digest != Digest(visit.Topic, visit.Data) {
 			refuse("seq-reused", 0)
 			return
 		}
--- a/internal/strand/strand.go
+++ b/internal/strand/strand.go
@@ -75,7 +75,8 @@
 	return log.Records[offset-log.Base:]
 }
 
-func digest(topic string, data []byte) uint64 {
+// Digest tells two messages of one seq apart.
+func Digest(topic string, data []byte) uint64 {
 	sum := fnv.New64a()
 	_, _ = sum.Write([]byte(topic))
 	_, _ = sum.Write([]byte{0})
@@ -92,7 +93,7 @@
 	}
 	sender.LastSeq = max(sender.LastSeq, record.Seq)
 	sender.At = record.At
-	sender.Recent[record.Seq] = remembered{Offset: record.Offset, Digest: digest(record.Topic, record.Data), At: record.At}
+	sender.Recent[record.Seq] = remembered{Offset: record.Offset, Digest: Digest(record.Topic, record.Data), At: record.At}
 	log.Senders[record.Sender] = sender
 }
 
--- a/internal/swell/scenario.go
+++ b/internal/swell/scenario.go
@@ -463,14 +463,14 @@
 	}
 }
 
-// single lists faults that may be combined in pairs.
-var single map[string]func(swell *Swell, length time.Duration)
-
-func init() {
-	single = singleFaults
+func killPrimary(swell *Swell, length time.Duration) {
+	swell.every(length, 9*time.Second, 13*time.Second, func() {
+		swell.killFor(swell.pilotIn("primary"), swell.between(time.Second, 8*time.Second), false)
+	})
 }
 
-var singleFaults = map[string]func(swell *Swell, length time.Duration){
+// single lists faults that may be combined in pairs.
+var single = map[string]func(swell *Swell, length time.Duration){
 	"calm":           func(*Swell, time.Duration) {},
 	"kill-lantern":   kill(beacon.KindLantern),
 	"kill-tender":    kill(beacon.KindTender),
@@ -479,11 +479,7 @@
 	"freeze-lantern": freeze(beacon.KindLantern),
 	"freeze-keeper":  freeze(beacon.KindKeeper),
 	"freeze-pilot":   freeze(beacon.KindPilot),
-	"kill-primary": func(swell *Swell, length time.Duration) {
-		swell.every(length, 9*time.Second, 13*time.Second, func() {
-			swell.killFor(swell.pilotIn("primary"), swell.between(time.Second, 8*time.Second), false)
-		})
-	},
+	"kill-primary":   killPrimary,
 	"kill-backup": func(swell *Swell, length time.Duration) {
 		swell.every(length, 9*time.Second, 13*time.Second, func() {
 			swell.killFor(swell.pilotIn("backup"), swell.between(time.Second, 8*time.Second), false)
@@ -661,7 +657,7 @@
 		// are lost.
 		swell.every(length, 250*time.Millisecond, 400*time.Millisecond, func() { swell.operator.next(nil) })
 		swell.every(length, 80*time.Millisecond, 150*time.Millisecond, swell.operator.read)
-		single["kill-primary"](swell, length)
+		killPrimary(swell, length)
 	},
 	"drain": func(swell *Swell, length time.Duration) {
 		// An operator empties a lantern; ten seconds later nobody is on it.
