--- a/internal/foghorn/foghorn.go
+++ b/internal/foghorn/foghorn.go
@@ -56,13 +56,11 @@
 	HoleFound          = 3020
 	HoleFilled         = 3021
 	StrandFirst        = 4001
-	StrandUnderstudy   = 4002
 	StrandFrameSent    = 4003
 	StrandFrameTaken   = 4004
 	StrandOlderEpoch   = 4005
 	LanternRested      = 5001
 	LanternWoken       = 5002
-	EmptyingStopped    = 5003
 )
 
 // Catalogue gives each number its level and words.
@@ -104,13 +102,11 @@
 	HoleFound:          {logrus.DebugLevel, "hole in a strand found"},
 	HoleFilled:         {logrus.DebugLevel, "hole in a strand filled"},
 	StrandFirst:        {logrus.InfoLevel, "keeper is first for strands"},
-	StrandUnderstudy:   {logrus.InfoLevel, "keeper is understudy for strands"},
 	StrandFrameSent:    {logrus.InfoLevel, "strand frame sent to the understudy"},
 	StrandFrameTaken:   {logrus.InfoLevel, "strand frame taken"},
 	StrandOlderEpoch:   {logrus.WarnLevel, "older epoch of a strand refused"},
 	LanternRested:      {logrus.InfoLevel, "lantern rests"},
 	LanternWoken:       {logrus.InfoLevel, "lantern woken"},
-	EmptyingStopped:    {logrus.InfoLevel, "emptying stopped"},
 }
 
 // Foghorn is a daemon's log.
--- a/internal/lamp/lantern.go
+++ b/internal/lamp/lantern.go
@@ -431,12 +431,11 @@
 			delete(lantern.trackers, full)
 		}
 	}
-	for key, sender := range helm.Sorted(lantern.sendersOf(name)) {
+	for _, sender := range helm.Sorted(lantern.sendersOf(name)) {
 		for _, waiting := range sender.queue {
 			lantern.settlePublication(now, waiting, refused(404, "no-such-space", "the space was removed", 0), effects)
 		}
 		sender.queue = nil
-		_ = key
 	}
 	for key := range lantern.senders {
 		if key.space == name {
--- a/internal/lamp/publish.go
+++ b/internal/lamp/publish.go
@@ -470,7 +470,7 @@
 			next = helm.Earliest(next, item.sentAt.Add(appendRetry), item.limit)
 		}
 	}
-	for key, from := range lantern.sortedSenders() {
+	for _, from := range lantern.sortedSenders() {
 		for len(from.queue) > 0 && !from.queue[0].limit.After(now) {
 			item := from.queue[0]
 			if helm.Mutated("refuse-what-is-open") {
@@ -484,7 +484,6 @@
 		if len(from.queue) > 0 {
 			next = helm.Earliest(next, from.queue[0].limit)
 		}
-		_ = key
 	}
 	for id, fetch := range helm.Sorted(lantern.fetches) {
 		next = helm.Earliest(next, lantern.tendFetch(now, id, fetch, effects))
