Faults as values in the simulator, with a calm and one last fault; what they broke

Cause: pairs had no last fault, many faults never met, nothing was judged for being unready or refusing, and going back was sampled. Faults are now values with a start and a length (internal/squall); a storm of them is drawn from a seed, then a calm that allows neither refusals nor unready lanterns, then one last fault that stays. Going back is judged at every step of a lantern and at each hello. Also an older frame that comes late no longer undoes a newer command. - incarnations from a clock that was set back kept a restarted daemon out.

--- a/cmd/harbour/trial.go
+++ b/cmd/harbour/trial.go
@@ -273,7 +273,7 @@
 			}
 			version, _ := self["version"].(float64)
 			healthy := since[daemon.Name]
-			run.book.note(func(oracle *oracle.Oracle) { oracle.InForce(daemon.Name, uint64(version), healthy, at) })
+			run.book.note(func(oracle *oracle.Oracle) { oracle.InForce(daemon.Name, uint64(version), true, healthy, at) })
 		}
 	}
 }
--- a/internal/lamp/channel.go
+++ b/internal/lamp/channel.go
@@ -77,6 +77,13 @@
 	effects.Delivers = append(effects.Delivers, helm.Deliver{Channel: id, Event: event})
 }
 
+// emitLast tells a channel why it ends and where its origin may resume.
+func (lantern *Lantern) emitLast(now time.Time, id uint64, channel *channel, code string, effects *helm.Effects) {
+	effects.Delivers = append(effects.Delivers, helm.Deliver{
+		Channel: id, Event: Event{Event: "gone", Code: code, Cursor: lantern.cursor(now, channel)}, Close: true,
+	})
+}
+
 func (lantern *Lantern) openChannel(now time.Time, visit OpenChannel, effects *helm.Effects) {
 	lantern.Counts.Visits++
 	switch {
@@ -143,9 +150,7 @@
 		return
 	}
 	if now.Sub(channel.pongAt) > pongLimit {
-		effects.Delivers = append(effects.Delivers, helm.Deliver{
-			Channel: id, Event: Event{Event: "gone", Code: "no-pong", Cursor: lantern.cursor(now, channel)}, Close: true,
-		})
+		lantern.emitLast(now, id, channel, "no-pong", effects)
 		lantern.closeChannel(now, CloseChannel{Channel: id, Why: "no-pong"}, effects)
 		return
 	}
--- a/internal/lamp/lantern.go
+++ b/internal/lamp/lantern.go
@@ -38,6 +38,8 @@
 	patience       = 700 * time.Millisecond
 	lookLimit      = 600 * time.Millisecond
 	subscribeLimit = 1500 * time.Millisecond
+	letGoAfter     = 5500 * time.Millisecond
+	letGoLeast     = 10
 )
 
 // Props are a lantern daemon's settings.
@@ -482,6 +484,7 @@
 		lantern.tendChannel(now, id, channel, effects)
 	}
 	lantern.endLingering(now, effects)
+	lantern.letGo(now, effects)
 	for key, sender := range lantern.senders {
 		if len(sender.queue) == 0 && now.Sub(sender.lastUse) > senderIdle {
 			delete(lantern.senders, key)
@@ -492,6 +495,23 @@
 	}
 }
 
+// letGo ends channels of a lantern that nobody has confirmed for so long that
+// no takeover explains it: its tender is lost or its machine is cut off, and
+// its origins are served elsewhere. Half of them go each second.
+func (lantern *Lantern) letGo(now time.Time, effects *helm.Effects) {
+	if lantern.follower.Index == 0 || lantern.Confirmed(now) || now.Sub(lantern.follower.Confirmed) < letGoAfter {
+		return
+	}
+	count := max(letGoLeast, len(lantern.channels)/2)
+	for id, channel := range helm.Sorted(lantern.channels) {
+		if count--; count < 0 {
+			return
+		}
+		lantern.emitLast(now, id, channel, "unconfirmed", effects)
+		lantern.closeChannel(now, CloseChannel{Channel: id, Why: "unconfirmed"}, effects)
+	}
+}
+
 // Moving and stopping.
 
 // targets lists the lanterns to which origins may be sent, the best first.
@@ -574,9 +594,7 @@
 		return
 	}
 	for id, channel := range helm.Sorted(lantern.channels) {
-		effects.Delivers = append(effects.Delivers, helm.Deliver{
-			Channel: id, Event: Event{Event: "gone", Code: "stopping", Cursor: lantern.cursor(now, channel)}, Close: true,
-		})
+		lantern.emitLast(now, id, channel, "stopping", effects)
 	}
 	lantern.fairway.LeaveAll(effects)
 	for _, member := range helm.Sorted(lantern.follower.Members) {
--- a/internal/oracle/oracle.go
+++ b/internal/oracle/oracle.go
@@ -87,6 +87,11 @@
 	taken    time.Time
 }
 
+type shown struct {
+	version uint64
+	at      time.Time
+}
+
 // Oracle is the book of a run.
 type Oracle struct {
 	spaces      map[string]*space
@@ -103,13 +108,15 @@
 	Unsettled   int
 	Answers     []time.Duration
 	Late        int
+	Codes       map[string]int
+	showed      map[string][]shown
 }
 
 // New makes an empty book.
 func New() *Oracle {
 	return &Oracle{
 		spaces: map[string]*space{}, messages: map[Message]*published{}, subscribers: map[string]*subscriber{},
-		asked: map[uint64]string{}, forced: map[string]uint64{}, counts: map[string]int{},
+		asked: map[uint64]string{}, forced: map[string]uint64{}, counts: map[string]int{}, Codes: map[string]int{}, showed: map[string][]shown{},
 	}
 }
 
@@ -128,8 +135,14 @@
 	AllRefused   = "all-refused"
 	AfterRemoval = "after-removal"
 	NotBack      = "not-back"
+	Unready      = "unready"
+	RefusedCalm  = "refused-in-calm"
 )
 
+// TroubleFor is how long after the end of a fault daemons may still be unready
+// and visits refused.
+const TroubleFor = 12 * time.Second
+
 // Violate records a violation.
 func (oracle *Oracle) Violate(kind, text string, values ...any) {
 	oracle.counts[kind]++
@@ -301,10 +314,11 @@
 	oracle.puts = append(oracle.puts, put{version: version, document: document, began: began, taken: at})
 }
 
-// InForce tells which version is in force on a healthy daemon at a moment; a
-// daemon that is not in service is not told of.
-func (oracle *Oracle) InForce(daemon string, version uint64, healthySince, at time.Time) {
-	if before := oracle.forced[daemon]; version < before {
+// InForce tells which version a daemon has at a moment, since when it and what
+// it needs have been healthy, and whether it serves; one that does not serve
+// has nothing in force from which it could fall back.
+func (oracle *Oracle) InForce(daemon string, version uint64, serves bool, healthySince, at time.Time) {
+	if before := oracle.forced[daemon]; serves && version < before {
 		oracle.Violate(WentBack, "%s fell from version %d to %d", daemon, before, version)
 	}
 	oracle.forced[daemon] = max(oracle.forced[daemon], version)
@@ -316,6 +330,47 @@
 	}
 }
 
+// Showed tells which version a daemon had in force at a moment between two, in
+// which it served; it is told at each change and not by sampling, and no fault
+// excuses an older one.
+func (oracle *Oracle) Showed(daemon string, version uint64, began, at time.Time) {
+	before := uint64(0)
+	for _, each := range oracle.showed[daemon] {
+		if each.at.Before(began) {
+			before = max(before, each.version)
+		}
+	}
+	if version < before {
+		oracle.Violate(WentBack, "%s served by version %d after %d, at %s", daemon, version, before, at.Format("05.000"))
+	}
+	if version > before {
+		oracle.showed[daemon] = append(oracle.showed[daemon], shown{version: version, at: at})
+	}
+	for _, each := range oracle.puts {
+		if each.version > version && began.Sub(each.taken) > ForceWithin {
+			oracle.Violate(NotInForce, "%s served by version %d, %s after %d was taken", daemon, version, began.Sub(each.taken), each.version)
+			return
+		}
+	}
+}
+
+// RefusedAs tells the code of a visit that was not accepted, and since when
+// nothing has gone wrong; a code for which a daemon is to blame is a violation
+// once all faults have been over for long enough.
+func (oracle *Oracle) RefusedAs(code, what string, calmSince, at time.Time) {
+	oracle.Codes[code]++
+	if at.Sub(calmSince) > TroubleFor {
+		oracle.Violate(RefusedCalm, "%s: %s, %s after the last fault", what, code, at.Sub(calmSince))
+	}
+}
+
+// NotReady tells of a daemon that ought to serve and does not.
+func (oracle *Oracle) NotReady(daemon string, calmSince, at time.Time) {
+	if at.Sub(calmSince) > TroubleFor {
+		oracle.Violate(Unready, "%s is not ready, %s after the last fault", daemon, at.Sub(calmSince))
+	}
+}
+
 // Served tells that service was back so long after a major failure.
 func (oracle *Oracle) Served(what string, after time.Duration) {
 	if after > BackWithin {
--- a/internal/oracle/oracle_test.go
+++ b/internal/oracle/oracle_test.go
@@ -33,7 +33,7 @@
 		}
 	}
 	oracle.PutTaken(1, "one", at(0), at(0))
-	oracle.InForce("lantern", 1, at(0), at(5))
+	oracle.InForce("lantern", 1, true, at(0), at(5))
 	oracle.ReadBack(1, "one", at(5), at(5))
 	return oracle
 }
@@ -50,9 +50,9 @@
 		"": func(*Oracle) {},
 		NotInForce: func(oracle *Oracle) {
 			oracle.PutTaken(2, "two", at(6), at(6))
-			oracle.InForce("lantern", 1, at(0), at(9.5))
+			oracle.InForce("lantern", 1, true, at(0), at(9.5))
 		},
-		WentBack:    func(oracle *Oracle) { oracle.InForce("lantern", 0, at(0), at(1)) },
+		WentBack:    func(oracle *Oracle) { oracle.InForce("lantern", 0, true, at(0), at(1)) },
 		StaleRead:   func(oracle *Oracle) { oracle.PutTaken(2, "two", at(6), at(6)); oracle.ReadBack(1, "one", at(7), at(7)) },
 		BrokenTaken: func(oracle *Oracle) { oracle.BrokenWasTaken("a broken one") },
 		Lost:        func(oracle *Oracle) { try(oracle, fresh, "accepted"); oracle.Got("ada", fresh, "a/b", "data", at(9.2)) },
--- a/internal/pilotage/pilot.go
+++ b/internal/pilotage/pilot.go
@@ -7,6 +7,7 @@
 package pilotage
 
 import (
+	"slices"
 	"time"
 
 	"dahlialock/internal/beacon"
@@ -26,6 +27,8 @@
 	idleEvery      = 500 * time.Millisecond
 	commandLimit   = 2 * time.Second
 	settleFor      = 3 * time.Second
+	succeedsAfter  = 1200 * time.Millisecond
+	followingFor   = 5 * time.Second
 )
 
 // Props are a pilot daemon's settings.
@@ -219,9 +222,14 @@
 		return
 	}
 	pilot.beginActing(now, effects)
-	pilot.heard[ask.Self.Name] = now
-	pilot.loads[ask.Self.Name] = ask.Load
-	pilot.noteMember(now, ask.Self, effects)
+	// Incarnations come from wall clocks, which may have been set back across a
+	// restart: a lower one counts once the higher has been silent for a while.
+	known, found := pilot.state.Members[ask.Self.Name]
+	if !found || ask.Self.Incarnation >= known.Incarnation || now.Sub(pilot.heard[known.Name]) > succeedsAfter {
+		pilot.heard[ask.Self.Name] = now
+		pilot.loads[ask.Self.Name] = ask.Load
+		pilot.noteMember(now, ask.Self, effects)
+	}
 	hold := beacon.HoldAsk
 	if ask.Patient {
 		hold = beacon.PatientHold
@@ -284,9 +292,6 @@
 	known, found := pilot.state.Members[self.Name]
 	self.Alive = true
 	self.Joined, self.Retiring, self.Retired, self.Resting = known.Joined, known.Retiring, known.Retired, known.Resting
-	if found && self.Incarnation < known.Incarnation {
-		return
-	}
 	if found && known.Incarnation != self.Incarnation {
 		self.Resting = false
 		if known.Disk != self.Disk {
@@ -447,6 +452,19 @@
 			effects.Note(foghorn.MemberLost, "member", name, "reporters", fresh, "unheard", unheard.String())
 		}
 	}
+	for name, member := range helm.Sorted(pilot.state.Members) {
+		// A daemon that is heard by its watchers and yet follows nothing acts on
+		// an old view: to the others it is as good as lost.
+		limit := followingFor
+		if member.Resting {
+			limit += beacon.PatientHold
+		}
+		if unheard := now.Sub(pilot.heard[name]); member.Alive && unheard > limit && !slices.ContainsFunc(gone, func(other beacon.Member) bool { return other.Name == name }) {
+			member.Alive, member.Resting = false, false
+			gone = append(gone, member)
+			effects.Note(foghorn.MemberLost, "member", name, "why", "does not follow", "unheard", unheard.String())
+		}
+	}
 	return gone
 }
 
--- /dev/null
+++ b/internal/squall/squall.go
@@ -0,0 +1,146 @@
+// Package squall holds faults as values. A fault has a name, a start, a length
+// and a pick, which says whom it strikes; a storm is a list of them, drawn from
+// a seed, with one last fault that nothing takes away. The simulator and the
+// trials of real processes bring the same names about, so that a list can be
+// written down, run again and shortened in either world.
+package squall
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// ErrorList tells of a list of faults that can't be read.
+var ErrorList = errorx.NewNamespace("squall").NewType("list")
+
+// Fault is one thing that goes wrong for a while.
+type Fault struct {
+	Name   string
+	Start  time.Duration
+	Length time.Duration
+	Pick   uint64
+}
+
+// Names lists every fault that may come at any time. Both worlds know them all.
+var Names = []string{
+	"crowd", "cut-daemon", "cut-one-way", "cut-place", "cut-primary", "drain", "edit-props", "freeze-keeper", "freeze-lantern",
+	"freeze-pilot", "freeze-primary", "freeze-tender", "join-keeper", "join-lantern", "join-pilot", "kill-backup", "kill-keeper",
+	"kill-lantern", "kill-pilot", "kill-primary", "kill-tender", "loss", "lose-place", "operators", "power-loss", "relink", "resets",
+	"restart-beside", "restart-keeper", "restart-keepers", "restart-lantern", "restart-pilot", "retire", "rolling", "slow-daemon",
+	"slow-disk", "slow-links", "space", "vanish", "wander", "wipe-keeper", "wipe-pilot",
+}
+
+// Last lists the faults with which a run may end: they stay.
+var Last = []string{"kill-lantern", "kill-primary", "kill-backup", "kill-keeper", "kill-tender", "lose-place", "lose-two", "restart-all"}
+
+// grave faults take away what a second grave fault at the same time would need
+// in order to be outlasted: a copy of what is kept, or a majority.
+var grave = map[string]bool{
+	"cut-daemon": true, "cut-place": true, "cut-primary": true, "freeze-keeper": true, "freeze-pilot": true, "freeze-primary": true,
+	"join-keeper": true, "kill-backup": true, "kill-keeper": true, "kill-pilot": true, "kill-primary": true, "lose-place": true,
+	"power-loss": true, "restart-keeper": true, "restart-keepers": true, "restart-pilot": true, "retire": true, "rolling": true,
+	"slow-daemon": true, "cut-one-way": true, "loss": true, "wipe-keeper": true, "wipe-pilot": true,
+}
+
+// wiping faults lose a disk, which the promises allow for one machine at a
+// time: nothing grave may meet them.
+var wiping = map[string]bool{"wipe-keeper": true, "wipe-pilot": true, "retire": true}
+
+// Wiping tells whether a fault loses a disk.
+func Wiping(name string) bool { return wiping[name] }
+
+// Clashes tells whether two faults at once are more than the brief promises to
+// outlast: a lost disk together with the loss of what holds its only copy.
+func Clashes(left, right string) bool {
+	return wiping[left] && grave[right] || wiping[right] && grave[left]
+}
+
+// Draw draws a storm: a few names, each coming some times, and no two that
+// clash within the time that one needs to be mended.
+func Draw(random *rand.Rand, names []string, length time.Duration, count int) []Fault {
+	var storm []Fault
+	for range count {
+		fault := Fault{
+			Name:   names[random.IntN(len(names))],
+			Start:  time.Duration(random.Int64N(int64(length))).Round(time.Millisecond),
+			Length: (200*time.Millisecond + time.Duration(random.Int64N(int64(5*time.Second)))).Round(time.Millisecond),
+			Pick:   uint64(random.IntN(1 << 16)),
+		}
+		if !slices.ContainsFunc(storm, func(other Fault) bool { return Clashes(fault.Name, other.Name) && near(fault, other) }) {
+			storm = append(storm, fault)
+		}
+	}
+	slices.SortStableFunc(storm, func(left, right Fault) int { return int(left.Start - right.Start) })
+	return storm
+}
+
+// Mending is how long a strand may need to have its two copies again.
+const Mending = 12 * time.Second
+
+func near(left, right Fault) bool {
+	return left.Start < right.Start+right.Length+Mending && right.Start < left.Start+left.Length+Mending
+}
+
+// String writes a fault as name@start+length#pick.
+func (fault Fault) String() string {
+	return fmt.Sprintf("%s@%s+%s#%d", fault.Name, fault.Start, fault.Length, fault.Pick)
+}
+
+// Format writes a list.
+func Format(storm []Fault) string {
+	var parts []string
+	for _, fault := range storm {
+		parts = append(parts, fault.String())
+	}
+	return strings.Join(parts, ",")
+}
+
+// Parse reads what Format writes.
+func Parse(text string) ([]Fault, error) {
+	var storm []Fault
+	for _, part := range strings.Split(text, ",") {
+		if part == "" {
+			continue
+		}
+		name, rest, _ := strings.Cut(part, "@")
+		start, rest, _ := strings.Cut(rest, "+")
+		length, pick, _ := strings.Cut(rest, "#")
+		fault := Fault{Name: name}
+		if !slices.Contains(Names, name) && !slices.Contains(Last, name) {
+			return nil, ErrorList.New("%q is not a fault", name)
+		}
+		var wrong [3]error
+		fault.Start, wrong[0] = time.ParseDuration(start)
+		fault.Length, wrong[1] = time.ParseDuration(length)
+		fault.Pick, wrong[2] = strconv.ParseUint(pick, 10, 64)
+		for _, each := range wrong {
+			if each != nil {
+				return nil, ErrorList.Wrap(each, "%q is not name@start+length#pick", part)
+			}
+		}
+		storm = append(storm, fault)
+	}
+	return storm, nil
+}
+
+// Shorten leaves out faults for as long as a run without them still fails, and
+// gives the shortest list found.
+func Shorten(storm []Fault, fails func(storm []Fault) bool) []Fault {
+	for again := true; again; {
+		again = false
+		for position := range storm {
+			shorter := slices.Delete(slices.Clone(storm), position, position+1)
+			if fails(shorter) {
+				storm, again = shorter, true
+				break
+			}
+		}
+	}
+	return storm
+}
--- /dev/null
+++ b/internal/squall/squall_test.go
@@ -0,0 +1,38 @@
+// What is written of a storm reads back the same, a drawn storm holds no clash,
+// and shortening ends at the faults that matter.
+package squall
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestStormsReadBackAndShorten(t *testing.T) {
+	for seed := range uint64(200) {
+		storm := Draw(rand.New(rand.NewPCG(seed, 1)), Names, 30*time.Second, 12)
+		read, fault := Parse(Format(storm))
+		assert.NilError(t, fault)
+		assert.Equal(t, Format(read), Format(storm))
+		for position, left := range storm {
+			for _, right := range storm[position+1:] {
+				assert.Assert(t, !(Clashes(left.Name, right.Name) && near(left, right)), "%s and %s", left, right)
+			}
+		}
+		if len(storm) < 3 {
+			continue
+		}
+		needed := []Fault{storm[0], storm[2]}
+		short := Shorten(storm, func(storm []Fault) bool {
+			return slices.Contains(storm, needed[0]) && slices.Contains(storm, needed[1])
+		})
+		assert.Equal(t, Format(short), Format(needed))
+	}
+	for _, wrong := range []string{"no-such@1s+1s#1", "resets@x+1s#1", "resets@1s", "resets@1s+1s#-1"} {
+		_, fault := Parse(wrong)
+		assert.Assert(t, fault != nil, wrong)
+	}
+}
--- a/internal/strand/keeper.go
+++ b/internal/strand/keeper.go
@@ -218,6 +218,9 @@
 
 // Start begins the keeper's work.
 func (keeper *Keeper) Start(now time.Time, effects *helm.Effects) {
+	for _, strand := range helm.Sorted(keeper.strands) {
+		strand.log.refresh(now)
+	}
 	if keeper.blank {
 		keeper.checkpoint(effects)
 	}
@@ -598,7 +601,7 @@
 	keeper.Counts.Copies++
 	keeper.Counts.CopyRecords += uint64(len(records))
 	effects.Send(understudy.Address, Copy{
-		Strand: strand.log.Name, Epoch: strand.place.Epoch, After: after, AfterEpoch: afterEpoch,
+		Now: now, Strand: strand.log.Name, Epoch: strand.place.Epoch, After: after, AfterEpoch: afterEpoch,
 		Records: append([]Record(nil), records...),
 	})
 	if strand.ackedEpoch {
@@ -673,6 +676,7 @@
 			}
 			continue
 		}
+		record.At = now.Add(-max(0, copied.Now.Sub(record.At)))
 		strand.log.add(record)
 		keeper.log(diskEntry{Strand: copied.Strand, Record: &record}, nil)
 	}
@@ -725,7 +729,7 @@
 		}
 		keeper.Counts.Frames++
 		effects.Note(foghorn.StrandFrameSent, "strand", returned.Strand, "epoch", strand.place.Epoch, "have", returned.Have)
-		effects.Send(from, Frame{Strand: returned.Strand, Epoch: strand.place.Epoch, State: flare.MustMarshal(strand.log)})
+		effects.Send(from, Frame{Now: now, Strand: returned.Strand, Epoch: strand.place.Epoch, State: flare.MustMarshal(strand.log)})
 		return
 	}
 	strand.ackedEpoch = true
@@ -770,10 +774,11 @@
 		effects.Note(foghorn.LinkGarbage, "remote", from, "strand", frame.Strand)
 		return
 	}
+	log.shift(now.Sub(frame.Now))
 	strand.log = log
 	strand.synced = 0
 	effects.Note(foghorn.StrandFrameTaken, "strand", frame.Strand, "epoch", frame.Epoch, "records", len(log.Records))
-	keeper.log(diskEntry{Strand: frame.Strand, Frame: frame.State}, nil)
+	keeper.log(diskEntry{Strand: frame.Strand, Frame: flare.MustMarshal(log)}, nil)
 	keeper.confirm(strand, from, frame.Epoch)
 }
 
--- a/internal/strand/messages.go
+++ b/internal/strand/messages.go
@@ -90,8 +90,10 @@
 }
 
 // Copy carries records from the first to the understudy, after the record at
-// After of epoch AfterEpoch.
+// After of epoch AfterEpoch. Its times are counted from Now, since no two
+// machines' clocks need agree.
 type Copy struct {
+	Now        time.Time
 	Strand     string
 	Epoch      uint64
 	After      uint64
@@ -109,8 +111,9 @@
 	Older     uint64
 }
 
-// Frame carries a whole strand.
+// Frame carries a whole strand, its times counted from Now.
 type Frame struct {
+	Now    time.Time
 	Strand string
 	Epoch  uint64
 	State  []byte
--- a/internal/strand/strand.go
+++ b/internal/strand/strand.go
@@ -97,6 +97,42 @@
 	log.Senders[record.Sender] = sender
 }
 
+// shift moves all times of a log that came from another machine's clock, or
+// from a disk that was written by an earlier one of this machine.
+func (log *log) shift(by time.Duration) {
+	for position := range log.Records {
+		log.Records[position].At = log.Records[position].At.Add(by)
+	}
+	for name, sender := range log.Senders {
+		sender.At = sender.At.Add(by)
+		for seq, memory := range sender.Recent {
+			memory.At = memory.At.Add(by)
+			sender.Recent[seq] = memory
+		}
+		log.Senders[name] = sender
+	}
+}
+
+// refresh makes the newest thing in a log that was read from disk as young as
+// now: how long this machine was away, and by whose clock the times on its disk
+// were written, nobody knows. All is held for longer rather than too short.
+func (log *log) refresh(now time.Time) {
+	var newest time.Time
+	for _, record := range log.Records {
+		if record.At.After(newest) {
+			newest = record.At
+		}
+	}
+	for _, sender := range log.Senders {
+		if sender.At.After(newest) {
+			newest = sender.At
+		}
+	}
+	if !newest.IsZero() {
+		log.shift(now.Sub(newest))
+	}
+}
+
 // trim forgets what is older than the holding time and its margin.
 func (log *log) trim(now time.Time, holding time.Duration) {
 	limit := now.Add(-holding - HistoryMargin)
--- a/internal/swell/client.go
+++ b/internal/swell/client.go
@@ -32,8 +32,10 @@
 	awayUntil  time.Time
 	interests  []lamp.Interest
 	heardAt    time.Time
+	openedAt   time.Time
 	moveTo     string
 	Gone       bool
+	brief      string
 
 	publishes []Plan
 	seqs      map[string]uint64
@@ -113,6 +115,7 @@
 		return
 	}
 	client.node = node
+	client.openedAt = swell.Now
 	swell.number++
 	client.channel = swell.number
 	life := node.life
@@ -173,6 +176,13 @@
 	client.later(wait)
 }
 
+// leave ends a client for good; nothing more is owed to it.
+func (client *Client) leave() {
+	client.Gone = true
+	client.swell.Oracle.Dropped(client.Name)
+	client.cut(client.turn, 0)
+}
+
 // Reset cuts the client's connection from outside.
 func (client *Client) Reset(wait time.Duration) {
 	client.awayUntil = client.swell.Now.Add(wait + 2*time.Second)
@@ -217,7 +227,10 @@
 			client.Gone = true
 		case answer.Code == "no-such-channel" || answer.Code == "moved":
 			client.cut(turn, 20*time.Millisecond)
+		case answer.Code == "no-such-space" && client.brief != "":
+			client.leave()
 		case answer.RetryAfter > 0:
+			swell.Oracle.RefusedAs(answer.Code, client.Name+" subscribes", swell.calmSince(), swell.Now)
 			swell.After(answer.RetryAfter, func() {
 				if client.turn == turn {
 					client.subscribe(turn)
@@ -254,6 +267,8 @@
 		case "message":
 			swell.trace("%s at %s gets %s/%s/%d on %s", client.Name, client.node.Name, event.Space, event.Sender, event.Seq, event.Topic)
 			swell.Oracle.Got(client.Name, oracle.Message{Space: event.Space, Sender: event.Sender, Seq: event.Seq}, event.Topic, string(event.Data), swell.Now)
+		case "hello":
+			swell.Oracle.Showed(event.Daemon, event.Version, client.openedAt, swell.Now)
 		case "ping":
 			swell.Call(client.node, func(visit uint64) any {
 				return lamp.Pong{Visit: visit, Channel: client.channel, Origin: client.Name}
@@ -335,6 +350,11 @@
 	}
 }
 
+// expected are the codes that follow from what a caller or an operator did, not
+// from a daemon that does not serve: the move of a channel, and what waits for
+// an earlier seq that is on its way again.
+var expected = []string{"moved", "earlier-refused", "no-such-space"}
+
 // try sends one seq once.
 func (client *Client) try(item *outgoing) {
 	swell := client.swell
@@ -344,11 +364,14 @@
 	message := item.message
 	swell.Oracle.Try(message, item.topic, item.data, began)
 	settled := false
-	finish := func(outcome string, again time.Duration) {
+	finish := func(outcome, code string, again time.Duration) {
 		if settled {
 			return
 		}
 		settled = true
+		if outcome != "accepted" && client.brief == "" && !client.Gone && !slices.Contains(expected, code) {
+			swell.Oracle.RefusedAs(code, message.String(), swell.calmSince(), swell.Now)
+		}
 		item.inFlight = false
 		swell.trace("%s try %d at %s on %s: %s", message, item.tries, node.Name, item.topic, outcome)
 		swell.Oracle.Answered(message, outcome, began, swell.Now)
@@ -372,19 +395,19 @@
 		answer, matches := value.(lamp.Answer)
 		switch {
 		case !alive || !matches:
-			finish("unsettled", 50*time.Millisecond)
+			finish("unsettled", "cut-off", 50*time.Millisecond)
 		case answer.Outcome == lamp.OutcomeAccepted:
-			finish("accepted", -1)
+			finish("accepted", "", -1)
 			if client.Resends && swell.Random.IntN(6) == 0 {
 				client.resend(item)
 			}
 		case answer.RetryAfter > 0:
-			finish(answer.Outcome, answer.RetryAfter)
+			finish(answer.Outcome, answer.Code, answer.RetryAfter)
 		default:
-			finish(answer.Outcome, -1)
+			finish(answer.Outcome, answer.Code, -1)
 		}
 	})
-	swell.After(clientPatience, func() { finish("unsettled", 20*time.Millisecond) })
+	swell.After(clientPatience, func() { finish("unsettled", "silent", 20*time.Millisecond) })
 }
 
 // resend sends an accepted seq again within ten seconds: it must be
--- a/internal/swell/scenario.go
+++ b/internal/swell/scenario.go
@@ -5,6 +5,7 @@
 package swell
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -16,6 +17,7 @@
 	"dahlialock/internal/lamp"
 	"dahlialock/internal/oracle"
 	"dahlialock/internal/pilotage"
+	"dahlialock/internal/squall"
 	"dahlialock/internal/strand"
 )
 
@@ -24,6 +26,7 @@
 	Name   string
 	Length time.Duration
 	Faults func(swell *Swell, length time.Duration)
+	Plot   func(seed uint64) Plot
 }
 
 type spaceDocument struct {
@@ -44,6 +47,7 @@
 	swell   *Swell
 	version uint64
 	extra   bool
+	extras  map[string]bool
 	economy any
 	drains  []string
 	sent    map[uint64][]byte
@@ -56,6 +60,9 @@
 	if operator.extra {
 		spaces = append(spaces, spaceDocument{Name: "brief", Promise: "passing"})
 	}
+	for name := range helm.Sorted(operator.extras) {
+		spaces = append(spaces, spaceDocument{Name: name, Promise: "passing"})
+	}
 	body, fault := json.Marshal(document{Version: operator.version, Spaces: spaces, Economy: operator.economy, Drains: operator.drains})
 	must(fault)
 	return body
@@ -143,13 +150,20 @@
 func (operator *Operator) next(done func()) {
 	operator.version++
 	body := operator.document()
-	if operator.sent == nil {
-		operator.sent = map[uint64][]byte{}
-	}
 	operator.sent[operator.version] = body
 	operator.put(operator.version, body, done)
 }
 
+// race puts two configurations of one version and different content at once.
+func (operator *Operator) race() {
+	operator.version++
+	body := operator.document()
+	other := bytes.Replace(body, []byte(`"promise":"passing"`), []byte(`"promise":"passing","answer_within":"2s"`), 1)
+	operator.sent[operator.version] = body
+	operator.put(operator.version, body, nil)
+	operator.put(operator.version, other, nil)
+}
+
 // work puts, races, repeats and reads configurations all along.
 func (operator *Operator) work(until time.Time) {
 	swell := operator.swell
@@ -174,12 +188,24 @@
 	}
 }
 
+func newOperator(swell *Swell) *Operator {
+	return &Operator{swell: swell, extras: map[string]bool{}, sent: map[uint64][]byte{}}
+}
+
+const sampleEvery = 100 * time.Millisecond
+
 // sample looks at what is in force on every daemon.
 func (swell *Swell) sample() {
-	swell.After(100*time.Millisecond, swell.sample)
+	swell.After(sampleEvery, swell.sample)
 	for _, client := range swell.clients {
 		client.watch()
 	}
+	switch primary := swell.Primary(); {
+	case primary == nil:
+		swell.primarySince = time.Time{}
+	case swell.primarySince.IsZero():
+		swell.primarySince = swell.Now
+	}
 	for _, node := range swell.Nodes(beacon.KindLantern) {
 		if !node.Up || node.Frozen || node.Stopping {
 			continue
@@ -195,8 +221,15 @@
 		if swell.cutFromMost(node) || swell.cutFromMost(beside) {
 			continue
 		}
-		if node.Ready() || swell.Now.Sub(healthy) > oracle.ForceWithin && swell.Primary() != nil {
-			swell.Oracle.InForce(node.Name, node.Lantern().Configuration().Version, healthy, swell.Now)
+		if orders := node.Lantern().Follower().Orders; !node.Ready() && !orders.Rest && !slices.Contains(node.Lantern().Configuration().Drains, node.Name) {
+			swell.unready[node.Name] += sampleEvery
+			swell.Oracle.NotReady(node.Name, swell.calmSince(), swell.Now)
+		}
+		if swell.primarySince.After(healthy) && !node.Ready() {
+			healthy = swell.primarySince
+		}
+		if node.Ready() || swell.Now.Sub(healthy) > oracle.ForceWithin && !swell.primarySince.IsZero() {
+			swell.Oracle.InForce(node.Name, node.Lantern().Configuration().Version, node.Ready(), healthy, swell.Now)
 		}
 	}
 }
@@ -205,7 +238,7 @@
 	cut, all := 0, 0
 	for _, other := range swell.Nodes(beacon.KindPilot) {
 		all++
-		if swell.cuts[link(node, other)] || swell.cuts[link(other, node)] {
+		if swell.cuts[link(node, other)]+swell.cuts[link(other, node)] > 0 {
 			cut++
 		}
 	}
@@ -215,10 +248,15 @@
 // Prepare starts a fleet with a configuration and callers, and waits until it
 // serves.
 func Prepare(seed uint64, size Size, trace func(line string)) (*Swell, *Operator) {
+	return prepare(seed, size, 0, trace)
+}
+
+func prepare(seed uint64, size Size, apart time.Duration, trace func(line string)) (*Swell, *Operator) {
 	swell := New(seed, size)
 	swell.Trace = trace
+	swell.apart = apart
 	swell.StartAll()
-	operator := &Operator{swell: swell}
+	operator := newOperator(swell)
 	swell.operator = operator
 	swell.Oracle.Space("boards", true, false)
 	swell.Oracle.Space("decisions", true, true)
@@ -236,6 +274,7 @@
 		}
 		return true
 	})
+	swell.trouble = swell.Now
 	swell.sample()
 	return swell, operator
 }
@@ -274,29 +313,46 @@
 
 // Run runs a scenario under one seed.
 func Run(scenario Scenario, seed uint64, size Size, trace func(line string)) *Swell {
+	if scenario.Plot != nil {
+		return RunPlot(seed, size, scenario.Plot(seed), trace)
+	}
 	swell, operator := Prepare(seed, size, trace)
-	swell.Crowd(12)
+	swell.Crowd(size.Callers)
 	swell.Run(3 * time.Second)
 	operator.work(swell.Now.Add(scenario.Length))
+	swell.trouble = swell.Now.Add(-oracle.TroubleFor)
 	if scenario.Faults != nil {
+		swell.open++
 		scenario.Faults(swell, scenario.Length)
 	}
 	swell.Run(scenario.Length)
+	if scenario.Faults != nil {
+		swell.ends(scenario.Name)
+	}
 	swell.Settle(20 * time.Second)
 	return swell
 }
 
-// Settle takes all faults away, lets callers come back, and closes the book.
+// Settle takes all faults away, lets callers come back and go on for a while,
+// and closes the book.
 func (swell *Swell) Settle(wait time.Duration) {
 	swell.Heal()
 	for _, node := range swell.Nodes("") {
 		if node.Frozen {
 			node.Thaw()
+			swell.trouble = swell.Now
 		}
 		if !node.Up {
 			node.Start()
+			swell.trouble = swell.Now
 		}
 	}
+	swell.Run(wait * 7 / 10)
+	swell.close(wait * 3 / 10)
+}
+
+// close ends new publications, and the run.
+func (swell *Swell) close(wait time.Duration) {
 	for _, client := range swell.clients {
 		client.Quiet()
 	}
@@ -331,47 +387,40 @@
 }
 
 // ServiceBack measures how long after a moment every caller can publish and is
-// subscribed again.
+// subscribed again, and when each part of the recovery was seen.
 func (swell *Swell) ServiceBack(what string) {
 	from := swell.Now
+	comeback := &Comeback{What: what}
+	swell.back, swell.backFrom = comeback, from
 	var check func()
 	check = func() {
-		if swell.serves() {
-			swell.Oracle.Served(what, swell.Now.Sub(from))
-			swell.trace("service is back %s after %s", swell.Now.Sub(from), what)
-			return
+		after := swell.Now.Sub(from)
+		primary, strands, callers := swell.serving()
+		for _, part := range []struct {
+			there bool
+			since *time.Duration
+		}{{primary, &comeback.TakenOver}, {strands, &comeback.Refilled}, {callers, &comeback.CallersBack}} {
+			if !part.there {
+				*part.since = 0
+			} else if *part.since == 0 {
+				*part.since = after
+			}
 		}
-		if swell.Now.Sub(from) > 2*oracle.BackWithin {
-			swell.Oracle.Served(what, swell.Now.Sub(from))
+		// Word of the loss may come after a moment in which all still seems
+		// well, so service counts as back once it has held for four seconds.
+		if back := max(comeback.TakenOver, comeback.Refilled, comeback.CallersBack); primary && strands && callers && after-back > 4*time.Second || after > 2*oracle.BackWithin {
+			if !primary || !strands || !callers {
+				back = after
+			}
+			swell.Oracle.Served(what, back)
+			swell.trace("service is back %s after %s: %+v", back, what, *comeback)
+			swell.Comeback = append(swell.Comeback, *comeback)
+			swell.back = nil
 			return
 		}
-		swell.After(100*time.Millisecond, check)
-	}
-	swell.After(200*time.Millisecond, check)
-}
-
-// serves tells whether there is a primary, every strand is complete, and all
-// callers have their place.
-func (swell *Swell) serves() bool {
-	primary := swell.Primary()
-	if primary == nil {
-		return false
-	}
-	for _, place := range primary.Machine.(*pilotage.Pilot).State().Places {
-		if !place.Complete {
-			return false
-		}
-		first := swell.nodes[place.First]
-		if !first.Up || first.Frozen {
-			return false
-		}
+		swell.After(50*time.Millisecond, check)
 	}
-	for _, client := range swell.clients {
-		if !client.Gone && !client.subscribed && !swell.Now.Before(client.awayUntil) {
-			return false
-		}
-	}
-	return true
+	swell.After(50*time.Millisecond, check)
 }
 
 // Faults.
@@ -679,7 +728,7 @@
 			swell.retire(node, func() {
 				swell.trace("%s was retired and is wiped", node.Name)
 				swell.killFor(node, 5*time.Second, true)
-			})
+			}, func() {})
 		})
 	},
 	"remove-space": func(swell *Swell, length time.Duration) {
@@ -710,10 +759,15 @@
 	return pair[0] == beacon.KindLantern && pair[1] == beacon.KindTender && left.Name[len(left.Kind):] == right.Name[len(right.Kind):]
 }
 
-func (swell *Swell) retire(node *Node, done func()) {
+// retire retires a keeper; never is called if it is refused for want of others.
+func (swell *Swell) retire(node *Node, done, never func()) {
 	var poll func()
 	ask := func(method, path string) {
 		at := swell.pickUp("")
+		if at == nil {
+			swell.After(500*time.Millisecond, func() { swell.retire(node, done, never) })
+			return
+		}
 		swell.Control(at, method, path, nil, func(returned beacon.ControlReturn, alive bool) {
 			var value struct {
 				Retired bool `json:"retired"`
@@ -725,10 +779,11 @@
 			case value.Retired:
 				done()
 			case alive && returned.Status == http.StatusConflict:
+				never()
 			case alive && returned.Status < 300:
 				swell.After(200*time.Millisecond, poll)
 			default:
-				swell.After(500*time.Millisecond, func() { swell.retire(node, done) })
+				swell.After(500*time.Millisecond, func() { swell.retire(node, done, never) })
 			}
 		})
 	}
@@ -739,7 +794,8 @@
 // briefSpace adds a space, lets it be used, and removes it, while a lantern is
 // cut off in one of several ways.
 func (swell *Swell) briefSpace(length time.Duration) {
-	operator := &Operator{swell: swell, version: 1000, extra: true}
+	operator := newOperator(swell)
+	operator.version, operator.extra = 1000, true
 	swell.Oracle.Space("brief", false, false)
 	operator.next(func() {
 		var users []*Client
@@ -793,16 +849,15 @@
 	for _, name := range names {
 		found = append(found, Scenario{Name: name, Length: 25 * time.Second, Faults: single[name]})
 	}
-	found = append(found, Scenario{Name: "pairs", Length: 30 * time.Second, Faults: func(swell *Swell, length time.Duration) {
-		for range 2 {
-			name := names[swell.Random.IntN(len(names))]
-			for name == "remove-space" || name == "rest-and-crowd" || name == "drain" || name == "wipe-keeper" || name == "lose-place" {
-				name = names[swell.Random.IntN(len(names))]
-			}
-			swell.trace("fault: %s", name)
-			single[name](swell, length)
-		}
-	}})
+	for _, name := range squall.Names {
+		found = append(found, Scenario{Name: "storm-" + name, Plot: func(seed uint64) Plot { return drawPlot(seed, []string{name}, 3) }})
+	}
+	for _, name := range squall.Last {
+		found = append(found, Scenario{Name: "last-" + name, Plot: func(uint64) Plot { return Plot{Last: name} }})
+	}
+	found = append(found,
+		Scenario{Name: "pairs", Plot: pairPlot},
+		Scenario{Name: "storm", Plot: func(seed uint64) Plot { return drawPlot(seed, squall.Names, 9) }})
 	return found
 }
 
--- a/internal/swell/swell.go
+++ b/internal/swell/swell.go
@@ -25,12 +25,19 @@
 
 // Size is the shape of a simulated fleet.
 type Size struct {
-	Lanterns, Keepers, Pilots, Places int
-	Delay                             time.Duration
+	Lanterns, Keepers, Pilots, Places, Callers int
+	Delay                                      time.Duration
 }
 
 // Small is a fleet that is quick to run and has every kind of daemon.
-var Small = Size{Lanterns: 5, Keepers: 3, Pilots: 5, Places: 3, Delay: time.Millisecond}
+var Small = Size{Lanterns: 5, Keepers: 3, Pilots: 5, Places: 3, Delay: time.Millisecond, Callers: 12}
+
+// Sizes are the small fleet and the shapes of the two deployments.
+var Sizes = map[string]Size{
+	"small":    Small,
+	"fjordlys": {Lanterns: 7, Keepers: 3, Pilots: 5, Places: 3, Delay: 500 * time.Microsecond, Callers: 40},
+	"qureshi":  {Lanterns: 9, Keepers: 3, Pilots: 5, Places: 3, Delay: 1500 * time.Microsecond, Callers: 40},
+}
 
 type event struct {
 	at    time.Time
@@ -57,26 +64,38 @@
 
 // Swell is one run.
 type Swell struct {
-	Seed     uint64
-	Random   *rand.Rand
-	Now      time.Time
-	Oracle   *oracle.Oracle
-	Size     Size
-	Trace    func(line string)
-	started  time.Time
-	queue    events
-	order    uint64
-	nodes    map[string]*Node
-	byPort   map[string]*Node
-	arrival  map[string]time.Time
-	cuts     map[string]bool
-	loss     float64
-	clients  []*Client
-	operator *Operator
-	number   uint64
-	Events   int
-	Sent     map[string]int
-	Away     int64
+	Seed         uint64
+	Random       *rand.Rand
+	Now          time.Time
+	Oracle       *oracle.Oracle
+	Size         Size
+	Trace        func(line string)
+	started      time.Time
+	queue        events
+	order        uint64
+	nodes        map[string]*Node
+	byPort       map[string]*Node
+	arrival      map[string]time.Time
+	cuts         map[string]int
+	loss         float64
+	lag          time.Duration
+	relinks      int
+	apart        time.Duration
+	seeds        []string
+	trouble      time.Time
+	unready      map[string]time.Duration
+	open         int
+	lost         []string
+	back         *Comeback
+	backFrom     time.Time
+	primarySince time.Time
+	Comeback     []Comeback
+	clients      []*Client
+	operator     *Operator
+	number       uint64
+	Events       int
+	Sent         map[string]int
+	Away         int64
 }
 
 // Node is one daemon of the run.
@@ -107,6 +126,15 @@
 	HealthySince time.Time
 	Steps        int
 	Syncs        int
+	slowDisk     int
+	showed       shown
+	spare        bool
+}
+
+// shown is what a lantern last had in force while it served.
+type shown struct {
+	version uint64
+	life    uint64
 }
 
 type stored struct {
@@ -123,38 +151,50 @@
 func New(seed uint64, size Size) *Swell {
 	swell := &Swell{
 		Seed: seed, Random: rand.New(rand.NewPCG(seed, 0x5eed)), Now: time.Unix(1_700_000_000, 0), Oracle: oracle.New(), Size: size,
-		nodes: map[string]*Node{}, byPort: map[string]*Node{}, arrival: map[string]time.Time{}, cuts: map[string]bool{}, Sent: map[string]int{},
+		nodes: map[string]*Node{}, byPort: map[string]*Node{}, arrival: map[string]time.Time{}, cuts: map[string]int{}, Sent: map[string]int{}, unready: map[string]time.Duration{},
 	}
 	swell.started = swell.Now
-	var seeds []string
 	for number := range min(3, size.Pilots) {
-		seeds = append(seeds, address(beacon.KindPilot, number))
+		swell.seeds = append(swell.seeds, address(beacon.KindPilot, number))
 	}
 	for number := range size.Pilots {
-		swell.add(beacon.KindPilot, number, func(node *Node, stored stored) berthed {
-			machine, fault := pilotage.New(pilotage.Props{Self: node.member(), Count: size.Pilots, Seeds: seeds}, stored.frame, stored.entries)
-			must(fault)
-			return machine
-		})
+		swell.addPilot(number)
 	}
 	for number := range size.Keepers {
-		swell.add(beacon.KindKeeper, number, func(node *Node, stored stored) berthed {
-			machine, fault := strand.New(strand.Props{Self: node.member(), Seeds: seeds, NewDisk: fmt.Sprintf("disk%d", node.life)}, stored.frame, stored.entries)
-			must(fault)
-			return machine
-		})
+		swell.addKeeper(number)
 	}
 	for number := range size.Lanterns {
-		swell.add(beacon.KindLantern, number, func(node *Node, _ stored) berthed {
-			return lamp.New(lamp.Props{Self: node.member(), Tender: address(beacon.KindTender, number), Key: []byte("simulated-key-0123")})
-		})
-		swell.add(beacon.KindTender, number, func(node *Node, _ stored) berthed {
-			return tender.New(tender.Props{Self: node.member(), Seeds: seeds, Lantern: address(beacon.KindLantern, number)})
-		})
+		swell.addLantern(number)
 	}
 	return swell
 }
 
+func (swell *Swell) addPilot(number int) *Node {
+	return swell.add(beacon.KindPilot, number, func(node *Node, stored stored) berthed {
+		machine, fault := pilotage.New(pilotage.Props{Self: node.member(), Count: swell.Size.Pilots, Seeds: swell.seeds}, stored.frame, stored.entries)
+		must(fault)
+		return machine
+	})
+}
+
+func (swell *Swell) addKeeper(number int) *Node {
+	return swell.add(beacon.KindKeeper, number, func(node *Node, stored stored) berthed {
+		machine, fault := strand.New(strand.Props{Self: node.member(), Seeds: swell.seeds, NewDisk: fmt.Sprintf("disk%d", node.life)}, stored.frame, stored.entries)
+		must(fault)
+		return machine
+	})
+}
+
+// addLantern adds a lantern and the tender beside it.
+func (swell *Swell) addLantern(number int) (*Node, *Node) {
+	lantern := swell.add(beacon.KindLantern, number, func(node *Node, _ stored) berthed {
+		return lamp.New(lamp.Props{Self: node.member(), Tender: address(beacon.KindTender, number), Key: []byte("simulated-key-0123")})
+	})
+	return lantern, swell.add(beacon.KindTender, number, func(node *Node, _ stored) berthed {
+		return tender.New(tender.Props{Self: node.member(), Seeds: swell.seeds, Lantern: address(beacon.KindLantern, number)})
+	})
+}
+
 func must(fault error) {
 	if fault != nil {
 		panic(fault)
@@ -163,7 +203,7 @@
 
 func address(kind string, number int) string { return fmt.Sprintf("%s-%d:1", kind, number+1) }
 
-func (swell *Swell) add(kind string, number int, build func(node *Node, stored stored) berthed) {
+func (swell *Swell) add(kind string, number int, build func(node *Node, stored stored) berthed) *Node {
 	node := &Node{
 		swell: swell, Name: fmt.Sprintf("%s-%d", kind, number+1), Kind: kind, Place: number % swell.Size.Places, Address: address(kind, number),
 		build: build, rate: 1 + (swell.Random.Float64()-0.5)*0.04,
@@ -173,6 +213,7 @@
 	}
 	swell.nodes[node.Name] = node
 	swell.byPort[node.Address] = node
+	return node
 }
 
 // Node finds a daemon.
@@ -232,9 +273,13 @@
 // Daemons.
 
 func (node *Node) member() beacon.Member {
+	incarnation := node.life
+	if node.swell.apart > 0 {
+		incarnation = uint64(node.localStart.UnixNano())
+	}
 	return beacon.Member{
 		Name: node.Name, Kind: node.Kind, Address: node.Address, Control: node.Address, Caller: node.Address,
-		Locality: fmt.Sprintf("zone-%d", node.Place), Incarnation: node.life, Alive: true,
+		Locality: fmt.Sprintf("zone-%d", node.Place), Incarnation: incarnation, Alive: true,
 	}
 }
 
@@ -253,6 +298,10 @@
 	node.life = swell.number
 	node.simStart = swell.Now
 	node.localStart = swell.Now.Add(time.Duration(swell.Random.IntN(200)-100) * time.Millisecond)
+	if swell.apart > 0 {
+		// Wall clocks of machines that nobody set, or that were set anew.
+		node.localStart = node.localStart.Add(time.Duration(swell.Random.Int64N(int64(2*swell.apart))) - swell.apart)
+	}
 	node.returns, node.sinks = map[uint64]func(any, bool){}, map[uint64]func(helm.Deliver){}
 	node.writes, node.writing, node.backlog = nil, false, nil
 	node.HealthySince = swell.Now
@@ -385,10 +434,27 @@
 	run(node.local(), &effects)
 	node.carryOut(&effects)
 	if node.Up {
+		node.judgeForce()
 		node.arm()
 	}
 }
 
+// judgeForce looks at a lantern after each of its steps: what it has in force
+// while it serves must never be older than what it had, whatever was restarted
+// in between.
+func (node *Node) judgeForce() {
+	if node.Kind != beacon.KindLantern {
+		return
+	}
+	lantern := node.Lantern()
+	version := lantern.Configuration().Version
+	if node.showed == (shown{version: version, life: node.life}) || !lantern.Confirmed(node.local()) {
+		return
+	}
+	node.showed = shown{version: version, life: node.life}
+	node.swell.Oracle.Showed(node.Name, version, node.swell.Now, node.swell.Now)
+}
+
 func (node *Node) arm() {
 	node.timer++
 	due := node.Machine.NextDue()
@@ -413,6 +479,9 @@
 func (node *Node) carryOut(effects *helm.Effects) {
 	swell := node.swell
 	for _, note := range effects.Notes {
+		if swell.back != nil {
+			swell.back.note(note.Number, swell.Now.Sub(swell.backFrom))
+		}
 		if swell.Trace != nil {
 			swell.trace("%s: %d %v", node.Name, note.Number, note.Fields)
 		}
@@ -468,7 +537,11 @@
 	node.writing = true
 	batch := len(node.writes)
 	life := node.life
-	node.swell.After(time.Duration(500+node.swell.Random.IntN(3000))*time.Microsecond, func() {
+	takes := time.Duration(500+node.swell.Random.IntN(3000)) * time.Microsecond
+	if node.slowDisk > 0 {
+		takes *= time.Duration(1 + node.swell.Random.IntN(node.slowDisk))
+	}
+	node.swell.After(takes, func() {
 		if !node.Up || node.life != life {
 			return
 		}
@@ -493,7 +566,16 @@
 func link(from, to *Node) string { return from.Name + ">" + to.Name }
 
 // Cut cuts the way from one daemon to another.
-func (swell *Swell) Cut(from, to *Node) { swell.cuts[link(from, to)] = true }
+func (swell *Swell) Cut(from, to *Node) { swell.cuts[link(from, to)]++ }
+
+// Mend takes one cut away again.
+func (swell *Swell) Mend(from, to *Node) {
+	name := link(from, to)
+	if swell.cuts[name]--; swell.cuts[name] <= 0 {
+		delete(swell.cuts, name)
+		from.HealthySince, to.HealthySince = swell.Now, swell.Now
+	}
+}
 
 // CutAway cuts daemons off from all others, both ways.
 func (swell *Swell) CutAway(inside func(node *Node) bool) {
@@ -515,7 +597,7 @@
 		from, to, _ := strings.Cut(name, ">")
 		swell.nodes[from].HealthySince, swell.nodes[to].HealthySince = swell.Now, swell.Now
 	}
-	swell.cuts, swell.loss = map[string]bool{}, 0
+	swell.cuts, swell.loss, swell.lag, swell.relinks = map[string]int{}, 0, 0, 0
 }
 
 func (swell *Swell) delay(from, to int) time.Duration {
@@ -527,6 +609,9 @@
 		// A lost packet is sent again by the transport below.
 		length += 200 * time.Millisecond
 	}
+	if swell.lag > 0 {
+		length += time.Duration(swell.Random.Int64N(int64(swell.lag)))
+	}
 	return length
 }
 
@@ -538,7 +623,7 @@
 	frame, fault := flare.Encode(helm.Meta{From: from.Address, Version: version}, send.Message)
 	must(fault)
 	swell.Sent[fmt.Sprintf("%T", send.Message)]++
-	if swell.cuts[link(from, to)] {
+	if swell.cuts[link(from, to)] > 0 {
 		return
 	}
 	if from.Place != to.Place {
@@ -549,13 +634,27 @@
 		at = swell.Now
 	}
 	key := link(from, to)
-	if last := swell.arrival[key]; last.After(at) {
-		at = last
+	times := 1
+	if swell.relinks > 0 && from != to && swell.Random.IntN(20) == 0 {
+		// A link that was dialled anew: what the old one still held comes
+		// late, twice or never.
+		times = swell.Random.IntN(3)
+		at = at.Add(time.Duration(swell.Random.IntN(30)) * time.Millisecond)
+	} else {
+		if last := swell.arrival[key]; last.After(at) {
+			at = last
+		}
+		swell.arrival[key] = at
+	}
+	for range times {
+		swell.arrive(from, to, frame, at)
 	}
-	swell.arrival[key] = at
-	life := to.life
+}
+
+func (swell *Swell) arrive(from, to *Node, frame []byte, at time.Time) {
+	key, life := link(from, to), to.life
 	swell.At(at, func() {
-		if !to.Up || to.life != life || swell.cuts[key] {
+		if !to.Up || to.life != life || swell.cuts[key] > 0 {
 			return
 		}
 		to.enter(func() {
--- a/internal/swell/swell_test.go
+++ b/internal/swell/swell_test.go
@@ -47,6 +47,12 @@
 	{"freeze-lantern", 0, "held messages kept a strand from being fresh"},
 	{"vanish", 0, "the chain of a sender's messages broke at one of no interest"},
 	{"resets", 5, "a resend after a move was refused in a passing space"},
+	{"pairs", 1, "keepers trimmed by another machine's clock what they had just taken over"},
+	{"pairs", 2, "a lantern without its tender kept its origins and refused them"},
+	{"storm", 0, "joins were led to a lost lantern by one that follows nothing"},
+	{"storm-retire", 5, "the same, with a keeper retired before"},
+	{"storm-wipe-pilot", 1, "a backup that lost its disk under a command never became level"},
+	{"storm-wipe-pilot", 3, "the same, until no lost keeper was replaced"},
 }
 
 func judge(t *testing.T, scenario Scenario, seed uint64) {
--- a/internal/watchbill/watch.go
+++ b/internal/watchbill/watch.go
@@ -810,7 +810,8 @@
 	}
 	level := grant.Complete == record.Epoch && grant.Index == watch.index
 	inFlight := len(watch.queue) > 0 && watch.queue[0].index > 0
-	if !level && !inFlight {
+	// A backup that lost its disk can't go on from a command under way either.
+	if grant.Complete != record.Epoch || grant.Index < watch.index || !level && !inFlight {
 		watch.backupLevel = false
 		effects.Send(from, Frame{Epoch: record.Epoch, For: record.Epoch, Index: watch.index, State: watch.ledger.Frame()})
 		return
@@ -927,6 +928,10 @@
 	if frame.For != record.Epoch || sender != record.Primary || !watch.isBackup() || watch.takingOver {
 		return
 	}
+	if watch.durable.Complete == record.Epoch && frame.Index < watch.index {
+		// An older frame that came late; what was acknowledged since stays.
+		return
+	}
 	if fault := watch.ledger.Restore(frame.State); fault != nil {
 		return
 	}
