--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -150,13 +150,18 @@
 
 func (daemon *Daemon) settingsPath() string { return filepath.Join(daemon.folder, "props.json") }
 
-func (daemon *Daemon) writeSettings() error {
+// Settings is the text of a daemon's right settings.
+func (daemon *Daemon) Settings() string {
 	body, fault := json.MarshalIndent(daemon.settings, "", "  ")
 	if fault != nil {
-		return fault
+		panic(fault)
 	}
+	return string(body)
+}
+
+func (daemon *Daemon) writeSettings() error {
 	draft := daemon.settingsPath() + ".draft"
-	if fault := os.WriteFile(draft, body, 0o644); fault != nil {
+	if fault := os.WriteFile(draft, []byte(daemon.Settings()), 0o644); fault != nil {
 		return fault
 	}
 	return os.Rename(draft, daemon.settingsPath())
@@ -202,7 +207,7 @@
 		return fault
 	}
 	defer func() { _ = log.Close() }()
-	command := exec.Command(daemon.binary, "-props", daemon.settingsPath())
+	command := exec.Command(daemon.binary, "-trial", "-props", daemon.settingsPath())
 	command.Stderr, command.Stdout = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if fault := command.Start(); fault != nil {
--- a/internal/helm/mutation.go
+++ b/internal/helm/mutation.go
@@ -1,6 +1,9 @@
+//go:build mutation
+
 // Mutations are mechanisms that a test takes away to see that the promise which
-// they keep is then broken, and that the oracle sees it. Nothing but such a test
-// ever sets one; a process can't.
+// they keep is then broken, and that the oracle sees it. This file is part of
+// builds with the tag mutation only, as the tests use it; a released daemon
+// holds none.
 package helm
 
 var mutation string
--- /dev/null
+++ b/internal/helm/released.go
@@ -0,0 +1,8 @@
+//go:build !mutation
+
+// In a released build every mechanism is there, and the compiler leaves out
+// whatever stood behind the question.
+package helm
+
+// Mutated tells whether a mechanism has been taken away: never.
+func Mutated(string) bool { return false }
--- a/internal/pilotage/control.go
+++ b/internal/pilotage/control.go
@@ -6,7 +6,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -111,6 +113,9 @@
 
 func (pilot *Pilot) put(now time.Time, document []byte, give answer, effects *helm.Effects) {
 	configuration, faults := chart.Read(document)
+	if len(faults) == 0 {
+		faults = pilot.checkDrains(configuration)
+	}
 	if len(faults) > 0 && helm.Mutated("accept-broken") {
 		give(effects, http.StatusOK, map[string]any{"version": configuration.Version, "taken": true})
 		return
@@ -159,6 +164,28 @@
 	}, effects)
 }
 
+// checkDrains looks at what only the cohort can tell: that the lanterns to be
+// drained exist, and that one would be left.
+func (pilot *Pilot) checkDrains(configuration chart.Configuration) []chart.Fault {
+	if configuration.Version <= pilot.state.Version || len(configuration.Drains) == 0 {
+		return nil
+	}
+	var faults []chart.Fault
+	for position, name := range configuration.Drains {
+		if member, found := pilot.state.Members[name]; !found || member.Kind != beacon.KindLantern {
+			faults = append(faults, chart.Fault{
+				Path: fmt.Sprintf("$.drains[%d]", position), Code: "dangling-name", Text: fmt.Sprintf("no lantern is named %q", name),
+			})
+		}
+	}
+	for _, member := range pilot.state.Members {
+		if member.Kind == beacon.KindLantern && member.Alive && !slices.Contains(configuration.Drains, member.Name) {
+			return faults
+		}
+	}
+	return append(faults, chart.Fault{Path: "$.drains", Code: "clash", Text: "no living lantern would be left"})
+}
+
 func (pilot *Pilot) keeper(now time.Time, method, rest string, give answer, effects *helm.Effects) {
 	name, verb, _ := strings.Cut(rest, "/")
 	member, found := pilot.state.Members[name]
--- a/internal/props/props.go
+++ b/internal/props/props.go
@@ -56,7 +56,7 @@
 }
 
 var keys = []string{
-	"name", "address", "ctl", "caller", "locality", "seeds", "data", "tender", "lantern", "pilots", "key", "origins_most", "log_level", "trial",
+	"name", "address", "ctl", "caller", "locality", "seeds", "data", "tender", "lantern", "pilots", "key", "origins_most", "log_level",
 }
 
 // Source is where settings come from.
@@ -64,6 +64,7 @@
 	kind  string
 	path  string
 	flags map[string]string
+	trial bool
 }
 
 // FromFlags declares the flags of a daemon and reads them.
@@ -74,10 +75,8 @@
 		source.path = value
 		return nil
 	})
+	set.BoolVar(&source.trial, "trial", false, "allow the setting trial, which delays and cuts links; for trials only")
 	for _, key := range keys {
-		if key == "trial" {
-			continue
-		}
 		set.Func(strings.ReplaceAll(key, "_", "-"), "the setting "+key+"; lists are separated by commas", func(value string) error {
 			source.flags[key] = value
 			return nil
@@ -127,7 +126,11 @@
 }
 
 func (source *Source) walk(walk *chart.Reader, value *fastjson.Value, props *Props) {
-	members := walk.Object("$", value, keys...)
+	known := keys
+	if source.trial {
+		known = append(slices.Clone(keys), "trial")
+	}
+	members := walk.Object("$", value, known...)
 	var arena fastjson.Arena
 	for key, text := range source.flags {
 		switch key {
--- a/internal/swell/mutation_test.go
+++ b/internal/swell/mutation_test.go
@@ -1,3 +1,5 @@
+//go:build mutation
+
 // Each promise is seen broken once its mechanism is taken away: the scenario
 // that provokes the failure is run with the mutation, and the oracle must name
 // the violation. Without the mutation the same seeds are green. The first seed
