Every fault of the list on real processes, in storms with one last fault

Cause: the trial knew eleven faults, one at a time, and nothing stayed broken at the end. Links: one-way cuts, a cut closes the connection, so that what follows is dialled anew; a slow disk. All only behind -trial.

--- a/cmd/harbour/origin.go
+++ b/cmd/harbour/origin.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -25,7 +24,9 @@
 type trialOrigin struct {
 	run       *trialRun
 	name      string
-	locality  string
+	locality  atomic.Pointer[string]
+	awayUntil atomic.Int64
+	brief     string
 	caller    *caller.Caller
 	random    *rand.Rand
 	interests []oracle.Interest
@@ -33,7 +34,6 @@
 	address   atomic.Pointer[string]
 	last      atomic.Pointer[string]
 	resets    chan struct{}
-	ended     chan struct{}
 	cancel    context.CancelFunc
 	living    context.Context
 	seqs      map[string]uint64
@@ -45,18 +45,24 @@
 
 func urgentTopic(number int) string { return fmt.Sprintf("farm%d/halt%d", number/10, number%10) }
 
+func (run *trialRun) newOrigin(name string, place int, seed uint64) *trialOrigin {
+	living, cancel := context.WithCancel(context.Background())
+	each := &trialOrigin{
+		run: run, name: name, random: rand.New(rand.NewPCG(run.trial.seed, seed)), resets: make(chan struct{}, 1),
+		living: living, cancel: cancel, seqs: map[string]uint64{},
+	}
+	locality := fleet.Place(place)
+	each.locality.Store(&locality)
+	// Each caller comes from an address of its own locality.
+	each.caller = &caller.Caller{Token: mooring.Token([]byte(fleet.Key), each.name), HTTP: caller.NewClient(fleet.Prefix(place) + "2")}
+	each.tell("begins")
+	return each
+}
+
 func (run *trialRun) startOrigins() {
-	localities := run.fleet.Deployment.Places
 	for number := range run.trial.origins {
-		living, cancel := context.WithCancel(context.Background())
-		each := &trialOrigin{
-			run: run, name: fmt.Sprintf("origin-%d", number), locality: fleet.Place(number % localities),
-			random: rand.New(rand.NewPCG(run.trial.seed, uint64(number))), resets: make(chan struct{}, 1), ended: make(chan struct{}),
-			living: living, cancel: cancel, seqs: map[string]uint64{}, urgent: number%10 == 0,
-		}
-		// Each caller comes from an address of its own locality.
-		source := fleet.Prefix(number%localities) + "2"
-		each.caller = &caller.Caller{Token: mooring.Token([]byte(fleet.Key), each.name), HTTP: caller.NewClient(source)}
+		each := run.newOrigin(fmt.Sprintf("origin-%d", number), number%run.fleet.Deployment.Places, uint64(number))
+		each.urgent = number%10 == 0
 		each.rate = run.trial.kept / float64(run.trial.origins)
 		for range 2 {
 			each.interests = append(each.interests, oracle.Interest{Space: "boards", Path: keptTopic(each.random.IntN(keptTopics))})
@@ -73,12 +79,34 @@
 		if number%120 == 7 {
 			each.interests = append(each.interests, oracle.Interest{Space: "boards", Wide: true})
 		}
-		each.tell("begins")
 		run.origins = append(run.origins, each)
 		go each.live()
 	}
 }
 
+// probe publishes once to topics of every strand, through any ready lantern, and
+// tells whether all were accepted.
+func (origin *trialOrigin) probe() bool {
+	daemon := origin.run.platform.pick(origin.random, *origin.locality.Load())
+	if daemon == nil {
+		return false
+	}
+	for number := range 24 {
+		origin.seqs["boards"]++
+		message := oracle.Message{Space: "boards", Sender: origin.name, Seq: origin.seqs["boards"]}
+		if outcome, _ := origin.try(daemon.Caller, message, keptTopic(number), fmt.Sprintf("%q", message.String())); outcome != "accepted" {
+			return false
+		}
+	}
+	return true
+}
+
+// leave ends an origin for good; nothing more is owed to it.
+func (origin *trialOrigin) leave() {
+	origin.note(func(oracle *oracle.Oracle) { oracle.Dropped(origin.name) })
+	origin.cancel()
+}
+
 func (origin *trialOrigin) note(entry func(oracle *oracle.Oracle)) { origin.run.book.note(entry) }
 
 func (origin *trialOrigin) reset() {
@@ -114,8 +142,12 @@
 	var cutAt time.Time
 	asked := false
 	for origin.living.Err() == nil {
+		if wait := time.Until(time.Unix(0, origin.awayUntil.Load())); wait > 0 {
+			time.Sleep(min(wait, 100*time.Millisecond))
+			continue
+		}
 		if target == "" {
-			if daemon := origin.run.platform.pick(origin.random, origin.locality); daemon != nil {
+			if daemon := origin.run.platform.pick(origin.random, *origin.locality.Load()); daemon != nil {
 				target = daemon.Caller
 			}
 		}
@@ -124,6 +156,7 @@
 			continue
 		}
 		origin.tell("opening at %s", target)
+		began := time.Now()
 		channel, fault := origin.caller.Open(origin.living, target)
 		target = ""
 		if fault != nil {
@@ -131,6 +164,8 @@
 			time.Sleep(100 * time.Millisecond)
 			continue
 		}
+		shown, at := channel.Hello, time.Now()
+		origin.note(func(oracle *oracle.Oracle) { oracle.Showed(shown.Daemon, shown.Version, began, at) })
 		if !asked {
 			asked = true
 			at := time.Now()
@@ -185,7 +220,11 @@
 			return true
 		case answer.Code == "no-such-channel" || answer.Code == "moved":
 			return false
+		case answer.Code == "no-such-space" && origin.brief != "":
+			origin.leave()
+			return false
 		case answer.RetryAfterMs > 0:
+			origin.refused(answer.Code, origin.name+" subscribes")
 			time.Sleep(time.Duration(answer.RetryAfterMs) * time.Millisecond)
 		default:
 			at := time.Now()
@@ -260,6 +299,10 @@
 		share := float64(max(1, origin.run.trial.origins/10))
 		spaces[2].rate, spaces[3].rate = origin.run.trial.urgent/share, 4/share
 	}
+	if origin.brief != "" {
+		spaces = spaces[:1]
+		spaces[0].space, spaces[0].rate, spaces[0].topic = origin.brief, 5, func() string { return "a/b" }
+	}
 	next := make([]time.Time, len(spaces))
 	wait := func(rate float64) time.Duration {
 		return time.Duration(origin.random.ExpFloat64() / rate * float64(time.Second))
@@ -299,19 +342,7 @@
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
-		began := time.Now()
-		origin.note(func(oracle *oracle.Oracle) { oracle.Try(message, topic, data, began) })
-		within, cancel := context.WithTimeout(origin.living, 2500*time.Millisecond)
-		answer, fault := origin.caller.Publish(within, *address, message.Space, topic, message.Seq, rawJSON(data))
-		cancel()
-		at := time.Now()
-		outcome, again := "unsettled", 50*time.Millisecond
-		if fault == nil {
-			outcome, again = answer.Outcome, time.Duration(answer.RetryAfterMs)*time.Millisecond
-		} else if errors.Is(fault, context.Canceled) && origin.living.Err() != nil {
-			outcome = "unsettled"
-		}
-		origin.note(func(oracle *oracle.Oracle) { oracle.Answered(message, outcome, began, at) })
+		outcome, again := origin.try(*address, message, topic, data)
 		if outcome == "accepted" || again == 0 {
 			return
 		}
@@ -319,6 +350,30 @@
 	}
 }
 
+// try sends one seq once, and tells how it ended and when to try again.
+func (origin *trialOrigin) try(address string, message oracle.Message, topic, data string) (string, time.Duration) {
+	began := time.Now()
+	origin.note(func(oracle *oracle.Oracle) { oracle.Try(message, topic, data, began) })
+	within, cancel := context.WithTimeout(origin.living, 2500*time.Millisecond)
+	answer, fault := origin.caller.Publish(within, address, message.Space, topic, message.Seq, rawJSON(data))
+	cancel()
+	at := time.Now()
+	outcome, code, again := "unsettled", "cut-off", 50*time.Millisecond
+	if fault == nil {
+		outcome, code, again = answer.Outcome, answer.Code, time.Duration(answer.RetryAfterMs)*time.Millisecond
+	}
+	origin.note(func(oracle *oracle.Oracle) { oracle.Answered(message, outcome, began, at) })
+	if outcome != "accepted" && origin.living.Err() == nil && origin.brief == "" && code != "earlier-refused" && code != "moved" {
+		origin.refused(code, message.String())
+	}
+	return outcome, again
+}
+
+func (origin *trialOrigin) refused(code, what string) {
+	calm, at := origin.run.calmSince(), time.Now()
+	origin.note(func(oracle *oracle.Oracle) { oracle.RefusedAs(code, what, calm, at) })
+}
+
 type rawJSON string
 
 // MarshalJSON gives the text as it is.
--- a/cmd/harbour/trial.go
+++ b/cmd/harbour/trial.go
@@ -5,16 +5,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net/http"
 	"os"
 	"slices"
 	"strings"
-	"syscall"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/subcommands"
@@ -22,28 +19,32 @@
 	"dahlialock/internal/beacon"
 	"dahlialock/internal/fleet"
 	"dahlialock/internal/oracle"
+	"dahlialock/internal/squall"
 )
 
 type trial struct {
-	deployment, folder, binaries, faults string
-	length                               time.Duration
-	origins                              int
-	kept, urgent                         float64
-	seed                                 uint64
-	keep                                 bool
-	economy                              bool
+	deployment, folder, binaries, faults, plot, last string
+	length                                           time.Duration
+	origins, count                                   int
+	kept, urgent                                     float64
+	seed                                             uint64
+	keep                                             bool
+	economy                                          bool
 }
 
 func (*trial) Name() string     { return "trial" }
 func (*trial) Synopsis() string { return "run a whole deployment under load and judge it" }
 func (*trial) Usage() string {
-	return "trial [-deployment D] [-length 2m] [-faults kill,freeze,...] [-seed N]\n"
+	return "trial [-deployment D] [-length 2m] [-faults all|NAMES|pair] [-count N] [-last NAME] [-seed N]\n"
 }
 func (trial *trial) SetFlags(set *flag.FlagSet) {
 	set.StringVar(&trial.deployment, "deployment", "fjordlys", "the `size`: small, fjordlys or qureshi")
 	set.StringVar(&trial.folder, "folder", "", "`folder` for settings, logs and data; a new one if not given")
 	set.StringVar(&trial.binaries, "binaries", ownFolder(), "`folder` of the daemons' programs")
-	set.StringVar(&trial.faults, "faults", "", "`names` with commas: kill-lantern, kill-keeper, kill-primary, freeze, restart, resets, wipe-keeper, wipe-pilot, props, cut, retire")
+	set.StringVar(&trial.faults, "faults", "", "`names` of faults with commas between, to draw from; all; or pair for two that the seed picks. Known: "+strings.Join(squall.Names, ", "))
+	set.IntVar(&trial.count, "count", 0, "how `many` faults to draw; one for each 8 s if not given")
+	set.StringVar(&trial.plot, "plot", "", "a `list` of faults as name@start+length#pick, instead of drawing")
+	set.StringVar(&trial.last, "last", "", "the last fault, which stays: draw, or a `name` of "+strings.Join(squall.Last, ", "))
 	set.DurationVar(&trial.length, "length", 2*time.Minute, "how `long` the load lasts")
 	set.IntVar(&trial.origins, "origins", 580, "how `many` channels")
 	set.Float64Var(&trial.kept, "kept", 300, "kept messages a `second`")
@@ -73,27 +74,12 @@
 
 func (book *book) note(entry func(oracle *oracle.Oracle)) { book.entries <- entry }
 
-func (trial *trial) document(version int) []byte {
-	value := map[string]any{
-		"version": version,
-		"spaces": []any{
-			map[string]any{"name": "boards", "promise": "kept", "holding": "35s", "answer_within": "1s"},
-			map[string]any{"name": "urgent", "promise": "kept", "order": "sender", "holding": "35s", "answer_within": "500ms"},
-			map[string]any{"name": "decisions", "promise": "kept", "order": "channel"},
-			map[string]any{"name": "cursors", "promise": "passing"},
-		},
-	}
-	if trial.economy {
-		value["economy"] = map[string]any{"enabled": true, "origins_each": 250, "spare_lanterns": 1, "quiet_for": "8s"}
-	}
-	body, fault := json.Marshal(value)
+func (trial *trial) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	storm, fault := trial.draw()
 	if fault != nil {
-		panic(fault)
+		fmt.Fprintln(os.Stderr, "harbour:", fault)
+		return subcommands.ExitUsageError
 	}
-	return body
-}
-
-func (trial *trial) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	running, folder, fault := begin(trial.deployment, trial.folder, trial.binaries)
 	if fault != nil {
 		fmt.Fprintln(os.Stderr, "harbour:", fault)
@@ -109,8 +95,10 @@
 	}
 	run := &trialRun{
 		trial: trial, fleet: running, book: newBook(), random: rand.New(rand.NewPCG(trial.seed, 0xba5e)), platform: newPlatform(running),
-		quiet: make(chan struct{}),
+		quiet: make(chan struct{}), storm: storm, unready: map[string]time.Duration{},
 	}
+	run.operator = newOperator(run)
+	run.hand = &hand{run: run, operator: run.operator}
 	return run.run()
 }
 
@@ -191,91 +179,78 @@
 	platform *platform
 	quiet    chan struct{}
 	origins  []*trialOrigin
-	version  int
+	storm    []squall.Fault
+	hand     *hand
+	operator *operator
+	calm     atomic.Int64
+	gone     atomic.Pointer[[]string]
+	// unready is the sampler's; it is read once the sampler has ended.
+	unready map[string]time.Duration
 }
 
-func (run *trialRun) put(body []byte) (int, string) {
-	names := run.fleet.Names()
-	daemon := run.fleet.Daemons[names[run.random.IntN(len(names))]]
-	request, fault := http.NewRequest(http.MethodPut, "http://"+daemon.Control+"/v1/configuration", strings.NewReader(string(body)))
-	if fault != nil {
-		return 0, fault.Error()
+// calmSince is the moment from which nothing goes wrong; now, while a fault is
+// under way.
+func (run *trialRun) calmSince() time.Time {
+	if since := run.calm.Load(); since > 0 {
+		return time.Unix(0, since)
 	}
-	client := http.Client{Timeout: 5 * time.Second}
-	response, fault := client.Do(request)
-	if fault != nil {
-		return 0, fault.Error()
-	}
-	defer func() { _ = response.Body.Close() }()
-	text, _ := io.ReadAll(response.Body)
-	return response.StatusCode, string(text)
+	return time.Now()
 }
 
-func (run *trialRun) nextConfiguration(limit time.Duration) bool {
-	run.version++
-	body := run.trial.document(run.version)
-	until := time.Now().Add(limit)
-	for time.Now().Before(until) {
-		began := time.Now()
-		status, text := run.put(body)
-		if status == http.StatusOK {
-			taken, version := time.Now(), uint64(run.version)
-			run.book.note(func(oracle *oracle.Oracle) { oracle.PutTaken(version, string(body), began, taken) })
-			return true
-		}
-		if status == http.StatusBadRequest || status == http.StatusConflict {
-			fmt.Println("configuration:", status, text)
-			return false
-		}
-		time.Sleep(300 * time.Millisecond)
-	}
-	return false
-}
+const sampleEvery = 200 * time.Millisecond
 
-func (run *trialRun) readBack() {
-	names := run.fleet.Names()
-	daemon := run.fleet.Daemons[names[run.random.IntN(len(names))]]
-	began := time.Now()
-	client := http.Client{Timeout: 5 * time.Second}
-	response, fault := client.Get("http://" + daemon.Control + "/v1/configuration")
-	if fault != nil {
-		return
-	}
-	defer func() { _ = response.Body.Close() }()
-	var got struct {
-		Version       uint64          `json:"version"`
-		Configuration json.RawMessage `json:"configuration"`
-	}
-	if response.StatusCode != http.StatusOK || json.NewDecoder(response.Body).Decode(&got) != nil {
-		return
-	}
-	at := time.Now()
-	run.book.note(func(oracle *oracle.Oracle) { oracle.ReadBack(got.Version, string(got.Configuration), began, at) })
-}
-
-// sample watches which configuration is in force on the lanterns.
+// sample watches which configuration is in force on the lanterns, and which of
+// them ought to be ready and are not.
 func (run *trialRun) sample(stop chan struct{}) {
 	since := map[string]time.Time{}
-	starts := map[string]int{}
+	starts := map[string]int64{}
 	for {
 		select {
 		case <-stop:
 			return
-		case <-time.After(200 * time.Millisecond):
+		case <-time.After(sampleEvery):
 		}
 		for _, daemon := range run.fleet.OfKind(beacon.KindLantern) {
-			at := time.Now()
+			if !daemon.Running() {
+				continue
+			}
+			began := time.Now()
 			self, fault := daemon.Self()
-			if fault != nil || starts[daemon.Name] != daemon.Starts || self["ready"] != true {
-				starts[daemon.Name] = daemon.Starts
-				since[daemon.Name] = time.Now()
+			at := time.Now()
+			if fault != nil || self["ready"] != true {
+				if orders, _ := within(self, "counters", "orders").(map[string]any); orders["Rest"] != true {
+					run.unready[daemon.Name] += sampleEvery
+					calm := run.calmSince()
+					if !run.hand.left(daemon.Name) {
+						run.book.note(func(oracle *oracle.Oracle) { oracle.NotReady(daemon.Name, calm, at) })
+					}
+				}
+			}
+			if fault != nil || starts[daemon.Name] != daemon.Starts() || self["ready"] != true {
+				starts[daemon.Name] = daemon.Starts()
+				since[daemon.Name] = at
 				continue
 			}
 			version, _ := self["version"].(float64)
 			healthy := since[daemon.Name]
-			run.book.note(func(oracle *oracle.Oracle) { oracle.InForce(daemon.Name, uint64(version), true, healthy, at) })
+			run.book.note(func(oracle *oracle.Oracle) {
+				oracle.InForce(daemon.Name, uint64(version), true, healthy, at)
+				oracle.Showed(daemon.Name, uint64(version), began, at)
+			})
+		}
+	}
+}
+
+// within reads a value deep in a table.
+func within(value any, path ...string) any {
+	for _, key := range path {
+		table, matches := value.(map[string]any)
+		if !matches {
+			return nil
 		}
+		value = table[key]
 	}
+	return value
 }
 
 func (run *trialRun) run() subcommands.ExitStatus {
@@ -287,7 +262,7 @@
 		oracle.AnswerWithin("boards", 1500*time.Millisecond)
 		oracle.AnswerWithin("urgent", time.Second)
 	})
-	if !run.nextConfiguration(20 * time.Second) {
+	if !run.operator.first(20 * time.Second) {
 		fmt.Println("no configuration was taken")
 		return subcommands.ExitFailure
 	}
@@ -310,16 +285,16 @@
 	for _, each := range run.origins {
 		each.start()
 	}
-	run.bringFaults()
+	run.calm.Store(time.Now().Add(-oracle.TroubleFor).UnixNano())
+	run.operator.work()
+	run.hand.storm(run.storm, run.trial.length)
 	after := run.measure()
 	loadFor := time.Since(loadBegan)
-	close(run.quiet)
-	for _, name := range run.fleet.Names() {
-		run.fleet.Signal(name, syscall.SIGCONT)
-		if !run.fleet.Daemons[name].Running() {
-			_ = run.fleet.Start(name)
-		}
+	if run.trial.last != "" {
+		run.hand.last(run.trial.last)
 	}
+	run.operator.stop()
+	close(run.quiet)
 	fmt.Println("load ended; callers have 25 s to come back and receive what they missed")
 	time.Sleep(20 * time.Second)
 	served := run.waitSubscribed(5 * time.Second)
@@ -346,16 +321,21 @@
 	return subcommands.ExitSuccess
 }
 
+// missing counts the origins that ought to be served and are not.
+func (run *trialRun) missing() int {
+	missing := 0
+	for _, each := range run.origins {
+		if !each.served.Load() && time.Now().UnixNano() > each.awayUntil.Load() {
+			missing++
+		}
+	}
+	return missing
+}
+
 func (run *trialRun) waitSubscribed(limit time.Duration) bool {
 	until := time.Now().Add(limit)
 	for time.Now().Before(until) {
-		missing := 0
-		for _, each := range run.origins {
-			if !each.served.Load() {
-				missing++
-			}
-		}
-		if missing == 0 {
+		if run.missing() == 0 {
 			return true
 		}
 		time.Sleep(50 * time.Millisecond)
@@ -418,8 +398,9 @@
 
 func (run *trialRun) report(before, after measured, length time.Duration) {
 	fmt.Println(run.book.oracle.Summary())
+	fmt.Printf("not accepted, by code: %v; unready lantern-seconds: %v\n", run.book.oracle.Codes, run.unready)
 	delivered := after.delivered - before.delivered
-	if delivered > 0 && run.trial.faults == "" {
+	if delivered > 0 && len(run.storm) == 0 {
 		kinds := []string{}
 		for kind := range after.processor {
 			kinds = append(kinds, kind)
@@ -438,138 +419,3 @@
 		fmt.Println(" ", line)
 	}
 }
-
-// Faults.
-
-func (run *trialRun) bringFaults() {
-	until := time.Now().Add(run.trial.length)
-	var names []string
-	if run.trial.faults != "" {
-		names = strings.Split(run.trial.faults, ",")
-	}
-	operatorAt := time.Now()
-	faultAt := time.Now().Add(5 * time.Second)
-	for time.Now().Before(until) {
-		time.Sleep(250 * time.Millisecond)
-		if time.Now().After(operatorAt) {
-			operatorAt = time.Now().Add(time.Duration(2+run.random.IntN(4)) * time.Second)
-			run.nextConfiguration(8 * time.Second)
-			run.readBack()
-		}
-		if len(names) > 0 && time.Now().After(faultAt) && time.Until(until) > 8*time.Second {
-			run.fault(names[run.random.IntN(len(names))])
-			faultAt = time.Now().Add(time.Duration(10+run.random.IntN(5)) * time.Second)
-		}
-	}
-}
-
-func (run *trialRun) any(kind string) *fleet.Daemon {
-	daemons := run.fleet.OfKind(kind)
-	return daemons[run.random.IntN(len(daemons))]
-}
-
-func (run *trialRun) restartAfter(daemon *fleet.Daemon, wait time.Duration) {
-	time.Sleep(wait)
-	if !daemon.Running() {
-		_ = run.fleet.Start(daemon.Name)
-	}
-}
-
-func (run *trialRun) primary() *fleet.Daemon {
-	for _, daemon := range run.fleet.OfKind(beacon.KindPilot) {
-		if self, fault := daemon.Self(); fault == nil {
-			counters, _ := self["counters"].(map[string]any)
-			if counters["holds_tenure"] == true {
-				return daemon
-			}
-		}
-	}
-	return run.any(beacon.KindPilot)
-}
-
-func (run *trialRun) fault(name string) {
-	wait := time.Duration(1000+run.random.IntN(4000)) * time.Millisecond
-	var daemon *fleet.Daemon
-	switch name {
-	case "kill-lantern", "restart":
-		daemon = run.any(beacon.KindLantern)
-	case "kill-keeper", "wipe-keeper", "retire":
-		daemon = run.any(beacon.KindKeeper)
-	case "kill-primary":
-		daemon = run.primary()
-	case "wipe-pilot":
-		daemon = run.any(beacon.KindPilot)
-	default:
-		all := run.fleet.Names()
-		daemon = run.fleet.Daemons[all[run.random.IntN(len(all))]]
-	}
-	fmt.Printf("fault: %s %s for %s\n", name, daemon.Name, wait)
-	switch name {
-	case "kill-lantern", "kill-keeper", "kill-primary":
-		run.fleet.Kill(daemon.Name)
-		run.restartAfter(daemon, wait)
-	case "wipe-keeper", "wipe-pilot":
-		run.fleet.Kill(daemon.Name)
-		_ = run.fleet.Wipe(daemon.Name)
-		run.restartAfter(daemon, wait)
-	case "freeze":
-		run.fleet.Signal(daemon.Name, syscall.SIGSTOP)
-		time.Sleep(wait)
-		run.fleet.Signal(daemon.Name, syscall.SIGCONT)
-	case "restart":
-		took, forced := run.fleet.Stop(daemon.Name)
-		fmt.Printf("  ended after %s, forced %v\n", took.Round(10*time.Millisecond), forced)
-		if forced {
-			run.book.note(func(oracle *oracle.Oracle) { oracle.Violate("stop", "%s had to be killed", daemon.Name) })
-		}
-		run.restartAfter(daemon, time.Second)
-	case "resets":
-		for _, each := range run.origins {
-			if run.random.IntN(10) > 0 {
-				each.reset()
-			}
-		}
-	case "props":
-		_ = run.fleet.Edit(daemon.Name, []byte(`{"name": 7, "locality": `))
-		time.Sleep(wait)
-		_ = run.fleet.Restore(daemon.Name)
-		run.fleet.Signal(daemon.Name, syscall.SIGHUP)
-	case "cut":
-		_ = run.fleet.SetTrial(daemon.Name, func(trial *fleet.Trial) { trial.Cuts = []string{"127."} })
-		time.Sleep(wait)
-		_ = run.fleet.SetTrial(daemon.Name, func(*fleet.Trial) {})
-	case "retire":
-		run.retire(daemon)
-	default:
-		fmt.Println("  not known")
-	}
-}
-
-func (run *trialRun) retire(daemon *fleet.Daemon) {
-	client := http.Client{Timeout: 5 * time.Second}
-	ask := func(method, verb string) bool {
-		request, _ := http.NewRequest(method, "http://"+run.any(beacon.KindTender).Control+"/v1/keepers/"+daemon.Name+verb, nil)
-		response, fault := client.Do(request)
-		if fault != nil {
-			return false
-		}
-		defer func() { _ = response.Body.Close() }()
-		var value struct {
-			Retired bool `json:"retired"`
-		}
-		_ = json.NewDecoder(response.Body).Decode(&value)
-		return value.Retired
-	}
-	ask(http.MethodPost, "/retire")
-	for range 100 {
-		if ask(http.MethodGet, "") {
-			fmt.Printf("  %s retired\n", daemon.Name)
-			run.fleet.Kill(daemon.Name)
-			_ = run.fleet.Wipe(daemon.Name)
-			run.restartAfter(daemon, time.Second)
-			return
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-	run.book.note(func(oracle *oracle.Oracle) { oracle.Violate("retire", "%s was not retired in 10 s", daemon.Name) })
-}
--- a/cmd/lantern/main.go
+++ b/cmd/lantern/main.go
@@ -35,7 +35,7 @@
 			subscribing, publishing := machine.Fairway().Hosted()
 			return map[string]any{
 				"lantern": machine.Counts, "overlay": machine.Fairway().Counts, "peers_subscribing": subscribing, "peers_publishing": publishing,
-				"load": machine.Load(),
+				"load": machine.Load(), "orders": machine.Follower().Orders,
 			}
 		},
 		Caller: func(at *berth.Berth) http.Handler { return mooring.New(settings.Name, key, at) },
--- a/internal/berth/berth.go
+++ b/internal/berth/berth.go
@@ -44,6 +44,7 @@
 	synced   chan []uint64
 	slow     func(channel uint64) any
 	ended    chan struct{}
+	slowDisk atomic.Int64
 	Steps    atomic.Int64
 	Syncs    atomic.Int64
 }
@@ -92,6 +93,9 @@
 // are synced together.
 func (berth *Berth) writeDisk() {
 	for writes := range berth.disk {
+		if slow := time.Duration(berth.slowDisk.Load()); slow > 0 {
+			time.Sleep(slow)
+		}
 		var tokens []uint64
 		var entries [][]byte
 		flush := func() {
--- a/internal/berth/daemon.go
+++ b/internal/berth/daemon.go
@@ -219,7 +219,9 @@
 }
 
 func (process *process) weather(settings props.Props) {
-	process.berth.Flare().SetWeather(flare.Weather{Delays: settings.Trial.Delays, Loss: settings.Trial.Loss, Cuts: settings.Trial.Cuts})
+	trial := settings.Trial
+	process.berth.Flare().SetWeather(flare.Weather{Delays: trial.Delays, Loss: trial.Loss, Cuts: trial.Cuts, Mutes: trial.Mutes, Deaf: trial.Deaf})
+	process.berth.slowDisk.Store(int64(trial.Disk))
 }
 
 // openDisk opens the data folder; a damaged one is put aside, so that the copy
--- a/internal/flare/link.go
+++ b/internal/flare/link.go
@@ -34,11 +34,14 @@
 	Message any
 }
 
-// Weather is what a trial imposes on links, by prefix of the other's address.
+// Weather is what a trial imposes on links, by prefix of the other's address:
+// cuts are both ways, mutes only outwards, and deaf only inwards.
 type Weather struct {
 	Delays map[string]time.Duration
 	Loss   map[string]float64
 	Cuts   []string
+	Mutes  []string
+	Deaf   []string
 }
 
 // Counters are running sums, read by anyone and written by the links.
@@ -173,7 +176,7 @@
 		}
 		flare.Counters.MessagesIn.Add(1)
 		flare.Counters.BytesIn.Add(int64(headerSize + length))
-		if flare.cut(meta.From) {
+		if flare.cutFrom(meta.From) {
 			continue
 		}
 		flare.inbox <- Inbound{Meta: meta, Message: message}
@@ -186,15 +189,27 @@
 	return gnet.Close
 }
 
-func (flare *Flare) cut(address string) bool {
-	for _, prefix := range flare.weather.Load().Cuts {
-		if strings.HasPrefix(address, prefix) {
-			return true
+func anyPrefix(address string, lists ...[]string) bool {
+	for _, list := range lists {
+		for _, prefix := range list {
+			if strings.HasPrefix(address, prefix) {
+				return true
+			}
 		}
 	}
 	return false
 }
 
+func (flare *Flare) cutFrom(address string) bool {
+	weather := flare.weather.Load()
+	return anyPrefix(address, weather.Cuts, weather.Deaf)
+}
+
+func (flare *Flare) cutTo(address string) bool {
+	weather := flare.weather.Load()
+	return anyPrefix(address, weather.Cuts, weather.Mutes)
+}
+
 // SetWeather changes what a trial imposes.
 func (flare *Flare) SetWeather(weather Weather) {
 	flare.weather.Store(&weather)
@@ -297,7 +312,12 @@
 				time.Sleep(wait)
 			}
 		}
-		if flare.cut(served.to) {
+		if flare.cutTo(served.to) {
+			// What follows goes over a link that is dialled anew.
+			if connection != nil {
+				_ = connection.Close()
+				connection = nil
+			}
 			flare.Counters.Dropped.Add(1)
 			continue
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,6 +8,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -15,6 +16,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -47,6 +49,9 @@
 	Delays map[string]string  `json:"delays,omitempty"`
 	Loss   map[string]float64 `json:"loss,omitempty"`
 	Cuts   []string           `json:"cuts,omitempty"`
+	Mutes  []string           `json:"mutes,omitempty"`
+	Deaf   []string           `json:"deaf,omitempty"`
+	Disk   string             `json:"disk,omitempty"`
 }
 
 // Daemon is one process of the fleet.
@@ -60,9 +65,17 @@
 	folder   string
 	settings map[string]any
 	binary   string
-	command  *exec.Cmd
-	exited   chan struct{}
-	Starts   int
+	life     atomic.Pointer[life]
+	starts   atomic.Int64
+	joined   atomic.Bool
+	base     Trial
+	imposed  map[int]Trial
+}
+
+// life is one process of a daemon.
+type life struct {
+	command *exec.Cmd
+	exited  chan struct{}
 }
 
 // Fleet is all of them.
@@ -92,6 +105,7 @@
 		pilots = append(pilots, next(number%deployment.Places))
 	}
 	seeds = pilots[:min(3, len(pilots))]
+	spare := false
 	add := func(kind string, number int, address string, more map[string]any) *Daemon {
 		place := number % deployment.Places
 		daemon := &Daemon{
@@ -101,8 +115,10 @@
 		daemon.folder = filepath.Join(folder, daemon.Name)
 		daemon.settings = map[string]any{
 			"name": daemon.Name, "address": daemon.Address, "ctl": daemon.Control, "locality": daemon.Locality, "seeds": seeds,
-			"trial": Trial{Delays: fleet.delays(place)},
 		}
+		daemon.base, daemon.imposed = Trial{Delays: fleet.delays(place)}, map[int]Trial{}
+		daemon.settings["trial"] = daemon.base
+		daemon.joined.Store(!spare)
 		for key, value := range more {
 			daemon.settings[key] = value
 		}
@@ -110,23 +126,39 @@
 		fleet.names = append(fleet.names, daemon.Name)
 		return daemon
 	}
-	for number := range deployment.Pilots {
-		add(beacon.KindPilot, number, pilots[number], map[string]any{
-			"pilots": deployment.Pilots, "data": filepath.Join(folder, fmt.Sprintf("pilot-%d", number+1), "data"),
-		})
-	}
-	for number := range deployment.Keepers {
+	addKeeper := func(number int) {
 		add(beacon.KindKeeper, number, next(number%deployment.Places), map[string]any{
 			"data": filepath.Join(folder, fmt.Sprintf("keeper-%d", number+1), "data"),
 		})
 	}
-	for number := range deployment.Lanterns {
+	addPilot := func(number int, address string) {
+		add(beacon.KindPilot, number, address, map[string]any{
+			"pilots": deployment.Pilots, "data": filepath.Join(folder, fmt.Sprintf("pilot-%d", number+1), "data"),
+		})
+	}
+	addLantern := func(number int) {
 		place := number % deployment.Places
 		lanternAddress, tenderAddress, callerAddress := next(place), next(place), next(place)
 		lantern := add(beacon.KindLantern, number, lanternAddress, map[string]any{"tender": tenderAddress, "caller": callerAddress, "key": Key})
 		lantern.Caller = callerAddress
 		add(beacon.KindTender, number, tenderAddress, map[string]any{"lantern": lanternAddress})
 	}
+	for number := range deployment.Pilots {
+		addPilot(number, pilots[number])
+	}
+	for number := range deployment.Keepers {
+		addKeeper(number)
+	}
+	for number := range deployment.Lanterns {
+		addLantern(number)
+	}
+	// Machines that are laid out and not started: a trial lets them join.
+	spare = true
+	for number := range Spares {
+		addPilot(deployment.Pilots+number, next((deployment.Pilots+number)%deployment.Places))
+		addKeeper(deployment.Keepers + number)
+		addLantern(deployment.Lanterns + number)
+	}
 	for _, daemon := range fleet.Daemons {
 		if fault := os.MkdirAll(daemon.folder, 0o755); fault != nil {
 			return nil, fault
@@ -167,31 +199,75 @@
 	return os.Rename(draft, daemon.settingsPath())
 }
 
-// SetTrial changes what is imposed on a daemon's links, without a signal.
-func (fleet *Fleet) SetTrial(name string, change func(trial *Trial)) error {
+// Impose puts something on a daemon's links and disk, without a signal, until
+// Relieve takes just that away again; several may overlap.
+func (fleet *Fleet) Impose(name string, number int, trial Trial) error {
+	daemon := fleet.Daemons[name]
+	daemon.imposed[number] = trial
+	return daemon.weather()
+}
+
+// Relieve takes away what Impose put on a daemon.
+func (fleet *Fleet) Relieve(name string, number int) error {
 	daemon := fleet.Daemons[name]
-	trial := daemon.settings["trial"].(Trial)
-	trial.Cuts, trial.Loss = nil, nil
-	change(&trial)
-	daemon.settings["trial"] = trial
+	delete(daemon.imposed, number)
+	return daemon.weather()
+}
+
+func (daemon *Daemon) weather() error {
+	sum := Trial{Delays: maps.Clone(daemon.base.Delays), Loss: map[string]float64{}}
+	for _, each := range daemon.imposed {
+		maps.Copy(sum.Delays, each.Delays)
+		maps.Copy(sum.Loss, each.Loss)
+		sum.Cuts, sum.Mutes, sum.Deaf = append(sum.Cuts, each.Cuts...), append(sum.Mutes, each.Mutes...), append(sum.Deaf, each.Deaf...)
+		if each.Disk != "" {
+			sum.Disk = each.Disk
+		}
+	}
+	daemon.settings["trial"] = sum
 	return daemon.writeSettings()
 }
 
+// Spares is how many machines of each kind are laid out besides.
+const Spares = 2
+
+// Spare finds a machine of a kind that has not joined yet.
+func (fleet *Fleet) Spare(kind string) (*Daemon, bool) {
+	for _, name := range fleet.names {
+		if daemon := fleet.Daemons[name]; daemon.Kind == kind && !daemon.joined.Load() {
+			return daemon, true
+		}
+	}
+	return nil, false
+}
+
 // Edit changes a daemon's settings file to any text, without a signal.
 func (fleet *Fleet) Edit(name string, text []byte) error {
 	return os.WriteFile(fleet.Daemons[name].settingsPath(), text, 0o644)
 }
 
+// Vanish takes a daemon's settings file away.
+func (fleet *Fleet) Vanish(name string) error { return os.Remove(fleet.Daemons[name].settingsPath()) }
+
 // Restore writes a daemon's right settings again.
 func (fleet *Fleet) Restore(name string) error { return fleet.Daemons[name].writeSettings() }
 
-// Names lists the daemons in the order in which they are started.
-func (fleet *Fleet) Names() []string { return fleet.names }
+// Names lists the daemons that have joined, in the order in which they are
+// started.
+func (fleet *Fleet) Names() []string {
+	var names []string
+	for _, name := range fleet.names {
+		if fleet.Daemons[name].joined.Load() {
+			names = append(names, name)
+		}
+	}
+	return names
+}
 
 // OfKind lists the daemons of one kind.
 func (fleet *Fleet) OfKind(kind string) []*Daemon {
 	var found []*Daemon
-	for _, name := range fleet.names {
+	for _, name := range fleet.Names() {
 		if fleet.Daemons[name].Kind == kind {
 			found = append(found, fleet.Daemons[name])
 		}
@@ -213,12 +289,13 @@
 	if fault := command.Start(); fault != nil {
 		return fault
 	}
-	exited := make(chan struct{})
-	daemon.command, daemon.exited = command, exited
-	daemon.Starts++
+	running := &life{command: command, exited: make(chan struct{})}
+	daemon.life.Store(running)
+	daemon.starts.Add(1)
+	daemon.joined.Store(true)
 	go func() {
 		_ = command.Wait()
-		close(exited)
+		close(running.exited)
 	}()
 	return nil
 }
@@ -238,7 +315,7 @@
 			_ = listener.Close()
 		}
 	}
-	for _, name := range fleet.names {
+	for _, name := range fleet.Names() {
 		if fault := fleet.Start(name); fault != nil {
 			return fault
 		}
@@ -249,17 +326,18 @@
 // Signal sends a signal to a daemon.
 func (fleet *Fleet) Signal(name string, signal syscall.Signal) {
 	if daemon := fleet.Daemons[name]; daemon.Running() {
-		_ = daemon.command.Process.Signal(signal)
+		_ = daemon.life.Load().command.Process.Signal(signal)
 	}
 }
 
 // Running tells whether a daemon's process is there.
 func (daemon *Daemon) Running() bool {
-	if daemon.command == nil {
+	running := daemon.life.Load()
+	if running == nil {
 		return false
 	}
 	select {
-	case <-daemon.exited:
+	case <-running.exited:
 		return false
 	default:
 		return true
@@ -267,19 +345,23 @@
 }
 
 // Process is the daemon's process number.
-func (daemon *Daemon) Process() int { return daemon.command.Process.Pid }
+func (daemon *Daemon) Process() int { return daemon.life.Load().command.Process.Pid }
+
+// Starts is how often it was started.
+func (daemon *Daemon) Starts() int64 { return daemon.starts.Load() }
 
 // ExitCode is how the last process ended.
 func (daemon *Daemon) ExitCode() int {
-	<-daemon.exited
-	return daemon.command.ProcessState.ExitCode()
+	running := daemon.life.Load()
+	<-running.exited
+	return running.command.ProcessState.ExitCode()
 }
 
 // Kill ends a daemon at once.
 func (fleet *Fleet) Kill(name string) {
 	fleet.Signal(name, syscall.SIGKILL)
-	if daemon := fleet.Daemons[name]; daemon.command != nil {
-		<-daemon.exited
+	if running := fleet.Daemons[name].life.Load(); running != nil {
+		<-running.exited
 	}
 }
 
@@ -293,7 +375,7 @@
 	began := time.Now()
 	fleet.Signal(name, syscall.SIGTERM)
 	select {
-	case <-daemon.exited:
+	case <-daemon.life.Load().exited:
 		return time.Since(began), false
 	case <-time.After(6 * time.Second):
 		fleet.Kill(name)
@@ -304,14 +386,15 @@
 // StopAll ends all daemons.
 func (fleet *Fleet) StopAll() {
 	done := make(chan struct{})
-	for _, name := range fleet.names {
+	names := fleet.Names()
+	for _, name := range names {
 		go func() {
 			fleet.Signal(name, syscall.SIGCONT)
 			fleet.Stop(name)
 			done <- struct{}{}
 		}()
 	}
-	for range fleet.names {
+	for range names {
 		<-done
 	}
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -402,7 +402,7 @@
 		bench.logs("lantern-2", each.says)
 		assert.Assert(t, daemon.Ready(), each.what)
 	}
-	assert.NilError(t, os.Remove(daemon.settingsPath()))
+	assert.NilError(t, bench.fleet.Vanish("lantern-2"))
 	bench.logs("lantern-2", "no such file")
 	assert.Assert(t, daemon.Ready(), "the file vanished")
 	assert.NilError(t, bench.fleet.Restore("lantern-2"))
--- a/internal/props/props.go
+++ b/internal/props/props.go
@@ -34,6 +34,9 @@
 	Delays map[string]time.Duration
 	Loss   map[string]float64
 	Cuts   []string
+	Mutes  []string
+	Deaf   []string
+	Disk   time.Duration
 }
 
 // Props are a daemon's settings.
@@ -220,7 +223,7 @@
 	if value == nil {
 		return trial
 	}
-	members := walk.Object("$.trial", value, "delays", "loss", "cuts")
+	members := walk.Object("$.trial", value, "delays", "loss", "cuts", "mutes", "deaf", "disk")
 	each := func(name string, check func(path, prefix string, item *fastjson.Value)) {
 		if members[name] == nil {
 			return
@@ -238,9 +241,12 @@
 	each("loss", func(path, prefix string, item *fastjson.Value) {
 		trial.Loss[prefix] = walk.Fraction(path, item, 0, 0, 1)
 	})
-	for position, item := range walk.List("$.trial.cuts", members["cuts"], 256) {
-		trial.Cuts = append(trial.Cuts, walk.Text(fmt.Sprintf("$.trial.cuts[%d]", position), item, ""))
+	for name, list := range map[string]*[]string{"cuts": &trial.Cuts, "mutes": &trial.Mutes, "deaf": &trial.Deaf} {
+		for position, item := range walk.List("$.trial."+name, members[name], 256) {
+			*list = append(*list, walk.Text(fmt.Sprintf("$.trial.%s[%d]", name, position), item, ""))
+		}
 	}
+	trial.Disk = walk.Duration("$.trial.disk", members["disk"], 0, 0, time.Minute)
 	return trial
 }
 
