The economy decides on what it observes; topology from GraphViz and GeoJSON files

Cause: the economy kept no room for a lost locality, weighed channels only, and nothing evened out a crowd. Topology files go into the configuration through gographviz and orb/geojson with dahlialock check/put -topology; found by fuzzing: an empty collection gave null for localities. Also: what a lantern says that is gone from the view is not heard.

--- a/cmd/dahlialock/main.go
+++ b/cmd/dahlialock/main.go
@@ -20,6 +20,7 @@
 	"dahlialock/internal/caller"
 	"dahlialock/internal/chart"
 	"dahlialock/internal/mooring"
+	"dahlialock/internal/portolan"
 )
 
 // Exit codes: 0 done; 1 no daemon answered or it can't tell yet, try again;
@@ -202,14 +203,45 @@
 	return rows
 }
 
+var topologyFile string
+
+func topologyFlag(set *flag.FlagSet) {
+	set.StringVar(&topologyFile, "topology", "", "a GraphViz or GeoJSON `file` with the localities and links of the configuration")
+}
+
+// readConfiguration reads a configuration, and the topology that goes into it.
+func readConfiguration(name string) ([]byte, subcommands.ExitStatus) {
+	document, fault := readFile(name)
+	if fault != nil {
+		fmt.Fprintf(os.Stderr, "dahlialock: %v\n", fault)
+		return nil, exitUsage
+	}
+	if topologyFile == "" {
+		return document, subcommands.ExitSuccess
+	}
+	text, fault := readFile(topologyFile)
+	if fault != nil {
+		fmt.Fprintf(os.Stderr, "dahlialock: %v\n", fault)
+		return nil, exitUsage
+	}
+	topology, fault := portolan.Read(text)
+	if fault == nil {
+		document, fault = topology.Into(document)
+	}
+	if fault != nil {
+		fmt.Fprintf(os.Stderr, "dahlialock: %s: %v\n", topologyFile, fault)
+		return nil, exitRefused
+	}
+	return document, subcommands.ExitSuccess
+}
+
 func checkConfiguration(command *command, arguments []string) subcommands.ExitStatus {
 	if len(arguments) != 1 {
 		return usageError(command)
 	}
-	document, fault := readFile(arguments[0])
-	if fault != nil {
-		fmt.Fprintf(os.Stderr, "dahlialock: %v\n", fault)
-		return exitUsage
+	document, status := readConfiguration(arguments[0])
+	if status != subcommands.ExitSuccess {
+		return status
 	}
 	configuration, faults := chart.Read(document)
 	if command.raw {
@@ -234,10 +266,9 @@
 	if len(arguments) != 1 {
 		return usageError(command)
 	}
-	document, fault := readFile(arguments[0])
-	if fault != nil {
-		fmt.Fprintf(os.Stderr, "dahlialock: %v\n", fault)
-		return exitUsage
+	document, status := readConfiguration(arguments[0])
+	if status != subcommands.ExitSuccess {
+		return status
 	}
 	got, fault := command.ask(http.MethodPut, "/v1/configuration", document)
 	return command.finish(got, fault, func(value map[string]any) { fmt.Printf("version %v taken\n", value["version"]) })
@@ -479,8 +510,8 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	for _, each := range []*command{
-		{name: "check", usage: "FILE", synopsis: "check a configuration here, without any daemon", run: checkConfiguration},
-		{name: "put", usage: "[-ctl A] FILE", synopsis: "put a configuration in force", run: putConfiguration},
+		{name: "check", usage: "[-topology T] FILE", synopsis: "check a configuration here, without any daemon", flags: topologyFlag, run: checkConfiguration},
+		{name: "put", usage: "[-ctl A] [-topology T] FILE", synopsis: "put a configuration in force", flags: topologyFlag, run: putConfiguration},
 		{name: "get", usage: "[-ctl A]", synopsis: "read the configuration back", run: getConfiguration},
 		{name: "cohort", usage: "[-ctl A]", synopsis: "list the daemons", run: cohort},
 		{name: "placement", usage: "[-ctl A]", synopsis: "list where each strand is kept", run: placement},
--- a/cmd/lantern/main.go
+++ b/cmd/lantern/main.go
@@ -4,6 +4,7 @@
 import (
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
 	"dahlialock/internal/beacon"
@@ -17,9 +18,18 @@
 	os.Exit(berth.Main(beacon.KindLantern, os.Args[1:], build))
 }
 
+// processorTime is what this process has used so far.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
 func build(settings props.Props, self beacon.Member, _ berth.Stored) (berth.Build, error) {
 	key := []byte(settings.Key)
-	machine := lamp.New(lamp.Props{Self: self, Tender: settings.Tender, Key: key, OriginsMost: settings.OriginsMost})
+	machine := lamp.New(lamp.Props{Self: self, Tender: settings.Tender, Key: key, OriginsMost: settings.OriginsMost, Processor: processorTime})
 	return berth.Build{
 		Machine: machine,
 		Ready:   func(now time.Time) bool { return machine.Ready(now) },
--- a/internal/beacon/member.go
+++ b/internal/beacon/member.go
@@ -54,6 +54,8 @@
 	Room      int
 	Visits    uint64
 	Delivered uint64
+	Copies    uint64
+	Processor time.Duration
 	Ready     bool
 	Resting   bool
 	Strands   []string
@@ -90,9 +92,12 @@
 }
 
 // Orders are what the economy asks of one lantern.
+// Rest empties it and lets it rest; Keep, if above zero, asks it to hand on
+// what it holds beyond.
 type Orders struct {
 	Rest    bool
 	Empty   bool
+	Keep    int
 	Pace    int
 	Targets []string
 }
@@ -261,6 +266,6 @@
 
 // Equal compares orders.
 func (orders Orders) Equal(other Orders) bool {
-	return orders.Rest == other.Rest && orders.Empty == other.Empty && orders.Pace == other.Pace &&
+	return orders.Rest == other.Rest && orders.Empty == other.Empty && orders.Keep == other.Keep && orders.Pace == other.Pace &&
 		slices.Equal(orders.Targets, other.Targets)
 }
--- a/internal/fairway/fairway.go
+++ b/internal/fairway/fairway.go
@@ -118,6 +118,7 @@
 
 type outstanding struct {
 	until time.Time
+	sent  time.Time
 	tries int
 }
 
@@ -168,6 +169,7 @@
 	spaces   map[string]*space
 	timers   *helm.Timers
 	out      map[string][]Signal
+	ways     map[string]time.Duration
 	Counts   Counts
 }
 
@@ -175,7 +177,7 @@
 func New(daemon string) *Fairway {
 	return &Fairway{
 		daemon: daemon, lanterns: map[string]Lantern{}, spaces: map[string]*space{},
-		timers: helm.NewTimers(), out: map[string][]Signal{},
+		timers: helm.NewTimers(), out: map[string][]Signal{}, ways: map[string]time.Duration{},
 	}
 }
 
@@ -259,6 +261,29 @@
 	return destinations
 }
 
+// observe notes how long a greeting and its answer took; what is short counts
+// more, since a busy daemon only makes the way look longer.
+func (fairway *Fairway) observe(daemon string, length time.Duration) {
+	present, found := fairway.ways[daemon]
+	switch {
+	case !found || length < present:
+		fairway.ways[daemon] = length
+	default:
+		fairway.ways[daemon] = present + (length-present)/64
+	}
+}
+
+// Ways tells the round trips observed to the other living daemons.
+func (fairway *Fairway) Ways() map[string]time.Duration {
+	ways := make(map[string]time.Duration, len(fairway.ways))
+	for name, length := range fairway.ways {
+		if _, alive := fairway.lanterns[name]; alive {
+			ways[name] = length.Round(10 * time.Microsecond)
+		}
+	}
+	return ways
+}
+
 // Settled tells whether an area's peer knows its surroundings.
 func (fairway *Fairway) Settled(spaceName string, area Area) bool {
 	here, found := fairway.spaces[spaceName]
@@ -762,7 +787,7 @@
 		peer.pending[other.Key] = waiting
 	}
 	waiting.tries++
-	waiting.until = now.Add(greetLimit)
+	waiting.sent, waiting.until = now, now.Add(greetLimit)
 	fairway.timers.ArmSooner("limits", waiting.until)
 	fairway.signal(other.Key.Daemon, greeting)
 }
@@ -865,7 +890,10 @@
 // Take handles what another daemon's peers say.
 func (fairway *Fairway) Take(now time.Time, signals Signals, effects *helm.Effects) {
 	for _, signal := range signals.Signals {
-		fairway.handle(now, signal, effects)
+		// What a daemon says that is gone from the view rests on an old one.
+		if _, alive := fairway.lanterns[signal.From.Key.Daemon]; alive {
+			fairway.handle(now, signal, effects)
+		}
 	}
 	fairway.flush(effects)
 }
@@ -910,6 +938,9 @@
 			fairway.greetAs(now, peer, signal.From, false)
 		}
 	case SignalGreeted:
+		if waiting, found := peer.pending[signal.From.Key]; found && waiting.tries == 1 {
+			fairway.observe(signal.From.Key.Daemon, now.Sub(waiting.sent))
+		}
 		delete(peer.pending, signal.From.Key)
 		fairway.note(now, peer, signal.From)
 		fairway.learn(now, peer, signal.From.Key, signal.Peers, false)
--- a/internal/lamp/lantern.go
+++ b/internal/lamp/lantern.go
@@ -48,6 +48,8 @@
 	Tender      string
 	Key         []byte
 	OriginsMost int
+	// Processor tells the processor time used so far; it may be nil.
+	Processor func() time.Duration
 }
 
 type lookout struct {
@@ -147,7 +149,12 @@
 func (lantern *Lantern) Configuration() chart.Configuration { return lantern.config }
 
 func (lantern *Lantern) load() beacon.Load {
+	var processor time.Duration
+	if lantern.props.Processor != nil {
+		processor = lantern.props.Processor()
+	}
 	return beacon.Load{
+		Copies: lantern.Counts.CopiesIn, Processor: processor, Delays: lantern.fairway.Ways(),
 		Origins: len(lantern.channels), Room: lantern.props.OriginsMost - len(lantern.channels), Visits: lantern.Counts.Visits,
 		Delivered: lantern.Counts.Delivered, Ready: lantern.wasReady, Resting: lantern.Resting(),
 	}
@@ -334,7 +341,7 @@
 			effects.Note(foghorn.LanternWoken, "lantern", lantern.props.Self.Name)
 		}
 	}
-	if lantern.follower.Orders.Empty && !lantern.timers.Armed("move") {
+	if orders := lantern.follower.Orders; (orders.Empty || orders.Keep > 0) && !lantern.timers.Armed("move") {
 		lantern.timers.Arm("move", now)
 	}
 	lantern.resume(now, effects)
@@ -542,10 +549,17 @@
 
 func (lantern *Lantern) moveSome(now time.Time, effects *helm.Effects) {
 	orders := lantern.follower.Orders
-	if !orders.Empty && !lantern.stopping {
+	if !orders.Empty && orders.Keep == 0 && !lantern.stopping {
 		return
 	}
 	count := max(1, orders.Pace/int(time.Second/moveEvery))
+	if orders.Keep > 0 && !orders.Empty && !lantern.stopping {
+		// Those that were told to go and are still here are on their way.
+		count = min(count, lantern.staying()-orders.Keep)
+		if count <= 0 {
+			return
+		}
+	}
 	if lantern.stopping {
 		count = max(count, (len(lantern.channels)+9)/10)
 	}
@@ -568,6 +582,17 @@
 	}
 }
 
+// staying counts the channels that were not told to move.
+func (lantern *Lantern) staying() int {
+	count := 0
+	for _, channel := range lantern.channels {
+		if channel.movedAt.IsZero() {
+			count++
+		}
+	}
+	return count
+}
+
 func (lantern *Lantern) move(now time.Time, id uint64, channel *channel, target beacon.Member, effects *helm.Effects) {
 	lantern.Counts.Moves++
 	event := Event{Event: "move", To: target.Caller, ToName: target.Name, Cursor: lantern.cursor(now, channel)}
--- a/internal/swell/swell.go
+++ b/internal/swell/swell.go
@@ -29,6 +29,9 @@
 	Delay                                      time.Duration
 }
 
+// stepProcessor stands for the processor time of one step of a machine.
+const stepProcessor = 50 * time.Microsecond
+
 // Small is a fleet that is quick to run and has every kind of daemon.
 var Small = Size{Lanterns: 5, Keepers: 3, Pilots: 5, Places: 3, Delay: time.Millisecond, Callers: 12}
 
@@ -188,7 +191,9 @@
 // addLantern adds a lantern and the tender beside it.
 func (swell *Swell) addLantern(number int) (*Node, *Node) {
 	lantern := swell.add(beacon.KindLantern, number, func(node *Node, _ stored) berthed {
-		return lamp.New(lamp.Props{Self: node.member(), Tender: address(beacon.KindTender, number), Key: []byte("simulated-key-0123")})
+		return lamp.New(lamp.Props{Self: node.member(), Tender: address(beacon.KindTender, number), Key: []byte("simulated-key-0123"), Processor: func() time.Duration {
+			return time.Duration(node.Steps) * stepProcessor
+		}})
 	})
 	return lantern, swell.add(beacon.KindTender, number, func(node *Node, _ stored) berthed {
 		return tender.New(tender.Props{Self: node.member(), Seeds: swell.seeds, Lantern: address(beacon.KindLantern, number)})
