--- a/internal/berth/berth.go
+++ b/internal/berth/berth.go
@@ -20,6 +20,7 @@
 	inboxSize   = 4096
 	requestSize = 4096
 	batchMost   = 256
+	lookEvery   = 16
 )
 
 type request struct {
@@ -39,6 +40,7 @@
 	book     *logbook.Logbook
 	address  string
 	inbox    chan flare.Inbound
+	urgent   chan flare.Inbound
 	requests chan request
 	disk     chan []helm.Write
 	synced   chan []uint64
@@ -61,10 +63,10 @@
 func Open(props Props) (*Berth, error) {
 	opened := &Berth{
 		foghorn: props.Foghorn, book: props.Book, address: props.Address, slow: props.Slow,
-		inbox: make(chan flare.Inbound, inboxSize), requests: make(chan request, requestSize),
+		inbox: make(chan flare.Inbound, inboxSize), urgent: make(chan flare.Inbound, inboxSize), requests: make(chan request, requestSize),
 		disk: make(chan []helm.Write), synced: make(chan []uint64, 1), ended: make(chan struct{}),
 	}
-	links, fault := flare.Open(props.Address, opened.inbox, func(remote string, fault error) {
+	links, fault := flare.Open(props.Address, opened.inbox, opened.urgent, func(remote string, fault error) {
 		props.Foghorn.Report(foghorn.LinkGarbage, "remote", remote, "error", fault.Error())
 	})
 	if fault != nil {
@@ -157,7 +159,10 @@
 		} else {
 			timer.Reset(max(0, time.Until(due)))
 		}
+		berth.first(state)
 		select {
+		case inbound := <-berth.urgent:
+			berth.message(state, inbound)
 		case inbound := <-berth.inbox:
 			berth.message(state, inbound)
 			berth.more(state)
@@ -197,9 +202,31 @@
 	close(berth.ended)
 }
 
-// more takes what else has arrived, without looking at the timers in between.
-func (berth *Berth) more(state *running) {
+// first takes what the control state says before anything else, however much
+// traffic waits: a daemon that is busy must not look lost.
+func (berth *Berth) first(state *running) {
 	for range batchMost {
+		select {
+		case inbound := <-berth.urgent:
+			berth.message(state, inbound)
+		default:
+			return
+		}
+	}
+}
+
+// more takes what else has arrived, as long as nothing more urgent waits and no
+// timer is due.
+func (berth *Berth) more(state *running) {
+	for count := range batchMost {
+		if len(berth.urgent) > 0 {
+			return
+		}
+		if count%lookEvery == lookEvery-1 {
+			if due := berth.machine.NextDue(); !due.IsZero() && !time.Now().Before(due) {
+				return
+			}
+		}
 		select {
 		case inbound := <-berth.inbox:
 			berth.message(state, inbound)
--- a/internal/berth/daemon.go
+++ b/internal/berth/daemon.go
@@ -392,7 +392,7 @@
 		"messages_out": counters.MessagesOut.Load(), "bytes_out": counters.BytesOut.Load(),
 		"messages_in": counters.MessagesIn.Load(), "bytes_in": counters.BytesIn.Load(),
 		"messages_away": counters.MessagesAway.Load(), "bytes_away": counters.BytesAway.Load(),
-		"dropped": counters.Dropped.Load(), "garbage": counters.Garbage.Load(),
+		"dropped": counters.Dropped.Load(), "garbage": counters.Garbage.Load(), "shed": counters.Shed.Load(),
 	}
 }
 
--- a/internal/fairway/plane.go
+++ b/internal/fairway/plane.go
@@ -212,34 +212,53 @@
 // meets tells whether an area and the cell have a point in common.
 func (cell *Cell) meets(area Area) bool { return polygonMeets(cell.middle, cell.corners, area) }
 
+// polygonMeets clips a convex polygon to an area. Most areas are far away or
+// hold a corner, which the bounds and the corners show without clipping.
 func polygonMeets(middle Point, polygon []corner, area Area) bool {
 	if len(polygon) == 0 {
 		return false
 	}
 	left, right := area.X-middle.X, area.X+area.Size-middle.X
 	low, high := area.Y-middle.Y, area.Y+area.Size-middle.Y
-	for _, bound := range []struct{ across, along, most float64 }{{-1, 0, -left}, {1, 0, right}, {0, -1, -low}, {0, 1, high}} {
-		var kept []corner
-		for position, here := range polygon {
-			next := polygon[(position+1)%len(polygon)]
+	leastX, mostX, leastY, mostY := polygon[0].x, polygon[0].x, polygon[0].y, polygon[0].y
+	for _, at := range polygon {
+		if at.x >= left && at.x <= right && at.y >= low && at.y <= high {
+			return true
+		}
+		leastX, mostX, leastY, mostY = min(leastX, at.x), max(mostX, at.x), min(leastY, at.y), max(mostY, at.y)
+	}
+	if leastX > right || mostX < left || leastY > high || mostY < low {
+		return false
+	}
+	var space [2][32]spot
+	present, spare := space[0][:0], space[1][:0]
+	for _, at := range polygon {
+		present = append(present, spot{at.x, at.y})
+	}
+	for _, bound := range [4]struct{ across, along, most float64 }{{-1, 0, -left}, {1, 0, right}, {0, -1, -low}, {0, 1, high}} {
+		spare = spare[:0]
+		for position, here := range present {
+			next := present[(position+1)%len(present)]
 			hereSide := here.x*bound.across + here.y*bound.along - bound.most
 			nextSide := next.x*bound.across + next.y*bound.along - bound.most
 			if hereSide <= 0 {
-				kept = append(kept, here)
+				spare = append(spare, here)
 			}
 			if hereSide <= 0 && nextSide > 0 || hereSide > 0 && nextSide <= 0 {
 				share := hereSide / (hereSide - nextSide)
-				kept = append(kept, corner{x: here.x + share*(next.x-here.x), y: here.y + share*(next.y-here.y)})
+				spare = append(spare, spot{here.x + share*(next.x-here.x), here.y + share*(next.y-here.y)})
 			}
 		}
-		if len(kept) == 0 {
+		if len(spare) == 0 {
 			return false
 		}
-		polygon = kept
+		present, spare = spare, present
 	}
 	return true
 }
 
+type spot struct{ x, y float64 }
+
 // boundary lists the neighbours beyond those edges that meet an area: their
 // regions meet it too.
 func (cell *Cell) boundary(area Area) []PeerKey {
--- a/internal/flare/codec.go
+++ b/internal/flare/codec.go
@@ -75,6 +75,13 @@
 	typeOfNumber[number] = kind
 }
 
+// controlBelow bounds the numbers of what the control state says: epochs,
+// tenures, heartbeats, news and operators' requests.
+const controlBelow = 400
+
+// Urgent tells whether a message is of the control state.
+func Urgent(message any) bool { return numberOfType[reflect.TypeOf(message)] < controlBelow }
+
 // Numbers lists the registered numbers with the names of their types.
 func Numbers() map[uint16]string {
 	names := make(map[uint16]string, len(typeOfNumber))
--- a/internal/flare/link.go
+++ b/internal/flare/link.go
@@ -46,8 +46,8 @@
 
 // Counters are running sums, read by anyone and written by the links.
 type Counters struct {
-	MessagesOut, BytesOut, MessagesIn, BytesIn, Dropped, Garbage atomic.Int64
-	MessagesAway, BytesAway                                      atomic.Int64
+	MessagesOut, BytesOut, MessagesIn, BytesIn, Dropped, Garbage, Shed atomic.Int64
+	MessagesAway, BytesAway                                            atomic.Int64
 }
 
 // Flare is a daemon's end of all its links.
@@ -56,6 +56,7 @@
 	address  string
 	home     string
 	inbox    chan<- Inbound
+	urgent   chan<- Inbound
 	commands chan command
 	client   *gnet.Client
 	engine   gnet.Engine
@@ -94,11 +95,12 @@
 
 // Open listens on the address and starts the dialling side. Garbage is told of
 // frames that could not be read.
-func Open(address string, inbox chan<- Inbound, garbage func(remote string, fault error)) (*Flare, error) {
+func Open(address string, inbox, urgent chan<- Inbound, garbage func(remote string, fault error)) (*Flare, error) {
 	opened := &Flare{
 		address:  address,
 		home:     homeOf(address),
 		inbox:    inbox,
+		urgent:   urgent,
 		commands: make(chan command, linkQueue),
 		booted:   make(chan struct{}),
 		garbage:  garbage,
@@ -179,7 +181,22 @@
 		if flare.cutFrom(meta.From) {
 			continue
 		}
-		flare.inbox <- Inbound{Meta: meta, Message: message}
+		flare.take(Inbound{Meta: meta, Message: message})
+	}
+}
+
+// take queues what came in. What is of the control state has a queue of its own
+// that is emptied first. Where the owner can't keep up the rest is dropped, as a
+// network would, rather than hold up everything behind it.
+func (flare *Flare) take(inbound Inbound) {
+	if Urgent(inbound.Message) {
+		flare.urgent <- inbound
+		return
+	}
+	select {
+	case flare.inbox <- inbound:
+	default:
+		flare.Counters.Shed.Add(1)
 	}
 }
 
