A first tells of no head until both keepers have what lay there when it began

The floor is what its log held when the epoch, or the process, began. Excluded: cursors (they were right), the understudy (it had everything).

--- a/internal/strand/keeper.go
+++ b/internal/strand/keeper.go
@@ -77,6 +77,7 @@
 	waiting    map[uint64][]waiter
 	accepted   uint64
 	firstSince uint64
+	floor      uint64
 }
 
 type follower struct {
@@ -423,6 +424,7 @@
 		strand.acked, strand.ackedEpoch, strand.sent = 0, false, 0
 		strand.heardAt = now
 		strand.firstSince = 0
+		strand.floor, _ = strand.log.head()
 		if place.First == keeper.props.Self.Name {
 			keeper.dirty[place.Strand] = true
 		}
@@ -538,6 +540,11 @@
 	if !strand.place.Complete || both <= strand.accepted && strand.firstSince == strand.place.Epoch {
 		return
 	}
+	// Whatever lay here when this epoch, or this process, began may have been
+	// accepted: until both have it, nobody is told where the strand's head is.
+	if strand.firstSince != strand.place.Epoch && both < strand.floor {
+		return
+	}
 	strand.firstSince = strand.place.Epoch
 	from := strand.accepted
 	strand.accepted = max(strand.accepted, both)
--- a/internal/swell/swell_test.go
+++ b/internal/swell/swell_test.go
@@ -51,6 +51,8 @@
 	{"pairs", 2, "a lantern without its tender kept its origins and refused them"},
 	{"storm", 0, "joins were led to a lost lantern by one that follows nothing"},
 	{"storm-retire", 5, "the same, with a keeper retired before"},
+	{"last-restart-all", 3123, "a first told of a head below what it had accepted before a restart"},
+	{"last-restart-all", 3187, "the same"},
 	{"storm-wipe-pilot", 1, "a backup that lost its disk under a command never became level"},
 	{"storm-cut-place", 1000, "primary and backup stayed in one locality after a cut, and were lost with it"},
 	{"storm-wipe-pilot", 3, "the same, until no lost keeper was replaced"},
