A lantern no longer looks at all it holds, or knows, for each message

By profile, in turn: rebuild looked up the neighbours of all hosted peers (42%), pump went over all held messages for each that came (52%), introduce over all known peers for each greeting (50% where somebody subscribes to everything). Now edges hold their owner's point, one look each 20 ms serves all that come while more than 64 are held, and subscribers have a table of their own.

--- a/internal/fairway/fairway.go
+++ b/internal/fairway/fairway.go
@@ -123,23 +123,25 @@
 }
 
 type hosted struct {
-	self      Peer
-	space     *space
-	known     map[PeerKey]Peer
-	cell      Cell
-	greeted   map[PeerKey]uint64
-	notedAt   map[PeerKey]time.Time
-	owed      map[PeerKey]map[PeerKey]bool
-	pending   map[PeerKey]*outstanding
-	joining   *outstanding
-	joinAsked map[string]bool
-	waiting   []Settled
-	holders   int
-	lastUse   time.Time
-	publishes bool
-	queued    bool
-	requests  []Signal
-	healUntil time.Time
+	self  Peer
+	space *space
+	known map[PeerKey]Peer
+	// subscribers are those of the known ones that subscribe.
+	subscribers map[PeerKey]Peer
+	cell        Cell
+	greeted     map[PeerKey]uint64
+	notedAt     map[PeerKey]time.Time
+	owed        map[PeerKey]map[PeerKey]bool
+	pending     map[PeerKey]*outstanding
+	joining     *outstanding
+	joinAsked   map[string]bool
+	waiting     []Settled
+	holders     int
+	lastUse     time.Time
+	publishes   bool
+	queued      bool
+	requests    []Signal
+	healUntil   time.Time
 }
 
 type space struct {
@@ -248,8 +250,8 @@
 		return nil
 	}
 	names := map[string]bool{}
-	for _, known := range peer.known {
-		if known.Subscribes && known.Area.Covers(area) && known.Key.Daemon != fairway.daemon {
+	for _, known := range peer.subscribers {
+		if known.Area.Covers(area) && known.Key.Daemon != fairway.daemon {
 			names[known.Key.Daemon] = true
 		}
 	}
@@ -400,7 +402,7 @@
 	fairway.change++
 	peer = &hosted{
 		self:  Peer{Key: key, At: area.reference(fairway.daemon, fairway.number), Area: area, Change: fairway.change},
-		space: here, known: map[PeerKey]Peer{}, greeted: map[PeerKey]uint64{}, pending: map[PeerKey]*outstanding{},
+		space: here, known: map[PeerKey]Peer{}, subscribers: map[PeerKey]Peer{}, greeted: map[PeerKey]uint64{}, pending: map[PeerKey]*outstanding{},
 		notedAt: map[PeerKey]time.Time{}, owed: map[PeerKey]map[PeerKey]bool{},
 		joinAsked: map[string]bool{}, lastUse: now,
 	}
@@ -614,8 +616,8 @@
 	} else {
 		offer(peer.cell.owners())
 	}
-	for key, known := range peer.known {
-		if !known.Subscribes || key == newcomer.Key {
+	for key, known := range peer.subscribers {
+		if key == newcomer.Key {
 			continue
 		}
 		over := known.Area.Contains(newcomer.At) || wasKnown && peer.cell.meets(known.Area)
@@ -623,9 +625,11 @@
 			include[key] = known
 		}
 	}
-	for key, known := range peer.known {
-		if newcomer.Subscribes && key != newcomer.Key && newcomer.Area.Contains(known.At) {
-			include[key] = known
+	if newcomer.Subscribes {
+		for key, known := range peer.known {
+			if key != newcomer.Key && newcomer.Area.Contains(known.At) {
+				include[key] = known
+			}
 		}
 	}
 	fairway.owes(peer, newcomer.Key, include)
@@ -651,6 +655,11 @@
 		return
 	}
 	peer.known[other.Key] = other
+	if other.Subscribes {
+		peer.subscribers[other.Key] = other
+	} else {
+		delete(peer.subscribers, other.Key)
+	}
 	if other.Subscribes && !earlier.Subscribes {
 		fairway.passOn(now, peer, other)
 		if peer.publishes && other.Key.Daemon != fairway.daemon && other.Area.Covers(peer.self.Area) {
@@ -666,8 +675,8 @@
 		return
 	}
 	owed := map[PeerKey]bool{}
-	for key, known := range peer.known {
-		if known.Subscribes && key != other.Key && polygonMeets(peer.self.At, taken, known.Area) {
+	for key, known := range peer.subscribers {
+		if key != other.Key && polygonMeets(peer.self.At, taken, known.Area) {
 			owed[key] = true
 		}
 	}
@@ -827,6 +836,7 @@
 		return
 	}
 	delete(peer.known, key)
+	delete(peer.subscribers, key)
 	delete(peer.greeted, key)
 	delete(peer.notedAt, key)
 	delete(peer.owed, key)
@@ -846,6 +856,8 @@
 	for _, known := range sortedPeers(peer.known) {
 		peer.cell.clip(known.At, known.Key)
 	}
+	// Learning may drop peers from the table, so the walk is over a copy; most of
+	// what it meets lies too far away to matter, which a few products show.
 	for _, other := range peer.space.sorted() {
 		if other == peer {
 			continue
@@ -853,9 +865,11 @@
 		if peer.cell.cuts(other.self.At) {
 			fairway.learn(now, peer, other.self.Key, []Peer{other.self}, false)
 		}
-		for _, key := range other.cell.owners() {
-			known, found := other.known[key]
-			if found && key != peer.self.Key && peer.cell.cuts(known.At) {
+		for _, edge := range other.cell.corners {
+			if edge.owner.Daemon == "" || edge.owner == peer.self.Key || !peer.cell.cuts(edge.there) {
+				continue
+			}
+			if known, found := other.known[edge.owner]; found {
 				fairway.learn(now, peer, other.self.Key, []Peer{known}, false)
 			}
 		}
@@ -1060,6 +1074,7 @@
 				}
 				rebuild = rebuild || peer.cell.owns(key)
 				delete(peer.known, key)
+				delete(peer.subscribers, key)
 				delete(peer.greeted, key)
 				delete(peer.notedAt, key)
 				delete(peer.owed, key)
@@ -1256,6 +1271,7 @@
 			fairway.change++
 			peer.self.Key.Life, peer.self.Key.Number = life, fairway.number
 			peer.self.Change = fairway.change
+			peer.subscribers = map[PeerKey]Peer{}
 			peer.known, peer.greeted, peer.pending = map[PeerKey]Peer{}, map[PeerKey]uint64{}, map[PeerKey]*outstanding{}
 			peer.notedAt, peer.owed = map[PeerKey]time.Time{}, map[PeerKey]map[PeerKey]bool{}
 			peer.cell = newCell(peer.self.At)
--- a/internal/fairway/plane.go
+++ b/internal/fairway/plane.go
@@ -102,8 +102,9 @@
 
 type corner struct {
 	x, y float64
-	// owner is beyond the edge from this corner to the next.
+	// owner is beyond the edge from this corner to the next, and there its point.
 	owner PeerKey
+	there Point
 }
 
 func newCell(middle Point) Cell {
@@ -151,9 +152,9 @@
 			share := hereSide / (hereSide - nextSide)
 			crossing := corner{x: here.x + share*(next.x-here.x), y: here.y + share*(next.y-here.y)}
 			if hereSide <= 0 {
-				crossing.owner = owner
+				crossing.owner, crossing.there = owner, other
 			} else {
-				crossing.owner = here.owner
+				crossing.owner, crossing.there = here.owner, here.there
 			}
 			kept = append(kept, crossing)
 			taken = append(taken, crossing)
--- a/internal/lamp/lantern.go
+++ b/internal/lamp/lantern.go
@@ -214,6 +214,8 @@
 			lantern.limits(now, effects)
 		case "verify":
 			lantern.verifyAll(now, effects)
+		case "pump":
+			lantern.pumpAll(now, effects)
 		case "follow":
 			lantern.followHeads(now, effects)
 		case "stop":
--- a/internal/lamp/tracker.go
+++ b/internal/lamp/tracker.go
@@ -25,6 +25,8 @@
 	followEvery = 2 * time.Second
 	skipMost    = 2048
 	knotAfter   = 8 * time.Second
+	pumpAtOnce  = 64
+	pumpEvery   = 20 * time.Millisecond
 )
 
 type followed struct {
@@ -164,6 +166,9 @@
 		tracker.held[offset] = carry.Record
 	}
 	tracker.head = max(tracker.head, offset)
+	if lantern.pumpLater(now) {
+		return true
+	}
 	lantern.pump(now, effects)
 	if _, waits := tracker.held[offset]; waits && tracker.began {
 		lantern.Counts.Holes++
@@ -259,6 +264,36 @@
 	record  strand.Record
 }
 
+// pumpLater tells whether so much is held that looking through all of it for
+// each message would cost more than a moment's wait; then one look serves all
+// that come meanwhile.
+func (lantern *Lantern) pumpLater(now time.Time) bool {
+	held := 0
+	for _, tracker := range lantern.trackers {
+		held += len(tracker.held)
+	}
+	if held <= pumpAtOnce {
+		return false
+	}
+	lantern.timers.ArmSooner("pump", now.Add(pumpEvery))
+	return true
+}
+
+// pumpAll is that look; what still waits then is asked for.
+func (lantern *Lantern) pumpAll(now time.Time, effects *helm.Effects) {
+	lantern.pump(now, effects)
+	for _, tracker := range helm.Sorted(lantern.trackers) {
+		if !tracker.began || len(tracker.held) == 0 {
+			continue
+		}
+		tracker.wanted = true
+		lantern.timers.ArmSooner("verify", now.Add(holeAfter))
+		for _, record := range helm.Sorted(tracker.held) {
+			lantern.wantBefore(tracker, record)
+		}
+	}
+}
+
 // pump hands over all that has become ripe, until nothing more does. Of each
 // sender's held messages in a space only the one with the lowest seq may go.
 func (lantern *Lantern) pump(now time.Time, effects *helm.Effects) {
