--- a/cmd/harbour/storm.go
+++ b/cmd/harbour/storm.go
@@ -54,6 +54,10 @@
 	return squall.Draw(random, names, trial.length*9/10, count), nil
 }
 
+// holdsFor is how long service must have held before it counts as back: a
+// lantern that lost its tender lets its origins go only after some seconds.
+const holdsFor = 8 * time.Second
+
 type due struct {
 	at time.Time
 	do func()
@@ -682,7 +686,7 @@
 		case callers == 0:
 			callers = after
 		}
-		return refilled > 0 && callers > 0 && after-max(refilled, callers) > 4*time.Second
+		return refilled > 0 && callers > 0 && after-max(refilled, callers) > holdsFor
 	})
 	back := max(refilled, callers)
 	if refilled == 0 || callers == 0 {
