State that nothing read, and one way to find the tender beside a lantern

Behaviour stays as it is. Left: the tables of faults in cmd/harbour and internal/swell share their first lines by name only; what stands behind each name differs. The two model tests share the shape of an event loop.

--- a/cmd/harbour/operator.go
+++ b/cmd/harbour/operator.go
@@ -119,8 +119,6 @@
 	return operator.put(operator.random, operator.version, operator.document("1s"), limit)
 }
 
-func (operator *operator) first(limit time.Duration) bool { return operator.next(limit) }
-
 // race puts two of one version with different content, and the next one, all at
 // the same time.
 func (operator *operator) race() {
--- a/cmd/harbour/storm.go
+++ b/cmd/harbour/storm.go
@@ -328,6 +328,11 @@
 	return found
 }
 
+// tenderOf is the tender on a lantern's machine.
+func (hand *hand) tenderOf(lantern *fleet.Daemon) *fleet.Daemon {
+	return hand.run.fleet.Daemons[beacon.KindTender+strings.TrimPrefix(lantern.Name, beacon.KindLantern)]
+}
+
 // strangers are the addresses of all daemons but one and its machine's other.
 func (hand *hand) strangers(daemon *fleet.Daemon) []string {
 	var addresses []string
@@ -356,7 +361,7 @@
 		fmt.Printf("    %s\n", newcomer.Name)
 		hand.start(newcomer)
 		if kind == beacon.KindLantern {
-			hand.start(hand.run.fleet.Daemons[beacon.KindTender+strings.TrimPrefix(newcomer.Name, kind)])
+			hand.start(hand.tenderOf(newcomer))
 		}
 		hand.poll(12*time.Second, newcomer.Ready, func(held bool) {
 			if !held {
@@ -393,7 +398,7 @@
 	"join-keeper":     join(beacon.KindKeeper),
 	"join-pilot":      join(beacon.KindPilot),
 	"restart-beside": on(beacon.KindLantern, func(hand *hand, daemon *fleet.Daemon, fault squall.Fault, end func()) {
-		tender := hand.run.fleet.Daemons[beacon.KindTender+strings.TrimPrefix(daemon.Name, daemon.Kind)]
+		tender := hand.tenderOf(daemon)
 		if hand.frozen[tender.Name] == 0 && !hand.away[tender.Name] {
 			hand.again(tender, fault.Length/4, func() {})
 		}
--- a/cmd/harbour/trial.go
+++ b/cmd/harbour/trial.go
@@ -262,7 +262,7 @@
 		oracle.AnswerWithin("boards", 1500*time.Millisecond)
 		oracle.AnswerWithin("urgent", time.Second)
 	})
-	if !run.operator.first(20 * time.Second) {
+	if !run.operator.next(20 * time.Second) {
 		fmt.Println("no configuration was taken")
 		return subcommands.ExitFailure
 	}
--- a/internal/swell/scenario.go
+++ b/internal/swell/scenario.go
@@ -211,7 +211,7 @@
 			continue
 		}
 		healthy := node.HealthySince
-		beside := swell.nodes[fmt.Sprintf("tender-%s", node.Name[len("lantern-"):])]
+		beside := swell.besideOf(node)
 		if !beside.Up || beside.Frozen {
 			continue
 		}
--- a/internal/swell/storm.go
+++ b/internal/swell/storm.go
@@ -198,7 +198,7 @@
 	})
 }
 
-// apart cuts the ways that a test names for a while, and only those.
+// apartFor cuts the ways that a test names for a while, and only those.
 func (swell *Swell) apartFor(length time.Duration, cut func(from, to *Node) bool, end func()) {
 	type way struct{ from, to *Node }
 	var ways []way
@@ -258,7 +258,7 @@
 	return swell.clients[pick%uint64(len(swell.clients))]
 }
 
-// stutter stops and continues a daemon in short turns.
+// strikeSlow stops and continues a daemon in short turns.
 func strikeSlow(swell *Swell, node *Node, fault squall.Fault, end func()) {
 	until, life := swell.Now.Add(fault.Length), node.life
 	var turn func()
@@ -486,7 +486,6 @@
 func (swell *Swell) strikeLast(name string) {
 	kill := func(node *Node) {
 		if node != nil && node.Up {
-			swell.lost = append(swell.lost, node.Name)
 			node.Kill()
 		}
 	}
--- a/internal/swell/swell.go
+++ b/internal/swell/swell.go
@@ -88,7 +88,6 @@
 	trouble      time.Time
 	unready      map[string]time.Duration
 	open         int
-	lost         []string
 	back         *Comeback
 	backFrom     time.Time
 	primarySince time.Time
@@ -131,7 +130,6 @@
 	Syncs        int
 	slowDisk     int
 	showed       shown
-	spare        bool
 }
 
 // shown is what a lantern last had in force while it served.
