Routes, shared strands and the words of routed topics: the contract of the new path

Cause: operators whose topics are reached by prefixes need a promise for each prefix, and many prefixes must not mean many strands. Change: the configuration knows routes, spaces of order topic, an annex, urgency and the most subscriptions of a channel; the messages between lanterns and keepers name what shared strands need. Nothing uses them yet.

--- a/internal/chart/configuration.go
+++ b/internal/chart/configuration.go
@@ -19,15 +19,21 @@
 
 // Bounds of a configuration.
 const (
-	DocumentLimit   = 1 << 20
-	SpaceLimit      = 256
+	DocumentLimit   = 2 << 20
+	SpaceLimit      = 8192
 	NameLimit       = 64
 	DataCeiling     = 1 << 20
 	HoldingFloor    = time.Second
-	HoldingCeiling  = 10 * time.Minute
+	HoldingCeiling  = time.Hour
 	DefaultHolding  = 35 * time.Second
 	DefaultData     = 64 << 10
 	StrandsPerSpace = 8
+	PrefixLimit     = 256
+	AnnexLimit      = 1 << 20
+	UrgencyCeiling  = 1000
+	// DefaultSubscriptions is how many subscriptions one channel may hold.
+	DefaultSubscriptions = 256
+	SubscriptionsCeiling = 1 << 16
 )
 
 // Promise is what becomes of a space's messages.
@@ -46,6 +52,9 @@
 const (
 	OrderSender  Order = "sender"
 	OrderChannel Order = "channel"
+	// OrderTopic is one order for each topic, the same for all its subscribers.
+	// Its spaces are reached by routes.
+	OrderTopic Order = "topic"
 )
 
 // Space is a family of topics with its own promise.
@@ -61,11 +70,13 @@
 	Subscribers   []string
 	AnswerWithin  time.Duration
 	RememberSends time.Duration
+	// Urgency ranks spaces: where something must wait, the higher goes first.
+	Urgency int
 }
 
 // Strands is how many strands hold the space's topics.
 func (space Space) Strands() int {
-	if space.Promise != Kept {
+	if space.Promise != Kept || space.Order == OrderTopic {
 		return 0
 	}
 	if space.Order == OrderChannel {
@@ -113,6 +124,12 @@
 	Drains     []string
 	Localities []string
 	Links      []Link
+	// Routes lead topics to spaces of order topic, the longest prefix first.
+	Routes []Route
+	// Annex is a text that operators get back as they sent it.
+	Annex string
+	// SubscriptionsEach is how many subscriptions one channel may hold.
+	SubscriptionsEach int
 }
 
 // Fault is one thing wrong with a document.
@@ -345,7 +362,7 @@
 }
 
 func (reader *Reader) configuration(value *fastjson.Value) Configuration {
-	members := reader.Object("$", value, "version", "spaces", "economy", "drains", "localities", "links")
+	members := reader.Object("$", value, "version", "spaces", "economy", "drains", "localities", "links", "routes", "annex", "subscriptions_each")
 	configuration := Configuration{Spaces: map[string]Space{}}
 	if members["version"] == nil {
 		reader.Report("$.version", "missing", "a version is wanted")
@@ -366,12 +383,18 @@
 	configuration.Drains = reader.Names("$.drains", members["drains"], nil, FitName)
 	configuration.Localities = reader.Names("$.localities", members["localities"], nil, FitName)
 	configuration.Links = reader.links("$.links", members["links"], configuration.Localities)
+	configuration.Routes = reader.routes("$.routes", members["routes"], configuration.Spaces)
+	configuration.Annex = reader.Text("$.annex", members["annex"], "")
+	if len(configuration.Annex) > AnnexLimit {
+		reader.Report("$.annex", "too-large", "%d bytes are more than %d", len(configuration.Annex), AnnexLimit)
+	}
+	configuration.SubscriptionsEach = int(reader.Whole("$.subscriptions_each", members["subscriptions_each"], DefaultSubscriptions, 1, SubscriptionsCeiling))
 	return configuration
 }
 
 func (reader *Reader) space(path string, value *fastjson.Value) Space {
 	members := reader.Object(path, value, "name", "promise", "order", "holding", "tolerance", "limits",
-		"publishers", "subscribers", "answer_within")
+		"publishers", "subscribers", "answer_within", "urgency")
 	everyone := []string{"*"}
 	space := Space{Name: reader.Text(path+".name", members["name"], "")}
 	if members["name"] == nil {
@@ -383,7 +406,7 @@
 		reader.Report(path+".promise", "missing", "a promise is wanted: kept or passing")
 	}
 	space.Promise = Promise(reader.Choice(path+".promise", members["promise"], string(Passing), string(Kept), string(Passing)))
-	space.Order = Order(reader.Choice(path+".order", members["order"], string(OrderSender), string(OrderSender), string(OrderChannel)))
+	space.Order = Order(reader.Choice(path+".order", members["order"], string(OrderSender), string(OrderSender), string(OrderChannel), string(OrderTopic)))
 	if space.Order == OrderChannel && space.Promise != Kept {
 		reader.Report(path+".order", "clash", "one shared order needs the promise kept")
 	}
@@ -403,7 +426,8 @@
 	space.PerSecond = int(reader.Whole(path+".limits.publications_per_second", limits["publications_per_second"], 0, 1, 1<<20))
 	space.Publishers = reader.Names(path+".publishers", members["publishers"], everyone, fitPattern)
 	space.Subscribers = reader.Names(path+".subscribers", members["subscribers"], everyone, fitPattern)
-	space.AnswerWithin = reader.Duration(path+".answer_within", members["answer_within"], time.Second, 100*time.Millisecond, 10*time.Second)
+	space.AnswerWithin = reader.Duration(path+".answer_within", members["answer_within"], time.Second, time.Millisecond, HoldingCeiling)
+	space.Urgency = int(reader.Whole(path+".urgency", members["urgency"], 0, 0, UrgencyCeiling))
 	return space
 }
 
--- a/internal/lamp/messages.go
+++ b/internal/lamp/messages.go
@@ -84,6 +84,16 @@
 		Seq       uint64
 		Data      []byte
 	}
+	// Count asks how many origins subscribe to a routed topic, over all lanterns.
+	Count struct {
+		Visit     uint64
+		VisitName string
+		Channel   uint64
+		Origin    string
+		Topic     string
+	}
+	// Heard tells that a channel's caller said something.
+	Heard struct{ Channel uint64 }
 	// Pong answers a ping.
 	Pong struct {
 		Visit   uint64
@@ -114,6 +124,10 @@
 	Text       string
 	RetryAfter time.Duration
 	Fields     map[string]any
+	// Cursor is the place of a subscription to a routed topic, Number a count of
+	// its subscribers.
+	Cursor string
+	Number int
 }
 
 // Outcomes as callers see them.
@@ -147,8 +161,10 @@
 	Sender   string          `json:"sender,omitempty"`
 	Seq      uint64          `json:"seq,omitempty"`
 	Data     json.RawMessage `json:"data,omitempty"`
-	Cursor   string          `json:"cursor,omitempty"`
-	Code     string          `json:"code,omitempty"`
-	To       string          `json:"to,omitempty"`
-	ToName   string          `json:"to_name,omitempty"`
+	// Body is the data of a message of a routed topic, whatever its bytes.
+	Body   []byte `json:"-"`
+	Cursor string `json:"cursor,omitempty"`
+	Code   string `json:"code,omitempty"`
+	To     string `json:"to,omitempty"`
+	ToName string `json:"to_name,omitempty"`
 }
--- a/internal/strand/keeper.go
+++ b/internal/strand/keeper.go
@@ -878,7 +878,7 @@
 			continue
 		}
 		head := Head{Strand: name, Epoch: strand.place.Epoch, Offset: strand.accepted}
-		if present.told[name] != head {
+		if told := present.told[name]; told.Epoch != head.Epoch || told.Offset != head.Offset {
 			present.told[name] = head
 			heads.Heads = append(heads.Heads, head)
 		}
--- a/internal/strand/messages.go
+++ b/internal/strand/messages.go
@@ -68,6 +68,9 @@
 	// OnlyAgain asks to acknowledge the message if it is kept, and not to keep
 	// it anew: the sender has a later one somewhere.
 	OnlyAgain bool
+	// Bare asks for the order and the resend memory only: the message's data is
+	// passed on and not kept.
+	Bare bool
 }
 
 // Outcomes of an append.
@@ -139,11 +142,16 @@
 	Until   uint64
 	Records []Record
 	Ready   bool
+	// Gone is set where something of the asked topics lay after After and is no
+	// longer held; for shared strands.
+	Gone bool
 }
 
-// Follow asks to be told the heads of strands.
+// Follow asks to be told the heads of strands. From is how far this lantern was
+// told already what moved in each shared one.
 type Follow struct {
 	Strands []string
+	From    []uint64
 }
 
 // Head is how far a strand's accepted messages reach.
@@ -152,6 +160,17 @@
 	Strand string
 	Epoch  uint64
 	Offset uint64
+	// From and Topics are told of shared strands: the newest accepted offset of
+	// each topic that moved after From, up to Offset.
+	From   uint64
+	Topics []TopicHead
+}
+
+// TopicHead is the newest accepted offset of a topic, which is told by its number.
+type TopicHead struct {
+	_      struct{} `cbor:",toarray"`
+	Topic  uint64
+	Offset uint64
 }
 
 // Heads tells them.
