Routed topics on the lantern: places by topic, one fetch for all who lack, heads by topic

Cause: callers who subscribe to single topics by prefix-routed spaces need a cursor for each topic and an order for each topic, and the trails and composite cursors of the older spaces cost too much for that.

--- a/internal/lamp/channel.go
+++ b/internal/lamp/channel.go
@@ -43,6 +43,7 @@
 	name          string
 	origin        string
 	subscriptions map[Interest]*subscription
+	routed        map[string]*place
 	got           map[string]map[uint64]time.Time
 	above         map[string]map[uint64]bool
 	marks         map[string]map[string]mark
@@ -52,6 +53,8 @@
 	pongAt        time.Time
 	pingAt        time.Time
 	movedAt       time.Time
+	// lines is set where the adapter itself watches whether the caller lives.
+	lines bool
 }
 
 // interests lists what a channel subscribes to, in order.
@@ -99,9 +102,10 @@
 		return
 	}
 	lantern.channels[visit.Channel] = &channel{
-		name: visit.Name, origin: visit.Origin, subscriptions: map[Interest]*subscription{},
+		name: visit.Name, origin: visit.Origin, subscriptions: map[Interest]*subscription{}, routed: map[string]*place{}, lines: visit.Lines,
 		got: map[string]map[uint64]time.Time{}, above: map[string]map[uint64]bool{}, marks: map[string]map[string]mark{}, pongAt: now, pingAt: now,
 	}
+	lantern.supersede(now, visit.Origin, visit.Channel, effects)
 	lantern.timers.ArmSooner("tick", now.Add(tickEvery))
 	lantern.ring.Record(now, "", "", visit.Origin, "channel-opened", "channel", visit.Name)
 	effects.Note(foghorn.ChannelOpened, "origin", visit.Origin)
@@ -119,6 +123,10 @@
 	for _, interest := range channel.interests() {
 		lantern.dropSubscription(now, visit.Channel, interest, true, effects)
 	}
+	lantern.dropRouted(now, channel, effects)
+	if lantern.newest[channel.origin] == visit.Channel {
+		delete(lantern.newest, channel.origin)
+	}
 	delete(lantern.channels, visit.Channel)
 	number := foghorn.ChannelClosed
 	if visit.Why == "slow" {
@@ -150,6 +158,9 @@
 		}
 		return
 	}
+	if channel.lines {
+		return
+	}
 	if now.Sub(channel.pongAt) > pongLimit {
 		lantern.emitLast(now, id, channel, "no-pong", effects)
 		lantern.closeChannel(now, CloseChannel{Channel: id, Why: "no-pong"}, effects)
@@ -205,6 +216,10 @@
 
 func (lantern *Lantern) subscribe(now time.Time, visit Subscribe, effects *helm.Effects) {
 	lantern.Counts.Visits++
+	if len(visit.Interests) > 0 && lantern.routedTopic(visit.Interests[0].Space) {
+		lantern.subscribeRouted(now, visit, false, effects)
+		return
+	}
 	lantern.trySubscribe(now, visit, false, effects)
 }
 
@@ -453,6 +468,10 @@
 
 func (lantern *Lantern) unsubscribe(now time.Time, visit Unsubscribe, effects *helm.Effects) {
 	lantern.Counts.Visits++
+	if len(visit.Interests) > 0 && lantern.routedTopic(visit.Interests[0].Space) {
+		lantern.unsubscribeRouted(now, visit, effects)
+		return
+	}
 	channel, found := lantern.channels[visit.Channel]
 	if !found || channel.origin != visit.Origin {
 		effects.Return(visit.Visit, refused(404, "no-such-channel", "this channel is not open here", 0))
@@ -544,6 +563,10 @@
 }
 
 func (lantern *Lantern) onFetchReturn(now time.Time, returned strand.FetchReturn, effects *helm.Effects) {
+	if asked, routed := lantern.routed.fetches[returned.Visit]; routed {
+		lantern.onTopicFetched(now, asked, returned, effects)
+		return
+	}
 	round, found := lantern.fetches[returned.Visit]
 	if !found {
 		return
--- a/internal/lamp/lantern.go
+++ b/internal/lamp/lantern.go
@@ -92,6 +92,8 @@
 	appends   map[uint64]*publication
 	recalls   map[uint64]*recall
 	fetches   map[uint64]*fetch
+	routed    *routed
+	newest    map[string]uint64
 
 	followedAt time.Time
 	behind     uint64
@@ -123,6 +125,7 @@
 		channels: map[uint64]*channel{}, moving: map[uint64]bool{}, spaces: map[string]*spaceState{},
 		senders: map[senderKey]*sender{}, trackers: map[string]*tracker{},
 		appends: map[uint64]*publication{}, recalls: map[uint64]*recall{}, fetches: map[uint64]*fetch{},
+		routed: newRouted(), newest: map[string]uint64{},
 	}
 	lantern.policies = standardPolicies()
 	lantern.follower = beacon.NewFollower(props.Self, []string{props.Tender}, lantern.load)
@@ -218,6 +221,8 @@
 			lantern.pumpAll(now, effects)
 		case "follow":
 			lantern.followHeads(now, effects)
+		case "routed":
+			lantern.tendRouted(now, effects)
 		case "stop":
 			lantern.stopStep(now, effects)
 		}
@@ -253,6 +258,12 @@
 		lantern.publish(now, body, effects)
 	case Pong:
 		lantern.pong(now, body, effects)
+	case Count:
+		lantern.count(now, body, false, effects)
+	case Heard:
+		if channel, found := lantern.channels[body.Channel]; found {
+			channel.pongAt = now
+		}
 	case ControlVisit:
 		lantern.cutter.Carry(now, body.Local, body.Method, body.Path, body.Body, effects)
 	case FindDecisions:
@@ -306,6 +317,10 @@
 	case fairway.Signals:
 		lantern.overlay(now, effects, func(now time.Time, effects *helm.Effects) { lantern.fairway.Take(now, body, effects) })
 	case Carry:
+		if chart.IsShared(body.Strand) {
+			lantern.countCopy(lantern.onRouted(now, body.Record, effects))
+			break
+		}
 		lantern.countCopy(lantern.onCarry(now, body, effects))
 	case Pass:
 		lantern.countCopy(lantern.onPass(now, body, effects))
@@ -421,7 +436,7 @@
 	for name, state := range helm.Sorted(lantern.spaces) {
 		space, found := config.Spaces[name]
 		full, born := lantern.spaceName(name)
-		if found && born && full == state.name {
+		if found && (space.Order == chart.OrderTopic && state.space.Order == chart.OrderTopic || born && full == state.name) {
 			state.space = space
 			continue
 		}
@@ -431,16 +446,24 @@
 		if _, found := lantern.spaces[name]; found {
 			continue
 		}
+		if space.Order == chart.OrderTopic {
+			lantern.spaces[name] = &spaceState{space: space, name: name + "~0"}
+			continue
+		}
 		if full, born := lantern.spaceName(name); born {
 			lantern.spaces[name] = &spaceState{space: space, name: full, topics: map[string]map[uint64]bool{}, wides: map[string]map[uint64]bool{}}
 		}
 	}
+	lantern.rerouteAll(now, effects)
 	effects.Note(foghorn.NewsTaken, "version", config.Version, "spaces", len(config.Spaces))
 	lantern.ring.Record(now, "", "", "", "configuration", "version", config.Version)
 }
 
 func (lantern *Lantern) endSpace(now time.Time, name string, state *spaceState, effects *helm.Effects) {
 	delete(lantern.spaces, name)
+	if state.space.Order == chart.OrderTopic {
+		return
+	}
 	for id, channel := range helm.Sorted(lantern.channels) {
 		ended := false
 		for interest := range channel.subscriptions {
@@ -518,6 +541,7 @@
 	for _, tracker := range lantern.trackers {
 		tracker.prune(now)
 	}
+	lantern.forgetRouted(now)
 }
 
 // letGo ends channels of a lantern that nobody has confirmed for so long that
@@ -632,7 +656,7 @@
 
 // stopStep ends the lantern once its origins are gone, or its time is up.
 func (lantern *Lantern) stopStep(now time.Time, effects *helm.Effects) {
-	if len(lantern.channels) > 0 && now.Before(lantern.stopUntil) || len(lantern.appends) > 0 && now.Before(lantern.stopUntil.Add(-time.Second)) {
+	if len(lantern.channels) > 0 && now.Before(lantern.stopUntil) || len(lantern.appends)+len(lantern.routed.appends) > 0 && now.Before(lantern.stopUntil.Add(-time.Second)) {
 		lantern.timers.Arm("stop", now.Add(moveEvery))
 		return
 	}
--- a/internal/lamp/messages.go
+++ b/internal/lamp/messages.go
@@ -50,6 +50,8 @@
 		Channel uint64
 		Name    string
 		Origin  string
+		// Lines tells that the adapter itself watches whether the caller lives.
+		Lines bool
 	}
 	// CloseChannel ends it.
 	CloseChannel struct {
--- a/internal/lamp/policies.go
+++ b/internal/lamp/policies.go
@@ -13,15 +13,18 @@
 
 // Judged is a visit as the policies see it.
 type Judged struct {
-	Kind    string
-	Origin  string
-	Sender  string
-	Space   string
-	Paths   []Interest
-	Topic   string
-	Seq     uint64
-	Data    []byte
-	Looked  bool
+	Kind   string
+	Origin string
+	Sender string
+	Space  string
+	Paths  []Interest
+	Topic  string
+	Seq    uint64
+	Data   []byte
+	Looked bool
+	// Routed tells that the space was found by the routes: its topics are plain
+	// names.
+	Routed  bool
 	Lantern *Lantern
 }
 
@@ -97,6 +100,12 @@
 func (topicPolicy) Name() string { return "topic" }
 
 func (topicPolicy) Judge(_ time.Time, visit *Judged) Verdict {
+	if visit.Routed {
+		if visit.Kind == "publish" && !FitRouted(visit.Topic) || len(visit.Paths) > 0 && !FitRouted(visit.Paths[0].Path) {
+			return Verdict{Answer: refused(400, "bad-topic", "a routed topic is a name without blanks", 0)}
+		}
+		return pass
+	}
 	if visit.Kind == "publish" && !FitTopic(visit.Topic) {
 		return Verdict{Answer: refused(400, "bad-topic", "a topic is a path of parts that are not empty", 0)}
 	}
@@ -108,6 +117,19 @@
 	return pass
 }
 
+// FitRouted tells whether a name may be a routed topic.
+func FitRouted(name string) bool {
+	if name == "" || len(name) > 256 {
+		return false
+	}
+	for _, letter := range name {
+		if letter < 0x21 || letter == 0x7f || letter == 0xfffd {
+			return false
+		}
+	}
+	return true
+}
+
 // FitTopic tells whether a path may be a topic.
 func FitTopic(path string) bool {
 	if path == "" || len(path) > 256 || strings.HasPrefix(path, "/") || strings.HasSuffix(path, "/") || strings.Contains(path, "//") {
--- a/internal/lamp/publish.go
+++ b/internal/lamp/publish.go
@@ -105,6 +105,10 @@
 
 func (lantern *Lantern) publish(now time.Time, visit Publish, effects *helm.Effects) {
 	lantern.Counts.Visits++
+	if lantern.routedTopic(visit.Space) {
+		lantern.publishRouted(now, visit, false, effects)
+		return
+	}
 	lantern.tryPublish(now, visit, false, effects)
 }
 
@@ -281,6 +285,10 @@
 }
 
 func (lantern *Lantern) onAppendReturn(now time.Time, returned strand.AppendReturn, effects *helm.Effects) {
+	if item, routed := lantern.routed.appends[returned.Visit]; routed && item.strand == returned.Strand {
+		lantern.onRoutedReturn(now, item, returned, effects)
+		return
+	}
 	item, found := lantern.appends[returned.Visit]
 	if !found || item.strand != returned.Strand {
 		return
--- a/internal/lamp/tracker.go
+++ b/internal/lamp/tracker.go
@@ -400,6 +400,10 @@
 
 func (lantern *Lantern) onHeads(now time.Time, heads strand.Heads, effects *helm.Effects) {
 	for _, head := range heads.Heads {
+		if chart.IsShared(head.Strand) {
+			lantern.onTopicHeads(now, head, effects)
+			continue
+		}
 		tracker, found := lantern.trackers[head.Strand]
 		if !found || head.Epoch < lantern.follower.Places[head.Strand].Epoch {
 			continue
@@ -525,17 +529,25 @@
 // followHeads asks the keepers that are first for the strands followed here to
 // tell their heads, and asks again before they forget.
 func (lantern *Lantern) followHeads(now time.Time, effects *helm.Effects) {
-	byKeeper := map[string][]string{}
+	byKeeper := map[string]strand.Follow{}
 	lantern.followedAt = now
-	for name := range helm.Sorted(lantern.trackers) {
+	add := func(name string, from uint64) {
 		if address, _, found := lantern.firstOf(name); found {
-			byKeeper[address] = append(byKeeper[address], name)
+			follow := byKeeper[address]
+			follow.Strands, follow.From = append(follow.Strands, name), append(follow.From, from)
+			byKeeper[address] = follow
 		}
 	}
-	for address, names := range helm.Sorted(byKeeper) {
-		effects.Send(address, strand.Follow{Strands: names})
+	for name := range helm.Sorted(lantern.trackers) {
+		add(name, 0)
+	}
+	for name := range helm.Sorted(lantern.routed.strands) {
+		add(name, lantern.routed.told[name].until)
+	}
+	for address, follow := range helm.Sorted(byKeeper) {
+		effects.Send(address, follow)
 	}
-	if len(lantern.trackers) > 0 {
+	if len(lantern.trackers)+len(lantern.routed.strands) > 0 {
 		lantern.timers.Arm("follow", now.Add(followEvery))
 	}
 }
@@ -547,7 +559,8 @@
 			lantern.sendAppend(now, from, item, effects)
 		}
 	}
-	if len(lantern.trackers) > 0 {
+	lantern.resendRouted(now, effects)
+	if len(lantern.trackers)+len(lantern.routed.strands) > 0 {
 		lantern.timers.ArmSooner("follow", now)
 	}
 }
