Settings for fleets elsewhere: bounds, tolerance, bootstrap, and a watch without notices

- seeds_port, bootstrap, pilots 0, tolerance, bounds, callers, admission, versions, operators (forms are registered by adapters), memory; each fault is told with its path.
No key is wanted where admission is open.
- Watch falls back to looking at the content each second; a missing, faulty or half-written file is told once.
Seeds and bootstrap may change at any time.

--- a/internal/props/props.go
+++ b/internal/props/props.go
@@ -8,14 +8,15 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
+	"math"
 	"net"
 	"os"
-	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
-	"github.com/fsnotify/fsnotify"
 	"github.com/joomcode/errorx"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fastjson"
@@ -56,10 +57,72 @@
 	OriginsMost int
 	LogLevel    logrus.Level
 	Trial       Trial
+	// SeedsPort replaces the port of each seed if it is above 0; Seeds has it.
+	SeedsPort int
+	// Bootstrap lets the seeds found the fleet if no number of pilots does.
+	Bootstrap bool
+	// Tolerance is how many machines with a disk may be lost at one time.
+	Tolerance int
+	Bounds    Bounds
+	Callers   string
+	Admission string
+	Versions  string
+	Operators string
+	// Memory is how many bytes the process may use, 0 for no bound.
+	Memory int64
+}
+
+// Bounds are the times that daemons hold each other and their callers to.
+type Bounds struct {
+	Contact     time.Duration
+	Acknowledge time.Duration
+	CatchUp     time.Duration
+	Drain       time.Duration
+	Grace       time.Duration
+	Apply       time.Duration
+	RevertSlack time.Duration
+	Recovery    time.Duration
+	Ping        time.Duration
+	Resume      time.Duration
+	Redeliver   time.Duration
+	Presence    time.Duration
+}
+
+// DefaultBounds hold where settings say nothing else.
+func DefaultBounds() Bounds {
+	return Bounds{
+		Contact: 4 * time.Second, Acknowledge: 5 * time.Second, CatchUp: 4100 * time.Millisecond, Drain: 3 * time.Second,
+		Grace: 6 * time.Second, Apply: 3 * time.Second, RevertSlack: 250 * time.Millisecond, Recovery: 12 * time.Second,
+		Ping: 2 * time.Second, Resume: 2 * time.Second, Redeliver: 10 * time.Second, Presence: 5 * time.Second,
+	}
+}
+
+// Words that settings choose between.
+const (
+	CallersJSON     = "json"
+	CallersLines    = "lines"
+	AdmissionToken  = "token"
+	AdmissionOpen   = "open"
+	VersionsStrict  = "strict"
+	VersionsHighest = "highest"
+	OperatorsJSON   = "json"
+)
+
+// operatorForms are the forms in which operators may speak to a daemon.
+var operatorForms = []string{OperatorsJSON}
+
+// MustRegisterOperators lets settings choose one more form for operators; an
+// adapter calls it as its package starts. A clash stops the process.
+func MustRegisterOperators(form string) {
+	if slices.Contains(operatorForms, form) {
+		panic("props: form of operators registered twice: " + form)
+	}
+	operatorForms = append(operatorForms, form)
 }
 
 var keys = []string{
 	"name", "address", "ctl", "caller", "locality", "seeds", "data", "tender", "lantern", "pilots", "key", "origins_most", "log_level",
+	"seeds_port", "bootstrap", "tolerance", "bounds", "callers", "admission", "versions", "memory", "operators",
 }
 
 // Source is where settings come from.
@@ -68,6 +131,7 @@
 	path  string
 	flags map[string]string
 	trial bool
+	seen  content
 }
 
 // FromFlags declares the flags of a daemon and reads them.
@@ -102,6 +166,7 @@
 	document := []byte("{}")
 	if source.path != "" {
 		body, fault := os.ReadFile(source.path)
+		source.seen = content{body: string(body), missing: fault != nil}
 		if fault != nil {
 			return Props{}, ErrorProps.Wrap(fault, "reading %s", source.path)
 		}
@@ -137,8 +202,17 @@
 	var arena fastjson.Arena
 	for key, text := range source.flags {
 		switch key {
-		case "pilots", "origins_most":
+		case "pilots", "origins_most", "seeds_port", "tolerance":
 			members[key] = arena.NewNumberString(text)
+		case "bootstrap":
+			members[key] = flagTruth(&arena, text)
+		case "bounds":
+			table := arena.NewObject()
+			for _, item := range strings.Split(text, ",") {
+				name, length, _ := strings.Cut(item, "=")
+				table.Set(name, arena.NewString(length))
+			}
+			members[key] = table
 		case "seeds":
 			list := arena.NewArray()
 			for position, item := range strings.Split(text, ",") {
@@ -183,23 +257,32 @@
 	if source.kind != "lantern" && len(seeds) == 0 {
 		walk.Report("$.seeds", "missing", "seeds are wanted: addresses of up to three other daemons")
 	}
+	props.SeedsPort = int(walk.Whole("$.seeds_port", members["seeds_port"], 0, 0, 65535))
 	for position, item := range seeds {
 		path := fmt.Sprintf("$.seeds[%d]", position)
 		seed := walk.Text(path, item, "")
 		checkAddress(walk, path, seed)
-		props.Seeds = append(props.Seeds, seed)
+		props.Seeds = append(props.Seeds, withPort(seed, props.SeedsPort))
 	}
 	stores := source.kind == "keeper" || source.kind == "pilot"
 	props.Data = walk.Text("$.data", members["data"], "")
 	if stores && props.Data == "" {
 		walk.Report("$.data", "missing", "a data folder is wanted")
 	}
-	props.Pilots = int(walk.Whole("$.pilots", members["pilots"], 5, 3, 15))
-	if props.Pilots%2 == 0 {
-		walk.Report("$.pilots", "out-of-range", "an odd number is wanted")
+	props.Pilots = int(walk.Whole("$.pilots", members["pilots"], 5, 0, 15))
+	if props.Pilots != 0 && (props.Pilots%2 == 0 || props.Pilots < 3) {
+		walk.Report("$.pilots", "out-of-range", "an odd number from 3 is wanted, or 0 if the seeds found the fleet")
 	}
+	props.Bootstrap = walk.Truth("$.bootstrap", members["bootstrap"], false)
+	props.Tolerance = int(walk.Whole("$.tolerance", members["tolerance"], 1, 0, 3))
+	props.Bounds = readBounds(walk, members["bounds"])
+	props.Callers = walk.Choice("$.callers", members["callers"], CallersJSON, CallersJSON, CallersLines)
+	props.Admission = walk.Choice("$.admission", members["admission"], AdmissionToken, AdmissionToken, AdmissionOpen)
+	props.Versions = walk.Choice("$.versions", members["versions"], VersionsStrict, VersionsStrict, VersionsHighest)
+	props.Operators = walk.Choice("$.operators", members["operators"], OperatorsJSON, operatorForms...)
+	props.Memory = readMemory(walk, "$.memory", members["memory"])
 	props.Key = walk.Text("$.key", members["key"], "")
-	if source.kind == "lantern" && len(props.Key) < 16 {
+	if source.kind == "lantern" && props.Admission == AdmissionToken && len(props.Key) < 16 {
 		walk.Report("$.key", "missing", "a key of 16 characters or more is wanted, the same on all lanterns")
 	}
 	props.OriginsMost = int(walk.Whole("$.origins_most", members["origins_most"], 2000, 1, 1<<20))
@@ -218,6 +301,92 @@
 	}
 }
 
+// withPort gives an address another port, if there is one to give.
+func withPort(address string, port int) string {
+	host, _, fault := net.SplitHostPort(address)
+	if fault != nil || port == 0 {
+		return address
+	}
+	return net.JoinHostPort(host, strconv.Itoa(port))
+}
+
+func flagTruth(arena *fastjson.Arena, text string) *fastjson.Value {
+	switch text {
+	case "true":
+		return arena.NewTrue()
+	case "false":
+		return arena.NewFalse()
+	}
+	return arena.NewString(text)
+}
+
+const (
+	boundLeast  = time.Millisecond
+	boundMost   = 10 * time.Minute
+	memoryLeast = 16 << 20
+	memoryMost  = 1 << 44
+)
+
+func readBounds(walk *chart.Reader, value *fastjson.Value) Bounds {
+	bounds := DefaultBounds()
+	if value == nil {
+		return bounds
+	}
+	places := map[string]*time.Duration{
+		"contact": &bounds.Contact, "acknowledge": &bounds.Acknowledge, "catch_up": &bounds.CatchUp, "drain": &bounds.Drain,
+		"grace": &bounds.Grace, "apply": &bounds.Apply, "revert_slack": &bounds.RevertSlack, "recovery": &bounds.Recovery,
+		"ping": &bounds.Ping, "resume": &bounds.Resume, "redeliver": &bounds.Redeliver, "presence": &bounds.Presence,
+	}
+	known := slices.Sorted(maps.Keys(places))
+	members := walk.Object("$.bounds", value, known...)
+	for _, name := range known {
+		*places[name] = walk.Duration("$.bounds."+name, members[name], *places[name], boundLeast, boundMost)
+	}
+	return bounds
+}
+
+var memoryUnits = []struct {
+	name  string
+	bytes int64
+}{
+	{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}, {"kB", 1e3}, {"MB", 1e6}, {"GB", 1e9}, {"B", 1},
+}
+
+// readMemory reads a number of bytes, or a text such as "284MB".
+func readMemory(walk *chart.Reader, path string, value *fastjson.Value) int64 {
+	if value == nil || value.Type() != fastjson.TypeString {
+		return walk.Whole(path, value, 0, memoryLeast, memoryMost)
+	}
+	text := walk.Text(path, value, "")
+	number, unit := text, int64(1)
+	for _, each := range memoryUnits {
+		if trimmed, found := strings.CutSuffix(text, each.name); found {
+			number, unit = trimmed, each.bytes
+			break
+		}
+	}
+	count, fault := strconv.ParseInt(number, 10, 64)
+	if fault != nil {
+		walk.Report(path, "wrong-type", "%q is not a number of bytes such as \"284MB\"", text)
+		return 0
+	}
+	if count < 0 || count > memoryMost/unit || count*unit < memoryLeast {
+		walk.Report(path, "out-of-range", "%s is not between 16MiB and 16384GiB", text)
+		return 0
+	}
+	return count * unit
+}
+
+// MemoryLimit is the bound to give Go's collector: four fifths of what the
+// process may use, as the rest goes to what the collector does not count, or
+// no bound.
+func (props Props) MemoryLimit() int64 {
+	if props.Memory == 0 {
+		return math.MaxInt64
+	}
+	return props.Memory / 5 * 4
+}
+
 func readTrial(walk *chart.Reader, value *fastjson.Value) Trial {
 	trial := Trial{Delays: map[string]time.Duration{}, Loss: map[string]float64{}}
 	if value == nil {
@@ -250,14 +419,16 @@
 	return trial
 }
 
-// Fixed tells what can't change while a daemon runs and yet differs.
+// Fixed tells what can't change while a daemon runs and yet differs. What only
+// a start reads, such as the seeds, may change at any time.
 func Fixed(before, after Props) []string {
 	var differ []string
 	for name, same := range map[string]bool{
 		"name": before.Name == after.Name, "address": before.Address == after.Address, "ctl": before.Control == after.Control,
 		"caller": before.Caller == after.Caller, "locality": before.Locality == after.Locality, "data": before.Data == after.Data,
 		"tender": before.Tender == after.Tender, "lantern": before.Lantern == after.Lantern, "pilots": before.Pilots == after.Pilots,
-		"key": before.Key == after.Key, "seeds": slices.Equal(before.Seeds, after.Seeds),
+		"key": before.Key == after.Key, "callers": before.Callers == after.Callers, "admission": before.Admission == after.Admission,
+		"versions": before.Versions == after.Versions, "operators": before.Operators == after.Operators,
 	} {
 		if !same {
 			differ = append(differ, name)
@@ -266,30 +437,3 @@
 	slices.Sort(differ)
 	return differ
 }
-
-// Watch tells on a channel whenever the settings file may have changed.
-func (source *Source) Watch() (<-chan struct{}, error) {
-	changed := make(chan struct{}, 1)
-	if source.path == "" {
-		return changed, nil
-	}
-	watcher, fault := fsnotify.NewWatcher()
-	if fault != nil {
-		return nil, ErrorProps.Wrap(fault, "watching %s", source.path)
-	}
-	if fault := watcher.Add(filepath.Dir(source.path)); fault != nil {
-		return nil, ErrorProps.Wrap(fault, "watching %s", source.path)
-	}
-	go func() {
-		for event := range watcher.Events {
-			if filepath.Base(event.Name) != filepath.Base(source.path) || event.Op == fsnotify.Chmod {
-				continue
-			}
-			select {
-			case changed <- struct{}{}:
-			default:
-			}
-		}
-	}()
-	return changed, nil
-}
--- /dev/null
+++ b/internal/props/props_test.go
@@ -0,0 +1,184 @@
+// Settings as a daemon reads them: what holds where nothing is said, each fault
+// with its path, and how a changed file is noticed where the system tells of no
+// changes.
+package props_test
+
+import (
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dahlialock/internal/props"
+)
+
+const keeperBase = `"name":"keeper-1","locality":"east","address":"10.1.0.2:7120","ctl":"10.1.0.2:7121","data":"/data"`
+
+func write(t *testing.T, path, text string) {
+	t.Helper()
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+}
+
+func source(t *testing.T, kind, text string, flags ...string) (*props.Source, string) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "props.json")
+	write(t, path, text)
+	made, fault := props.FromFlags(kind, append([]string{"-props", path}, flags...))
+	assert.NilError(t, fault)
+	return made, path
+}
+
+func TestSettingsThatSayLittle(t *testing.T) {
+	made, _ := source(t, "keeper", `{`+keeperBase+`,"seeds":["10.1.0.9:8264"]}`)
+	settings, fault := made.Read()
+	assert.NilError(t, fault)
+	assert.DeepEqual(t, settings.Seeds, []string{"10.1.0.9:8264"})
+	assert.Equal(t, settings.Pilots, 5)
+	assert.Equal(t, settings.Tolerance, 1)
+	assert.Equal(t, settings.Bounds, props.DefaultBounds())
+	assert.Equal(t, settings.Callers, props.CallersJSON)
+	assert.Equal(t, settings.Admission, props.AdmissionToken)
+	assert.Equal(t, settings.Versions, props.VersionsStrict)
+	assert.Equal(t, settings.Operators, props.OperatorsJSON)
+	assert.Assert(t, !settings.Bootstrap)
+	assert.Equal(t, settings.MemoryLimit(), int64(math.MaxInt64))
+}
+
+func TestSettingsThatSayAll(t *testing.T) {
+	made, _ := source(t, "keeper", `{`+keeperBase+`,"seeds":["10.1.0.9:8264","10.2.0.9:8264"],"seeds_port":7120,"pilots":0,"bootstrap":true,
+		"tolerance":2,"bounds":{"contact":"4000ms","catch_up":"4.1s","presence":"5000ms"},"callers":"lines","admission":"open",
+		"versions":"highest","memory":"200MB"}`)
+	settings, fault := made.Read()
+	assert.NilError(t, fault)
+	assert.DeepEqual(t, settings.Seeds, []string{"10.1.0.9:7120", "10.2.0.9:7120"})
+	assert.Equal(t, settings.Pilots, 0)
+	assert.Assert(t, settings.Bootstrap)
+	assert.Equal(t, settings.Tolerance, 2)
+	assert.Equal(t, settings.Bounds.CatchUp, 4100*time.Millisecond)
+	assert.Equal(t, settings.Bounds.Contact, 4*time.Second)
+	assert.Equal(t, settings.Callers, props.CallersLines)
+	assert.Equal(t, settings.Admission, props.AdmissionOpen)
+	assert.Equal(t, settings.Versions, props.VersionsHighest)
+	assert.Equal(t, settings.Memory, int64(200e6))
+	assert.Equal(t, settings.MemoryLimit(), int64(160e6))
+}
+
+func TestFlagsGoBeforeTheFile(t *testing.T) {
+	made, _ := source(t, "keeper", `{`+keeperBase+`,"seeds":["10.1.0.9:1"],"tolerance":2}`,
+		"-seeds-port=7120", "-bootstrap=true", "-tolerance=0", "-bounds=ping=1s,grace=7s", "-memory=64MiB")
+	settings, fault := made.Read()
+	assert.NilError(t, fault)
+	assert.DeepEqual(t, settings.Seeds, []string{"10.1.0.9:7120"})
+	assert.Assert(t, settings.Bootstrap)
+	assert.Equal(t, settings.Tolerance, 0)
+	assert.Equal(t, settings.Bounds.Ping, time.Second)
+	assert.Equal(t, settings.Bounds.Grace, 7*time.Second)
+	assert.Equal(t, settings.Memory, int64(64<<20))
+}
+
+func TestEveryFaultIsToldWithItsPath(t *testing.T) {
+	for text, path := range map[string]string{
+		`"seeds_port":70000`:           "$.seeds_port",
+		`"seeds_port":"7120"`:          "$.seeds_port",
+		`"bootstrap":1`:                "$.bootstrap",
+		`"pilots":1`:                   "$.pilots",
+		`"pilots":4`:                   "$.pilots",
+		`"tolerance":4`:                "$.tolerance",
+		`"tolerance":-1`:               "$.tolerance",
+		`"bounds":5`:                   "$.bounds",
+		`"bounds":{"stretch":"1s"}`:    "$.bounds.stretch",
+		`"bounds":{"contact":"ms"}`:    "$.bounds.contact",
+		`"bounds":{"contact":4000}`:    "$.bounds.contact",
+		`"bounds":{"ping":"0s"}`:       "$.bounds.ping",
+		`"callers":"words"`:            "$.callers",
+		`"admission":"closed"`:         "$.admission",
+		`"versions":"any"`:             "$.versions",
+		`"operators":"unheard"`:        "$.operators",
+		`"memory":"284 MB"`:            "$.memory",
+		`"memory":"MB"`:                "$.memory",
+		`"memory":"9000000000000GiB"`:  "$.memory",
+		`"memory":1024`:                "$.memory",
+		`"memory":"-284MB"`:            "$.memory",
+		`"unknown":1`:                  "$.unknown",
+		`"seeds":["10.1.0.9"],"key":1`: "$.seeds[0]",
+	} {
+		seeds := `,"seeds":["10.1.0.9:1"]`
+		if strings.HasPrefix(text, `"seeds":`) {
+			seeds = ""
+		}
+		made, _ := source(t, "keeper", `{`+keeperBase+seeds+`,`+text+`}`)
+		_, fault := made.Read()
+		assert.Assert(t, fault != nil, text)
+		assert.Assert(t, strings.Contains(fault.Error(), path+":") || strings.Contains(fault.Error(), path+" "), "%s: %v", text, fault)
+	}
+}
+
+func TestKeyIsWantedUnlessAdmissionIsOpen(t *testing.T) {
+	const lantern = `"name":"lantern-1","locality":"east","address":"10.1.0.2:7120","ctl":"10.1.0.2:8268","caller":"10.1.0.2:8266","tender":"10.1.0.2:7121"`
+	made, _ := source(t, "lantern", `{`+lantern+`}`)
+	_, fault := made.Read()
+	assert.ErrorContains(t, fault, "$.key")
+	made, _ = source(t, "lantern", `{`+lantern+`,"admission":"open"}`)
+	_, fault = made.Read()
+	assert.NilError(t, fault)
+}
+
+func TestFormsOfOperatorsAreRegistered(t *testing.T) {
+	props.MustRegisterOperators("signals")
+	made, _ := source(t, "keeper", `{`+keeperBase+`,"seeds":["10.1.0.9:1"],"operators":"signals"}`)
+	settings, fault := made.Read()
+	assert.NilError(t, fault)
+	assert.Equal(t, settings.Operators, "signals")
+}
+
+func TestWhatOnlyAStartReadsMayChange(t *testing.T) {
+	before := props.Props{Name: "a", Seeds: []string{"10.1.0.9:1"}, Bootstrap: true, Tolerance: 1}
+	after := before
+	after.Seeds, after.Bootstrap, after.Tolerance, after.Memory = nil, false, 2, 1<<30
+	assert.Equal(t, len(props.Fixed(before, after)), 0)
+	after.Callers, after.Name = props.CallersLines, "b"
+	assert.DeepEqual(t, props.Fixed(before, after), []string{"callers", "name"})
+}
+
+// The ticks are handed over one by one: once a second one is taken, the first
+// has had its whole effect.
+func TestChangedContentIsToldOnce(t *testing.T) {
+	whole := `{` + keeperBase + `,"seeds":["10.1.0.9:1"]}`
+	made, path := source(t, "keeper", whole)
+	_, fault := made.Read()
+	assert.NilError(t, fault)
+	ticks := make(chan time.Time)
+	defer close(ticks)
+	changed := made.Look(ticks)
+	told := func() bool {
+		ticks <- time.Time{}
+		ticks <- time.Time{}
+		select {
+		case <-changed:
+			return true
+		default:
+			return false
+		}
+	}
+	assert.Assert(t, !told(), "nothing has changed")
+	for _, step := range []struct {
+		name   string
+		change func()
+		faulty bool
+	}{
+		{name: "half-written", change: func() { write(t, path, whole[:20]) }, faulty: true},
+		{name: "missing", change: func() { assert.NilError(t, os.Remove(path)) }, faulty: true},
+		{name: "empty", change: func() { write(t, path, "") }, faulty: true},
+		{name: "whole", change: func() { write(t, path, strings.Replace(whole, "}", `,"log_level":"warn"}`, 1)) }},
+	} {
+		step.change()
+		assert.Assert(t, told(), step.name)
+		_, fault := made.Read()
+		assert.Equal(t, fault != nil, step.faulty, step.name)
+		assert.Assert(t, !told(), "%s was told twice", step.name)
+	}
+}
--- /dev/null
+++ b/internal/props/watch.go
@@ -0,0 +1,77 @@
+// How a daemon notices that its settings file has changed. The system's notices
+// of changes are used where there are any. Where there are none, the file's
+// content is looked at each second, and a change is told when the content
+// differs from what was seen last: a file that stays missing or faulty is told
+// once. Whether a content is any good is judged by Read alone.
+package props
+
+import (
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/fsnotify/fsnotify"
+)
+
+const lookEvery = time.Second
+
+// content is what a settings file held when it was looked at.
+type content struct {
+	body    string
+	missing bool
+}
+
+func look(path string) content {
+	body, fault := os.ReadFile(path)
+	if fault != nil {
+		return content{missing: true}
+	}
+	return content{body: string(body)}
+}
+
+// Watch tells on a channel whenever the settings file may have changed since it
+// was read. There is always a way, so that the error is nil.
+func (source *Source) Watch() (<-chan struct{}, error) {
+	if source.path == "" {
+		return make(chan struct{}), nil
+	}
+	watcher, fault := fsnotify.NewWatcher()
+	if fault != nil {
+		return source.Look(time.NewTicker(lookEvery).C), nil
+	}
+	if fault := watcher.Add(filepath.Dir(source.path)); fault != nil {
+		_ = watcher.Close()
+		return source.Look(time.NewTicker(lookEvery).C), nil
+	}
+	changed := make(chan struct{}, 1)
+	go func() {
+		for event := range watcher.Events {
+			if filepath.Base(event.Name) == filepath.Base(source.path) && event.Op != fsnotify.Chmod {
+				tell(changed)
+			}
+		}
+	}()
+	return changed, nil
+}
+
+// Look tells the same by looking at the file's content at each tick.
+func (source *Source) Look(ticks <-chan time.Time) <-chan struct{} {
+	changed := make(chan struct{}, 1)
+	path, seen := source.path, source.seen
+	go func() {
+		for range ticks {
+			if now := look(path); now != seen {
+				seen = now
+				tell(changed)
+			}
+		}
+	}()
+	return changed
+}
+
+func tell(changed chan<- struct{}) {
+	select {
+	case changed <- struct{}{}:
+	default:
+	}
+}
