Shared strands on the keepers' side: placement, resend memory by topic, heads of topics

Topics of routed spaces share 32 strands, which are placed once a space of order topic was in force and stay. In them a keeper remembers senders by topic and sender, gives passing messages an offset and memory without their data, keeps each topic's last offset when its records are trimmed (so a cursor below the base is fine if its topic lost nothing), and tells followers which topics moved. A holding that was shortened or removed counts on for five minutes.

Memories of senders are forgotten in silent strands too.

--- a/internal/pilotage/placement.go
+++ b/internal/pilotage/placement.go
@@ -26,13 +26,18 @@
 	return mixed
 }
 
-func (state *State) rankedKeepers(strand string) []beacon.Member {
+// keepers are those that may be given strands.
+func (state *State) keepers() []beacon.Member {
 	var keepers []beacon.Member
 	for _, member := range helm.Sorted(state.Members) {
 		if member.Kind == beacon.KindKeeper && member.Alive && !member.Retiring {
 			keepers = append(keepers, member)
 		}
 	}
+	return keepers
+}
+
+func rankedKeepers(strand string, keepers []beacon.Member) []beacon.Member {
 	slices.SortStableFunc(keepers, func(left, right beacon.Member) int {
 		leftRank, rightRank := rank(strand, left.Name), rank(strand, right.Name)
 		if leftRank > rightRank {
@@ -70,8 +75,9 @@
 // plan lists the placements that ought to change.
 func (state *State) plan(configuration chart.Configuration) []beacon.Placement {
 	var changes []beacon.Placement
+	keepers := state.keepers()
 	for _, strand := range state.strands(configuration) {
-		ranked := state.rankedKeepers(strand)
+		ranked := rankedKeepers(strand, keepers)
 		place, placed := state.Places[strand]
 		if !placed {
 			if len(ranked) < 2 {
--- a/internal/pilotage/state.go
+++ b/internal/pilotage/state.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"dahlialock/internal/beacon"
@@ -32,6 +31,9 @@
 	Natures  map[string]string
 	Members  map[string]beacon.Member
 	Places   map[string]beacon.Placement
+	// Shared says that a routed space was in force once: from then on the shared
+	// strands are placed, whatever becomes of the spaces.
+	Shared bool
 }
 
 func newState() *State {
@@ -100,14 +102,18 @@
 		}
 	}
 	for name, space := range helm.Sorted(configuration.Spaces) {
+		state.Shared = state.Shared || space.Order == chart.OrderTopic
 		if _, found := state.Births[name]; !found {
 			state.Births[name] = command.Version
 			state.Natures[name] = nature(space)
 		}
 	}
-	wanted := state.strands(configuration)
+	wanted := map[string]bool{}
+	for _, strand := range state.strands(configuration) {
+		wanted[strand] = true
+	}
 	for strand := range helm.Sorted(state.Places) {
-		if !slices.Contains(wanted, strand) {
+		if !wanted[strand] {
 			delete(state.Places, strand)
 		}
 	}
@@ -122,6 +128,11 @@
 			names = append(names, StrandName(name, state.Births[name], number))
 		}
 	}
+	if state.Shared {
+		for number := range chart.SharedStrands {
+			names = append(names, chart.SharedStrandName(number))
+		}
+	}
 	return names
 }
 
--- a/internal/pilotage/strand_test.go
+++ b/internal/pilotage/strand_test.go
@@ -74,6 +74,11 @@
 	loss     float64
 	wipedAt  time.Duration
 	calm     bool
+	// told is given what the keepers answer, in place of the writers' oracle.
+	told func(from string, message any)
+	// inOrder is when the lantern's last message to a keeper arrives, on a link
+	// that doesn't reorder.
+	inOrder map[string]time.Duration
 }
 
 func (yard *yard) after(wait time.Duration, run func()) {
@@ -188,8 +193,17 @@
 	}
 	packed, fault := flare.Encode(helm.Meta{From: from, Version: 1}, send.Message)
 	assert.NilError(yard.t, fault)
-	for range 1 + yard.random.IntN(15)/14 {
-		yard.after(time.Duration(200+yard.random.IntN(2000))*time.Microsecond, func() {
+	times := 1 + yard.random.IntN(15)/14
+	if yard.inOrder != nil && from == "lantern" {
+		times = 1
+	}
+	for range times {
+		takes := time.Duration(200+yard.random.IntN(2000)) * time.Microsecond
+		if yard.inOrder != nil && from == "lantern" {
+			takes = max(takes, yard.inOrder[send.To]-yard.now)
+			yard.inOrder[send.To] = yard.now + takes
+		}
+		yard.after(takes, func() {
 			meta, message, fault := flare.Decode(packed[4:])
 			assert.NilError(yard.t, fault)
 			for _, store := range yard.stores {
@@ -201,6 +215,10 @@
 			case "pilot":
 				yard.pilot(from, message)
 			case "lantern":
+				if yard.told != nil {
+					yard.told(from, message)
+					return
+				}
 				yard.lantern(message)
 			}
 		})
@@ -323,13 +341,17 @@
 }
 
 func (yard *yard) whole() bool {
-	place, placed := yard.state.Places[testStrand]
 	for _, store := range yard.stores {
 		if !store.up || store.frozen {
 			return false
 		}
 	}
-	return placed && place.Complete
+	for _, place := range yard.state.Places {
+		if !place.Complete {
+			return false
+		}
+	}
+	return len(yard.state.Places) > 0
 }
 
 func (yard *yard) trouble() {
--- a/internal/strand/keeper.go
+++ b/internal/strand/keeper.go
@@ -28,12 +28,15 @@
 	tellEvery      = 400 * time.Millisecond
 	trimEvery      = 5 * time.Second
 	followFor      = 6 * time.Second
-	headsEvery     = 300 * time.Millisecond
+	headsEvery     = 400 * time.Millisecond
 	frameLogLimit  = 16 << 20
 	fetchLimit     = 512
 	fetchBytes     = 1 << 20
 	copyLimit      = 512
 	understudyBack = 2 * time.Second
+	// rememberHolding is for how long a holding that was taken back counts on, so
+	// that a space which comes again finds what it held.
+	rememberHolding = 5 * time.Minute
 )
 
 // Props are a keeper daemon's settings.
@@ -83,7 +86,21 @@
 type follower struct {
 	strands []string
 	until   time.Time
-	told    map[string]Head
+	told    map[string]told
+}
+
+// told is what a follower knows of one strand; From counts for shared strands,
+// where a follower that was told of an epoch may have missed what lay before.
+type told struct {
+	epoch  uint64
+	offset uint64
+}
+
+// pastHolding is how long messages were held by a configuration that is no
+// longer in force, and until when that still counts.
+type pastHolding struct {
+	holding time.Duration
+	until   time.Time
 }
 
 type diskEntry struct {
@@ -119,6 +136,8 @@
 	ring      *soundings.Ring
 	followers map[string]*follower
 	config    chart.Configuration
+	holding   time.Duration
+	past      []pastHolding
 	stopping  bool
 
 	entries              [][]byte
@@ -327,7 +346,7 @@
 		case key == "tell":
 			keeper.tell(now, effects)
 		case strings.HasPrefix(key, "heads "):
-			keeper.tellHeads(now, strings.TrimPrefix(key, "heads "), effects)
+			keeper.tellHeads(now, strings.TrimPrefix(key, "heads "), false, effects)
 		}
 	}
 	keeper.flush(now, effects)
@@ -373,7 +392,7 @@
 func (keeper *Keeper) onNews(now time.Time, news beacon.News, effects *helm.Effects) {
 	taken := keeper.follower.Take(now, news)
 	if taken.Document {
-		keeper.config, _ = chart.Read(keeper.follower.Document)
+		keeper.takeConfiguration(now)
 	}
 	if !taken.View {
 		return
@@ -413,6 +432,33 @@
 	}
 }
 
+// takeConfiguration notes for how long shared strands hold their messages: as
+// long as any routed space in force asks for, and as any that was in force when
+// a message came that may still be asked for.
+func (keeper *Keeper) takeConfiguration(now time.Time) {
+	keeper.config, _ = chart.Read(keeper.follower.Document)
+	longest := chart.DefaultHolding
+	for _, space := range keeper.config.Spaces {
+		if space.Order == chart.OrderTopic && space.Promise == chart.Kept {
+			longest = max(longest, space.Holding)
+		}
+	}
+	if longest < keeper.holding {
+		keeper.past = append(keeper.past, pastHolding{holding: keeper.holding, until: now.Add(max(keeper.holding, rememberHolding))})
+	}
+	keeper.holding = longest
+}
+
+// sharedHolding is how long shared strands hold their messages at present.
+func (keeper *Keeper) sharedHolding(now time.Time) time.Duration {
+	keeper.past = slices.DeleteFunc(keeper.past, func(past pastHolding) bool { return now.After(past.until) })
+	longest := max(keeper.holding, chart.DefaultHolding)
+	for _, past := range keeper.past {
+		longest = max(longest, past.holding)
+	}
+	return longest
+}
+
 func (keeper *Keeper) place(now time.Time, strand *held, place beacon.Placement, effects *helm.Effects) {
 	changed := place.Epoch != strand.place.Epoch
 	completed := place.Complete && !strand.place.Complete
@@ -471,8 +517,14 @@
 		refuse("not-first", 200*time.Millisecond)
 		return
 	}
-	sender := strand.log.Senders[visit.Sender]
-	if memory, known := sender.Recent[visit.Seq]; known && !helm.Mutated("no-resend-memory") {
+	if visit.Bare {
+		visit.Data = nil
+	}
+	sender, known := strand.log.Senders[strand.log.memoryKey(visit.Topic, visit.Sender)]
+	if !known {
+		sender = &senderState{}
+	}
+	if memory, known := sender.find(visit.Seq); known && !helm.Mutated("no-resend-memory") {
 		if memory.Digest != Digest(visit.Topic, visit.Data) {
 			refuse("seq-reused", 0)
 			return
@@ -482,7 +534,7 @@
 			records := strand.log.after(memory.Offset - 1)
 			answer := AppendReturn{Strand: visit.Strand, Visit: visit.Visit, Outcome: Accepted, Epoch: strand.place.Epoch, Again: true}
 			if memory.Offset > strand.log.Base && len(records) > 0 {
-				answer.Record = records[0]
+				answer.Record = answered(visit.Strand, records[0])
 			} else {
 				answer.Record = Record{Offset: memory.Offset, Topic: visit.Topic, Sender: visit.Sender, Seq: visit.Seq}
 			}
@@ -493,6 +545,12 @@
 		return
 	}
 	if (visit.Seq <= sender.LastSeq || visit.OnlyAgain) && !helm.Mutated("no-resend-memory") {
+		if chart.IsShared(visit.Strand) && !strand.passedBy(sender) {
+			// The later one may still come to nothing, and then an earlier try of
+			// this one may be accepted by another first.
+			refuse("passed", 200*time.Millisecond)
+			return
+		}
 		refuse("old-seq", 0)
 		return
 	}
@@ -510,7 +568,7 @@
 	}
 	record := Record{
 		Offset: head + 1, Epoch: strand.place.Epoch, Topic: visit.Topic, Sender: visit.Sender, Seq: visit.Seq,
-		Data: visit.Data, At: now, Prior: strand.log.Topics[visit.Topic], Before: visit.Before,
+		Data: visit.Data, At: now, Prior: strand.log.prior(visit.Topic), Before: visit.Before, Bare: visit.Bare,
 	}
 	strand.log.add(record)
 	strand.waiting[record.Offset] = append(strand.waiting[record.Offset], waiter{from: from, visit: visit.Visit})
@@ -523,6 +581,23 @@
 	})
 }
 
+// passedBy tells whether a sender's newest message is accepted, so that nothing
+// of it with a lower seq ever will be.
+func (strand *held) passedBy(sender *senderState) bool {
+	if len(sender.Recent) == 0 {
+		return true
+	}
+	return strand.firstSince == strand.place.Epoch && sender.Recent[len(sender.Recent)-1].Offset <= strand.accepted
+}
+
+// answered is a record as whoever asked for it to be kept is told of it.
+func answered(strand string, record Record) Record {
+	if chart.IsShared(strand) {
+		record.Data = nil
+	}
+	return record
+}
+
 func (log *log) epochIs(record Record) bool {
 	epoch, found := log.epochAt(record.Offset)
 	return !found || epoch == record.Epoch
@@ -562,7 +637,7 @@
 			"strand", strand.log.Name, "epoch", strand.place.Epoch, "offset", offset, "first", strand.place.First, "understudy", strand.place.Understudy)
 		for _, each := range waiters {
 			effects.Send(each.from, AppendReturn{
-				Strand: strand.log.Name, Visit: each.visit, Outcome: Accepted, Epoch: strand.place.Epoch, Record: records[0],
+				Strand: strand.log.Name, Visit: each.visit, Outcome: Accepted, Epoch: strand.place.Epoch, Record: answered(strand.log.Name, records[0]),
 			})
 		}
 	}
@@ -806,12 +881,21 @@
 	answer.Ready = true
 	answer.Epoch, answer.Base, answer.Head = strand.place.Epoch, strand.log.Base, strand.accepted
 	answer.Until = strand.accepted
+	var candidates []Record
+	if chart.IsShared(fetch.Strand) {
+		answer.Gone = strand.log.gone(fetch.After, fetch.Topics, fetch.Prefixes)
+	}
+	if len(fetch.Prefixes) == 0 && chart.IsShared(fetch.Strand) {
+		candidates = strand.log.of(fetch.Topics, fetch.After, strand.accepted)
+	} else {
+		candidates = strand.log.after(fetch.After)
+	}
 	size := 0
-	for _, record := range strand.log.after(fetch.After) {
+	for _, record := range candidates {
 		if record.Offset > strand.accepted {
 			break
 		}
-		if !Matches(record.Topic, fetch.Topics, fetch.Prefixes) || slices.Contains(fetch.Skip, record.Offset) {
+		if record.Bare || !Matches(record.Topic, fetch.Topics, fetch.Prefixes) || slices.Contains(fetch.Skip, record.Offset) {
 			continue
 		}
 		if len(answer.Records) == fetchLimit || size > fetchBytes {
@@ -840,14 +924,14 @@
 			continue
 		}
 		answer.LastSeq = max(answer.LastSeq, sender.LastSeq)
-		for seq, memory := range helm.Sorted(sender.Recent) {
+		for _, memory := range sender.Recent {
 			age := now.Sub(memory.At)
 			records := strand.log.after(memory.Offset - 1)
 			if age > 2*TrailFor || memory.Offset <= strand.log.Base || len(records) == 0 {
 				continue
 			}
 			answer.Recent = append(answer.Recent, Recent{
-				Mark: Mark{Strand: NumberIn(name), Offset: memory.Offset, Topic: records[0].Topic}, Seq: seq, Age: age,
+				Mark: Mark{Strand: NumberIn(name), Offset: memory.Offset, Topic: records[0].Topic}, Seq: memory.Seq, Age: age,
 			})
 		}
 	}
@@ -861,11 +945,18 @@
 		keeper.followers[from] = present
 	}
 	present.strands, present.until = follow.Strands, now.Add(followFor)
-	present.told = map[string]Head{}
-	keeper.tellHeads(now, from, effects)
+	present.told = map[string]told{}
+	for position, name := range follow.Strands {
+		if chart.IsShared(name) && position < len(follow.From) {
+			present.told[name] = told{offset: follow.From[position]}
+		}
+	}
+	keeper.tellHeads(now, from, true, effects)
 }
 
-func (keeper *Keeper) tellHeads(now time.Time, address string, effects *helm.Effects) {
+// tellHeads tells a follower what moved since it was told; one that just asked
+// is told of every strand.
+func (keeper *Keeper) tellHeads(now time.Time, address string, every bool, effects *helm.Effects) {
 	present, found := keeper.followers[address]
 	if !found || now.After(present.until) || len(present.strands) == 0 {
 		delete(keeper.followers, address)
@@ -877,11 +968,24 @@
 		if !held || !keeper.isFirst(strand) || strand.firstSince != strand.place.Epoch {
 			continue
 		}
-		head := Head{Strand: name, Epoch: strand.place.Epoch, Offset: strand.accepted}
-		if told := present.told[name]; told.Epoch != head.Epoch || told.Offset != head.Offset {
-			present.told[name] = head
-			heads.Heads = append(heads.Heads, head)
+		earlier := present.told[name]
+		latest := told{epoch: strand.place.Epoch, offset: strand.accepted}
+		head := Head{Strand: name, Epoch: latest.epoch, Offset: latest.offset}
+		if earlier == latest && !every {
+			continue
+		}
+		if chart.IsShared(name) {
+			head.From = min(earlier.offset, strand.accepted)
+			for topic, offset := range helm.Sorted(strand.log.moved(head.From, strand.accepted)) {
+				head.Topics = append(head.Topics, TopicHead{Topic: chart.TopicNumber(topic), Offset: offset})
+			}
+			if len(head.Topics) == 0 && earlier.epoch == latest.epoch && !every {
+				// Passing messages only, of which nothing can be fetched.
+				continue
+			}
 		}
+		present.told[name] = latest
+		heads.Heads = append(heads.Heads, head)
 	}
 	if len(heads.Heads) > 0 {
 		keeper.Counts.HeadsOut++
@@ -894,6 +998,9 @@
 	for name, strand := range helm.Sorted(keeper.strands) {
 		space, _, _ := strings.Cut(name, "~")
 		holding := keeper.config.Spaces[space].Holding
+		if chart.IsShared(name) {
+			holding = keeper.sharedHolding(now)
+		}
 		if helm.Mutated("short-history") {
 			strand.log.trim(now, -HistoryMargin+time.Second)
 			continue
--- a/internal/strand/messages.go
+++ b/internal/strand/messages.go
@@ -42,7 +42,8 @@
 
 // Record is one kept message. Prior is the offset of the topic's message
 // before it, and Before are the sender's messages before it, so that whoever
-// receives it sees every hole.
+// receives it sees every hole. A Bare record gives a passing message its offset
+// and is remembered for resends; its data was never here.
 type Record struct {
 	_      struct{} `cbor:",toarray"`
 	Offset uint64
@@ -54,6 +55,7 @@
 	At     time.Time
 	Prior  uint64
 	Before Trail
+	Bare   bool
 }
 
 // Append asks the first to keep a message.
@@ -68,8 +70,8 @@
 	// OnlyAgain asks to acknowledge the message if it is kept, and not to keep
 	// it anew: the sender has a later one somewhere.
 	OnlyAgain bool
-	// Bare asks for the order and the resend memory only: the message's data is
-	// passed on and not kept.
+	// Bare asks for an offset and the memory of a passing message, of which
+	// nothing is kept.
 	Bare bool
 }
 
@@ -80,7 +82,8 @@
 	Unsettled
 )
 
-// AppendReturn answers it.
+// AppendReturn answers it. In a shared strand its record carries no data, since
+// whoever asked has them.
 type AppendReturn struct {
 	Strand     string
 	Visit      uint64
@@ -132,7 +135,8 @@
 	Skip     []uint64
 }
 
-// FetchReturn gives them, all up to Until.
+// FetchReturn gives them, all up to Until. Gone tells, for a shared strand, that
+// a record of the asked topics after the asked offset is no longer held.
 type FetchReturn struct {
 	Strand  string
 	Visit   uint64
@@ -142,31 +146,28 @@
 	Until   uint64
 	Records []Record
 	Ready   bool
-	// Gone is set where something of the asked topics lay after After and is no
-	// longer held; for shared strands.
-	Gone bool
+	Gone    bool
 }
 
-// Follow asks to be told the heads of strands. From is how far this lantern was
-// told already what moved in each shared one.
+// Follow asks to be told the heads of strands. From is how far the asker was
+// told of each shared strand already.
 type Follow struct {
 	Strands []string
 	From    []uint64
 }
 
-// Head is how far a strand's accepted messages reach.
+// Head is how far a strand's accepted messages reach. For a shared strand it
+// tells the newest kept message of every topic that has one after From.
 type Head struct {
 	_      struct{} `cbor:",toarray"`
 	Strand string
 	Epoch  uint64
 	Offset uint64
-	// From and Topics are told of shared strands: the newest accepted offset of
-	// each topic that moved after From, up to Offset.
 	From   uint64
 	Topics []TopicHead
 }
 
-// TopicHead is the newest accepted offset of a topic, which is told by its number.
+// TopicHead is the newest offset of a topic, which is told by its number.
 type TopicHead struct {
 	_      struct{} `cbor:",toarray"`
 	Topic  uint64
--- a/internal/strand/strand.go
+++ b/internal/strand/strand.go
@@ -1,15 +1,21 @@
 // One strand's log as a keeper holds it: the records in order, the last offset
 // of each topic, and the memory of senders by which a resend is known. All of
 // it follows from the records, so that an understudy that has the records has
-// the memory too.
+// the memory too. A shared strand holds the topics of all routed spaces: there a
+// sender is remembered for each topic, and each topic's last offset outlives its
+// records, so that whoever comes back is told whether it lost anything.
 package strand
 
 import (
+	"cmp"
 	"hash/fnv"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
 	"time"
+
+	"dahlialock/internal/chart"
 )
 
 // Spans for which a strand remembers.
@@ -17,10 +23,13 @@
 	HistoryMargin = 25 * time.Second
 	seqMemory     = 60 * time.Second
 	senderMemory  = 10 * time.Minute
+	topicMemory   = 10 * time.Minute
+	topicsMost    = 4096
 )
 
 type remembered struct {
 	_      struct{} `cbor:",toarray"`
+	Seq    uint64
 	Offset uint64
 	Digest uint64
 	At     time.Time
@@ -30,7 +39,23 @@
 	_       struct{} `cbor:",toarray"`
 	LastSeq uint64
 	At      time.Time
-	Recent  map[uint64]remembered
+	Recent  []remembered
+}
+
+// find looks for an accepted seq; they rise, since lower ones are refused.
+func (sender *senderState) find(seq uint64) (remembered, bool) {
+	place, found := slices.BinarySearchFunc(sender.Recent, seq, func(memory remembered, seq uint64) int { return cmp.Compare(memory.Seq, seq) })
+	if !found {
+		return remembered{}, false
+	}
+	return sender.Recent[place], true
+}
+
+// trimmed is where a topic's newest record lay that is no longer held.
+type trimmed struct {
+	_      struct{} `cbor:",toarray"`
+	Offset uint64
+	At     time.Time
 }
 
 type log struct {
@@ -39,11 +64,97 @@
 	BaseEpoch uint64
 	Records   []Record
 	Topics    map[string]uint64
-	Senders   map[string]senderState
+	Senders   map[string]*senderState
+	// Trimmed and Forgotten are kept for shared strands only. Whatever lay at or
+	// below Forgotten of a topic that is in neither table is not known.
+	Trimmed   map[string]trimmed
+	Forgotten uint64
 }
 
 func newLog(name string) *log {
-	return &log{Name: name, Topics: map[string]uint64{}, Senders: map[string]senderState{}}
+	return &log{Name: name, Topics: map[string]uint64{}, Senders: map[string]*senderState{}, Trimmed: map[string]trimmed{}}
+}
+
+// memoryKey names whom a log remembers a seq for: in a shared strand each of a
+// sender's topics stands for itself.
+func (log *log) memoryKey(topic, sender string) string {
+	if chart.IsShared(log.Name) {
+		return topic + "\n" + sender
+	}
+	return sender
+}
+
+// prior is the offset of a topic's newest record, held or not.
+func (log *log) prior(topic string) uint64 {
+	if offset, found := log.Topics[topic]; found {
+		return offset
+	}
+	return log.Trimmed[topic].Offset
+}
+
+// gone tells whether a kept record of the asked topics after an offset is no
+// longer held.
+func (log *log) gone(after uint64, topics, prefixes []string) bool {
+	if after >= log.Base {
+		return false
+	}
+	if len(prefixes) > 0 {
+		if after < log.Forgotten {
+			return true
+		}
+		for topic, last := range log.Trimmed {
+			if last.Offset > after && Matches(topic, topics, prefixes) {
+				return true
+			}
+		}
+		return false
+	}
+	for _, topic := range topics {
+		if last, found := log.Trimmed[topic]; found && last.Offset > after || !found && after < log.Forgotten {
+			return true
+		}
+	}
+	return false
+}
+
+// of gives the kept records of some topics after one offset and up to another,
+// by going back from each topic's newest.
+func (log *log) of(topics []string, after, until uint64) []Record {
+	after = max(after, log.Base)
+	var found []Record
+	for _, topic := range topics {
+		for offset := log.Topics[topic]; offset > after; {
+			record := &log.Records[offset-log.Base-1]
+			if offset <= until && !record.Bare {
+				found = append(found, *record)
+			}
+			offset = record.Prior
+		}
+	}
+	slices.SortFunc(found, func(left, right Record) int { return cmp.Compare(left.Offset, right.Offset) })
+	return slices.CompactFunc(found, func(left, right Record) bool { return left.Offset == right.Offset })
+}
+
+// moved gives the newest offset of each topic that has a kept record after one
+// offset and up to another.
+func (log *log) moved(from, until uint64) map[string]uint64 {
+	topics := map[string]uint64{}
+	if from < log.Base {
+		for topic, last := range log.Trimmed {
+			if last.Offset > from {
+				topics[topic] = last.Offset
+			}
+		}
+	}
+	for _, record := range log.after(from) {
+		if record.Offset > until {
+			break
+		}
+		if !record.Bare {
+			topics[record.Topic] = record.Offset
+		}
+	}
+	return topics
 }
 
 func (log *log) head() (offset, epoch uint64) {
@@ -87,55 +198,76 @@
 func (log *log) add(record Record) {
 	log.Records = append(log.Records, record)
 	log.Topics[record.Topic] = record.Offset
-	sender, found := log.Senders[record.Sender]
+	key := log.memoryKey(record.Topic, record.Sender)
+	sender, found := log.Senders[key]
 	if !found {
-		sender.Recent = map[uint64]remembered{}
+		sender = &senderState{}
+		log.Senders[key] = sender
 	}
 	sender.LastSeq = max(sender.LastSeq, record.Seq)
 	sender.At = record.At
-	sender.Recent[record.Seq] = remembered{Offset: record.Offset, Digest: Digest(record.Topic, record.Data), At: record.At}
-	log.Senders[record.Sender] = sender
+	sender.Recent = append(sender.Recent, remembered{
+		Seq: record.Seq, Offset: record.Offset, Digest: Digest(record.Topic, record.Data), At: record.At,
+	})
 }
 
-// shift moves all times of a log that came from another machine's clock, or
-// from a disk that was written by an earlier one of this machine.
-func (log *log) shift(by time.Duration) {
+// retime gives all times of a log anew.
+func (log *log) retime(change func(time.Time) time.Time) {
 	for position := range log.Records {
-		log.Records[position].At = log.Records[position].At.Add(by)
+		log.Records[position].At = change(log.Records[position].At)
 	}
-	for name, sender := range log.Senders {
-		sender.At = sender.At.Add(by)
-		for seq, memory := range sender.Recent {
-			memory.At = memory.At.Add(by)
-			sender.Recent[seq] = memory
+	for _, sender := range log.Senders {
+		sender.At = change(sender.At)
+		for position := range sender.Recent {
+			sender.Recent[position].At = change(sender.Recent[position].At)
 		}
-		log.Senders[name] = sender
+	}
+	for topic, last := range log.Trimmed {
+		last.At = change(last.At)
+		log.Trimmed[topic] = last
 	}
 }
 
+// shift moves all times of a log that came from another machine's clock.
+func (log *log) shift(by time.Duration) {
+	log.retime(func(at time.Time) time.Time { return at.Add(by) })
+}
+
 // refresh makes all of a log that was read from disk as young as now: how long
 // this machine was away, and by which settings of its clock the times on its
 // disk were written, nobody knows. All is held for longer rather than too short.
 func (log *log) refresh(now time.Time) {
-	for position := range log.Records {
-		log.Records[position].At = now
-	}
-	for name, sender := range log.Senders {
-		sender.At = now
-		for seq, memory := range sender.Recent {
-			memory.At = now
-			sender.Recent[seq] = memory
-		}
-		log.Senders[name] = sender
-	}
+	log.retime(func(time.Time) time.Time { return now })
 }
 
 // trim forgets what is older than the holding time and its margin.
 func (log *log) trim(now time.Time, holding time.Duration) {
 	limit := now.Add(-holding - HistoryMargin)
 	count := sort.Search(len(log.Records), func(position int) bool { return log.Records[position].At.After(limit) })
-	if count == 0 {
-		return
+	if count > 0 {
+		log.cut(now, count)
+	}
+	for key, sender := range log.Senders {
+		kept := 0
+		for kept < len(sender.Recent) && now.Sub(sender.Recent[kept].At) > seqMemory && sender.Recent[kept].Offset <= log.Base {
+			kept++
+		}
+		sender.Recent = slices.Delete(sender.Recent, 0, kept)
+		if len(sender.Recent) == 0 && now.Sub(sender.At) > senderMemory {
+			delete(log.Senders, key)
+		}
+	}
+}
+
+// cut drops the oldest records.
+func (log *log) cut(now time.Time, count int) {
+	if chart.IsShared(log.Name) {
+		for _, record := range log.Records[:count] {
+			if !record.Bare {
+				log.Trimmed[record.Topic] = trimmed{Offset: record.Offset, At: record.At}
+			}
+		}
+		log.forgetTopics(now)
 	}
 	last := log.Records[count-1]
 	log.Base, log.BaseEpoch = last.Offset, last.Epoch
@@ -145,14 +277,17 @@
 			delete(log.Topics, topic)
 		}
 	}
-	for name, sender := range log.Senders {
-		for seq, memory := range sender.Recent {
-			if now.Sub(memory.At) > seqMemory && memory.Offset <= log.Base {
-				delete(sender.Recent, seq)
-			}
-		}
-		if len(sender.Recent) == 0 && now.Sub(sender.At) > senderMemory {
-			delete(log.Senders, name)
+}
+
+// forgetTopics keeps the table of trimmed topics from growing for ever.
+func (log *log) forgetTopics(now time.Time) {
+	if len(log.Trimmed) <= topicsMost {
+		return
+	}
+	for topic, last := range log.Trimmed {
+		if now.Sub(last.At) > topicMemory {
+			log.Forgotten = max(log.Forgotten, last.Offset)
+			delete(log.Trimmed, topic)
 		}
 	}
 }
