Cells of routed topics: peers tell each other who listens, in numbered notices

Routed topics need to know, without asking, which daemons listen to a topic and how many subscribers there are. A plane is cut into 16 cells by the topic's number; this daemon has one peer in each cell it uses, which stays for ten minutes after its last use. All peers of a cell know each other by today's mutual discovery and tell each other the counts by topic in numbered notices, one frame for each destination. A missing notice is asked for; every 2 s daemons compare the numbers of their newest notices and of their peers.

Tell, Reach, Listeners and Presence are the callers' side. The overlay runs by its own timers (NextDue): first subscribers after a gathering of 2 ms, at most one frame a destination in 1 ms times the number of lanterns, other counts within 200 ms.

A join that may have been on its way through a lost daemon is sent again at once. The Voronoi region is called Region now; a cell is a square of the plane.

--- a/internal/fairway/fairway.go
+++ b/internal/fairway/fairway.go
@@ -97,9 +97,12 @@
 	Tries    uint8
 }
 
-// Signals is what one daemon's peers say to another daemon's in one step.
+// Signals is what one daemon's peers say to another daemon's in one step: one
+// frame.
 type Signals struct {
+	_       struct{} `cbor:",toarray"`
 	Signals []Signal
+	Notices []Notices
 }
 
 func init() {
@@ -128,7 +131,7 @@
 	known map[PeerKey]Peer
 	// subscribers are those of the known ones that subscribe.
 	subscribers map[PeerKey]Peer
-	cell        Cell
+	region      Region
 	greeted     map[PeerKey]uint64
 	notedAt     map[PeerKey]time.Time
 	owed        map[PeerKey]map[PeerKey]bool
@@ -142,6 +145,8 @@
 	queued      bool
 	requests    []Signal
 	healUntil   time.Time
+	// cell is set for a peer of routed topics.
+	cell *cell
 }
 
 type space struct {
@@ -169,18 +174,23 @@
 	change   uint64
 	lanterns map[string]Lantern
 	spaces   map[string]*space
+	planes   map[string]*plane
 	timers   *helm.Timers
-	out      map[string][]Signal
-	ways     map[string]time.Duration
-	found    []Found
-	Counts   Counts
+	out      map[string]*Signals
+	// paceUntil is when the next changes may go out to all.
+	paceUntil time.Time
+	// parted is set once all peers have left.
+	parted bool
+	ways   map[string]time.Duration
+	found  []Found
+	Counts Counts
 }
 
 // New makes the overlay part of one daemon; Live and View come before any peer.
 func New(daemon string) *Fairway {
 	return &Fairway{
-		daemon: daemon, lanterns: map[string]Lantern{}, spaces: map[string]*space{},
-		timers: helm.NewTimers(), out: map[string][]Signal{}, ways: map[string]time.Duration{},
+		daemon: daemon, lanterns: map[string]Lantern{}, spaces: map[string]*space{}, planes: map[string]*plane{},
+		timers: helm.NewTimers(), out: map[string]*Signals{}, ways: map[string]time.Duration{},
 	}
 }
 
@@ -226,6 +236,8 @@
 			fairway.leave(peer)
 		}
 	}
+	fairway.parted = true
+	clear(fairway.planes)
 	fairway.flush(effects)
 }
 
@@ -406,7 +418,7 @@
 		notedAt: map[PeerKey]time.Time{}, owed: map[PeerKey]map[PeerKey]bool{},
 		joinAsked: map[string]bool{}, lastUse: now,
 	}
-	peer.cell = newCell(peer.self.At)
+	peer.region = newRegion(peer.self.At)
 	here.place(peer)
 	fairway.timers.ArmSooner("sweep", now.Add(sweepEvery))
 	fairway.timers.ArmSooner("compare", now.Add(compareEvery))
@@ -444,13 +456,25 @@
 	}
 	fairway.Counts.SignalsOut++
 	fairway.Counts.ByKind[signal.Kind]++
-	fairway.out[lantern.Address] = append(fairway.out[lantern.Address], signal)
+	frame := fairway.frame(lantern.Address)
+	frame.Signals = append(frame.Signals, signal)
+}
+
+// frame is what goes to an address with the present step.
+func (fairway *Fairway) frame(address string) *Signals {
+	frame, found := fairway.out[address]
+	if !found {
+		frame = &Signals{}
+		fairway.out[address] = frame
+	}
+	return frame
 }
 
 func (fairway *Fairway) flush(effects *helm.Effects) {
-	for address, signals := range helm.Sorted(fairway.out) {
+	fairway.giveOwed()
+	for address, frame := range helm.Sorted(fairway.out) {
 		fairway.Counts.BatchesOut++
-		effects.Send(address, Signals{Signals: signals})
+		effects.Send(address, *frame)
 	}
 	clear(fairway.out)
 }
@@ -611,16 +635,16 @@
 			}
 		}
 	}
-	if peer.cell.owns(newcomer.Key) && !wasKnown {
-		offer(peer.cell.beside(newcomer.Key))
+	if peer.region.owns(newcomer.Key) && !wasKnown {
+		offer(peer.region.beside(newcomer.Key))
 	} else {
-		offer(peer.cell.owners())
+		offer(peer.region.owners())
 	}
 	for key, known := range peer.subscribers {
 		if key == newcomer.Key {
 			continue
 		}
-		over := known.Area.Contains(newcomer.At) || wasKnown && peer.cell.meets(known.Area)
+		over := known.Area.Contains(newcomer.At) || wasKnown && peer.region.meets(known.Area)
 		if over {
 			include[key] = known
 		}
@@ -637,7 +661,7 @@
 		answer.Peers = append(answer.Peers, known)
 	}
 	if newcomer.Subscribes {
-		for _, key := range peer.cell.boundary(newcomer.Area) {
+		for _, key := range peer.region.boundary(newcomer.Area) {
 			if known, found := peer.known[key]; found && key != newcomer.Key {
 				answer.Boundary = append(answer.Boundary, known)
 			}
@@ -669,8 +693,11 @@
 	if found {
 		return
 	}
+	if peer.cell != nil && other.Area == peer.self.Area && other.Key.Daemon != fairway.daemon {
+		fairway.meet(peer.cell, other.Key)
+	}
 	peer.notedAt[other.Key] = now
-	taken, _ := peer.cell.clip(other.At, other.Key)
+	taken, _ := peer.region.clip(other.At, other.Key)
 	if len(taken) == 0 {
 		return
 	}
@@ -715,7 +742,7 @@
 // took part of this peer's region a moment ago: the subscriber may have looked
 // here for a part that is theirs now.
 func (fairway *Fairway) passOn(now time.Time, peer *hosted, subscriber Peer) {
-	for _, key := range peer.cell.owners() {
+	for _, key := range peer.region.owners() {
 		if key == subscriber.Key || now.Sub(peer.notedAt[key]) > freshFor {
 			continue
 		}
@@ -778,13 +805,13 @@
 }
 
 func (fairway *Fairway) matters(peer *hosted, other Peer) bool {
-	if peer.cell.owns(other.Key) || peer.cell.cuts(other.At) {
+	if peer.region.owns(other.Key) || peer.region.cuts(other.At) {
 		return true
 	}
 	if peer.self.Subscribes && peer.self.Area.Contains(other.At) {
 		return true
 	}
-	return other.Subscribes && (other.Area.Contains(peer.self.At) || peer.cell.meets(other.Area))
+	return other.Subscribes && (other.Area.Contains(peer.self.At) || peer.region.meets(other.Area))
 }
 
 func (fairway *Fairway) greet(now time.Time, peer *hosted, other Peer) {
@@ -835,26 +862,34 @@
 		delete(peer.pending, key)
 		return
 	}
+	peer.forget(key)
+	delete(peer.pending, key)
+	if peer.region.owns(key) {
+		fairway.rebuild(now, peer)
+	}
+}
+
+// forget takes another peer out of all that is known here.
+func (peer *hosted) forget(key PeerKey) {
+	if peer.cell != nil {
+		peer.cell.part(key)
+	}
 	delete(peer.known, key)
 	delete(peer.subscribers, key)
 	delete(peer.greeted, key)
 	delete(peer.notedAt, key)
 	delete(peer.owed, key)
-	delete(peer.pending, key)
-	if peer.cell.owns(key) {
-		fairway.rebuild(now, peer)
-	}
 }
 
 // rebuild makes a region anew from all peers that this daemon knows of in the
 // space, so that a hole left by one daemon's loss closes at once where another
 // hosted peer knows who is on the far side.
 func (fairway *Fairway) rebuild(now time.Time, peer *hosted) {
-	before := peer.cell.owners()
+	before := peer.region.owners()
 	peer.healUntil = now.Add(healFor)
-	peer.cell = newCell(peer.self.At)
+	peer.region = newRegion(peer.self.At)
 	for _, known := range sortedPeers(peer.known) {
-		peer.cell.clip(known.At, known.Key)
+		peer.region.clip(known.At, known.Key)
 	}
 	// Learning may drop peers from the table, so the walk is over a copy; most of
 	// what it meets lies too far away to matter, which a few products show.
@@ -862,11 +897,11 @@
 		if other == peer {
 			continue
 		}
-		if peer.cell.cuts(other.self.At) {
+		if peer.region.cuts(other.self.At) {
 			fairway.learn(now, peer, other.self.Key, []Peer{other.self}, false)
 		}
-		for _, edge := range other.cell.corners {
-			if edge.owner.Daemon == "" || edge.owner == peer.self.Key || !peer.cell.cuts(edge.there) {
+		for _, edge := range other.region.corners {
+			if edge.owner.Daemon == "" || edge.owner == peer.self.Key || !peer.region.cuts(edge.there) {
 				continue
 			}
 			if known, found := other.known[edge.owner]; found {
@@ -874,7 +909,7 @@
 			}
 		}
 	}
-	for _, key := range peer.cell.owners() {
+	for _, key := range peer.region.owners() {
 		if !slices.Contains(before, key) {
 			if known, found := peer.known[key]; found {
 				fairway.greet(now, peer, known)
@@ -889,11 +924,11 @@
 	fairway.Counts.Leaves++
 	peer.space.displace(peer)
 	var parting []Peer
-	for _, key := range peer.cell.owners() {
+	for _, key := range peer.region.owners() {
 		parting = append(parting, peer.known[key])
 	}
 	for _, known := range sortedPeers(peer.known) {
-		if known.Subscribes && !peer.cell.owns(known.Key) && peer.cell.meets(known.Area) {
+		if known.Subscribes && !peer.region.owns(known.Key) && peer.region.meets(known.Area) {
 			parting = append(parting, known)
 		}
 	}
@@ -901,7 +936,7 @@
 		// Only the enclosing neighbours' regions grow; the others need no more
 		// than the word that the peer is gone.
 		farewell := Signal{Kind: SignalLeave, Space: peer.space.name, To: key, From: peer.self}
-		if peer.cell.owns(key) {
+		if peer.region.owns(key) {
 			farewell.Peers = parting
 		}
 		if key.Daemon != fairway.daemon {
@@ -927,6 +962,10 @@
 			fairway.handle(now, signal, effects)
 		}
 	}
+	for _, told := range signals.Notices {
+		fairway.takeNotices(now, told)
+	}
+	fairway.settleCells(now, effects)
 	fairway.flush(effects)
 }
 
@@ -1058,7 +1097,11 @@
 			continue
 		}
 		fairway.probeAll(now, name)
+		for _, where := range helm.Sorted(fairway.planes) {
+			fairway.checkWith(name, where, true)
+		}
 	}
+	fairway.settleCells(now, effects)
 	fairway.flush(effects)
 }
 
@@ -1072,24 +1115,25 @@
 				if key.Daemon != daemon || key.Life == life {
 					continue
 				}
-				rebuild = rebuild || peer.cell.owns(key)
-				delete(peer.known, key)
-				delete(peer.subscribers, key)
-				delete(peer.greeted, key)
-				delete(peer.notedAt, key)
-				delete(peer.owed, key)
+				rebuild = rebuild || peer.region.owns(key)
+				peer.forget(key)
 			}
 			for key := range peer.pending {
 				if key.Daemon == daemon && key.Life != life {
 					delete(peer.pending, key)
 				}
 			}
-			if peer.joining != nil && peer.joinAsked[daemon] {
+			switch {
+			case peer.joining == nil || peer.queued:
+			case peer.joinAsked[daemon]:
 				fairway.onNobody(now, peer, daemon)
+			case len(peer.joinAsked) == 0:
+				// Its request may have been on the way through that daemon.
+				fairway.join(now, peer)
 			}
 			if rebuild {
 				fairway.rebuild(now, peer)
-				for _, key := range peer.cell.owners() {
+				for _, key := range peer.region.owners() {
 					if known, found := peer.known[key]; found {
 						fairway.greet(now, peer, known)
 					}
@@ -1104,6 +1148,10 @@
 // neighbours that this side did not know.
 func (fairway *Fairway) probeAll(now time.Time, daemon string) {
 	for _, here := range helm.Sorted(fairway.spaces) {
+		if _, cells := fairway.planes[here.name]; cells {
+			// A comparison of cells finds what a probe would.
+			continue
+		}
 		for _, peer := range here.sorted() {
 			fairway.probe(peer, daemon)
 		}
@@ -1125,6 +1173,11 @@
 			fairway.compare(now, effects)
 		case "sweep":
 			fairway.sweep(now)
+			fairway.releaseCells(now)
+		case "notices":
+			fairway.tellChanges(now)
+		case "checks":
+			fairway.check(now)
 		case "settle":
 			for _, here := range helm.Sorted(fairway.spaces) {
 				for _, peer := range here.sorted() {
@@ -1135,6 +1188,7 @@
 			}
 		}
 	}
+	fairway.settleCells(now, effects)
 	fairway.flush(effects)
 }
 
@@ -1212,7 +1266,7 @@
 			if peer.joining != nil {
 				continue
 			}
-			for _, key := range peer.cell.owners() {
+			for _, key := range peer.region.owners() {
 				if known, found := peer.known[key]; found && key.Daemon != fairway.daemon {
 					fairway.greet(now, peer, known)
 				}
@@ -1271,10 +1325,14 @@
 			fairway.change++
 			peer.self.Key.Life, peer.self.Key.Number = life, fairway.number
 			peer.self.Change = fairway.change
+			if peer.cell != nil {
+				peer.self = cellPeer(peer.self.Key, peer.cell.number, fairway.change)
+				peer.cell.afresh()
+			}
 			peer.subscribers = map[PeerKey]Peer{}
 			peer.known, peer.greeted, peer.pending = map[PeerKey]Peer{}, map[PeerKey]uint64{}, map[PeerKey]*outstanding{}
 			peer.notedAt, peer.owed = map[PeerKey]time.Time{}, map[PeerKey]map[PeerKey]bool{}
-			peer.cell = newCell(peer.self.At)
+			peer.region = newRegion(peer.self.At)
 			peer.joining, peer.queued = nil, false
 			here.byKey[peer.self.Key] = peer
 		}
--- a/internal/fairway/fairway_test.go
+++ b/internal/fairway/fairway_test.go
@@ -126,7 +126,7 @@
 }
 
 func (net *net) check(seed uint64, truth *oracle) {
-	for _, line := range net.wrongCells() {
+	for _, line := range net.wrongRegions("space") {
 		assert.Check(net.t, false, "seed %d: %s", seed, line)
 	}
 	for name := range helm.Sorted(net.parts) {
--- /dev/null
+++ b/internal/fairway/notices.go
@@ -0,0 +1,591 @@
+// The cells of routed topics, and what their peers tell each other. The unit
+// square of a plane is cut into four by four cells; a topic's number picks one,
+// and the square in the middle of it is the topic's area. This daemon has one
+// peer in each cell that its callers subscribe or publish in, and it stays for
+// a good while after its last use, so that callers who are cut off and come
+// back join nothing anew. All peers of a cell subscribe to the whole of it, so
+// by the overlay's mutual discovery each knows all the others.
+//
+// Peers of one cell tell each other in notices how many subscribers each topic
+// has on their daemon. A peer's changes are numbered; they are gathered for a
+// moment and go to all others of the cell, in one frame for each daemon that
+// holds what there is to tell it in all cells. A topic's first subscriber goes
+// out within the gathering time, another count within countsWait. Whoever is
+// newly known is told the whole. Who finds that a notice is missing asks for
+// the whole, and every checkEvery each daemon tells the others the numbers of
+// its newest notices and of its peers, which shows what was lost, whoever lost
+// it: a notice, or the word of a peer.
+//
+// The overlay sends by timers of its own: the owner runs Due at NextDue, as for
+// joins, and has nothing to call at the end of its turn.
+package fairway
+
+import (
+	"slices"
+	"time"
+
+	"dahlialock/internal/chart"
+	"dahlialock/internal/helm"
+)
+
+// Spans and bounds of the cells.
+const (
+	cellSide = 4
+	// CellCount is how many cells a plane has.
+	CellCount = cellSide * cellSide
+	// gatherFor lets one frame carry what several callers, or several lines of
+	// one caller, bring about almost at once.
+	gatherFor = 2 * time.Millisecond
+	// paceEach spaces the frames to all others so that their number in a second
+	// is bounded, however many lanterns there are.
+	paceEach   = time.Millisecond
+	countsWait = 200 * time.Millisecond
+	checkEvery = 2 * time.Second
+	askAgain   = 300 * time.Millisecond
+	reachLimit = time.Second
+	keepFor    = 10 * time.Minute
+	// strangersEach is how many daemons of which no peer is known are told in
+	// one comparison, in turn.
+	strangersEach = 16
+)
+
+// Kinds of notices.
+const (
+	// NoticeWhole tells all counts of a peer.
+	NoticeWhole uint8 = iota + 1
+	// NoticeChanges tells those that changed since the notice before.
+	NoticeChanges
+	// NoticeCheck tells the number of the newest notice.
+	NoticeCheck
+	// NoticeAsk asks for the whole.
+	NoticeAsk
+	// NoticeGone tells that there is no peer in the cell.
+	NoticeGone
+)
+
+// Notice is what one daemon's peer in a cell tells another's.
+type Notice struct {
+	_    struct{} `cbor:",toarray"`
+	Kind uint8
+	Cell uint8
+	// Number and Change are those of the sending peer.
+	Number uint64
+	Change uint64
+	// Sequence numbers the peer's notices; changes follow the one before.
+	Sequence uint64
+	Topics   []uint64
+	Counts   []uint32
+}
+
+// Notices is what the peers of one daemon, in one of its lives, tell those of
+// another.
+type Notices struct {
+	_       struct{} `cbor:",toarray"`
+	Daemon  string
+	Life    uint64
+	Plane   string
+	Answer  bool
+	Notices []Notice
+}
+
+// CellOf is the cell of a topic's number.
+func CellOf(topic uint64) uint8 { return uint8(topic >> 60) }
+
+// cellArea is the area of the topics of a cell: the middle of its square, half
+// as wide. The peers' points lie still closer together, so that the regions of
+// a cell's peers cover the area whole and those of other cells never meet it.
+func cellArea(cell uint8) Area {
+	const side = 1.0 / cellSide
+	return Area{X: (float64(cell%cellSide) + 0.25) * side, Y: (float64(cell/cellSide) + 0.25) * side, Size: side / 2}
+}
+
+// cellPeer is the peer of a daemon in a cell.
+func cellPeer(key PeerKey, cell uint8, change uint64) Peer {
+	area := cellArea(cell)
+	return Peer{Key: key, At: area.scatter(key.Daemon, key.Number, 0.4, 0.2), Area: area, Subscribes: true, Change: change}
+}
+
+type plane struct {
+	name  string
+	cells [CellCount]*cell
+	turn  int
+}
+
+type cell struct {
+	plane  *plane
+	number uint8
+	peer   *hosted
+	// counts are this daemon's subscribers; changed holds what was last told of
+	// those that are to be told anew.
+	counts   map[uint64]uint32
+	changed  map[uint64]uint32
+	sequence uint64
+	due      time.Time
+	members  map[string]*member
+	// order holds the names of the members in order.
+	order   []string
+	owed    map[string]bool
+	waiting []Settled
+	// reached is set once it was settled, or somebody waited long enough.
+	reached bool
+	until   time.Time
+	lastUse time.Time
+}
+
+// member is another daemon's peer in a cell, and what it told.
+type member struct {
+	key      PeerKey
+	heard    bool
+	sequence uint64
+	counts   map[uint64]uint32
+	asked    time.Time
+}
+
+// Tell says that this daemon now has so many subscribers of a topic; none ends
+// it.
+func (fairway *Fairway) Tell(now time.Time, planeName, topic string, count int, effects *helm.Effects) {
+	number := chart.TopicNumber(topic)
+	if fairway.parted || count == 0 && fairway.cellAt(planeName, number) == nil {
+		return
+	}
+	here := fairway.cell(now, planeName, CellOf(number), effects)
+	here.lastUse = now
+	earlier := here.counts[number]
+	if earlier == uint32(count) {
+		return
+	}
+	if count == 0 {
+		delete(here.counts, number)
+	} else {
+		here.counts[number] = uint32(count)
+	}
+	told, changed := here.changed[number]
+	if !changed {
+		told = earlier
+		here.changed[number] = told
+	}
+	due := now.Add(countsWait)
+	switch {
+	case told == uint32(count):
+		delete(here.changed, number)
+		return
+	case told == 0:
+		due = now.Add(gatherFor)
+		if due.Before(fairway.paceUntil) {
+			due = fairway.paceUntil
+		}
+	}
+	here.due = helm.Earliest(here.due, due)
+	fairway.timers.ArmSooner("notices", here.due)
+}
+
+// Reach makes sure that a topic's cell has a peer here that knows the others of
+// the cell and their subscribers, and then calls; at once, if it does.
+func (fairway *Fairway) Reach(now time.Time, planeName, topic string, then Settled, effects *helm.Effects) {
+	if fairway.parted {
+		then(now, effects, false)
+		return
+	}
+	here := fairway.cell(now, planeName, CellOf(chart.TopicNumber(topic)), effects)
+	here.lastUse = now
+	if here.settled() {
+		then(now, effects, true)
+		return
+	}
+	if len(here.waiting) == 0 {
+		here.until = now.Add(reachLimit)
+		fairway.timers.ArmSooner("reach", here.until)
+	}
+	here.waiting = append(here.waiting, then)
+}
+
+// Listeners lists the other daemons that have subscribers of a topic, in order.
+func (fairway *Fairway) Listeners(planeName, topic string) []string {
+	number := chart.TopicNumber(topic)
+	here := fairway.cellAt(planeName, number)
+	if here == nil {
+		return nil
+	}
+	var names []string
+	for _, name := range here.order {
+		if here.members[name].counts[number] > 0 {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Presence counts the subscribers of a topic on all other daemons.
+func (fairway *Fairway) Presence(planeName, topic string) int {
+	number := chart.TopicNumber(topic)
+	here := fairway.cellAt(planeName, number)
+	if here == nil {
+		return 0
+	}
+	sum := 0
+	for _, known := range here.members {
+		sum += int(known.counts[number])
+	}
+	return sum
+}
+
+func (fairway *Fairway) cellAt(planeName string, topic uint64) *cell {
+	plane, found := fairway.planes[planeName]
+	if !found {
+		return nil
+	}
+	return plane.cells[CellOf(topic)]
+}
+
+// cell gives a cell of a plane, and its peer here, which begins to join if it
+// is new.
+func (fairway *Fairway) cell(now time.Time, planeName string, number uint8, effects *helm.Effects) *cell {
+	where, found := fairway.planes[planeName]
+	if !found {
+		where = &plane{name: planeName}
+		fairway.planes[planeName] = where
+	}
+	if here := where.cells[number]; here != nil {
+		return here
+	}
+	here := &cell{
+		plane: where, number: number, counts: map[uint64]uint32{}, changed: map[uint64]uint32{},
+		members: map[string]*member{}, owed: map[string]bool{}, lastUse: now,
+	}
+	where.cells[number] = here
+	peer, _ := fairway.peer(now, planeName, cellArea(number))
+	peer.self = cellPeer(peer.self.Key, number, peer.self.Change)
+	peer.region = newRegion(peer.self.At)
+	peer.cell, here.peer = here, peer
+	peer.holders++
+	fairway.await(now, peer, true, nil, effects)
+	fairway.timers.ArmSooner("checks", now.Add(checkEvery))
+	return here
+}
+
+// settled tells whether the peer has joined and was told by all it knows.
+func (here *cell) settled() bool {
+	if here.reached {
+		return true
+	}
+	if here.peer.joining != nil || len(here.peer.pending) > 0 {
+		return false
+	}
+	for _, known := range here.members {
+		if !known.heard {
+			return false
+		}
+	}
+	here.reached = true
+	return true
+}
+
+// settleCells calls those who waited for a cell.
+func (fairway *Fairway) settleCells(now time.Time, effects *helm.Effects) {
+	for _, where := range helm.Sorted(fairway.planes) {
+		for _, here := range where.cells {
+			if here == nil || len(here.waiting) == 0 {
+				continue
+			}
+			settled := here.settled()
+			if !settled && here.until.After(now) {
+				fairway.timers.ArmSooner("reach", here.until)
+				continue
+			}
+			here.reached = true
+			waiting := here.waiting
+			here.waiting = nil
+			for _, then := range waiting {
+				then(now, effects, settled)
+			}
+		}
+	}
+}
+
+// meet notes another daemon's peer in the cell, which gets the whole.
+func (fairway *Fairway) meet(here *cell, key PeerKey) {
+	earlier, found := here.members[key.Daemon]
+	if found && (earlier.key == key || earlier.key.Life > key.Life || earlier.key.Life == key.Life && earlier.key.Number > key.Number) {
+		return
+	}
+	if !found {
+		position, _ := slices.BinarySearch(here.order, key.Daemon)
+		here.order = slices.Insert(here.order, position, key.Daemon)
+	}
+	here.members[key.Daemon] = &member{key: key}
+	here.owed[key.Daemon] = true
+}
+
+// part forgets another daemon's peer in the cell with all that it told.
+func (here *cell) part(key PeerKey) {
+	if known, found := here.members[key.Daemon]; !found || known.key != key {
+		return
+	}
+	delete(here.members, key.Daemon)
+	delete(here.owed, key.Daemon)
+	if position, found := slices.BinarySearch(here.order, key.Daemon); found {
+		here.order = slices.Delete(here.order, position, position+1)
+	}
+}
+
+// afresh forgets all others of the cell; they are to be found and told anew.
+func (here *cell) afresh() {
+	here.members, here.order, here.owed = map[string]*member{}, nil, map[string]bool{}
+	here.reached = false
+}
+
+// notify puts a notice into the frame to a daemon.
+func (fairway *Fairway) notify(daemon, planeName string, notice Notice) *Notices {
+	lantern, alive := fairway.lanterns[daemon]
+	if !alive {
+		return nil
+	}
+	frame := fairway.frame(lantern.Address)
+	for position := range frame.Notices {
+		if frame.Notices[position].Plane == planeName {
+			frame.Notices[position].Notices = append(frame.Notices[position].Notices, notice)
+			return &frame.Notices[position]
+		}
+	}
+	frame.Notices = append(frame.Notices, Notices{Daemon: fairway.daemon, Life: fairway.life, Plane: planeName, Notices: []Notice{notice}})
+	return &frame.Notices[len(frame.Notices)-1]
+}
+
+func (here *cell) notice(kind uint8) Notice {
+	return Notice{Kind: kind, Cell: here.number, Number: here.peer.self.Key.Number, Change: here.peer.self.Change, Sequence: here.sequence}
+}
+
+// whole tells all counts, as of the newest notice.
+func (here *cell) whole() Notice {
+	notice := here.notice(NoticeWhole)
+	for topic := range helm.Sorted(here.counts) {
+		count := here.counts[topic]
+		if told, changed := here.changed[topic]; changed {
+			count = told
+		}
+		notice.add(topic, count)
+	}
+	for topic, told := range helm.Sorted(here.changed) {
+		if _, counted := here.counts[topic]; !counted {
+			notice.add(topic, told)
+		}
+	}
+	return notice
+}
+
+func (notice *Notice) add(topic uint64, count uint32) {
+	if count > 0 || notice.Kind != NoticeWhole {
+		notice.Topics, notice.Counts = append(notice.Topics, topic), append(notice.Counts, count)
+	}
+}
+
+// giveOwed tells the whole to all who are newly known or asked for it.
+func (fairway *Fairway) giveOwed() {
+	for _, where := range helm.Sorted(fairway.planes) {
+		for _, here := range where.cells {
+			if here == nil || len(here.owed) == 0 {
+				continue
+			}
+			whole := here.whole()
+			for daemon := range helm.Sorted(here.owed) {
+				fairway.notify(daemon, where.name, whole)
+			}
+			clear(here.owed)
+		}
+	}
+}
+
+// tellChanges sends the changes of the cells that are due. With one that is due
+// go those of the others, since the frames go out anyhow.
+func (fairway *Fairway) tellChanges(now time.Time) {
+	var next time.Time
+	any := false
+	for _, where := range fairway.planes {
+		for _, here := range where.cells {
+			if here == nil || here.due.IsZero() {
+				continue
+			}
+			any = any || !here.due.After(now)
+			next = helm.Earliest(next, here.due)
+		}
+	}
+	if !any {
+		if !next.IsZero() {
+			fairway.timers.ArmSooner("notices", next)
+		}
+		return
+	}
+	fairway.paceUntil = now.Add(paceEach * time.Duration(len(fairway.lanterns)))
+	for _, where := range helm.Sorted(fairway.planes) {
+		for _, here := range where.cells {
+			if here == nil || here.due.IsZero() {
+				continue
+			}
+			here.due = time.Time{}
+			if len(here.changed) == 0 {
+				continue
+			}
+			// The whole that is owed goes first, so that the changes follow it.
+			fairway.giveOwed()
+			here.sequence++
+			notice := here.notice(NoticeChanges)
+			for topic := range helm.Sorted(here.changed) {
+				notice.add(topic, here.counts[topic])
+			}
+			clear(here.changed)
+			for _, daemon := range here.order {
+				fairway.notify(daemon, where.name, notice)
+			}
+		}
+	}
+}
+
+// check tells others the numbers of the newest notices here: all those that
+// share a cell, and some of the rest in turn.
+func (fairway *Fairway) check(now time.Time) {
+	any := false
+	for _, where := range helm.Sorted(fairway.planes) {
+		sharing := map[string]bool{}
+		for _, here := range where.cells {
+			if here == nil {
+				continue
+			}
+			any = true
+			for daemon := range here.members {
+				sharing[daemon] = true
+			}
+		}
+		var strangers []string
+		for daemon := range helm.Sorted(fairway.lanterns) {
+			if sharing[daemon] {
+				fairway.checkWith(daemon, where, false)
+			} else {
+				strangers = append(strangers, daemon)
+			}
+		}
+		for range min(len(strangers), strangersEach) {
+			fairway.checkWith(strangers[where.turn%len(strangers)], where, true)
+			where.turn++
+		}
+	}
+	if any {
+		fairway.timers.Arm("checks", now.Add(checkEvery))
+	}
+}
+
+// checkWith tells one daemon the numbers of the newest notices of all cells
+// here, and asks for its own if need be.
+func (fairway *Fairway) checkWith(daemon string, where *plane, answer bool) {
+	for _, here := range where.cells {
+		if here == nil {
+			continue
+		}
+		if frame := fairway.notify(daemon, where.name, here.notice(NoticeCheck)); frame != nil {
+			frame.Answer = frame.Answer || answer
+		}
+	}
+}
+
+// takeNotices handles what another daemon's peers tell.
+func (fairway *Fairway) takeNotices(now time.Time, told Notices) {
+	lantern, alive := fairway.lanterns[told.Daemon]
+	if !alive || told.Life < lantern.Joined || told.Daemon == fairway.daemon {
+		return
+	}
+	where, found := fairway.planes[told.Plane]
+	for _, notice := range told.Notices {
+		if notice.Cell >= CellCount || len(notice.Topics) != len(notice.Counts) {
+			continue
+		}
+		key := PeerKey{Daemon: told.Daemon, Life: told.Life, Number: notice.Number}
+		if !found || where.cells[notice.Cell] == nil {
+			if notice.Kind != NoticeGone && notice.Kind != NoticeCheck {
+				fairway.notify(told.Daemon, told.Plane, Notice{Kind: NoticeGone, Cell: notice.Cell})
+			}
+			continue
+		}
+		fairway.takeNotice(now, where.cells[notice.Cell], key, notice)
+	}
+	if found && told.Answer {
+		fairway.checkWith(told.Daemon, where, false)
+	}
+}
+
+func (fairway *Fairway) takeNotice(now time.Time, here *cell, key PeerKey, notice Notice) {
+	known, found := here.members[key.Daemon]
+	if notice.Kind == NoticeGone {
+		if found {
+			fairway.drop(now, here.peer, known.key)
+		}
+		return
+	}
+	if !found || known.key != key {
+		if found && known.key.Life == key.Life && known.key.Number > key.Number {
+			return
+		}
+		fairway.learn(now, here.peer, key, []Peer{cellPeer(key, here.number, notice.Change)}, true)
+		if known, found = here.members[key.Daemon]; !found || known.key != key {
+			return
+		}
+	}
+	switch notice.Kind {
+	case NoticeWhole:
+		if known.heard && notice.Sequence < known.sequence {
+			return
+		}
+		known.heard, known.sequence = true, notice.Sequence
+		known.counts = make(map[uint64]uint32, len(notice.Topics))
+		known.take(notice)
+	case NoticeChanges:
+		switch {
+		case known.heard && notice.Sequence <= known.sequence:
+		case known.heard && notice.Sequence == known.sequence+1:
+			known.sequence = notice.Sequence
+			known.take(notice)
+		default:
+			fairway.ask(now, here, known)
+		}
+	case NoticeCheck:
+		if !known.heard || notice.Sequence > known.sequence {
+			fairway.ask(now, here, known)
+		}
+	case NoticeAsk:
+		here.owed[key.Daemon] = true
+	}
+}
+
+func (known *member) take(notice Notice) {
+	if known.counts == nil {
+		known.counts = map[uint64]uint32{}
+	}
+	for position, topic := range notice.Topics {
+		if count := notice.Counts[position]; count > 0 {
+			known.counts[topic] = count
+		} else {
+			delete(known.counts, topic)
+		}
+	}
+}
+
+// ask asks a peer for the whole, unless it was asked a moment ago.
+func (fairway *Fairway) ask(now time.Time, here *cell, known *member) {
+	if !known.asked.IsZero() && now.Sub(known.asked) < askAgain {
+		return
+	}
+	known.asked = now
+	fairway.notify(known.key.Daemon, here.plane.name, here.notice(NoticeAsk))
+}
+
+// releaseCells lets the peers of cells go that nobody used for long.
+func (fairway *Fairway) releaseCells(now time.Time) {
+	for _, where := range helm.Sorted(fairway.planes) {
+		for number, here := range where.cells {
+			if here == nil || len(here.counts) > 0 || len(here.changed) > 0 || len(here.waiting) > 0 || now.Sub(here.lastUse) < keepFor {
+				continue
+			}
+			where.cells[number] = nil
+			here.peer.cell = nil
+			fairway.leave(here.peer)
+		}
+	}
+}
--- a/internal/fairway/plane.go
+++ b/internal/fairway/plane.go
@@ -75,6 +75,11 @@
 
 // reference is a peer's point: near the middle, moved by a hash.
 func (area Area) reference(daemon string, number uint64) Point {
+	return area.scatter(daemon, number, 0.1, 0.8)
+}
+
+// scatter picks a point by a hash in a part of the area.
+func (area Area) scatter(daemon string, number uint64, from, width float64) Point {
 	sum := fnv.New64a()
 	_, _ = sum.Write([]byte(daemon))
 	mixed := sum.Sum64() + number*0x9e3779b97f4a7c15
@@ -84,7 +89,7 @@
 	mixed *= 0x94d049bb133111eb
 	mixed ^= mixed >> 31
 	across, along := float64(mixed>>40)/(1<<24), float64(mixed>>16&0xffffff)/(1<<24)
-	return Point{X: area.X + area.Size*(0.1+0.8*across), Y: area.Y + area.Size*(0.1+0.8*along)}
+	return Point{X: area.X + area.Size*(from+width*across), Y: area.Y + area.Size*(from+width*along)}
 }
 
 func distance(left, right Point) float64 {
@@ -92,10 +97,10 @@
 	return across*across + along*along
 }
 
-// Cell is a peer's own Voronoi region, clipped to the unit square, in
+// Region is a peer's own Voronoi region, clipped to the unit square, in
 // coordinates relative to the peer, with the owner of each edge: the enclosing
 // neighbour beyond it, or nobody at the border of the square.
-type Cell struct {
+type Region struct {
 	middle  Point
 	corners []corner
 }
@@ -107,21 +112,21 @@
 	there Point
 }
 
-func newCell(middle Point) Cell {
+func newRegion(middle Point) Region {
 	left, low, right, high := -middle.X, -middle.Y, 1-middle.X, 1-middle.Y
-	return Cell{middle: middle, corners: []corner{{x: left, y: low}, {x: right, y: low}, {x: right, y: high}, {x: left, y: high}}}
+	return Region{middle: middle, corners: []corner{{x: left, y: low}, {x: right, y: low}, {x: right, y: high}, {x: left, y: high}}}
 }
 
 // side is positive where a corner is nearer to the other point.
-func (cell *Cell) side(at corner, across, along float64) float64 {
+func (region *Region) side(at corner, across, along float64) float64 {
 	return at.x*across + at.y*along - (across*across+along*along)/2
 }
 
-// cuts tells whether another point would take part of the cell.
-func (cell *Cell) cuts(other Point) bool {
-	across, along := other.X-cell.middle.X, other.Y-cell.middle.Y
-	for _, at := range cell.corners {
-		if cell.side(at, across, along) > 0 {
+// cuts tells whether another point would take part of the region.
+func (region *Region) cuts(other Point) bool {
+	across, along := other.X-region.middle.X, other.Y-region.middle.Y
+	for _, at := range region.corners {
+		if region.side(at, across, along) > 0 {
 			return true
 		}
 	}
@@ -130,19 +135,19 @@
 
 // clip takes away what is nearer to another point, and tells whether anything
 // was. The part taken away is returned as a polygon.
-func (cell *Cell) clip(other Point, owner PeerKey) (taken []corner, changed bool) {
-	across, along := other.X-cell.middle.X, other.Y-cell.middle.Y
+func (region *Region) clip(other Point, owner PeerKey) (taken []corner, changed bool) {
+	across, along := other.X-region.middle.X, other.Y-region.middle.Y
 	if across == 0 && along == 0 {
 		return nil, false
 	}
-	if !cell.cuts(other) {
+	if !region.cuts(other) {
 		return nil, false
 	}
 	var kept []corner
-	count := len(cell.corners)
-	for position, here := range cell.corners {
-		next := cell.corners[(position+1)%count]
-		hereSide, nextSide := cell.side(here, across, along), cell.side(next, across, along)
+	count := len(region.corners)
+	for position, here := range region.corners {
+		next := region.corners[(position+1)%count]
+		hereSide, nextSide := region.side(here, across, along), region.side(next, across, along)
 		if hereSide <= 0 {
 			kept = append(kept, here)
 		} else {
@@ -160,14 +165,14 @@
 			taken = append(taken, crossing)
 		}
 	}
-	cell.corners = kept
+	region.corners = kept
 	return taken, true
 }
 
 // owners lists the enclosing neighbours, in the order of the edges.
-func (cell *Cell) owners() []PeerKey {
+func (region *Region) owners() []PeerKey {
 	var owners []PeerKey
-	for _, at := range cell.corners {
+	for _, at := range region.corners {
 		if at.owner.Daemon == "" {
 			continue
 		}
@@ -182,8 +187,8 @@
 	return owners
 }
 
-func (cell *Cell) owns(key PeerKey) bool {
-	for _, at := range cell.corners {
+func (region *Region) owns(key PeerKey) bool {
+	for _, at := range region.corners {
 		if at.owner == key {
 			return true
 		}
@@ -193,15 +198,15 @@
 
 // beside lists the owners of the edges next to one owner's edge: the peers that
 // the two have in common.
-func (cell *Cell) beside(key PeerKey) []PeerKey {
+func (region *Region) beside(key PeerKey) []PeerKey {
 	var found []PeerKey
-	count := len(cell.corners)
-	for position, at := range cell.corners {
+	count := len(region.corners)
+	for position, at := range region.corners {
 		if at.owner != key {
 			continue
 		}
 		for _, step := range []int{count - 1, 1} {
-			other := cell.corners[(position+step)%count].owner
+			other := region.corners[(position+step)%count].owner
 			if other.Daemon != "" && other != key {
 				found = append(found, other)
 			}
@@ -210,8 +215,8 @@
 	return found
 }
 
-// meets tells whether an area and the cell have a point in common.
-func (cell *Cell) meets(area Area) bool { return polygonMeets(cell.middle, cell.corners, area) }
+// meets tells whether an area and the region have a point in common.
+func (region *Region) meets(area Area) bool { return polygonMeets(region.middle, region.corners, area) }
 
 // polygonMeets clips a convex polygon to an area. Most areas are far away or
 // hold a corner, which the bounds and the corners show without clipping.
@@ -262,14 +267,14 @@
 
 // boundary lists the neighbours beyond those edges that meet an area: their
 // regions meet it too.
-func (cell *Cell) boundary(area Area) []PeerKey {
+func (region *Region) boundary(area Area) []PeerKey {
 	var found []PeerKey
-	for position, here := range cell.corners {
+	for position, here := range region.corners {
 		if here.owner.Daemon == "" {
 			continue
 		}
-		next := cell.corners[(position+1)%len(cell.corners)]
-		if segmentMeets(cell.middle, here, next, area) {
+		next := region.corners[(position+1)%len(region.corners)]
+		if segmentMeets(region.middle, here, next, area) {
 			found = append(found, here.owner)
 		}
 	}
--- a/internal/fairway/cells_test.go
+++ b/internal/fairway/regions_test.go
@@ -8,10 +8,10 @@
 	"slices"
 )
 
-func (net *net) wrongCells() []string {
+func (net *net) wrongRegions(space string) []string {
 	var all []Peer
 	for _, part := range net.parts {
-		if here := part.spaces["space"]; here != nil {
+		if here := part.spaces[space]; here != nil {
 			for _, peer := range here.peers {
 				all = append(all, peer.self)
 			}
@@ -19,18 +19,18 @@
 	}
 	var wrong []string
 	for name, part := range net.parts {
-		here := part.spaces["space"]
+		here := part.spaces[space]
 		if here == nil {
 			continue
 		}
 		for _, peer := range here.sorted() {
-			cell := newCell(peer.self.At)
+			region := newRegion(peer.self.At)
 			for _, other := range all {
 				if other.Key != peer.self.Key {
-					cell.clip(other.At, other.Key)
+					region.clip(other.At, other.Key)
 				}
 			}
-			truth, got := cell.owners(), peer.cell.owners()
+			truth, got := region.owners(), peer.region.owners()
 			slices.SortFunc(truth, PeerKey.compare)
 			slices.SortFunc(got, PeerKey.compare)
 			if !slices.Equal(truth, got) {
@@ -40,7 +40,7 @@
 				if other.Key == peer.self.Key || !other.Subscribes {
 					continue
 				}
-				if _, known := peer.known[other.Key]; !known && cell.meets(other.Area) {
+				if _, known := peer.known[other.Key]; !known && region.meets(other.Area) {
 					wrong = append(wrong, fmt.Sprintf("%s %d (area %v) does not know subscriber %v (area %v)", name, peer.self.Key.Number, peer.self.Area, other.Key, other.Area))
 				}
 			}
