--- a/internal/lamp/routed_publish.go
+++ b/internal/lamp/routed_publish.go
@@ -65,7 +65,7 @@
 	lantern.nextVisit++
 	item.id = lantern.nextVisit
 	lantern.routed.appends[item.id] = item
-	lantern.fairway.Reach(now, routedPlane, visit.Topic, nil, effects)
+	lantern.fairway.Reach(now, routedPlane, visit.Topic, func(time.Time, *helm.Effects, bool) {}, effects)
 	lantern.sendRouted(now, item, effects)
 	lantern.timers.ArmSooner("routed", item.limit)
 }
