Callers on lines, the platform's calls, and turns that flush once

Cause: the users' platform speaks lines of words at a lantern's caller address and its own calls at ctl, and charges each wake-up and system call. Change: package platform holds the line codec, the translation of its configuration into ours and back, and its calls at ctl, and decides nothing; package pier serves connections through any such protocol with one event loop, one piece of work a read and one write a connection a turn; berth takes all that waits before it flushes (EachTurn), runs work of callers without a task of their own (Within, Ask, AttachFunc), has a port for adapters at ctl, and refuses unknown paths and methods in JSON. Tests: tables of bad input and fuzzing in platform, real sockets with a stub machine in pier.

--- a/internal/berth/berth.go
+++ b/internal/berth/berth.go
@@ -1,6 +1,8 @@
 // A Berth is where a machine lies in a real process: one owner runs the machine
 // and everything that touches it comes through queues. Around it stand the
-// adapters: the links between daemons, the disk, the log, the clock, and HTTP.
+// adapters: the links between daemons, the disk, the log, the clock, and the
+// callers. The owner works in turns: it waits, takes all that came meanwhile,
+// and then flushes once what goes out, since each wake-up and each write costs.
 package berth
 
 import (
@@ -27,15 +29,28 @@
 	command func(visit uint64) any
 	inspect func(now time.Time) any
 	returns chan any
+	within  func(owner Owner)
 	attach  uint64
 	sink    chan helm.Deliver
 	detach  uint64
+	flush   func()
 }
 
+// sink takes the events of one channel: a queue, or a function that runs on the
+// owner's task.
+type sink struct {
+	queue chan helm.Deliver
+	take  func(helm.Deliver)
+}
+
+// flusher is what gathers output during a turn and sends it at its end.
+type flusher interface{ Flush() }
+
 // Berth runs one machine.
 type Berth struct {
 	machine  helm.Machine
 	flare    *flare.Flare
+	flush    []func()
 	foghorn  *foghorn.Foghorn
 	book     *logbook.Logbook
 	address  string
@@ -73,6 +88,9 @@
 		return nil, fault
 	}
 	opened.flare = links
+	if gathers, does := any(links).(flusher); does {
+		opened.flush = append(opened.flush, gathers.Flush)
+	}
 	return opened, nil
 }
 
@@ -131,12 +149,14 @@
 
 type running struct {
 	visit   uint64
-	returns map[uint64]chan any
-	sinks   map[uint64]chan helm.Deliver
+	returns map[uint64]func(value any)
+	sinks   map[uint64]sink
 	writes  []helm.Write
 	local   []flare.Inbound
+	now     time.Time
 	writing bool
 	stop    bool
+	ended   bool
 }
 
 func (berth *Berth) own() {
@@ -146,44 +166,93 @@
 			os.Exit(2)
 		}
 	}()
-	state := &running{returns: map[uint64]chan any{}, sinks: map[uint64]chan helm.Deliver{}}
-	timer := time.NewTimer(0)
+	state := &running{returns: map[uint64]func(value any){}, sinks: map[uint64]sink{}, now: time.Now()}
+	timer := time.NewTimer(time.Hour)
+	var armed time.Time
 	berth.step(state, func(now time.Time, effects *helm.Effects) { berth.machine.Start(now, effects) })
+	berth.flushAll()
 	for !state.stop {
 		var disk chan []helm.Write
 		if len(state.writes) > 0 && !state.writing {
 			disk = berth.disk
 		}
-		if due := berth.machine.NextDue(); due.IsZero() {
-			timer.Reset(time.Hour)
-		} else {
-			timer.Reset(max(0, time.Until(due)))
+		due := berth.machine.NextDue()
+		if !due.IsZero() && !state.now.Before(due) {
+			berth.due(state)
+			continue
+		}
+		if !due.Equal(armed) {
+			armed = due
+			if due.IsZero() {
+				timer.Reset(time.Hour)
+			} else {
+				timer.Reset(max(0, time.Until(due)))
+			}
 		}
-		berth.first(state)
 		select {
 		case inbound := <-berth.urgent:
+			state.now = time.Now()
 			berth.message(state, inbound)
 		case inbound := <-berth.inbox:
+			state.now = time.Now()
+			berth.first(state)
 			berth.message(state, inbound)
-			berth.more(state)
 		case asked := <-berth.requests:
+			state.now = time.Now()
+			berth.first(state)
 			berth.request(state, asked)
 		case disk <- state.writes:
 			state.writes, state.writing = nil, true
+			continue
 		case tokens := <-berth.synced:
-			state.writing = false
-			for _, token := range tokens {
-				berth.step(state, func(now time.Time, effects *helm.Effects) {
-					berth.machine.Command(now, helm.Synced{Token: token}, effects)
-				})
-			}
+			state.now = time.Now()
+			berth.lasts(state, tokens)
 		case <-timer.C:
-			berth.step(state, func(now time.Time, effects *helm.Effects) { berth.machine.Due(now, effects) })
+			state.now, armed = time.Now(), time.Time{}
+			berth.due(state)
+			continue
 		}
+		berth.finishTurn(state)
 	}
 	berth.end(state)
 }
 
+// due runs what is due, as a turn of its own.
+func (berth *Berth) due(state *running) {
+	berth.first(state)
+	berth.step(state, func(now time.Time, effects *helm.Effects) { berth.machine.Due(now, effects) })
+	berth.finishTurn(state)
+}
+
+// finishTurn takes what else has come, lets the disk begin, and flushes.
+func (berth *Berth) finishTurn(state *running) {
+	berth.more(state)
+	if len(state.writes) > 0 && !state.writing {
+		select {
+		case berth.disk <- state.writes:
+			state.writes, state.writing = nil, true
+		default:
+		}
+	}
+	berth.flushAll()
+}
+
+// flushAll ends a turn: what was gathered goes out.
+func (berth *Berth) flushAll() {
+	for _, flush := range berth.flush {
+		flush()
+	}
+}
+
+func (berth *Berth) lasts(state *running, tokens []uint64) {
+	state.writing = false
+	for _, token := range tokens {
+		berth.step(state, func(now time.Time, effects *helm.Effects) {
+			berth.machine.Command(now, helm.Synced{Token: token}, effects)
+		})
+	}
+}
+
 // end lets the last writes and sends out before the process goes.
 func (berth *Berth) end(state *running) {
 	if state.writing {
@@ -194,12 +263,30 @@
 		<-berth.synced
 	}
 	for _, sink := range state.sinks {
-		close(sink)
+		sink.end()
 	}
 	for _, returns := range state.returns {
-		close(returns)
+		returns(nil)
 	}
+	state.ended = true
+	berth.turnAway(state)
+	berth.flushAll()
 	close(berth.ended)
+	berth.turnAway(state)
+}
+
+// turnAway answers what was still waiting when the machine ended.
+func (berth *Berth) turnAway(state *running) {
+	for {
+		select {
+		case asked := <-berth.requests:
+			if asked.within != nil {
+				asked.within(Owner{berth: berth, state: state})
+			}
+		default:
+			return
+		}
+	}
 }
 
 // first takes what the control state says before anything else, however much
@@ -215,21 +302,27 @@
 	}
 }
 
-// more takes what else has arrived, as long as nothing more urgent waits and no
-// timer is due.
+// more takes what else has come, in fair turns, as long as no timer is due;
+// what is urgent goes first.
 func (berth *Berth) more(state *running) {
 	for count := range batchMost {
-		if len(berth.urgent) > 0 {
+		if state.stop {
 			return
 		}
 		if count%lookEvery == lookEvery-1 {
-			if due := berth.machine.NextDue(); !due.IsZero() && !time.Now().Before(due) {
+			state.now = time.Now()
+			if due := berth.machine.NextDue(); !due.IsZero() && !state.now.Before(due) {
 				return
 			}
 		}
+		berth.first(state)
 		select {
 		case inbound := <-berth.inbox:
 			berth.message(state, inbound)
+		case asked := <-berth.requests:
+			berth.request(state, asked)
+		case tokens := <-berth.synced:
+			berth.lasts(state, tokens)
 		default:
 			return
 		}
@@ -245,22 +338,40 @@
 func (berth *Berth) request(state *running, asked request) {
 	switch {
 	case asked.inspect != nil:
-		asked.returns <- asked.inspect(time.Now())
+		asked.returns <- asked.inspect(state.now)
+	case asked.within != nil:
+		asked.within(Owner{berth: berth, state: state})
 	case asked.attach != 0:
-		state.sinks[asked.attach] = asked.sink
+		state.sinks[asked.attach] = sink{queue: asked.sink}
 	case asked.detach != 0:
 		delete(state.sinks, asked.detach)
+	case asked.flush != nil:
+		berth.flush = append(berth.flush, asked.flush)
 	}
 	if asked.command == nil {
 		return
 	}
+	var then func(value any)
+	if returns := asked.returns; returns != nil {
+		then = func(value any) { returns <- value }
+	}
+	berth.command(state, asked.command, then)
+}
+
+func (berth *Berth) command(state *running, command func(visit uint64) any, then func(value any)) {
+	if state.ended {
+		if then != nil {
+			then(nil)
+		}
+		return
+	}
 	state.visit++
 	visit := state.visit
-	if asked.returns != nil {
-		state.returns[visit] = asked.returns
+	if then != nil {
+		state.returns[visit] = then
 	}
 	berth.step(state, func(now time.Time, effects *helm.Effects) {
-		berth.machine.Command(now, asked.command(visit), effects)
+		berth.machine.Command(now, command(visit), effects)
 	})
 }
 
@@ -268,13 +379,13 @@
 func (berth *Berth) step(state *running, run func(now time.Time, effects *helm.Effects)) {
 	berth.Steps.Add(1)
 	var effects helm.Effects
-	run(time.Now(), &effects)
+	run(state.now, &effects)
 	berth.carryOut(state, &effects)
 	for len(state.local) > 0 {
 		inbound := state.local[0]
 		state.local = state.local[1:]
 		var more helm.Effects
-		berth.machine.Message(time.Now(), inbound.Meta, inbound.Message, &more)
+		berth.machine.Message(state.now, inbound.Meta, inbound.Message, &more)
 		berth.carryOut(state, &more)
 	}
 }
@@ -297,7 +408,7 @@
 	for _, returned := range effects.Returns {
 		if waiting, found := state.returns[returned.Visit]; found {
 			delete(state.returns, returned.Visit)
-			waiting <- returned.Value
+			waiting(returned.Value)
 		}
 	}
 	var slow []uint64
@@ -306,16 +417,14 @@
 		if !found {
 			continue
 		}
-		select {
-		case sink <- deliver:
-		default:
-			close(sink)
+		if !sink.give(deliver) {
+			sink.end()
 			delete(state.sinks, deliver.Channel)
 			slow = append(slow, deliver.Channel)
 			continue
 		}
 		if deliver.Close {
-			close(sink)
+			sink.end()
 			delete(state.sinks, deliver.Channel)
 		}
 	}
@@ -327,6 +436,87 @@
 	}
 }
 
+// give hands an event over; false if the sink is full.
+func (sink sink) give(deliver helm.Deliver) bool {
+	if sink.take != nil {
+		sink.take(deliver)
+		return true
+	}
+	select {
+	case sink.queue <- deliver:
+		return true
+	default:
+		return false
+	}
+}
+
+// end tells the sink's other side that nothing more comes.
+func (sink sink) end() {
+	if sink.queue != nil {
+		close(sink.queue)
+	}
+}
+
+// Owner is the owner's task as seen by work that runs on it. It may only be used
+// before that work returns, or in what the owner calls back.
+type Owner struct {
+	berth *Berth
+	state *running
+}
+
+// Ask brings a command in at once; then runs on the owner's task with the
+// answer, which is nil if the machine ended first.
+func (owner Owner) Ask(command func(visit uint64) any, then func(value any)) {
+	owner.berth.command(owner.state, command, then)
+}
+
+// Post brings a command in at once whose answer nobody waits for.
+func (owner Owner) Post(command any) {
+	owner.berth.command(owner.state, func(uint64) any { return command }, nil)
+}
+
+// Attach gives a channel a function that takes its events, on the owner's task;
+// Detach takes it away.
+func (owner Owner) Attach(channel uint64, take func(helm.Deliver)) {
+	owner.state.sinks[channel] = sink{take: take}
+}
+
+// Detach takes a channel's sink away.
+func (owner Owner) Detach(channel uint64) { delete(owner.state.sinks, channel) }
+
+// Within runs work on the owner's task, in the order in which it was brought in;
+// false if the machine has ended. The work must not block.
+func (berth *Berth) Within(work func(owner Owner)) bool {
+	select {
+	case berth.requests <- request{within: work}:
+		return true
+	case <-berth.ended:
+		return false
+	}
+}
+
+// Ask brings a command in for a caller without a task of its own; then runs on
+// the owner's task, must not block, and gets nil if the machine ended first.
+func (berth *Berth) Ask(command func(visit uint64) any, then func(value any)) {
+	if !berth.Within(func(owner Owner) { owner.Ask(command, then) }) {
+		then(nil)
+	}
+}
+
+// AttachFunc gives a channel a function that takes its events on the owner's
+// task and must not block.
+func (berth *Berth) AttachFunc(channel uint64, take func(helm.Deliver)) {
+	berth.Within(func(owner Owner) { owner.Attach(channel, take) })
+}
+
+// EachTurn has the owner call flush at the end of each turn.
+func (berth *Berth) EachTurn(flush func()) {
+	select {
+	case berth.requests <- request{flush: flush}:
+	case <-berth.ended:
+	}
+}
+
 // Do brings a command in and waits for its answer; false if the machine ended
 // first.
 func (berth *Berth) Do(command func(visit uint64) any) (any, bool) {
@@ -337,8 +527,8 @@
 		return nil, false
 	}
 	select {
-	case value, open := <-returns:
-		return value, open
+	case value := <-returns:
+		return value, value != nil
 	case <-berth.ended:
 		return nil, false
 	}
--- a/internal/berth/daemon.go
+++ b/internal/berth/daemon.go
@@ -68,7 +68,36 @@
 	Find     func(local uint64, visit, message, origin string) any
 	Counters func() any
 	Caller   func(berth *Berth) http.Handler
-	Reload   func(after props.Props)
+	// Callers serves callers at an address by itself, in place of Caller.
+	Callers func(at *Berth, address string) (Server, error)
+	// Adapter adds routes to ctl, next to the daemons' own.
+	Adapter Adapter
+	Reload  func(after props.Props)
+}
+
+// Server serves callers until it is closed.
+type Server interface{ Close() }
+
+// Adapter answers at ctl in other words than the daemons' own. It decides
+// nothing: it asks through the port.
+type Adapter interface {
+	Control(routes *http.ServeMux, port Port)
+}
+
+// Reply is the answer to a visit at ctl.
+type Reply struct {
+	Status     int
+	RetryAfter time.Duration
+	Body       []byte
+}
+
+// Port is what an adapter may ask of its daemon.
+type Port interface {
+	// Live tells whether the owner answers, Ready whether it would take callers.
+	Live() bool
+	Ready() bool
+	// Visit carries an operator's request to the primary.
+	Visit(method, path string, body []byte) Reply
 }
 
 // Stored is what a daemon's disk held.
@@ -143,7 +172,13 @@
 		return process.failed(fault)
 	}
 	servers := []*http.Server{serve(control, process.control())}
-	if process.built.Caller != nil {
+	var callers Server
+	switch {
+	case process.built.Callers != nil:
+		if callers, fault = process.built.Callers(process.berth, settings.Caller); fault != nil {
+			return process.failed(fault)
+		}
+	case process.built.Caller != nil:
 		caller, fault := net.Listen("tcp", settings.Caller)
 		if fault != nil {
 			return process.failed(fault)
@@ -153,6 +188,9 @@
 	process.horn.Report(foghorn.DaemonStarted, "kind", process.kind, "address", settings.Address, "ctl", settings.Control, "locality", settings.Locality)
 	process.berth.Run(process.built.Machine)
 	process.wait()
+	if callers != nil {
+		callers.Close()
+	}
 	stopping, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 	defer cancel()
 	for _, server := range servers {
@@ -317,15 +355,14 @@
 func (process *process) control() http.Handler {
 	routes := http.NewServeMux()
 	routes.HandleFunc("GET /live", func(writer http.ResponseWriter, _ *http.Request) {
-		if _, alive := process.inspect(func(time.Time) any { return nil }); !alive {
+		if !process.Live() {
 			writeJSON(writer, http.StatusServiceUnavailable, map[string]any{"live": false})
 			return
 		}
 		writeJSON(writer, http.StatusOK, map[string]any{"live": true})
 	})
 	routes.HandleFunc("GET /ready", func(writer http.ResponseWriter, _ *http.Request) {
-		ready, alive := process.inspect(func(now time.Time) any { return process.built.Ready(now) })
-		if !alive || ready != true {
+		if !process.Ready() {
 			writeJSON(writer, http.StatusServiceUnavailable, map[string]any{"ready": false})
 			return
 		}
@@ -348,7 +385,50 @@
 	routes.HandleFunc("/v1/", process.sendOn)
 	routes.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	routes.HandleFunc("GET /debug/pprof/heap", pprof.Handler("heap").ServeHTTP)
-	return routes
+	if process.built.Adapter != nil {
+		process.built.Adapter.Control(routes, process)
+	}
+	return refuseClearly(routes)
+}
+
+// refuseClearly gives what no route answers a refusal in JSON.
+func refuseClearly(routes *http.ServeMux) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, visit *http.Request) {
+		if _, pattern := routes.Handler(visit); pattern != "" {
+			routes.ServeHTTP(writer, visit)
+			return
+		}
+		refusal := &refusal{header: http.Header{}}
+		routes.ServeHTTP(refusal, visit)
+		if refusal.status == http.StatusMethodNotAllowed {
+			writer.Header().Set("Allow", refusal.header.Get("Allow"))
+			writeJSON(writer, http.StatusMethodNotAllowed, map[string]any{"code": "no-such-method", "text": visit.URL.Path + " does not know " + visit.Method})
+			return
+		}
+		writeJSON(writer, http.StatusNotFound, map[string]any{"code": "no-such-path", "text": visit.URL.Path + " is not known"})
+	})
+}
+
+// refusal takes what the routes would have said.
+type refusal struct {
+	header http.Header
+	status int
+}
+
+func (refusal *refusal) Header() http.Header            { return refusal.header }
+func (refusal *refusal) Write(body []byte) (int, error) { return len(body), nil }
+func (refusal *refusal) WriteHeader(status int)         { refusal.status = status }
+
+// Live tells whether the owner answers.
+func (process *process) Live() bool {
+	_, alive := process.inspect(func(time.Time) any { return nil })
+	return alive
+}
+
+// Ready tells whether the daemon would take callers or do its work.
+func (process *process) Ready() bool {
+	ready, alive := process.inspect(func(now time.Time) any { return process.built.Ready(now) })
+	return alive && ready == true
 }
 
 // inspect asks the owner, but no longer than the platform would wait.
@@ -427,19 +507,21 @@
 	if !whole {
 		return
 	}
-	value, alive := process.berth.Do(func(local uint64) any {
-		return process.built.Visit(local, visit.Method, visit.URL.Path, body)
-	})
-	if !alive {
-		writer.Header().Set("Retry-After", "1")
-		writeJSON(writer, http.StatusServiceUnavailable, map[string]any{"code": "stopping", "text": "the daemon is stopping"})
-		return
-	}
-	returned := value.(beacon.ControlReturn)
-	if returned.RetryAfter > 0 {
-		writer.Header().Set("Retry-After", strconv.Itoa(int((returned.RetryAfter+time.Second-1)/time.Second)))
+	reply := process.Visit(visit.Method, visit.URL.Path, body)
+	if reply.RetryAfter > 0 {
+		writer.Header().Set("Retry-After", strconv.Itoa(int((reply.RetryAfter+time.Second-1)/time.Second)))
 	}
 	writer.Header().Set("Content-Type", "application/json")
-	writer.WriteHeader(returned.Status)
-	_, _ = writer.Write(append(returned.Body, '\n'))
+	writer.WriteHeader(reply.Status)
+	_, _ = writer.Write(append(reply.Body, '\n'))
+}
+
+// Visit carries an operator's request to the primary and waits for its answer.
+func (process *process) Visit(method, path string, body []byte) Reply {
+	value, alive := process.berth.Do(func(local uint64) any { return process.built.Visit(local, method, path, body) })
+	returned, matches := value.(beacon.ControlReturn)
+	if !alive || !matches {
+		return Reply{Status: http.StatusServiceUnavailable, RetryAfter: time.Second, Body: cutter.Error("stopping", "the daemon is stopping", nil)}
+	}
+	return Reply{Status: returned.Status, RetryAfter: returned.RetryAfter, Body: returned.Body}
 }
--- /dev/null
+++ b/internal/pier/command.go
@@ -0,0 +1,69 @@
+// Package pier serves callers on plain connections: each keeps one open, asks
+// on it and is told on it. What the bytes mean is a Protocol's matter; the pier
+// reads commands through it, brings them to the lantern in the order in which
+// each connection sent them, and writes answers and events back.
+package pier
+
+import (
+	"dahlialock/internal/lamp"
+)
+
+// Kind is what a caller's command asks for.
+type Kind uint8
+
+// Kinds of commands.
+const (
+	// Unreadable asks for nothing that could be done: Fault tells why.
+	Unreadable Kind = iota
+	Open
+	Subscribe
+	Unsubscribe
+	Publish
+	Count
+	Ping
+)
+
+// Codes of what the pier itself refuses.
+const (
+	CodeMalformed = "malformed"
+	CodeTooLarge  = "too-large"
+	CodeNotOpen   = "no-such-channel"
+	CodeTwice     = "already-open"
+	CodeStopping  = "stopping"
+)
+
+// Command is one thing a caller asks. What its slices show is only valid until
+// the next bytes are read.
+type Command struct {
+	Kind   Kind
+	Word   []byte // as the caller wrote it
+	Origin []byte
+	Topic  []byte
+	Cursor []byte
+	Seq    uint64
+	Body   []byte
+	// Fault is the code of why nothing can be done with it.
+	Fault string
+	// Lost is set if what follows can't be read any more.
+	Lost bool
+}
+
+// About is what an answer has to repeat of its command.
+type About struct {
+	Kind  Kind
+	Word  string
+	Topic string
+	Seq   uint64
+}
+
+// Protocol reads commands from bytes and writes what goes back. The appending
+// methods append to a buffer and give it back, as append does.
+type Protocol interface {
+	// Read reads the first command. It gives how many bytes that takes: none if
+	// more must come first, and more than there are if bytes yet to come belong to
+	// a command that is not wanted whole.
+	Read(bytes []byte) (Command, int)
+	AppendAnswer(buffer []byte, about About, answer lamp.Answer) []byte
+	AppendEvent(buffer []byte, event lamp.Event) []byte
+	AppendPong(buffer []byte) []byte
+}
--- /dev/null
+++ b/internal/pier/pier_test.go
@@ -0,0 +1,409 @@
+package pier_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dahlialock/internal/berth"
+	"dahlialock/internal/foghorn"
+	"dahlialock/internal/helm"
+	"dahlialock/internal/lamp"
+	"dahlialock/internal/pier"
+	"dahlialock/platform"
+)
+
+const body20 = "pkadmblcfeoaihgnabcd"
+
+// stub is a lantern in miniature: it knows who is open, hands each message to
+// the subscribers of its topic, and answers some topics as told.
+type stub struct {
+	channels map[uint64]string
+	topics   map[string][]uint64
+	seqs     map[string][]uint64
+	offset   int
+	full     bool
+	heard    chan uint64
+	closed   chan string
+	orders   map[string]lamp.Answer
+}
+
+func newStub() *stub {
+	return &stub{
+		channels: map[uint64]string{}, topics: map[string][]uint64{}, seqs: map[string][]uint64{}, heard: make(chan uint64, 64),
+		closed: make(chan string, 8192), orders: map[string]lamp.Answer{},
+	}
+}
+
+func (*stub) Start(time.Time, *helm.Effects)                   {}
+func (*stub) Message(time.Time, helm.Meta, any, *helm.Effects) {}
+func (*stub) Due(time.Time, *helm.Effects)                     {}
+func (*stub) NextDue() time.Time                               { return time.Time{} }
+func (*stub) Version() uint64                                  { return 0 }
+
+// moveAll has everybody move, endAll ends them; stopNow ends the machine.
+type (
+	moveAll struct{ to string }
+	endAll  struct{}
+	stopNow struct{}
+	setFull struct{ full bool }
+	order   struct {
+		topic  string
+		answer lamp.Answer
+	}
+)
+
+func (stub *stub) Command(_ time.Time, command any, effects *helm.Effects) {
+	done := lamp.Answer{Status: 200, Outcome: lamp.OutcomeAccepted}
+	switch body := command.(type) {
+	case lamp.OpenChannel:
+		if stub.full {
+			effects.Return(body.Visit, lamp.Answer{Status: 503, Outcome: lamp.OutcomeRefused, Code: "full", RetryAfter: time.Second})
+			return
+		}
+		stub.channels[body.Channel] = body.Origin
+		effects.Return(body.Visit, done)
+		stub.tell(body.Channel, lamp.Event{Event: "hello"}, false, effects)
+	case lamp.CloseChannel:
+		if _, found := stub.channels[body.Channel]; found {
+			delete(stub.channels, body.Channel)
+			stub.closed <- body.Why
+		}
+	case lamp.Subscribe:
+		topic := body.Interests[0].Path
+		if answer, ordered := stub.orders[topic]; ordered {
+			effects.Return(body.Visit, answer)
+			return
+		}
+		stub.topics[topic] = append(stub.topics[topic], body.Channel)
+		done.Cursor = "c-0"
+		if body.Cursor != "" {
+			done.Cursor = body.Cursor
+		}
+		effects.Return(body.Visit, done)
+	case lamp.Unsubscribe:
+		effects.Return(body.Visit, done)
+	case lamp.Count:
+		done.Number = len(stub.topics[body.Topic])
+		effects.Return(body.Visit, done)
+	case lamp.Publish:
+		if answer, ordered := stub.orders[body.Topic]; ordered {
+			effects.Return(body.Visit, answer)
+			return
+		}
+		stub.seqs[body.Origin] = append(stub.seqs[body.Origin], body.Seq)
+		stub.offset++
+		effects.Return(body.Visit, done)
+		for _, channel := range stub.topics[body.Topic] {
+			stub.tell(channel, lamp.Event{
+				Event: "message", Topic: body.Topic, Sender: body.Sender, Seq: body.Seq, Body: body.Data, Cursor: fmt.Sprintf("c-%d", stub.offset),
+			}, false, effects)
+		}
+	case lamp.Heard:
+		stub.heard <- body.Channel
+	case moveAll:
+		for channel := range helm.Sorted(stub.channels) {
+			stub.tell(channel, lamp.Event{Event: "move", To: body.to}, false, effects)
+		}
+	case endAll:
+		for channel := range helm.Sorted(stub.channels) {
+			stub.tell(channel, lamp.Event{Event: "gone", Code: "moved"}, true, effects)
+		}
+	case order:
+		stub.orders[body.topic] = body.answer
+	case setFull:
+		stub.full = body.full
+	case stopNow:
+		for channel := range helm.Sorted(stub.channels) {
+			stub.tell(channel, lamp.Event{Event: "move", To: "10.9.9.9:9"}, false, effects)
+			stub.tell(channel, lamp.Event{Event: "gone", Code: "stopping"}, true, effects)
+		}
+		effects.Stop = true
+	}
+}
+
+func (*stub) tell(channel uint64, event lamp.Event, last bool, effects *helm.Effects) {
+	effects.Delivers = append(effects.Delivers, helm.Deliver{Channel: channel, Event: event, Close: last})
+}
+
+func freeAddress(t testing.TB) string {
+	listener, fault := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, fault)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+type quay struct {
+	at      *berth.Berth
+	pier    *pier.Pier
+	stub    *stub
+	address string
+}
+
+func open(t testing.TB, change func(props *pier.Props)) *quay {
+	stub := newStub()
+	at, fault := berth.Open(berth.Props{Address: freeAddress(t), Foghorn: foghorn.New(io.Discard, "lantern", 0)})
+	assert.NilError(t, fault)
+	at.Run(stub)
+	props := pier.Props{Address: freeAddress(t), Berth: at, Protocol: platform.Lines{}}
+	if change != nil {
+		change(&props)
+	}
+	served, fault := pier.Start(props)
+	assert.NilError(t, fault)
+	opened := &quay{at: at, pier: served, stub: stub, address: props.Address}
+	t.Cleanup(func() {
+		served.Close()
+		at.Post(stopNow{})
+		<-at.Ended()
+		at.Flare().Close()
+	})
+	return opened
+}
+
+type caller struct {
+	net.Conn
+	lines *bufio.Reader
+}
+
+func (quay *quay) call(t testing.TB) *caller {
+	connection, fault := net.Dial("tcp", quay.address)
+	assert.NilError(t, fault)
+	t.Cleanup(func() { _ = connection.Close() })
+	assert.NilError(t, connection.SetDeadline(time.Now().Add(20*time.Second)))
+	return &caller{Conn: connection, lines: bufio.NewReader(connection)}
+}
+
+func (quay *quay) greet(t testing.TB, name string) *caller {
+	caller := quay.call(t)
+	caller.say(t, "HELLO "+name+"\r\n")
+	caller.hears(t, "OK HELLO")
+	return caller
+}
+
+func (caller *caller) say(t testing.TB, text string) {
+	t.Helper()
+	_, fault := caller.Write([]byte(text))
+	assert.NilError(t, fault)
+}
+
+func (caller *caller) hears(t testing.TB, lines ...string) {
+	t.Helper()
+	for _, want := range lines {
+		line, fault := caller.lines.ReadString('\n')
+		assert.NilError(t, fault, "for %s", want)
+		assert.Equal(t, line, want+"\r\n")
+	}
+}
+
+func (caller *caller) hearsEnd(t testing.TB) {
+	t.Helper()
+	line, fault := caller.lines.ReadString('\n')
+	assert.Assert(t, fault != nil, "still heard %q", line)
+	problem, timed := fault.(net.Error)
+	assert.Assert(t, !timed || !problem.Timeout(), "not ended")
+}
+
+func TestThePathOfAMessage(t *testing.T) {
+	t.Parallel()
+	quay := open(t, nil)
+	reader, writer := quay.greet(t, "reader"), quay.greet(t, "writer")
+	reader.say(t, "SUB kafi810.2f\r\n")
+	reader.hears(t, "OK SUB kafi810.2f c-0")
+	reader.say(t, "SUB kalo.1 c-9\r\n")
+	reader.hears(t, "OK SUB kalo.1 c-9")
+	writer.say(t, "PUB kafi810.2f 7 20\r\n"+body20+"\r\n")
+	writer.hears(t, "ACK kafi810.2f 7")
+	reader.hears(t, "MSG kafi810.2f c-1 writer 7 20", body20)
+	writer.say(t, "WHO kafi810.2f\r\n")
+	writer.hears(t, "NSUBS kafi810.2f 1")
+	reader.say(t, "UNSUB kafi810.2f\r\n")
+	reader.hears(t, "OK UNSUB kafi810.2f")
+	reader.say(t, "PING\r\n")
+	reader.hears(t, "PONG")
+}
+
+func TestOutcomesBecomeReasons(t *testing.T) {
+	t.Parallel()
+	quay := open(t, nil)
+	quay.at.Post(order{topic: "lost", answer: lamp.Answer{Outcome: lamp.OutcomeRefused, Code: "place-lost"}})
+	quay.at.Post(order{topic: "none", answer: lamp.Answer{Outcome: lamp.OutcomeRefused, Code: "no-such-space"}})
+	quay.at.Post(order{topic: "open", answer: lamp.Answer{Outcome: lamp.OutcomeUnsettled, Code: "no-answer", RetryAfter: time.Second}})
+	caller := quay.greet(t, "u1")
+	caller.say(t, "SUB lost c-1\r\n")
+	caller.hears(t, "DENY SUB lost - EXPIRED")
+	caller.say(t, "PUB none 1 20\r\n"+body20+"\r\n")
+	caller.hears(t, "DENY PUB none 1 NOSPACE")
+	caller.say(t, "PUB open 2 20\r\n"+body20+"\r\n")
+	caller.hears(t, "DENY PUB open 2 MAYBE")
+}
+
+func TestNothingBeforeHello(t *testing.T) {
+	t.Parallel()
+	quay := open(t, nil)
+	caller := quay.call(t)
+	caller.say(t, "SUB a\r\nPING\r\nPUB a 3 20\r\n"+body20+"\r\nHELLO u1\r\nHELLO u1\r\nPING\r\n")
+	caller.hears(t, "DENY SUB a - RETRY", "DENY PING - - RETRY", "DENY PUB a 3 RETRY", "OK HELLO", "DENY HELLO - - BADMSG", "PONG")
+}
+
+func TestARefusedHelloMayBeSentAgain(t *testing.T) {
+	t.Parallel()
+	quay := open(t, nil)
+	quay.at.Post(setFull{full: true})
+	caller := quay.call(t)
+	caller.say(t, "HELLO u1\r\n")
+	caller.hears(t, "DENY HELLO - - RETRY")
+	quay.at.Post(setFull{full: false})
+	caller.say(t, "HELLO u1\r\n")
+	caller.hears(t, "OK HELLO")
+}
+
+func TestTheSameClientTwice(t *testing.T) {
+	t.Parallel()
+	quay := open(t, nil)
+	old, fresh := quay.greet(t, "u1"), quay.greet(t, "u1")
+	for _, each := range []*caller{old, fresh} {
+		each.say(t, "SUB a\r\n")
+		each.hears(t, "OK SUB a c-0")
+	}
+	fresh.say(t, "PUB a 1 20\r\n"+body20+"\r\n")
+	old.hears(t, "MSG a c-1 u1 1 20", body20)
+}
+
+func TestPipelinedPublicationsStayInOrder(t *testing.T) {
+	t.Parallel()
+	quay := open(t, nil)
+	reader, writer := quay.greet(t, "reader"), quay.greet(t, "writer")
+	reader.say(t, "SUB a\r\n")
+	reader.hears(t, "OK SUB a c-0")
+	var text strings.Builder
+	const count = 800
+	for seq := 1; seq <= count; seq++ {
+		fmt.Fprintf(&text, "PUB a %d 20\r\n%s\r\n", seq, body20)
+	}
+	whole := text.String()
+	// Pieces of uneven size, so that commands are torn everywhere.
+	for size := 1; len(whole) > 0; size = size%997 + 13 {
+		piece := min(size, len(whole))
+		writer.say(t, whole[:piece])
+		whole = whole[piece:]
+	}
+	for seq := 1; seq <= count; seq++ {
+		writer.hears(t, fmt.Sprintf("ACK a %d", seq))
+		reader.hears(t, fmt.Sprintf("MSG a c-%d writer %d 20", seq, seq), body20)
+	}
+}
+
+func TestWhatCannotBeRead(t *testing.T) {
+	t.Parallel()
+	quay := open(t, nil)
+	caller := quay.greet(t, "u1")
+	caller.say(t, "FETCH it\r\nSUB\r\nPUB a x 20\r\n"+body20+"\r\n")
+	caller.hears(t, "DENY FETCH - - BADMSG", "DENY SUB - - BADMSG", "DENY PUB a - BADMSG")
+	caller.say(t, "PING\r\n")
+	caller.hears(t, "PONG")
+	big := strings.Repeat("b", 20000)
+	caller.say(t, "PUB a 4 20000\r\n"+big[:5000])
+	caller.hears(t, "DENY PUB a 4 TOOBIG")
+	caller.say(t, big[5000:]+"\r\nPING\r\n")
+	caller.hears(t, "PONG")
+	caller.say(t, "PUB a 5 30\r\n"+body20+"\r\nPING\r\n")
+	// The body takes the next line as its own, and does not end where it should.
+	caller.say(t, "PING\r\n")
+	caller.hears(t, "DENY PUB a 5 BADMSG")
+	caller.hearsEnd(t)
+	assert.Equal(t, <-quay.stub.closed, "unreadable")
+}
+
+func TestMoveAndEnd(t *testing.T) {
+	t.Parallel()
+	quay := open(t, nil)
+	caller := quay.greet(t, "u1")
+	quay.at.Post(moveAll{to: "10.1.0.7:8000"})
+	caller.hears(t, "MOVE 10.1.0.7:8000")
+	caller.say(t, "PING\r\n")
+	caller.hears(t, "PONG")
+	quay.at.Post(endAll{})
+	caller.hearsEnd(t)
+}
+
+func TestAStoppingDaemonTellsWhereToGo(t *testing.T) {
+	t.Parallel()
+	quay := open(t, nil)
+	callers := []*caller{quay.greet(t, "u1"), quay.greet(t, "u2")}
+	quay.at.Post(stopNow{})
+	<-quay.at.Ended()
+	quay.pier.Close()
+	for _, each := range callers {
+		each.hears(t, "MOVE 10.9.9.9:9")
+		each.hearsEnd(t)
+	}
+}
+
+func TestAClosedConnectionClosesItsChannel(t *testing.T) {
+	t.Parallel()
+	quay := open(t, nil)
+	caller := quay.greet(t, "u1")
+	assert.NilError(t, caller.Close())
+	assert.Equal(t, <-quay.stub.closed, "closed")
+}
+
+func TestASilentConnectionIsCut(t *testing.T) {
+	t.Parallel()
+	quay := open(t, func(props *pier.Props) { props.Silent = 100 * time.Millisecond })
+	caller := quay.greet(t, "u1")
+	caller.hearsEnd(t)
+	assert.Equal(t, <-quay.stub.closed, "silent")
+}
+
+func TestSignsOfLifeReachTheLantern(t *testing.T) {
+	t.Parallel()
+	quay := open(t, nil)
+	caller := quay.greet(t, "u1")
+	caller.say(t, "PING\r\n")
+	caller.hears(t, "PONG")
+	assert.Assert(t, <-quay.stub.heard != 0)
+}
+
+func TestASlowSubscriberIsCut(t *testing.T) {
+	t.Parallel()
+	quay := open(t, func(props *pier.Props) { props.UnsentMost = 64 << 10 })
+	reader, writer := quay.greet(t, "reader"), quay.greet(t, "writer")
+	reader.say(t, "SUB a\r\n")
+	reader.hears(t, "OK SUB a c-0")
+	body := strings.Repeat("b", 16<<10)
+	for seq := 1; ; seq++ {
+		writer.say(t, fmt.Sprintf("PUB a %d %d\r\n%s\r\n", seq, len(body), body))
+		writer.hears(t, fmt.Sprintf("ACK a %d", seq))
+		select {
+		case why := <-quay.stub.closed:
+			assert.Equal(t, why, "slow")
+			return
+		default:
+			assert.Assert(t, seq < 10000)
+		}
+	}
+}
+
+func TestTooManyConnectionsAreClosedAtOnce(t *testing.T) {
+	t.Parallel()
+	quay := open(t, func(props *pier.Props) { props.ConnectionsMost = 2 })
+	quay.greet(t, "u1")
+	quay.greet(t, "u2")
+	third := quay.call(t)
+	third.hearsEnd(t)
+	assert.Equal(t, quay.pier.Counters.Refused.Load(), int64(1))
+}
+
+func TestAnAddressInUseIsTold(t *testing.T) {
+	t.Parallel()
+	quay := open(t, nil)
+	_, fault := pier.Start(pier.Props{Address: quay.address, Berth: quay.at, Protocol: platform.Lines{}})
+	assert.Assert(t, fault != nil)
+}
