Lanterns choose lines for their callers, and daemons the platform's calls

Cause: nothing mounted the lines and calls yet. Change: the settings callers and operators choose them, each template names them, admission open lets anyone in and token has the pass looked at, and the collector keeps to the memory setting. Tests: internal/pier, platform.

--- a/cmd/keeper/main.go
+++ b/cmd/keeper/main.go
@@ -9,6 +9,7 @@
 	"dahlialock/internal/berth"
 	"dahlialock/internal/props"
 	"dahlialock/internal/strand"
+	"dahlialock/platform"
 )
 
 func main() {
@@ -31,5 +32,6 @@
 			return strand.FindDecisions{Local: local, Visit: visit, Message: message, Origin: origin}
 		},
 		Counters: func() any { return map[string]any{"keeper": machine.Counts, "strands": machine.Strands()} },
+		Adapter:  platform.Adapter(settings),
 	}, nil
 }
--- a/cmd/lantern/main.go
+++ b/cmd/lantern/main.go
@@ -11,7 +11,9 @@
 	"dahlialock/internal/berth"
 	"dahlialock/internal/lamp"
 	"dahlialock/internal/mooring"
+	"dahlialock/internal/pier"
 	"dahlialock/internal/props"
+	"dahlialock/platform"
 )
 
 func main() {
@@ -29,8 +31,12 @@
 
 func build(settings props.Props, self beacon.Member, _ berth.Stored) (berth.Build, error) {
 	key := []byte(settings.Key)
+	callersKey := key
+	if settings.Admission == props.AdmissionOpen {
+		callersKey = nil
+	}
 	machine := lamp.New(lamp.Props{Self: self, Tender: settings.Tender, Key: key, OriginsMost: settings.OriginsMost, Processor: processorTime})
-	return berth.Build{
+	built := berth.Build{
 		Machine: machine,
 		Ready:   func(now time.Time) bool { return machine.Ready(now) },
 		Stop:    lamp.Stop{},
@@ -48,7 +54,32 @@
 				"load": machine.Load(), "orders": machine.Follower().Orders,
 			}
 		},
-		Caller: func(at *berth.Berth) http.Handler { return mooring.New(settings.Name, key, at) },
-		Reload: func(after props.Props) { machine.SetOriginsMost(after.OriginsMost) },
-	}, nil
+		Caller:  func(at *berth.Berth) http.Handler { return mooring.New(settings.Name, callersKey, at) },
+		Reload:  func(after props.Props) { machine.SetOriginsMost(after.OriginsMost) },
+		Adapter: platform.Adapter(settings),
+	}
+	if settings.Callers == props.CallersLines {
+		serveLines(&built, settings, callersKey)
+	}
+	return built, nil
+}
+
+// serveLines has callers speak lines in place of HTTP.
+func serveLines(built *berth.Build, settings props.Props, key []byte) {
+	var served *pier.Pier
+	var admit func(origin, token string) bool
+	if len(key) > 0 {
+		admit = func(origin, token string) bool { return mooring.Origin(key, token) == origin }
+	}
+	own := built.Counters
+	built.Counters = func() any { return map[string]any{"machine": own(), "callers": served.Sums()} }
+	built.Callers = func(at *berth.Berth, address string) (berth.Server, error) {
+		var fault error
+		served, fault = pier.Start(pier.Props{
+			Address: address, Berth: at, Protocol: platform.Lines{}, Admit: admit, Silent: 3 * settings.Bounds.Ping,
+			// A few more than may open a channel, so that they are told to go elsewhere.
+			ConnectionsMost: settings.OriginsMost + settings.OriginsMost/10 + 64,
+		})
+		return served, fault
+	}
 }
--- a/cmd/pilot/main.go
+++ b/cmd/pilot/main.go
@@ -9,6 +9,7 @@
 	"dahlialock/internal/berth"
 	"dahlialock/internal/pilotage"
 	"dahlialock/internal/props"
+	"dahlialock/platform"
 )
 
 func main() {
@@ -34,5 +35,6 @@
 				"complete": machine.Watch().Complete(), "holds_tenure": machine.Watch().HoldsTenure(time.Now()),
 			}
 		},
+		Adapter: platform.Adapter(settings),
 	}, nil
 }
--- a/cmd/tender/main.go
+++ b/cmd/tender/main.go
@@ -9,6 +9,7 @@
 	"dahlialock/internal/berth"
 	"dahlialock/internal/props"
 	"dahlialock/internal/tender"
+	"dahlialock/platform"
 )
 
 func main() {
@@ -25,5 +26,6 @@
 			return tender.Visit{Local: local, Method: method, Path: path, Body: body}
 		},
 		Counters: func() any { return map[string]any{} },
+		Adapter:  platform.Adapter(settings),
 	}, nil
 }
--- a/internal/berth/daemon.go
+++ b/internal/berth/daemon.go
@@ -127,6 +127,7 @@
 	}
 	// Small machines: the collector may use a little more memory to run less.
 	debug.SetGCPercent(200)
+	debug.SetMemoryLimit(settings.MemoryLimit())
 	runtime.GOMAXPROCS(min(runtime.NumCPU(), 4))
 	running := &process{kind: kind, source: source, settings: settings, horn: foghorn.New(os.Stderr, settings.Name, settings.LogLevel)}
 	return running.run(build)
@@ -246,6 +247,7 @@
 	}
 	process.settings = after
 	process.weather(after)
+	debug.SetMemoryLimit(after.MemoryLimit())
 	process.horn.SetLevel(after.LogLevel)
 	if process.built.Reload != nil {
 		process.berth.Inspect(func(time.Time) any {
--- a/internal/mooring/mooring.go
+++ b/internal/mooring/mooring.go
@@ -41,8 +41,15 @@
 	return origin + "." + hex.EncodeToString(sum.Sum(nil))
 }
 
-// Origin reads a pass; it is empty if the pass is not a right one.
+// Origin reads a pass; it is empty if the pass is not a right one. Where there
+// is no key anyone is admitted, and the pass is the name alone.
 func Origin(key []byte, token string) string {
+	if len(key) == 0 {
+		if !chart.FitName(token) {
+			return ""
+		}
+		return token
+	}
 	last := strings.LastIndexByte(token, '.')
 	if last <= 0 || !chart.FitName(token[:last]) || !hmac.Equal([]byte(Token(key, token[:last])), []byte(token)) {
 		return ""
--- a/internal/pier/command.go
+++ b/internal/pier/command.go
@@ -29,6 +29,7 @@
 	CodeTooLarge  = "too-large"
 	CodeNotOpen   = "no-such-channel"
 	CodeTwice     = "already-open"
+	CodeStranger  = "not-authentic"
 	CodeStopping  = "stopping"
 )
 
@@ -38,6 +39,7 @@
 	Kind   Kind
 	Word   []byte // as the caller wrote it
 	Origin []byte
+	Token  []byte
 	Topic  []byte
 	Cursor []byte
 	Seq    uint64
--- a/internal/pier/pier.go
+++ b/internal/pier/pier.go
@@ -39,6 +39,8 @@
 	Address  string
 	Berth    *berth.Berth
 	Protocol Protocol
+	// Admit tells whether a token is the origin's; nil admits everyone.
+	Admit func(origin, token string) bool
 	// Silent is how long a connection may say nothing; zero means for ever.
 	Silent time.Duration
 	// ConnectionsMost is how many connections may be open; zero sets no bound.
@@ -52,6 +54,19 @@
 	Connections, Refused, Reads, Commands, Writes, BytesOut, Slow, Silent, Unreadable, Restarts atomic.Int64
 }
 
+// Sums gives the counters by name; it may be asked before there is a pier.
+func (pier *Pier) Sums() map[string]int64 {
+	if pier == nil {
+		return map[string]int64{}
+	}
+	counters := &pier.Counters
+	return map[string]int64{
+		"held": pier.held.Load(), "connections": counters.Connections.Load(), "refused": counters.Refused.Load(), "reads": counters.Reads.Load(),
+		"commands": counters.Commands.Load(), "writes": counters.Writes.Load(), "bytes_out": counters.BytesOut.Load(),
+		"slow": counters.Slow.Load(), "silent": counters.Silent.Load(), "unreadable": counters.Unreadable.Load(), "restarts": counters.Restarts.Load(),
+	}
+}
+
 // Pier serves the connections of callers.
 type Pier struct {
 	gnet.BuiltinEventEngine
@@ -328,6 +343,10 @@
 		return made
 	}
 	made.origin, made.cursor = string(command.Origin), string(command.Cursor)
+	if command.Kind == Open && pier.props.Admit != nil && !pier.props.Admit(made.origin, string(command.Token)) {
+		made.fault = CodeStranger
+		return made
+	}
 	if len(command.Body) > 0 {
 		made.body = append(make([]byte, 0, len(command.Body)), command.Body...)
 	}
@@ -364,7 +383,8 @@
 			heard = append(heard, each.channel)
 		}
 		each.heard = false
-		if pier.props.Silent > 0 && pier.now.Sub(each.heardAt) > pier.props.Silent && each.why == "" {
+		// The time it was heard is only known to a tick.
+		if pier.props.Silent > 0 && pier.now.Sub(each.heardAt) > pier.props.Silent+tickEvery && each.why == "" {
 			pier.Counters.Silent.Add(1)
 			pier.cut(each, "silent")
 		}
--- a/internal/pier/pier_test.go
+++ b/internal/pier/pier_test.go
@@ -407,3 +407,13 @@
 	_, fault := pier.Start(pier.Props{Address: quay.address, Berth: quay.at, Protocol: platform.Lines{}})
 	assert.Assert(t, fault != nil)
 }
+
+func TestStrangersAreRefused(t *testing.T) {
+	t.Parallel()
+	quay := open(t, func(props *pier.Props) {
+		props.Admit = func(origin, token string) bool { return token == "pass-of-"+origin }
+	})
+	caller := quay.call(t)
+	caller.say(t, "HELLO u1\r\nHELLO u1 pass-of-u2\r\nHELLO u1 pass-of-u1\r\n")
+	caller.hears(t, "DENY HELLO - - BADMSG", "DENY HELLO - - BADMSG", "OK HELLO")
+}
