A configuration not above the one held may be answered as taken

Cause: operators of some platforms send a version again, or an older one, and want it acknowledged without effect. Change: the setting versions: highest; strict, with 409, stays the default.

--- a/internal/pilotage/control.go
+++ b/internal/pilotage/control.go
@@ -129,6 +129,10 @@
 		switch {
 		case configuration.Version > pilot.state.Version:
 			return 0, nil, false
+		case pilot.props.Highest:
+			// The highest version is the one; what is not above it is settled and
+			// changes nothing.
+			return http.StatusOK, map[string]any{"version": pilot.state.Version, "taken": true}, true
 		case configuration.Version == pilot.state.Version && chart.SameContent(document, pilot.state.Document):
 			return http.StatusOK, map[string]any{"version": pilot.state.Version, "taken": true}, true
 		case configuration.Version == pilot.state.Version:
--- a/internal/pilotage/pilot.go
+++ b/internal/pilotage/pilot.go
@@ -36,6 +36,9 @@
 	Self  beacon.Member
 	Count int
 	Seeds []string
+	// Highest answers a configuration that is not above the one held as taken;
+	// otherwise it is a conflict, unless it is the same.
+	Highest bool
 }
 
 // Visit is an operator's request at this daemon's own ctl.
