--- a/internal/beacon/member.go
+++ b/internal/beacon/member.go
@@ -50,6 +50,7 @@
 
 // Load is what a daemon observes of itself; it is not kept, only reported.
 type Load struct {
+	_         struct{} `cbor:",toarray"`
 	Origins   int
 	Room      int
 	Visits    uint64
@@ -64,6 +65,7 @@
 
 // Ask is a daemon's question with what it has; it is answered on news.
 type Ask struct {
+	_       struct{} `cbor:",toarray"`
 	Self    Member
 	Nonce   uint64
 	Index   uint64
@@ -77,6 +79,7 @@
 
 // News answers an Ask.
 type News struct {
+	_          struct{} `cbor:",toarray"`
 	For        string
 	Nonce      uint64
 	Epoch      uint64
@@ -95,6 +98,7 @@
 // Rest empties it and lets it rest; Keep, if above zero, asks it to hand on
 // what it holds beyond.
 type Orders struct {
+	_       struct{} `cbor:",toarray"`
 	Rest    bool
 	Empty   bool
 	Keep    int
@@ -104,6 +108,7 @@
 
 // Redirect tells who is primary, as far as the sender knows.
 type Redirect struct {
+	_       struct{} `cbor:",toarray"`
 	For     string
 	Nonce   uint64
 	Epoch   uint64
@@ -113,6 +118,7 @@
 
 // Heartbeat goes to a few watchers.
 type Heartbeat struct {
+	_           struct{} `cbor:",toarray"`
 	Name        string
 	Incarnation uint64
 	Index       uint64
@@ -120,12 +126,14 @@
 
 // Suspicion tells the primary whom a watcher does not hear.
 type Suspicion struct {
+	_        struct{} `cbor:",toarray"`
 	Reporter string
 	Silent   []Suspect
 }
 
 // Suspect is one silent member.
 type Suspect struct {
+	_           struct{} `cbor:",toarray"`
 	Name        string
 	Incarnation uint64
 	Silence     time.Duration
@@ -133,11 +141,13 @@
 
 // ChartAsk asks any daemon for a configuration newer than the asker's.
 type ChartAsk struct {
+	_       struct{} `cbor:",toarray"`
 	Version uint64
 }
 
 // ChartReturn gives it.
 type ChartReturn struct {
+	_        struct{} `cbor:",toarray"`
 	Version  uint64
 	Document []byte
 	Births   map[string]uint64
@@ -145,6 +155,7 @@
 
 // Farewell comes from a daemon that is stopping on purpose.
 type Farewell struct {
+	_           struct{} `cbor:",toarray"`
 	Name        string
 	Incarnation uint64
 }
--- a/internal/strand/messages.go
+++ b/internal/strand/messages.go
@@ -60,6 +60,7 @@
 
 // Append asks the first to keep a message.
 type Append struct {
+	_      struct{} `cbor:",toarray"`
 	Strand string
 	Visit  uint64
 	Topic  string
@@ -85,6 +86,7 @@
 // AppendReturn answers it. In a shared strand its record carries no data, since
 // whoever asked has them.
 type AppendReturn struct {
+	_          struct{} `cbor:",toarray"`
 	Strand     string
 	Visit      uint64
 	Outcome    uint8
@@ -99,6 +101,7 @@
 // After of epoch AfterEpoch. Its times are counted from Now, since no two
 // machines' clocks need agree.
 type Copy struct {
+	_          struct{} `cbor:",toarray"`
 	Now        time.Time
 	Strand     string
 	Epoch      uint64
@@ -109,6 +112,7 @@
 
 // CopyReturn says how far the understudy's disk reaches, or that it needs more.
 type CopyReturn struct {
+	_         struct{} `cbor:",toarray"`
 	Strand    string
 	Epoch     uint64
 	Have      uint64
@@ -127,6 +131,7 @@
 
 // Fetch asks for records after an offset that match an interest.
 type Fetch struct {
+	_        struct{} `cbor:",toarray"`
 	Strand   string
 	Visit    uint64
 	After    uint64
@@ -138,6 +143,7 @@
 // FetchReturn gives them, all up to Until. Gone tells, for a shared strand, that
 // a record of the asked topics after the asked offset is no longer held.
 type FetchReturn struct {
+	_       struct{} `cbor:",toarray"`
 	Strand  string
 	Visit   uint64
 	Epoch   uint64
@@ -152,6 +158,7 @@
 // Follow asks to be told the heads of strands. From is how far the asker was
 // told of each shared strand already.
 type Follow struct {
+	_       struct{} `cbor:",toarray"`
 	Strands []string
 	From    []uint64
 }
@@ -176,11 +183,13 @@
 
 // Heads tells them.
 type Heads struct {
+	_     struct{} `cbor:",toarray"`
 	Heads []Head
 }
 
 // SenderAsk asks where a sender's newest message is.
 type SenderAsk struct {
+	_       struct{} `cbor:",toarray"`
 	Visit   uint64
 	Strands []string
 	Sender  string
@@ -196,6 +205,7 @@
 
 // SenderReturn tells it.
 type SenderReturn struct {
+	_       struct{} `cbor:",toarray"`
 	Visit   uint64
 	Ready   bool
 	LastSeq uint64
