--- a/internal/berth/daemon.go
+++ b/internal/berth/daemon.go
@@ -168,6 +168,9 @@
 		return process.failed(fault)
 	}
 	process.weather(settings)
+	if settings.Compression == props.CompressionFar {
+		process.berth.Flare().Compress()
+	}
 	control, fault := net.Listen("tcp", settings.Control)
 	if fault != nil {
 		return process.failed(fault)
@@ -474,7 +477,7 @@
 		"messages_out": counters.MessagesOut.Load(), "bytes_out": counters.BytesOut.Load(),
 		"messages_in": counters.MessagesIn.Load(), "bytes_in": counters.BytesIn.Load(),
 		"messages_away": counters.MessagesAway.Load(), "bytes_away": counters.BytesAway.Load(),
-		"dropped": counters.Dropped.Load(), "garbage": counters.Garbage.Load(), "shed": counters.Shed.Load(),
+		"dropped": counters.Dropped.Load(), "garbage": counters.Garbage.Load(), "writes": counters.Writes.Load(), "dials": counters.Dials.Load(), "shed": counters.Shed.Load(),
 	}
 }
 
--- a/internal/props/props.go
+++ b/internal/props/props.go
@@ -68,6 +68,8 @@
 	Admission string
 	Versions  string
 	Operators string
+	// Compression tells which turns between daemons are packed.
+	Compression string
 	// Memory is how many bytes the process may use, 0 for no bound.
 	Memory int64
 }
@@ -106,6 +108,8 @@
 	VersionsStrict  = "strict"
 	VersionsHighest = "highest"
 	OperatorsJSON   = "json"
+	CompressionNone = "none"
+	CompressionFar  = "far"
 )
 
 // operatorForms are the forms in which operators may speak to a daemon.
@@ -122,7 +126,7 @@
 
 var keys = []string{
 	"name", "address", "ctl", "caller", "locality", "seeds", "data", "tender", "lantern", "pilots", "key", "origins_most", "log_level",
-	"seeds_port", "bootstrap", "tolerance", "bounds", "callers", "admission", "versions", "memory", "operators",
+	"seeds_port", "bootstrap", "tolerance", "bounds", "callers", "admission", "versions", "memory", "operators", "compression",
 }
 
 // Source is where settings come from.
@@ -280,6 +284,7 @@
 	props.Admission = walk.Choice("$.admission", members["admission"], AdmissionToken, AdmissionToken, AdmissionOpen)
 	props.Versions = walk.Choice("$.versions", members["versions"], VersionsStrict, VersionsStrict, VersionsHighest)
 	props.Operators = walk.Choice("$.operators", members["operators"], OperatorsJSON, operatorForms...)
+	props.Compression = walk.Choice("$.compression", members["compression"], CompressionNone, CompressionNone, CompressionFar)
 	props.Memory = readMemory(walk, "$.memory", members["memory"])
 	props.Key = walk.Text("$.key", members["key"], "")
 	if source.kind == "lantern" && props.Admission == AdmissionToken && len(props.Key) < 16 {
@@ -429,6 +434,7 @@
 		"tender": before.Tender == after.Tender, "lantern": before.Lantern == after.Lantern, "pilots": before.Pilots == after.Pilots,
 		"key": before.Key == after.Key, "callers": before.Callers == after.Callers, "admission": before.Admission == after.Admission,
 		"versions": before.Versions == after.Versions, "operators": before.Operators == after.Operators,
+		"compression": before.Compression == after.Compression,
 	} {
 		if !same {
 			differ = append(differ, name)
--- a/internal/props/props_test.go
+++ b/internal/props/props_test.go
@@ -98,6 +98,7 @@
 		`"admission":"closed"`:         "$.admission",
 		`"versions":"any"`:             "$.versions",
 		`"operators":"unheard"`:        "$.operators",
+		`"compression":"all"`:          "$.compression",
 		`"memory":"284 MB"`:            "$.memory",
 		`"memory":"MB"`:                "$.memory",
 		`"memory":"9000000000000GiB"`:  "$.memory",
