The pier alone watches silent connections of lines

Cause: signs of life woke the lantern each second for nothing. Change: OpenChannel says Lines, the pier cuts who is silent and no longer tells the lantern of signs of life. Tests: internal/pier.

--- a/internal/pier/pier.go
+++ b/internal/pier/pier.go
@@ -97,7 +97,6 @@
 
 	// What the event loop owns.
 	heardAt time.Time
-	heard   bool
 	open    bool
 	closed  bool
 	skip    int
@@ -274,7 +273,7 @@
 		return gnet.None
 	}
 	pier.Counters.Reads.Add(1)
-	from.heardAt, from.heard = pier.now, true
+	from.heardAt = pier.now
 	unread, fault := socket.Peek(-1)
 	if fault != nil {
 		return gnet.Close
@@ -374,28 +373,20 @@
 	return tickEvery, gnet.None
 }
 
-// tick cuts who is silent and tells the lantern who is not.
+// tick cuts who is silent. The lantern leaves that to the pier, so that signs of
+// life don't wake it.
 func (pier *Pier) tick() {
 	pier.now = time.Now()
-	var heard []uint64
+	if pier.props.Silent == 0 {
+		return
+	}
 	for _, each := range pier.connections {
-		if each.heard && each.open {
-			heard = append(heard, each.channel)
-		}
-		each.heard = false
-		// The time it was heard is only known to a tick.
-		if pier.props.Silent > 0 && pier.now.Sub(each.heardAt) > pier.props.Silent+tickEvery && each.why == "" {
+		// When it was heard is only known to a tick.
+		if pier.now.Sub(each.heardAt) > pier.props.Silent+tickEvery && each.why == "" {
 			pier.Counters.Silent.Add(1)
 			pier.cut(each, "silent")
 		}
 	}
-	if len(heard) > 0 {
-		pier.props.Berth.Within(func(owner berth.Owner) {
-			for _, channel := range heard {
-				owner.Post(lamp.Heard{Channel: channel})
-			}
-		})
-	}
 }
 
 // cut ends a connection; what was written before still goes out.
@@ -525,7 +516,7 @@
 	from.state, from.origin = opening, command.origin
 	owner.Attach(from.channel, func(deliver helm.Deliver) { pier.deliver(from, deliver) })
 	owner.Ask(func(visit uint64) any {
-		return lamp.OpenChannel{Visit: visit, Channel: from.channel, Name: strconv.FormatUint(from.channel, 16), Origin: command.origin}
+		return lamp.OpenChannel{Visit: visit, Channel: from.channel, Name: strconv.FormatUint(from.channel, 16), Origin: command.origin, Lines: true}
 	}, func(value any) {
 		answer := answerOf(value)
 		if from.state == opening {
