--- /dev/null
+++ b/internal/pier/pier_bench_test.go
@@ -0,0 +1,81 @@
+package pier_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// drain reads all that comes and counts its lines.
+func drain(caller *caller, lines *atomic.Int64, told chan<- struct{}, every int64) {
+	buffer := make([]byte, 64<<10)
+	for {
+		length, fault := caller.Read(buffer)
+		if fault != nil {
+			return
+		}
+		count := int64(bytes.Count(buffer[:length], []byte{'\n'}))
+		if after := lines.Add(count); after/every != (after-count)/every {
+			told <- struct{}{}
+		}
+	}
+}
+
+// benchmark sends messages of 230 bytes from one caller to five, so many at a
+// time. The callers run in the same process, so that the time holds their work
+// too; writes and reads are the pier's own.
+func benchmark(b *testing.B, atOnce int) {
+	const subscribers, size = 5, 230
+	quay := open(b, nil)
+	writer := quay.greet(b, "writer")
+	var lines atomic.Int64
+	told := make(chan struct{}, 1024)
+	for number := range subscribers {
+		reader := quay.greet(b, fmt.Sprintf("reader-%d", number))
+		reader.say(b, "SUB kafi810.2f\r\n")
+		reader.hears(b, "OK SUB kafi810.2f c-0")
+		assert.NilError(b, reader.SetDeadline(time.Time{}))
+		go drain(reader, &lines, told, 2*subscribers*int64(atOnce))
+	}
+	assert.NilError(b, writer.SetDeadline(time.Time{}))
+	go func() { _, _ = io.Copy(io.Discard, writer) }()
+	body := bytes.Repeat([]byte{'b'}, size)
+	var text []byte
+	counters := &quay.pier.Counters
+	reads, writes, steps, before := counters.Reads.Load(), counters.Writes.Load(), quay.at.Steps.Load(), processorTime()
+	b.ReportAllocs()
+	b.ResetTimer()
+	for seq := 1; seq <= b.N; {
+		text = text[:0]
+		for range atOnce {
+			text = fmt.Appendf(text, "PUB kafi810.2f %d %d\r\n%s\r\n", seq, size, body)
+			seq++
+		}
+		_, fault := writer.Write(text)
+		assert.NilError(b, fault)
+		<-told
+	}
+	b.StopTimer()
+	messages := float64((b.N + atOnce - 1) / atOnce * atOnce)
+	b.ReportMetric(float64(counters.Reads.Load()-reads)/messages, "reads/op")
+	b.ReportMetric(float64(counters.Writes.Load()-writes)/messages, "writes/op")
+	b.ReportMetric(float64(quay.at.Steps.Load()-steps)/messages, "steps/op")
+	b.ReportMetric(float64((processorTime()-before).Microseconds())/messages, "cpu-us/op")
+}
+
+func BenchmarkOneAtATime(b *testing.B)   { benchmark(b, 1) }
+func BenchmarkEightAtATime(b *testing.B) { benchmark(b, 8) }
