--- a/internal/pier/pier_test.go
+++ b/internal/pier/pier_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -409,3 +410,102 @@
 	caller.say(t, "HELLO u1\r\nHELLO u1 pass-of-u2\r\nHELLO u1 pass-of-u1\r\n")
 	caller.hears(t, "DENY HELLO - - BADMSG", "DENY HELLO - - BADMSG", "OK HELLO")
 }
+
+func TestManyArriveAtOnce(t *testing.T) {
+	t.Parallel()
+	const count, atOnce = 4950, 50
+	var limit syscall.Rlimit
+	assert.NilError(t, syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit))
+	if limit.Cur < 2*count+200 {
+		limit.Cur = min(2*count+200, limit.Max)
+		assert.NilError(t, syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit))
+	}
+	quay := open(t, nil)
+	type outcome struct {
+		caller net.Conn
+		fault  error
+	}
+	outcomes := make(chan outcome, count)
+	began := time.Now()
+	for worker := range atOnce {
+		go func() {
+			for number := worker; number < count; number += atOnce {
+				connection, fault := net.Dial("tcp", quay.address)
+				if fault == nil {
+					_ = connection.SetDeadline(time.Now().Add(20 * time.Second))
+					_, fault = fmt.Fprintf(connection, "HELLO u%d\r\nSUB t%d\r\n", number, number%100)
+				}
+				answer := make([]byte, len("OK HELLO\r\nOK SUB t0 c-0\r\n"))
+				if fault == nil {
+					_, fault = io.ReadFull(connection, answer)
+				}
+				if fault == nil && !strings.HasPrefix(string(answer), "OK HELLO\r\nOK SUB t") {
+					fault = fmt.Errorf("%q", answer)
+				}
+				outcomes <- outcome{caller: connection, fault: fault}
+			}
+		}()
+	}
+	var callers []net.Conn
+	for range count {
+		got := <-outcomes
+		assert.NilError(t, got.fault)
+		callers = append(callers, got.caller)
+	}
+	t.Logf("%d connections in %s", count, time.Since(began))
+	held, _ := quay.at.Inspect(func(time.Time) any { return len(quay.stub.channels) })
+	assert.Equal(t, held, count)
+	for _, each := range callers {
+		_ = each.Close()
+	}
+	for range count {
+		<-quay.stub.closed
+	}
+}
+
+func TestStoppingUnderLoad(t *testing.T) {
+	t.Parallel()
+	quay := open(t, nil)
+	const writers = 8
+	ended := make(chan error, writers)
+	begun := make(chan struct{}, writers)
+	for number := range writers {
+		writer := quay.greet(t, fmt.Sprintf("w%d", number))
+		go func() {
+			moved := false
+			for seq := 1; ; seq++ {
+				if _, fault := fmt.Fprintf(writer, "PUB a %d 20\r\n%s\r\n", seq, body20); fault != nil {
+					break
+				}
+				line, fault := writer.lines.ReadString('\n')
+				if fault != nil {
+					break
+				}
+				if seq == 20 {
+					begun <- struct{}{}
+				}
+				if strings.HasPrefix(line, "MOVE ") {
+					moved = true
+					break
+				}
+				if line != fmt.Sprintf("ACK a %d\r\n", seq) {
+					ended <- fmt.Errorf("heard %q for %d", line, seq)
+					return
+				}
+			}
+			if !moved {
+				ended <- fmt.Errorf("cut without a word of where to go")
+				return
+			}
+			ended <- nil
+		}()
+	}
+	for range writers {
+		<-begun
+	}
+	quay.at.Post(stopNow{})
+	<-quay.at.Ended()
+	for range writers {
+		assert.NilError(t, <-ended)
+	}
+}
