--- a/internal/mooring/mooring.go
+++ b/internal/mooring/mooring.go
@@ -8,6 +8,7 @@
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
+	"encoding/base64"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
@@ -19,6 +20,7 @@
 	"strings"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/valyala/fastjson"
 
@@ -75,6 +77,7 @@
 	routes.HandleFunc("POST /v1/unsubscribe", mooring.unsubscribe)
 	routes.HandleFunc("POST /v1/publish", mooring.publish)
 	routes.HandleFunc("POST /v1/pong", mooring.pong)
+	routes.HandleFunc("POST /v1/count", mooring.count)
 	return routes
 }
 
@@ -92,6 +95,9 @@
 		writer.Header().Set("Retry-After", strconv.Itoa(seconds))
 		body["retry_after_ms"] = answer.RetryAfter.Milliseconds()
 	}
+	if answer.Cursor != "" {
+		body["cursor"] = answer.Cursor
+	}
 	for name, value := range answer.Fields {
 		body[name] = value
 	}
@@ -253,7 +259,7 @@
 		}
 		_ = controller.SetWriteDeadline(time.Now().Add(writeLimit))
 		for {
-			if fault := encoder.Encode(first.Event); fault != nil {
+			if fault := encoder.Encode(written(first.Event)); fault != nil {
 				return "broken"
 			}
 			closed = closed || first.Close
@@ -279,13 +285,52 @@
 	}
 }
 
+// written is an event as JSON: a message of a routed topic has bytes of any kind,
+// which stand there as a string, or in base64 if they are no text.
+func written(event any) any {
+	message, matches := event.(lamp.Event)
+	if !matches || message.Body == nil {
+		return event
+	}
+	if !utf8.Valid(message.Body) {
+		return struct {
+			lamp.Event
+			Base64 []byte `json:"data_base64"`
+		}{Event: message, Base64: message.Body}
+	}
+	packed, fault := json.Marshal(string(message.Body))
+	if fault != nil {
+		return event
+	}
+	message.Data = packed
+	return message
+}
+
+// routedData reads the bytes of a message for a routed topic.
+func routedData(walk *chart.Reader, members map[string]*fastjson.Value) []byte {
+	switch text, plain := members["data"], members["data_base64"]; {
+	case text != nil && plain != nil, text == nil && plain == nil:
+		walk.Report("$.data", "missing", "either data or data_base64 is wanted")
+	case text != nil:
+		return []byte(walk.Text("$.data", text, ""))
+	default:
+		bytes, fault := base64.StdEncoding.DecodeString(walk.Text("$.data_base64", plain, ""))
+		if fault != nil {
+			walk.Report("$.data_base64", "malformed", "%s", fault.Error())
+		}
+		return bytes
+	}
+	return nil
+}
+
 func interests(walk *chart.Reader, value *fastjson.Value) []lamp.Interest {
 	var found []lamp.Interest
 	for position, item := range walk.List("$.subscriptions", value, 256) {
 		path := fmt.Sprintf("$.subscriptions[%d]", position)
 		members := walk.Object(path, item, "space", "topic", "prefix")
+		// Without a space the routes decide, which lead topics only.
 		interest := lamp.Interest{Space: walk.Text(path+".space", members["space"], "")}
-		if members["space"] == nil {
+		if members["space"] == nil && members["topic"] == nil {
 			walk.Report(path+".space", "missing", "space is wanted")
 		}
 		switch {
@@ -352,23 +397,32 @@
 
 func (mooring *Mooring) publish(writer http.ResponseWriter, visit *http.Request) {
 	var walk chart.Reader
-	name, origin, members, whole := mooring.enter(writer, visit, &walk, "space", "topic", "sender", "seq", "data")
+	name, origin, members, whole := mooring.enter(writer, visit, &walk, "space", "topic", "sender", "seq", "data", "data_base64")
 	if !whole {
 		return
 	}
-	for _, key := range []string{"space", "topic", "seq", "data"} {
+	for _, key := range []string{"topic", "seq"} {
 		need(&walk, members, key)
 	}
+	routed := members["space"] == nil
+	if !routed {
+		need(&walk, members, "data")
+	}
 	command := lamp.Publish{
 		VisitName: name, Origin: origin, Sender: walk.Text("$.sender", members["sender"], origin),
 		Space: walk.Text("$.space", members["space"], ""), Topic: walk.Text("$.topic", members["topic"], ""),
 		Seq: uint64(walk.Whole("$.seq", members["seq"], 0, 1, math.MaxInt64)),
 	}
+	if routed {
+		command.Data = routedData(&walk, members)
+	}
 	if len(walk.Faults) > 0 {
 		mooring.faulty(writer, name, &walk)
 		return
 	}
-	command.Data = members["data"].MarshalTo(nil)
+	if !routed {
+		command.Data = members["data"].MarshalTo(nil)
+	}
 	mooring.do(writer, name, func(local uint64) any {
 		command.Visit = local
 		return command
@@ -389,3 +443,32 @@
 	}
 	mooring.do(writer, name, func(local uint64) any { return lamp.Pong{Visit: local, Channel: channel, Origin: origin} })
 }
+
+// count tells how many origins subscribe to a routed topic.
+func (mooring *Mooring) count(writer http.ResponseWriter, visit *http.Request) {
+	var walk chart.Reader
+	name, origin, members, whole := mooring.enter(writer, visit, &walk, "channel", "topic")
+	if !whole {
+		return
+	}
+	need(&walk, members, "channel")
+	need(&walk, members, "topic")
+	channel, _ := channelNumber(walk.Text("$.channel", members["channel"], ""))
+	command := lamp.Count{VisitName: name, Channel: channel, Origin: origin, Topic: walk.Text("$.topic", members["topic"], "")}
+	if len(walk.Faults) > 0 {
+		mooring.faulty(writer, name, &walk)
+		return
+	}
+	value, alive := mooring.berth.Do(func(local uint64) any {
+		command.Visit = local
+		return command
+	})
+	answer, matches := value.(lamp.Answer)
+	if !alive || !matches {
+		answer = refuse(http.StatusServiceUnavailable, "stopping", "this daemon is stopping")
+		answer.RetryAfter = 250 * time.Millisecond
+	} else if answer.Outcome == lamp.OutcomeAccepted {
+		answer.Fields = map[string]any{"count": answer.Number}
+	}
+	mooring.give(writer, name, answer)
+}
--- /dev/null
+++ b/internal/mooring/mooring_test.go
@@ -0,0 +1,162 @@
+package mooring_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dahlialock/internal/berth"
+	"dahlialock/internal/foghorn"
+	"dahlialock/internal/helm"
+	"dahlialock/internal/lamp"
+	"dahlialock/internal/mooring"
+)
+
+// stub hands each publication to every open channel, as routed topics do.
+type stub struct {
+	channels  map[uint64]bool
+	published []lamp.Publish
+	subscribe []lamp.Subscribe
+}
+
+func (*stub) Start(time.Time, *helm.Effects)                   {}
+func (*stub) Message(time.Time, helm.Meta, any, *helm.Effects) {}
+func (*stub) Due(time.Time, *helm.Effects)                     {}
+func (*stub) NextDue() time.Time                               { return time.Time{} }
+func (*stub) Version() uint64                                  { return 0 }
+
+type stopNow struct{}
+
+func (stub *stub) Command(_ time.Time, command any, effects *helm.Effects) {
+	done := lamp.Answer{Status: 200, Outcome: lamp.OutcomeAccepted}
+	switch body := command.(type) {
+	case lamp.OpenChannel:
+		stub.channels[body.Channel] = true
+		effects.Return(body.Visit, done)
+		effects.Delivers = append(effects.Delivers, helm.Deliver{Channel: body.Channel, Event: lamp.Event{Event: "hello", Channel: body.Name}})
+	case lamp.CloseChannel:
+		delete(stub.channels, body.Channel)
+	case lamp.Subscribe:
+		stub.subscribe = append(stub.subscribe, body)
+		done.Cursor = "t1"
+		effects.Return(body.Visit, done)
+	case lamp.Count:
+		done.Number = 12
+		effects.Return(body.Visit, done)
+	case lamp.Publish:
+		stub.published = append(stub.published, body)
+		effects.Return(body.Visit, done)
+		for channel := range helm.Sorted(stub.channels) {
+			effects.Delivers = append(effects.Delivers, helm.Deliver{Channel: channel, Event: lamp.Event{
+				Event: "message", Topic: body.Topic, Sender: body.Sender, Seq: body.Seq, Body: body.Data, Cursor: "t2",
+			}})
+		}
+	case stopNow:
+		effects.Stop = true
+	}
+}
+
+type fixture struct {
+	stub   *stub
+	server *httptest.Server
+}
+
+func open(t *testing.T) *fixture {
+	listener, fault := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, fault)
+	address := listener.Addr().String()
+	_ = listener.Close()
+	at, fault := berth.Open(berth.Props{Address: address, Foghorn: foghorn.New(io.Discard, "lantern", 0)})
+	assert.NilError(t, fault)
+	opened := &fixture{stub: &stub{channels: map[uint64]bool{}}}
+	at.Run(opened.stub)
+	opened.server = httptest.NewServer(mooring.New("lantern-1", nil, at))
+	t.Cleanup(func() {
+		opened.server.CloseClientConnections()
+		opened.server.Close()
+		at.Post(stopNow{})
+		<-at.Ended()
+		at.Flare().Close()
+	})
+	return opened
+}
+
+func (fixture *fixture) ask(t *testing.T, method, path, token, body string) *http.Response {
+	t.Helper()
+	visit, fault := http.NewRequest(method, fixture.server.URL+path, bytes.NewBufferString(body))
+	assert.NilError(t, fault)
+	visit.Header.Set("Authorization", "Bearer "+token)
+	response, fault := http.DefaultClient.Do(visit)
+	assert.NilError(t, fault)
+	t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
+func (fixture *fixture) told(t *testing.T, path, body string, status int) map[string]any {
+	t.Helper()
+	response := fixture.ask(t, "POST", path, "u1", body)
+	packed, fault := io.ReadAll(response.Body)
+	assert.NilError(t, fault)
+	assert.Equal(t, response.StatusCode, status, "%s", packed)
+	var answer map[string]any
+	assert.NilError(t, json.Unmarshal(packed, &answer))
+	return answer
+}
+
+func TestRoutedTopicsCarryAnyBytes(t *testing.T) {
+	fixture := open(t)
+	events := bufio.NewScanner(fixture.ask(t, "GET", "/v1/channel", "u1", "").Body)
+	next := func() map[string]any {
+		assert.Assert(t, events.Scan())
+		var event map[string]any
+		assert.NilError(t, json.Unmarshal(events.Bytes(), &event))
+		return event
+	}
+	channel := next()["channel"].(string)
+	answer := fixture.told(t, "/v1/subscribe", `{"channel":"`+channel+`","subscriptions":[{"topic":"kafi810.2f"}]}`, 200)
+	assert.Equal(t, answer["cursor"], "t1")
+	assert.DeepEqual(t, fixture.stub.subscribe[0].Interests, []lamp.Interest{{Path: "kafi810.2f"}})
+	fixture.told(t, "/v1/publish", `{"topic":"kafi810.2f","seq":1,"data":"not <JSON> é"}`, 200)
+	event := next()
+	assert.Equal(t, event["data"], "not <JSON> é")
+	assert.Equal(t, event["cursor"], "t2")
+	fixture.told(t, "/v1/publish", `{"topic":"kafi810.2f","seq":2,"data_base64":"//4A"}`, 200)
+	event = next()
+	assert.Equal(t, event["data_base64"], "//4A")
+	assert.DeepEqual(t, fixture.stub.published[1].Data, []byte{0xff, 0xfe, 0})
+	answer = fixture.told(t, "/v1/count", `{"channel":"`+channel+`","topic":"kafi810.2f"}`, 200)
+	assert.Equal(t, answer["count"], 12.0)
+}
+
+func TestSpacesKeepTheirJSON(t *testing.T) {
+	fixture := open(t)
+	fixture.told(t, "/v1/publish", `{"space":"boards","topic":"p1","seq":1,"data":{"x":[1]}}`, 200)
+	assert.Equal(t, string(fixture.stub.published[0].Data), `{"x":[1]}`)
+}
+
+func TestFaultyVisits(t *testing.T) {
+	fixture := open(t)
+	for path, bodies := range map[string][]string{
+		"/v1/publish": {
+			`{"topic":"a","seq":1}`, `{"topic":"a","seq":1,"data":7}`, `{"topic":"a","seq":1,"data":"x","data_base64":"eA=="}`,
+			`{"topic":"a","seq":1,"data_base64":"?"}`, `{"topic":"a","data":"x"}`, `{"seq":1,"data":"x"}`, `{"space":"s","topic":"a","seq":1}`,
+			`{"topic":"a","seq":0,"data":"x"}`, `{"topic":"a"`,
+		},
+		"/v1/subscribe": {`{"channel":"1","subscriptions":[{"prefix":"a"}]}`, `{"channel":"1","subscriptions":[{}]}`, `{"channel":"1"}`},
+		"/v1/count":     {`{"channel":"1"}`, `{"topic":"a"}`, `{}`},
+	} {
+		for _, body := range bodies {
+			fixture.told(t, path, body, 400)
+		}
+	}
+	assert.Equal(t, len(fixture.stub.published)+len(fixture.stub.subscribe), 0)
+	assert.Equal(t, fixture.ask(t, "POST", "/v1/publish", "no name", `{}`).StatusCode, 401)
+}
