Pilots are founded by the seeds, and their roster changes

Until now the number of pilots had to be told to each, all of them founded together, and a lost one stayed in the roster for good. Now, without a count, the seeds found, once, at the first start of the whole fleet; every other pilot stands by and passes requests on. The roster names each pilot's disk: one whose disk was lost learns record and open ballots from enough others before it grants anything, and grants no ballot for a tenure. The primary brings standby pilots in, or one in place of a lost one, by an epoch that majorities of the old and the new roster take. Two older gaps are closed: a witness grants tenure to another primary only once what it granted has run out, and blank pilots greet those that they hear of once, not at each greeting.

--- a/cmd/pilot/main.go
+++ b/cmd/pilot/main.go
@@ -17,7 +17,10 @@
 }
 
 func build(settings props.Props, self beacon.Member, stored berth.Stored) (berth.Build, error) {
-	machine, fault := pilotage.New(pilotage.Props{Self: self, Count: settings.Pilots, Seeds: settings.Seeds, Highest: settings.Versions == props.VersionsHighest}, stored.Frame, stored.Entries)
+	machine, fault := pilotage.New(pilotage.Props{
+		Self: self, Count: settings.Pilots, Seeds: settings.Seeds, Founding: settings.Bootstrap, Tolerance: settings.Tolerance,
+		NewDisk: stored.NewDisk, Highest: settings.Versions == props.VersionsHighest,
+	}, stored.Frame, stored.Entries)
 	if fault != nil {
 		return berth.Build{}, fault
 	}
--- a/internal/foghorn/foghorn.go
+++ b/internal/foghorn/foghorn.go
@@ -38,6 +38,8 @@
 	TakeoverBegun      = 2007
 	Recalled           = 2008
 	BackupNear         = 2009
+	RosterChanged      = 2010
+	StandsBy           = 2011
 	ConfigurationTaken = 2020
 	ConfigurationError = 2021
 	MemberJoined       = 2030
@@ -85,6 +87,8 @@
 	TakeoverBegun:      {logrus.WarnLevel, "backup asks to take over"},
 	Recalled:           {logrus.WarnLevel, "blank pilot recalled the epoch from a majority"},
 	BackupNear:         {logrus.InfoLevel, "backup is in the primary's locality, choosing another"},
+	RosterChanged:      {logrus.InfoLevel, "roster of pilots changed"},
+	StandsBy:           {logrus.InfoLevel, "pilot stands by outside the roster"},
 	ConfigurationTaken: {logrus.InfoLevel, "configuration taken"},
 	ConfigurationError: {logrus.WarnLevel, "configuration refused"},
 	MemberJoined:       {logrus.InfoLevel, "member joined"},
--- a/internal/pilotage/control.go
+++ b/internal/pilotage/control.go
@@ -88,8 +88,12 @@
 			for _, each := range record.Roster {
 				roster = append(roster, each.Name)
 			}
+			standbys := []string{}
+			for _, each := range pilot.watch.Standbys(now) {
+				standbys = append(standbys, each.Name)
+			}
 			return http.StatusOK, map[string]any{
-				"epoch": record.Epoch, "primary": record.Primary, "backup": record.Backup, "roster": roster, "index": pilot.state.Index,
+				"epoch": record.Epoch, "primary": record.Primary, "backup": record.Backup, "roster": roster, "standbys": standbys, "index": pilot.state.Index,
 			}
 		})
 	case strings.HasPrefix(path, "/v1/keepers/"):
--- a/internal/pilotage/pilot.go
+++ b/internal/pilotage/pilot.go
@@ -31,11 +31,14 @@
 	followingFor   = 5 * time.Second
 )
 
-// Props are a pilot daemon's settings.
+// Props are a pilot daemon's settings; see watchbill.Props.
 type Props struct {
-	Self  beacon.Member
-	Count int
-	Seeds []string
+	Self      beacon.Member
+	Count     int
+	Seeds     []string
+	Founding  bool
+	Tolerance int
+	NewDisk   string
 	// Highest answers a configuration that is not above the one held as taken;
 	// otherwise it is a conflict, unless it is the same.
 	Highest bool
@@ -94,7 +97,9 @@
 		orders: map[string]beacon.Orders{},
 	}
 	self := watchbill.Pilot{Name: props.Self.Name, Address: props.Self.Address, Locality: props.Self.Locality}
-	watch, fault := watchbill.New(watchbill.Props{Self: self, Count: props.Count, Seeds: props.Seeds}, pilot.state, frame, entries)
+	watch, fault := watchbill.New(watchbill.Props{
+		Self: self, Count: props.Count, Seeds: props.Seeds, Founding: props.Founding, Tolerance: props.Tolerance, NewDisk: props.NewDisk,
+	}, pilot.state, frame, entries)
 	if fault != nil {
 		return nil, fault
 	}
--- a/internal/swell/swell.go
+++ b/internal/swell/swell.go
@@ -24,9 +24,13 @@
 )
 
 // Size is the shape of a simulated fleet.
+// With Seeded, the first pilots found as the seeds, told so at their first start
+// only, and nobody is told how many pilots there are.
 type Size struct {
 	Lanterns, Keepers, Pilots, Places, Callers int
 	Delay                                      time.Duration
+	Seeded                                     bool
+	Tolerance                                  int
 }
 
 // stepProcessor stands for the processor time of one step of a machine.
@@ -129,6 +133,7 @@
 	Steps        int
 	Syncs        int
 	slowDisk     int
+	founded      bool
 	showed       shown
 }
 
@@ -172,7 +177,13 @@
 
 func (swell *Swell) addPilot(number int) *Node {
 	return swell.add(beacon.KindPilot, number, func(node *Node, stored stored) berthed {
-		machine, fault := pilotage.New(pilotage.Props{Self: node.member(), Count: swell.Size.Pilots, Seeds: swell.seeds}, stored.frame, stored.entries)
+		props := pilotage.Props{Self: node.member(), Count: swell.Size.Pilots, Seeds: swell.seeds}
+		if swell.Size.Seeded {
+			props.Count, props.Tolerance, props.NewDisk = 0, swell.Size.Tolerance, fmt.Sprintf("disk%d", node.life)
+			props.Founding = !node.founded
+			node.founded = true
+		}
+		machine, fault := pilotage.New(props, stored.frame, stored.entries)
 		must(fault)
 		return machine
 	})
--- a/internal/watchbill/messages.go
+++ b/internal/watchbill/messages.go
@@ -8,11 +8,19 @@
 	"dahlialock/internal/flare"
 )
 
-// Pilot is one coordinator in the roster.
+// Pilot is one coordinator: its name, where it is, and the name of the disk
+// that it began with, so that one whose disk was lost is known to be another.
 type Pilot struct {
 	Name     string
 	Address  string
 	Locality string
+	Disk     string
+}
+
+// At tells whether both are the same pilot at the same address, whatever disk
+// it has.
+func (pilot Pilot) At(other Pilot) bool {
+	return pilot.Name == other.Name && pilot.Address == other.Address
 }
 
 // Record is an epoch: who is primary, who is backup, and who may grant.
@@ -33,6 +41,16 @@
 	return Pilot{}, false
 }
 
+// Entry gives the roster's entry of a pilot at its address.
+func (record Record) Entry(self Pilot) (Pilot, bool) {
+	for _, pilot := range record.Roster {
+		if pilot.At(self) {
+			return pilot, true
+		}
+	}
+	return Pilot{}, false
+}
+
 // Majority is how many of the roster must grant.
 func (record Record) Majority() int {
 	return len(record.Roster)/2 + 1
@@ -53,8 +71,11 @@
 }
 
 // Durable is what a pilot must not forget: the newest decided epoch and its
-// part in deciding the next one.
+// part in deciding the next one; the name of its disk; and, from its first start
+// until the first epoch, the addresses of the founders that it is one of.
 type Durable struct {
+	Disk           string
+	Founders       []string
 	Record         Record
 	Promised       Ballot
 	AcceptedBallot Ballot
@@ -65,11 +86,12 @@
 
 // Hello lets pilots find each other through the seeds.
 type Hello struct {
-	Self   Pilot
-	Count  int
-	Known  []Pilot
-	Blank  bool
-	Record Record
+	Self     Pilot
+	Count    int
+	Known    []Pilot
+	Blank    bool
+	Founding bool
+	Record   Record
 }
 
 // RecallAsk comes from a pilot whose disk is blank.
--- a/internal/watchbill/watch.go
+++ b/internal/watchbill/watch.go
@@ -39,11 +39,17 @@
 	Restore(state []byte) error
 }
 
-// Props are a pilot's own settings.
+// Props are a pilot's own settings. With a Count, so many pilots found; without,
+// the pilots at the addresses of the seeds do, where they are told Founding.
+// Tolerance is how many pilots may be lost at a time. NewDisk names the disk if
+// it is blank.
 type Props struct {
-	Self  Pilot
-	Count int
-	Seeds []string
+	Self      Pilot
+	Count     int
+	Seeds     []string
+	Founding  bool
+	Tolerance int
+	NewDisk   string
 }
 
 // Outcome of a submitted command or a confirmation.
@@ -107,10 +113,15 @@
 	diskComplete uint64
 	passedOver   []string
 	forgetful    time.Time
-	known        map[string]Hello
+	met          map[string]meeting
+	heardOf      map[string]bool
+	told         Record
+	turn         int
 	recallNonce  uint64
 	recalls      map[string]Durable
 	grantedUntil time.Time
+	grantedTo    string
+	actingSince  time.Time
 
 	nonce        uint64
 	renewals     map[uint64]time.Time
@@ -141,7 +152,7 @@
 func New(props Props, ledger Ledger, frame []byte, entries [][]byte) (*Watch, error) {
 	watch := &Watch{
 		props: props, ledger: ledger, timers: helm.NewTimers(),
-		synced: map[uint64]continuation{}, known: map[string]Hello{}, recalls: map[string]Durable{},
+		synced: map[uint64]continuation{}, met: map[string]meeting{}, heardOf: map[string]bool{}, recalls: map[string]Durable{},
 		renewals: map[uint64]time.Time{}, grants: map[uint64]map[string]bool{},
 		lastGrant: map[string]time.Time{}, confirms: map[uint64]confirmation{}, duties: map[string]duty{}, tenures: map[string]*Tenure{},
 	}
@@ -179,6 +190,10 @@
 	}
 	watch.diskIndex, watch.diskComplete = watch.index, watch.durable.Complete
 	watch.blank = watch.durable.Record.Epoch == 0
+	if watch.blank && watch.durable.Disk == "" {
+		watch.durable.Disk = props.NewDisk
+	}
+	watch.told = watch.durable.Record
 	return watch, nil
 }
 
@@ -199,9 +214,9 @@
 	if watch.durable.Record.Epoch > 0 {
 		return watch.durable.Record.Roster
 	}
-	pilots := []Pilot{watch.props.Self}
-	for _, hello := range helm.Sorted(watch.known) {
-		pilots = append(pilots, hello.Self)
+	pilots := []Pilot{watch.self()}
+	for _, met := range helm.Sorted(watch.met) {
+		pilots = append(pilots, met.hello.Self)
 	}
 	return pilots
 }
@@ -213,11 +228,11 @@
 
 // IsPrimary tells whether this pilot is the recorded primary.
 func (watch *Watch) IsPrimary() bool {
-	return !watch.blank && watch.durable.Record.Primary == watch.props.Self.Name
+	return watch.durable.Record.Primary == watch.props.Self.Name && watch.member()
 }
 
 func (watch *Watch) isBackup() bool {
-	return !watch.blank && watch.durable.Record.Backup == watch.props.Self.Name
+	return watch.durable.Record.Backup == watch.props.Self.Name && watch.member()
 }
 
 // HoldsTenure tells whether this pilot may act as primary at this moment.
@@ -253,9 +268,10 @@
 // Start begins the watch; a pilot that was restarted waits out a whole tenure
 // before it lets anybody but the primary have an epoch.
 func (watch *Watch) Start(now time.Time, effects *helm.Effects) {
-	watch.grantedUntil = now.Add(TenureLength)
+	watch.grantedUntil, watch.grantedTo = now.Add(TenureLength), watch.durable.Record.Primary
 	watch.forgetful = now.Add(TenureLength)
-	watch.primaryHeard = now
+	watch.primaryHeard, watch.decidedAt, watch.actingSince = now, now, now
+	watch.enlist(effects)
 	watch.timers.Arm("hello", now)
 	watch.timers.Arm("renew", now)
 }
@@ -316,141 +332,6 @@
 	}
 }
 
-// Founding and finding.
-
-func (watch *Watch) greeting() Hello {
-	known := watch.Known()
-	return Hello{Self: watch.props.Self, Count: watch.props.Count, Known: known, Blank: watch.blank, Record: watch.durable.Record}
-}
-
-func (watch *Watch) hello(now time.Time, effects *helm.Effects) {
-	pause := helloEvery
-	if !watch.blank {
-		pause = 5 * time.Second
-	}
-	watch.timers.Arm("hello", now.Add(pause))
-	targets := map[string]bool{}
-	if watch.blank {
-		for _, seed := range watch.props.Seeds {
-			targets[seed] = true
-		}
-	}
-	for _, pilot := range watch.Known() {
-		targets[pilot.Address] = true
-	}
-	delete(targets, watch.props.Self.Address)
-	greeting := watch.greeting()
-	for address := range helm.Sorted(targets) {
-		effects.Send(address, greeting)
-	}
-	if !watch.blank {
-		return
-	}
-	watch.recall(effects)
-	watch.found(now, effects)
-}
-
-func (watch *Watch) recall(effects *helm.Effects) {
-	for _, hello := range helm.Sorted(watch.known) {
-		if hello.Blank {
-			continue
-		}
-		watch.recallNonce++
-		for _, pilot := range hello.Record.Roster {
-			if pilot.Name != watch.props.Self.Name {
-				effects.Send(pilot.Address, RecallAsk{Nonce: watch.recallNonce})
-			}
-		}
-		return
-	}
-}
-
-func (watch *Watch) found(now time.Time, effects *helm.Effects) {
-	if watch.trying != nil || len(watch.known)+1 != watch.props.Count {
-		return
-	}
-	roster := []Pilot{watch.props.Self}
-	for _, hello := range helm.Sorted(watch.known) {
-		if !hello.Blank || hello.Count != watch.props.Count {
-			return
-		}
-		roster = append(roster, hello.Self)
-	}
-	slices.SortFunc(roster, func(left, right Pilot) int {
-		if left.Name < right.Name {
-			return -1
-		}
-		return 1
-	})
-	if roster[0].Name != watch.props.Self.Name {
-		return
-	}
-	backup := roster[1].Name
-	for _, pilot := range roster[1:] {
-		if pilot.Locality != roster[0].Locality {
-			backup = pilot.Name
-			break
-		}
-	}
-	watch.begin(now, Record{Epoch: 1, Primary: roster[0].Name, Backup: backup, Roster: roster}, effects)
-}
-
-func (watch *Watch) onHello(now time.Time, from string, hello Hello, effects *helm.Effects) {
-	if watch.blank {
-		watch.known[hello.Self.Name] = hello
-		if hello.Record.Epoch == 1 && watch.durable.Accepted.Epoch == 1 {
-			watch.learn(now, hello.Record, effects)
-			return
-		}
-		for _, pilot := range hello.Known {
-			if _, met := watch.known[pilot.Name]; !met && pilot.Name != watch.props.Self.Name {
-				effects.Send(pilot.Address, watch.greeting())
-			}
-		}
-		return
-	}
-	if hello.Blank || hello.Record.Epoch < watch.durable.Record.Epoch {
-		effects.Send(from, watch.greeting())
-		return
-	}
-	watch.learn(now, hello.Record, effects)
-}
-
-func (watch *Watch) onRecallReturn(now time.Time, from string, recalled RecallReturn, effects *helm.Effects) {
-	if !watch.blank || recalled.Nonce != watch.recallNonce || recalled.Durable.Record.Epoch == 0 {
-		return
-	}
-	watch.recalls[from] = recalled.Durable
-	newest := Durable{}
-	for _, held := range helm.Sorted(watch.recalls) {
-		if held.Record.Epoch > newest.Record.Epoch {
-			newest = Durable{Record: held.Record}
-		}
-	}
-	if len(watch.recalls) < newest.Record.Majority() {
-		return
-	}
-	for _, held := range helm.Sorted(watch.recalls) {
-		if held.Record.Epoch != newest.Record.Epoch {
-			continue
-		}
-		if newest.Promised.Before(held.Promised) {
-			newest.Promised = held.Promised
-		}
-		if newest.AcceptedBallot.Before(held.AcceptedBallot) {
-			newest.AcceptedBallot, newest.Accepted = held.AcceptedBallot, held.Accepted
-		}
-	}
-	newest.Recalled = true
-	watch.durable = newest
-	watch.blank = false
-	watch.trying = nil
-	watch.grantedUntil = now.Add(TenureLength)
-	watch.primaryHeard = now
-	effects.Note(foghorn.Recalled, "epoch", newest.Record.Epoch)
-	watch.saveDurable(effects, nil)
-}
-
 // Deciding an epoch.
 
 func (watch *Watch) begin(now time.Time, own Record, effects *helm.Effects) {
@@ -460,12 +341,8 @@
 		promises: map[string]Promise{}, accepts: map[string]bool{}, phase: 1,
 	}
 	prepare := Prepare{Epoch: own.Epoch, Ballot: watch.trying.ballot}
-	for _, pilot := range own.Roster {
-		if pilot.Name == watch.props.Self.Name {
-			watch.onPrepare(now, pilot.Address, prepare, effects)
-		} else {
-			effects.Send(pilot.Address, prepare)
-		}
+	for _, pilot := range watch.deciders(own) {
+		watch.reply(now, pilot.Address, prepare, effects)
 	}
 	sum := fnv.New32a()
 	_, _ = sum.Write([]byte(watch.props.Self.Name))
@@ -473,11 +350,25 @@
 	watch.timers.Arm("retry", now.Add(retryEvery+time.Duration(sum.Sum32()%300)*time.Millisecond))
 }
 
-func (watch *Watch) quorum() int {
-	if watch.trying.epoch == 1 {
-		return len(watch.trying.own.Roster)
+// deciders are those whose majority decides what a record says: the roster
+// before it, or for the first epoch its own.
+func (watch *Watch) deciders(record Record) []Pilot {
+	if record.Epoch == 1 {
+		return record.Roster
+	}
+	return watch.durable.Record.Roster
+}
+
+// enough tells whether so many of a roster agreed, by their addresses. The first
+// epoch needs all.
+func enough[Kind any](epoch uint64, roster []Pilot, agreed map[string]Kind) bool {
+	count := 0
+	for _, pilot := range roster {
+		if _, found := agreed[pilot.Address]; found {
+			count++
+		}
 	}
-	return watch.trying.own.Majority()
+	return count > len(roster)/2 && (epoch > 1 || count == len(roster))
 }
 
 func (watch *Watch) nameOf(address string, roster []Pilot) string {
@@ -498,6 +389,9 @@
 		watch.askRecord(from, effects)
 		return
 	}
+	if prepare.Epoch > 1 && (!watch.member() || watch.nameOf(from, watch.durable.Record.Roster) == "" || watch.unsure(now)) {
+		return
+	}
 	refusal := Promise{Epoch: prepare.Epoch, Ballot: prepare.Ballot, Promised: watch.durable.Promised}
 	if !watch.durable.Promised.Before(prepare.Ballot) {
 		watch.reply(now, from, refusal, effects)
@@ -540,12 +434,8 @@
 		watch.ballotCount = max(watch.ballotCount, promise.Promised.Count)
 		return
 	}
-	name := watch.nameOf(from, trying.own.Roster)
-	if name == "" {
-		return
-	}
-	trying.promises[name] = promise
-	if len(trying.promises) < watch.quorum() {
+	trying.promises[from] = promise
+	if !enough(trying.epoch, watch.deciders(trying.own), trying.promises) {
 		return
 	}
 	trying.phase = 2
@@ -557,13 +447,42 @@
 		}
 	}
 	accept := Accept{Epoch: trying.epoch, Ballot: trying.ballot, Record: trying.value}
-	for _, pilot := range trying.own.Roster {
-		if pilot.Name == watch.props.Self.Name {
-			watch.onAccept(now, pilot.Address, accept, effects)
-		} else {
-			effects.Send(pilot.Address, accept)
+	for address := range helm.Sorted(watch.concerned(trying.value)) {
+		watch.reply(now, address, accept, effects)
+	}
+}
+
+// concerned are the addresses of all that a next record concerns: the present
+// roster and the next one.
+func (watch *Watch) concerned(record Record) map[string]bool {
+	addresses := map[string]bool{}
+	for _, pilot := range append(slices.Clone(watch.durable.Record.Roster), record.Roster...) {
+		addresses[pilot.Address] = true
+	}
+	return addresses
+}
+
+// unsure tells whether this pilot, which has learned from the others what its
+// lost disk held, may still have granted something that they don't know of.
+func (watch *Watch) unsure(now time.Time) bool {
+	return watch.durable.Recalled && now.Before(watch.forgetful)
+}
+
+// mayAccept tells whether this pilot has a say on a next record: it is in the
+// present roster, or comes into the next one with the disk that it has.
+func (watch *Watch) mayAccept(now time.Time, record Record) bool {
+	entry, listed := record.Entry(watch.props.Self)
+	if record.Epoch == 1 {
+		addresses := []string{}
+		for _, pilot := range record.Roster {
+			addresses = append(addresses, pilot.Address)
 		}
+		return listed && (len(watch.durable.Founders) == 0 || slices.Equal(watch.durable.Founders, slices.Sorted(slices.Values(addresses))))
+	}
+	if watch.member() {
+		return !watch.unsure(now)
 	}
+	return !watch.blank && listed && entry.Disk == watch.durable.Disk
 }
 
 func (watch *Watch) onAccept(now time.Time, from string, accept Accept, effects *helm.Effects) {
@@ -571,7 +490,11 @@
 		watch.reply(now, from, Decided{Record: watch.durable.Record}, effects)
 		return
 	}
-	if accept.Epoch != watch.durable.Record.Epoch+1 || accept.Ballot.Before(watch.durable.Promised) {
+	if accept.Epoch != watch.durable.Record.Epoch+1 {
+		watch.askRecord(from, effects)
+		return
+	}
+	if accept.Ballot.Before(watch.durable.Promised) || !watch.mayAccept(now, accept.Record) {
 		return
 	}
 	watch.durable.Promised = accept.Ballot
@@ -587,36 +510,46 @@
 	if trying == nil || trying.phase != 2 || accepted.Ballot != trying.ballot || accepted.Epoch != trying.epoch {
 		return
 	}
-	name := watch.nameOf(from, trying.own.Roster)
-	if name == "" {
-		return
-	}
-	trying.accepts[name] = true
-	if len(trying.accepts) < watch.quorum() {
+	trying.accepts[from] = true
+	record := trying.value
+	if !enough(trying.epoch, watch.deciders(record), trying.accepts) || !enough(trying.epoch, record.Roster, trying.accepts) {
 		return
 	}
-	record := trying.value
 	watch.trying = nil
-	for _, pilot := range record.Roster {
-		if pilot.Name != watch.props.Self.Name {
-			effects.Send(pilot.Address, Decided{Record: record})
-		}
+	tell := watch.concerned(record)
+	for _, standby := range watch.Standbys(now) {
+		tell[standby.Address] = true
+	}
+	delete(tell, watch.props.Self.Address)
+	for address := range helm.Sorted(tell) {
+		effects.Send(address, Decided{Record: record})
 	}
 	watch.learn(now, record, effects)
 }
 
 // learn takes a decided record that is newer than the present one.
 func (watch *Watch) learn(now time.Time, record Record, effects *helm.Effects) {
-	if record.Epoch <= watch.durable.Record.Epoch || watch.blank && record.Epoch != 1 {
+	if record.Epoch > watch.told.Epoch {
+		watch.told = record
+	}
+	if record.Epoch <= watch.durable.Record.Epoch {
 		return
 	}
-	if watch.blank && watch.durable.Accepted.Epoch != 1 {
+	entry, listed := record.Entry(watch.props.Self)
+	if listed && !watch.mayEnter(record, entry) {
+		if !watch.blank {
+			watch.forget(now)
+		}
 		return
 	}
 	earlier := watch.durable
 	self := watch.props.Self.Name
 	complete := uint64(0)
 	switch {
+	case !listed:
+		if watch.blank || watch.member() {
+			effects.Note(foghorn.StandsBy, "epoch", record.Epoch, "primary", record.Primary)
+		}
 	case record.Epoch == 1:
 		complete = 1
 	case record.Primary != self && record.Backup != self:
@@ -633,7 +566,11 @@
 		(earlier.Record.Primary == self || earlier.Record.Backup == self):
 		complete = record.Epoch
 	}
-	watch.durable = Durable{Record: record, Complete: complete}
+	if record.Epoch > 1 && !slices.Equal(earlier.Record.Roster, record.Roster) {
+		watch.noteRoster(earlier.Record, record, effects)
+	}
+	watch.holdBack(now, earlier.Record, record)
+	watch.durable = Durable{Disk: earlier.Disk, Record: record, Complete: complete}
 	watch.blank = false
 	watch.spare = nil
 	watch.trying = nil
@@ -641,7 +578,10 @@
 	watch.takingOver, watch.replacing, watch.spareName, watch.spareReady = false, false, "", false
 	watch.passedOver = nil
 	watch.backupLevel = false
-	watch.backupHeard, watch.primaryHeard, watch.decidedAt = now, now, now
+	watch.backupHeard, watch.decidedAt = now, now
+	if record.Primary != earlier.Record.Primary {
+		watch.primaryHeard, watch.actingSince = now, now
+	}
 	watch.renewals, watch.grants = map[uint64]time.Time{}, map[uint64]map[string]bool{}
 	watch.timers.Disarm("retry")
 	if record.Epoch == 1 {
@@ -649,7 +589,7 @@
 	}
 	effects.Note(foghorn.EpochDecided, "epoch", record.Epoch, "primary", record.Primary, "backup", record.Backup, "complete", complete)
 	watch.saveDurable(effects, nil)
-	if record.Primary != self {
+	if !watch.IsPrimary() {
 		watch.tenureUntil = time.Time{}
 		watch.dropQueue(now, effects)
 	} else {
@@ -658,6 +598,22 @@
 	}
 }
 
+// holdBack sees to it that this pilot lets nobody but the primary have the next
+// epoch while tenure that others granted may still run: a new roster's members
+// have not granted it themselves.
+func (watch *Watch) holdBack(now time.Time, earlier, record Record) {
+	if record.Epoch == 1 || !now.Before(watch.grantedUntil) || watch.grantedTo == record.Primary {
+		watch.grantedTo = record.Primary
+	}
+	if record.Epoch == 1 || slices.Equal(earlier.Roster, record.Roster) {
+		return
+	}
+	watch.grantedUntil = now.Add(TenureLength)
+	if _, listed := earlier.Entry(watch.props.Self); !listed {
+		watch.forgetful = now.Add(TenureLength)
+	}
+}
+
 func (watch *Watch) dropQueue(now time.Time, effects *helm.Effects) {
 	queue := watch.queue
 	watch.queue = nil
@@ -685,7 +641,7 @@
 	if watch.blank {
 		return
 	}
-	if watch.takingOver || watch.replacing {
+	if (watch.takingOver || watch.replacing) && slices.Equal(own.Roster, watch.durable.Record.Roster) {
 		watch.begin(now, own, effects)
 	}
 }
@@ -711,6 +667,7 @@
 		}
 		watch.grantOwn(now, effects)
 		watch.watchBackup(now, effects)
+		watch.watchRoster(now, effects)
 		return
 	}
 	if watch.isBackup() && watch.durable.Complete == watch.durable.Record.Epoch {
@@ -720,10 +677,10 @@
 
 // grantOwn counts the primary's own vote, unless it has promised a ballot away.
 func (watch *Watch) grantOwn(now time.Time, effects *helm.Effects) {
-	if watch.promisedAway() {
+	if !watch.mayGrant(now) {
 		return
 	}
-	watch.grantedUntil = now.Add(TenureLength)
+	watch.grantedUntil, watch.grantedTo = now.Add(TenureLength), watch.durable.Record.Primary
 	watch.countGrant(now, watch.props.Self.Name, watch.nonce, effects)
 }
 
@@ -784,11 +741,11 @@
 		watch.askRecord(from, effects)
 		return
 	}
-	if watch.promisedAway() || watch.nameOf(from, record.Roster) != record.Primary || watch.takingOver {
+	if !watch.mayGrant(now) || watch.nameOf(from, record.Roster) != record.Primary || watch.takingOver {
 		return
 	}
 	watch.primaryHeard = now
-	watch.grantedUntil = now.Add(TenureLength)
+	watch.grantedUntil, watch.grantedTo = now.Add(TenureLength), record.Primary
 	effects.Send(from, Grant{Epoch: renew.Epoch, Nonce: renew.Nonce, Index: watch.diskIndex, Complete: watch.diskComplete})
 }
 
@@ -861,11 +818,13 @@
 		watch.pushSpare(now, effects, watch.durable.Record.Backup)
 		return
 	}
-	if now.Sub(watch.backupHeard) < lostAfter {
-		watch.partBackup(now, effects)
-		return
+	if watch.durable.Record.Backup != "" {
+		if now.Sub(watch.backupHeard) < lostAfter {
+			watch.partBackup(now, effects)
+			return
+		}
+		effects.Note(foghorn.BackupLost, "backup", watch.durable.Record.Backup, "epoch", watch.durable.Record.Epoch)
 	}
-	effects.Note(foghorn.BackupLost, "backup", watch.durable.Record.Backup, "epoch", watch.durable.Record.Epoch)
 	watch.replacing = true
 	watch.backupLevel = false
 	watch.pushSpare(now, effects, watch.durable.Record.Backup)
@@ -1175,7 +1134,7 @@
 
 func (watch *Watch) onDutyAsk(now time.Time, from string, ask DutyAsk, effects *helm.Effects) {
 	name := watch.nameOf(from, watch.durable.Record.Roster)
-	if watch.blank || name == "" {
+	if !watch.member() || name == "" || watch.acceptedAway() {
 		return
 	}
 	held := watch.duties[ask.Duty]
@@ -1185,7 +1144,8 @@
 		}
 		return
 	}
-	// A witness that was restarted has forgotten whom it granted a duty to.
+	// A witness that was restarted has forgotten whom it granted a duty to, and
+	// one that came into the roster does not know whom others did.
 	if now.Before(watch.forgetful) || held.holder != name && now.Before(held.until) {
 		watch.reply(now, from, DutyReturn{Duty: ask.Duty, Nonce: ask.Nonce, Holder: held.holder}, effects)
 		return
@@ -1196,7 +1156,7 @@
 
 // AskDuty asks the roster for a duty's tenure; the answers go to Tenure.
 func (watch *Watch) AskDuty(now time.Time, tenure *Tenure, effects *helm.Effects) {
-	if watch.blank {
+	if !watch.member() {
 		return
 	}
 	ask := tenure.ask(now, watch.durable.Record.Majority())
--- a/internal/watchbill/watch_test.go
+++ b/internal/watchbill/watch_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"dahlialock/internal/flare"
+	"dahlialock/internal/foghorn"
 	"dahlialock/internal/helm"
 )
 
@@ -68,6 +69,9 @@
 	rate    float64
 	timer   int
 	cut     bool
+	gone    bool
+	// founding is what the platform tells at this start.
+	founding bool
 }
 
 type watchBench struct {
@@ -83,6 +87,11 @@
 	tenures   int
 	wiped     time.Duration
 	calm      bool
+	seeds     []string
+	count     int
+	tolerance int
+	disks     int
+	founded   map[string]bool
 }
 
 var origin = time.Unix(1_700_000_000, 0)
@@ -108,15 +117,19 @@
 }
 
 func (pilot *pilot) start() {
-	if pilot.up {
+	if pilot.up || pilot.gone {
 		return
 	}
 	pilot.life++
 	pilot.up, pilot.frozen, pilot.waits = true, false, nil
 	pilot.offset = time.Duration(pilot.bench.random.Int64N(int64(4*time.Hour))) - 2*time.Hour
 	pilot.ledger = &words{}
-	seeds := []string{"pilot-0", "pilot-1", "pilot-2"}
-	watch, fault := New(Props{Self: pilot.self, Count: 5, Seeds: seeds}, pilot.ledger, pilot.frame, pilot.entries)
+	props := Props{Self: pilot.self, Count: pilot.bench.count, Seeds: pilot.bench.seeds, Founding: pilot.founding, Tolerance: pilot.bench.tolerance}
+	if props.Count == 0 {
+		pilot.bench.disks++
+		props.NewDisk = fmt.Sprint("disk-", pilot.bench.disks)
+	}
+	watch, fault := New(props, pilot.ledger, pilot.frame, pilot.entries)
 	assert.NilError(pilot.bench.t, fault)
 	pilot.watch = watch
 	pilot.duty = watch.NewTenure("duty")
@@ -155,6 +168,9 @@
 	bench, life := pilot.bench, pilot.life
 	var effects helm.Effects
 	run(pilot.local(), &effects)
+	for _, note := range effects.Notes {
+		bench.note(pilot, note)
+	}
 	for _, send := range effects.Sends {
 		bench.send(pilot, send)
 	}
@@ -208,6 +224,17 @@
 	}
 }
 
+// note looks at what is logged: a fleet is founded once.
+func (bench *watchBench) note(pilot *pilot, note helm.Note) {
+	if note.Number != foghorn.Founded {
+		return
+	}
+	bench.founded[fmt.Sprint(pilot.watch.Record())] = true
+	if len(bench.founded) > 1 {
+		bench.t.Fatalf("%s at %s founded another fleet: %v", pilot.self.Name, bench.now, bench.founded)
+	}
+}
+
 // judge is the model: it looks at every moment.
 func (bench *watchBench) judge() {
 	primaries, holders := []string{}, []string{}
@@ -266,6 +293,9 @@
 	}
 	bench.after(time.Duration(2000+bench.random.IntN(5000))*time.Millisecond, bench.trouble)
 	pilot := bench.pilots[bench.random.IntN(len(bench.pilots))]
+	if pilot.gone {
+		return
+	}
 	length := time.Duration(200+bench.random.IntN(7000)) * time.Millisecond
 	switch bench.random.IntN(6) {
 	case 0, 1:
@@ -281,20 +311,25 @@
 		bench.loss = 0.3
 		bench.after(length/2, func() { bench.loss = 0 })
 	case 5:
-		// A lost disk is outlasted once the one before was mended.
-		whole := true
-		for _, other := range bench.pilots {
-			whole = whole && other.up && !other.frozen && !other.cut
-		}
-		if whole && bench.now-bench.wiped > 20*time.Second && bench.settled() {
+		if bench.mayLoseADisk() {
 			bench.wiped = bench.now
-			pilot.kill()
-			pilot.frame, pilot.entries = nil, nil
+			pilot.wipe()
 			bench.after(length, pilot.start)
 		}
 	}
 }
 
+// mayLoseADisk tells whether another disk may be lost: once the loss before was
+// mended.
+func (bench *watchBench) mayLoseADisk() bool {
+	for _, pilot := range bench.pilots {
+		if !pilot.gone && (!pilot.up || pilot.frozen || pilot.cut) {
+			return false
+		}
+	}
+	return bench.now-bench.wiped > 20*time.Second && bench.settled()
+}
+
 func (bench *watchBench) settled() bool {
 	for _, pilot := range bench.pilots {
 		if pilot.up && !pilot.frozen && pilot.watch.Serving(pilot.local()) {
@@ -308,7 +343,9 @@
 	for seed := range uint64(40) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			bench := &watchBench{t: t, random: rand.New(rand.NewPCG(seed, 0x7e))}
+			bench := &watchBench{
+				t: t, random: rand.New(rand.NewPCG(seed, 0x7e)), count: 5, seeds: []string{"pilot-0", "pilot-1", "pilot-2"}, founded: map[string]bool{},
+			}
 			for number := range 5 {
 				name := fmt.Sprintf("pilot-%d", number)
 				bench.pilots = append(bench.pilots, &pilot{
