--- a/internal/beacon/member.go
+++ b/internal/beacon/member.go
@@ -4,6 +4,7 @@
 package beacon
 
 import (
+	"encoding/json"
 	"hash/fnv"
 	"slices"
 	"strings"
@@ -36,16 +37,42 @@
 	Retiring    bool   `json:"retiring,omitempty"`
 	Retired     bool   `json:"retired,omitempty"`
 	Resting     bool   `json:"resting,omitempty"`
+	// Ailing keepers are slow or refuse to write; their strands are given to
+	// others as long as there are enough.
+	Ailing bool `json:"ailing,omitempty"`
 }
 
+// Holder names a keeper together with its disk, so that a wiped keeper is not
+// taken for a holder of what it lost.
+func (member Member) Holder() string { return member.Name + "@" + member.Disk }
+
 // Placement is where one strand lives in one of its epochs.
 type Placement struct {
-	Strand     string   `json:"strand"`
-	Epoch      uint64   `json:"epoch"`
-	First      string   `json:"first"`
-	Understudy string   `json:"understudy"`
-	Complete   bool     `json:"complete"`
-	Safe       []string `json:"safe"`
+	Strand       string   `json:"strand"`
+	Epoch        uint64   `json:"epoch"`
+	First        string   `json:"first"`
+	Understudies []string `json:"understudies"`
+	Complete     bool     `json:"complete"`
+	Safe         []string `json:"safe"`
+}
+
+// MarshalJSON tells the first of the understudies under its own name too, as it
+// was told when there was one only.
+func (place Placement) MarshalJSON() ([]byte, error) {
+	type plain Placement
+	understudy := ""
+	if len(place.Understudies) > 0 {
+		understudy = place.Understudies[0]
+	}
+	return json.Marshal(struct {
+		plain
+		Understudy string `json:"understudy"`
+	}{plain: plain(place), Understudy: understudy})
+}
+
+// Names tells whether a keeper is the strand's first or one of its understudies.
+func (place Placement) Names(keeper string) bool {
+	return place.First == keeper || slices.Contains(place.Understudies, keeper)
 }
 
 // Load is what a daemon observes of itself; it is not kept, only reported.
@@ -160,10 +187,21 @@
 	Incarnation uint64
 }
 
-// StrandComplete comes from a first whose understudy has everything.
+// StrandComplete comes from a first whose understudies have everything. Holders
+// are the keepers with the disks on which it lies, the first's own among them.
 type StrandComplete struct {
-	Strand string
-	Epoch  uint64
+	Strand  string
+	Epoch   uint64
+	Holders []string
+}
+
+// Lagging comes from a keeper that sees another one's disk, or its own, take far
+// longer than it should, or refuse.
+type Lagging struct {
+	Reporter    string
+	Name        string
+	Incarnation uint64
+	Delay       time.Duration
 }
 
 // ControlVisit carries an operator's request on to the primary.
@@ -186,6 +224,7 @@
 func init() {
 	flare.MustRegister(307, Farewell{})
 	flare.MustRegister(308, StrandComplete{})
+	flare.MustRegister(311, Lagging{})
 	flare.MustRegister(309, ControlVisit{})
 	flare.MustRegister(310, ControlReturn{})
 	flare.MustRegister(300, Ask{})
--- a/internal/foghorn/foghorn.go
+++ b/internal/foghorn/foghorn.go
@@ -48,6 +48,8 @@
 	PlacementChanged   = 2040
 	PlacementComplete  = 2041
 	KeeperRetired      = 2042
+	KeeperAiling       = 2043
+	KeeperWell         = 2044
 	NewsTaken          = 3001
 	Isolated           = 3002
 	Ready              = 3003
@@ -95,8 +97,10 @@
 	MemberSuspected:    {logrus.WarnLevel, "watcher hears nothing from a member"},
 	MemberLost:         {logrus.WarnLevel, "member taken for lost"},
 	PlacementChanged:   {logrus.InfoLevel, "strand placed anew"},
-	PlacementComplete:  {logrus.InfoLevel, "strand has two synced copies"},
+	PlacementComplete:  {logrus.InfoLevel, "strand has all its synced copies"},
 	KeeperRetired:      {logrus.InfoLevel, "keeper retired"},
+	KeeperAiling:       {logrus.WarnLevel, "keeper's disk lags, its strands go to others"},
+	KeeperWell:         {logrus.InfoLevel, "keeper may be given strands again"},
 	NewsTaken:          {logrus.InfoLevel, "configuration in force"},
 	Isolated:           {logrus.WarnLevel, "no other daemon heard, refusing visits"},
 	Ready:              {logrus.InfoLevel, "daemon ready"},
--- a/internal/helm/helm.go
+++ b/internal/helm/helm.go
@@ -96,6 +96,10 @@
 	Token uint64
 }
 
+// DiskRefused tells a machine that its disk takes no write, and is being tried
+// again; Synced comes once it does.
+type DiskRefused struct{}
+
 // Machine is a protocol part, or a daemon made of several.
 type Machine interface {
 	Start(now time.Time, effects *Effects)
--- a/internal/pilotage/control.go
+++ b/internal/pilotage/control.go
@@ -205,7 +205,7 @@
 		member := pilot.state.Members[name]
 		strands := []string{}
 		for _, place := range helm.Sorted(pilot.state.Places) {
-			if place.First == name || place.Understudy == name {
+			if place.Names(name) {
 				strands = append(strands, place.Strand)
 			}
 		}
@@ -226,8 +226,8 @@
 				others++
 			}
 		}
-		if retiring && others < 2 {
-			give(effects, http.StatusConflict, cutter.Error("too-few-keepers", "two other keepers must be alive to take the strands", nil))
+		if retiring && others <= pilot.state.Tolerance {
+			give(effects, http.StatusConflict, cutter.Error("too-few-keepers", fmt.Sprintf("%d other keepers must be alive to take the strands", pilot.state.Tolerance+1), nil))
 			return
 		}
 		member.Retiring, member.Retired = retiring, false
--- a/internal/pilotage/pilot.go
+++ b/internal/pilotage/pilot.go
@@ -8,6 +8,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"dahlialock/internal/beacon"
@@ -77,7 +78,8 @@
 	loads     map[string]beacon.Load
 	suspected map[string]map[string]reported
 	joining   map[string]beacon.Member
-	complete  map[string]uint64
+	complete  map[string]beacon.StrandComplete
+	lags      map[string]lag
 	busy      bool
 	began     time.Time
 	acting    bool
@@ -93,7 +95,7 @@
 	pilot := &Pilot{
 		props: props, state: newState(), timers: helm.NewTimers(),
 		held: map[string]held{}, heard: map[string]time.Time{}, loads: map[string]beacon.Load{},
-		suspected: map[string]map[string]reported{}, joining: map[string]beacon.Member{}, complete: map[string]uint64{},
+		suspected: map[string]map[string]reported{}, joining: map[string]beacon.Member{}, complete: map[string]beacon.StrandComplete{}, lags: map[string]lag{},
 		orders: map[string]beacon.Orders{},
 	}
 	self := watchbill.Pilot{Name: props.Self.Name, Address: props.Self.Address, Locality: props.Self.Locality}
@@ -207,9 +209,11 @@
 		pilot.onFarewell(now, body, effects)
 	case beacon.StrandComplete:
 		if pilot.watch.HoldsTenure(now) {
-			pilot.complete[body.Strand] = body.Epoch
+			pilot.complete[body.Strand] = body
 			pilot.timers.ArmSooner("tend", now)
 		}
+	case beacon.Lagging:
+		pilot.onLagging(now, body, effects)
 	case beacon.ControlVisit:
 		pilot.onControl(now, meta.From, body, effects)
 	case beacon.ControlReturn:
@@ -300,6 +304,7 @@
 	known, found := pilot.state.Members[self.Name]
 	self.Alive = true
 	self.Joined, self.Retiring, self.Retired, self.Resting = known.Joined, known.Retiring, known.Retired, known.Resting
+	self.Ailing = known.Ailing && known.Incarnation == self.Incarnation
 	if found && known.Incarnation != self.Incarnation {
 		self.Resting = false
 		if known.Disk != self.Disk {
@@ -347,13 +352,40 @@
 	pilot.acting, pilot.began, pilot.busy = true, now, false
 	pilot.suspected = map[string]map[string]reported{}
 	pilot.joining = map[string]beacon.Member{}
-	pilot.complete = map[string]uint64{}
+	pilot.complete = map[string]beacon.StrandComplete{}
 	pilot.orders = map[string]beacon.Orders{}
-	for name := range pilot.state.Members {
+	pilot.lags = map[string]lag{}
+	for name, member := range pilot.state.Members {
 		pilot.heard[name] = now
+		if member.Ailing {
+			pilot.lags[name] = lag{at: now, incarnation: member.Incarnation}
+		}
+	}
+}
+
+func (pilot *Pilot) onLagging(now time.Time, told beacon.Lagging, effects *helm.Effects) {
+	if !pilot.watch.HoldsTenure(now) {
+		return
+	}
+	pilot.lags[told.Name] = lag{at: now, incarnation: told.Incarnation, delay: told.Delay}
+	if !pilot.state.Members[told.Name].Ailing {
+		pilot.timers.ArmSooner("tend", now)
 	}
 }
 
+// ailments lists the keepers that begin or cease to be taken for ailing.
+func (pilot *Pilot) ailments(now time.Time, effects *helm.Effects) []beacon.Member {
+	changed := pilot.state.ailments(now, pilot.lags)
+	for _, member := range changed {
+		if member.Ailing {
+			effects.Note(foghorn.KeeperAiling, "keeper", member.Name, "delay", pilot.lags[member.Name].delay.String())
+		} else {
+			effects.Note(foghorn.KeeperWell, "keeper", member.Name)
+		}
+	}
+	return changed
+}
+
 func (pilot *Pilot) stopActing(now time.Time, effects *helm.Effects) {
 	pilot.acting, pilot.busy = false, false
 	for name, item := range helm.Sorted(pilot.held) {
@@ -396,18 +428,21 @@
 	pilot.joining = map[string]beacon.Member{}
 	command.Members = append(command.Members, pilot.lost(now, effects)...)
 	command.Members = append(command.Members, pilot.retired(effects)...)
-	for strand, epoch := range helm.Sorted(pilot.complete) {
+	if len(command.Members) == 0 {
+		command.Members = pilot.ailments(now, effects)
+	}
+	for strand, settled := range helm.Sorted(pilot.complete) {
 		place, found := pilot.state.Places[strand]
-		if found && place.Epoch == epoch && !place.Complete {
-			command.Settled = append(command.Settled, beacon.StrandComplete{Strand: strand, Epoch: epoch})
-			effects.Note(foghorn.PlacementComplete, "strand", strand, "epoch", epoch)
+		if found && place.Epoch == settled.Epoch && !place.Complete {
+			command.Settled = append(command.Settled, settled)
+			effects.Note(foghorn.PlacementComplete, "strand", strand, "epoch", settled.Epoch)
 		}
 	}
-	pilot.complete = map[string]uint64{}
+	pilot.complete = map[string]beacon.StrandComplete{}
 	if len(command.Members) == 0 && len(command.Settled) == 0 && now.Sub(pilot.began) > settleFor/3 {
 		command.Places = pilot.state.plan(pilot.configuration())
 		for _, place := range command.Places {
-			effects.Note(foghorn.PlacementChanged, "strand", place.Strand, "epoch", place.Epoch, "first", place.First, "understudy", place.Understudy)
+			effects.Note(foghorn.PlacementChanged, "strand", place.Strand, "epoch", place.Epoch, "first", place.First, "understudies", strings.Join(place.Understudies, " "))
 		}
 	}
 	if len(command.Members)+len(command.Settled)+len(command.Places) > 0 {
--- a/internal/pilotage/shared_test.go
+++ b/internal/pilotage/shared_test.go
@@ -203,7 +203,7 @@
 func newSharedYard(t *testing.T, seed uint64, keepers int) *sharedYard {
 	yard := &sharedYard{
 		yard: &yard{
-			t: t, random: rand.New(rand.NewPCG(seed, 0x5ea)), state: newState(), wipedAt: -time.Minute, inOrder: map[string]time.Duration{},
+			t: t, random: rand.New(rand.NewPCG(seed, 0x5ea)), state: newState(), wipedAt: -time.Minute, inOrder: map[string]time.Duration{}, lags: map[string]lag{},
 		},
 		asked: map[uint64]func(strand.AppendReturn){}, accepted: map[string]uint64{}, newest: map[string]uint64{}, offsets: map[string]string{},
 		never: map[string]bool{}, fetches: map[uint64]strand.FetchReturn{}, heads: map[string]uint64{}, moved: map[uint64]uint64{},
--- a/internal/pilotage/state.go
+++ b/internal/pilotage/state.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"dahlialock/internal/beacon"
@@ -13,6 +14,9 @@
 	"dahlialock/internal/helm"
 )
 
+// DefaultTolerance is how many keepers may be lost at once if nobody says.
+const DefaultTolerance = 1
+
 // Command is one change of the control state.
 type Command struct {
 	Version  uint64
@@ -20,6 +24,8 @@
 	Members  []beacon.Member
 	Places   []beacon.Placement
 	Settled  []beacon.StrandComplete
+	// Tolerance, if given, is how many keepers may be lost at once from now on.
+	Tolerance *int
 }
 
 // State is the control state itself.
@@ -34,12 +40,14 @@
 	// Shared says that a routed space was in force once: from then on the shared
 	// strands are placed, whatever becomes of the spaces.
 	Shared bool
+	// Tolerance is how many keepers may be lost at once: a strand has one copy more.
+	Tolerance int
 }
 
 func newState() *State {
 	return &State{
 		Births: map[string]uint64{}, Natures: map[string]string{},
-		Members: map[string]beacon.Member{}, Places: map[string]beacon.Placement{},
+		Members: map[string]beacon.Member{}, Places: map[string]beacon.Placement{}, Tolerance: DefaultTolerance,
 	}
 }
 
@@ -59,6 +67,9 @@
 	if command.Version > state.Version {
 		state.takeConfiguration(command)
 	}
+	if command.Tolerance != nil {
+		state.Tolerance = *command.Tolerance
+	}
 	for _, member := range command.Members {
 		earlier, found := state.Members[member.Name]
 		member.Joined = earlier.Joined
@@ -78,16 +89,19 @@
 		if !found || place.Epoch != settled.Epoch || place.Complete {
 			continue
 		}
-		place.Complete = true
-		place.Safe = []string{holder(state.Members[place.First]), holder(state.Members[place.Understudy])}
+		// A keeper whose disk was lost meanwhile is no holder, whatever it said.
+		holders := []string{state.Members[place.First].Holder()}
+		for _, name := range place.Understudies {
+			holders = append(holders, state.Members[name].Holder())
+		}
+		if !slices.Equal(holders, settled.Holders) {
+			continue
+		}
+		place.Complete, place.Safe = true, holders
 		state.Places[settled.Strand] = place
 	}
 }
 
-// holder names a keeper together with its disk, so that a wiped keeper is not
-// taken for a holder of what it lost.
-func holder(member beacon.Member) string { return member.Name + "@" + member.Disk }
-
 func (state *State) takeConfiguration(command Command) {
 	configuration, faults := chart.Read(command.Document)
 	if len(faults) > 0 {
--- a/internal/pilotage/strand_test.go
+++ b/internal/pilotage/strand_test.go
@@ -40,6 +40,11 @@
 	waits   []func()
 	timer   int
 	offset  time.Duration
+	// slow is what each write takes besides; until hung none lasts, and a full
+	// disk refuses them.
+	slow time.Duration
+	hung time.Duration
+	full bool
 }
 
 type event struct {
@@ -76,6 +81,7 @@
 	calm     bool
 	// told is given what the keepers answer, in place of the writers' oracle.
 	told func(from string, message any)
+	lags map[string]lag
 	// inOrder is when the lantern's last message to a keeper arrives, on a link
 	// that doesn't reorder.
 	inOrder map[string]time.Duration
@@ -160,7 +166,8 @@
 	}
 	for _, write := range effects.Writes {
 		// Writes last in their order.
-		takes := time.Duration(1+yard.random.IntN(4)) * time.Millisecond
+		takes := time.Duration(1+yard.random.IntN(4))*time.Millisecond + store.slow
+		takes = max(takes, store.hung-yard.now)
 		store.wrote = max(store.wrote, int(yard.now+takes))
 		yard.after(time.Duration(store.wrote)-yard.now, func() {
 			if !store.up || store.life != life {
@@ -250,6 +257,8 @@
 		yard.after(50*time.Millisecond, func() { yard.send("pilot", helm.Send{To: from, Message: news}) })
 	case beacon.StrandComplete:
 		yard.apply(Command{Settled: []beacon.StrandComplete{body}})
+	case beacon.Lagging:
+		yard.lags[body.Name] = lag{at: time.Unix(0, 0).Add(yard.now), incarnation: body.Incarnation, delay: body.Delay}
 	}
 }
 
@@ -268,6 +277,9 @@
 			yard.apply(Command{Members: []beacon.Member{member}})
 		}
 	}
+	if ailments := yard.state.ailments(time.Unix(0, 0).Add(yard.now), yard.lags); len(ailments) > 0 {
+		yard.apply(Command{Members: ailments})
+	}
 	if changes := yard.state.plan(yard.configuration()); len(changes) > 0 {
 		yard.apply(Command{Places: changes})
 	}
@@ -410,7 +422,7 @@
 			t.Parallel()
 			yard := &yard{
 				t: t, random: rand.New(rand.NewPCG(seed, 0x57a)), state: newState(), accepted: map[string]uint64{}, offsets: map[uint64]string{},
-				never: map[string]bool{}, wipedAt: -time.Minute,
+				never: map[string]bool{}, wipedAt: -time.Minute, lags: map[string]lag{},
 			}
 			yard.apply(Command{Version: 1, Document: []byte(testChart)})
 			for number := range 4 {
--- a/internal/strand/messages.go
+++ b/internal/strand/messages.go
@@ -119,6 +119,8 @@
 	HaveEpoch uint64
 	Mismatch  bool
 	Older     uint64
+	// Holder is the understudy with the disk on which it lies.
+	Holder string
 }
 
 // Frame carries a whole strand, its times counted from Now.
