--- a/internal/berth/berth.go
+++ b/internal/berth/berth.go
@@ -23,6 +23,10 @@
 	requestSize = 4096
 	batchMost   = 256
 	lookEvery   = 16
+	// A disk that refuses is tried again after a pause, and told of now and then.
+	refusedPause   = 200 * time.Millisecond
+	refusedReports = 50
+	endMost        = time.Second
 )
 
 type request struct {
@@ -122,13 +126,14 @@
 			if len(entries) == 0 {
 				return
 			}
-			berth.mustWrite(berth.book.Append(entries))
+			batch := entries
+			berth.write(func() error { return berth.book.Append(batch) })
 			entries = nil
 		}
 		for _, write := range writes {
 			if write.Frame != nil {
 				flush()
-				berth.mustWrite(berth.book.Checkpoint(write.Frame))
+				berth.write(func() error { return berth.book.Checkpoint(write.Frame) })
 			}
 			entries = append(entries, write.Entries...)
 			tokens = append(tokens, write.Token)
@@ -139,12 +144,24 @@
 	}
 }
 
-func (berth *Berth) mustWrite(fault error) {
-	if fault == nil {
-		return
+// write tries until the disk takes it: nothing counts as lasting meanwhile, and
+// the machine is told each time, so that others can do its part.
+func (berth *Berth) write(try func() error) {
+	for tries := 0; ; tries++ {
+		fault := try()
+		if fault == nil {
+			return
+		}
+		if tries%refusedReports == 0 {
+			berth.foghorn.Report(foghorn.DiskRefused, "error", fault.Error(), "tries", tries+1)
+		}
+		berth.Post(helm.DiskRefused{})
+		select {
+		case <-berth.ended:
+			return
+		case <-time.After(refusedPause):
+		}
 	}
-	berth.foghorn.Report(foghorn.DiskRefused, "error", fault.Error())
-	os.Exit(3)
 }
 
 type running struct {
@@ -255,12 +272,20 @@
 
 // end lets the last writes and sends out before the process goes.
 func (berth *Berth) end(state *running) {
+	patience := time.NewTimer(endMost)
 	if state.writing {
-		<-berth.synced
+		select {
+		case <-berth.synced:
+			state.writing = false
+		case <-patience.C:
+		}
 	}
-	if len(state.writes) > 0 {
+	if len(state.writes) > 0 && !state.writing {
 		berth.disk <- state.writes
-		<-berth.synced
+		select {
+		case <-berth.synced:
+		case <-patience.C:
+		}
 	}
 	for _, sink := range state.sinks {
 		sink.end()
--- a/internal/berth/daemon.go
+++ b/internal/berth/daemon.go
@@ -282,7 +282,7 @@
 	if fault := lock(path); fault != nil {
 		return nil, stored, fault
 	}
-	book, recovered, fault := logbook.Open(folder)
+	book, recovered, fault := process.openBook(folder)
 	if errorx.IsOfType(fault, logbook.ErrorDamage) {
 		process.horn.Report(foghorn.DiskDamaged, "error", fault.Error())
 		if fault := putAside(path); fault != nil {
@@ -291,7 +291,7 @@
 		if folder, fault = logbook.OpenFileFolder(path); fault != nil {
 			return nil, stored, fault
 		}
-		book, recovered, fault = logbook.Open(folder)
+		book, recovered, fault = process.openBook(folder)
 	}
 	if fault != nil {
 		return nil, stored, fault
@@ -303,6 +303,20 @@
 	return book, stored, nil
 }
 
+// openBook opens the logbook, again and again while the disk refuses.
+func (process *process) openBook(folder logbook.Folder) (*logbook.Logbook, logbook.Recovered, error) {
+	for tries := 0; ; tries++ {
+		book, recovered, fault := logbook.Open(folder)
+		if !errorx.IsOfType(fault, logbook.ErrorDisk) {
+			return book, recovered, fault
+		}
+		if tries%refusedReports == 0 {
+			process.horn.Report(foghorn.DiskRefused, "error", fault.Error(), "tries", tries+1)
+		}
+		time.Sleep(refusedPause)
+	}
+}
+
 func lock(path string) error {
 	file, fault := os.OpenFile(filepath.Join(path, "lock"), os.O_RDWR|os.O_CREATE, 0o644)
 	if fault != nil {
--- a/internal/foghorn/foghorn.go
+++ b/internal/foghorn/foghorn.go
@@ -79,7 +79,7 @@
 	InvariantBroken:    {logrus.FatalLevel, "invariant broken, stopping"},
 	DiskTorn:           {logrus.WarnLevel, "torn tail cut from the log on disk"},
 	DiskDamaged:        {logrus.ErrorLevel, "disk damaged, copy will be rebuilt"},
-	DiskRefused:        {logrus.ErrorLevel, "disk refused a write, stopping"},
+	DiskRefused:        {logrus.ErrorLevel, "disk refuses a write, trying again"},
 	Founded:            {logrus.InfoLevel, "pilots founded the first epoch"},
 	EpochDecided:       {logrus.InfoLevel, "epoch decided"},
 	TenureGained:       {logrus.InfoLevel, "tenure gained"},
--- a/internal/logbook/logbook.go
+++ b/internal/logbook/logbook.go
@@ -60,6 +60,7 @@
 	folder     Folder
 	generation uint64
 	logSize    int64
+	uncut      bool
 	Syncs      int64
 }
 
@@ -257,17 +258,28 @@
 }
 
 // Append puts entries on the disk; they last when it returns without error.
+// After an error it may be asked for again: what was written in part is cut first.
 func (book *Logbook) Append(entries [][]byte) error {
 	var body []byte
 	for _, entry := range entries {
 		body = appendEntry(body, book.generation, entry)
 	}
 	name := logName(book.generation)
+	if book.uncut {
+		if fault := book.folder.Truncate(name, book.logSize); fault != nil {
+			return ErrorDisk.Wrap(fault, "cutting %s", name)
+		}
+	}
+	book.uncut = true
 	if fault := book.folder.Append(name, body); fault != nil {
 		return ErrorDisk.Wrap(fault, "appending to %s", name)
 	}
+	if fault := book.sync(name); fault != nil {
+		return fault
+	}
+	book.uncut = false
 	book.logSize += int64(len(body))
-	return book.sync(name)
+	return nil
 }
 
 // LogSize is the size of the present log, by which an owner decides when to
@@ -291,7 +303,7 @@
 	if fault := book.folder.SyncFolder(); fault != nil {
 		return ErrorDisk.Wrap(fault, "syncing the folder")
 	}
-	book.generation = generation
+	book.generation, book.uncut = generation, false
 	return book.beginLog()
 }
 
--- a/internal/logbook/logbook_test.go
+++ b/internal/logbook/logbook_test.go
@@ -3,6 +3,7 @@
 package logbook
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -87,6 +88,50 @@
 	assert.DeepEqual(t, replayed(recovered), []string{"first", "a", "b"})
 }
 
+// fullFolder takes only a part of what is appended while it is full.
+type fullFolder struct {
+	*MemoryFolder
+	full, hoarse bool
+}
+
+func (folder *fullFolder) Append(name string, body []byte) error {
+	if folder.full {
+		_ = folder.MemoryFolder.Append(name, body[:len(body)/2])
+		return errors.New("no space left")
+	}
+	return folder.MemoryFolder.Append(name, body)
+}
+
+func (folder *fullFolder) Sync(name string) error {
+	if folder.hoarse {
+		return errors.New("not synced")
+	}
+	return folder.MemoryFolder.Sync(name)
+}
+
+func TestARefusedWriteIsTriedAgain(t *testing.T) {
+	folder := &fullFolder{MemoryFolder: NewMemoryFolder()}
+	book, _, fault := Open(folder)
+	assert.NilError(t, fault)
+	assert.NilError(t, book.Append([][]byte{[]byte("a")}))
+	folder.full = true
+	for range 3 {
+		assert.Assert(t, errorx.IsOfType(book.Append([][]byte{[]byte("second entry")}), ErrorDisk))
+	}
+	_, recovered, fault := Open(folder.MemoryFolder)
+	assert.NilError(t, fault)
+	assert.DeepEqual(t, replayed(recovered), []string{"a"})
+	folder.full, folder.hoarse = false, true
+	assert.Assert(t, errorx.IsOfType(book.Append([][]byte{[]byte("second entry")}), ErrorDisk))
+	folder.hoarse = false
+	assert.NilError(t, book.Append([][]byte{[]byte("second entry")}))
+	assert.NilError(t, book.Append([][]byte{[]byte("third")}))
+	folder.PowerCut(0)
+	_, recovered, fault = Open(folder)
+	assert.NilError(t, fault)
+	assert.DeepEqual(t, replayed(recovered), []string{"a", "second entry", "third"})
+}
+
 func FuzzOpen(f *testing.F) {
 	f.Add([]byte(slotMagic), []byte(logMagic))
 	f.Fuzz(func(t *testing.T, slotBody, logBody []byte) {
