--- a/internal/pilotage/shared_test.go
+++ b/internal/pilotage/shared_test.go
@@ -200,7 +200,7 @@
 	}
 }
 
-func newSharedYard(t *testing.T, seed uint64, keepers int) *sharedYard {
+func newSharedYard(t *testing.T, seed uint64, keepers, tolerance int) *sharedYard {
 	yard := &sharedYard{
 		yard: &yard{
 			t: t, random: rand.New(rand.NewPCG(seed, 0x5ea)), state: newState(), wipedAt: -time.Minute, inOrder: map[string]time.Duration{}, lags: map[string]lag{},
@@ -208,8 +208,8 @@
 		asked: map[uint64]func(strand.AppendReturn){}, accepted: map[string]uint64{}, newest: map[string]uint64{}, offsets: map[string]string{},
 		never: map[string]bool{}, fetches: map[uint64]strand.FetchReturn{}, heads: map[string]uint64{}, moved: map[uint64]uint64{},
 	}
-	yard.told = yard.hear
-	yard.apply(Command{Version: 1, Document: []byte(sharedChart)})
+	yard.told, yard.single = yard.hear, tolerance == 0
+	yard.apply(Command{Version: 1, Document: []byte(sharedChart), Tolerance: &tolerance})
 	for number := range keepers {
 		store := &store{yard: yard.yard, name: fmt.Sprintf("keeper-%d", number)}
 		yard.stores = append(yard.stores, store)
@@ -294,12 +294,36 @@
 	assert.Assert(yard.t, len(yard.accepted) > 1000, "only %d were accepted", len(yard.accepted))
 }
 
+// ail brings about trouble with one disk: it is slow, hangs, or refuses.
+func (yard *sharedYard) ail() {
+	yard.after(time.Duration(3000+yard.random.IntN(5000))*time.Millisecond, yard.ail)
+	if yard.calm {
+		return
+	}
+	store := yard.stores[yard.random.IntN(len(yard.stores))]
+	length := time.Duration(500+yard.random.IntN(4000)) * time.Millisecond
+	switch yard.random.IntN(3) {
+	case 0:
+		store.slow = time.Duration(20+yard.random.IntN(200)) * time.Millisecond
+	case 1:
+		store.hung = yard.now + length
+	case 2:
+		store.hung, store.full = yard.now+length, true
+		yard.after(0, store.refuse)
+	}
+	yard.after(length, func() { store.slow, store.full = 0, false })
+}
+
 func TestSharedStrandsAgainstAModel(t *testing.T) {
 	for seed := range uint64(24) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			yard := newSharedYard(t, seed, 4)
+			tolerance := int(seed % 4)
+			yard := newSharedYard(t, seed, tolerance+3, tolerance)
 			yard.after(4*time.Second, yard.trouble)
+			if seed%8 < 4 {
+				yard.after(5*time.Second, yard.ail)
+			}
 			yard.run(40 * time.Second)
 			yard.settle()
 			yard.judge()
--- a/internal/pilotage/strand_test.go
+++ b/internal/pilotage/strand_test.go
@@ -79,6 +79,8 @@
 	loss     float64
 	wipedAt  time.Duration
 	calm     bool
+	// single says that there is one copy only, which must not be wiped.
+	single bool
 	// told is given what the keepers answer, in place of the writers' oracle.
 	told func(from string, message any)
 	lags map[string]lag
@@ -147,6 +149,16 @@
 	}
 }
 
+// refuse tells the keeper that its disk takes no write, as long as that is so.
+func (store *store) refuse() {
+	if store.full && store.up {
+		store.enter(store.life, func(now time.Time, effects *helm.Effects) { store.machine.Command(now, helm.DiskRefused{}, effects) })
+	}
+	if store.full {
+		store.yard.after(200*time.Millisecond, store.refuse)
+	}
+}
+
 func (store *store) enter(life int, run func(now time.Time, effects *helm.Effects)) {
 	switch {
 	case !store.up || store.life != life:
@@ -384,7 +396,7 @@
 		yard.loss = 0.25
 		yard.after(length, func() { yard.loss = 0 })
 	case 4:
-		if yard.whole() && yard.now-yard.wipedAt > 4*time.Second {
+		if !yard.single && yard.whole() && yard.now-yard.wipedAt > 4*time.Second {
 			yard.wipedAt = yard.now
 			store.kill()
 			store.frame, store.entries = nil, nil
