--- a/internal/helm/helm.go
+++ b/internal/helm/helm.go
@@ -100,6 +100,13 @@
 // again; Synced comes once it does.
 type DiskRefused struct{}
 
+// LinkWatcher is a machine that wants to know of addresses that refuse to be
+// dialled: no process listens there, though the machine is up. A link that was
+// merely reset is dialled anew and tells nothing.
+type LinkWatcher interface {
+	Refused(now time.Time, address string, effects *Effects)
+}
+
 // Machine is a protocol part, or a daemon made of several.
 type Machine interface {
 	Start(now time.Time, effects *Effects)
--- a/internal/logbook/folder.go
+++ b/internal/logbook/folder.go
@@ -113,12 +113,14 @@
 type MemoryFolder struct {
 	files  map[string][]byte
 	synced map[string][]byte
-	Syncs  int
+	// grown files were only appended to since they were synced.
+	grown map[string]bool
+	Syncs int
 }
 
 // NewMemoryFolder gives a blank disk.
 func NewMemoryFolder() *MemoryFolder {
-	return &MemoryFolder{files: map[string][]byte{}, synced: map[string][]byte{}}
+	return &MemoryFolder{files: map[string][]byte{}, synced: map[string][]byte{}, grown: map[string]bool{}}
 }
 
 // Read gives the bytes of a file, if it is there.
@@ -130,6 +132,7 @@
 // Create writes a file anew.
 func (folder *MemoryFolder) Create(name string, body []byte) error {
 	folder.files[name] = append([]byte(nil), body...)
+	folder.grown[name] = false
 	return nil
 }
 
@@ -142,13 +145,19 @@
 // Truncate cuts a file.
 func (folder *MemoryFolder) Truncate(name string, size int64) error {
 	folder.files[name] = folder.files[name][:size]
+	folder.grown[name] = false
 	return nil
 }
 
 // Sync makes a file's bytes last.
 func (folder *MemoryFolder) Sync(name string) error {
 	folder.Syncs++
+	if folder.grown[name] {
+		folder.synced[name] = append(folder.synced[name], folder.files[name][len(folder.synced[name]):]...)
+		return nil
+	}
 	folder.synced[name] = append([]byte(nil), folder.files[name]...)
+	folder.grown[name] = true
 	return nil
 }
 
@@ -156,6 +165,7 @@
 func (folder *MemoryFolder) Remove(name string) error {
 	delete(folder.files, name)
 	delete(folder.synced, name)
+	delete(folder.grown, name)
 	return nil
 }
 
@@ -177,7 +187,7 @@
 		survived[name] = kept
 	}
 	folder.files = survived
-	folder.synced = map[string][]byte{}
+	folder.synced, folder.grown = map[string][]byte{}, map[string]bool{}
 	for name, body := range survived {
 		folder.synced[name] = append([]byte(nil), body...)
 	}
@@ -196,5 +206,5 @@
 
 // Wipe empties the disk.
 func (folder *MemoryFolder) Wipe() {
-	folder.files, folder.synced = map[string][]byte{}, map[string][]byte{}
+	folder.files, folder.synced, folder.grown = map[string][]byte{}, map[string][]byte{}, map[string]bool{}
 }
--- a/internal/pilotage/pilot.go
+++ b/internal/pilotage/pilot.go
@@ -343,6 +343,22 @@
 	pilot.timers.ArmSooner("tend", now)
 }
 
+// Refused is told that a daemon's address refuses to be dialled: its process has
+// ended, and nobody need wait for its silence.
+func (pilot *Pilot) Refused(now time.Time, address string, effects *helm.Effects) {
+	if !pilot.watch.HoldsTenure(now) {
+		return
+	}
+	for _, member := range helm.Sorted(pilot.state.Members) {
+		_, joins := pilot.joining[member.Name]
+		if member.Address == address && member.Alive && !joins && member.Name != pilot.props.Self.Name {
+			member.Alive, member.Resting = false, false
+			pilot.joining[member.Name] = member
+			pilot.timers.ArmSooner("tend", now)
+		}
+	}
+}
+
 // Tending.
 
 func (pilot *Pilot) beginActing(now time.Time, effects *helm.Effects) {
@@ -422,7 +438,7 @@
 		if member.Alive {
 			effects.Note(foghorn.MemberJoined, "member", member.Name, "kind", member.Kind, "locality", member.Locality)
 		} else {
-			effects.Note(foghorn.MemberLost, "member", member.Name, "why", "farewell")
+			effects.Note(foghorn.MemberLost, "member", member.Name, "why", "its process ended")
 		}
 	}
 	pilot.joining = map[string]beacon.Member{}
--- a/internal/strand/keeper.go
+++ b/internal/strand/keeper.go
@@ -455,6 +455,7 @@
 		statuses[name] = StrandStatus{
 			Epoch: strand.place.Epoch, First: keeper.isFirst(strand), Complete: strand.place.Complete,
 			Base: strand.log.Base, Head: head, Accepted: strand.accepted,
+			Serving: keeper.Ready() && keeper.isFirst(strand) && strand.place.Complete && strand.firstSince == strand.place.Epoch,
 		}
 	}
 	return statuses
@@ -468,4 +469,6 @@
 	Base     uint64 `json:"base"`
 	Head     uint64 `json:"head"`
 	Accepted uint64 `json:"accepted"`
+	// Serving says that the keeper accepts messages at present.
+	Serving bool `json:"serving"`
 }
--- a/internal/swell/swell.go
+++ b/internal/swell/swell.go
@@ -134,6 +134,7 @@
 	Syncs        int
 	slowDisk     int
 	founded      bool
+	refuses      bool
 	showed       shown
 }
 
@@ -307,7 +308,7 @@
 	if node.Up {
 		return
 	}
-	node.Up, node.Frozen, node.Stopping = true, false, false
+	node.Up, node.Frozen, node.Stopping, node.refuses = true, false, false, false
 	swell.number++
 	node.life = swell.number
 	node.simStart = swell.Now
@@ -352,6 +353,41 @@
 	node.end()
 }
 
+// Crash ends a daemon's process as a bug does, while its machine stays up: what
+// was written lasts, its links are reset, and whoever dials it is refused.
+func (node *Node) Crash() {
+	if !node.Up {
+		return
+	}
+	node.swell.trace("%s crashes", node.Name)
+	for _, write := range node.writes {
+		if node.disk != nil {
+			node.perform(write)
+		}
+	}
+	node.end()
+	node.refuses = true
+	for _, other := range node.swell.Nodes("") {
+		if _, linked := node.swell.arrival[link(other, node)]; linked {
+			node.swell.refuse(other, node)
+		}
+	}
+}
+
+// refuse tells a daemon that another one can't be dialled, if that is so by then.
+func (swell *Swell) refuse(from, to *Node) {
+	life := from.life
+	swell.After(2*swell.delay(from.Place, to.Place), func() {
+		watcher, watches := from.Machine.(helm.LinkWatcher)
+		if !watches || !to.refuses || !from.Up || from.life != life || swell.cuts[link(from, to)] > 0 {
+			return
+		}
+		from.enter(func() {
+			from.step(func(now time.Time, effects *helm.Effects) { watcher.Refused(now, to.Address, effects) })
+		})
+	})
+}
+
 func (node *Node) end() {
 	node.Up, node.Frozen = false, false
 	node.life = 0
@@ -668,6 +704,9 @@
 func (swell *Swell) arrive(from, to *Node, frame []byte, at time.Time) {
 	key, life := link(from, to), to.life
 	swell.At(at, func() {
+		if to.refuses && swell.cuts[key] == 0 {
+			swell.refuse(from, to)
+		}
 		if !to.Up || to.life != life || swell.cuts[key] > 0 {
 			return
 		}
