--- a/cmd/pilot/main.go
+++ b/cmd/pilot/main.go
@@ -18,7 +18,7 @@
 
 func build(settings props.Props, self beacon.Member, stored berth.Stored) (berth.Build, error) {
 	machine, fault := pilotage.New(pilotage.Props{
-		Self: self, Count: settings.Pilots, Seeds: settings.Seeds, Founding: settings.Bootstrap, Tolerance: settings.Tolerance,
+		Self: self, Count: settings.Pilots, Seeds: settings.Seeds, Founding: settings.Bootstrap, Tolerance: &settings.Tolerance,
 		NewDisk: stored.NewDisk, Highest: settings.Versions == props.VersionsHighest,
 	}, stored.Frame, stored.Entries)
 	if fault != nil {
@@ -38,6 +38,7 @@
 				"complete": machine.Watch().Complete(), "holds_tenure": machine.Watch().HoldsTenure(time.Now()),
 			}
 		},
+		Reload:  func(after props.Props) { machine.SetTolerance(after.Tolerance) },
 		Adapter: platform.Adapter(settings),
 	}, nil
 }
--- a/internal/berth/berth.go
+++ b/internal/berth/berth.go
@@ -131,9 +131,9 @@
 			entries = nil
 		}
 		for _, write := range writes {
-			if write.Frame != nil {
+			if frame, whole := write.Whole(); whole {
 				flush()
-				berth.write(func() error { return berth.book.Checkpoint(write.Frame) })
+				berth.write(func() error { return berth.book.Checkpoint(frame) })
 			}
 			entries = append(entries, write.Entries...)
 			tokens = append(tokens, write.Token)
--- a/internal/helm/helm.go
+++ b/internal/helm/helm.go
@@ -23,11 +23,22 @@
 }
 
 // Write asks the adapter to put entries, or a whole frame that replaces all
-// earlier entries, on the disk and to come back with Synced once they last.
+// earlier entries, on the disk and to come back with Synced once they last. A
+// large frame may be given by Pack, which reads nothing that changes and is called
+// by whoever writes, so that the owner need not wait for it.
 type Write struct {
 	Token   uint64
 	Entries [][]byte
 	Frame   []byte
+	Pack    func() []byte
+}
+
+// Whole gives the frame of a write, if it has one.
+func (write Write) Whole() ([]byte, bool) {
+	if write.Pack != nil {
+		return write.Pack(), true
+	}
+	return write.Frame, write.Frame != nil
 }
 
 // Return is the final answer to a visit that an adapter brought in.
--- a/internal/logbook/logbook.go
+++ b/internal/logbook/logbook.go
@@ -304,7 +304,14 @@
 		return ErrorDisk.Wrap(fault, "syncing the folder")
 	}
 	book.generation, book.uncut = generation, false
-	return book.beginLog()
+	if fault := book.beginLog(); fault != nil {
+		return fault
+	}
+	// The log before the one that led here stands on a slot that is gone.
+	if fault := book.folder.Remove(logName(generation + 1)); fault != nil {
+		return ErrorDisk.Wrap(fault, "removing %s", logName(generation+1))
+	}
+	return nil
 }
 
 func (book *Logbook) beginLog() error {
--- a/internal/pilotage/pilot.go
+++ b/internal/pilotage/pilot.go
@@ -34,15 +34,16 @@
 
 // Props are a pilot daemon's settings; see watchbill.Props.
 type Props struct {
-	Self      beacon.Member
-	Count     int
-	Seeds     []string
-	Founding  bool
-	Tolerance int
-	NewDisk   string
+	Self     beacon.Member
+	Count    int
+	Seeds    []string
+	Founding bool
+	NewDisk  string
 	// Highest answers a configuration that is not above the one held as taken;
 	// otherwise it is a conflict, unless it is the same.
 	Highest bool
+	// Tolerance, if given, is how many machines with a disk may be lost at once.
+	Tolerance *int
 }
 
 // Visit is an operator's request at this daemon's own ctl.
@@ -99,8 +100,12 @@
 		orders: map[string]beacon.Orders{},
 	}
 	self := watchbill.Pilot{Name: props.Self.Name, Address: props.Self.Address, Locality: props.Self.Locality}
+	tolerance := DefaultTolerance
+	if props.Tolerance != nil {
+		tolerance = *props.Tolerance
+	}
 	watch, fault := watchbill.New(watchbill.Props{
-		Self: self, Count: props.Count, Seeds: props.Seeds, Founding: props.Founding, Tolerance: props.Tolerance, NewDisk: props.NewDisk,
+		Self: self, Count: props.Count, Seeds: props.Seeds, Founding: props.Founding, Tolerance: tolerance, NewDisk: props.NewDisk,
 	}, pilot.state, frame, entries)
 	if fault != nil {
 		return nil, fault
@@ -136,6 +141,9 @@
 // Ready tells whether this pilot does its part.
 func (pilot *Pilot) Ready() bool { return !pilot.watch.Blank() }
 
+// SetTolerance takes another tolerance from changed settings.
+func (pilot *Pilot) SetTolerance(tolerance int) { pilot.props.Tolerance = &tolerance }
+
 // Start begins the pilot's work.
 func (pilot *Pilot) Start(now time.Time, effects *helm.Effects) {
 	pilot.watch.Start(now, effects)
@@ -455,13 +463,16 @@
 		}
 	}
 	pilot.complete = map[string]beacon.StrandComplete{}
-	if len(command.Members) == 0 && len(command.Settled) == 0 && now.Sub(pilot.began) > settleFor/3 {
+	if wanted := pilot.props.Tolerance; wanted != nil && *wanted != pilot.state.Tolerance {
+		command.Tolerance = wanted
+	}
+	if len(command.Members) == 0 && len(command.Settled) == 0 && command.Tolerance == nil && now.Sub(pilot.began) > settleFor/3 {
 		command.Places = pilot.state.plan(pilot.configuration())
 		for _, place := range command.Places {
 			effects.Note(foghorn.PlacementChanged, "strand", place.Strand, "epoch", place.Epoch, "first", place.First, "understudies", strings.Join(place.Understudies, " "))
 		}
 	}
-	if len(command.Members)+len(command.Settled)+len(command.Places) > 0 {
+	if len(command.Members)+len(command.Settled)+len(command.Places) > 0 || command.Tolerance != nil {
 		pilot.submit(now, command, effects)
 		return
 	}
--- a/internal/pilotage/strand_test.go
+++ b/internal/pilotage/strand_test.go
@@ -185,8 +185,8 @@
 			if !store.up || store.life != life {
 				return
 			}
-			if write.Frame != nil {
-				store.frame, store.entries = write.Frame, nil
+			if frame, whole := write.Whole(); whole {
+				store.frame, store.entries = frame, nil
 			}
 			store.entries = append(store.entries, write.Entries...)
 			store.enter(life, func(now time.Time, effects *helm.Effects) {
--- a/internal/strand/disk.go
+++ b/internal/strand/disk.go
@@ -75,7 +75,7 @@
 	}
 	keeper.write(now, keeper.afters, helm.Write{Entries: keeper.entries}, effects)
 	keeper.entries, keeper.afters = nil, nil
-	if keeper.logBytes > frameLogLimit {
+	if keeper.logBytes > keeper.logLimit {
 		keeper.checkpoint(now, effects)
 	}
 }
@@ -92,10 +92,16 @@
 func (keeper *Keeper) checkpoint(now time.Time, effects *helm.Effects) {
 	keeper.logBytes = 0
 	frame := diskFrame{Disk: keeper.disk, Strands: map[string]*log{}}
+	size := 0
 	for name, strand := range keeper.strands {
-		frame.Strands[name] = strand.log
+		frame.Strands[name] = strand.log.snapshot()
+		for _, record := range strand.log.Records {
+			size += len(record.Data)
+		}
 	}
-	keeper.write(now, nil, helm.Write{Frame: flare.MustMarshal(frame)}, effects)
+	// The log may grow as long as the frame that would take its place.
+	keeper.logLimit = max(frameLogLimit, size)
+	keeper.write(now, nil, helm.Write{Pack: func() []byte { return flare.MustMarshal(frame) }}, effects)
 }
 
 func (keeper *Keeper) onSynced(now time.Time, token uint64, effects *helm.Effects) {
--- a/internal/strand/keeper.go
+++ b/internal/strand/keeper.go
@@ -30,7 +30,7 @@
 	trimEvery      = 5 * time.Second
 	followFor      = 6 * time.Second
 	headsEvery     = 400 * time.Millisecond
-	frameLogLimit  = 16 << 20
+	frameLogLimit  = 8 << 20
 	fetchLimit     = 512
 	fetchBytes     = 1 << 20
 	copyLimit      = 512
@@ -126,6 +126,7 @@
 }
 
 type diskEntry struct {
+	_      struct{} `cbor:",toarray"`
 	Disk   string
 	Strand string
 	Record *Record
@@ -176,7 +177,7 @@
 	ownDelay             time.Duration
 	delays               map[string]time.Duration
 	lagTold              map[string]time.Time
-	logBytes             int
+	logBytes, logLimit   int
 	dirty                map[string]bool
 	firsts, understudies int
 	Counts               Counts
@@ -187,7 +188,7 @@
 	keeper := &Keeper{
 		props: props, strands: map[string]*held{}, timers: helm.NewTimers(), ring: soundings.NewRing(props.Self.Name),
 		followers: map[string]*follower{}, pending: map[uint64]*batch{}, dirty: map[string]bool{},
-		delays: map[string]time.Duration{}, lagTold: map[string]time.Time{},
+		logLimit: frameLogLimit, delays: map[string]time.Duration{}, lagTold: map[string]time.Time{},
 	}
 	if len(frame) > 0 {
 		var stored diskFrame
@@ -432,6 +433,9 @@
 	}
 	if place.First == keeper.props.Self.Name {
 		keeper.takeCopies(strand)
+	} else if first, found := keeper.follower.Members[place.First]; changed && found && slices.Contains(place.Understudies, keeper.props.Self.Name) {
+		// The first may have asked before this news came.
+		keeper.tellHave(strand, first.Address, true, effects)
 	}
 	if completed && place.First == keeper.props.Self.Name {
 		keeper.settle(now, strand, effects)
--- a/internal/strand/strand.go
+++ b/internal/strand/strand.go
@@ -9,6 +9,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"sort"
 	"strconv"
@@ -211,6 +212,19 @@
 	})
 }
 
+// snapshot is a log as it is now, of which nothing changes any more. Records are
+// only ever appended or taken away as a whole.
+func (log *log) snapshot() *log {
+	taken := *log
+	taken.Records = log.Records[:len(log.Records):len(log.Records)]
+	taken.Topics, taken.Trimmed = maps.Clone(log.Topics), maps.Clone(log.Trimmed)
+	taken.Senders = make(map[string]*senderState, len(log.Senders))
+	for key, sender := range log.Senders {
+		taken.Senders[key] = &senderState{LastSeq: sender.LastSeq, At: sender.At, Recent: slices.Clone(sender.Recent)}
+	}
+	return &taken
+}
+
 // retime gives all times of a log anew.
 func (log *log) retime(change func(time.Time) time.Time) {
 	for position := range log.Records {
--- a/internal/swell/swell.go
+++ b/internal/swell/swell.go
@@ -180,7 +180,7 @@
 	return swell.add(beacon.KindPilot, number, func(node *Node, stored stored) berthed {
 		props := pilotage.Props{Self: node.member(), Count: swell.Size.Pilots, Seeds: swell.seeds}
 		if swell.Size.Seeded {
-			props.Count, props.Tolerance, props.NewDisk = 0, swell.Size.Tolerance, fmt.Sprintf("disk%d", node.life)
+			props.Count, props.Tolerance, props.NewDisk = 0, &swell.Size.Tolerance, fmt.Sprintf("disk%d", node.life)
 			props.Founding = !node.founded
 			node.founded = true
 		}
@@ -343,7 +343,7 @@
 	if node.disk != nil {
 		// What waits for the disk may have reached it in part, unsynced.
 		for _, write := range node.writes {
-			if write.Frame != nil {
+			if write.Frame != nil || write.Pack != nil {
 				break
 			}
 			node.book.Scribble(write.Entries)
@@ -571,8 +571,8 @@
 
 func (node *Node) perform(write helm.Write) {
 	node.Syncs++
-	if write.Frame != nil {
-		must(node.book.Checkpoint(write.Frame))
+	if frame, whole := write.Whole(); whole {
+		must(node.book.Checkpoint(frame))
 	}
 	if len(write.Entries) > 0 {
 		must(node.book.Append(write.Entries))
