--- a/cmd/harbour/swell.go
+++ b/cmd/harbour/swell.go
@@ -44,7 +44,7 @@
 	set.Uint64Var(&hunt.seeds, "seeds", 20, "how `many` seeds")
 	set.BoolVar(&hunt.trace, "trace", false, "print all that happens")
 	set.IntVar(&hunt.workers, "workers", runtime.NumCPU(), "how `many` runs at once")
-	set.StringVar(&hunt.size, "size", "small", "the fleet's `shape`: small, fjordlys or qureshi")
+	set.StringVar(&hunt.size, "size", "small", "the fleet's `shape`: small, fjordlys, qureshi or four")
 	set.StringVar(&hunt.plot, "plot", "", "a `list` of faults as name@start+length#pick, instead of a scenario")
 	set.StringVar(&hunt.last, "last", "", "the last fault of a -plot")
 	set.BoolVar(&hunt.shorten, "shorten", false, "shorten the list of faults of a failing seed")
--- a/internal/oracle/oracle.go
+++ b/internal/oracle/oracle.go
@@ -113,6 +113,7 @@
 	PassingOwed bool
 	Codes       map[string]int
 	showed      map[string][]shown
+	Topics      *Topics
 }
 
 // New makes an empty book.
@@ -120,6 +121,7 @@
 	return &Oracle{
 		spaces: map[string]*space{}, messages: map[Message]*published{}, subscribers: map[string]*subscriber{},
 		asked: map[uint64]string{}, forced: map[string]uint64{}, counts: map[string]int{}, Codes: map[string]int{}, showed: map[string][]shown{},
+		Topics: newTopics(),
 	}
 }
 
@@ -392,6 +394,7 @@
 	for _, name := range names {
 		oracle.closeSubscriber(oracle.subscribers[name], at)
 	}
+	oracle.closeTopics(at)
 	for left, name := range names {
 		for _, other := range names[left+1:] {
 			oracle.compare(oracle.subscribers[name], oracle.subscribers[other])
--- a/internal/swell/scenario.go
+++ b/internal/swell/scenario.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"dahlialock/internal/beacon"
+	"dahlialock/internal/chart"
 	"dahlialock/internal/helm"
 	"dahlialock/internal/lamp"
 	"dahlialock/internal/oracle"
@@ -27,6 +28,8 @@
 	Length time.Duration
 	Faults func(swell *Swell, length time.Duration)
 	Plot   func(seed uint64) Plot
+	// Topics is set for runs with callers of routed topics.
+	Topics func(seed uint64) TopicPlot
 }
 
 type spaceDocument struct {
@@ -40,6 +43,7 @@
 	Spaces  []spaceDocument `json:"spaces"`
 	Economy any             `json:"economy,omitempty"`
 	Drains  []string        `json:"drains,omitempty"`
+	Routes  []routeDocument `json:"routes,omitempty"`
 }
 
 // Operator puts and reads configurations at random daemons.
@@ -63,7 +67,19 @@
 	for name := range helm.Sorted(operator.extras) {
 		spaces = append(spaces, spaceDocument{Name: name, Promise: "passing"})
 	}
-	body, fault := json.Marshal(document{Version: operator.version, Spaces: spaces, Economy: operator.economy, Drains: operator.drains})
+	made := document{Version: operator.version, Spaces: spaces, Economy: operator.economy, Drains: operator.drains}
+	if world := operator.swell.world; world != nil {
+		for _, each := range world.routes() {
+			promise := chart.Passing
+			if each.kept {
+				promise = chart.Kept
+			}
+			made.Spaces = append(made.Spaces, spaceDocument{Name: each.space, Promise: string(promise), Order: string(chart.OrderTopic)})
+			made.Routes = append(made.Routes, routeDocument{Prefix: each.prefix, Space: each.space})
+		}
+		operator.swell.Oracle.RoutesSent(operator.version, prefixes(world.routes()), operator.swell.Now)
+	}
+	body, fault := json.Marshal(made)
 	must(fault)
 	return body
 }
@@ -95,6 +111,7 @@
 		case alive && returned.Status == http.StatusOK:
 			swell.trace("configuration %d taken through %s", version, node.Name)
 			swell.Oracle.PutTaken(version, string(body), began, swell.Now)
+			swell.Oracle.RoutesTaken(version, swell.Now)
 			if done != nil {
 				done()
 			}
@@ -253,6 +270,11 @@
 
 func prepare(seed uint64, size Size, apart time.Duration, trace func(line string)) (*Swell, *Operator) {
 	swell := New(seed, size)
+	return swell, swell.begin(apart, trace)
+}
+
+// begin starts the daemons and puts the first configuration.
+func (swell *Swell) begin(apart time.Duration, trace func(line string)) *Operator {
 	swell.Trace = trace
 	swell.apart = apart
 	swell.StartAll()
@@ -276,7 +298,7 @@
 	})
 	swell.trouble = swell.Now
 	swell.sample()
-	return swell, operator
+	return operator
 }
 
 // Crowd adds the usual callers.
@@ -313,6 +335,9 @@
 
 // Run runs a scenario under one seed.
 func Run(scenario Scenario, seed uint64, size Size, trace func(line string)) *Swell {
+	if scenario.Topics != nil {
+		return RunTopics(seed, size, scenario.Topics(seed), trace)
+	}
 	if scenario.Plot != nil {
 		return RunPlot(seed, size, scenario.Plot(seed), trace)
 	}
@@ -381,6 +406,11 @@
 			swell.trace("%s %s: %+v", node.Name, name, status)
 		}
 	}
+	for _, client := range swell.topicClients {
+		for topic, each := range helm.Sorted(client.topics) {
+			swell.trace("%s connected %v holds %s: %+v", client.Name, client.connected, topic, *each)
+		}
+	}
 	for _, client := range swell.clients {
 		swell.trace("%s at %s connected %v subscribed %v outbox %d", client.Name, client.node.Name, client.connected, client.subscribed, len(client.outbox))
 	}
@@ -876,7 +906,7 @@
 	found = append(found,
 		Scenario{Name: "pairs", Plot: pairPlot},
 		Scenario{Name: "storm", Plot: func(seed uint64) Plot { return drawPlot(seed, squall.Names, 9) }})
-	return found
+	return append(found, topicScenarios()...)
 }
 
 // Find finds a scenario by its name.
--- a/internal/swell/storm.go
+++ b/internal/swell/storm.go
@@ -39,13 +39,18 @@
 
 // pairPlot draws two faults that come again and again over each other.
 func pairPlot(seed uint64) Plot {
-	random := rand.New(rand.NewPCG(seed, 0x9a13))
+	pair := pairOf(rand.New(rand.NewPCG(seed, 0x9a13)))
+	return drawPlot(seed, pair[:], 4)
+}
+
+// pairOf draws two faults that may come at once.
+func pairOf(random *rand.Rand) [2]string {
 	left := squall.Names[random.IntN(len(squall.Names))]
 	right := squall.Names[random.IntN(len(squall.Names))]
 	for right == left || squall.Clashes(left, right) {
 		right = squall.Names[random.IntN(len(squall.Names))]
 	}
-	return drawPlot(seed, []string{left, right}, 4)
+	return [2]string{left, right}
 }
 
 // RunPlot runs a plot under a seed.
@@ -112,7 +117,11 @@
 	swell.open++
 	swell.trace("fault: %s", fault)
 	end := func() { swell.ends(fault.Name) }
-	brought[fault.Name](swell, fault, end)
+	strike := brought[fault.Name]
+	if callers, found := topicBrought[fault.Name]; found && swell.world != nil {
+		strike = callers
+	}
+	strike(swell, fault, end)
 }
 
 type bringer func(swell *Swell, fault squall.Fault, end func())
@@ -563,6 +572,11 @@
 }
 
 func (swell *Swell) callersServed() bool {
+	for _, client := range swell.topicClients {
+		if !client.Gone && client.fixed == nil && !client.holds() && !swell.Now.Before(client.awayUntil) {
+			return false
+		}
+	}
 	for _, client := range swell.clients {
 		if !client.Gone && !client.subscribed && !swell.Now.Before(client.awayUntil) {
 			return false
--- a/internal/swell/swell.go
+++ b/internal/swell/swell.go
@@ -39,11 +39,13 @@
 // Small is a fleet that is quick to run and has every kind of daemon.
 var Small = Size{Lanterns: 5, Keepers: 3, Pilots: 5, Places: 3, Delay: time.Millisecond, Callers: 12}
 
-// Sizes are the small fleet and the shapes of the two deployments.
+// Sizes are the small fleet, the shapes of the two deployments, and one with four
+// localities.
 var Sizes = map[string]Size{
 	"small":    Small,
 	"fjordlys": {Lanterns: 7, Keepers: 3, Pilots: 5, Places: 3, Delay: 500 * time.Microsecond, Callers: 40},
 	"qureshi":  {Lanterns: 9, Keepers: 3, Pilots: 5, Places: 3, Delay: 1500 * time.Microsecond, Callers: 40},
+	"four":     {Lanterns: 8, Keepers: 4, Pilots: 5, Places: 4, Delay: 2 * time.Millisecond, Callers: 24},
 }
 
 type event struct {
@@ -97,6 +99,9 @@
 	primarySince time.Time
 	Comeback     []Comeback
 	clients      []*Client
+	topicClients []*TopicClient
+	probed       map[string]*platform
+	world        *topicWorld
 	operator     *Operator
 	number       uint64
 	Events       int
@@ -158,7 +163,7 @@
 func New(seed uint64, size Size) *Swell {
 	swell := &Swell{
 		Seed: seed, Random: rand.New(rand.NewPCG(seed, 0x5eed)), Now: time.Unix(1_700_000_000, 0), Oracle: oracle.New(), Size: size,
-		nodes: map[string]*Node{}, byPort: map[string]*Node{}, arrival: map[string]time.Time{}, cuts: map[string]int{}, Sent: map[string]int{}, unready: map[string]time.Duration{},
+		nodes: map[string]*Node{}, byPort: map[string]*Node{}, arrival: map[string]time.Time{}, cuts: map[string]int{}, Sent: map[string]int{}, unready: map[string]time.Duration{}, probed: map[string]*platform{},
 	}
 	swell.started = swell.Now
 	for number := range min(3, size.Pilots) {
