A stopping lantern serves who is still there and sends on who still comes

Change: it serves until its time is up, opens channels of callers on lines only to move them, and stays until the platform must have noticed.

--- a/internal/lamp/channel.go
+++ b/internal/lamp/channel.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"dahlialock/internal/beacon"
 	"dahlialock/internal/chart"
 	"dahlialock/internal/fairway"
 	"dahlialock/internal/foghorn"
@@ -90,6 +91,13 @@
 
 func (lantern *Lantern) openChannel(now time.Time, visit OpenChannel, effects *helm.Effects) {
 	lantern.Counts.Visits++
+	lantern.turnsAway = lantern.turnsAway || visit.Lines
+	if visit.Lines && lantern.leaving() && lantern.Confirmed(now) {
+		if targets := lantern.targets(); len(targets) > 0 {
+			lantern.turnAway(now, visit, targets, effects)
+			return
+		}
+	}
 	switch {
 	case lantern.stopping:
 		effects.Return(visit.Visit, refused(503, "stopping", "this daemon is stopping", comeBackSoon))
@@ -101,10 +109,7 @@
 		effects.Return(visit.Visit, refused(503, "full", "this daemon holds all the channels it may", comeBackSoon))
 		return
 	}
-	lantern.channels[visit.Channel] = &channel{
-		name: visit.Name, origin: visit.Origin, subscriptions: map[Interest]*subscription{}, routed: map[string]*place{}, lines: visit.Lines,
-		got: map[string]map[uint64]time.Time{}, above: map[string]map[uint64]bool{}, marks: map[string]map[string]mark{}, pongAt: now, pingAt: now,
-	}
+	lantern.channels[visit.Channel] = newChannel(now, visit)
 	lantern.supersede(now, visit.Origin, visit.Channel, effects)
 	lantern.timers.ArmSooner("tick", now.Add(tickEvery))
 	lantern.ring.Record(now, "", "", visit.Origin, "channel-opened", "channel", visit.Name)
@@ -115,6 +120,31 @@
 	}, effects)
 }
 
+func newChannel(now time.Time, visit OpenChannel) *channel {
+	return &channel{
+		name: visit.Name, origin: visit.Origin, subscriptions: map[Interest]*subscription{}, routed: map[string]*place{}, lines: visit.Lines,
+		got: map[string]map[uint64]time.Time{}, above: map[string]map[uint64]bool{}, marks: map[string]map[string]mark{}, pongAt: now, pingAt: now,
+	}
+}
+
+// leaving tells whether this lantern is to be empty soon while others are not:
+// one that is only full or out of touch sends nobody on, since the others may be
+// so too and would send them back.
+func (lantern *Lantern) leaving() bool {
+	return lantern.stopping || lantern.follower.Orders.Rest || slices.Contains(lantern.config.Drains, lantern.props.Self.Name)
+}
+
+// turnAway opens a channel only to say where its origin is better served: that
+// is found sooner so than by trying.
+func (lantern *Lantern) turnAway(now time.Time, visit OpenChannel, targets []beacon.Member, effects *helm.Effects) {
+	opened := newChannel(now, visit)
+	lantern.channels[visit.Channel] = opened
+	lantern.timers.ArmSooner("tick", now.Add(tickEvery))
+	effects.Return(visit.Visit, accepted(nil))
+	lantern.turn++
+	lantern.move(now, visit.Channel, opened, targets[lantern.turn%min(len(targets), 3)], effects)
+}
+
 func (lantern *Lantern) closeChannel(now time.Time, visit CloseChannel, effects *helm.Effects) {
 	channel, found := lantern.channels[visit.Channel]
 	if !found {
--- a/internal/lamp/lantern.go
+++ b/internal/lamp/lantern.go
@@ -25,12 +25,15 @@
 
 // Spans and bounds of a lantern.
 const (
-	pingEvery      = 5 * time.Second
-	pongLimit      = 16 * time.Second
-	tickEvery      = time.Second
-	moveEvery      = 100 * time.Millisecond
-	moveLinger     = 1500 * time.Millisecond
-	stopLimit      = 3500 * time.Millisecond
+	pingEvery  = 5 * time.Second
+	pongLimit  = 16 * time.Second
+	tickEvery  = time.Second
+	moveEvery  = 100 * time.Millisecond
+	moveLinger = 1500 * time.Millisecond
+	stopLimit  = 3500 * time.Millisecond
+	// stopLeast is until the platform, which asks for readiness each second, has
+	// missed it twice and sends nobody here any more.
+	stopLeast      = 2200 * time.Millisecond
 	heldMost       = 20000
 	interestsMost  = 256
 	comeBackSoon   = 250 * time.Millisecond
@@ -102,9 +105,13 @@
 	lingering  []lingered
 	stopping   bool
 	stopUntil  time.Time
+	stopFrom   time.Time
 	wasReady   bool
-	turn       int
-	Counts     Counts
+	// turnsAway is set once a caller on lines came here: such callers can be told
+	// where to go before they are served.
+	turnsAway bool
+	turn      int
+	Counts    Counts
 }
 
 type spaceState struct {
@@ -649,14 +656,15 @@
 		return
 	}
 	lantern.stopping = true
-	lantern.stopUntil = now.Add(stopLimit)
+	lantern.stopFrom, lantern.stopUntil = now, now.Add(stopLimit)
 	lantern.timers.Arm("move", now)
 	lantern.timers.Arm("stop", now.Add(moveEvery))
 }
 
 // stopStep ends the lantern once its origins are gone, or its time is up.
 func (lantern *Lantern) stopStep(now time.Time, effects *helm.Effects) {
-	if len(lantern.channels) > 0 && now.Before(lantern.stopUntil) || len(lantern.appends)+len(lantern.routed.appends) > 0 && now.Before(lantern.stopUntil.Add(-time.Second)) {
+	if len(lantern.channels) > 0 && now.Before(lantern.stopUntil) || len(lantern.appends)+len(lantern.routed.appends) > 0 && now.Before(lantern.stopUntil.Add(-time.Second)) ||
+		lantern.turnsAway && now.Before(lantern.stopFrom.Add(stopLeast)) {
 		lantern.timers.Arm("stop", now.Add(moveEvery))
 		return
 	}
