A stopping lantern serves on, tells callers where to go; its tender outlives it

Cause: a stopping lantern refused what its channels sent and every new channel until it ended 3.3 s later, waiting for callers who never leave; its tender ended at once. Change: routed visits are served while there is time; a caller on lines that comes is let in and sent on at once; moves go 25 a step at least; who was told to go 0.6 s ago is waited for no more; a tender stops with its lantern's farewell, after 3.8 s at the latest.

--- a/internal/lamp/channel.go
+++ b/internal/lamp/channel.go
@@ -91,7 +91,6 @@
 
 func (lantern *Lantern) openChannel(now time.Time, visit OpenChannel, effects *helm.Effects) {
 	lantern.Counts.Visits++
-	lantern.turnsAway = lantern.turnsAway || visit.Lines
 	if visit.Lines && lantern.leaving() && lantern.Confirmed(now) {
 		if targets := lantern.targets(); len(targets) > 0 {
 			lantern.turnAway(now, visit, targets, effects)
--- a/internal/lamp/lantern.go
+++ b/internal/lamp/lantern.go
@@ -25,15 +25,14 @@
 
 // Spans and bounds of a lantern.
 const (
-	pingEvery  = 5 * time.Second
-	pongLimit  = 16 * time.Second
-	tickEvery  = time.Second
-	moveEvery  = 100 * time.Millisecond
-	moveLinger = 1500 * time.Millisecond
-	stopLimit  = 3500 * time.Millisecond
-	// stopLeast is until the platform, which asks for readiness each second, has
-	// missed it twice and sends nobody here any more.
-	stopLeast      = 2200 * time.Millisecond
+	pingEvery      = 5 * time.Second
+	pongLimit      = 16 * time.Second
+	tickEvery      = time.Second
+	moveEvery      = 100 * time.Millisecond
+	moveLinger     = 1500 * time.Millisecond
+	stopLimit      = 3500 * time.Millisecond
+	stopMoves      = 25
+	movedLong      = 600 * time.Millisecond
 	heldMost       = 20000
 	interestsMost  = 256
 	comeBackSoon   = 250 * time.Millisecond
@@ -105,7 +104,6 @@
 	lingering  []lingered
 	stopping   bool
 	stopUntil  time.Time
-	stopFrom   time.Time
 	wasReady   bool
 	// turnsAway is set once a caller on lines came here: such callers can be told
 	// where to go before they are served.
@@ -610,7 +608,7 @@
 		}
 	}
 	if lantern.stopping {
-		count = max(count, (len(lantern.channels)+9)/10)
+		count = max(count, stopMoves, (len(lantern.channels)+9)/10)
 	}
 	targets := lantern.targets()
 	if len(targets) == 0 {
@@ -656,15 +654,31 @@
 		return
 	}
 	lantern.stopping = true
-	lantern.stopFrom, lantern.stopUntil = now, now.Add(stopLimit)
+	lantern.stopUntil = now.Add(stopLimit)
 	lantern.timers.Arm("move", now)
 	lantern.timers.Arm("stop", now.Add(moveEvery))
 }
 
+// servesOn tells whether a lantern that stops has time left to serve those who
+// are still here.
+func (lantern *Lantern) servesOn(now time.Time) bool {
+	return now.Before(lantern.stopUntil.Add(-time.Second))
+}
+
+// staysFor tells whether anybody is left who may yet leave by itself: on lines a
+// caller that was told where to go and is long still here won't.
+func (lantern *Lantern) staysFor(now time.Time) bool {
+	for _, channel := range lantern.channels {
+		if !channel.lines || channel.movedAt.IsZero() || now.Sub(channel.movedAt) < movedLong {
+			return true
+		}
+	}
+	return false
+}
+
 // stopStep ends the lantern once its origins are gone, or its time is up.
 func (lantern *Lantern) stopStep(now time.Time, effects *helm.Effects) {
-	if len(lantern.channels) > 0 && now.Before(lantern.stopUntil) || len(lantern.appends)+len(lantern.routed.appends) > 0 && now.Before(lantern.stopUntil.Add(-time.Second)) ||
-		lantern.turnsAway && now.Before(lantern.stopFrom.Add(stopLeast)) {
+	if lantern.staysFor(now) && now.Before(lantern.stopUntil) || len(lantern.appends)+len(lantern.routed.appends) > 0 && now.Before(lantern.stopUntil.Add(-time.Second)) {
 		lantern.timers.Arm("stop", now.Add(moveEvery))
 		return
 	}
@@ -677,6 +691,7 @@
 			effects.Send(member.Address, beacon.Farewell{Name: lantern.props.Self.Name, Incarnation: lantern.props.Self.Incarnation})
 		}
 	}
+	effects.Send(lantern.props.Tender, beacon.Farewell{Name: lantern.props.Self.Name, Incarnation: lantern.props.Self.Incarnation})
 	effects.Stop = true
 }
 
--- a/internal/lamp/policies.go
+++ b/internal/lamp/policies.go
@@ -74,9 +74,7 @@
 func (servingPolicy) Judge(now time.Time, visit *Judged) Verdict {
 	lantern := visit.Lantern
 	switch {
-	case lantern.stopping && !now.Before(lantern.stopUntil):
-		// Until its time is up a lantern that stops serves those that are still
-		// here; they move one after the other.
+	case lantern.stopping && !(visit.Routed && lantern.servesOn(now)):
 		return Verdict{Answer: refused(503, "stopping", "this daemon is stopping", comeBackSoon)}
 	case lantern.behind > lantern.follower.Version:
 		return Verdict{Look: true, Answer: refused(503, "behind", "this daemon is catching up with the configuration", comeBackSoon)}
--- a/internal/tender/tender.go
+++ b/internal/tender/tender.go
@@ -1,7 +1,8 @@
 // A Tender is the agent beside a lantern: it holds the link to the pilots and
 // feeds its lantern over loopback. It follows the control state for itself, and
 // passes its lantern's questions, heartbeats' news and operators' requests on
-// to whichever pilot is primary.
+// to whichever pilot is primary. Asked to stop together with its lantern, it
+// outlives it, so that the lantern stays confirmed while it empties itself.
 package tender
 
 import (
@@ -13,6 +14,13 @@
 	"dahlialock/internal/helm"
 )
 
+const (
+	// lanternAlive is how long after its last question a lantern counts as there,
+	// stopLimit how long a tender that stops waits for its farewell.
+	lanternAlive = 2 * time.Second
+	stopLimit    = 3800 * time.Millisecond
+)
+
 // Props are a tender daemon's settings.
 type Props struct {
 	Self    beacon.Member
@@ -51,11 +59,13 @@
 	relayed  relayed
 	local    uint64
 	carrying map[uint64]carried
+	askedAt  time.Time
+	timers   *helm.Timers
 }
 
 // New makes a tender.
 func New(props Props) *Tender {
-	tender := &Tender{props: props, carrying: map[uint64]carried{}}
+	tender := &Tender{props: props, carrying: map[uint64]carried{}, timers: helm.NewTimers()}
 	tender.follower = beacon.NewFollower(props.Self, props.Seeds, func() beacon.Load { return beacon.Load{Ready: true} })
 	tender.pulse = beacon.NewPulse(props.Self)
 	tender.cutter = cutter.New(tender.follower.Upstream, tender.follower.Other)
@@ -79,7 +89,7 @@
 
 // NextDue is when the tender wants to run again.
 func (tender *Tender) NextDue() time.Time {
-	return helm.Earliest(tender.follower.NextDue(), tender.pulse.NextDue(), tender.cutter.NextDue())
+	return helm.Earliest(tender.follower.NextDue(), tender.pulse.NextDue(), tender.cutter.NextDue(), tender.timers.Next())
 }
 
 // Due runs whatever is due.
@@ -87,21 +97,34 @@
 	tender.follower.Due(now, effects)
 	tender.pulse.Due(now, effects)
 	tender.cutter.Due(now, effects)
+	if len(tender.timers.Expired(now)) > 0 {
+		tender.end(effects)
+	}
 	tender.settle(effects)
 }
 
+// end leaves the fleet.
+func (tender *Tender) end(effects *helm.Effects) {
+	for _, member := range helm.Sorted(tender.follower.Members) {
+		if member.Kind == beacon.KindPilot {
+			effects.Send(member.Address, beacon.Farewell{Name: tender.props.Self.Name, Incarnation: tender.props.Self.Incarnation})
+		}
+	}
+	effects.Stop = true
+}
+
 // Command takes what the adapters bring.
 func (tender *Tender) Command(now time.Time, command any, effects *helm.Effects) {
 	switch body := command.(type) {
 	case Visit:
 		tender.cutter.Carry(now, body.Local, body.Method, body.Path, body.Body, effects)
 	case Stop:
-		for _, member := range helm.Sorted(tender.follower.Members) {
-			if member.Kind == beacon.KindPilot {
-				effects.Send(member.Address, beacon.Farewell{Name: tender.props.Self.Name, Incarnation: tender.props.Self.Incarnation})
-			}
+		switch {
+		case tender.askedAt.IsZero() || now.Sub(tender.askedAt) > lanternAlive:
+			tender.end(effects)
+		case !tender.timers.Armed("stop"):
+			tender.timers.Arm("stop", now.Add(stopLimit))
 		}
-		effects.Stop = true
 	}
 }
 
@@ -113,6 +136,7 @@
 	switch body := message.(type) {
 	case beacon.Ask:
 		if meta.From == tender.props.Lantern {
+			tender.askedAt = now
 			tender.relayed = relayed{ask: body, sentAt: now, open: true}
 			for _, address := range tender.follower.Upstreams() {
 				effects.Send(address, body)
@@ -126,6 +150,13 @@
 			return
 		}
 		tender.redirectLantern(now, body, effects)
+	case beacon.Farewell:
+		if meta.From != tender.props.Lantern {
+			return
+		}
+		if tender.askedAt = (time.Time{}); tender.timers.Armed("stop") {
+			tender.end(effects)
+		}
 	case beacon.Heartbeat:
 		tender.pulse.Beat(now, body)
 	case beacon.ControlVisit:
