--- a/internal/berth/berth.go
+++ b/internal/berth/berth.go
@@ -53,6 +53,7 @@
 // Berth runs one machine.
 type Berth struct {
 	machine  helm.Machine
+	watcher  helm.LinkWatcher
 	flare    *flare.Flare
 	flush    []func()
 	foghorn  *foghorn.Foghorn
@@ -107,6 +108,10 @@
 // Run runs the machine until it stops.
 func (berth *Berth) Run(machine helm.Machine) {
 	berth.machine = machine
+	if watcher, watches := machine.(helm.LinkWatcher); watches {
+		berth.watcher = watcher
+		berth.flare.Watch()
+	}
 	if berth.book != nil {
 		go berth.writeDisk()
 	}
@@ -355,6 +360,10 @@
 }
 
 func (berth *Berth) message(state *running, inbound flare.Inbound) {
+	if _, refused := inbound.Message.(flare.Refused); refused {
+		berth.step(state, func(now time.Time, effects *helm.Effects) { berth.watcher.Refused(now, inbound.Meta.From, effects) })
+		return
+	}
 	berth.step(state, func(now time.Time, effects *helm.Effects) {
 		berth.machine.Message(now, inbound.Meta, inbound.Message, effects)
 	})
--- a/internal/flare/link.go
+++ b/internal/flare/link.go
@@ -38,8 +38,12 @@
 	// staleAfter is the age at which what waited for a connection goes no more.
 	staleAfter = 2 * time.Second
 	// bufferMost is how much of a slow connection's bytes gnet may hold.
-	bufferMost  = 64 << 10
-	lookAgain   = 10 * time.Millisecond
+	bufferMost = 64 << 10
+	lookAgain  = 10 * time.Millisecond
+	// probeAfter is when a connection that ended is dialled again to see whether
+	// anybody is there, if somebody wants to know.
+	probeAfter  = 5 * time.Millisecond
+	probeSlowly = 200 * time.Millisecond
 	dialLimit   = time.Second
 	pauseLeast  = 50 * time.Millisecond
 	pauseMost   = 500 * time.Millisecond
@@ -59,6 +63,9 @@
 	Message any
 }
 
+// Refused is the note that nobody listens at an address, as its machine says.
+type Refused struct{}
+
 // Weather is what a trial imposes on links, by prefix of the other's address:
 // cuts are both ways, mutes only outwards, and deaf only inwards.
 type Weather struct {
@@ -105,6 +112,8 @@
 
 	// compresses is set where turns to other localities are packed.
 	compresses atomic.Bool
+	// watches is set where the owner wants to know of addresses that refuse.
+	watches atomic.Bool
 
 	// Of the accepting loop.
 	reader reader
@@ -151,6 +160,9 @@
 	armed    time.Time
 	seenUses uint64
 	known    bool
+	// idle is set where we ended the connection ourselves.
+	idle   bool
+	openAt time.Time
 }
 
 // way is a connection on which nothing waits, as of a count of hand-overs.
@@ -444,6 +456,10 @@
 // on.
 func (flare *Flare) Compress() { flare.compresses.Store(true) }
 
+// Watch has connections that end dialled again at once, and addresses that refuse
+// that told to the owner.
+func (flare *Flare) Watch() { flare.watches.Store(true) }
+
 // Send queues a message for the end of the turn; it never blocks for long and
 // never fails loudly. It is for the owner alone. Until the owner has called
 // Flush for the first time, each message goes out at once.
@@ -680,7 +696,7 @@
 			_, fault = flare.client.EnrollContext(plain, present)
 		}
 		if fault != nil {
-			flare.onLoop(func() { flare.missed(present) })
+			flare.onLoop(func() { flare.missed(present, fault) })
 		}
 	}()
 }
@@ -705,7 +721,8 @@
 		return gnet.Close
 	}
 	flare.Counters.Dials.Add(1)
-	present.wire, present.socket, present.pause = wire, &socket{descriptor: descriptor}, 0
+	present.wire, present.socket, present.pause, present.idle = wire, &socket{descriptor: descriptor}, 0, false
+	present.openAt = time.Now()
 	packs := present.away && flare.compresses.Load()
 	if packs {
 		present.socket.packer = newPacker()
@@ -726,8 +743,14 @@
 }
 
 // missed is told of a connection that could not be made.
-func (flare *Flare) missed(present *link) {
+func (flare *Flare) missed(present *link, fault error) {
 	present.dialling = false
+	if flare.watches.Load() && errors.Is(fault, unix.ECONNREFUSED) {
+		select {
+		case flare.urgent <- Inbound{Meta: helm.Meta{From: present.to}, Message: Refused{}}:
+		default:
+		}
+	}
 	flare.pauseLink(present)
 	oldest := time.Now().Add(-staleAfter)
 	for len(present.queue) > 0 && present.queue[0].at.Before(oldest) {
@@ -747,6 +770,21 @@
 	present.socket.end()
 	present.wire, present.socket = nil, nil
 	flare.pauseLink(present)
+	if flare.watches.Load() && !present.idle && !flare.stopped {
+		wait := probeAfter
+		if time.Since(present.openAt) < probeSlowly {
+			// Somebody answers and hangs up again and again.
+			wait = probeSlowly
+		}
+		time.AfterFunc(wait, func() {
+			flare.onLoop(func() {
+				if present.wire == nil && !flare.cutTo(present.to) {
+					present.retryAt = time.Time{}
+					flare.call(present)
+				}
+			})
+		})
+	}
 	if len(present.queue) > 0 {
 		// The queue is in the hands of whoever ended the connection.
 		flare.arm(present, present.pause)
@@ -767,6 +805,7 @@
 		for _, present := range flare.tended {
 			uses := present.uses.Load()
 			if uses == present.seenUses && present.wire != nil && len(present.queue) == 0 {
+				present.idle = true
 				_ = flare.loop.Close(present.wire)
 			}
 			present.seenUses = uses
--- a/internal/flare/link_test.go
+++ b/internal/flare/link_test.go
@@ -207,3 +207,48 @@
 	assert.NilError(t, left.links.Send(address, 0, appendOf(7)))
 	assert.Equal(t, receive(t, inbox).Message.(strand.Append).Visit, uint64(7))
 }
+
+// Whoever watches is told that nobody listens at an address once a process there
+// has ended, and is told nothing where a link was merely reset.
+func TestAnAddressThatRefusesIsTold(t *testing.T) {
+	address := freeAddress(t)
+	inbox, urgent := make(chan flare.Inbound, 4096), make(chan flare.Inbound, 4096)
+	there, fault := flare.Open(address, inbox, urgent, func(string, error) {})
+	assert.NilError(t, fault)
+	left := openEnd(t)
+	left.links.Watch()
+	assert.NilError(t, left.links.Send(address, 0, appendOf(1)))
+	left.links.Flush()
+	receive(t, inbox)
+	there.Close()
+	told := receive(t, left.urgent)
+	_, refused := told.Message.(flare.Refused)
+	assert.Assert(t, refused, "%T", told.Message)
+	assert.Equal(t, told.Meta.From, address)
+
+	resetting, fault := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, fault)
+	defer func() { _ = resetting.Close() }()
+	accepted := make(chan struct{}, 16)
+	go func() {
+		for {
+			connection, fault := resetting.Accept()
+			if fault != nil {
+				return
+			}
+			_ = connection.(*net.TCPConn).SetLinger(0)
+			_ = connection.Close()
+			accepted <- struct{}{}
+		}
+	}()
+	assert.NilError(t, left.links.Send(resetting.Addr().String(), 0, appendOf(2)))
+	left.links.Flush()
+	for range 3 {
+		select {
+		case <-accepted:
+		case <-time.After(patience):
+			t.Fatal("a link that was reset is not dialled again")
+		}
+	}
+	assert.Equal(t, len(left.urgent), 0)
+}
