Shorter words about a message between lanterns and keepers and between keepers

An answer of a shared strand names neither topic nor sender (71 to 45 bytes), a copy carries ages in place of times (278 to 262 with 200 bytes of data), and its answer a sum of the holder's name (58 to 29).

--- a/internal/strand/append.go
+++ b/internal/strand/append.go
@@ -118,7 +118,7 @@
 // answered is a record as whoever asked for it to be kept is told of it.
 func answered(strand string, record Record) Record {
 	if chart.IsShared(strand) {
-		record.Data = nil
+		record.Data, record.Topic, record.Sender, record.At = nil, "", "", time.Time{}
 	}
 	return record
 }
--- a/internal/strand/copy.go
+++ b/internal/strand/copy.go
@@ -3,6 +3,7 @@
 package strand
 
 import (
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -79,14 +80,11 @@
 		after, afterEpoch = head, headEpoch
 	}
 	records := strand.log.after(after)
-	if len(records) > copyLimit {
-		records = records[:copyLimit]
-	}
+	records = slices.Clone(records[:min(len(records), copyLimit)])
 	keeper.Counts.Copies++
 	keeper.Counts.CopyRecords += uint64(len(records))
 	effects.Send(understudy.Address, Copy{
-		Now: now, Strand: strand.log.Name, Epoch: strand.place.Epoch, After: after, AfterEpoch: afterEpoch,
-		Records: append([]Record(nil), records...),
+		Strand: strand.log.Name, Epoch: strand.place.Epoch, After: after, AfterEpoch: afterEpoch, Records: records, Ages: takeAges(now, records),
 	})
 	if copied.known {
 		copied.sent = after + uint64(len(records))
@@ -97,6 +95,21 @@
 	copied.sentAt = now
 }
 
+// takeAges takes the times off records, and gives their ages up to the oldest that
+// is not new.
+func takeAges(now time.Time, records []Record) []uint32 {
+	var ages []uint32
+	for position := range records {
+		age := uint32(max(0, now.Sub(records[position].At).Milliseconds()))
+		records[position].At = time.Time{}
+		if age > 0 {
+			ages = append(ages, make([]uint32, position-len(ages))...)
+			ages = append(ages, age)
+		}
+	}
+	return ages
+}
+
 // recopy sends again what was not acknowledged for a while, more and more
 // seldom, and ends the waiting of those that have waited for long.
 func (keeper *Keeper) recopy(now time.Time, effects *helm.Effects) {
@@ -173,7 +186,7 @@
 		keeper.tellHave(strand, from, true, effects)
 		return
 	}
-	for _, record := range copied.Records {
+	for position, record := range copied.Records {
 		present, known := strand.log.epochAt(record.Offset)
 		if known && record.Offset > strand.log.Base {
 			if present != record.Epoch {
@@ -182,7 +195,10 @@
 			}
 			continue
 		}
-		record.At = now.Add(-max(0, copied.Now.Sub(record.At)))
+		record.At = now
+		if position < len(copied.Ages) {
+			record.At = now.Add(-time.Duration(copied.Ages[position]) * time.Millisecond)
+		}
 		strand.log.add(record)
 		keeper.log(diskEntry{Strand: copied.Strand, Record: &record}, nil)
 	}
@@ -199,14 +215,14 @@
 	head, headEpoch := strand.log.head()
 	answer := func(_ time.Time, effects *helm.Effects) {
 		strand.synced = max(strand.synced, head)
-		effects.Send(from, CopyReturn{Strand: strand.log.Name, Epoch: epoch, Have: head, HaveEpoch: headEpoch, Holder: keeper.holder()})
+		effects.Send(from, CopyReturn{Strand: strand.log.Name, Epoch: epoch, Have: head, HaveEpoch: headEpoch, Holder: sumOf(keeper.holder())})
 	}
 	keeper.afters = append(keeper.afters, answer)
 }
 
 func (keeper *Keeper) tellHave(strand *held, to string, mismatch bool, effects *helm.Effects) {
 	head, epoch := strand.log.head()
-	effects.Send(to, CopyReturn{Strand: strand.log.Name, Epoch: strand.place.Epoch, Have: head, HaveEpoch: epoch, Mismatch: mismatch, Holder: keeper.holder()})
+	effects.Send(to, CopyReturn{Strand: strand.log.Name, Epoch: strand.place.Epoch, Have: head, HaveEpoch: epoch, Mismatch: mismatch, Holder: sumOf(keeper.holder())})
 }
 
 func (keeper *Keeper) onCopyReturn(now time.Time, from string, returned CopyReturn, effects *helm.Effects) {
@@ -257,15 +273,21 @@
 
 // copyAt finds the understudy that an answer came from, with the disk that the
 // view names: what another disk of it held does not count.
-func (keeper *Keeper) copyAt(strand *held, from, holder string) *copied {
+func (keeper *Keeper) copyAt(strand *held, from string, holder uint32) *copied {
 	for _, copied := range strand.copies {
-		if member := keeper.follower.Members[copied.name]; member.Alive && member.Address == from && copied.holder == holder {
+		if member := keeper.follower.Members[copied.name]; member.Alive && member.Address == from && sumOf(copied.holder) == holder {
 			return copied
 		}
 	}
 	return nil
 }
 
+func sumOf(holder string) uint32 {
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(holder))
+	return sum.Sum32()
+}
+
 // progress accepts what all copies have, and tells the primary once they have
 // all that lay here when the epoch began.
 func (keeper *Keeper) progress(now time.Time, strand *held, effects *helm.Effects) {
--- a/internal/strand/messages.go
+++ b/internal/strand/messages.go
@@ -83,8 +83,8 @@
 	Unsettled
 )
 
-// AppendReturn answers it. In a shared strand its record carries no data, since
-// whoever asked has them.
+// AppendReturn answers it. In a shared strand its record carries neither data nor
+// names, since whoever asked has them.
 type AppendReturn struct {
 	_          struct{} `cbor:",toarray"`
 	Strand     string
@@ -98,16 +98,16 @@
 }
 
 // Copy carries records from the first to the understudy, after the record at
-// After of epoch AfterEpoch. Its times are counted from Now, since no two
-// machines' clocks need agree.
+// After of epoch AfterEpoch. Its records have no times but ages in milliseconds,
+// since no two machines' clocks need agree; what is left out at the end is new.
 type Copy struct {
 	_          struct{} `cbor:",toarray"`
-	Now        time.Time
 	Strand     string
 	Epoch      uint64
 	After      uint64
 	AfterEpoch uint64
 	Records    []Record
+	Ages       []uint32
 }
 
 // CopyReturn says how far the understudy's disk reaches, or that it needs more.
@@ -119,8 +119,8 @@
 	HaveEpoch uint64
 	Mismatch  bool
 	Older     uint64
-	// Holder is the understudy with the disk on which it lies.
-	Holder string
+	// Holder is a short sum of the understudy's name with its disk.
+	Holder uint32
 }
 
 // Frame carries a whole strand, its times counted from Now.
