--- a/internal/flare/socket.go
+++ b/internal/flare/socket.go
@@ -6,7 +6,6 @@
 import (
 	"encoding/binary"
 	"sync/atomic"
-	"unsafe"
 
 	"golang.org/x/sys/unix"
 )
@@ -44,9 +43,9 @@
 	if !socket.state.CompareAndSwap(socketIdle, socketBusy) {
 		return 0, unix.EPIPE
 	}
-	sent, fault := writeNow(socket.descriptor, body)
+	sent, fault := unix.Write(socket.descriptor, body)
 	for fault == unix.EINTR {
-		sent, fault = writeNow(socket.descriptor, body)
+		sent, fault = unix.Write(socket.descriptor, body)
 	}
 	if !socket.state.CompareAndSwap(socketBusy, socketIdle) {
 		socket.state.Store(socketEnded)
@@ -67,13 +66,3 @@
 		}
 	}
 }
-
-// writeNow writes to a descriptor that never waits, so that the scheduler need
-// not be told of the call.
-func writeNow(descriptor int, body []byte) (int, error) {
-	sent, _, fault := unix.RawSyscall(unix.SYS_WRITE, uintptr(descriptor), uintptr(unsafe.Pointer(unsafe.SliceData(body))), uintptr(len(body)))
-	if fault != 0 {
-		return 0, fault
-	}
-	return int(sent), nil
-}
