--- a/internal/berth/daemon.go
+++ b/internal/berth/daemon.go
@@ -125,8 +125,9 @@
 		fmt.Fprintf(os.Stderr, "%s: %v\n", kind, fault)
 		return ExitProps
 	}
-	// Small machines: the collector may use a little more memory to run less.
-	debug.SetGCPercent(200)
+	// On small machines memory costs more than the collector's time, which does
+	// not show at this rate.
+	debug.SetGCPercent(100)
 	debug.SetMemoryLimit(settings.MemoryLimit())
 	runtime.GOMAXPROCS(min(runtime.NumCPU(), 4))
 	running := &process{kind: kind, source: source, settings: settings, horn: foghorn.New(os.Stderr, settings.Name, settings.LogLevel)}
