A primary that stops, or whose disk hangs, gives its tenure back

Until now a backup waited for the tenure to run out even where the primary knew that it would not go on. It now says so to the roster: witnesses let go what they granted, and the first named backup takes over at once.

--- a/internal/foghorn/foghorn.go
+++ b/internal/foghorn/foghorn.go
@@ -41,6 +41,7 @@
 	RosterChanged      = 2010
 	StandsBy           = 2011
 	BackupSlow         = 2012
+	TenureYielded      = 2013
 	ConfigurationTaken = 2020
 	ConfigurationError = 2021
 	MemberJoined       = 2030
@@ -93,6 +94,7 @@
 	RosterChanged:      {logrus.InfoLevel, "roster of pilots changed"},
 	StandsBy:           {logrus.InfoLevel, "pilot stands by outside the roster"},
 	BackupSlow:         {logrus.WarnLevel, "backup slow to sync, choosing a spare"},
+	TenureYielded:      {logrus.InfoLevel, "tenure given back"},
 	ConfigurationTaken: {logrus.InfoLevel, "configuration taken"},
 	ConfigurationError: {logrus.WarnLevel, "configuration refused"},
 	MemberJoined:       {logrus.InfoLevel, "member joined"},
--- a/internal/pilotage/pilot.go
+++ b/internal/pilotage/pilot.go
@@ -179,6 +179,7 @@
 	case Visit:
 		pilot.cutter.Carry(now, body.Local, body.Method, body.Path, body.Body, effects)
 	case Stop:
+		pilot.watch.Yield(now, effects)
 		for _, other := range helm.Sorted(pilot.follower.Members) {
 			if other.Kind == beacon.KindPilot && other.Name != pilot.props.Self.Name {
 				effects.Send(other.Address, beacon.Farewell{Name: pilot.props.Self.Name, Incarnation: pilot.props.Self.Incarnation})
--- a/internal/watchbill/copies.go
+++ b/internal/watchbill/copies.go
@@ -21,7 +21,7 @@
 // waits a little for more spares to choose from.
 const (
 	slowAfter   = 700 * time.Millisecond
-	ownSlow     = 1500 * time.Millisecond
+	ownSlow     = time.Second
 	spareLimit  = 600 * time.Millisecond
 	gatherFor   = 150 * time.Millisecond
 	followEvery = 300 * time.Millisecond
--- a/internal/watchbill/copies_test.go
+++ b/internal/watchbill/copies_test.go
@@ -136,14 +136,11 @@
 					for seed := range uint64(12) {
 						longest = max(longest, strikeHolder(t, seed, tolerance, role, strike))
 					}
-					t.Logf("longest %s", longest)
+					t.Logf("%s %s, tolerance %d: longest %s", name, role, tolerance, longest)
 					limit := 2 * time.Second
 					if role == "primary" {
 						limit = 3 * time.Second
 					}
-					if role == "primary" && name == "hanging" {
-						limit = 4500 * time.Millisecond
-					}
 					assert.Assert(t, longest < limit, "%s", longest)
 				})
 			}
@@ -152,9 +149,13 @@
 }
 
 var strikes = map[string]func(pilot *pilot){
-	"killed":  func(pilot *pilot) { pilot.kill() },
-	"frozen":  func(pilot *pilot) { pilot.frozen = true },
-	"cut":     func(pilot *pilot) { pilot.cut = true },
+	"killed": func(pilot *pilot) { pilot.kill() },
+	"frozen": func(pilot *pilot) { pilot.frozen = true },
+	"cut":    func(pilot *pilot) { pilot.cut = true },
+	"stopped": func(pilot *pilot) {
+		pilot.step(func(now time.Time, effects *helm.Effects) { pilot.watch.Yield(now, effects) })
+		pilot.kill()
+	},
 	"hanging": func(pilot *pilot) { pilot.hung = pilot.bench.now + time.Minute },
 }
 
--- a/internal/watchbill/messages.go
+++ b/internal/watchbill/messages.go
@@ -156,6 +156,12 @@
 	Complete uint64
 }
 
+// Yield gives the rest of the tenure back: the primary is stopping, or its disk
+// hangs.
+type Yield struct {
+	Epoch uint64
+}
+
 // Append carries one command from the primary to each backup.
 type Append struct {
 	Epoch   uint64
@@ -253,4 +259,5 @@
 	flare.MustRegister(115, ConfirmReturn{})
 	flare.MustRegister(116, DutyAsk{})
 	flare.MustRegister(117, DutyReturn{})
+	flare.MustRegister(118, Yield{})
 }
--- a/internal/watchbill/watch.go
+++ b/internal/watchbill/watch.go
@@ -131,6 +131,7 @@
 	grants       map[uint64]map[string]bool
 	tenureUntil  time.Time
 	tenureHeld   bool
+	yielded      bool
 	copies       map[string]*copied
 	whole        bool
 	primaryHeard time.Time
@@ -618,7 +619,7 @@
 	watch.trying = nil
 	// Whoever begins an epoch has readied its backups, or they were level before.
 	watch.whole = record.Epoch == 1 || record.Primary == self && complete == record.Epoch && (watch.whole || earlier.Record.Primary != self)
-	watch.takingOver, watch.replacing, watch.gathered = false, false, false
+	watch.takingOver, watch.replacing, watch.gathered, watch.yielded = false, false, false, false
 	watch.spares, watch.passedOver, watch.keep, watch.leave = map[string]*asked{}, nil, nil, nil
 	watch.watchCopies(now)
 	watch.decidedAt = now
@@ -708,9 +709,12 @@
 	if watch.IsPrimary() && watch.durable.Complete == watch.durable.Record.Epoch {
 		watch.watchTenure(now, effects)
 		if len(watch.queue) > 0 && watch.queue[0].index > 0 && !watch.queue[0].synced && now.Sub(watch.queue[0].begun) > ownSlow && !helm.Mutated("patient-primary") {
-			// Its own disk hangs: a backup shall take over.
+			if !watch.yielded {
+				watch.Yield(now, effects)
+			}
 			return
 		}
+		watch.yielded = false
 		watch.nonce++
 		watch.renewals[watch.nonce] = now
 		watch.grants[watch.nonce] = map[string]bool{}
@@ -776,7 +780,7 @@
 	if since.Before(watch.actingSince) {
 		since = watch.actingSince
 	}
-	if now.Sub(since) < lostAfter || watch.trying != nil || watch.gathered {
+	if watch.yielded || now.Sub(since) < lostAfter || watch.trying != nil || watch.gathered {
 		return
 	}
 	if lost, _ := watch.failing(now); len(lost) == 0 {
@@ -810,6 +814,32 @@
 	effects.Send(from, Grant{Epoch: renew.Epoch, Nonce: renew.Nonce, Index: watch.diskIndex, Complete: watch.diskComplete})
 }
 
+// Yield gives the tenure back, so that a backup need not wait for its end.
+func (watch *Watch) Yield(now time.Time, effects *helm.Effects) {
+	if !watch.IsPrimary() {
+		return
+	}
+	watch.yielded = true
+	watch.tenureUntil = time.Time{}
+	watch.renewals, watch.grants = map[uint64]time.Time{}, map[uint64]map[string]bool{}
+	effects.Note(foghorn.TenureYielded, "epoch", watch.durable.Record.Epoch)
+	for _, pilot := range watch.durable.Record.Roster {
+		if !pilot.At(watch.props.Self) {
+			effects.Send(pilot.Address, Yield{Epoch: watch.durable.Record.Epoch})
+		}
+	}
+}
+
+func (watch *Watch) onYield(now time.Time, from string, yield Yield, effects *helm.Effects) {
+	record := watch.durable.Record
+	if yield.Epoch != record.Epoch || !watch.member() || watch.nameOf(from, record.Roster) != record.Primary || watch.grantedTo != record.Primary {
+		return
+	}
+	watch.grantedUntil = now
+	watch.primaryHeard = now.Add(-lostAfter)
+	watch.follow(now, effects)
+}
+
 func (watch *Watch) onGrant(now time.Time, from string, grant Grant, effects *helm.Effects) {
 	record := watch.durable.Record
 	if !watch.IsPrimary() || grant.Epoch != record.Epoch {
@@ -929,6 +959,8 @@
 		watch.onRenew(now, meta.From, body, effects)
 	case Grant:
 		watch.onGrant(now, meta.From, body, effects)
+	case Yield:
+		watch.onYield(now, meta.From, body, effects)
 	case Append:
 		watch.onAppend(now, meta.From, body, effects)
 	case AppendReturn:
