News tell what changed since the asker's index, not the whole view

Each change of the control state went to every daemon as all members, all placements and all births. Whoever comes from an earlier epoch, or is older than a place that was taken away, is told everything. Spaces of order topic have no births. A test compares followers that take part of the news with the state.

--- a/internal/beacon/follower.go
+++ b/internal/beacon/follower.go
@@ -6,6 +6,7 @@
 package beacon
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -137,6 +138,7 @@
 	effects.Send(address, Ask{
 		Self: follower.self, Nonce: follower.nonce, Index: follower.Index, Version: follower.Version,
 		Load: follower.load(), Patient: follower.patient, Urgent: follower.searching || follower.hurried,
+		Epoch: follower.Epoch,
 	})
 }
 
@@ -220,29 +222,40 @@
 		follower.Version, follower.Document = news.Version, news.Document
 		taken.Document = true
 	}
-	if news.Changed && (news.Index > follower.Index) {
-		follower.Index = news.Index
-		follower.Births = news.Births
-		follower.Members = make(map[string]Member, len(news.Members))
-		follower.pilots = nil
-		for _, member := range news.Members {
-			follower.Members[member.Name] = member
-			if member.Kind == KindPilot && member.Alive {
-				follower.pilots = append(follower.pilots, member.Address)
-			}
-		}
-		if len(follower.pilots) == 0 {
-			follower.pilots = follower.seeds
-		}
-		follower.Places = make(map[string]Placement, len(news.Placements))
-		for _, place := range news.Placements {
-			follower.Places[place.Strand] = place
-		}
+	if news.Changed && news.Index > follower.Index && follower.Index >= news.Since {
+		follower.takeView(news)
 		taken.View = true
 	}
 	return taken
 }
 
+// takeView replaces the view, or what changed of it.
+func (follower *Follower) takeView(news News) {
+	follower.Index = news.Index
+	if news.Since == 0 || news.Births != nil {
+		follower.Births = news.Births
+	}
+	members, places := make(map[string]Member, len(news.Members)), make(map[string]Placement, len(news.Placements))
+	if news.Since > 0 {
+		members, places = maps.Clone(follower.Members), maps.Clone(follower.Places)
+	}
+	for _, member := range news.Members {
+		members[member.Name] = member
+	}
+	for _, place := range news.Placements {
+		places[place.Strand] = place
+	}
+	follower.Members, follower.Places, follower.pilots = members, places, nil
+	for _, member := range helm.Sorted(members) {
+		if member.Kind == KindPilot && member.Alive {
+			follower.pilots = append(follower.pilots, member.Address)
+		}
+	}
+	if len(follower.pilots) == 0 {
+		follower.pilots = follower.seeds
+	}
+}
+
 // Adopt takes a configuration that another daemon had sooner.
 func (follower *Follower) Adopt(version uint64, document []byte, births map[string]uint64) bool {
 	if version <= follower.Version || follower.Index == 0 {
--- a/internal/beacon/member.go
+++ b/internal/beacon/member.go
@@ -90,7 +90,8 @@
 	Delays    map[string]time.Duration
 }
 
-// Ask is a daemon's question with what it has; it is answered on news.
+// Ask is a daemon's question with what it has, and from which epoch it has it; it
+// is answered on news.
 type Ask struct {
 	_       struct{} `cbor:",toarray"`
 	Self    Member
@@ -102,9 +103,11 @@
 	// Urgent asks to be answered at once, news or not: the asker looks for the
 	// primary, or a visit waits for what there is.
 	Urgent bool
+	Epoch  uint64
 }
 
-// News answers an Ask.
+// News answers an Ask. What changed after Since is told, and the rest is as the
+// asker has it; without Since it is everything.
 type News struct {
 	_          struct{} `cbor:",toarray"`
 	For        string
@@ -115,6 +118,7 @@
 	Version    uint64
 	Document   []byte
 	Changed    bool
+	Since      uint64
 	Members    []Member
 	Placements []Placement
 	Births     map[string]uint64
--- a/internal/pilotage/pilot.go
+++ b/internal/pilotage/pilot.go
@@ -286,13 +286,12 @@
 		news.Document = pilot.state.Document
 	}
 	if item.ask.Index != pilot.state.Index {
-		news.Changed, news.Births = true, pilot.state.Births
-		for _, member := range helm.Sorted(pilot.state.Members) {
-			news.Members = append(news.Members, member)
-		}
-		for _, place := range helm.Sorted(pilot.state.Places) {
-			news.Placements = append(news.Placements, place)
+		// Whoever has it from an earlier epoch is told all of it once.
+		since := item.ask.Index
+		if item.ask.Epoch != news.Epoch {
+			since = 0
 		}
+		pilot.state.view(&news, since)
 	}
 	effects.Send(item.from, news)
 }
--- a/internal/pilotage/state.go
+++ b/internal/pilotage/state.go
@@ -37,6 +37,13 @@
 	Natures  map[string]string
 	Members  map[string]beacon.Member
 	Places   map[string]beacon.Placement
+	// MemberAt and PlaceAt are the indexes at which each changed last, BirthsAt the
+	// one at which the births did, and WholeAt the one at which a place was taken
+	// away: who is older than that is told everything anew.
+	MemberAt map[string]uint64
+	PlaceAt  map[string]uint64
+	BirthsAt uint64
+	WholeAt  uint64
 	// Shared says that a routed space was in force once: from then on the shared
 	// strands are placed, whatever becomes of the spaces.
 	Shared bool
@@ -48,6 +55,7 @@
 	return &State{
 		Births: map[string]uint64{}, Natures: map[string]string{},
 		Members: map[string]beacon.Member{}, Places: map[string]beacon.Placement{}, Tolerance: DefaultTolerance,
+		MemberAt: map[string]uint64{}, PlaceAt: map[string]uint64{},
 	}
 }
 
@@ -76,13 +84,13 @@
 		if member.Alive && (!found || !earlier.Alive || earlier.Incarnation != member.Incarnation) {
 			member.Joined = state.Index
 		}
-		state.Members[member.Name] = member
+		state.Members[member.Name], state.MemberAt[member.Name] = member, state.Index
 	}
 	for _, place := range command.Places {
 		if earlier, found := state.Places[place.Strand]; found && earlier.Epoch >= place.Epoch {
 			continue
 		}
-		state.Places[place.Strand] = place
+		state.Places[place.Strand], state.PlaceAt[place.Strand] = place, state.Index
 	}
 	for _, settled := range command.Settled {
 		place, found := state.Places[settled.Strand]
@@ -98,7 +106,29 @@
 			continue
 		}
 		place.Complete, place.Safe = true, holders
-		state.Places[settled.Strand] = place
+		state.Places[settled.Strand], state.PlaceAt[settled.Strand] = place, state.Index
+	}
+}
+
+// view puts into news what changed after an index, or everything for whoever
+// has nothing, or something that is gone.
+func (state *State) view(news *beacon.News, since uint64) {
+	if since < state.WholeAt || since > state.Index {
+		since = 0
+	}
+	news.Changed, news.Since = true, since
+	if since <= state.BirthsAt {
+		news.Births = state.Births
+	}
+	for name, member := range helm.Sorted(state.Members) {
+		if at, known := state.MemberAt[name]; !known || at > since {
+			news.Members = append(news.Members, member)
+		}
+	}
+	for name, place := range helm.Sorted(state.Places) {
+		if at, known := state.PlaceAt[name]; !known || at > since {
+			news.Placements = append(news.Placements, place)
+		}
 	}
 }
 
@@ -108,6 +138,7 @@
 		panic("a command with a faulty configuration")
 	}
 	state.Version, state.Document = command.Version, command.Document
+	state.BirthsAt = state.Index
 	for name := range helm.Sorted(state.Births) {
 		space, found := configuration.Spaces[name]
 		if !found || state.Natures[name] != nature(space) {
@@ -116,7 +147,11 @@
 		}
 	}
 	for name, space := range helm.Sorted(configuration.Spaces) {
-		state.Shared = state.Shared || space.Order == chart.OrderTopic
+		if space.Order == chart.OrderTopic {
+			// Its strands outlive it, and nothing asks when it was born.
+			state.Shared = true
+			continue
+		}
 		if _, found := state.Births[name]; !found {
 			state.Births[name] = command.Version
 			state.Natures[name] = nature(space)
@@ -129,6 +164,8 @@
 	for strand := range helm.Sorted(state.Places) {
 		if !wanted[strand] {
 			delete(state.Places, strand)
+			delete(state.PlaceAt, strand)
+			state.WholeAt = state.Index
 		}
 	}
 }
--- /dev/null
+++ b/internal/pilotage/state_test.go
@@ -0,0 +1,75 @@
+// Whoever follows the state by what changed sees the same as whoever is told all
+// of it, wherever it begins.
+package pilotage
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dahlialock/internal/beacon"
+	"dahlialock/internal/chart"
+	"dahlialock/internal/helm"
+)
+
+func TestNewsOfWhatChangedGiveTheWholeView(t *testing.T) {
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 0xde17a))
+		state := newState()
+		now := time.Unix(1000, 0)
+		followers := make([]*beacon.Follower, 4)
+		for number := range followers {
+			followers[number] = beacon.NewFollower(beacon.Member{Name: "lantern"}, []string{"pilot"}, func() beacon.Load { return beacon.Load{} })
+			followers[number].Start(now)
+			followers[number].Due(now, &helm.Effects{})
+		}
+		version := uint64(0)
+		partial := 0
+		for step := range 300 {
+			var command Command
+			switch random.IntN(5) {
+			case 0, 1:
+				command.Members = append(command.Members, beacon.Member{
+					Name: fmt.Sprint("keeper-", random.IntN(6)), Kind: beacon.KindKeeper, Alive: random.IntN(4) > 0, Incarnation: uint64(step), Disk: "disk",
+				})
+			case 2:
+				for name, place := range helm.Sorted(state.Places) {
+					settled := beacon.StrandComplete{Strand: name, Epoch: place.Epoch, Holders: []string{state.Members[place.First].Holder()}}
+					for _, understudy := range place.Understudies {
+						settled.Holders = append(settled.Holders, state.Members[understudy].Holder())
+					}
+					if random.IntN(2) == 0 {
+						command.Settled = append(command.Settled, settled)
+					}
+				}
+			case 3:
+				if step%7 == 0 {
+					version++
+					spaces := fmt.Sprintf(`{"name": "a", "promise": "kept", "order": "topic"}, {"name": "s%d", "promise": "kept", "order": "channel"}`, random.IntN(3))
+					command.Version, command.Document = version, fmt.Appendf(nil, `{"version": %d, "spaces": [%s]}`, version, spaces)
+				}
+			case 4:
+				if version > 0 {
+					configuration, _ := chart.Read(state.Document)
+					command.Places = state.plan(configuration)
+				}
+			}
+			state.Apply(now, mustPack(command))
+			follower := followers[random.IntN(len(followers))]
+			news := beacon.News{Nonce: 1, Epoch: 1, Primary: "pilot", Index: state.Index, Version: state.Version, Document: state.Document}
+			state.view(&news, follower.Index)
+			if news.Since > 0 {
+				partial++
+			}
+			follower.Take(now.Add(time.Millisecond), news)
+			assert.Equal(t, follower.Index, state.Index)
+			assert.DeepEqual(t, follower.Members, state.Members)
+			assert.DeepEqual(t, follower.Places, state.Places)
+			assert.DeepEqual(t, follower.Births, state.Births)
+		}
+		assert.Assert(t, partial > 200, "only %d of 300 were told what changed alone", partial)
+	}
+}
--- a/internal/pilotage/strand_test.go
+++ b/internal/pilotage/strand_test.go
@@ -270,15 +270,10 @@
 		}
 		news := beacon.News{
 			For: from, Nonce: body.Nonce, Epoch: 1, Primary: "pilot", Index: yard.state.Index, Version: yard.state.Version,
-			Document: yard.state.Document, Changed: body.Index != yard.state.Index, Births: yard.state.Births,
+			Document: yard.state.Document,
 		}
-		if news.Changed {
-			for _, member := range helm.Sorted(yard.state.Members) {
-				news.Members = append(news.Members, member)
-			}
-			for _, place := range helm.Sorted(yard.state.Places) {
-				news.Placements = append(news.Placements, place)
-			}
+		if body.Index != yard.state.Index {
+			yard.state.view(&news, body.Index)
 		}
 		yard.after(50*time.Millisecond, func() { yard.send("pilot", helm.Send{To: from, Message: news}) })
 	case beacon.StrandComplete:
