A lost packet is no slow disk: understudies tell what their disk took, silence is checked

Back again it was taken for lost on word of its earlier process's silence. Now the delay of a disk is told by the understudy itself; silence counts if the keeper does not answer the primary either; an ailing keeper of whom nobody complains gives way to a worse one; a watcher begins anew with a new incarnation.

--- a/internal/beacon/member.go
+++ b/internal/beacon/member.go
@@ -206,6 +206,8 @@
 	Name        string
 	Incarnation uint64
 	Delay       time.Duration
+	// Sure is set for what the disk itself took; else the link may be at fault.
+	Sure bool
 }
 
 // ControlVisit carries an operator's request on to the primary.
--- a/internal/beacon/pulse.go
+++ b/internal/beacon/pulse.go
@@ -63,7 +63,6 @@
 
 // Take follows a new view.
 func (pulse *Pulse) Take(now time.Time, view map[string]Member, primary string, index uint64) {
-	pulse.view, pulse.primary, pulse.index = view, primary, index
 	ring := NewRing(view)
 	pulse.beatTo = nil
 	for _, watcher := range ring.WatchersOf(pulse.self) {
@@ -79,12 +78,15 @@
 				continue
 			}
 			heard, found := pulse.watched[name]
-			if !found {
+			if !found || pulse.view[name].Incarnation != member.Incarnation {
+				// A process that begins anew answers for its own silence only.
 				heard = now
+				delete(pulse.suspected, name)
 			}
 			watched[name] = heard
 		}
 	}
+	pulse.view, pulse.primary, pulse.index = view, primary, index
 	pulse.watched = watched
 }
 
--- a/internal/pilotage/pilot.go
+++ b/internal/pilotage/pilot.go
@@ -30,6 +30,8 @@
 	settleFor      = 3 * time.Second
 	succeedsAfter  = 1200 * time.Millisecond
 	followingFor   = 5 * time.Second
+	doubtFor       = 300 * time.Millisecond
+	doubtLong      = time.Second
 )
 
 // Props are a pilot daemon's settings; see watchbill.Props.
@@ -81,6 +83,7 @@
 	joining   map[string]beacon.Member
 	complete  map[string]beacon.StrandComplete
 	lags      map[string]lag
+	doubts    map[string]*doubt
 	busy      bool
 	began     time.Time
 	acting    bool
@@ -96,7 +99,7 @@
 	pilot := &Pilot{
 		props: props, state: newState(), timers: helm.NewTimers(),
 		held: map[string]held{}, heard: map[string]time.Time{}, loads: map[string]beacon.Load{},
-		suspected: map[string]map[string]reported{}, joining: map[string]beacon.Member{}, complete: map[string]beacon.StrandComplete{}, lags: map[string]lag{},
+		suspected: map[string]map[string]reported{}, joining: map[string]beacon.Member{}, complete: map[string]beacon.StrandComplete{}, lags: map[string]lag{}, doubts: map[string]*doubt{},
 		orders: map[string]beacon.Orders{},
 	}
 	self := watchbill.Pilot{Name: props.Self.Name, Address: props.Self.Address, Locality: props.Self.Locality}
@@ -378,7 +381,7 @@
 	pilot.joining = map[string]beacon.Member{}
 	pilot.complete = map[string]beacon.StrandComplete{}
 	pilot.orders = map[string]beacon.Orders{}
-	pilot.lags = map[string]lag{}
+	pilot.lags, pilot.doubts = map[string]lag{}, map[string]*doubt{}
 	for name, member := range pilot.state.Members {
 		pilot.heard[name] = now
 		if member.Ailing {
@@ -391,14 +394,63 @@
 	if !pilot.watch.HoldsTenure(now) {
 		return
 	}
+	if told.Sure {
+		pilot.believe(now, told)
+		return
+	}
+	// Links lag too, and between two keepers either end may be at fault: then a
+	// word counts if the keeper does not answer the primary either, or if it goes on
+	// for long and not more is said of who says so.
+	present, found := pilot.doubts[told.Name]
+	if !found || present.told.Incarnation != told.Incarnation || now.Sub(present.since) > laggingFresh {
+		present = &doubt{since: now, reporters: map[string]time.Time{}}
+		pilot.doubts[told.Name] = present
+		if waiting, holds := pilot.held[told.Name]; holds {
+			pilot.give(now, waiting, effects)
+		}
+	}
+	present.told, present.reporters[told.Reporter] = told, now
+	others := 0
+	if reporter, doubted := pilot.doubts[told.Reporter]; doubted {
+		others = len(reporter.reporters)
+	}
+	if told.Delay > doubtLong && len(present.reporters) > others {
+		pilot.believe(now, told)
+		return
+	}
+	pilot.timers.ArmSooner("tend", now.Add(doubtFor))
+}
+
+// doubt is what one keeper said of another's disk.
+type doubt struct {
+	since     time.Time
+	told      beacon.Lagging
+	reporters map[string]time.Time
+}
+
+func (pilot *Pilot) believe(now time.Time, told beacon.Lagging) {
+	delete(pilot.doubts, told.Name)
 	pilot.lags[told.Name] = lag{at: now, incarnation: told.Incarnation, delay: told.Delay}
 	if !pilot.state.Members[told.Name].Ailing {
 		pilot.timers.ArmSooner("tend", now)
 	}
 }
 
+// settleDoubts believes what was said of keepers that have not answered since.
+func (pilot *Pilot) settleDoubts(now time.Time) {
+	for name, present := range helm.Sorted(pilot.doubts) {
+		switch {
+		case now.Sub(present.since) > laggingFresh:
+			delete(pilot.doubts, name)
+		case now.Sub(present.since) >= doubtFor && pilot.heard[name].Before(present.since):
+			pilot.believe(now, present.told)
+		}
+	}
+}
+
 // ailments lists the keepers that begin or cease to be taken for ailing.
 func (pilot *Pilot) ailments(now time.Time, effects *helm.Effects) []beacon.Member {
+	pilot.settleDoubts(now)
 	changed := pilot.state.ailments(now, pilot.lags)
 	for _, member := range changed {
 		if member.Ailing {
--- a/internal/pilotage/placement.go
+++ b/internal/pilotage/placement.go
@@ -230,6 +230,20 @@
 	delay       time.Duration
 }
 
+// recovering is the ailing keeper that has gone longest without a complaint.
+func (state *State) recovering(now time.Time, lags map[string]lag) (beacon.Member, bool) {
+	var best beacon.Member
+	for _, member := range helm.Sorted(state.Members) {
+		if !member.Ailing || !member.Alive || member.Retiring || now.Sub(lags[member.Name].at) < laggingFresh {
+			continue
+		}
+		if best.Name == "" || lags[member.Name].at.Before(lags[best.Name].at) {
+			best = member
+		}
+	}
+	return best, best.Name != ""
+}
+
 // ailments lists the keepers that begin or cease to be taken for ailing, by what
 // is told of their disks. There are always left as many as a strand has copies.
 func (state *State) ailments(now time.Time, lags map[string]lag) []beacon.Member {
@@ -248,10 +262,21 @@
 		case member.Ailing && (!known || now.Sub(told.at) > ailingFor):
 			member.Ailing = false
 			changed = append(changed, member)
-		case !member.Ailing && known && now.Sub(told.at) < laggingFresh && well > state.Tolerance+1:
+		case !member.Ailing && known && now.Sub(told.at) < laggingFresh:
+			if well <= state.Tolerance+1 {
+				// Another of whom nobody complains any more is needed again.
+				recovered, found := state.recovering(now, lags)
+				if !found {
+					continue
+				}
+				recovered.Ailing = false
+				changed = append(changed, recovered)
+				well++
+			}
 			member.Ailing = true
 			changed = append(changed, member)
 			well--
+			return changed
 		}
 	}
 	return changed
--- a/internal/strand/copy.go
+++ b/internal/strand/copy.go
@@ -213,9 +213,10 @@
 // confirm answers once the disk has what the log has.
 func (keeper *Keeper) confirm(strand *held, from string, epoch uint64) {
 	head, headEpoch := strand.log.head()
-	answer := func(_ time.Time, effects *helm.Effects) {
+	answer := func(now time.Time, effects *helm.Effects) {
 		strand.synced = max(strand.synced, head)
-		effects.Send(from, CopyReturn{Strand: strand.log.Name, Epoch: epoch, Have: head, HaveEpoch: headEpoch, Holder: sumOf(keeper.holder())})
+		took := uint32(max(0, now.Sub(keeper.since).Milliseconds()))
+		effects.Send(from, CopyReturn{Strand: strand.log.Name, Epoch: epoch, Have: head, HaveEpoch: headEpoch, Holder: sumOf(keeper.holder()), Took: took})
 	}
 	keeper.afters = append(keeper.afters, answer)
 }
@@ -264,7 +265,7 @@
 	copied.known = true
 	copied.acked = max(copied.acked, returned.Have)
 	copied.sent = max(copied.sent, copied.acked)
-	keeper.landed(now, copied)
+	keeper.landed(copied, time.Duration(returned.Took)*time.Millisecond)
 	if copied.sent < head {
 		keeper.dirty[returned.Strand] = true
 	}
--- a/internal/strand/disk.go
+++ b/internal/strand/disk.go
@@ -68,6 +68,7 @@
 			writing.afters = append(writing.afters, afters...)
 			return
 		}
+		keeper.since = now
 		for _, after := range afters {
 			after(now, effects)
 		}
@@ -112,6 +113,7 @@
 	delete(keeper.pending, token)
 	keeper.refused = false
 	keeper.ownDelay = smooth(keeper.ownDelay, now.Sub(written.since))
+	keeper.since = written.since
 	for _, after := range written.afters {
 		after(now, effects)
 	}
--- a/internal/strand/keeper.go
+++ b/internal/strand/keeper.go
@@ -174,6 +174,7 @@
 	token                uint64
 	pending              map[uint64]*batch
 	refused              bool
+	since                time.Time
 	ownDelay             time.Duration
 	delays               map[string]time.Duration
 	lagTold              map[string]time.Time
--- a/internal/strand/lag.go
+++ b/internal/strand/lag.go
@@ -10,10 +10,11 @@
 	"dahlialock/internal/helm"
 )
 
-// Spans by which a disk is told to be slow. A link that lost a packet is silent
-// for a fifth of a second and more, and no reason to move anything.
+// Spans by which a disk is told to be slow. A copy that is not answered for
+// doubtAfter is told too, for the primary to look whether the keeper is there.
 const (
 	stalledAfter = 400 * time.Millisecond
+	doubtAfter   = 250 * time.Millisecond
 	slowFrom     = 60 * time.Millisecond
 	slowTimes    = 4
 	probeEvery   = time.Second
@@ -23,13 +24,16 @@
 // smooth lets a new delay count an eighth.
 func smooth(delay, latest time.Duration) time.Duration { return delay + (latest-delay)/8 }
 
-// landed notes how long copies took that an understudy has acknowledged.
-func (keeper *Keeper) landed(now time.Time, copied *copied) {
+// landed notes how long an understudy's disk took, by its own clock, so that the
+// link between does not count.
+func (keeper *Keeper) landed(copied *copied, took time.Duration) {
 	count := 0
 	for count < len(copied.flights) && copied.flights[count].until <= copied.acked {
-		keeper.delays[copied.name] = smooth(keeper.delays[copied.name], now.Sub(copied.flights[count].at))
 		count++
 	}
+	if count > 0 {
+		keeper.delays[copied.name] = smooth(keeper.delays[copied.name], took)
+	}
 	copied.flights = append(copied.flights[:0], copied.flights[count:]...)
 }
 
@@ -63,23 +67,24 @@
 		fastest = min(fastest, delay)
 	}
 	for name, delay := range helm.Sorted(keeper.delays) {
-		keeper.tellIfSlow(now, name, delay, oldest[name], fastest, effects)
+		keeper.tellIfSlow(now, name, delay, oldest[name], doubtAfter, fastest, effects)
 	}
 	owed := keeper.oldestWrite(now)
 	if keeper.refused {
 		owed = max(owed, stalledAfter+1)
 	}
-	keeper.tellIfSlow(now, keeper.props.Self.Name, keeper.ownDelay, owed, fastest, effects)
+	keeper.tellIfSlow(now, keeper.props.Self.Name, keeper.ownDelay, owed, stalledAfter, fastest, effects)
 }
 
-func (keeper *Keeper) tellIfSlow(now time.Time, name string, delay, oldest, fastest time.Duration, effects *helm.Effects) {
+func (keeper *Keeper) tellIfSlow(now time.Time, name string, delay, oldest, limit, fastest time.Duration, effects *helm.Effects) {
 	slow := delay > slowFrom && delay > slowTimes*fastest
 	member, found := keeper.follower.Members[name]
-	if !found || !member.Alive || !slow && oldest <= stalledAfter || now.Sub(keeper.lagTold[name]) < lagEvery {
+	if !found || !member.Alive || !slow && oldest <= limit || now.Sub(keeper.lagTold[name]) < lagEvery {
 		return
 	}
 	keeper.lagTold[name] = now
 	effects.Send(keeper.follower.Upstream(), beacon.Lagging{
 		Reporter: keeper.props.Self.Name, Name: name, Incarnation: member.Incarnation, Delay: max(delay, oldest),
+		Sure: slow || name == keeper.props.Self.Name,
 	})
 }
--- a/internal/strand/messages.go
+++ b/internal/strand/messages.go
@@ -119,8 +119,10 @@
 	HaveEpoch uint64
 	Mismatch  bool
 	Older     uint64
-	// Holder is a short sum of the understudy's name with its disk.
+	// Holder is a short sum of the understudy's name with its disk, and Took is how
+	// many milliseconds that disk took.
 	Holder uint32
+	Took   uint32
 }
 
 // Frame carries a whole strand, its times counted from Now.
--- a/internal/strand/size_test.go
+++ b/internal/strand/size_test.go
@@ -24,7 +24,7 @@
 		{Append{Strand: "+~0/17", Visit: 123456, Topic: record.Topic, Sender: record.Sender, Seq: 77, Data: record.Data}, 250},
 		{AppendReturn{Strand: "+~0/17", Visit: 123456, Outcome: Accepted, Epoch: 45, Record: told}, 46},
 		{Copy{Strand: "+~0/17", Epoch: 45, After: 1233, AfterEpoch: 45, Records: []Record{record}, Ages: ages}, 263},
-		{CopyReturn{Strand: "+~0/17", Epoch: 45, Have: 1234, HaveEpoch: 45, Holder: 1 << 31}, 30},
+		{CopyReturn{Strand: "+~0/17", Epoch: 45, Have: 1234, HaveEpoch: 45, Holder: 1 << 31, Took: 12}, 31},
 		{Heads{Heads: []Head{{Strand: "+~0/17", Epoch: 45, Offset: 1234, From: 1200, Topics: []TopicHead{{Topic: 1 << 63, Offset: 1234}}}}}, 40},
 	} {
 		frame, fault := flare.Encode(helm.Meta{Version: 3}, each.message)
--- a/internal/swell/keepers_test.go
+++ b/internal/swell/keepers_test.go
@@ -164,6 +164,46 @@
 	}
 }
 
+// Links that lose packets are no fault of the disks behind them.
+func TestNoKeeperIsEmptiedBecauseOfLostPackets(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			run := routed(t, seed, Sizes["qureshi"])
+			traffic(run, 3*time.Millisecond)
+			run.Run(3 * time.Second)
+			run.loss = 0.02
+			for range 200 {
+				run.Run(50 * time.Millisecond)
+				for _, member := range run.Primary().Machine.(*pilotage.Pilot).State().Members {
+					assert.Assert(t, !member.Ailing, "%s is taken for ailing", member.Name)
+				}
+			}
+		})
+	}
+}
+
+// A keeper that comes back is not blamed for the silence of its earlier process.
+func TestAKeeperThatComesBackStays(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			run := routed(t, seed, Sizes["qureshi"])
+			traffic(run, 3*time.Millisecond)
+			run.Run(3 * time.Second)
+			keeper := run.Nodes(beacon.KindKeeper)[seed%3]
+			keeper.Kill()
+			run.Run(1650 * time.Millisecond)
+			keeper.Start()
+			run.Run(500 * time.Millisecond)
+			for range 60 {
+				run.Run(50 * time.Millisecond)
+				assert.Assert(t, run.Primary().Machine.(*pilotage.Pilot).State().Members[keeper.Name].Alive, "it is taken for lost again")
+			}
+		})
+	}
+}
+
 // A keeper that is emptied is done well within the ten seconds that operators
 // wait, and the strands go on being served but for moments.
 func TestARetiredKeeperIsEmptiedQuickly(t *testing.T) {
