Joins of cells without greetings all around; members compared by digest

Cause: with 50 daemons in all 16 cells each join greeted every peer of the cell and of the cells beside, and each answer named them all: 5654 signals and 2.4 MB for each daemon at a start, 4210 frames.

Change: the acceptor's welcome names the whole cell, and the peers of a cell make themselves known by their first notice; only a peer whose region reaches out of its area greets those beyond its edges. Wholes owed are gathered for 2 ms into one frame for all cells. Notices carry a digest of whom their peer knows; where two differ, one names its members and is told what it lacks. Comparisons follow a change after 10 ms, at most each 250 ms, and let peers of other cells know of those that cut their regions. The first peer asks three daemons for the way, and all if those know nobody.

--- /dev/null
+++ b/internal/fairway/cost_test.go
@@ -0,0 +1,371 @@
+// What the cells cost: benchmarks of a fleet's start, of one more daemon that
+// joins it, of a reset of most connections, and of single calls. Frames are
+// encoded and decoded as on a link. Besides the time of the benchmark itself
+// they report, for each daemon, signals, frames, bytes and the processor time
+// spent in the overlay and the codec.
+package fairway
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"dahlialock/internal/flare"
+	"dahlialock/internal/helm"
+)
+
+type parcel struct {
+	at    time.Time
+	order int
+	from  string
+	to    string
+	frame []byte
+}
+
+type parcels []parcel
+
+func (queue parcels) Len() int { return len(queue) }
+func (queue parcels) Less(left, right int) bool {
+	if !queue[left].at.Equal(queue[right].at) {
+		return queue[left].at.Before(queue[right].at)
+	}
+	return queue[left].order < queue[right].order
+}
+func (queue parcels) Swap(left, right int) { queue[left], queue[right] = queue[right], queue[left] }
+func (queue *parcels) Push(item any)       { *queue = append(*queue, item.(parcel)) }
+func (queue *parcels) Pop() any {
+	last := len(*queue) - 1
+	item := (*queue)[last]
+	*queue = (*queue)[:last]
+	return item
+}
+
+// yard is a fleet whose frames take a millisecond and whose work is timed.
+type yard struct {
+	now       time.Time
+	random    *rand.Rand
+	names     []string
+	parts     map[string]*Fairway
+	lives     map[string]uint64
+	queue     parcels
+	order     int
+	bytes     int
+	frames    int
+	processor time.Duration
+}
+
+func newYard(seed uint64, count int) *yard {
+	yard := &yard{
+		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 11)), names: lanternNames(count),
+		parts: map[string]*Fairway{}, lives: map[string]uint64{},
+	}
+	for position, name := range yard.names {
+		yard.parts[name], yard.lives[name] = New(name), uint64(position+1)
+	}
+	return yard
+}
+
+func (yard *yard) step(name string, run func(part *Fairway, effects *helm.Effects)) {
+	var effects helm.Effects
+	began := time.Now()
+	run(yard.parts[name], &effects)
+	var frames [][]byte
+	for _, send := range effects.Sends {
+		frame, fault := flare.Encode(helm.Meta{From: "10.0.0.1:7000"}, send.Message)
+		if fault != nil {
+			panic(fault)
+		}
+		frames = append(frames, frame)
+	}
+	yard.processor += time.Since(began)
+	for position, send := range effects.Sends {
+		yard.frames++
+		yard.bytes += len(frames[position])
+		yard.order++
+		heap.Push(&yard.queue, parcel{at: yard.now.Add(time.Millisecond), order: yard.order, from: name, to: send.To, frame: frames[position]})
+	}
+}
+
+func (yard *yard) run(length time.Duration) {
+	until := yard.now.Add(length)
+	for {
+		next, due := until, ""
+		for _, name := range yard.names {
+			if at := yard.parts[name].NextDue(); !at.IsZero() && at.Before(next) {
+				next, due = at, name
+			}
+		}
+		if len(yard.queue) > 0 && yard.queue[0].at.Before(next) {
+			taken := heap.Pop(&yard.queue).(parcel)
+			if taken.at.After(yard.now) {
+				yard.now = taken.at
+			}
+			yard.step(taken.to, func(part *Fairway, effects *helm.Effects) {
+				_, message, fault := flare.Decode(taken.frame[4:])
+				if fault != nil {
+					panic(fault)
+				}
+				part.Take(yard.now, message.(Signals), effects)
+			})
+			continue
+		}
+		if due == "" {
+			yard.now = until
+			return
+		}
+		if next.After(yard.now) {
+			yard.now = next
+		}
+		yard.step(due, func(part *Fairway, effects *helm.Effects) { part.Due(yard.now, effects) })
+	}
+}
+
+func (yard *yard) view() {
+	for _, name := range yard.names {
+		others := map[string]Lantern{}
+		for _, other := range yard.names {
+			if other != name {
+				others[other] = Lantern{Name: other, Address: other, Joined: yard.lives[other]}
+			}
+		}
+		yard.step(name, func(part *Fairway, effects *helm.Effects) {
+			part.View(yard.now, others, effects)
+			part.Live(yard.now, yard.lives[name], effects)
+		})
+	}
+}
+
+// seat is one subscription of one caller.
+type seat struct{ lantern, topic string }
+
+type house struct {
+	*yard
+	counts map[seat]int
+	seats  []seat
+}
+
+const (
+	seatsEach  = 3
+	callersAll = 4950
+	topicsAll  = 1030
+)
+
+func (house *house) take(name, topic string, step int) {
+	at := seat{name, topic}
+	house.counts[at] += step
+	house.step(name, func(part *Fairway, effects *helm.Effects) {
+		part.Tell(house.now, trialPlane, topic, house.counts[at], effects)
+	})
+}
+
+// arrive lets callers come one after another over some time, each with its
+// subscriptions, at whatever lantern.
+func (house *house) arrive(callers int, within time.Duration) {
+	for range callers {
+		name := house.names[house.random.IntN(len(house.names))]
+		for range seatsEach {
+			topic := topicNamed(house.random.IntN(topicsAll))
+			house.take(name, topic, 1)
+			house.seats = append(house.seats, seat{name, topic})
+		}
+		house.run(within / time.Duration(callers))
+	}
+}
+
+func (house *house) reset(share float64) int {
+	var kept []seat
+	gone := 0
+	for _, at := range house.seats {
+		if house.random.Float64() < share {
+			house.take(at.lantern, at.topic, -1)
+			gone++
+		} else {
+			kept = append(kept, at)
+		}
+	}
+	house.seats = kept
+	return gone
+}
+
+func newHouse(count int) *house {
+	house := &house{yard: newYard(1, count), counts: map[seat]int{}}
+	house.view()
+	return house
+}
+
+func (yard *yard) sum() (signals uint64, joins uint64) {
+	for _, part := range yard.parts {
+		signals += part.Counts.SignalsOut
+		joins += part.Counts.Joins
+	}
+	return signals, joins
+}
+
+// report gives what was spent since it was last reset, for each daemon.
+func (yard *yard) report(b *testing.B, before uint64) {
+	each := float64(len(yard.names) * b.N)
+	signals, _ := yard.sum()
+	b.ReportMetric(float64(signals-before)/each, "signals/daemon")
+	b.ReportMetric(float64(yard.frames)/each, "frames/daemon")
+	b.ReportMetric(float64(yard.bytes)/each, "bytes/daemon")
+	b.ReportMetric(float64(yard.processor.Microseconds())/1000/each, "ms/daemon")
+	b.ReportMetric(0, "ns/op")
+}
+
+func (yard *yard) clear() uint64 {
+	yard.frames, yard.bytes, yard.processor = 0, 0, 0
+	signals, _ := yard.sum()
+	return signals
+}
+
+var fleets = []int{7, 50}
+
+// BenchmarkStart: all cells are joined at once by all, and then compared.
+func BenchmarkStart(b *testing.B) {
+	for _, count := range fleets {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			var spent yard
+			var signals uint64
+			for range b.N {
+				house := newHouse(count)
+				house.clear()
+				for _, name := range house.names {
+					for topic := range 100 {
+						house.take(name, topicNamed(topic), 1)
+					}
+				}
+				house.run(1500 * time.Millisecond)
+				spent.frames, spent.bytes, spent.processor = spent.frames+house.frames, spent.bytes+house.bytes, spent.processor+house.processor
+				spent.names = house.names
+				sum, _ := house.sum()
+				signals += sum
+			}
+			spent.report(b, -signals)
+		})
+	}
+}
+
+// BenchmarkArrival: 4950 callers with three subscriptions each come within two
+// seconds; the heap is what all parts together hold afterwards.
+func BenchmarkArrival(b *testing.B) {
+	for _, count := range fleets {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			var spent yard
+			var signals uint64
+			var held float64
+			for range b.N {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				house := newHouse(count)
+				house.clear()
+				house.arrive(callersAll, 2*time.Second)
+				house.run(500 * time.Millisecond)
+				spent.frames, spent.bytes, spent.processor = spent.frames+house.frames, spent.bytes+house.bytes, spent.processor+house.processor
+				spent.names = house.names
+				sum, _ := house.sum()
+				signals += sum
+				house.counts, house.seats, house.queue = nil, nil, nil
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				held += float64(after.HeapAlloc) - float64(before.HeapAlloc)
+				runtime.KeepAlive(house)
+			}
+			spent.report(b, -signals)
+			b.ReportMetric(held/1024/float64(count*b.N), "KiB/daemon")
+		})
+	}
+}
+
+// BenchmarkReset: four fifths of all callers are cut off at once and come back
+// within a second, at whatever lantern.
+func BenchmarkReset(b *testing.B) {
+	for _, count := range fleets {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			house := newHouse(count)
+			house.arrive(callersAll, 2*time.Second)
+			house.run(3 * time.Second)
+			before := house.clear()
+			for range b.N {
+				gone := house.reset(0.8)
+				house.arrive(gone/seatsEach, time.Second)
+				house.run(500 * time.Millisecond)
+			}
+			house.report(b, before)
+		})
+	}
+}
+
+// BenchmarkQuiet: ten seconds in which nothing changes.
+func BenchmarkQuiet(b *testing.B) {
+	for _, count := range fleets {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			house := newHouse(count)
+			house.arrive(callersAll, 2*time.Second)
+			house.run(3 * time.Second)
+			before := house.clear()
+			for range b.N {
+				house.run(10 * time.Second)
+			}
+			house.report(b, before)
+		})
+	}
+}
+
+// BenchmarkJoin: one daemon more comes to a fleet and joins all cells; what all
+// of them spend is told.
+func BenchmarkJoin(b *testing.B) {
+	for _, count := range fleets {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			var spent yard
+			var signals uint64
+			for range b.N {
+				house := newHouse(count)
+				house.arrive(1000, time.Second)
+				house.run(3 * time.Second)
+				house.names = append(house.names, "newcomer")
+				house.parts["newcomer"], house.lives["newcomer"] = New("newcomer"), 1000
+				before := house.clear()
+				house.view()
+				for topic := range 100 {
+					house.take("newcomer", topicNamed(topic), 1)
+				}
+				house.run(300 * time.Millisecond)
+				spent.frames, spent.bytes, spent.processor = spent.frames+house.frames, spent.bytes+house.bytes, spent.processor+house.processor
+				sum, _ := house.sum()
+				signals += sum - before
+			}
+			spent.names = []string{"all"}
+			spent.report(b, -signals)
+		})
+	}
+}
+
+// BenchmarkTell: one call, with everybody known.
+func BenchmarkTell(b *testing.B) {
+	house := newHouse(50)
+	house.arrive(callersAll, 2*time.Second)
+	part := house.parts[house.names[0]]
+	topics := someTopics(topicsAll)
+	b.ResetTimer()
+	for turn := range b.N {
+		var effects helm.Effects
+		part.Tell(house.now, trialPlane, topics[turn%topicsAll], turn/topicsAll%3, &effects)
+	}
+}
+
+// BenchmarkListeners: a publication's look at who listens.
+func BenchmarkListeners(b *testing.B) {
+	house := newHouse(50)
+	house.arrive(callersAll, 2*time.Second)
+	house.run(time.Second)
+	part := house.parts[house.names[0]]
+	topics := someTopics(topicsAll)
+	b.ResetTimer()
+	for turn := range b.N {
+		part.Listeners(trialPlane, topics[turn%topicsAll])
+	}
+}
--- a/internal/fairway/fairway.go
+++ b/internal/fairway/fairway.go
@@ -12,6 +12,7 @@
 package fairway
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -26,6 +27,7 @@
 	greetTries   = 4
 	joinLimit    = 400 * time.Millisecond
 	hopLimit     = 48
+	askedFirst   = 3
 	healing      = 1
 	healFor      = 2 * time.Second
 	freshFor     = 3 * time.Second
@@ -133,18 +135,20 @@
 	subscribers map[PeerKey]Peer
 	region      Region
 	greeted     map[PeerKey]uint64
-	notedAt     map[PeerKey]time.Time
-	owed        map[PeerKey]map[PeerKey]bool
-	pending     map[PeerKey]*outstanding
-	joining     *outstanding
-	joinAsked   map[string]bool
-	waiting     []Settled
-	holders     int
-	lastUse     time.Time
-	publishes   bool
-	queued      bool
-	requests    []Signal
-	healUntil   time.Time
+	// tookAt tells when another peer made itself known and took its part.
+	tookAt    map[PeerKey]time.Time
+	owed      map[PeerKey]map[PeerKey]bool
+	pending   map[PeerKey]*outstanding
+	joining   *outstanding
+	joinAsked map[string]bool
+	askedAll  bool
+	waiting   []Settled
+	holders   int
+	lastUse   time.Time
+	publishes bool
+	queued    bool
+	requests  []Signal
+	healUntil time.Time
 	// cell is set for a peer of routed topics.
 	cell *cell
 }
@@ -181,9 +185,11 @@
 	paceUntil time.Time
 	// parted is set once all peers have left.
 	parted bool
-	ways   map[string]time.Duration
-	found  []Found
-	Counts Counts
+	// checked is when this daemon last compared its cells with others.
+	checked time.Time
+	ways    map[string]time.Duration
+	found   []Found
+	Counts  Counts
 }
 
 // New makes the overlay part of one daemon; Live and View come before any peer.
@@ -415,7 +421,7 @@
 	peer = &hosted{
 		self:  Peer{Key: key, At: area.reference(fairway.daemon, fairway.number), Area: area, Change: fairway.change},
 		space: here, known: map[PeerKey]Peer{}, subscribers: map[PeerKey]Peer{}, greeted: map[PeerKey]uint64{}, pending: map[PeerKey]*outstanding{},
-		notedAt: map[PeerKey]time.Time{}, owed: map[PeerKey]map[PeerKey]bool{},
+		tookAt: map[PeerKey]time.Time{}, owed: map[PeerKey]map[PeerKey]bool{},
 		joinAsked: map[string]bool{}, lastUse: now,
 	}
 	peer.region = newRegion(peer.self.At)
@@ -471,7 +477,6 @@
 }
 
 func (fairway *Fairway) flush(effects *helm.Effects) {
-	fairway.giveOwed()
 	for address, frame := range helm.Sorted(fairway.out) {
 		fairway.Counts.BatchesOut++
 		effects.Send(address, *frame)
@@ -503,6 +508,25 @@
 			return
 		}
 	}
+	peer.askedAll = false
+	if peer.joining.tries == 1 && len(fairway.lanterns) > askedFirst {
+		names := slices.Collect(maps.Keys(fairway.lanterns))
+		slices.Sort(names)
+		for step := range askedFirst {
+			name := names[(uint64(step)+keyHash(peer.self.Key))%uint64(len(names))]
+			peer.joinAsked[name] = true
+			fairway.signal(name, request)
+		}
+		return
+	}
+	fairway.askAll(now, peer)
+}
+
+// askAll asks all daemons for the way to an acceptor. That a few know of nobody
+// does not yet make a peer the first.
+func (fairway *Fairway) askAll(now time.Time, peer *hosted) {
+	peer.askedAll = true
+	request := Signal{Kind: SignalJoin, Space: peer.space.name, From: peer.self, Tries: uint8(min(peer.joining.tries, 255))}
 	for name := range helm.Sorted(fairway.lanterns) {
 		peer.joinAsked[name] = true
 		fairway.signal(name, request)
@@ -601,6 +625,13 @@
 // accept answers a join as the acceptor.
 func (fairway *Fairway) accept(now time.Time, acceptor *hosted, request Signal) {
 	answer := fairway.introduce(now, acceptor, request.From)
+	if acceptor.mate(request.From) {
+		for key, known := range sortedPeers(acceptor.subscribers) {
+			if key != request.From.Key && acceptor.mate(known) && !slices.ContainsFunc(answer.Peers, func(named Peer) bool { return named.Key == key }) {
+				answer.Peers = append(answer.Peers, known)
+			}
+		}
+	}
 	answer.Kind = SignalWelcome
 	answer.Hops = request.Hops
 	fairway.tell(now, request.From.Key, answer)
@@ -626,6 +657,9 @@
 		return answer
 	}
 	_, wasKnown := peer.known[newcomer.Key]
+	if !wasKnown {
+		peer.tookAt[newcomer.Key] = now
+	}
 	fairway.note(now, peer, newcomer)
 	include := map[PeerKey]Peer{}
 	offer := func(keys []PeerKey) {
@@ -640,6 +674,13 @@
 	} else {
 		offer(peer.region.owners())
 	}
+	if peer.cell != nil {
+		// The peers of a cell know each other by their notices.
+		for _, known := range sortedPeers(include) {
+			answer.Peers = append(answer.Peers, known)
+		}
+		return answer
+	}
 	for key, known := range peer.subscribers {
 		if key == newcomer.Key {
 			continue
@@ -684,6 +725,18 @@
 	} else {
 		delete(peer.subscribers, other.Key)
 	}
+	if peer.cell != nil {
+		if !found {
+			if peer.mate(other) {
+				fairway.meet(now, peer.cell, other.Key)
+			}
+			if _, cut := peer.region.clip(other.At, other.Key); cut {
+				fairway.passOn(now, peer, other)
+			}
+			fairway.checkSoon(now)
+		}
+		return
+	}
 	if other.Subscribes && !earlier.Subscribes {
 		fairway.passOn(now, peer, other)
 		if peer.publishes && other.Key.Daemon != fairway.daemon && other.Area.Covers(peer.self.Area) {
@@ -693,10 +746,6 @@
 	if found {
 		return
 	}
-	if peer.cell != nil && other.Area == peer.self.Area && other.Key.Daemon != fairway.daemon {
-		fairway.meet(peer.cell, other.Key)
-	}
-	peer.notedAt[other.Key] = now
 	taken, _ := peer.region.clip(other.At, other.Key)
 	if len(taken) == 0 {
 		return
@@ -743,7 +792,11 @@
 // here for a part that is theirs now.
 func (fairway *Fairway) passOn(now time.Time, peer *hosted, subscriber Peer) {
 	for _, key := range peer.region.owners() {
-		if key == subscriber.Key || now.Sub(peer.notedAt[key]) > freshFor {
+		if key == subscriber.Key || now.Sub(peer.tookAt[key]) > freshFor {
+			continue
+		}
+		if peer.cell != nil && peer.known[key].Area == subscriber.Area {
+			// They find each other by the notices of their cell.
 			continue
 		}
 		if key.Daemon != fairway.daemon {
@@ -756,6 +809,7 @@
 
 // learn considers peers that somebody told of, and greets those that matter.
 func (fairway *Fairway) learn(now time.Time, peer *hosted, teller PeerKey, others []Peer, always bool) {
+	var mates []Peer
 	for _, other := range others {
 		if other.Key == peer.self.Key {
 			continue
@@ -784,10 +838,37 @@
 			continue
 		}
 		fairway.note(now, peer, other)
+		if peer.mate(other) {
+			mates = append(mates, other)
+			continue
+		}
 		if peer.greeted[other.Key] < peer.self.Change {
 			fairway.greet(now, peer, other)
 		}
 	}
+	// Of the peers of its own cell it greets those only that are beyond its
+	// edges once all of them are known; who told of itself greets if need be.
+	for _, mate := range mates {
+		if mate.Key != teller && peer.region.owns(mate.Key) && peer.greeted[mate.Key] < peer.self.Change {
+			fairway.greet(now, peer, mate)
+		}
+	}
+}
+
+// mate tells whether another daemon's peer is of the same cell.
+func (peer *hosted) mate(other Peer) bool {
+	return peer.cell != nil && other.Area == peer.self.Area && other.Key.Daemon != peer.self.Key.Daemon
+}
+
+// outer tells whether a peer's region reaches out of its area.
+func (peer *hosted) outer() bool {
+	area, middle := peer.self.Area, peer.self.At
+	for _, at := range peer.region.corners {
+		if !area.Contains(Point{X: middle.X + at.x, Y: middle.Y + at.y}) {
+			return true
+		}
+	}
+	return false
 }
 
 // correct tells a peer that one it spoke of is gone, so that the word of it
@@ -820,6 +901,12 @@
 
 func (fairway *Fairway) greetAs(now time.Time, peer *hosted, other Peer, heals bool) {
 	peer.greeted[other.Key] = peer.self.Change
+	if peer.mate(other) && !peer.outer() {
+		// What lies beyond an edge inside the cell is known by notices; only who
+		// has neighbours in other cells must be told of theirs.
+		delete(peer.pending, other.Key)
+		return
+	}
 	fairway.Counts.Greets++
 	greeting := Signal{Kind: SignalGreet, Space: peer.space.name, To: other.Key, From: peer.self}
 	if other.Key.Daemon == fairway.daemon {
@@ -877,7 +964,7 @@
 	delete(peer.known, key)
 	delete(peer.subscribers, key)
 	delete(peer.greeted, key)
-	delete(peer.notedAt, key)
+	delete(peer.tookAt, key)
 	delete(peer.owed, key)
 }
 
@@ -910,7 +997,7 @@
 		}
 	}
 	for _, key := range peer.region.owners() {
-		if !slices.Contains(before, key) {
+		if !slices.Contains(before, key) || peer.cell != nil {
 			if known, found := peer.known[key]; found {
 				fairway.greet(now, peer, known)
 			}
@@ -928,7 +1015,7 @@
 		parting = append(parting, peer.known[key])
 	}
 	for _, known := range sortedPeers(peer.known) {
-		if known.Subscribes && !peer.region.owns(known.Key) && peer.region.meets(known.Area) {
+		if peer.cell == nil && known.Subscribes && !peer.region.owns(known.Key) && peer.region.meets(known.Area) {
 			parting = append(parting, known)
 		}
 	}
@@ -1074,6 +1161,10 @@
 			return
 		}
 	}
+	if !peer.askedAll {
+		fairway.askAll(now, peer)
+		return
+	}
 	fairway.joined(now, peer)
 }
 
@@ -1174,6 +1265,10 @@
 		case "sweep":
 			fairway.sweep(now)
 			fairway.releaseCells(now)
+		case "owed":
+			fairway.giveOwed()
+		case "members":
+			fairway.compareMembers(now)
 		case "notices":
 			fairway.tellChanges(now)
 		case "checks":
@@ -1331,7 +1426,7 @@
 			}
 			peer.subscribers = map[PeerKey]Peer{}
 			peer.known, peer.greeted, peer.pending = map[PeerKey]Peer{}, map[PeerKey]uint64{}, map[PeerKey]*outstanding{}
-			peer.notedAt, peer.owed = map[PeerKey]time.Time{}, map[PeerKey]map[PeerKey]bool{}
+			peer.tookAt, peer.owed = map[PeerKey]time.Time{}, map[PeerKey]map[PeerKey]bool{}
 			peer.region = newRegion(peer.self.At)
 			peer.joining, peer.queued = nil, false
 			here.byKey[peer.self.Key] = peer
--- a/internal/fairway/notices.go
+++ b/internal/fairway/notices.go
@@ -21,6 +21,7 @@
 package fairway
 
 import (
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -41,9 +42,13 @@
 	paceEach   = time.Millisecond
 	countsWait = 200 * time.Millisecond
 	checkEvery = 2 * time.Second
+	checkAfter = 10 * time.Millisecond
+	checkAgain = 250 * time.Millisecond
 	askAgain   = 300 * time.Millisecond
-	reachLimit = time.Second
-	keepFor    = 10 * time.Minute
+	// membersWait lets joins settle before peers compare whom they know.
+	membersWait = 100 * time.Millisecond
+	reachLimit  = time.Second
+	keepFor     = 10 * time.Minute
 	// strangersEach is how many daemons of which no peer is known are told in
 	// one comparison, in turn.
 	strangersEach = 16
@@ -61,6 +66,11 @@
 	NoticeAsk
 	// NoticeGone tells that there is no peer in the cell.
 	NoticeGone
+	// NoticeDiffers names the others of the cell that a peer knows to one that
+	// seems to know others.
+	NoticeDiffers
+	// NoticeMembers names those that were not named there.
+	NoticeMembers
 )
 
 // Notice is what one daemon's peer in a cell tells another's.
@@ -73,8 +83,11 @@
 	Change uint64
 	// Sequence numbers the peer's notices; changes follow the one before.
 	Sequence uint64
-	Topics   []uint64
-	Counts   []uint32
+	// Digest sums up whom the peer knows in its cell, itself among them.
+	Digest  uint64
+	Topics  []uint64
+	Counts  []uint32
+	Members []PeerKey
 }
 
 // Notices is what the peers of one daemon, in one of its lives, tell those of
@@ -123,12 +136,15 @@
 	due      time.Time
 	members  map[string]*member
 	// order holds the names of the members in order.
-	order   []string
-	owed    map[string]bool
+	order []string
+	owed  map[string]bool
+	// digest sums up the members' keys.
+	digest  uint64
 	waiting []Settled
 	// reached is set once it was settled, or somebody waited long enough.
 	reached bool
 	until   time.Time
+	turn    uint64
 	lastUse time.Time
 }
 
@@ -137,8 +153,12 @@
 	key      PeerKey
 	heard    bool
 	sequence uint64
+	digest   uint64
 	counts   map[uint64]uint32
 	asked    time.Time
+	// compared sums up the difference that was last looked into.
+	compared   uint64
+	comparedAt time.Time
 }
 
 // Tell says that this daemon now has so many subscribers of a topic; none ends
@@ -259,7 +279,7 @@
 	peer.cell, here.peer = here, peer
 	peer.holders++
 	fairway.await(now, peer, true, nil, effects)
-	fairway.timers.ArmSooner("checks", now.Add(checkEvery))
+	fairway.checkSoon(now)
 	return here
 }
 
@@ -303,17 +323,27 @@
 }
 
 // meet notes another daemon's peer in the cell, which gets the whole.
-func (fairway *Fairway) meet(here *cell, key PeerKey) {
+func (fairway *Fairway) meet(now time.Time, here *cell, key PeerKey) {
 	earlier, found := here.members[key.Daemon]
 	if found && (earlier.key == key || earlier.key.Life > key.Life || earlier.key.Life == key.Life && earlier.key.Number > key.Number) {
 		return
 	}
-	if !found {
+	if found {
+		here.digest ^= keyHash(earlier.key)
+	} else {
 		position, _ := slices.BinarySearch(here.order, key.Daemon)
 		here.order = slices.Insert(here.order, position, key.Daemon)
 	}
 	here.members[key.Daemon] = &member{key: key}
-	here.owed[key.Daemon] = true
+	here.digest ^= keyHash(key)
+	fairway.owe(now, here, key.Daemon)
+}
+
+// owe lets the whole go to a daemon once what else there is for it has been
+// gathered.
+func (fairway *Fairway) owe(now time.Time, here *cell, daemon string) {
+	here.owed[daemon] = true
+	fairway.timers.ArmSooner("owed", now.Add(gatherFor))
 }
 
 // part forgets another daemon's peer in the cell with all that it told.
@@ -321,6 +351,7 @@
 	if known, found := here.members[key.Daemon]; !found || known.key != key {
 		return
 	}
+	here.digest ^= keyHash(key)
 	delete(here.members, key.Daemon)
 	delete(here.owed, key.Daemon)
 	if position, found := slices.BinarySearch(here.order, key.Daemon); found {
@@ -331,7 +362,7 @@
 // afresh forgets all others of the cell; they are to be found and told anew.
 func (here *cell) afresh() {
 	here.members, here.order, here.owed = map[string]*member{}, nil, map[string]bool{}
-	here.reached = false
+	here.reached, here.digest = false, 0
 }
 
 // notify puts a notice into the frame to a daemon.
@@ -352,7 +383,25 @@
 }
 
 func (here *cell) notice(kind uint8) Notice {
-	return Notice{Kind: kind, Cell: here.number, Number: here.peer.self.Key.Number, Change: here.peer.self.Change, Sequence: here.sequence}
+	return Notice{Kind: kind, Cell: here.number, Number: here.peer.self.Key.Number, Change: here.peer.self.Change, Sequence: here.sequence, Digest: here.digestHere()}
+}
+
+// digestHere sums up all peers of the cell that are known, this one too.
+func (here *cell) digestHere() uint64 { return here.digest ^ keyHash(here.peer.self.Key) }
+
+// keyHash is a number for a peer's key.
+func keyHash(key PeerKey) uint64 {
+	sum := fnv.New64a()
+	_, _ = sum.Write([]byte(key.Daemon))
+	return mix(sum.Sum64() ^ mix(key.Life^mix(key.Number)))
+}
+
+func mix(value uint64) uint64 {
+	value ^= value >> 30
+	value *= 0xbf58476d1ce4e5b9
+	value ^= value >> 27
+	value *= 0x94d049bb133111eb
+	return value ^ value>>31
 }
 
 // whole tells all counts, as of the newest notice.
@@ -443,6 +492,7 @@
 // check tells others the numbers of the newest notices here: all those that
 // share a cell, and some of the rest in turn.
 func (fairway *Fairway) check(now time.Time) {
+	fairway.checked = now
 	any := false
 	for _, where := range helm.Sorted(fairway.planes) {
 		sharing := map[string]bool{}
@@ -473,6 +523,16 @@
 	}
 }
 
+// checkSoon lets a comparison follow a change in whom this daemon knows, so
+// that joins at the same time find each other.
+func (fairway *Fairway) checkSoon(now time.Time) {
+	at := fairway.checked.Add(checkAgain)
+	if soon := now.Add(checkAfter); at.Before(soon) {
+		at = soon
+	}
+	fairway.timers.ArmSooner("checks", at)
+}
+
 // checkWith tells one daemon the numbers of the newest notices of all cells
 // here, and asks for its own if need be.
 func (fairway *Fairway) checkWith(daemon string, where *plane, answer bool) {
@@ -498,6 +558,9 @@
 			continue
 		}
 		key := PeerKey{Daemon: told.Daemon, Life: told.Life, Number: notice.Number}
+		if found && notice.Kind == NoticeCheck {
+			fairway.border(now, where, key, notice)
+		}
 		if !found || where.cells[notice.Cell] == nil {
 			if notice.Kind != NoticeGone && notice.Kind != NoticeCheck {
 				fairway.notify(told.Daemon, told.Plane, Notice{Kind: NoticeGone, Cell: notice.Cell})
@@ -511,6 +574,20 @@
 	}
 }
 
+// border lets the peers here whose regions a peer of another cell would cut
+// learn of it.
+func (fairway *Fairway) border(now time.Time, where *plane, key PeerKey, notice Notice) {
+	other := cellPeer(key, notice.Cell, notice.Change)
+	for _, here := range where.cells {
+		if here == nil || here.number == notice.Cell || here.peer.joining != nil || !here.peer.region.cuts(other.At) {
+			continue
+		}
+		if _, known := here.peer.known[key]; !known {
+			fairway.learn(now, here.peer, key, []Peer{other}, false)
+		}
+	}
+}
+
 func (fairway *Fairway) takeNotice(now time.Time, here *cell, key PeerKey, notice Notice) {
 	known, found := here.members[key.Daemon]
 	if notice.Kind == NoticeGone {
@@ -550,7 +627,20 @@
 			fairway.ask(now, here, known)
 		}
 	case NoticeAsk:
-		here.owed[key.Daemon] = true
+		fairway.owe(now, here, key.Daemon)
+	case NoticeDiffers:
+		if lacked := fairway.merge(now, here, key, notice.Members); len(lacked) > 0 {
+			answer := here.notice(NoticeMembers)
+			answer.Members = lacked
+			fairway.notify(key.Daemon, here.plane.name, answer)
+		}
+		// It knows now, or soon, what is known here.
+		notice.Digest = here.digestHere()
+	case NoticeMembers:
+		fairway.merge(now, here, key, notice.Members)
+	}
+	if known.digest = notice.Digest; known.digest != here.digestHere() {
+		fairway.timers.ArmSooner("members", now.Add(membersWait))
 	}
 }
 
@@ -567,6 +657,63 @@
 	}
 }
 
+// merge learns the peers of a cell that another one names, and lists those
+// that it did not name.
+func (fairway *Fairway) merge(now time.Time, here *cell, teller PeerKey, members []PeerKey) (lacked []PeerKey) {
+	named := map[PeerKey]bool{teller: true}
+	var others []Peer
+	for _, each := range members {
+		named[each] = true
+		if known, met := here.members[each.Daemon]; !met || known.key != each {
+			others = append(others, cellPeer(each, here.number, 0))
+		}
+	}
+	fairway.learn(now, here.peer, teller, others, false)
+	for _, name := range here.order {
+		if key := here.members[name].key; !named[key] {
+			lacked = append(lacked, key)
+		}
+	}
+	return lacked
+}
+
+// compareMembers tells, in each cell, one of those that seem to know others
+// there than are known here whom this peer knows.
+func (fairway *Fairway) compareMembers(now time.Time) {
+	for _, where := range helm.Sorted(fairway.planes) {
+		for _, here := range where.cells {
+			if here == nil {
+				continue
+			}
+			digest := here.digestHere()
+			var differing []*member
+			for _, name := range here.order {
+				known := here.members[name]
+				if known.digest == 0 || known.digest == digest {
+					continue
+				}
+				if known.compared == digest^known.digest && now.Sub(known.comparedAt) < checkEvery {
+					continue
+				}
+				differing = append(differing, known)
+			}
+			if len(differing) == 0 {
+				continue
+			}
+			known := differing[here.turn%uint64(len(differing))]
+			here.turn++
+			known.compared, known.comparedAt = digest^known.digest, now
+			notice := here.notice(NoticeDiffers)
+			for _, name := range here.order {
+				if key := here.members[name].key; key != known.key {
+					notice.Members = append(notice.Members, key)
+				}
+			}
+			fairway.notify(known.key.Daemon, where.name, notice)
+		}
+	}
+}
+
 // ask asks a peer for the whole, unless it was asked a moment ago.
 func (fairway *Fairway) ask(now time.Time, here *cell, known *member) {
 	if !known.asked.IsZero() && now.Sub(known.asked) < askAgain {
