--- a/internal/oracle/topics.go
+++ b/internal/oracle/topics.go
@@ -65,7 +65,9 @@
 	return slices.ContainsFunc(routing.prefixes, func(prefix string) bool { return strings.HasPrefix(topic, prefix) })
 }
 
-type span struct{ from, until time.Time }
+// span is a connection on which a subscription was present. Who falls silent may
+// be taken to be there until lingers.
+type span struct{ from, until, lingers time.Time }
 
 // Saved is a cursor that somebody was given: the place after a message, or the
 // place of a subscription that nothing had come to.
@@ -243,6 +245,15 @@
 	}
 }
 
+// Silenced tells that the caller fell silent instead of closing, and until when
+// its connection may be held open for it.
+func (subscription *Subscription) Silenced(at, until time.Time) {
+	if count := len(subscription.present); count > 0 && subscription.present[count-1].until.IsZero() {
+		subscription.present[count-1].lingers = until
+	}
+	subscription.Cut(at)
+}
+
 // End tells that the subscription ends.
 func (subscription *Subscription) End(at time.Time) {
 	if subscription.ended.IsZero() {
@@ -354,6 +365,10 @@
 	for _, each := range oracle.Topics.subscriptions[topic] {
 		touched, whole := false, false
 		for _, present := range each.present {
+			if present.lingers.After(from) && present.from.Before(at) {
+				once++
+				continue
+			}
 			reaches := present.until.IsZero() || !present.until.Before(from)
 			touched = touched || reaches && !present.from.After(at)
 			whole = whole || !present.from.After(from) && (present.until.IsZero() || !present.until.Before(at))
--- a/internal/oracle/topics_test.go
+++ b/internal/oracle/topics_test.go
@@ -243,6 +243,14 @@
 	run.RoutesSent(2, []string{"board.", "halt."}, moment(48))
 	run.try("cy", 24, guestTopic, "accepted", 48.1)
 	run.RoutesTaken(2, moment(49))
+	// Who fell silent may still be counted for a while, beside the new connection.
+	silent := run.Subscribing("gus", passingTopic, nil)
+	silent.Confirmed(moment(48), moment(48.1))
+	for number := range 4 {
+		silent.Silenced(moment(50+float64(number)), moment(57+float64(number)))
+		silent.Confirmed(moment(50.2), moment(50.3+float64(number)))
+	}
+	run.Counted(passingTopic, 9, moment(-60), moment(56))
 	// Either answer is right while a change is under way.
 	run.Handled("a publication", guestTopic, true, moment(48.1), moment(48.2))
 	run.Handled("a publication", guestTopic, false, moment(48.1), moment(48.2))
--- a/internal/swell/topic_client.go
+++ b/internal/swell/topic_client.go
@@ -259,8 +259,12 @@
 	client.connected = false
 	for _, each := range helm.Sorted(client.topics) {
 		each.asked, each.held = false, false
-		if each.entry != nil {
+		switch {
+		case each.entry == nil:
+		case tells:
 			each.entry.Cut(swell.Now)
+		default:
+			each.entry.Silenced(swell.Now, swell.Now.Add(droppedAfter))
 		}
 		if each.leaving {
 			delete(client.topics, each.topic)
