--- a/internal/swell/scenario.go
+++ b/internal/swell/scenario.go
@@ -55,6 +55,7 @@
 	economy any
 	drains  []string
 	sent    map[uint64][]byte
+	reads   int
 }
 
 func (operator *Operator) document() []byte {
@@ -141,6 +142,7 @@
 			Configuration json.RawMessage `json:"configuration"`
 		}
 		must(json.Unmarshal(returned.Body, &got))
+		operator.reads++
 		swell.Oracle.ReadBack(got.Version, string(got.Configuration), began, swell.Now)
 	})
 }
--- a/internal/swell/topics.go
+++ b/internal/swell/topics.go
@@ -361,7 +361,14 @@
 	swell.Run(2 * time.Second)
 	swell.Oracle.AllBrought(swell.Now)
 	swell.takeSaved()
+	reads := swell.operator.reads
+	for number := range 8 {
+		swell.After(time.Duration(number)*500*time.Millisecond, swell.operator.read)
+	}
 	swell.Run(4 * time.Second)
+	if swell.operator.reads == reads {
+		swell.Oracle.Violate(oracle.StaleRead, "the configuration does not come back at the end")
+	}
 	for _, client := range swell.topicClients {
 		if !client.Gone && !client.holds() {
 			swell.Oracle.Violate(oracle.NotBack, "%s is still not served at the end", client.Name)
