An answer that comes twice settles only the send that it names

Cause: a lantern counted the open sends of a publication to a routed topic. An answer that came twice (a link dialled anew) counted two sends as settled, so that at its limit a publication with a send still open was refused for certain, and then delivered: every try refused, yet delivered. Change: each send has its own number, and an answer settles that one.

--- a/internal/lamp/publish.go
+++ b/internal/lamp/publish.go
@@ -285,7 +285,7 @@
 }
 
 func (lantern *Lantern) onAppendReturn(now time.Time, returned strand.AppendReturn, effects *helm.Effects) {
-	if item, routed := lantern.routed.appends[returned.Visit]; routed && item.strand == returned.Strand {
+	if item, routed := lantern.routed.sends[returned.Visit]; routed && item.strand == returned.Strand {
 		lantern.onRoutedReturn(now, item, returned, effects)
 		return
 	}
--- a/internal/lamp/routed.go
+++ b/internal/lamp/routed.go
@@ -85,6 +85,7 @@
 	told     map[string]toldOf
 	fetches  map[uint64]*topicFetch
 	appends  map[uint64]*routedPublication
+	sends    map[uint64]*routedPublication
 	accepted map[routedKey]routedMemory
 	// busy are the topics with something that waits for a moment to come.
 	busy map[string]*topic
@@ -93,7 +94,7 @@
 func newRouted() *routed {
 	return &routed{
 		topics: map[string]*topic{}, numbers: map[uint64]*topic{}, strands: map[string]int{}, told: map[string]toldOf{},
-		fetches: map[uint64]*topicFetch{}, appends: map[uint64]*routedPublication{}, accepted: map[routedKey]routedMemory{}, busy: map[string]*topic{},
+		fetches: map[uint64]*topicFetch{}, appends: map[uint64]*routedPublication{}, sends: map[uint64]*routedPublication{}, accepted: map[routedKey]routedMemory{}, busy: map[string]*topic{},
 	}
 }
 
--- a/internal/lamp/routed_publish.go
+++ b/internal/lamp/routed_publish.go
@@ -39,7 +39,9 @@
 	sentAt time.Time
 	limit  time.Time
 	sends  int
-	open   int
+	// open are the numbers of the sends without an answer. An answer settles the
+	// send that it names, so that one which comes twice settles no other.
+	open map[uint64]bool
 }
 
 func (lantern *Lantern) publishRouted(now time.Time, visit Publish, looked bool, effects *helm.Effects) {
@@ -48,7 +50,7 @@
 		Kind: "publish", Origin: visit.Origin, Sender: visit.Sender, Space: space, Topic: visit.Topic,
 		Seq: visit.Seq, Data: visit.Data, Looked: looked, Routed: true,
 	}
-	item := &routedPublication{visit: visit, space: space, strand: chart.SharedStrand(visit.Topic)}
+	item := &routedPublication{visit: visit, space: space, strand: chart.SharedStrand(visit.Topic), open: map[uint64]bool{}}
 	answer := func(returned Answer) { lantern.answerRouted(now, item, returned, effects) }
 	retry := func(now time.Time, effects *helm.Effects) { lantern.publishRouted(now, visit, true, effects) }
 	if !lantern.judge(now, judged, visit.VisitName, retry, answer) {
@@ -80,6 +82,9 @@
 		lantern.Counts.UnsettledVisits++
 	}
 	delete(lantern.routed.appends, item.id)
+	for send := range item.open {
+		delete(lantern.routed.sends, send)
+	}
 	lantern.ring.Record(now, item.visit.VisitName, soundings.MessageName(item.space, item.visit.Sender, item.visit.Seq),
 		item.visit.Origin, "answered", "outcome", returned.Outcome, "code", returned.Code, "topic", item.visit.Topic, "tries", item.sends)
 	effects.Return(item.visit.Visit, returned)
@@ -97,15 +102,18 @@
 	if item.bare {
 		data = nil
 	}
-	item.open++
 	item.sends++
+	lantern.nextVisit++
+	item.open[lantern.nextVisit] = true
+	lantern.routed.sends[lantern.nextVisit] = item
 	effects.Send(address, strand.Append{
-		Strand: item.strand, Visit: item.id, Topic: item.visit.Topic, Sender: item.visit.Sender, Seq: item.visit.Seq, Data: data, Bare: item.bare,
+		Strand: item.strand, Visit: lantern.nextVisit, Topic: item.visit.Topic, Sender: item.visit.Sender, Seq: item.visit.Seq, Data: data, Bare: item.bare,
 	})
 }
 
 func (lantern *Lantern) onRoutedReturn(now time.Time, item *routedPublication, returned strand.AppendReturn, effects *helm.Effects) {
-	item.open--
+	delete(item.open, returned.Visit)
+	delete(lantern.routed.sends, returned.Visit)
 	switch returned.Outcome {
 	case strand.Accepted:
 		lantern.routed.accepted[routedKey{topic: item.visit.Topic, sender: item.visit.Sender, seq: item.visit.Seq}] = routedMemory{at: now}
@@ -124,7 +132,7 @@
 			lantern.follower.Hurry(now)
 		case returned.Code == "old-seq" || returned.Code == "seq-reused":
 			lantern.answerRouted(now, item, refused(409, returned.Code, "this seq is not above the sender's newest of this topic", 0), effects)
-		case item.open > 0:
+		case len(item.open) > 0:
 			// An earlier try has no answer; it may yet be kept.
 			lantern.answerRouted(now, item, unsettled(returned.Code, "send the same seq again", comeBackSoon), effects)
 		default:
@@ -160,7 +168,7 @@
 	var next time.Time
 	for _, item := range helm.Sorted(lantern.routed.appends) {
 		if !item.limit.After(now) {
-			if item.open > 0 {
+			if len(item.open) > 0 {
 				lantern.answerRouted(now, item, unsettled("no-answer", "the keeper did not answer; send the same seq again", comeBackSoon), effects)
 			} else {
 				lantern.answerRouted(now, item, refused(503, "no-answer", "the message was not kept", comeBackSoon), effects)
--- a/internal/swell/swell_test.go
+++ b/internal/swell/swell_test.go
@@ -56,6 +56,7 @@
 	{"storm-wipe-pilot", 1, "a backup that lost its disk under a command never became level"},
 	{"storm-cut-place", 1000, "primary and backup stayed in one locality after a cut, and were lost with it"},
 	{"storm-wipe-pilot", 3, "the same, until no lost keeper was replaced"},
+	{"topics-steady", 4006, "an answer that came twice settled another send, and a kept message was refused"},
 }
 
 func judge(t *testing.T, scenario Scenario, seed uint64) {
