A caller that comes right after a start waits for one look at the news

Cause: after a loss of all power lanterns that had no news yet denied every HELLO, and refused callers pause before they try again.

--- a/internal/lamp/channel.go
+++ b/internal/lamp/channel.go
@@ -91,6 +91,16 @@
 
 func (lantern *Lantern) openChannel(now time.Time, visit OpenChannel, effects *helm.Effects) {
 	lantern.Counts.Visits++
+	if visit.Lines && !lantern.stopping && !lantern.Confirmed(now) {
+		// Its first news, or the next, may be on the way: one look spares a caller
+		// that comes right after a start the pause that follows a refusal.
+		lantern.look(now, func(now time.Time, effects *helm.Effects) { lantern.takeChannel(now, visit, effects) })
+		return
+	}
+	lantern.takeChannel(now, visit, effects)
+}
+
+func (lantern *Lantern) takeChannel(now time.Time, visit OpenChannel, effects *helm.Effects) {
 	if visit.Lines && lantern.leaving() && lantern.Confirmed(now) {
 		if targets := lantern.targets(); len(targets) > 0 {
 			lantern.turnAway(now, visit, targets, effects)
