--- a/internal/flare/link.go
+++ b/internal/flare/link.go
@@ -114,6 +114,7 @@
 	compresses atomic.Bool
 	// watches is set where the owner wants to know of addresses that refuse.
 	watches atomic.Bool
+	closing atomic.Bool
 
 	// Of the accepting loop.
 	reader reader
@@ -842,26 +843,38 @@
 	return host
 }
 
-// Close ends listening and dialling.
+// Close ends listening and dialling, within two seconds; a second call does
+// nothing.
 func (flare *Flare) Close() {
+	if !flare.closing.CompareAndSwap(false, true) {
+		return
+	}
 	stopped := make(chan struct{})
 	flare.onLoop(func() {
 		flare.stopped = true
 		close(stopped)
 	})
-	limit := time.After(time.Second)
-	select {
-	case <-stopped:
-	case <-limit:
-	}
+	await(stopped)
 	// gnet would look for its own end twice a second; its task tells us sooner.
 	now, cancel := context.WithCancel(context.Background())
 	cancel()
 	_ = flare.engine.Stop(now)
-	_ = flare.client.Stop()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = flare.client.Stop()
+		<-flare.ended
+	}()
+	await(ended)
+}
+
+// await waits for an end, but not for ever.
+func await(ended <-chan struct{}) {
+	limit := time.NewTimer(time.Second)
+	defer limit.Stop()
 	select {
-	case <-flare.ended:
-	case <-limit:
+	case <-ended:
+	case <-limit.C:
 	}
 }
 
--- a/internal/flare/link_test.go
+++ b/internal/flare/link_test.go
@@ -175,6 +175,12 @@
 	}
 }
 
+func TestLinksCloseOnce(t *testing.T) {
+	left := openEnd(t)
+	left.links.Close()
+	left.links.Close()
+}
+
 func TestNonsenseEndsItsOwnConnectionOnly(t *testing.T) {
 	heard := make(chan error, 16)
 	address := freeAddress(t)
