A keeper's silence is noticed after 0.7 s instead of 2 s

Cause: a keeper that loses power answers no dial, so that only silence tells, and its strands were without a first for more than two seconds: publications failed for two windows. Change: keepers beat each 0.2 s, their watchers look as often, and two reports with 0.7 s unheard suffice; a watcher that was stalled itself blames nobody. Tests: internal/beacon/pulse_test.go.

--- a/internal/beacon/pulse.go
+++ b/internal/beacon/pulse.go
@@ -18,8 +18,22 @@
 	SilentAfter  = 2 * time.Second
 	ownGapLimit  = time.Second
 	IsolatedFrom = 2 * time.Second
+	// Keepers hold what publications wait for, so their silence is noticed sooner.
+	KeeperBeat   = 200 * time.Millisecond
+	KeeperSilent = 700 * time.Millisecond
 )
 
+// silentAfter is how long a member may be silent before a watcher tells of it.
+func silentAfter(member Member) time.Duration {
+	switch {
+	case member.Kind == KindKeeper:
+		return KeeperSilent
+	case member.Resting:
+		return 2 * SilentAfter
+	}
+	return SilentAfter
+}
+
 // Pulse is the state machine.
 type Pulse struct {
 	self      Member
@@ -30,6 +44,8 @@
 	watched   map[string]time.Time
 	suspected map[string]bool
 	lastStep  time.Time
+	beatAt    time.Time
+	watches   bool
 	heardAny  time.Time
 	timers    *helm.Timers
 	resting   bool
@@ -88,6 +104,10 @@
 	}
 	pulse.view, pulse.primary, pulse.index = view, primary, index
 	pulse.watched = watched
+	pulse.watches = false
+	for name := range watched {
+		pulse.watches = pulse.watches || view[name].Kind == KindKeeper
+	}
 }
 
 // Heard notes that another daemon was heard.
@@ -114,20 +134,31 @@
 }
 
 func (pulse *Pulse) step(now time.Time, effects *helm.Effects) {
-	every := BeatEvery
+	beatEvery := BeatEvery
 	if pulse.resting {
-		every = 2 * BeatEvery
+		beatEvery = 2 * BeatEvery
+	}
+	if pulse.self.Kind == KindKeeper {
+		beatEvery = KeeperBeat
+	}
+	every, gap := beatEvery, ownGapLimit
+	if pulse.watches && !pulse.resting {
+		// Who is to notice a short silence must not take its own for another's.
+		every, gap = KeeperBeat, KeeperSilent/3
 	}
 	pulse.timers.Arm("beat", now.Add(every))
-	if now.Sub(pulse.lastStep) > ownGapLimit+every {
+	if now.Sub(pulse.lastStep) > gap+every {
 		for name := range pulse.watched {
 			pulse.watched[name] = now
 		}
 		pulse.heardAny = now
 	}
 	pulse.lastStep = now
-	for _, address := range pulse.beatTo {
-		effects.Send(address, Heartbeat{Name: pulse.self.Name, Incarnation: pulse.self.Incarnation, Index: pulse.index})
+	if now.Sub(pulse.beatAt) > beatEvery-KeeperBeat/2 {
+		pulse.beatAt = now
+		for _, address := range pulse.beatTo {
+			effects.Send(address, Heartbeat{Name: pulse.self.Name, Incarnation: pulse.self.Incarnation, Index: pulse.index})
+		}
 	}
 	if pulse.resting {
 		return
@@ -135,11 +166,7 @@
 	var silent []Suspect
 	for name, heard := range helm.Sorted(pulse.watched) {
 		member := pulse.view[name]
-		limit := SilentAfter
-		if member.Resting {
-			limit *= 2
-		}
-		if silence := now.Sub(heard); silence > limit {
+		if silence := now.Sub(heard); silence > silentAfter(member) {
 			silent = append(silent, Suspect{Name: name, Incarnation: member.Incarnation, Silence: silence})
 			if !pulse.suspected[name] {
 				pulse.suspected[name] = true
--- a/internal/pilotage/pilot.go
+++ b/internal/pilotage/pilot.go
@@ -24,6 +24,7 @@
 const (
 	suspicionFresh = 1200 * time.Millisecond
 	unheardFrom    = 2 * time.Second
+	keeperUnheard  = 700 * time.Millisecond
 	tendEvery      = 200 * time.Millisecond
 	idleEvery      = 500 * time.Millisecond
 	commandLimit   = 2 * time.Second
@@ -560,14 +561,17 @@
 			fresh++
 		}
 		unheard := now.Sub(pilot.heard[name])
-		limit := unheardFrom
+		limit, unasked := unheardFrom, unheardFrom/2
 		if member.Resting {
 			limit += beacon.PatientHold
 		}
+		if member.Kind == beacon.KindKeeper {
+			unasked = keeperUnheard
+		}
 		// Watchers alone can be misled by the links between them and a member;
 		// one that still asks the primary itself is not taken for lost on two
 		// reports, but on all of them.
-		if fresh >= 2 && unheard > unheardFrom/2 || fresh >= 1 && unheard > limit || fresh >= beacon.Watchers {
+		if fresh >= 2 && unheard > unasked || fresh >= 1 && unheard > limit || fresh >= beacon.Watchers {
 			member.Alive, member.Resting = false, false
 			gone = append(gone, member)
 			delete(pilot.suspected, name)
