--- a/internal/pilotage/pilot.go
+++ b/internal/pilotage/pilot.go
@@ -33,6 +33,8 @@
 	followingFor   = 5 * time.Second
 	doubtFor       = 300 * time.Millisecond
 	doubtLong      = time.Second
+	joinPause      = 20 * time.Millisecond
+	youngPause     = 100 * time.Millisecond
 )
 
 // Props are a pilot daemon's settings; see watchbill.Props.
@@ -328,7 +330,12 @@
 	}
 	pilot.joining[self.Name] = self
 	delete(pilot.suspected, self.Name)
-	pilot.timers.ArmSooner("tend", now.Add(20*time.Millisecond))
+	// Each change goes to everybody: while a fleet starts, many join in one.
+	pause := joinPause
+	if now.Sub(pilot.began) < settleFor {
+		pause = youngPause
+	}
+	pilot.timers.ArmSooner("tend", now.Add(pause))
 }
 
 func (pilot *Pilot) onSuspicion(now time.Time, suspicion beacon.Suspicion) {
--- a/internal/watchbill/copies_test.go
+++ b/internal/watchbill/copies_test.go
@@ -124,8 +124,8 @@
 	assert.Equal(t, len(bench.founded), 1)
 }
 
-// Whatever befalls backups, or the disk of the primary, a command is committed
-// well within two seconds; after the primary is lost, within three.
+// Whatever befalls the backups or the primary, a command is committed within two
+// seconds, and after a primary that stops in good order within half a second.
 func TestNobodyHoldsACommandUpForLong(t *testing.T) {
 	for name, strike := range helm.Sorted(strikes) {
 		for tolerance := 1; tolerance < 4; tolerance++ {
@@ -138,8 +138,8 @@
 					}
 					t.Logf("%s %s, tolerance %d: longest %s", name, role, tolerance, longest)
 					limit := 2 * time.Second
-					if role == "primary" {
-						limit = 3 * time.Second
+					if role == "primary" && name == "stopped" {
+						limit = 500 * time.Millisecond
 					}
 					assert.Assert(t, longest < limit, "%s", longest)
 				})
--- a/internal/watchbill/messages.go
+++ b/internal/watchbill/messages.go
@@ -141,10 +141,12 @@
 	Record Record
 }
 
-// Renew asks for more tenure.
+// Renew asks for more tenure; soon after an epoch was decided it tells the record
+// too, in case the word of it was lost.
 type Renew struct {
-	Epoch uint64
-	Nonce uint64
+	Epoch  uint64
+	Nonce  uint64
+	Record Record
 }
 
 // Grant gives tenure and tells how far the granter's state reaches; without a
--- a/internal/watchbill/mutation_test.go
+++ b/internal/watchbill/mutation_test.go
@@ -51,7 +51,7 @@
 	}},
 	{"patient-primary", func(t trial, seed uint64) {
 		longest := strikeHolder(t, seed, 1, "primary", strikes["hanging"])
-		assert.Assert(t, longest < 3*time.Second, "%s", longest)
+		assert.Assert(t, longest < 2*time.Second, "%s", longest)
 	}},
 }
 
--- a/internal/watchbill/watch.go
+++ b/internal/watchbill/watch.go
@@ -28,6 +28,7 @@
 	waitMargin    = 5 * time.Millisecond
 	confirmLimit  = time.Second
 	partAfter     = 2 * time.Second
+	tellFor       = time.Second
 	frameLogLimit = 4 << 20
 )
 
@@ -375,14 +376,15 @@
 		ballot: Ballot{Count: watch.ballotCount, Name: watch.props.Self.Name}, epoch: own.Epoch, own: own,
 		promises: map[string]Promise{}, accepts: map[string]bool{}, phase: 1,
 	}
-	prepare := Prepare{Epoch: own.Epoch, Ballot: watch.trying.ballot}
-	for _, pilot := range watch.deciders(own) {
-		watch.reply(now, pilot.Address, prepare, effects)
-	}
+	// Armed first: its own answer may already tell a better moment.
 	sum := fnv.New32a()
 	_, _ = sum.Write([]byte(watch.props.Self.Name))
 	_, _ = sum.Write([]byte{byte(watch.ballotCount)})
 	watch.timers.Arm("retry", now.Add(retryEvery+time.Duration(sum.Sum32()%300)*time.Millisecond))
+	prepare := Prepare{Epoch: own.Epoch, Ballot: watch.trying.ballot}
+	for _, pilot := range watch.deciders(own) {
+		watch.reply(now, pilot.Address, prepare, effects)
+	}
 }
 
 // deciders are those whose majority decides what a record says: the roster
@@ -720,9 +722,13 @@
 		watch.grants[watch.nonce] = map[string]bool{}
 		delete(watch.renewals, watch.nonce-16)
 		delete(watch.grants, watch.nonce-16)
+		renew := Renew{Epoch: watch.durable.Record.Epoch, Nonce: watch.nonce}
+		if now.Sub(watch.decidedAt) < tellFor {
+			renew.Record = watch.durable.Record
+		}
 		for _, pilot := range watch.durable.Record.Roster {
-			if pilot.Name != watch.props.Self.Name {
-				effects.Send(pilot.Address, Renew{Epoch: watch.durable.Record.Epoch, Nonce: watch.nonce})
+			if !pilot.At(watch.props.Self) {
+				effects.Send(pilot.Address, renew)
 			}
 		}
 		watch.grantOwn(now, effects)
@@ -792,6 +798,7 @@
 }
 
 func (watch *Watch) onRenew(now time.Time, from string, renew Renew, effects *helm.Effects) {
+	watch.learn(now, renew.Record, effects)
 	record := watch.durable.Record
 	if watch.blank || renew.Epoch < record.Epoch {
 		if !watch.blank {
