--- a/internal/pilotage/pilot.go
+++ b/internal/pilotage/pilot.go
@@ -148,7 +148,10 @@
 func (pilot *Pilot) Ready() bool { return !pilot.watch.Blank() }
 
 // SetTolerance takes another tolerance from changed settings.
-func (pilot *Pilot) SetTolerance(tolerance int) { pilot.props.Tolerance = &tolerance }
+func (pilot *Pilot) SetTolerance(tolerance int) {
+	pilot.props.Tolerance = &tolerance
+	pilot.watch.SetTolerance(tolerance)
+}
 
 // Start begins the pilot's work.
 func (pilot *Pilot) Start(now time.Time, effects *helm.Effects) {
--- a/internal/swell/swell.go
+++ b/internal/swell/swell.go
@@ -183,9 +183,9 @@
 
 func (swell *Swell) addPilot(number int) *Node {
 	return swell.add(beacon.KindPilot, number, func(node *Node, stored stored) berthed {
-		props := pilotage.Props{Self: node.member(), Count: swell.Size.Pilots, Seeds: swell.seeds}
+		props := pilotage.Props{Self: node.member(), Count: swell.Size.Pilots, Seeds: swell.seeds, NewDisk: fmt.Sprintf("disk%d", node.life)}
 		if swell.Size.Seeded {
-			props.Count, props.Tolerance, props.NewDisk = 0, &swell.Size.Tolerance, fmt.Sprintf("disk%d", node.life)
+			props.Count, props.Tolerance = 0, &swell.Size.Tolerance
 			props.Founding = !node.founded
 			node.founded = true
 		}
--- a/internal/watchbill/copies.go
+++ b/internal/watchbill/copies.go
@@ -40,6 +40,10 @@
 	ready bool
 }
 
+// SetTolerance takes another tolerance from changed settings; the roster and the
+// backups follow.
+func (watch *Watch) SetTolerance(tolerance int) { watch.props.Tolerance = tolerance }
+
 // neededBackups is how many backups must have synced what is answered, and
 // wantedBackups how many there should be: one at least, so that another pilot
 // can take over.
--- a/internal/watchbill/copies_test.go
+++ b/internal/watchbill/copies_test.go
@@ -179,3 +179,15 @@
 	}
 	return longest
 }
+
+// A tolerance that changes while pilots run is followed.
+func TestChangedToleranceIsFollowed(t *testing.T) {
+	bench := settledFleet(t, 1, 1)
+	for _, pilot := range bench.pilots {
+		pilot.watch.SetTolerance(2)
+	}
+	bench.tolerance = 2
+	bench.until(6*time.Second, "the roster has grown", func() bool { return bench.rostered(5) })
+	bench.submit(2 * time.Second)
+	assert.Equal(t, len(bench.serving().watch.Record().Backups), 2)
+}
