Leaner copies of routed topics; a subscription without a cursor asks no keeper

Cause: copies carried epoch, time and strand that nobody needs there, and each new subscription fetched only the strand's head, which its first tells anyway.

--- a/internal/lamp/lantern.go
+++ b/internal/lamp/lantern.go
@@ -290,7 +290,7 @@
 		effects.Send(meta.From, beacon.ChartAsk{Version: lantern.follower.Version})
 	}
 	switch message.(type) {
-	case Carry, Pass:
+	case Carry, Pass, RoutedCopy:
 		if !lantern.Confirmed(now) {
 			if len(lantern.deferred) < heldMost {
 				lantern.deferred = append(lantern.deferred, deferred{meta: meta, message: message})
@@ -322,11 +322,9 @@
 	case fairway.Signals:
 		lantern.overlay(now, effects, func(now time.Time, effects *helm.Effects) { lantern.fairway.Take(now, body, effects) })
 	case Carry:
-		if chart.IsShared(body.Strand) {
-			lantern.countCopy(lantern.onRouted(now, body.Record, effects))
-			break
-		}
 		lantern.countCopy(lantern.onCarry(now, body, effects))
+	case RoutedCopy:
+		lantern.countCopy(lantern.onRouted(now, body.record(), effects))
 	case Pass:
 		lantern.countCopy(lantern.onPass(now, body, effects))
 	case strand.AppendReturn:
--- a/internal/lamp/messages.go
+++ b/internal/lamp/messages.go
@@ -29,7 +29,27 @@
 	Late bool
 }
 
+// RoutedCopy is the one copy of a message of a routed topic for one destination
+// daemon; the strand follows from the topic.
+type RoutedCopy struct {
+	_      struct{} `cbor:",toarray"`
+	Topic  string
+	Sender string
+	Seq    uint64
+	Offset uint64
+	// Behind is how far the topic's record before it lies below Offset.
+	Behind uint64
+	Data   []byte
+}
+
+func (routed RoutedCopy) record() strand.Record {
+	return strand.Record{
+		Topic: routed.Topic, Sender: routed.Sender, Seq: routed.Seq, Offset: routed.Offset, Prior: routed.Offset - routed.Behind, Data: routed.Data,
+	}
+}
+
 func init() {
+	flare.MustRegister(602, RoutedCopy{})
 	flare.MustRegister(600, Carry{})
 	flare.MustRegister(601, Pass{})
 }
--- a/internal/lamp/routed.go
+++ b/internal/lamp/routed.go
@@ -302,6 +302,13 @@
 // place lacks, and tells whether it does.
 func (lantern *Lantern) fill(now time.Time, taken *place, effects *helm.Effects) bool {
 	followed := taken.topic
+	if told, known := lantern.routed.told[followed.strand]; known && !followed.live && !taken.resumes && followed.fetch == 0 {
+		// Who begins here may begin where the first last told that the strand
+		// was: what moves after that will be told.
+		followed.live = true
+		followed.last, followed.recentFrom = told.until, told.until
+		lantern.release(now, followed, effects)
+	}
 	if !followed.live || taken.resumes && taken.upTo < followed.recentFrom && taken.upTo < followed.last {
 		return false
 	}
--- a/internal/lamp/routed_publish.go
+++ b/internal/lamp/routed_publish.go
@@ -147,13 +147,15 @@
 // each lantern that has any.
 func (lantern *Lantern) fanOutRouted(now time.Time, item *routedPublication, record strand.Record, effects *helm.Effects) {
 	lantern.onRouted(now, record, effects)
-	carry := Carry{Strand: item.strand, Record: record}
+	copied := RoutedCopy{
+		Topic: record.Topic, Sender: record.Sender, Seq: record.Seq, Offset: record.Offset, Behind: record.Offset - record.Prior, Data: record.Data,
+	}
 	lantern.fairway.Reach(now, routedPlane, item.visit.Topic, func(now time.Time, effects *helm.Effects, settled bool) {
 		destinations := lantern.fairway.Listeners(routedPlane, item.visit.Topic)
 		for _, name := range destinations {
 			if member, found := lantern.follower.Members[name]; found {
 				lantern.Counts.CopiesOut++
-				effects.Send(member.Address, carry)
+				effects.Send(member.Address, copied)
 			}
 		}
 		lantern.ring.Record(now, item.visit.VisitName, soundings.MessageName(item.space, item.visit.Sender, item.visit.Seq),
