--- a/internal/lamp/stopping_test.go
+++ b/internal/lamp/stopping_test.go
@@ -21,6 +21,8 @@
 	lantern *lamp.Lantern
 	visit   uint64
 	toldAt  time.Time
+	// heard is what the newest news brought about.
+	heard helm.Effects
 }
 
 func (harbour *harbour) do(command any) helm.Effects {
@@ -58,7 +60,7 @@
 		}
 		harbour.toldAt = harbour.now
 		strandName := chart.SharedStrand("b.1")
-		var ignored helm.Effects
+		harbour.heard = helm.Effects{}
 		harbour.lantern.Message(harbour.now, helm.Meta{From: "10.0.0.1:2", Version: 1}, beacon.News{
 			For: "lantern-1", Nonce: ask.Nonce, Epoch: 1, Primary: "10.0.0.9:1", Index: 1, Version: 1, Document: []byte(document), Changed: true,
 			Births: map[string]uint64{"boards": 1},
@@ -68,7 +70,7 @@
 				{Name: "keeper-1", Kind: beacon.KindKeeper, Address: "10.0.0.3:1", Locality: "east", Incarnation: 1, Alive: true, Joined: 1},
 			},
 			Placements: []beacon.Placement{{Strand: strandName, Epoch: 1, First: "keeper-1"}},
-		}, &ignored)
+		}, &harbour.heard)
 	}
 }
 
--- a/internal/pilotage/pilot.go
+++ b/internal/pilotage/pilot.go
@@ -529,8 +529,16 @@
 	if wanted := pilot.props.Tolerance; wanted != nil && *wanted != pilot.state.Tolerance {
 		command.Tolerance = wanted
 	}
-	if len(command.Members) == 0 && len(command.Settled) == 0 && command.Tolerance == nil && now.Sub(pilot.began) > settleFor/3 {
+	if len(command.Members) == 0 && len(command.Settled) == 0 && command.Tolerance == nil {
 		command.Places = pilot.state.plan(pilot.configuration())
+		if now.Sub(pilot.began) <= settleFor/3 {
+			// New strands wait until the keepers that come back were heard; one
+			// whose holder came back with another disk does not.
+			command.Places = slices.DeleteFunc(command.Places, func(next beacon.Placement) bool {
+				_, placed := pilot.state.Places[next.Strand]
+				return !placed
+			})
+		}
 		for _, place := range command.Places {
 			effects.Note(foghorn.PlacementChanged, "strand", place.Strand, "epoch", place.Epoch, "first", place.First, "understudies", strings.Join(place.Understudies, " "))
 		}
--- a/internal/swell/keepers_test.go
+++ b/internal/swell/keepers_test.go
@@ -243,3 +243,24 @@
 		})
 	}
 }
+
+// All machines lose power and one keeper its disk: once a primary acts again and
+// the keepers are back, the strands that lay there have other copies at once.
+func TestAWipedKeeperIsReplacedAtOnceAfterAllCameBack(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			run := routed(t, seed, Sizes["qureshi"])
+			for _, node := range run.Nodes("") {
+				node.Kill()
+			}
+			run.Nodes(beacon.KindKeeper)[seed%3].Wipe()
+			run.Run(time.Second)
+			run.StartAll()
+			assert.Assert(t, run.RunUntil(10*time.Second, func() bool { return run.Primary() != nil }))
+			length := outage(t, run)
+			t.Logf("after a primary acts again: %s", length)
+			assert.Assert(t, length < 900*time.Millisecond, "after %s", length)
+		})
+	}
+}
