--- a/internal/watchbill/copies.go
+++ b/internal/watchbill/copies.go
@@ -173,7 +173,7 @@
 }
 
 func (watch *Watch) sendAppendTo(name string, effects *helm.Effects) {
-	if len(watch.queue) == 0 || watch.replacing || !watch.queue[0].synced || watch.copies[name].acked >= watch.queue[0].index {
+	if len(watch.queue) == 0 || watch.replacing || !watch.queue[0].synced || watch.copies[name].acked >= watch.queue[0].index || helm.Mutated("answer-before-backup") {
 		return
 	}
 	head := watch.queue[0]
