--- a/internal/flare/link.go
+++ b/internal/flare/link.go
@@ -1,7 +1,6 @@
-// The adapter between daemons. What comes in is read by the tasks of peer.go; a
-// daemon dials with one gnet client, and frames to a peer travel on the connection
-// that the sender dialled, so that the two directions are independent and each is
-// in order.
+// The gnet adapter. A daemon listens with one gnet engine and dials with one
+// gnet client; frames to a peer travel on the connection that the sender
+// dialled, so that the two directions are independent and each is in order.
 //
 // The owner of the machine sends: Send queues frames, and Flush hands each
 // destination all of a turn's frames in one write. While a connection takes
@@ -91,13 +90,15 @@
 
 // Flare is a daemon's end of all its links.
 type Flare struct {
+	gnet.BuiltinEventEngine
 	address  string
 	home     string
 	inbox    chan<- Inbound
 	urgent   chan<- Inbound
 	client   *gnet.Client
-	listener net.Listener
-	accepted chan func(peers *peers)
+	engine   gnet.Engine
+	booted   chan struct{}
+	ended    <-chan error
 	weather  atomic.Pointer[Weather]
 	garbage  func(remote string, fault error)
 	Counters Counters
@@ -115,6 +116,10 @@
 	watches atomic.Bool
 	closing atomic.Bool
 
+	// Of the accepting loop.
+	reader reader
+	inward map[string]gnet.Conn
+
 	// Of the dialling loop.
 	loop     gnet.EventLoop
 	tended   []*link
@@ -122,6 +127,12 @@
 	wrapping []byte
 }
 
+// peer is what is known of an accepted connection.
+type peer struct {
+	from     string
+	unpacker *unpacker
+}
+
 // link is one destination.
 type link struct {
 	to   string
@@ -202,18 +213,34 @@
 // frames that could not be read.
 func Open(address string, inbox, urgent chan<- Inbound, garbage func(remote string, fault error)) (*Flare, error) {
 	opened := &Flare{
-		address:  address,
-		home:     homeOf(address),
-		inbox:    inbox,
-		urgent:   urgent,
-		garbage:  garbage,
-		links:    map[string]*link{},
-		accepted: make(chan func(peers *peers), 64),
+		address: address,
+		home:    homeOf(address),
+		inbox:   inbox,
+		urgent:  urgent,
+		booted:  make(chan struct{}),
+		garbage: garbage,
+		links:   map[string]*link{},
+		inward:  map[string]gnet.Conn{},
 	}
 	opened.weather.Store(&Weather{})
 	// gnet's pool of tasks, which nothing here uses, would wake up twice a second.
 	goroutine.DefaultWorkerPool.Release()
-	if fault := opened.listen(); fault != nil {
+	probe, fault := net.Listen("tcp", address)
+	if fault != nil {
+		return nil, fault
+	}
+	_ = probe.Close()
+	failed := make(chan error, 1)
+	opened.ended = failed
+	go func() {
+		// With a port that may be shared, gnet accepts and reads in one loop.
+		failed <- gnet.Run(opened, "tcp://"+address,
+			gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true), gnet.WithReusePort(true), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+			gnet.WithTCPKeepAlive(keepAlive), gnet.WithLogLevel(logging.ErrorLevel), gnet.WithLogger(silent{}))
+	}()
+	select {
+	case <-opened.booted:
+	case fault := <-failed:
 		return nil, fault
 	}
 	if fault := opened.openClient(); fault != nil {
@@ -258,6 +285,65 @@
 	return address[:last+1]
 }
 
+// OnBoot is called by gnet once the listener stands.
+func (flare *Flare) OnBoot(engine gnet.Engine) gnet.Action {
+	flare.engine = engine
+	close(flare.booted)
+	return gnet.None
+}
+
+// OnOpen is called by gnet for a connection that came in.
+func (flare *Flare) OnOpen(connection gnet.Conn) ([]byte, gnet.Action) {
+	connection.SetContext(&peer{})
+	return nil, gnet.None
+}
+
+// OnClose is called by gnet for a connection that ended.
+func (flare *Flare) OnClose(connection gnet.Conn, _ error) gnet.Action {
+	if closed, matches := connection.Context().(*peer); matches && flare.inward[closed.from] == connection {
+		delete(flare.inward, closed.from)
+	}
+	return gnet.None
+}
+
+// OnTraffic is called by gnet when bytes came in.
+func (flare *Flare) OnTraffic(connection gnet.Conn) gnet.Action {
+	from, matches := connection.Context().(*peer)
+	if !matches {
+		return gnet.Close
+	}
+	for {
+		header, fault := connection.Peek(headerSize)
+		if fault != nil {
+			return gnet.None
+		}
+		packed := header[0]&(packedMark>>24) != 0
+		length, complete, fault := from.length(header)
+		if fault != nil {
+			return flare.refuse(connection, fault)
+		}
+		if !complete || connection.InboundBuffered() < headerSize+length {
+			return gnet.None
+		}
+		if _, fault := connection.Discard(headerSize); fault != nil {
+			return gnet.Close
+		}
+		body, fault := connection.Next(length)
+		if fault != nil {
+			return gnet.Close
+		}
+		flare.Counters.BytesIn.Add(int64(headerSize + length))
+		if packed {
+			fault = flare.readTurn(connection, from, body)
+		} else {
+			fault = flare.readFrame(connection, from, body)
+		}
+		if fault != nil {
+			return flare.refuse(connection, fault)
+		}
+	}
+}
+
 // length reads a header, of a frame or of a packed turn.
 func (peer *peer) length(header []byte) (int, bool, error) {
 	if header[0]&(packedMark>>24) == 0 {
@@ -271,7 +357,7 @@
 }
 
 // readTurn unpacks a turn and reads its frames.
-func (flare *Flare) readTurn(from *peer, packed []byte) error {
+func (flare *Flare) readTurn(connection gnet.Conn, from *peer, packed []byte) error {
 	body, fault := from.unpacker.unpack(packed)
 	if fault != nil {
 		return fault
@@ -284,7 +370,7 @@
 		if !complete || len(body) < headerSize+length {
 			return ErrorFrame.New("a packed turn ends within a frame")
 		}
-		if fault := flare.readFrame(from, body[headerSize:headerSize+length]); fault != nil {
+		if fault := flare.readFrame(connection, from, body[headerSize:headerSize+length]); fault != nil {
 			return fault
 		}
 		body = body[headerSize+length:]
@@ -293,8 +379,8 @@
 }
 
 // readFrame takes one message in.
-func (flare *Flare) readFrame(from *peer, frame []byte) error {
-	meta, message, fault := from.reader.decode(frame, from.from)
+func (flare *Flare) readFrame(connection gnet.Conn, from *peer, frame []byte) error {
+	meta, message, fault := flare.reader.decode(frame, from.from)
 	if fault != nil {
 		return fault
 	}
@@ -302,7 +388,7 @@
 		return ErrorFrame.New("%T from nobody", message)
 	}
 	if first, names := message.(preamble); names {
-		flare.named(from, meta.From, first)
+		flare.named(connection, from, meta.From, first)
 		return nil
 	}
 	flare.Counters.MessagesIn.Add(1)
@@ -312,6 +398,19 @@
 	return nil
 }
 
+// named notes whose connection this is. One from each peer is enough, and the
+// newest is the one that it writes on.
+func (flare *Flare) named(connection gnet.Conn, from *peer, address string, first preamble) {
+	from.from = address
+	if first.Packed && from.unpacker == nil {
+		from.unpacker = newUnpacker()
+	}
+	if older, found := flare.inward[address]; found && older != connection {
+		_ = older.Close()
+	}
+	flare.inward[address] = connection
+}
+
 // take queues what came in. What is of the control state has a queue of its own
 // that is emptied first. Where the owner can't keep up the rest is dropped, as a
 // network would, rather than hold up everything behind it.
@@ -327,6 +426,12 @@
 	}
 }
 
+func (flare *Flare) refuse(connection gnet.Conn, fault error) gnet.Action {
+	flare.Counters.Garbage.Add(1)
+	flare.garbage(connection.RemoteAddr().String(), fault)
+	return gnet.Close
+}
+
 func anyPrefix(address string, lists ...[]string) bool {
 	for _, list := range lists {
 		for _, prefix := range list {
@@ -750,11 +855,15 @@
 		close(stopped)
 	})
 	await(stopped)
-	flare.stopListening()
+	// gnet would look for its own end twice a second; its task tells us sooner.
+	now, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = flare.engine.Stop(now)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
 		_ = flare.client.Stop()
+		<-flare.ended
 	}()
 	await(ended)
 }
