Channels follow the descriptors; the greater of two tolerances counts

Cause: a lantern held 2000 channels whatever the machine bore, and a platform that tells tolerance by zones got copies for one machine at most. Tests: internal/props.

--- a/internal/props/props.go
+++ b/internal/props/props.go
@@ -113,6 +113,13 @@
 )
 
 // operatorForms are the forms in which operators may speak to a daemon.
+// Channels of a lantern if nobody says how many, and the descriptors that it
+// keeps for itself.
+const (
+	defaultOrigins  = 2000
+	descriptorsKept = 400
+)
+
 var operatorForms = []string{OperatorsJSON}
 
 // MustRegisterOperators lets settings choose one more form for operators; an
@@ -126,7 +133,7 @@
 
 var keys = []string{
 	"name", "address", "ctl", "caller", "locality", "seeds", "data", "tender", "lantern", "pilots", "key", "origins_most", "log_level",
-	"seeds_port", "bootstrap", "tolerance", "bounds", "callers", "admission", "versions", "memory", "operators", "compression",
+	"seeds_port", "bootstrap", "tolerance", "bounds", "callers", "admission", "versions", "memory", "operators", "compression", "descriptors", "tolerance_localities",
 }
 
 // Source is where settings come from.
@@ -206,7 +213,7 @@
 	var arena fastjson.Arena
 	for key, text := range source.flags {
 		switch key {
-		case "pilots", "origins_most", "seeds_port", "tolerance":
+		case "pilots", "origins_most", "seeds_port", "tolerance", "descriptors", "tolerance_localities":
 			members[key] = arena.NewNumberString(text)
 		case "bootstrap":
 			members[key] = flagTruth(&arena, text)
@@ -279,6 +286,9 @@
 	}
 	props.Bootstrap = walk.Truth("$.bootstrap", members["bootstrap"], false)
 	props.Tolerance = int(walk.Whole("$.tolerance", members["tolerance"], 1, 0, 3))
+	// Copies lie in different localities, so that who may lose localities needs as
+	// many copies as who may lose machines.
+	props.Tolerance = max(props.Tolerance, int(walk.Whole("$.tolerance_localities", members["tolerance_localities"], 0, 0, 3)))
 	props.Bounds = readBounds(walk, members["bounds"])
 	props.Callers = walk.Choice("$.callers", members["callers"], CallersJSON, CallersJSON, CallersLines)
 	props.Admission = walk.Choice("$.admission", members["admission"], AdmissionToken, AdmissionToken, AdmissionOpen)
@@ -290,7 +300,13 @@
 	if source.kind == "lantern" && props.Admission == AdmissionToken && len(props.Key) < 16 {
 		walk.Report("$.key", "missing", "a key of 16 characters or more is wanted, the same on all lanterns")
 	}
-	props.OriginsMost = int(walk.Whole("$.origins_most", members["origins_most"], 2000, 1, 1<<20))
+	// Where only the descriptors are told, callers may have what is left of them
+	// beside the daemon's own files and links.
+	most := int64(defaultOrigins)
+	if descriptors := walk.Whole("$.descriptors", members["descriptors"], 0, 0, 1<<24); descriptors > 0 {
+		most = max(1, (descriptors-descriptorsKept)*4/5)
+	}
+	props.OriginsMost = int(walk.Whole("$.origins_most", members["origins_most"], most, 1, 1<<20))
 	level, fault := logrus.ParseLevel(walk.Text("$.log_level", members["log_level"], "info"))
 	if fault != nil {
 		walk.Report("$.log_level", "out-of-range", "%s", fault.Error())
--- a/internal/props/props_test.go
+++ b/internal/props/props_test.go
@@ -183,3 +183,33 @@
 		assert.Assert(t, !told(), "%s was told twice", step.name)
 	}
 }
+
+func TestChannelsFollowTheDescriptors(t *testing.T) {
+	const lanternBase = `"name":"l","address":"10.1.0.1:1","ctl":"10.1.0.1:2","caller":"10.1.0.1:3","tender":"10.1.0.1:4","locality":"east","key":"0123456789abcdef"`
+	for text, wanted := range map[string]int{
+		``:                                      2000,
+		`,"descriptors":4400`:                   3200,
+		`,"descriptors":300`:                    1,
+		`,"descriptors":4400,"origins_most":77`: 77,
+	} {
+		made, _ := source(t, "lantern", `{`+lanternBase+text+`}`)
+		settings, fault := made.Read()
+		assert.NilError(t, fault)
+		assert.Equal(t, settings.OriginsMost, wanted, text)
+	}
+}
+
+func TestTheGreaterToleranceCounts(t *testing.T) {
+	for text, wanted := range map[string]int{
+		`,"tolerance_localities":1`:               1,
+		`,"tolerance":0,"tolerance_localities":1`: 1,
+		`,"tolerance":2,"tolerance_localities":1`: 2,
+		`,"tolerance":0,"tolerance_localities":0`: 0,
+		`,"tolerance":1,"tolerance_localities":3`: 3,
+	} {
+		made, _ := source(t, "keeper", `{`+keeperBase+`,"seeds":["10.1.0.9:8264"]`+text+`}`)
+		settings, fault := made.Read()
+		assert.NilError(t, fault)
+		assert.Equal(t, settings.Tolerance, wanted, text)
+	}
+}
