A topic's missed messages are fetched on when one answer does not hold them all

Cause: a lantern on which nobody else held a topic took the end of the first page of a fetch (512 messages) for the topic's end; unless another message came, the rest was never fetched, and a caller who took up an old place lacked it. Change: where an answer ends below the strand's head, the rest is wanted at once.

--- a/internal/lamp/routed.go
+++ b/internal/lamp/routed.go
@@ -566,6 +566,10 @@
 		lantern.fill(now, taken, effects)
 	}
 	lantern.release(now, followed, effects)
+	if until < returned.Head {
+		// One answer did not hold all.
+		lantern.want(now, followed, returned.Head, 0)
+	}
 	lantern.tendTopic(now, followed, effects)
 }
 
--- a/internal/swell/topics.go
+++ b/internal/swell/topics.go
@@ -48,12 +48,15 @@
 	topics []string
 	saved  []oracle.Saved
 	given  int
+	// early are the first places of the hot topic.
+	early []oracle.Saved
 	// away lists the fleeting prefixes that are not led anywhere now.
 	away map[string]bool
 	// crowdAt is when the usual callers came; steady, that they keep what they
 	// hold and stay.
 	crowdAt time.Time
 	steady  bool
+	hot     string
 }
 
 func boards(count int) []string {
@@ -118,6 +121,9 @@
 	}
 	world.given++
 	saved := oracle.Saved{Topic: each.topic, Cursor: each.cursor, After: each.after, At: swell.Now}
+	if each.topic == world.hot && len(world.early) < 3 {
+		world.early = append(world.early, saved)
+	}
 	if len(world.saved) < savedMost {
 		world.saved = append(world.saved, saved)
 	} else if place := swell.Random.IntN(world.given); place < savedMost {
@@ -166,9 +172,29 @@
 	once := onceTopic(number % onceCount)
 	client.topics[once] = &taken{topic: once}
 	client.publishes(180 * time.Millisecond)
+	if hot := swell.world.hot; hot != "" {
+		// Most lanterns have nobody who holds it.
+		if number < 2 {
+			client.topics[hot] = &taken{topic: hot}
+		}
+		if number == 3 {
+			client.floods(hot)
+		}
+	}
 	client.wanders()
 }
 
+// floods lets a caller send to one topic as fast as it is answered.
+func (client *TopicClient) floods(topic string) {
+	client.swell.After(40*time.Millisecond, func() {
+		if client.Gone || client.stopped {
+			return
+		}
+		client.publish(topic)
+		client.floods(topic)
+	})
+}
+
 // publishes lets a caller publish all along, now and then a burst.
 func (client *TopicClient) publishes(every time.Duration) {
 	swell := client.swell
@@ -258,7 +284,7 @@
 // RunTopics runs a plot with callers of routed topics.
 func RunTopics(seed uint64, size Size, plot TopicPlot, trace func(line string)) *Swell {
 	swell, operator := prepareTopics(seed, size, plot.Apart, trace)
-	swell.world.steady = plot.Steady
+	swell.world.steady, swell.world.hot = plot.Steady, plot.Hot
 	swell.TopicCrowd(size.Callers)
 	swell.Run(2 * time.Second)
 	if plot.Changes {
@@ -290,6 +316,9 @@
 	Last    string
 	Apart   time.Duration
 	Changes bool
+	// Hot is the topic to which some callers send all along, far more than one
+	// fetch brings.
+	Hot string
 	// Steady callers neither take up nor drop anything nor go away, so that nothing
 	// of theirs mends what a lantern was not told.
 	Steady bool
@@ -383,6 +412,7 @@
 	random := rand.New(rand.NewPCG(swell.Seed, 0x7a4e))
 	saved := slices.Clone(swell.world.saved)
 	random.Shuffle(len(saved), func(left, right int) { saved[left], saved[right] = saved[right], saved[left] })
+	saved = append(slices.Clone(swell.world.early), saved...)
 	var takers []*TopicClient
 	for position := range saved {
 		place := saved[position]
@@ -459,6 +489,23 @@
 			}
 		})
 	},
+	"rolling": func(swell *Swell, fault squall.Fault, end func()) {
+		// The platform waits a moment between two machines, and for nothing else.
+		kinds := []string{beacon.KindPilot, beacon.KindKeeper, beacon.KindTender, beacon.KindLantern}
+		nodes := swell.Nodes(kinds[fault.Pick%4])
+		gap := swell.between(time.Second, 1300*time.Millisecond)
+		var next func()
+		next = func() {
+			if len(nodes) == 0 {
+				end()
+				return
+			}
+			node := nodes[0]
+			nodes = nodes[1:]
+			swell.again(node, 100*time.Millisecond, func() { swell.After(gap, next) })
+		}
+		next()
+	},
 	"space": func(swell *Swell, fault squall.Fault, end func()) {
 		prefix := fleeting[fault.Pick%uint64(len(fleeting))].prefix
 		if swell.world.away[prefix] {
@@ -505,6 +552,11 @@
 		plot.Last, plot.Steady, plot.Changes = "", true, false
 		return plot
 	}})
+	found = append(found, Scenario{Name: "topics-hot", Topics: func(seed uint64) TopicPlot {
+		plot := drawTopicPlot(seed, []string{"resets", "kill-keeper", "freeze-keeper", "vanish", "restart-lantern", "slow-daemon"}, 6)
+		plot.Last, plot.Hot = "", "board.hot"
+		return plot
+	}})
 	for _, name := range squall.Names {
 		found = append(found, Scenario{Name: "topics-" + name, Topics: func(seed uint64) TopicPlot { return drawTopicPlot(seed, []string{name}, 3) }})
 	}
