--- a/internal/swell/topic_client.go
+++ b/internal/swell/topic_client.go
@@ -26,6 +26,7 @@
 	answerPatience  = 1200 * time.Millisecond
 	topicDeadline   = 1200 * time.Millisecond
 	resendAgain     = 60 * time.Millisecond
+	joinWithin      = 500 * time.Millisecond
 	renewalsMost    = 2
 	accountableSpan = 10 * time.Second
 )
@@ -489,7 +490,9 @@
 		return false
 	}
 	for _, each := range client.topics {
-		if !each.held && !each.leaving && !each.nowhere {
+		// One that was just taken up is still under way.
+		underway := each.asked && client.swell.Now.Sub(each.askedAt) < joinWithin
+		if !each.held && !each.leaving && !each.nowhere && !underway {
 			return false
 		}
 	}
