A confirmed subscription that is still fetching is never dropped in silence

Cause: where the first page of missed messages had come, the subscription was confirmed; if the rest did not come within its time, or was no longer held, the place was dropped, and its caller, who had the confirmation, never learned of it. Change: the fetch goes on beyond the time; a place that is lost after it was confirmed ends the channel, so that the caller asks again.

--- a/internal/lamp/routed.go
+++ b/internal/lamp/routed.go
@@ -341,7 +341,7 @@
 	}
 	channel.pongAt = now
 	for _, interest := range visit.Interests {
-		if taken, present := channel.routed[interest.Path]; present && taken.filling {
+		if taken, present := channel.routed[interest.Path]; present && taken.filling && taken.visit.Visit != 0 {
 			lantern.answerSubscribe(now, taken.visit, refused(409, "unsubscribed", "the subscription was ended before it was taken up", comeBackSoon), effects)
 		}
 		lantern.dropPlace(now, channel, interest.Path, effects)
@@ -598,8 +598,13 @@
 	}
 }
 
+// refusePlace refuses a subscription. One that was confirmed before can't be
+// refused any more: its caller is cut off instead, and asks again.
 func (lantern *Lantern) refusePlace(now time.Time, taken *place, returned Answer, effects *helm.Effects) {
-	if channel, open := lantern.channels[taken.channel]; open {
+	if channel, open := lantern.channels[taken.channel]; open && taken.visit.Visit == 0 && returned.Code == "place-lost" {
+		lantern.emitLast(now, taken.channel, channel, returned.Code, effects)
+		lantern.closeChannel(now, CloseChannel{Channel: taken.channel, Why: returned.Code}, effects)
+	} else if open {
 		lantern.dropPlace(now, channel, taken.topic.name, effects)
 	}
 	if taken.visit.Visit != 0 {
@@ -629,6 +634,10 @@
 		case !taken.filling:
 		case !taken.limit.After(now) && !followed.kept:
 			lantern.fillPassing(now, taken, effects)
+		case !taken.limit.After(now) && taken.visit.Visit == 0:
+			// It was confirmed, and some of what it missed has come: the rest is
+			// fetched however long that takes.
+			filling = true
 		case !taken.limit.After(now):
 			lantern.refusePlace(now, taken, refused(503, "no-answer", "the place could not be found in time; nothing is subscribed", comeBackSoon), effects)
 		default:
