On the older path, too, an answer that comes twice settles one send

Cause: publications to spaces that are not routed counted their open sends, so an answer that came twice could make one refused for certain that was then kept. Change: each send has a number, as for routed topics.

--- a/internal/lamp/lantern.go
+++ b/internal/lamp/lantern.go
@@ -92,6 +92,7 @@
 
 	nextVisit uint64
 	appends   map[uint64]*publication
+	sends     map[uint64]*publication
 	recalls   map[uint64]*recall
 	fetches   map[uint64]*fetch
 	routed    *routed
@@ -129,7 +130,7 @@
 		props: props, fairway: fairway.New(props.Self.Name), ring: soundings.NewRing(props.Self.Name), timers: helm.NewTimers(),
 		channels: map[uint64]*channel{}, moving: map[uint64]bool{}, spaces: map[string]*spaceState{},
 		senders: map[senderKey]*sender{}, trackers: map[string]*tracker{},
-		appends: map[uint64]*publication{}, recalls: map[uint64]*recall{}, fetches: map[uint64]*fetch{},
+		appends: map[uint64]*publication{}, sends: map[uint64]*publication{}, recalls: map[uint64]*recall{}, fetches: map[uint64]*fetch{},
 		routed: newRouted(), newest: map[string]uint64{},
 	}
 	lantern.policies = standardPolicies()
--- a/internal/lamp/publish.go
+++ b/internal/lamp/publish.go
@@ -76,13 +76,14 @@
 }
 
 type publication struct {
-	visit    Publish
-	key      senderKey
-	id       uint64
-	strand   string
-	sentAt   time.Time
-	limit    time.Time
-	open     int
+	visit  Publish
+	key    senderKey
+	id     uint64
+	strand string
+	sentAt time.Time
+	limit  time.Time
+	// open are the numbers of the sends without an answer; see routedPublication.
+	open     map[uint64]bool
 	recalled bool
 	answered bool
 }
@@ -192,6 +193,9 @@
 // are refused, and later seqs are held off until this one is sent again.
 func (lantern *Lantern) finish(now time.Time, item *publication, answer Answer, effects *helm.Effects) {
 	delete(lantern.appends, item.id)
+	for send := range item.open {
+		delete(lantern.sends, send)
+	}
 	lantern.settlePublication(now, item, answer, effects)
 	from, found := lantern.senders[item.key]
 	if !found || len(from.queue) == 0 || from.queue[0] != item {
@@ -275,11 +279,17 @@
 	if state, known := lantern.spaces[item.visit.Space]; known && state.space.Strands() > 1 {
 		before = from.before(now)
 	}
-	item.open++
+	lantern.nextVisit++
+	send := lantern.nextVisit
+	if item.open == nil {
+		item.open = map[uint64]bool{}
+	}
+	item.open[send] = true
+	lantern.sends[send] = item
 	lantern.ring.Record(now, item.visit.VisitName, soundings.MessageName(item.visit.Space, item.visit.Sender, item.visit.Seq),
 		item.visit.Origin, "append", "strand", item.strand, "keeper", keeper, "epoch", lantern.follower.Places[item.strand].Epoch)
 	effects.Send(address, strand.Append{
-		Strand: item.strand, Visit: item.id, Topic: item.visit.Topic, Sender: item.visit.Sender, Seq: item.visit.Seq,
+		Strand: item.strand, Visit: send, Topic: item.visit.Topic, Sender: item.visit.Sender, Seq: item.visit.Seq,
 		Data: item.visit.Data, Before: before, OnlyAgain: item.visit.Seq <= from.lastSeq,
 	})
 }
@@ -289,11 +299,12 @@
 		lantern.onRoutedReturn(now, item, returned, effects)
 		return
 	}
-	item, found := lantern.appends[returned.Visit]
+	item, found := lantern.sends[returned.Visit]
 	if !found || item.strand != returned.Strand {
 		return
 	}
-	item.open--
+	delete(item.open, returned.Visit)
+	delete(lantern.sends, returned.Visit)
 	message := soundings.MessageName(item.visit.Space, item.visit.Sender, item.visit.Seq)
 	lantern.ring.Record(now, item.visit.VisitName, message, item.visit.Origin, "kept", "outcome", returned.Outcome,
 		"code", returned.Code, "strand", returned.Strand, "epoch", returned.Epoch, "offset", returned.Record.Offset, "again", returned.Again)
@@ -320,7 +331,7 @@
 		case "old-seq", "seq-reused":
 			lantern.finish(now, item, refused(409, returned.Code, "this seq is not above the sender's newest", 0), effects)
 		default:
-			if item.open > 0 {
+			if len(item.open) > 0 {
 				// An earlier try has no answer; it may yet be kept.
 				lantern.finish(now, item, unsettled(returned.Code, "send the same seq again", returned.RetryAfter), effects)
 				return
@@ -482,7 +493,7 @@
 			item := from.queue[0]
 			if helm.Mutated("refuse-what-is-open") {
 				lantern.finish(now, item, refused(503, "no-answer", "", 0), effects)
-			} else if item.open > 0 {
+			} else if len(item.open) > 0 {
 				lantern.finish(now, item, unsettled("no-answer", "the keeper did not answer; send the same seq again", comeBackLater), effects)
 			} else {
 				lantern.finish(now, item, refused(503, "no-answer", "the message was not kept", comeBackLater), effects)
