The ring of watchers is walked only as far as it takes

Taking a view asks for the watchers of every member, and each question copied the whole ring: the square of the fleet for each daemon and change of the view. The walk now ends at the third watcher; the watchers are the same.

--- a/internal/beacon/member.go
+++ b/internal/beacon/member.go
@@ -292,30 +292,29 @@
 		}
 		return 1
 	})
-	var near, chosen []Member
+	// The ring is walked only as far as it takes: a view is taken by asking for the
+	// watchers of everybody.
+	chosen, passed := make([]Member, 0, Watchers), make([]Member, 0, Watchers)
+	localities := map[string]int{}
 	for step := range ring.members {
 		member := ring.members[(start+step)%len(ring.members)]
-		if member.Name != watched.Name {
-			near = append(near, member)
-		}
-	}
-	localities := map[string]int{}
-	for _, member := range near {
-		if len(chosen) == Watchers {
-			break
+		if member.Name == watched.Name {
+			continue
 		}
 		if localities[member.Locality] < Watchers-1 {
 			localities[member.Locality]++
-			chosen = append(chosen, member)
+			if chosen = append(chosen, member); len(chosen) == Watchers {
+				return chosen
+			}
+		} else if len(passed) < Watchers {
+			passed = append(passed, member)
 		}
 	}
-	for _, member := range near {
+	for _, member := range passed {
 		if len(chosen) >= Watchers {
 			break
 		}
-		if !slices.ContainsFunc(chosen, func(other Member) bool { return other.Name == member.Name }) {
-			chosen = append(chosen, member)
-		}
+		chosen = append(chosen, member)
 	}
 	return chosen
 }
--- /dev/null
+++ b/internal/beacon/ring_bench_test.go
@@ -0,0 +1,26 @@
+// What a view costs its taker: the watchers of every member are asked for.
+package beacon
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func BenchmarkTakeView(b *testing.B) {
+	for _, size := range []int{100, 1000, 4300} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			view := map[string]Member{}
+			for number := range size {
+				name := fmt.Sprintf("keeper-%d", number)
+				view[name] = Member{Name: name, Kind: KindKeeper, Address: name + ":1", Locality: fmt.Sprintf("zone-%d", number%3), Alive: true}
+			}
+			pulse := NewPulse(view["keeper-1"])
+			now := time.Unix(1_700_000_000, 0)
+			pulse.Start(now)
+			for b.Loop() {
+				pulse.Take(now, view, "keeper-0:1", 1)
+			}
+		})
+	}
+}
