harbour scale measures hollow fleets of rising sizes

The table has fitted slopes with their standard errors, the plot is gonum's. The simulator has a meter port, unset in its runs.

--- a/cmd/harbour/main.go
+++ b/cmd/harbour/main.go
@@ -86,6 +86,7 @@
 	subcommands.Register(&up{}, "")
 	subcommands.Register(&hunt{}, "")
 	subcommands.Register(&trial{}, "")
+	subcommands.Register(&scale{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/internal/swell/swell.go
+++ b/internal/swell/swell.go
@@ -73,12 +73,14 @@
 
 // Swell is one run.
 type Swell struct {
-	Seed         uint64
-	Random       *rand.Rand
-	Now          time.Time
-	Oracle       *oracle.Oracle
-	Size         Size
-	Trace        func(line string)
+	Seed   uint64
+	Random *rand.Rand
+	Now    time.Time
+	Oracle *oracle.Oracle
+	Size   Size
+	Trace  func(line string)
+	// Meter, if there is one, is told what each daemon works and says.
+	Meter        Meter
 	started      time.Time
 	queue        events
 	order        uint64
@@ -486,7 +488,7 @@
 func (node *Node) step(run func(now time.Time, effects *helm.Effects)) {
 	node.Steps++
 	var effects helm.Effects
-	run(node.local(), &effects)
+	node.metered(func() { run(node.local(), &effects) })
 	node.carryOut(&effects)
 	if node.Up {
 		node.judgeForce()
@@ -675,8 +677,13 @@
 	if !found {
 		return
 	}
-	frame, fault := flare.Encode(helm.Meta{From: from.Address, Version: version}, send.Message)
+	var frame []byte
+	var fault error
+	from.metered(func() { frame, fault = flare.Encode(helm.Meta{From: from.Address, Version: version}, send.Message) })
 	must(fault)
+	if swell.Meter != nil {
+		swell.Meter.Said(from, to, send.Message, len(frame))
+	}
 	swell.Sent[fmt.Sprintf("%T", send.Message)]++
 	if swell.cuts[link(from, to)] > 0 {
 		return
@@ -716,7 +723,10 @@
 			return
 		}
 		to.enter(func() {
-			meta, message, fault := flare.Decode(frame[4:])
+			var meta helm.Meta
+			var message any
+			var fault error
+			to.metered(func() { meta, message, fault = flare.Decode(frame[4:]) })
 			must(fault)
 			to.step(func(now time.Time, effects *helm.Effects) { to.Machine.Message(now, meta, message, effects) })
 		})
