--- a/internal/flare/link_bench_test.go
+++ b/internal/flare/link_bench_test.go
@@ -5,6 +5,7 @@
 package flare_test
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -87,7 +88,10 @@
 	return messages[:count]
 }
 
-const mirrorFor = "DAHLIALOCK_TEST_MIRROR"
+const (
+	mirrorFor   = "DAHLIALOCK_TEST_MIRROR"
+	mirrorReady = "mirror listens"
+)
 
 // TestMirror is the other end of the benchmark, as a process of its own: it
 // sends each turn back to whom it came from, until its input ends.
@@ -98,6 +102,7 @@
 	}
 	runtime.GOMAXPROCS(1)
 	mirror := openEndAt(t, address)
+	fmt.Println(mirrorReady)
 	ended := make(chan struct{})
 	go func() {
 		_, _ = io.Copy(io.Discard, os.Stdin)
@@ -123,18 +128,18 @@
 	child.Env = append(os.Environ(), mirrorFor+"="+address)
 	input, fault := child.StdinPipe()
 	assert.NilError(b, fault)
+	output, fault := child.StdoutPipe()
+	assert.NilError(b, fault)
 	assert.NilError(b, child.Start())
 	b.Cleanup(func() {
 		_ = input.Close()
 		_ = child.Wait()
 	})
-	for range 500 {
-		connection, fault := net.Dial("tcp", address)
-		if fault == nil {
-			_ = connection.Close()
+	for lines := bufio.NewScanner(output); lines.Scan(); {
+		if lines.Text() == mirrorReady {
+			go func() { _, _ = io.Copy(io.Discard, output) }()
 			return address
 		}
-		time.Sleep(10 * time.Millisecond)
 	}
 	b.Fatal("the other end did not start")
 	return ""
