Serving unconfirmed, stopping and the memory of seqs follow the settings' bounds

Cause: these spans were constants that fit the sites at hand: a shorter bound for configurations in force, a shorter grace or a longer span of resends would have been broken. Change: a lantern serves unconfirmed for five sixths of apply, 2.5 s at most; stops within three fifths of grace, 3.5 s at most; keepers remember seqs three times redeliver, 60 s at least. At the sites' bounds nothing changes. Tests: internal/lamp/opening_test.go, internal/strand/strand_test.go.

--- a/cmd/keeper/main.go
+++ b/cmd/keeper/main.go
@@ -17,7 +17,7 @@
 }
 
 func build(settings props.Props, self beacon.Member, stored berth.Stored) (berth.Build, error) {
-	machine, fault := strand.New(strand.Props{Self: self, Seeds: settings.Seeds, NewDisk: stored.NewDisk}, stored.Frame, stored.Entries)
+	machine, fault := strand.New(strand.Props{Self: self, Seeds: settings.Seeds, NewDisk: stored.NewDisk, Redeliver: settings.Bounds.Redeliver}, stored.Frame, stored.Entries)
 	if fault != nil {
 		return berth.Build{}, fault
 	}
--- a/cmd/lantern/main.go
+++ b/cmd/lantern/main.go
@@ -35,7 +35,11 @@
 	if settings.Admission == props.AdmissionOpen {
 		callersKey = nil
 	}
-	machine := lamp.New(lamp.Props{Self: self, Tender: settings.Tender, Key: key, OriginsMost: settings.OriginsMost, Processor: processorTime})
+	machine := lamp.New(lamp.Props{Self: self, Tender: settings.Tender, Key: key, OriginsMost: settings.OriginsMost, Processor: processorTime,
+		// A sixth of the time in which a version is to be in force is left for news
+		// on its way, and two fifths of the grace for what comes after the callers.
+		ConfirmedFor: settings.Bounds.Apply * 5 / 6, StopWithin: settings.Bounds.Grace * 3 / 5,
+	})
 	built := berth.Build{
 		Machine: machine,
 		Ready:   func(now time.Time) bool { return machine.Ready(now) },
--- a/internal/lamp/lantern.go
+++ b/internal/lamp/lantern.go
@@ -50,6 +50,11 @@
 	Tender      string
 	Key         []byte
 	OriginsMost int
+	// ConfirmedFor is how long a lantern serves after it last knew that its
+	// configuration is the newest, StopWithin how long it takes to stop; both
+	// have a longest value, which holds if nothing is given.
+	ConfirmedFor time.Duration
+	StopWithin   time.Duration
 	// Processor tells the processor time used so far; it may be nil.
 	Processor func() time.Duration
 }
@@ -126,6 +131,8 @@
 	if props.OriginsMost == 0 {
 		props.OriginsMost = 2000
 	}
+	props.ConfirmedFor = orLonger(props.ConfirmedFor, beacon.ConfirmedFor)
+	props.StopWithin = orLonger(props.StopWithin, stopLimit)
 	lantern := &Lantern{
 		props: props, fairway: fairway.New(props.Self.Name), ring: soundings.NewRing(props.Self.Name), timers: helm.NewTimers(),
 		channels: map[uint64]*channel{}, moving: map[uint64]bool{}, spaces: map[string]*spaceState{},
@@ -146,6 +153,14 @@
 	return lantern
 }
 
+// orLonger is a span that may be shorter than a longest one.
+func orLonger(span, longest time.Duration) time.Duration {
+	if span <= 0 {
+		return longest
+	}
+	return min(span, longest)
+}
+
 // Version is the configuration version in force here.
 func (lantern *Lantern) Version() uint64 { return lantern.follower.Version }
 
@@ -178,7 +193,7 @@
 // Confirmed tells whether the lantern may trust that its configuration is the
 // newest.
 func (lantern *Lantern) Confirmed(now time.Time) bool {
-	limit := beacon.ConfirmedFor
+	limit := lantern.props.ConfirmedFor
 	if helm.Mutated("never-unconfirmed") {
 		return lantern.follower.Index > 0
 	}
@@ -653,7 +668,7 @@
 		return
 	}
 	lantern.stopping = true
-	lantern.stopUntil = now.Add(stopLimit)
+	lantern.stopUntil = now.Add(lantern.props.StopWithin)
 	lantern.timers.Arm("move", now)
 	lantern.timers.Arm("stop", now.Add(moveEvery))
 }
--- a/internal/lamp/opening_test.go
+++ b/internal/lamp/opening_test.go
@@ -45,3 +45,18 @@
 	assert.Assert(t, answer.RetryAfter > 0)
 	assert.Assert(t, harbour.now.Sub(from) <= 600*time.Millisecond, "after %s", harbour.now.Sub(from))
 }
+
+func TestALanternServesNoLongerUnconfirmedThanItsBoundsAllow(t *testing.T) {
+	for given, wanted := range map[time.Duration]time.Duration{0: 2500 * time.Millisecond, time.Second: time.Second, time.Minute: 2500 * time.Millisecond} {
+		harbour := &harbour{now: time.Unix(1000, 0), lantern: lamp.New(lamp.Props{
+			Self:   beacon.Member{Name: "lantern-1", Kind: beacon.KindLantern, Address: "10.0.0.1:1", Caller: "10.0.0.1:8000", Locality: "east", Incarnation: 1},
+			Tender: "10.0.0.1:2", ConfirmedFor: given,
+		})}
+		var effects helm.Effects
+		harbour.lantern.Start(harbour.now, &effects)
+		harbour.pass(time.Millisecond)
+		from := harbour.lantern.Follower().Confirmed
+		assert.Assert(t, harbour.lantern.Confirmed(from.Add(min(wanted, 1900*time.Millisecond))), "%s", given)
+		assert.Assert(t, !harbour.lantern.Confirmed(from.Add(wanted+time.Millisecond)), "%s", given)
+	}
+}
--- a/internal/strand/follow.go
+++ b/internal/strand/follow.go
@@ -146,6 +146,6 @@
 			strand.log.trim(now, -HistoryMargin+time.Second)
 			continue
 		}
-		strand.log.trim(now, max(holding, chart.DefaultHolding))
+		strand.log.trimTo(now, max(holding, chart.DefaultHolding), max(seqMemory, 3*keeper.props.Redeliver))
 	}
 }
--- a/internal/strand/keeper.go
+++ b/internal/strand/keeper.go
@@ -47,6 +47,8 @@
 	Self    beacon.Member
 	Seeds   []string
 	NewDisk string
+	// Redeliver is how long a caller may send an accepted message again.
+	Redeliver time.Duration
 }
 
 // Visit is an operator's request at this daemon's own ctl.
--- a/internal/strand/strand.go
+++ b/internal/strand/strand.go
@@ -255,7 +255,11 @@
 }
 
 // trim forgets what is older than the holding time and its margin.
-func (log *log) trim(now time.Time, holding time.Duration) {
+func (log *log) trim(now time.Time, holding time.Duration) { log.trimTo(now, holding, seqMemory) }
+
+// trimTo forgets records after the holding time and its margin, and the seqs of
+// senders after a memory of their own.
+func (log *log) trimTo(now time.Time, holding, memory time.Duration) {
 	limit := now.Add(-holding - HistoryMargin)
 	count := sort.Search(len(log.Records), func(position int) bool { return log.Records[position].At.After(limit) })
 	if count > 0 {
@@ -263,7 +267,7 @@
 	}
 	for key, sender := range log.Senders {
 		kept := 0
-		for kept < len(sender.Recent) && now.Sub(sender.Recent[kept].At) > seqMemory && sender.Recent[kept].Offset <= log.Base {
+		for kept < len(sender.Recent) && now.Sub(sender.Recent[kept].At) > memory && sender.Recent[kept].Offset <= log.Base {
 			kept++
 		}
 		sender.Recent = slices.Delete(sender.Recent, 0, kept)
--- a/internal/strand/strand_test.go
+++ b/internal/strand/strand_test.go
@@ -106,3 +106,19 @@
 	assert.Equal(t, keeper.sharedHolding(at(309)), 90*time.Second, "removed")
 	assert.Equal(t, keeper.sharedHolding(at(311)), chart.DefaultHolding)
 }
+
+func TestSeqsAreRememberedForLongerThanTheyMayBeSentAgain(t *testing.T) {
+	for memory, remembered := range map[time.Duration]bool{60 * time.Second: false, 300 * time.Second: true} {
+		log := newLog("+~0/1")
+		log.add(Record{Offset: 1, Topic: "a", Sender: "u", Seq: 1, At: at(0)})
+		log.add(Record{Offset: 2, Topic: "a", Sender: "v", Seq: 1, At: at(200)})
+		log.trimTo(at(201), 35*time.Second, memory)
+		found := false
+		for _, sender := range log.Senders {
+			for _, each := range sender.Recent {
+				found = found || each.Offset == 1
+			}
+		}
+		assert.Equal(t, found, remembered, "a memory of %s", memory)
+	}
+}
