--- a/internal/fairway/cost_test.go
+++ b/internal/fairway/cost_test.go
@@ -369,3 +369,41 @@
 		part.Listeners(trialPlane, topics[turn%topicsAll])
 	}
 }
+
+// BenchmarkSpaceJoins: callers subscribe, and publish once, at topics of a space
+// without routes; signals are told for each daemon and for each join.
+func BenchmarkSpaceJoins(b *testing.B) {
+	for _, count := range fleets {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			var spent yard
+			var signals, joins, tells, greets uint64
+			for range b.N {
+				house := newHouse(count)
+				house.clear()
+				for range 600 {
+					name := house.names[house.random.IntN(len(house.names))]
+					for range 2 {
+						area := AreaOf(fmt.Sprintf("board/%d", house.random.IntN(1000)))
+						house.step(name, func(part *Fairway, effects *helm.Effects) { part.Subscribe(house.now, "space", area, nil, effects) })
+					}
+					area := AreaOf(fmt.Sprintf("board/%d", house.random.IntN(1000)))
+					house.step(name, func(part *Fairway, effects *helm.Effects) { part.Publish(house.now, "space", area, nil, effects) })
+					house.run(5 * time.Millisecond)
+				}
+				house.run(500 * time.Millisecond)
+				spent.frames, spent.bytes, spent.processor = spent.frames+house.frames, spent.bytes+house.bytes, spent.processor+house.processor
+				spent.names = house.names
+				for _, part := range house.parts {
+					signals += part.Counts.SignalsOut
+					joins += part.Counts.Joins
+					tells += part.Counts.ByKind[SignalTell]
+					greets += part.Counts.ByKind[SignalGreet]
+				}
+			}
+			spent.report(b, -signals)
+			b.ReportMetric(float64(signals)/float64(joins), "signals/join")
+			b.ReportMetric(float64(greets)/float64(joins), "greets/join")
+			b.ReportMetric(float64(tells)/float64(joins), "tells/join")
+		})
+	}
+}
