Routed topics hold no state that follows from other state; outcomes counted once

A reading of the whole change: two structs around one value each, a field that nothing read, a check that could not fail, and the count of outcomes written twice are gone; how long a subscription may look for its place is worked out when a configuration comes into force instead of over all spaces at each subscription. Behaviour is the same. Tests: internal/lamp, platform, routed topics in internal/swell.

--- a/internal/lamp/lantern.go
+++ b/internal/lamp/lantern.go
@@ -101,7 +101,9 @@
 	recalls   map[uint64]*recall
 	fetches   map[uint64]*fetch
 	routed    *routed
-	newest    map[string]uint64
+	// subscribePatience follows from the configuration in force.
+	subscribePatience time.Duration
+	newest            map[string]uint64
 
 	followedAt time.Time
 	behind     uint64
@@ -451,7 +453,7 @@
 	if len(faults) > 0 || config.Version < lantern.config.Version {
 		panic("a configuration was handed on that may not be in force")
 	}
-	lantern.config = config
+	lantern.config, lantern.subscribePatience = config, patienceOf(config)
 	for name, state := range helm.Sorted(lantern.spaces) {
 		space, found := config.Spaces[name]
 		full, born := lantern.spaceName(name)
--- a/internal/lamp/publish.go
+++ b/internal/lamp/publish.go
@@ -151,12 +151,8 @@
 	}
 }
 
-// settlePublication gives a publication its final answer.
-func (lantern *Lantern) settlePublication(now time.Time, item *publication, answer Answer, effects *helm.Effects) {
-	if item.answered {
-		return
-	}
-	item.answered = true
+// countOutcome counts the final answer of a publication.
+func (lantern *Lantern) countOutcome(answer Answer) {
 	switch answer.Outcome {
 	case OutcomeAccepted:
 		lantern.Counts.Accepted++
@@ -165,6 +161,15 @@
 	case OutcomeUnsettled:
 		lantern.Counts.UnsettledVisits++
 	}
+}
+
+// settlePublication gives a publication its final answer.
+func (lantern *Lantern) settlePublication(now time.Time, item *publication, answer Answer, effects *helm.Effects) {
+	if item.answered {
+		return
+	}
+	item.answered = true
+	lantern.countOutcome(answer)
 	lantern.ring.Record(now, item.visit.VisitName, soundings.MessageName(item.visit.Space, item.visit.Sender, item.visit.Seq),
 		item.visit.Origin, "answered", "outcome", answer.Outcome, "code", answer.Code)
 	effects.Return(item.visit.Visit, answer)
--- a/internal/lamp/routed.go
+++ b/internal/lamp/routed.go
@@ -57,7 +57,6 @@
 type place struct {
 	topic   *topic
 	channel uint64
-	origin  string
 	index   int
 	upTo    uint64
 	resumes bool
@@ -72,29 +71,26 @@
 	sentAt time.Time
 }
 
-// toldOf is how far a strand's first told this lantern what moved.
-type toldOf struct {
-	until uint64
-}
-
 // routed is all that a lantern holds of routed topics.
 type routed struct {
-	topics   map[string]*topic
-	numbers  map[uint64]*topic
-	strands  map[string]int
-	told     map[string]toldOf
-	fetches  map[uint64]*topicFetch
-	appends  map[uint64]*routedPublication
-	sends    map[uint64]*routedPublication
-	accepted map[routedKey]routedMemory
+	topics  map[string]*topic
+	numbers map[uint64]*topic
+	strands map[string]int
+	// told is how far each strand's first told this lantern what moved.
+	told    map[string]uint64
+	fetches map[uint64]*topicFetch
+	appends map[uint64]*routedPublication
+	sends   map[uint64]*routedPublication
+	// accepted is when a publication of this lantern's callers was accepted.
+	accepted map[routedKey]time.Time
 	// busy are the topics with something that waits for a moment to come.
 	busy map[string]*topic
 }
 
 func newRouted() *routed {
 	return &routed{
-		topics: map[string]*topic{}, numbers: map[uint64]*topic{}, strands: map[string]int{}, told: map[string]toldOf{},
-		fetches: map[uint64]*topicFetch{}, appends: map[uint64]*routedPublication{}, sends: map[uint64]*routedPublication{}, accepted: map[routedKey]routedMemory{}, busy: map[string]*topic{},
+		topics: map[string]*topic{}, numbers: map[uint64]*topic{}, strands: map[string]int{}, told: map[string]uint64{},
+		fetches: map[uint64]*topicFetch{}, appends: map[uint64]*routedPublication{}, sends: map[uint64]*routedPublication{}, accepted: map[routedKey]time.Time{}, busy: map[string]*topic{},
 	}
 }
 
@@ -170,7 +166,7 @@
 		answer(refused(429, "too-many-subscriptions", "the channel holds all the subscriptions it may", 0))
 		return
 	}
-	taken := &place{channel: visit.Channel, origin: visit.Origin, filling: true, visit: visit, limit: now.Add(lantern.subscribePatience())}
+	taken := &place{channel: visit.Channel, filling: true, visit: visit, limit: now.Add(lantern.subscribePatience)}
 	if visit.Cursor != "" && visit.Cursor != "-" {
 		offset, fit := readPlace(visit.Cursor)
 		if !fit {
@@ -197,11 +193,12 @@
 	}
 }
 
-// subscribePatience is how long a subscription may look for its place.
-func (lantern *Lantern) subscribePatience() time.Duration {
+// patienceOf is how long a subscription may look for its place under a
+// configuration.
+func patienceOf(config chart.Configuration) time.Duration {
 	longest := time.Second
-	for _, state := range lantern.spaces {
-		longest = max(longest, state.space.AnswerWithin)
+	for _, space := range config.Spaces {
+		longest = max(longest, space.AnswerWithin)
 	}
 	return min(longest*6/10, subscribeLimit)
 }
@@ -281,7 +278,7 @@
 
 // fillPassing ends the taking up of a passing topic.
 func (lantern *Lantern) fillPassing(now time.Time, taken *place, effects *helm.Effects) {
-	if !taken.filling || taken.topic == nil {
+	if !taken.filling {
 		return
 	}
 	if channel, open := lantern.channels[taken.channel]; !open || channel.routed[taken.topic.name] != taken {
@@ -306,7 +303,7 @@
 		// Who begins here may begin where the first last told that the strand
 		// was: what moves after that will be told.
 		followed.live = true
-		followed.last, followed.recentFrom = told.until, told.until
+		followed.last, followed.recentFrom = told, told
 		lantern.release(now, followed, effects)
 	}
 	if !followed.live || taken.resumes && taken.upTo < followed.recentFrom && taken.upTo < followed.last {
@@ -689,12 +686,12 @@
 			lantern.want(now, followed, each.Offset, headGrace)
 		}
 	}
-	if head.From > told.until {
+	if head.From > told {
 		// Something was told that did not come.
 		lantern.timers.ArmSooner("follow", now)
 		return
 	}
-	lantern.routed.told[head.Strand] = toldOf{until: max(told.until, head.Offset)}
+	lantern.routed.told[head.Strand] = max(told, head.Offset)
 }
 
 // rerouteAll puts changed routes in force: what leads elsewhere now, or nowhere,
--- a/internal/lamp/routed_publish.go
+++ b/internal/lamp/routed_publish.go
@@ -26,10 +26,6 @@
 	seq    uint64
 }
 
-type routedMemory struct {
-	at time.Time
-}
-
 type routedPublication struct {
 	visit  Publish
 	id     uint64
@@ -73,14 +69,7 @@
 }
 
 func (lantern *Lantern) answerRouted(now time.Time, item *routedPublication, returned Answer, effects *helm.Effects) {
-	switch returned.Outcome {
-	case OutcomeAccepted:
-		lantern.Counts.Accepted++
-	case OutcomeRefused:
-		lantern.Counts.RefusedVisits++
-	case OutcomeUnsettled:
-		lantern.Counts.UnsettledVisits++
-	}
+	lantern.countOutcome(returned)
 	delete(lantern.routed.appends, item.id)
 	for send := range item.open {
 		delete(lantern.routed.sends, send)
@@ -116,7 +105,7 @@
 	delete(lantern.routed.sends, returned.Visit)
 	switch returned.Outcome {
 	case strand.Accepted:
-		lantern.routed.accepted[routedKey{topic: item.visit.Topic, sender: item.visit.Sender, seq: item.visit.Seq}] = routedMemory{at: now}
+		lantern.routed.accepted[routedKey{topic: item.visit.Topic, sender: item.visit.Sender, seq: item.visit.Seq}] = now
 		record := returned.Record
 		record.Topic, record.Sender, record.Seq, record.Data = item.visit.Topic, item.visit.Sender, item.visit.Seq, item.visit.Data
 		if !returned.Again || item.bare || item.sends > 1 {
@@ -201,8 +190,8 @@
 
 // forgetRouted lets old memories go.
 func (lantern *Lantern) forgetRouted(now time.Time) {
-	for key, memory := range lantern.routed.accepted {
-		if now.Sub(memory.at) > routedRemember {
+	for key, at := range lantern.routed.accepted {
+		if now.Sub(at) > routedRemember {
 			delete(lantern.routed.accepted, key)
 		}
 	}
--- a/internal/lamp/tracker.go
+++ b/internal/lamp/tracker.go
@@ -542,7 +542,7 @@
 		add(name, 0)
 	}
 	for name := range helm.Sorted(lantern.routed.strands) {
-		add(name, lantern.routed.told[name].until)
+		add(name, lantern.routed.told[name])
 	}
 	for address, follow := range helm.Sorted(byKeeper) {
 		effects.Send(address, follow)
