--- /dev/null
+++ b/cmd/agent/main.go
@@ -0,0 +1,31 @@
+// The agent daemon: the agent beside a gateway.
+package main
+
+import (
+	"os"
+	"time"
+
+	"dahlialock/internal/agent"
+	"dahlialock/internal/daemon"
+	"dahlialock/internal/membership"
+	"dahlialock/internal/settings"
+	"dahlialock/platform"
+)
+
+func main() {
+	os.Exit(daemon.Main(membership.KindAgent, os.Args[1:], build))
+}
+
+func build(current settings.Settings, self membership.Member, _ daemon.Stored) (daemon.Build, error) {
+	machine := agent.New(agent.Settings{Self: self, Seeds: current.Seeds, Gateway: current.Gateway})
+	return daemon.Build{
+		Machine: machine,
+		Ready:   func(time.Time) bool { return machine.Ready() },
+		Stop:    agent.Stop{},
+		Request: func(local uint64, method, path string, body []byte) any {
+			return agent.Request{Local: local, Method: method, Path: path, Body: body}
+		},
+		Counters: func() any { return map[string]any{} },
+		Adapter:  platform.Adapter(current),
+	}, nil
+}
--- a/cmd/dahlialock/main.go
+++ b/cmd/dahlialock/main.go
@@ -17,10 +17,10 @@
 
 	"github.com/google/subcommands"
 
-	"dahlialock/internal/caller"
-	"dahlialock/internal/chart"
-	"dahlialock/internal/mooring"
-	"dahlialock/internal/portolan"
+	"dahlialock/internal/client"
+	"dahlialock/internal/config"
+	"dahlialock/internal/httpapi"
+	"dahlialock/internal/topology"
 )
 
 // Exit codes: 0 done; 1 no daemon answered or it can't tell yet, try again;
@@ -37,10 +37,10 @@
 	wait    time.Duration
 }
 
-func (shared *shared) declare(set *flag.FlagSet) {
-	set.StringVar(&shared.control, "ctl", os.Getenv("DAHLIALOCK_CTL"), "`address` of any daemon's ctl, or several with commas between; DAHLIALOCK_CTL if not given")
-	set.BoolVar(&shared.raw, "json", false, "print the answer as JSON")
-	set.DurationVar(&shared.wait, "wait", 0, "try again for so `long` while the fleet can't answer")
+func (s *shared) declare(set *flag.FlagSet) {
+	set.StringVar(&s.control, "ctl", os.Getenv("DAHLIALOCK_CTL"), "`address` of any daemon's ctl, or several with commas between; DAHLIALOCK_CTL if not given")
+	set.BoolVar(&s.raw, "json", false, "print the answer as JSON")
+	set.DurationVar(&s.wait, "wait", 0, "try again for so `long` while the fleet can't answer")
 }
 
 type answered struct {
@@ -50,18 +50,18 @@
 
 // ask sends a request to the first daemon that answers, and again for as long
 // as was allowed.
-func (shared *shared) ask(method, path string, body []byte) (answered, error) {
-	if shared.control == "" {
+func (s *shared) ask(method, path string, body []byte) (answered, error) {
+	if s.control == "" {
 		return answered{}, fmt.Errorf("no daemon given: use -ctl or DAHLIALOCK_CTL")
 	}
-	limit := time.Now().Add(shared.wait)
+	limit := time.Now().Add(s.wait)
 	for {
 		var last error
 		var final answered
-		for _, address := range strings.Split(shared.control, ",") {
-			got, fault := once(method, "http://"+address+path, body)
-			if fault != nil {
-				last = fault
+		for _, address := range strings.Split(s.control, ",") {
+			got, err := once(method, "http://"+address+path, body)
+			if err != nil {
+				last = err
 				continue
 			}
 			last, final = nil, got
@@ -77,43 +77,43 @@
 }
 
 func once(method, location string, body []byte) (answered, error) {
-	request, fault := http.NewRequest(method, location, bytes.NewReader(body))
-	if fault != nil {
-		return answered{}, fault
+	request, err := http.NewRequest(method, location, bytes.NewReader(body))
+	if err != nil {
+		return answered{}, err
 	}
-	client := &http.Client{Timeout: 5 * time.Second}
-	response, fault := client.Do(request)
-	if fault != nil {
-		return answered{}, fault
+	caller := &http.Client{Timeout: 5 * time.Second}
+	response, err := caller.Do(request)
+	if err != nil {
+		return answered{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	read, fault := io.ReadAll(response.Body)
-	return answered{status: response.StatusCode, body: read}, fault
+	read, err := io.ReadAll(response.Body)
+	return answered{status: response.StatusCode, body: read}, err
 }
 
 // finish prints an answer and gives the exit code.
-func (shared *shared) finish(got answered, fault error, show func(value map[string]any)) subcommands.ExitStatus {
-	if fault != nil {
-		fmt.Fprintf(os.Stderr, "dahlialock: %v\n", fault)
+func (s *shared) finish(got answered, err error, show func(value map[string]any)) subcommands.ExitStatus {
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "dahlialock: %v\n", err)
 		return exitAgain
 	}
 	var value map[string]any
 	decoder := json.NewDecoder(bytes.NewReader(got.body))
 	decoder.UseNumber()
-	if fault := decoder.Decode(&value); fault != nil {
-		fmt.Fprintf(os.Stderr, "dahlialock: status %d with a body that can't be read: %v\n", got.status, fault)
+	if err := decoder.Decode(&value); err != nil {
+		fmt.Fprintf(os.Stderr, "dahlialock: status %d with a body that can't be read: %v\n", got.status, err)
 		return exitAgain
 	}
-	if shared.raw {
+	if s.raw {
 		fmt.Print(string(got.body))
 	}
 	if got.status < 300 {
-		if !shared.raw {
+		if !s.raw {
 			show(value)
 		}
 		return subcommands.ExitSuccess
 	}
-	if !shared.raw {
+	if !s.raw {
 		fmt.Fprintf(os.Stderr, "dahlialock: %v: %v\n", value["code"], value["text"])
 		if faults, found := value["faults"].([]any); found {
 			for _, each := range faults {
@@ -140,19 +140,19 @@
 	run                   func(command *command, arguments []string) subcommands.ExitStatus
 }
 
-func (command *command) Name() string     { return command.name }
-func (command *command) Synopsis() string { return command.synopsis }
-func (command *command) Usage() string {
-	return command.name + " " + command.usage + "\n  " + command.synopsis + "\n"
+func (c *command) Name() string     { return c.name }
+func (c *command) Synopsis() string { return c.synopsis }
+func (c *command) Usage() string {
+	return c.name + " " + c.usage + "\n  " + c.synopsis + "\n"
 }
-func (command *command) SetFlags(set *flag.FlagSet) {
-	command.declare(set)
-	if command.flags != nil {
-		command.flags(set)
+func (c *command) SetFlags(set *flag.FlagSet) {
+	c.declare(set)
+	if c.flags != nil {
+		c.flags(set)
 	}
 }
-func (command *command) Execute(_ context.Context, set *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	return command.run(command, set.Args())
+func (c *command) Execute(_ context.Context, set *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return c.run(c, set.Args())
 }
 
 func readFile(name string) ([]byte, error) {
@@ -206,30 +206,30 @@
 var topologyFile string
 
 func topologyFlag(set *flag.FlagSet) {
-	set.StringVar(&topologyFile, "topology", "", "a GraphViz or GeoJSON `file` with the localities and links of the configuration")
+	set.StringVar(&topologyFile, "topology", "", "a GraphViz or GeoJSON `file` with the zones and links of the configuration")
 }
 
 // readConfiguration reads a configuration, and the topology that goes into it.
 func readConfiguration(name string) ([]byte, subcommands.ExitStatus) {
-	document, fault := readFile(name)
-	if fault != nil {
-		fmt.Fprintf(os.Stderr, "dahlialock: %v\n", fault)
+	document, err := readFile(name)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "dahlialock: %v\n", err)
 		return nil, exitUsage
 	}
 	if topologyFile == "" {
 		return document, subcommands.ExitSuccess
 	}
-	text, fault := readFile(topologyFile)
-	if fault != nil {
-		fmt.Fprintf(os.Stderr, "dahlialock: %v\n", fault)
+	text, err := readFile(topologyFile)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "dahlialock: %v\n", err)
 		return nil, exitUsage
 	}
-	topology, fault := portolan.Read(text)
-	if fault == nil {
-		document, fault = topology.Into(document)
+	topology, err := topology.Read(text)
+	if err == nil {
+		document, err = topology.Into(document)
 	}
-	if fault != nil {
-		fmt.Fprintf(os.Stderr, "dahlialock: %s: %v\n", topologyFile, fault)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "dahlialock: %s: %v\n", topologyFile, err)
 		return nil, exitRefused
 	}
 	return document, subcommands.ExitSuccess
@@ -243,7 +243,7 @@
 	if status != subcommands.ExitSuccess {
 		return status
 	}
-	configuration, faults := chart.Read(document)
+	configuration, faults := config.Read(document)
 	if command.raw {
 		packed, _ := json.Marshal(map[string]any{"version": configuration.Version, "faults": faults})
 		fmt.Println(string(packed))
@@ -270,16 +270,16 @@
 	if status != subcommands.ExitSuccess {
 		return status
 	}
-	got, fault := command.ask(http.MethodPut, "/v1/configuration", document)
-	return command.finish(got, fault, func(value map[string]any) { fmt.Printf("version %v taken\n", value["version"]) })
+	got, err := command.ask(http.MethodPut, "/v1/configuration", document)
+	return command.finish(got, err, func(value map[string]any) { fmt.Printf("version %v taken\n", value["version"]) })
 }
 
 func getConfiguration(command *command, arguments []string) subcommands.ExitStatus {
 	if len(arguments) != 0 {
 		return usageError(command)
 	}
-	got, fault := command.ask(http.MethodGet, "/v1/configuration", nil)
-	return command.finish(got, fault, func(map[string]any) {
+	got, err := command.ask(http.MethodGet, "/v1/configuration", nil)
+	return command.finish(got, err, func(map[string]any) {
 		var whole struct {
 			Configuration json.RawMessage `json:"configuration"`
 		}
@@ -289,20 +289,20 @@
 	})
 }
 
-func cohort(command *command, arguments []string) subcommands.ExitStatus {
+func cluster(command *command, arguments []string) subcommands.ExitStatus {
 	if len(arguments) != 0 {
 		return usageError(command)
 	}
-	got, fault := command.ask(http.MethodGet, "/v1/cohort", nil)
-	return command.finish(got, fault, func(value map[string]any) {
+	got, err := command.ask(http.MethodGet, "/v1/cluster", nil)
+	return command.finish(got, err, func(value map[string]any) {
 		loads, _ := value["loads"].(map[string]any)
 		for _, row := range rowsOf(value["members"]) {
 			member := row.(map[string]any)
-			if load, found := loads[text(member["name"])].(map[string]any); found && member["kind"] == "lantern" {
+			if load, found := loads[text(member["name"])].(map[string]any); found && member["kind"] == "gateway" {
 				member["origins"] = load["Origins"]
 			}
 		}
-		table(rowsOf(value["members"]), "name", "kind", "locality", "alive", "resting", "retiring", "retired", "origins", "ctl", "caller")
+		table(rowsOf(value["members"]), "name", "kind", "zone", "alive", "resting", "retiring", "retired", "origins", "ctl", "caller")
 	})
 }
 
@@ -310,9 +310,9 @@
 	if len(arguments) != 0 {
 		return usageError(command)
 	}
-	got, fault := command.ask(http.MethodGet, "/v1/placement", nil)
-	return command.finish(got, fault, func(value map[string]any) {
-		table(rowsOf(value["strands"]), "strand", "epoch", "first", "understudy", "complete")
+	got, err := command.ask(http.MethodGet, "/v1/placement", nil)
+	return command.finish(got, err, func(value map[string]any) {
+		table(rowsOf(value["partitions"]), "partition", "epoch", "first", "follower", "complete")
 	})
 }
 
@@ -320,9 +320,9 @@
 	if len(arguments) != 0 {
 		return usageError(command)
 	}
-	got, fault := command.ask(http.MethodGet, "/v1/epochs", nil)
-	return command.finish(got, fault, func(value map[string]any) {
-		table([]any{value}, "epoch", "primary", "backups", "index", "roster", "standbys")
+	got, err := command.ask(http.MethodGet, "/v1/epochs", nil)
+	return command.finish(got, err, func(value map[string]any) {
+		table([]any{value}, "epoch", "primary", "backups", "index", "voters", "standbys")
 	})
 }
 
@@ -330,8 +330,8 @@
 	if len(arguments) != 0 {
 		return usageError(command)
 	}
-	got, fault := command.ask(http.MethodGet, "/v1/self", nil)
-	return command.finish(got, fault, func(value map[string]any) {
+	got, err := command.ask(http.MethodGet, "/v1/self", nil)
+	return command.finish(got, err, func(value map[string]any) {
 		var names []string
 		for name := range value {
 			names = append(names, name)
@@ -344,47 +344,47 @@
 	})
 }
 
-func keeper(command *command, arguments []string) subcommands.ExitStatus {
+func store(command *command, arguments []string) subcommands.ExitStatus {
 	if len(arguments) != 2 {
 		return usageError(command)
 	}
 	verb, name := arguments[0], arguments[1]
 	show := func(value map[string]any) {
-		table([]any{value}, "name", "alive", "retiring", "retired", "strands")
+		table([]any{value}, "name", "alive", "retiring", "retired", "partitions")
 	}
 	switch verb {
 	case "show":
-		got, fault := command.ask(http.MethodGet, "/v1/keepers/"+name, nil)
-		return command.finish(got, fault, show)
+		got, err := command.ask(http.MethodGet, "/v1/stores/"+name, nil)
+		return command.finish(got, err, show)
 	case "return":
-		got, fault := command.ask(http.MethodPost, "/v1/keepers/"+name+"/return", nil)
-		return command.finish(got, fault, show)
+		got, err := command.ask(http.MethodPost, "/v1/stores/"+name+"/return", nil)
+		return command.finish(got, err, show)
 	case "retire":
 		return retire(command, name, show)
 	}
 	return usageError(command)
 }
 
-// retire returns only when every strand has two synced copies elsewhere.
+// retire returns only when every partition has two synced copies elsewhere.
 func retire(command *command, name string, show func(value map[string]any)) subcommands.ExitStatus {
 	limit := time.Now().Add(max(command.wait, 30*time.Second))
 	asked := false
 	for {
-		method, path := http.MethodGet, "/v1/keepers/"+name
+		method, path := http.MethodGet, "/v1/stores/"+name
 		if !asked {
 			method, path = http.MethodPost, path+"/retire"
 		}
-		got, fault := command.ask(method, path, nil)
+		got, err := command.ask(method, path, nil)
 		late := !time.Now().Before(limit)
-		if fault != nil || got.status == http.StatusServiceUnavailable {
+		if err != nil || got.status == http.StatusServiceUnavailable {
 			if late {
-				return command.finish(got, fault, show)
+				return command.finish(got, err, show)
 			}
 			time.Sleep(250 * time.Millisecond)
 			continue
 		}
 		if got.status >= 300 {
-			return command.finish(got, fault, show)
+			return command.finish(got, err, show)
 		}
 		asked = true
 		var value struct {
@@ -395,7 +395,7 @@
 		}
 		if late {
 			command.finish(got, nil, show)
-			fmt.Fprintf(os.Stderr, "dahlialock: %s is not retired yet; its strands are still being copied\n", name)
+			fmt.Fprintf(os.Stderr, "dahlialock: %s is not retired yet; its partitions are still being copied\n", name)
 			return exitAgain
 		}
 		time.Sleep(250 * time.Millisecond)
@@ -411,7 +411,7 @@
 func callerFlags(set *flag.FlagSet) {
 	set.StringVar(&key, "key", os.Getenv("DAHLIALOCK_KEY"), "the fleet's `key`; DAHLIALOCK_KEY if not given")
 	set.StringVar(&origin, "origin", "operator", "`name` of the origin")
-	set.StringVar(&address, "caller", "", "a lantern's caller `address`")
+	set.StringVar(&address, "caller", "", "a gateway's caller `address`")
 	set.StringVar(&space, "space", "", "`name` of the space")
 	set.StringVar(&topic, "topic", "", "`path` of the topic")
 	set.StringVar(&prefix, "prefix", "", "`path` of the prefix; all topics of the space if empty and no topic is given")
@@ -421,10 +421,10 @@
 }
 
 func token(command *command, arguments []string) subcommands.ExitStatus {
-	if len(arguments) != 1 || key == "" || !chart.FitName(arguments[0]) {
+	if len(arguments) != 1 || key == "" || !config.FitName(arguments[0]) {
 		return usageError(command)
 	}
-	fmt.Println(mooring.Token([]byte(key), arguments[0]))
+	fmt.Println(httpapi.Token([]byte(key), arguments[0]))
 	return subcommands.ExitSuccess
 }
 
@@ -435,12 +435,12 @@
 	if seq == 0 {
 		seq = uint64(time.Now().UnixNano())
 	}
-	client := &caller.Caller{Token: mooring.Token([]byte(key), origin), HTTP: caller.NewClient("")}
+	caller := &client.Caller{Token: httpapi.Token([]byte(key), origin), HTTP: client.NewClient("")}
 	within, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	answer, fault := client.Publish(within, address, space, topic, seq, json.RawMessage(arguments[0]))
-	if fault != nil {
-		fmt.Fprintf(os.Stderr, "dahlialock: %v\n", fault)
+	answer, err := caller.Publish(within, address, space, topic, seq, json.RawMessage(arguments[0]))
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "dahlialock: %v\n", err)
 		return exitAgain
 	}
 	packed, _ := json.Marshal(answer)
@@ -458,35 +458,35 @@
 	if len(arguments) != 0 || key == "" || address == "" || space == "" && cursor == "" {
 		return usageError(command)
 	}
-	client := &caller.Caller{Token: mooring.Token([]byte(key), origin), HTTP: caller.NewClient("")}
-	var wanted []caller.Subscription
+	caller := &client.Caller{Token: httpapi.Token([]byte(key), origin), HTTP: client.NewClient("")}
+	var wanted []client.Subscription
 	if cursor == "" {
-		wanted = []caller.Subscription{{Space: space, Topic: &topic}}
+		wanted = []client.Subscription{{Space: space, Topic: &topic}}
 		if topic == "" {
-			wanted = []caller.Subscription{{Space: space, Prefix: &prefix}}
+			wanted = []client.Subscription{{Space: space, Prefix: &prefix}}
 		}
 	}
 	seen := 0
 	for {
-		channel, fault := client.Open(context.Background(), address)
-		if fault != nil {
-			fmt.Fprintf(os.Stderr, "dahlialock: %v\n", fault)
+		channel, err := caller.Open(context.Background(), address)
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "dahlialock: %v\n", err)
 			return exitAgain
 		}
-		answer, fault := client.Subscribe(context.Background(), channel, wanted, cursor)
-		if fault != nil || answer.Status != http.StatusOK {
-			fmt.Fprintf(os.Stderr, "dahlialock: %s %s %v\n", answer.Code, answer.Text, fault)
+		answer, err := caller.Subscribe(context.Background(), channel, wanted, cursor)
+		if err != nil || answer.Status != http.StatusOK {
+			fmt.Fprintf(os.Stderr, "dahlialock: %s %s %v\n", answer.Code, answer.Text, err)
 			return exitRefused
 		}
 		cursor, wanted = answer.Cursor, nil
-		fmt.Fprintf(os.Stderr, "listening at %s in %s\n", channel.Hello.Daemon, channel.Hello.Locality)
+		fmt.Fprintf(os.Stderr, "listening at %s in %s\n", channel.Hello.Daemon, channel.Hello.Zone)
 		for event := range channel.Events {
 			if event.Cursor != "" {
 				cursor = event.Cursor
 			}
 			switch event.Event {
 			case "ping":
-				_ = client.Pong(context.Background(), channel)
+				_ = caller.Pong(context.Background(), channel)
 			case "move":
 				address = event.To
 			case "message":
@@ -513,11 +513,11 @@
 		{name: "check", usage: "[-topology T] FILE", synopsis: "check a configuration here, without any daemon", flags: topologyFlag, run: checkConfiguration},
 		{name: "put", usage: "[-ctl A] [-topology T] FILE", synopsis: "put a configuration in force", flags: topologyFlag, run: putConfiguration},
 		{name: "get", usage: "[-ctl A]", synopsis: "read the configuration back", run: getConfiguration},
-		{name: "cohort", usage: "[-ctl A]", synopsis: "list the daemons", run: cohort},
-		{name: "placement", usage: "[-ctl A]", synopsis: "list where each strand is kept", run: placement},
-		{name: "epochs", usage: "[-ctl A]", synopsis: "tell the pilots' epoch, primary and backup", run: epochs},
+		{name: "cluster", usage: "[-ctl A]", synopsis: "list the daemons", run: cluster},
+		{name: "placement", usage: "[-ctl A]", synopsis: "list where each partition is kept", run: placement},
+		{name: "epochs", usage: "[-ctl A]", synopsis: "tell the controllers' epoch, primary and backup", run: epochs},
 		{name: "self", usage: "[-ctl A]", synopsis: "tell the counters of the one daemon asked", run: self},
-		{name: "keeper", usage: "[-ctl A] show|retire|return NAME", synopsis: "show a keeper, empty and retire it, or take it back", run: keeper},
+		{name: "store", usage: "[-ctl A] show|retire|return NAME", synopsis: "show a store, empty and retire it, or take it back", run: store},
 		{name: "token", usage: "-key K ORIGIN", synopsis: "make the token of an origin", flags: callerFlags, run: token},
 		{name: "publish", usage: "-key K -caller A -origin O -space S -topic T JSON", synopsis: "publish one message", flags: callerFlags, run: publish},
 		{name: "listen", usage: "-key K -caller A -origin O -space S [-topic T | -prefix P]", synopsis: "print the messages of a topic or prefix", flags: callerFlags, run: listen},
--- a/cmd/harbour/main.go
+++ b/cmd/fleetlab/main.go
@@ -1,4 +1,4 @@
-// Harbour is the trial tool: it starts a fleet on one machine as the platform
+// Fleetlab is the trial tool: it starts a fleet on one machine as the platform
 // would, drives it with stand-in callers, brings about faults, and judges every
 // promise from what callers and operators saw.
 package main
@@ -15,7 +15,7 @@
 
 	"github.com/google/subcommands"
 
-	"dahlialock/internal/fleet"
+	"dahlialock/internal/testfleet"
 )
 
 type up struct {
@@ -32,47 +32,47 @@
 }
 
 func ownFolder() string {
-	path, fault := os.Executable()
-	if fault != nil {
+	path, err := os.Executable()
+	if err != nil {
 		return "bin"
 	}
 	return filepath.Dir(path)
 }
 
 // begin lays a fleet out in a folder, a new one if none is named, and starts it.
-func begin(name, folder, binaries string) (*fleet.Fleet, string, error) {
-	deployment, found := fleet.Deployments[name]
+func begin(name, folder, binaries string) (*testfleet.Fleet, string, error) {
+	deployment, found := testfleet.Deployments[name]
 	if !found {
 		return nil, "", fmt.Errorf("no deployment is named %q", name)
 	}
 	if folder == "" {
-		made, fault := os.MkdirTemp("", "harbour-")
-		if fault != nil {
-			return nil, "", fault
+		made, err := os.MkdirTemp("", "fleetlab-")
+		if err != nil {
+			return nil, "", err
 		}
 		folder = made
 	}
-	running, fault := fleet.New(deployment, folder, binaries)
-	if fault != nil {
-		return nil, folder, fault
+	running, err := testfleet.New(deployment, folder, binaries)
+	if err != nil {
+		return nil, folder, err
 	}
 	return running, folder, running.StartAll()
 }
 
 func (up *up) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	running, folder, fault := begin(up.deployment, up.folder, up.binaries)
-	if fault != nil {
-		fmt.Fprintln(os.Stderr, "harbour:", fault)
+	running, folder, err := begin(up.deployment, up.folder, up.binaries)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "fleetlab:", err)
 		return subcommands.ExitFailure
 	}
 	defer running.StopAll()
-	fmt.Printf("folder   %s\nkey      %s\n", folder, fleet.Key)
-	if fault := running.WaitReady(60*time.Second, running.Names()...); fault != nil {
-		fmt.Fprintln(os.Stderr, "harbour:", fault)
+	fmt.Printf("folder   %s\nkey      %s\n", folder, testfleet.Key)
+	if err := running.WaitReady(60*time.Second, running.Names()...); err != nil {
+		fmt.Fprintln(os.Stderr, "fleetlab:", err)
 	}
 	for _, name := range running.Names() {
 		daemon := running.Daemons[name]
-		fmt.Printf("%-10s %-7s ctl %-18s caller %s\n", daemon.Name, daemon.Locality, daemon.Control, daemon.Caller)
+		fmt.Printf("%-10s %-7s ctl %-18s caller %s\n", daemon.Name, daemon.Zone, daemon.Control, daemon.Caller)
 	}
 	fmt.Println("the fleet is up; interrupt to stop it")
 	signals := make(chan os.Signal, 1)
--- a/cmd/harbour/operator.go
+++ b/cmd/fleetlab/operator.go
@@ -1,5 +1,5 @@
 // The stand-in operators of a trial: one owner of the configuration, who puts
-// the next version now and then, races itself, reads back, and tells the oracle
+// the next version now and then, races itself, reads back, and tells the checker
 // what it was told.
 package main
 
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"dahlialock/internal/oracle"
+	"dahlialock/internal/checker"
 )
 
 // wish is what a fault asks the operators to change before the next version.
@@ -36,34 +36,34 @@
 	}
 }
 
-func (operator *operator) document(answerWithin string) []byte {
+func (o *operator) document(answerWithin string) []byte {
 	spaces := []any{
 		map[string]any{"name": "boards", "promise": "kept", "holding": "35s", "answer_within": "1s"},
 		map[string]any{"name": "urgent", "promise": "kept", "order": "sender", "holding": "35s", "answer_within": "500ms"},
 		map[string]any{"name": "decisions", "promise": "kept", "order": "channel"},
 		map[string]any{"name": "cursors", "promise": "passing", "answer_within": answerWithin},
 	}
-	for name := range operator.spaces {
+	for name := range o.spaces {
 		spaces = append(spaces, map[string]any{"name": name, "promise": "passing"})
 	}
-	value := map[string]any{"version": operator.version, "spaces": spaces}
-	if len(operator.drains) > 0 {
-		value["drains"] = operator.drains
+	value := map[string]any{"version": o.version, "spaces": spaces}
+	if len(o.drains) > 0 {
+		value["drains"] = o.drains
 	}
-	if operator.run.trial.economy {
-		value["economy"] = operator.run.trial.weights()
+	if o.run.trial.economy {
+		value["economy"] = o.run.trial.weights()
 	}
-	body, fault := json.Marshal(value)
-	if fault != nil {
-		panic(fault)
+	body, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
 	}
 	return body
 }
 
 // weights are the economy of a deployment: what it says costs it most.
-func (trial *trial) weights() map[string]any {
-	economy := map[string]any{"enabled": true, "origins_each": 250, "spare_lanterns": 1, "quiet_for": "8s", "processor_weight": 1, "traffic_weight": 1}
-	switch trial.deployment {
+func (t *trial) weights() map[string]any {
+	economy := map[string]any{"enabled": true, "origins_each": 250, "spare_gateways": 1, "quiet_for": "8s", "processor_weight": 1, "traffic_weight": 1}
+	switch t.deployment {
 	case "fjordlys":
 		economy["processor_weight"] = 10
 	case "qureshi":
@@ -73,16 +73,16 @@
 }
 
 // control asks a random daemon's ctl.
-func (operator *operator) control(random *rand.Rand, method, path, body string) (int, []byte) {
-	names := operator.run.fleet.Names()
-	daemon := operator.run.fleet.Daemons[names[random.IntN(len(names))]]
-	request, fault := http.NewRequest(method, "http://"+daemon.Control+path, strings.NewReader(body))
-	if fault != nil {
-		panic(fault)
+func (o *operator) control(random *rand.Rand, method, path, body string) (int, []byte) {
+	names := o.run.fleet.Names()
+	daemon := o.run.fleet.Daemons[names[random.IntN(len(names))]]
+	request, err := http.NewRequest(method, "http://"+daemon.Control+path, strings.NewReader(body))
+	if err != nil {
+		panic(err)
 	}
 	client := http.Client{Timeout: 5 * time.Second}
-	response, fault := client.Do(request)
-	if fault != nil {
+	response, err := client.Do(request)
+	if err != nil {
 		return 0, nil
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -91,21 +91,21 @@
 }
 
 // put puts one version until it is taken or found out of date.
-func (operator *operator) put(random *rand.Rand, version int, body []byte, limit time.Duration) bool {
+func (o *operator) put(random *rand.Rand, version int, body []byte, limit time.Duration) bool {
 	until := time.Now().Add(limit)
 	for time.Now().Before(until) {
 		began := time.Now()
-		status, text := operator.control(random, http.MethodPut, "/v1/configuration", string(body))
+		status, text := o.control(random, http.MethodPut, "/v1/configuration", string(body))
 		switch status {
 		case http.StatusOK:
 			taken := time.Now()
-			operator.run.book.note(func(oracle *oracle.Oracle) { oracle.PutTaken(uint64(version), string(body), began, taken) })
+			o.run.book.note(func(checker *checker.Checker) { checker.PutTaken(uint64(version), string(body), began, taken) })
 			return true
 		case http.StatusConflict:
 			return false
 		case http.StatusBadRequest:
-			operator.run.book.note(func(oracle_ *oracle.Oracle) {
-				oracle_.Violate(oracle.BrokenTaken, "a valid configuration was refused: %s", text)
+			o.run.book.note(func(checker_ *checker.Checker) {
+				checker_.Violate(checker.BrokenTaken, "a valid configuration was refused: %s", text)
 			})
 			return false
 		}
@@ -114,34 +114,34 @@
 	return false
 }
 
-func (operator *operator) next(limit time.Duration) bool {
-	operator.version++
-	return operator.put(operator.random, operator.version, operator.document("1s"), limit)
+func (o *operator) next(limit time.Duration) bool {
+	o.version++
+	return o.put(o.random, o.version, o.document("1s"), limit)
 }
 
 // race puts two of one version with different content, and the next one, all at
 // the same time.
-func (operator *operator) race() {
-	operator.version++
+func (o *operator) race() {
+	o.version++
 	done := make(chan struct{})
 	put := func(version int, body []byte, seed uint64) {
 		go func() {
-			operator.put(rand.New(rand.NewPCG(seed, 7)), version, body, 8*time.Second)
+			o.put(rand.New(rand.NewPCG(seed, 7)), version, body, 8*time.Second)
 			done <- struct{}{}
 		}()
 	}
-	put(operator.version, operator.document("1s"), operator.random.Uint64())
-	put(operator.version, operator.document("2s"), operator.random.Uint64())
-	operator.version++
-	put(operator.version, operator.document("1s"), operator.random.Uint64())
+	put(o.version, o.document("1s"), o.random.Uint64())
+	put(o.version, o.document("2s"), o.random.Uint64())
+	o.version++
+	put(o.version, o.document("1s"), o.random.Uint64())
 	for range 3 {
 		<-done
 	}
 }
 
-func (operator *operator) readBack() {
+func (o *operator) readBack() {
 	began := time.Now()
-	status, text := operator.control(operator.random, http.MethodGet, "/v1/configuration", "")
+	status, text := o.control(o.random, http.MethodGet, "/v1/configuration", "")
 	var got struct {
 		Version       uint64          `json:"version"`
 		Configuration json.RawMessage `json:"configuration"`
@@ -150,53 +150,53 @@
 		return
 	}
 	at := time.Now()
-	operator.run.book.note(func(oracle *oracle.Oracle) { oracle.ReadBack(got.Version, string(got.Configuration), began, at) })
+	o.run.book.note(func(checker *checker.Checker) { checker.ReadBack(got.Version, string(got.Configuration), began, at) })
 }
 
 // broken puts what must be refused.
-func (operator *operator) broken() {
+func (o *operator) broken() {
 	bodies := []string{`{"version":900000,"spaces":[{"name":"boards"}]}`, `{"version":900000,"spaces":[],"spaces":[]}`, `{"version":900000,"spaces":[]} x`}
-	body := bodies[operator.random.IntN(len(bodies))]
-	if status, _ := operator.control(operator.random, http.MethodPut, "/v1/configuration", body); status == http.StatusOK {
-		operator.run.book.note(func(oracle *oracle.Oracle) { oracle.BrokenWasTaken(body) })
+	body := bodies[o.random.IntN(len(bodies))]
+	if status, _ := o.control(o.random, http.MethodPut, "/v1/configuration", body); status == http.StatusOK {
+		o.run.book.note(func(checker *checker.Checker) { checker.BrokenWasTaken(body) })
 	}
 }
 
 func nothing(*operator) {}
 
 // work goes on until stop.
-func (operator *operator) work() {
-	operator.working.Store(true)
+func (o *operator) work() {
+	o.working.Store(true)
 	go func() {
-		defer close(operator.ended)
-		for operator.working.Load() {
+		defer close(o.ended)
+		for o.working.Load() {
 			select {
-			case wished := <-operator.wishes:
-				wished(operator)
-			case <-time.After(time.Duration(1000+operator.random.IntN(3000)) * time.Millisecond):
-				switch operator.random.IntN(4) {
+			case wished := <-o.wishes:
+				wished(o)
+			case <-time.After(time.Duration(1000+o.random.IntN(3000)) * time.Millisecond):
+				switch o.random.IntN(4) {
 				case 0:
-					operator.broken()
+					o.broken()
 				case 1:
-					operator.next(8 * time.Second)
+					o.next(8 * time.Second)
 				}
 			}
-			operator.readBack()
+			o.readBack()
 		}
 	}()
 }
 
-func (operator *operator) stop() {
-	operator.working.Store(false)
-	operator.wishes <- nothing
-	<-operator.ended
+func (o *operator) stop() {
+	o.working.Store(false)
+	o.wishes <- nothing
+	<-o.ended
 }
 
 // addSpace adds a space and tells once it was taken.
 func addSpace(name string, taken func()) wish {
 	return func(operator *operator) {
 		operator.spaces[name] = true
-		operator.run.book.note(func(oracle *oracle.Oracle) { oracle.Space(name, false, false) })
+		operator.run.book.note(func(checker *checker.Checker) { checker.Space(name, false, false) })
 		if operator.next(20 * time.Second) {
 			taken()
 		}
@@ -208,7 +208,7 @@
 		delete(operator.spaces, name)
 		if operator.next(20 * time.Second) {
 			at := time.Now()
-			operator.run.book.note(func(oracle *oracle.Oracle) { oracle.Removed(name, at) })
+			operator.run.book.note(func(checker *checker.Checker) { checker.Removed(name, at) })
 		}
 	}
 }
--- /dev/null
+++ b/cmd/fleetlab/origin.go
@@ -0,0 +1,380 @@
+// A stand-in origin of a trial: one client program with a long channel and a
+// publishing side, honest about what it saw.
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"dahlialock/internal/checker"
+	"dahlialock/internal/client"
+	"dahlialock/internal/httpapi"
+	"dahlialock/internal/testfleet"
+)
+
+const (
+	keptTopics   = 1000
+	urgentTopics = 30
+)
+
+type trialOrigin struct {
+	run       *trialRun
+	name      string
+	zone      atomic.Pointer[string]
+	awayUntil atomic.Int64
+	brief     string
+	caller    *client.Caller
+	random    *rand.Rand
+	interests []checker.Interest
+	served    atomic.Bool
+	address   atomic.Pointer[string]
+	last      atomic.Pointer[string]
+	resets    chan struct{}
+	cancel    context.CancelFunc
+	living    context.Context
+	seqs      map[string]uint64
+	rate      float64
+	urgent    bool
+}
+
+func keptTopic(number int) string { return fmt.Sprintf("project%d/board%d", number/10, number%10) }
+
+func urgentTopic(number int) string { return fmt.Sprintf("farm%d/halt%d", number/10, number%10) }
+
+func (tr *trialRun) newOrigin(name string, place int, seed uint64) *trialOrigin {
+	living, cancel := context.WithCancel(context.Background())
+	each := &trialOrigin{
+		run: tr, name: name, random: rand.New(rand.NewPCG(tr.trial.seed, seed)), resets: make(chan struct{}, 1),
+		living: living, cancel: cancel, seqs: map[string]uint64{},
+	}
+	zone := testfleet.Place(place)
+	each.zone.Store(&zone)
+	// Each caller comes from an address of its own zone.
+	each.caller = &client.Caller{Token: httpapi.Token([]byte(testfleet.Key), each.name), HTTP: client.NewClient(testfleet.Prefix(place) + "2")}
+	each.tell("begins")
+	return each
+}
+
+func (tr *trialRun) startOrigins() {
+	for number := range tr.trial.origins {
+		each := tr.newOrigin(fmt.Sprintf("origin-%d", number), number%tr.fleet.Deployment.Places, uint64(number))
+		each.urgent = number%10 == 0
+		each.rate = tr.trial.kept / float64(tr.trial.origins)
+		for range 2 {
+			each.interests = append(each.interests, checker.Interest{Space: "boards", Path: keptTopic(each.random.IntN(keptTopics))})
+		}
+		each.interests = append(each.interests,
+			checker.Interest{Space: "urgent", Path: urgentTopic(each.random.IntN(urgentTopics))},
+			checker.Interest{Space: "cursors", Path: keptTopic(each.random.IntN(50))})
+		if number%40 == 0 {
+			each.interests = append(each.interests, checker.Interest{Space: "boards", Path: fmt.Sprintf("project%d", each.random.IntN(100)), Wide: true})
+		}
+		if number%60 == 0 {
+			each.interests = append(each.interests, checker.Interest{Space: "decisions", Wide: true})
+		}
+		if number%120 == 7 {
+			each.interests = append(each.interests, checker.Interest{Space: "boards", Wide: true})
+		}
+		tr.origins = append(tr.origins, each)
+		go each.live()
+	}
+}
+
+// probe publishes once to topics of every partition, through any ready gateway, and
+// tells whether all were accepted.
+func (to *trialOrigin) probe() bool {
+	daemon := to.run.platform.pick(to.random, *to.zone.Load())
+	if daemon == nil {
+		return false
+	}
+	for number := range 24 {
+		to.seqs["boards"]++
+		message := checker.Message{Space: "boards", Sender: to.name, Seq: to.seqs["boards"]}
+		if outcome, _ := to.try(daemon.Caller, message, keptTopic(number), fmt.Sprintf("%q", message.String())); outcome != "accepted" {
+			return false
+		}
+	}
+	return true
+}
+
+// leave ends an origin for good; nothing more is owed to it.
+func (to *trialOrigin) leave() {
+	to.note(func(checker *checker.Checker) { checker.Dropped(to.name) })
+	to.cancel()
+}
+
+func (to *trialOrigin) note(entry func(checker *checker.Checker)) { to.run.book.note(entry) }
+
+func (to *trialOrigin) reset() {
+	select {
+	case to.resets <- struct{}{}:
+	default:
+	}
+}
+
+func (to *trialOrigin) tell(text string, values ...any) {
+	line := fmt.Sprintf(text, values...)
+	to.last.Store(&line)
+}
+
+func (to *trialOrigin) stop() { to.cancel() }
+
+func subscriptions(interests []checker.Interest) []client.Subscription {
+	var wanted []client.Subscription
+	for _, interest := range interests {
+		path := interest.Path
+		if interest.Wide {
+			wanted = append(wanted, client.Subscription{Space: interest.Space, Prefix: &path})
+		} else {
+			wanted = append(wanted, client.Subscription{Space: interest.Space, Topic: &path})
+		}
+	}
+	return wanted
+}
+
+// live keeps the channel open, again and again, until it is stopped.
+func (to *trialOrigin) live() {
+	cursor, target := "", ""
+	var cutAt time.Time
+	asked := false
+	for to.living.Err() == nil {
+		if wait := time.Until(time.Unix(0, to.awayUntil.Load())); wait > 0 {
+			time.Sleep(min(wait, 100*time.Millisecond))
+			continue
+		}
+		if target == "" {
+			if daemon := to.run.platform.pick(to.random, *to.zone.Load()); daemon != nil {
+				target = daemon.Caller
+			}
+		}
+		if target == "" {
+			time.Sleep(200 * time.Millisecond)
+			continue
+		}
+		to.tell("opening at %s", target)
+		began := time.Now()
+		channel, err := to.caller.Open(to.living, target)
+		target = ""
+		if err != nil {
+			to.tell("opening: %v", err)
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		shown, at := channel.Hello, time.Now()
+		to.note(func(checker *checker.Checker) { checker.Showed(shown.Daemon, shown.Version, began, at) })
+		if !asked {
+			asked = true
+			at := time.Now()
+			to.note(func(checker *checker.Checker) {
+				for _, interest := range to.interests {
+					checker.Asked(to.name, interest, at)
+				}
+			})
+		}
+		if !to.subscribe(channel, &cursor, cutAt) {
+			channel.Close()
+			continue
+		}
+		address := channel.Address
+		to.address.Store(&address)
+		to.served.Store(true)
+		target = to.read(channel, &cursor)
+		to.served.Store(false)
+		to.address.Store(nil)
+		channel.Close()
+		cutAt = time.Now()
+	}
+}
+
+func (to *trialOrigin) subscribe(channel *client.Channel, cursor *string, cutAt time.Time) bool {
+	for to.living.Err() == nil {
+		to.tell("subscribing at %s", channel.Address)
+		within, cancel := context.WithTimeout(to.living, 3*time.Second)
+		wanted := subscriptions(to.interests)
+		resumes := *cursor != ""
+		if resumes {
+			wanted = nil
+		}
+		answer, err := to.caller.Subscribe(within, channel, wanted, *cursor)
+		cancel()
+		to.tell("subscribing at %s: %v %+v", channel.Address, err, answer)
+		switch {
+		case err != nil:
+			return false
+		case answer.Status == http.StatusOK:
+			if answer.Cursor != "" {
+				*cursor = answer.Cursor
+			}
+			if !resumes {
+				at := time.Now()
+				to.note(func(checker *checker.Checker) {
+					for _, interest := range to.interests {
+						checker.Subscribed(to.name, interest, at)
+					}
+				})
+			}
+			return true
+		case answer.Code == "no-such-channel" || answer.Code == "moved":
+			return false
+		case answer.Code == "no-such-space" && to.brief != "":
+			to.leave()
+			return false
+		case answer.RetryAfterMs > 0:
+			to.refused(answer.Code, to.name+" subscribes")
+			time.Sleep(time.Duration(answer.RetryAfterMs) * time.Millisecond)
+		default:
+			at := time.Now()
+			to.note(func(checker *checker.Checker) {
+				checker.PlaceLost(to.name, cutAt, at)
+				checker.Violate("place-refused", "%s: %s %s", to.name, answer.Code, answer.Text)
+			})
+			to.cancel()
+			return false
+		}
+	}
+	return false
+}
+
+// read takes events until the channel ends, and tells where to move to.
+func (to *trialOrigin) read(channel *client.Channel, cursor *string) string {
+	silent := time.NewTimer(8 * time.Second)
+	defer silent.Stop()
+	for {
+		select {
+		case <-to.living.Done():
+			return ""
+		case <-to.resets:
+			return ""
+		case <-silent.C:
+			return ""
+		case event, open := <-channel.Events:
+			if !open {
+				return ""
+			}
+			silent.Reset(8 * time.Second)
+			if event.Cursor != "" {
+				*cursor = event.Cursor
+			}
+			switch event.Event {
+			case "message":
+				at := time.Now()
+				to.note(func(checker_ *checker.Checker) {
+					checker_.Got(to.name, checker.Message{Space: event.Space, Sender: event.Sender, Seq: event.Seq}, event.Topic, string(event.Data), at)
+				})
+			case "ping":
+				go func() {
+					within, cancel := context.WithTimeout(to.living, 3*time.Second)
+					defer cancel()
+					_ = to.caller.Pong(within, channel)
+				}()
+			case "move":
+				return event.To
+			case "gone":
+				return ""
+			}
+		}
+	}
+}
+
+// start begins to publish: kept messages at the origin's share of the load, a
+// few urgent ones from every tenth, and some passing and shared-order ones.
+func (to *trialOrigin) start() { go to.publishAll() }
+
+func (to *trialOrigin) publishAll() {
+	spaces := []struct {
+		space string
+		rate  float64
+		topic func() string
+	}{
+		{"boards", to.rate, func() string { return keptTopic(to.random.IntN(keptTopics)) }},
+		{"cursors", 0.05, func() string { return keptTopic(to.random.IntN(50)) }},
+		{"urgent", 0, func() string { return urgentTopic(to.random.IntN(urgentTopics)) }},
+		{"decisions", 0, func() string { return fmt.Sprintf("board%d", to.random.IntN(5)) }},
+	}
+	if to.urgent {
+		share := float64(max(1, to.run.trial.origins/10))
+		spaces[2].rate, spaces[3].rate = to.run.trial.urgent/share, 4/share
+	}
+	if to.brief != "" {
+		spaces = spaces[:1]
+		spaces[0].space, spaces[0].rate, spaces[0].topic = to.brief, 5, func() string { return "a/b" }
+	}
+	next := make([]time.Time, len(spaces))
+	wait := func(rate float64) time.Duration {
+		return time.Duration(to.random.ExpFloat64() / rate * float64(time.Second))
+	}
+	for position := range spaces {
+		if spaces[position].rate > 0 {
+			next[position] = time.Now().Add(wait(spaces[position].rate))
+		}
+	}
+	for {
+		earliest := -1
+		for position := range spaces {
+			if !next[position].IsZero() && (earliest < 0 || next[position].Before(next[earliest])) {
+				earliest = position
+			}
+		}
+		select {
+		case <-to.run.quiet:
+			return
+		case <-to.living.Done():
+			return
+		case <-time.After(time.Until(next[earliest])):
+		}
+		chosen := spaces[earliest]
+		next[earliest] = time.Now().Add(wait(chosen.rate))
+		to.seqs[chosen.space]++
+		to.publish(checker.Message{Space: chosen.space, Sender: to.name, Seq: to.seqs[chosen.space]}, chosen.topic())
+	}
+}
+
+// publish sends one message until its fate is settled.
+func (to *trialOrigin) publish(message checker.Message, topic string) {
+	data := fmt.Sprintf("%q", message.String()+" with some text such as a note on a board would have")
+	for to.living.Err() == nil {
+		address := to.address.Load()
+		if address == nil {
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		outcome, again := to.try(*address, message, topic, data)
+		if outcome == "accepted" || again == 0 {
+			return
+		}
+		time.Sleep(again)
+	}
+}
+
+// try sends one seq once, and tells how it ended and when to try again.
+func (to *trialOrigin) try(address string, message checker.Message, topic, data string) (string, time.Duration) {
+	began := time.Now()
+	to.note(func(checker *checker.Checker) { checker.Try(message, topic, data, began) })
+	within, cancel := context.WithTimeout(to.living, 2500*time.Millisecond)
+	answer, err := to.caller.Publish(within, address, message.Space, topic, message.Seq, rawJSON(data))
+	cancel()
+	at := time.Now()
+	outcome, code, again := "unsettled", "cut-off", 50*time.Millisecond
+	if err == nil {
+		outcome, code, again = answer.Outcome, answer.Code, time.Duration(answer.RetryAfterMs)*time.Millisecond
+	}
+	to.note(func(checker *checker.Checker) { checker.Answered(message, outcome, began, at) })
+	if outcome != "accepted" && to.living.Err() == nil && to.brief == "" && code != "earlier-refused" && code != "moved" {
+		to.refused(code, message.String())
+	}
+	return outcome, again
+}
+
+func (to *trialOrigin) refused(code, what string) {
+	calm, at := to.run.calmSince(), time.Now()
+	to.note(func(checker *checker.Checker) { checker.RefusedAs(code, what, calm, at) })
+}
+
+type rawJSON string
+
+// MarshalJSON gives the text as it is.
+func (rj rawJSON) MarshalJSON() ([]byte, error) { return []byte(rj), nil }
--- /dev/null
+++ b/cmd/fleetlab/simulate.go
@@ -0,0 +1,215 @@
+// The seed hunt: scenarios of the simulator over many seeds, on all cores. A
+// failing seed is named with the one command that runs it again.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"dahlialock/internal/faults"
+	"dahlialock/internal/simulator"
+)
+
+type hunt struct {
+	scenario string
+	from     uint64
+	seeds    uint64
+	trace    bool
+	workers  int
+	most     int
+	size     string
+	plot     string
+	last     string
+	shorten  bool
+	parts    bool
+}
+
+func (*hunt) Name() string     { return "swell" }
+func (*hunt) Synopsis() string { return "run simulated scenarios over many seeds" }
+func (*hunt) Usage() string {
+	return "swell [-scenario NAME|all] [-from N] [-seeds N] [-trace]\n"
+}
+func (h *hunt) SetFlags(set *flag.FlagSet) {
+	set.StringVar(&h.scenario, "scenario", "all", "`name` of the scenario, or all")
+	set.Uint64Var(&h.from, "from", 0, "the first `seed`")
+	set.Uint64Var(&h.seeds, "seeds", 20, "how `many` seeds")
+	set.BoolVar(&h.trace, "trace", false, "print all that happens")
+	set.IntVar(&h.workers, "workers", runtime.NumCPU(), "how `many` runs at once")
+	set.StringVar(&h.size, "size", "small", "the fleet's `shape`: small, fjordlys, qureshi or four")
+	set.StringVar(&h.plot, "plot", "", "a `list` of faults as name@start+length#pick, instead of a scenario")
+	set.StringVar(&h.last, "last", "", "the last fault of a -plot")
+	set.BoolVar(&h.shorten, "shorten", false, "shorten the list of faults of a failing seed")
+	set.BoolVar(&h.parts, "parts", false, "tell how long each part of coming back took, over all seeds")
+	set.IntVar(&h.most, "most", 3, "how `many` violations to print of a run")
+}
+
+type ran struct {
+	seed       uint64
+	summary    string
+	violations []string
+	comebacks  []simulator.Comeback
+	broken     any
+}
+
+func (h *hunt) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	// Runs are short and there is memory enough: the collector took a quarter of
+	// a hunt's time.
+	debug.SetGCPercent(800)
+	scenarios := simulator.Scenarios()
+	if _, found := simulator.Sizes[h.size]; !found {
+		fmt.Fprintf(os.Stderr, "fleetlab: no size is named %q\n", h.size)
+		return subcommands.ExitUsageError
+	}
+	if h.plot != "" || h.last != "" {
+		storm, err := faults.Parse(h.plot)
+		if err != nil || h.last != "" && !slices.Contains(faults.Last, h.last) {
+			fmt.Fprintf(os.Stderr, "fleetlab: %v; last faults are %v\n", err, faults.Last)
+			return subcommands.ExitUsageError
+		}
+		scenarios = []simulator.Scenario{{Name: "plot", Plot: func(uint64) simulator.Plot { return simulator.Plot{Storm: storm, Last: h.last} }}}
+	} else if h.scenario != "all" {
+		scenario, found := simulator.Find(h.scenario)
+		if !found {
+			for _, each := range scenarios {
+				fmt.Fprintln(os.Stderr, each.Name)
+			}
+			return subcommands.ExitUsageError
+		}
+		scenarios = []simulator.Scenario{scenario}
+	}
+	failed := 0
+	for _, scenario := range scenarios {
+		failed += h.run(scenario)
+	}
+	if failed > 0 {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (h *hunt) run(scenario simulator.Scenario) int {
+	began := time.Now()
+	var next atomic.Uint64
+	results := make(chan ran)
+	for range h.workers {
+		go func() {
+			for {
+				number := next.Add(1) - 1
+				if number >= h.seeds {
+					results <- ran{seed: ^uint64(0)}
+					return
+				}
+				results <- h.one(scenario, h.from+number)
+			}
+		}()
+	}
+	var bad []ran
+	last := ""
+	var comebacks []simulator.Comeback
+	for open := h.workers; open > 0; {
+		result := <-results
+		if result.seed == ^uint64(0) {
+			open--
+			continue
+		}
+		last = result.summary
+		comebacks = append(comebacks, result.comebacks...)
+		if len(result.violations) > 0 || result.broken != nil {
+			bad = append(bad, result)
+		}
+	}
+	slices.SortFunc(bad, func(left, right ran) int { return int(left.seed) - int(right.seed) })
+	fmt.Printf("%-18s %d seeds, %d failed, %.1f s; one: %s\n", scenario.Name, h.seeds, len(bad), time.Since(began).Seconds(), last)
+	if h.parts {
+		tellParts(comebacks)
+	}
+	for position, result := range bad {
+		if position == 8 {
+			break
+		}
+		fmt.Printf("  seed %d: fleetlab swell -scenario %s -from %d -seeds 1 -trace\n", result.seed, scenario.Name, result.seed)
+		if h.shorten && scenario.Plot != nil {
+			h.shortest(scenario, result.seed)
+		}
+		if result.broken != nil {
+			fmt.Printf("    broken: %v\n", result.broken)
+		}
+		for number, line := range result.violations {
+			if number < h.most {
+				fmt.Printf("    %s\n", line)
+			}
+		}
+	}
+	return len(bad)
+}
+
+func (h *hunt) one(scenario simulator.Scenario, seed uint64) (result ran) {
+	result.seed = seed
+	defer func() {
+		if broken := recover(); broken != nil {
+			result.broken = fmt.Sprint(broken)
+			if h.trace {
+				panic(broken)
+			}
+		}
+	}()
+	var trace func(line string)
+	if h.trace {
+		trace = func(line string) { fmt.Println(line) }
+	}
+	run := simulator.Run(scenario, seed, simulator.Sizes[h.size], trace)
+	result.summary, result.violations, result.comebacks = run.Checker.Summary(), run.Checker.Violations(), run.Comeback
+	return result
+}
+
+// shortest leaves faults out of a failing seed's list for as long as it fails.
+func (h *hunt) shortest(scenario simulator.Scenario, seed uint64) {
+	plot := scenario.Plot(seed)
+	plot.Storm = faults.Shorten(plot.Storm, func(storm []faults.Fault) bool {
+		shorter := plot
+		shorter.Storm = storm
+		again := h.one(simulator.Scenario{Name: scenario.Name, Plot: func(uint64) simulator.Plot { return shorter }}, seed)
+		return len(again.violations) > 0 || again.broken != nil
+	})
+	fmt.Printf("    shortest: -plot %q -last %q, clocks apart %s\n", faults.Format(plot.Storm), plot.Last, plot.Apart)
+}
+
+// tellParts tells the distribution of each part of coming back after a failure.
+func tellParts(comebacks []simulator.Comeback) {
+	parts := []struct {
+		name string
+		of   func(simulator.Comeback) time.Duration
+	}{
+		{"noticed", func(each simulator.Comeback) time.Duration { return each.Noticed }},
+		{"decided", func(each simulator.Comeback) time.Duration { return each.Decided }},
+		{"taken over", func(each simulator.Comeback) time.Duration { return each.TakenOver }},
+		{"refilled", func(each simulator.Comeback) time.Duration { return each.Refilled }},
+		{"last caller back", func(each simulator.Comeback) time.Duration { return each.CallersBack }},
+		{"service back", func(each simulator.Comeback) time.Duration {
+			return max(each.TakenOver, each.Refilled, each.CallersBack)
+		}},
+	}
+	for _, part := range parts {
+		var lengths []time.Duration
+		for _, each := range comebacks {
+			lengths = append(lengths, part.of(each))
+		}
+		if len(lengths) == 0 {
+			return
+		}
+		slices.Sort(lengths)
+		at := func(share float64) time.Duration {
+			return lengths[min(len(lengths)-1, int(share*float64(len(lengths))))].Round(10 * time.Millisecond)
+		}
+		fmt.Printf("  %-17s half %6s, nine in ten %6s, 99 in 100 %6s, longest %6s\n", part.name, at(0.5), at(0.9), at(0.99), at(1))
+	}
+}
--- a/cmd/harbour/trial.go
+++ b/cmd/fleetlab/trial.go
@@ -1,6 +1,6 @@
 // The trial: a whole deployment as real processes on one machine, driven with
 // the stated load by stand-in callers, while faults are brought about, and
-// judged by the oracle from what callers and operators saw.
+// judged by the checker from what callers and operators saw.
 package main
 
 import (
@@ -16,10 +16,10 @@
 
 	"github.com/google/subcommands"
 
-	"dahlialock/internal/beacon"
-	"dahlialock/internal/fleet"
-	"dahlialock/internal/oracle"
-	"dahlialock/internal/squall"
+	"dahlialock/internal/checker"
+	"dahlialock/internal/faults"
+	"dahlialock/internal/membership"
+	"dahlialock/internal/testfleet"
 )
 
 type trial struct {
@@ -37,64 +37,64 @@
 func (*trial) Usage() string {
 	return "trial [-deployment D] [-length 2m] [-faults all|NAMES|pair] [-count N] [-last NAME] [-seed N]\n"
 }
-func (trial *trial) SetFlags(set *flag.FlagSet) {
-	set.StringVar(&trial.deployment, "deployment", "fjordlys", "the `size`: small, fjordlys or qureshi")
-	set.StringVar(&trial.folder, "folder", "", "`folder` for settings, logs and data; a new one if not given")
-	set.StringVar(&trial.binaries, "binaries", ownFolder(), "`folder` of the daemons' programs")
-	set.StringVar(&trial.faults, "faults", "", "`names` of faults with commas between, to draw from; all; or pair for two that the seed picks. Known: "+strings.Join(squall.Names, ", "))
-	set.IntVar(&trial.count, "count", 0, "how `many` faults to draw; one for each 8 s if not given")
-	set.StringVar(&trial.plot, "plot", "", "a `list` of faults as name@start+length#pick, instead of drawing")
-	set.StringVar(&trial.last, "last", "", "the last fault, which stays: draw, or a `name` of "+strings.Join(squall.Last, ", "))
-	set.DurationVar(&trial.length, "length", 2*time.Minute, "how `long` the load lasts")
-	set.IntVar(&trial.origins, "origins", 580, "how `many` channels")
-	set.Float64Var(&trial.kept, "kept", 300, "kept messages a `second`")
-	set.Float64Var(&trial.urgent, "urgent", 8, "urgent messages a `second`")
-	set.Uint64Var(&trial.seed, "seed", 1, "the `seed` of the callers' choices")
-	set.BoolVar(&trial.keep, "keep", false, "keep the folder")
-	set.BoolVar(&trial.economy, "economy", false, "let lanterns rest")
+func (t *trial) SetFlags(set *flag.FlagSet) {
+	set.StringVar(&t.deployment, "deployment", "fjordlys", "the `size`: small, fjordlys or qureshi")
+	set.StringVar(&t.folder, "folder", "", "`folder` for settings, logs and data; a new one if not given")
+	set.StringVar(&t.binaries, "binaries", ownFolder(), "`folder` of the daemons' programs")
+	set.StringVar(&t.faults, "faults", "", "`names` of faults with commas between, to draw from; all; or pair for two that the seed picks. Known: "+strings.Join(faults.Names, ", "))
+	set.IntVar(&t.count, "count", 0, "how `many` faults to draw; one for each 8 s if not given")
+	set.StringVar(&t.plot, "plot", "", "a `list` of faults as name@start+length#pick, instead of drawing")
+	set.StringVar(&t.last, "last", "", "the last fault, which stays: draw, or a `name` of "+strings.Join(faults.Last, ", "))
+	set.DurationVar(&t.length, "length", 2*time.Minute, "how `long` the load lasts")
+	set.IntVar(&t.origins, "origins", 580, "how `many` channels")
+	set.Float64Var(&t.kept, "kept", 300, "kept messages a `second`")
+	set.Float64Var(&t.urgent, "urgent", 8, "urgent messages a `second`")
+	set.Uint64Var(&t.seed, "seed", 1, "the `seed` of the callers' choices")
+	set.BoolVar(&t.keep, "keep", false, "keep the folder")
+	set.BoolVar(&t.economy, "economy", false, "let gateways rest")
 }
 
-// book is the one owner of the oracle; all others send it what they saw.
+// book is the one owner of the checker; all others send it what they saw.
 type book struct {
-	entries chan func(oracle *oracle.Oracle)
+	entries chan func(checker *checker.Checker)
 	done    chan struct{}
-	oracle  *oracle.Oracle
+	checker *checker.Checker
 }
 
 func newBook() *book {
-	book := &book{entries: make(chan func(*oracle.Oracle), 4096), done: make(chan struct{}), oracle: oracle.New()}
+	book := &book{entries: make(chan func(*checker.Checker), 4096), done: make(chan struct{}), checker: checker.New()}
 	go func() {
 		defer close(book.done)
 		for entry := range book.entries {
-			entry(book.oracle)
+			entry(book.checker)
 		}
 	}()
 	return book
 }
 
-func (book *book) note(entry func(oracle *oracle.Oracle)) { book.entries <- entry }
+func (b *book) note(entry func(checker *checker.Checker)) { b.entries <- entry }
 
-func (trial *trial) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	storm, fault := trial.draw()
-	if fault != nil {
-		fmt.Fprintln(os.Stderr, "harbour:", fault)
+func (t *trial) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	storm, err := t.draw()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "fleetlab:", err)
 		return subcommands.ExitUsageError
 	}
-	running, folder, fault := begin(trial.deployment, trial.folder, trial.binaries)
-	if fault != nil {
-		fmt.Fprintln(os.Stderr, "harbour:", fault)
+	running, folder, err := begin(t.deployment, t.folder, t.binaries)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "fleetlab:", err)
 		return subcommands.ExitFailure
 	}
-	if trial.folder == "" && !trial.keep {
+	if t.folder == "" && !t.keep {
 		defer func() { _ = os.RemoveAll(folder) }()
 	}
 	defer running.StopAll()
-	if fault := running.WaitReady(60*time.Second, running.Names()...); fault != nil {
-		fmt.Fprintln(os.Stderr, "harbour:", fault)
+	if err := running.WaitReady(60*time.Second, running.Names()...); err != nil {
+		fmt.Fprintln(os.Stderr, "fleetlab:", err)
 		return subcommands.ExitFailure
 	}
 	run := &trialRun{
-		trial: trial, fleet: running, book: newBook(), random: rand.New(rand.NewPCG(trial.seed, 0xba5e)), platform: newPlatform(running),
+		trial: t, fleet: running, book: newBook(), random: rand.New(rand.NewPCG(t.seed, 0xba5e)), platform: newPlatform(running),
 		quiet: make(chan struct{}), storm: storm, unready: map[string]time.Duration{},
 	}
 	run.operator = newOperator(run)
@@ -102,22 +102,22 @@
 	return run.run()
 }
 
-// platform asks every lantern's readiness each second, and spreads new
+// platform asks every gateway's readiness each second, and spreads new
 // connections over the ready ones of a zone.
 type platform struct {
-	fleet *fleet.Fleet
+	fleet *testfleet.Fleet
 	asks  chan chan map[string]bool
 }
 
-func newPlatform(running *fleet.Fleet) *platform {
+func newPlatform(running *testfleet.Fleet) *platform {
 	platform := &platform{fleet: running, asks: make(chan chan map[string]bool)}
 	checked := make(chan map[string]bool)
 	go func() {
 		for {
 			ready := map[string]bool{}
 			results := make(chan string, 64)
-			lanterns := running.OfKind(beacon.KindLantern)
-			for _, daemon := range lanterns {
+			gateways := running.OfKind(membership.KindGateway)
+			for _, daemon := range gateways {
 				go func() {
 					if daemon.Running() && daemon.Ready() {
 						results <- daemon.Name
@@ -126,7 +126,7 @@
 					results <- ""
 				}()
 			}
-			for range lanterns {
+			for range gateways {
 				if name := <-results; name != "" {
 					ready[name] = true
 				}
@@ -148,17 +148,17 @@
 	return platform
 }
 
-func (platform *platform) pick(random *rand.Rand, locality string) *fleet.Daemon {
+func (p *platform) pick(random *rand.Rand, zone string) *testfleet.Daemon {
 	ask := make(chan map[string]bool, 1)
-	platform.asks <- ask
+	p.asks <- ask
 	ready := <-ask
-	var near, far []*fleet.Daemon
-	for _, daemon := range platform.fleet.OfKind(beacon.KindLantern) {
+	var near, far []*testfleet.Daemon
+	for _, daemon := range p.fleet.OfKind(membership.KindGateway) {
 		if !ready[daemon.Name] {
 			continue
 		}
 		far = append(far, daemon)
-		if daemon.Locality == locality {
+		if daemon.Zone == zone {
 			near = append(near, daemon)
 		}
 	}
@@ -173,13 +173,13 @@
 
 type trialRun struct {
 	trial    *trial
-	fleet    *fleet.Fleet
+	fleet    *testfleet.Fleet
 	book     *book
 	random   *rand.Rand
 	platform *platform
 	quiet    chan struct{}
 	origins  []*trialOrigin
-	storm    []squall.Fault
+	storm    []faults.Fault
 	hand     *hand
 	operator *operator
 	calm     atomic.Int64
@@ -190,8 +190,8 @@
 
 // calmSince is the moment from which nothing goes wrong; now, while a fault is
 // under way.
-func (run *trialRun) calmSince() time.Time {
-	if since := run.calm.Load(); since > 0 {
+func (tr *trialRun) calmSince() time.Time {
+	if since := tr.calm.Load(); since > 0 {
 		return time.Unix(0, since)
 	}
 	return time.Now()
@@ -199,9 +199,9 @@
 
 const sampleEvery = 200 * time.Millisecond
 
-// sample watches which configuration is in force on the lanterns, and which of
+// sample watches which configuration is in force on the gateways, and which of
 // them ought to be ready and are not.
-func (run *trialRun) sample(stop chan struct{}) {
+func (tr *trialRun) sample(stop chan struct{}) {
 	since := map[string]time.Time{}
 	starts := map[string]int64{}
 	for {
@@ -210,32 +210,32 @@
 			return
 		case <-time.After(sampleEvery):
 		}
-		for _, daemon := range run.fleet.OfKind(beacon.KindLantern) {
+		for _, daemon := range tr.fleet.OfKind(membership.KindGateway) {
 			if !daemon.Running() {
 				continue
 			}
 			began := time.Now()
-			self, fault := daemon.Self()
+			self, err := daemon.Self()
 			at := time.Now()
-			if fault != nil || self["ready"] != true {
+			if err != nil || self["ready"] != true {
 				if orders, _ := within(self, "counters", "orders").(map[string]any); orders["Rest"] != true {
-					run.unready[daemon.Name] += sampleEvery
-					calm := run.calmSince()
-					if !run.hand.left(daemon.Name) {
-						run.book.note(func(oracle *oracle.Oracle) { oracle.NotReady(daemon.Name, calm, at) })
+					tr.unready[daemon.Name] += sampleEvery
+					calm := tr.calmSince()
+					if !tr.hand.left(daemon.Name) {
+						tr.book.note(func(checker *checker.Checker) { checker.NotReady(daemon.Name, calm, at) })
 					}
 				}
 			}
-			if fault != nil || starts[daemon.Name] != daemon.Starts() || self["ready"] != true {
+			if err != nil || starts[daemon.Name] != daemon.Starts() || self["ready"] != true {
 				starts[daemon.Name] = daemon.Starts()
 				since[daemon.Name] = at
 				continue
 			}
 			version, _ := self["version"].(float64)
 			healthy := since[daemon.Name]
-			run.book.note(func(oracle *oracle.Oracle) {
-				oracle.InForce(daemon.Name, uint64(version), true, healthy, at)
-				oracle.Showed(daemon.Name, uint64(version), began, at)
+			tr.book.note(func(checker *checker.Checker) {
+				checker.InForce(daemon.Name, uint64(version), true, healthy, at)
+				checker.Showed(daemon.Name, uint64(version), began, at)
 			})
 		}
 	}
@@ -253,16 +253,16 @@
 	return value
 }
 
-func (run *trialRun) run() subcommands.ExitStatus {
-	run.book.note(func(oracle *oracle.Oracle) {
-		oracle.Space("boards", true, false)
-		oracle.Space("urgent", true, false)
-		oracle.Space("decisions", true, true)
-		oracle.Space("cursors", false, false)
-		oracle.AnswerWithin("boards", 1500*time.Millisecond)
-		oracle.AnswerWithin("urgent", time.Second)
+func (tr *trialRun) run() subcommands.ExitStatus {
+	tr.book.note(func(checker *checker.Checker) {
+		checker.Space("boards", true, false)
+		checker.Space("urgent", true, false)
+		checker.Space("decisions", true, true)
+		checker.Space("cursors", false, false)
+		checker.AnswerWithin("boards", 1500*time.Millisecond)
+		checker.AnswerWithin("urgent", time.Second)
 	})
-	if !run.operator.next(20 * time.Second) {
+	if !tr.operator.next(20 * time.Second) {
 		fmt.Println("no configuration was taken")
 		return subcommands.ExitFailure
 	}
@@ -271,60 +271,60 @@
 	sampled := make(chan struct{})
 	go func() {
 		defer close(sampled)
-		run.sample(stopSample)
+		tr.sample(stopSample)
 	}()
 	began := time.Now()
-	run.startOrigins()
-	if !run.waitSubscribed(60 * time.Second) {
+	tr.startOrigins()
+	if !tr.waitSubscribed(60 * time.Second) {
 		fmt.Println("not all origins are subscribed")
-		run.tellUnserved()
+		tr.tellUnserved()
 	}
-	fmt.Printf("%d origins subscribed after %s\n", len(run.origins), time.Since(began).Round(10*time.Millisecond))
-	before := run.measure()
+	fmt.Printf("%d origins subscribed after %s\n", len(tr.origins), time.Since(began).Round(10*time.Millisecond))
+	before := tr.measure()
 	loadBegan := time.Now()
-	for _, each := range run.origins {
+	for _, each := range tr.origins {
 		each.start()
 	}
-	run.calm.Store(time.Now().Add(-oracle.TroubleFor).UnixNano())
-	run.operator.work()
-	run.hand.storm(run.storm, run.trial.length)
-	after := run.measure()
+	tr.calm.Store(time.Now().Add(-checker.TroubleFor).UnixNano())
+	tr.operator.work()
+	tr.hand.storm(tr.storm, tr.trial.length)
+	after := tr.measure()
 	loadFor := time.Since(loadBegan)
-	if run.trial.last != "" {
-		run.hand.last(run.trial.last)
+	if tr.trial.last != "" {
+		tr.hand.last(tr.trial.last)
 	}
-	run.operator.stop()
-	close(run.quiet)
+	tr.operator.stop()
+	close(tr.quiet)
 	fmt.Println("load ended; callers have 25 s to come back and receive what they missed")
 	time.Sleep(20 * time.Second)
-	served := run.waitSubscribed(5 * time.Second)
+	served := tr.waitSubscribed(5 * time.Second)
 	close(stopSample)
 	<-sampled
-	for _, each := range run.origins {
+	for _, each := range tr.origins {
 		each.stop()
 	}
 	time.Sleep(300 * time.Millisecond)
 	at := time.Now()
-	run.book.note(func(oracle *oracle.Oracle) {
+	tr.book.note(func(checker *checker.Checker) {
 		if !served {
-			run.tellUnserved()
-			oracle.Violate("not-back", "not all origins are served at the end")
+			tr.tellUnserved()
+			checker.Violate("not-back", "not all origins are served at the end")
 		}
-		oracle.Close(at)
+		checker.Close(at)
 	})
-	close(run.book.entries)
-	<-run.book.done
-	run.report(before, after, loadFor)
-	if len(run.book.oracle.Violations()) > 0 {
+	close(tr.book.entries)
+	<-tr.book.done
+	tr.report(before, after, loadFor)
+	if len(tr.book.checker.Violations()) > 0 {
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
 }
 
 // missing counts the origins that ought to be served and are not.
-func (run *trialRun) missing() int {
+func (tr *trialRun) missing() int {
 	missing := 0
-	for _, each := range run.origins {
+	for _, each := range tr.origins {
 		if !each.served.Load() && time.Now().UnixNano() > each.awayUntil.Load() {
 			missing++
 		}
@@ -332,10 +332,10 @@
 	return missing
 }
 
-func (run *trialRun) waitSubscribed(limit time.Duration) bool {
+func (tr *trialRun) waitSubscribed(limit time.Duration) bool {
 	until := time.Now().Add(limit)
 	for time.Now().Before(until) {
-		if run.missing() == 0 {
+		if tr.missing() == 0 {
 			return true
 		}
 		time.Sleep(50 * time.Millisecond)
@@ -343,8 +343,8 @@
 	return false
 }
 
-func (run *trialRun) tellUnserved() {
-	for _, each := range run.origins {
+func (tr *trialRun) tellUnserved() {
+	for _, each := range tr.origins {
 		if !each.served.Load() {
 			fmt.Printf("  %s: %s\n", each.name, *each.last.Load())
 		}
@@ -361,19 +361,19 @@
 	copies     float64
 	stray      float64
 	overlay    float64
-	lanternsUp int
+	gatewaysUp int
 }
 
-func (run *trialRun) measure() measured {
+func (tr *trialRun) measure() measured {
 	sum := measured{processor: map[string]time.Duration{}}
-	for _, name := range run.fleet.Names() {
-		daemon := run.fleet.Daemons[name]
+	for _, name := range tr.fleet.Names() {
+		daemon := tr.fleet.Daemons[name]
 		if !daemon.Running() {
 			continue
 		}
 		sum.processor[daemon.Kind] += daemon.ProcessorTime()
-		self, fault := daemon.Self()
-		if fault != nil {
+		self, err := daemon.Self()
+		if err != nil {
 			continue
 		}
 		links, _ := self["links"].(map[string]any)
@@ -386,21 +386,21 @@
 		sum.syncs += number(self, "syncs")
 		sum.steps += number(self, "steps")
 		counters, _ := self["counters"].(map[string]any)
-		lantern, _ := counters["lantern"].(map[string]any)
-		sum.delivered += number(lantern, "Delivered")
-		sum.copies += number(lantern, "CopiesOut")
-		sum.stray += number(lantern, "CopiesStray")
+		gateway, _ := counters["gateway"].(map[string]any)
+		sum.delivered += number(gateway, "Delivered")
+		sum.copies += number(gateway, "CopiesOut")
+		sum.stray += number(gateway, "CopiesStray")
 		overlay, _ := counters["overlay"].(map[string]any)
 		sum.overlay += number(overlay, "SignalsOut")
 	}
 	return sum
 }
 
-func (run *trialRun) report(before, after measured, length time.Duration) {
-	fmt.Println(run.book.oracle.Summary())
-	fmt.Printf("not accepted, by code: %v; unready lantern-seconds: %v\n", run.book.oracle.Codes, run.unready)
+func (tr *trialRun) report(before, after measured, length time.Duration) {
+	fmt.Println(tr.book.checker.Summary())
+	fmt.Printf("not accepted, by code: %v; unready gateway-seconds: %v\n", tr.book.checker.Codes, tr.unready)
 	delivered := after.delivered - before.delivered
-	if delivered > 0 && len(run.storm) == 0 {
+	if delivered > 0 && len(tr.storm) == 0 {
 		kinds := []string{}
 		for kind := range after.processor {
 			kinds = append(kinds, kind)
@@ -409,13 +409,13 @@
 		for _, kind := range kinds {
 			fmt.Printf("processor %s: %.2f ms for each 100 delivered\n", kind, float64((after.processor[kind]-before.processor[kind]).Microseconds())/1000/delivered*100)
 		}
-		fmt.Printf("for each delivered: %.0f bytes between localities, %.2f messages, %.3f syncs, %.2f steps, %.3f copies, %.3f overlay signals; stray copies %.0f of %.0f\n",
+		fmt.Printf("for each delivered: %.0f bytes between zones, %.2f messages, %.3f syncs, %.2f steps, %.3f copies, %.3f overlay signals; stray copies %.0f of %.0f\n",
 			(after.bytesAway-before.bytesAway)/delivered, (after.messages-before.messages)/delivered, (after.syncs-before.syncs)/delivered,
 			(after.steps-before.steps)/delivered, (after.copies-before.copies)/delivered, (after.overlay-before.overlay)/delivered,
 			after.stray-before.stray, after.copies-before.copies)
 		fmt.Printf("load for %s: delivered %.0f\n", length.Round(time.Second), delivered)
 	}
-	for _, line := range run.book.oracle.Violations() {
+	for _, line := range tr.book.checker.Violations() {
 		fmt.Println(" ", line)
 	}
 }
--- /dev/null
+++ b/cmd/gateway/main.go
@@ -0,0 +1,89 @@
+// The gateway daemon: the proxy that holds client connections.
+package main
+
+import (
+	"net/http"
+	"os"
+	"syscall"
+	"time"
+
+	"dahlialock/internal/daemon"
+	"dahlialock/internal/gateway"
+	"dahlialock/internal/httpapi"
+	"dahlialock/internal/lineserver"
+	"dahlialock/internal/membership"
+	"dahlialock/internal/settings"
+	"dahlialock/platform"
+)
+
+func main() {
+	os.Exit(daemon.Main(membership.KindGateway, os.Args[1:], build))
+}
+
+// processorTime is what this process has used so far.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func build(current settings.Settings, self membership.Member, _ daemon.Stored) (daemon.Build, error) {
+	key := []byte(current.Key)
+	callersKey := key
+	if current.Admission == settings.AdmissionOpen {
+		callersKey = nil
+	}
+	machine := gateway.New(gateway.Settings{Self: self, Agent: current.Agent, Key: key, OriginsMost: current.OriginsMost, Processor: processorTime,
+		// A sixth of the time in which a version is to be in force is left for news
+		// on its way, and two fifths of the grace for what comes after the callers.
+		ConfirmedFor: current.Bounds.Apply * 5 / 6, StopWithin: current.Bounds.Grace * 3 / 5,
+	})
+	built := daemon.Build{
+		Machine: machine,
+		Ready:   func(now time.Time) bool { return machine.Ready(now) },
+		Stop:    gateway.Stop{},
+		Slow:    func(channel uint64) any { return gateway.CloseChannel{Channel: channel, Why: "slow"} },
+		Request: func(local uint64, method, path string, body []byte) any {
+			return gateway.ControlRequest{Local: local, Method: method, Path: path, Body: body}
+		},
+		Find: func(local uint64, request, message, origin string) any {
+			return gateway.FindDecisions{Local: local, Request: request, Message: message, Origin: origin}
+		},
+		Counters: func() any {
+			subscribing, publishing := machine.Overlay().Hosted()
+			return map[string]any{
+				"gateway": machine.Counts, "overlay": machine.Overlay().Counts, "peers_subscribing": subscribing, "peers_publishing": publishing,
+				"load": machine.Load(), "orders": machine.Follower().Orders,
+			}
+		},
+		Caller:  func(at *daemon.Host) http.Handler { return httpapi.New(current.Name, callersKey, at) },
+		Reload:  func(after settings.Settings) { machine.SetOriginsMost(after.OriginsMost) },
+		Adapter: platform.Adapter(current),
+	}
+	if current.Callers == settings.CallersLines {
+		serveLines(&built, current, callersKey)
+	}
+	return built, nil
+}
+
+// serveLines has callers speak lines in place of HTTP.
+func serveLines(built *daemon.Build, current settings.Settings, key []byte) {
+	var served *lineserver.Server
+	var admit func(origin, token string) bool
+	if len(key) > 0 {
+		admit = func(origin, token string) bool { return httpapi.Origin(key, token) == origin }
+	}
+	own := built.Counters
+	built.Counters = func() any { return map[string]any{"machine": own(), "callers": served.Sums()} }
+	built.Callers = func(at *daemon.Host, address string) (daemon.Server, error) {
+		var err error
+		served, err = lineserver.Start(lineserver.Settings{
+			Address: address, Host: at, Protocol: platform.Lines{}, Admit: admit, Silent: 3 * current.Bounds.Ping,
+			// A few more than may open a channel, so that they are told to go elsewhere.
+			ConnectionsMost: current.OriginsMost + current.OriginsMost/10 + 64,
+		})
+		return served, err
+	}
+}
--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,59 @@
+package agent_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dahlialock/internal/agent"
+	"dahlialock/internal/membership"
+	"dahlialock/internal/statemachine"
+)
+
+const gateway = "10.0.0.1:1"
+
+func started(at time.Time) *agent.Agent {
+	made := agent.New(agent.Settings{Self: membership.Member{Name: "agent-1", Kind: membership.KindAgent}, Seeds: []string{"10.0.0.9:1"}, Gateway: gateway})
+	var effects statemachine.Effects
+	made.Start(at, &effects)
+	return made
+}
+
+func stop(made *agent.Agent, at time.Time) bool {
+	var effects statemachine.Effects
+	made.Command(at, agent.Stop{}, &effects)
+	return effects.Stop
+}
+
+func TestAAgentWithoutAGatewayStopsAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	assert.Assert(t, stop(started(now), now))
+}
+
+func TestAAgentOutlivesItsGateway(t *testing.T) {
+	now := time.Unix(1000, 0)
+	made := started(now)
+	var effects statemachine.Effects
+	made.Message(now, statemachine.Meta{From: gateway}, membership.Ask{Nonce: 1}, &effects)
+	now = now.Add(time.Second)
+	assert.Assert(t, !stop(made, now))
+	// Someone else's farewell means nothing.
+	effects = statemachine.Effects{}
+	made.Message(now, statemachine.Meta{From: "10.0.0.5:1"}, membership.Farewell{Name: "other"}, &effects)
+	assert.Assert(t, !effects.Stop)
+	made.Message(now, statemachine.Meta{From: gateway}, membership.Farewell{Name: "gateway-1"}, &effects)
+	assert.Assert(t, effects.Stop)
+}
+
+func TestAAgentDoesNotWaitForEver(t *testing.T) {
+	now := time.Unix(1000, 0)
+	made := started(now)
+	var effects statemachine.Effects
+	made.Message(now, statemachine.Meta{From: gateway}, membership.Ask{Nonce: 1}, &effects)
+	assert.Assert(t, !stop(made, now))
+	for until := now.Add(4 * time.Second); !effects.Stop && !now.After(until); now = now.Add(100 * time.Millisecond) {
+		made.Due(now, &effects)
+	}
+	assert.Assert(t, effects.Stop)
+}
--- /dev/null
+++ b/internal/checker/checker_test.go
@@ -0,0 +1,125 @@
+// Each kind of violation is planted once, and the checker must name that kind
+// and no other; an honest run must pass.
+package checker
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func honest(at func(seconds float64) time.Time) *Checker {
+	checker := New()
+	checker.Space("kept", true, false)
+	checker.Space("one", true, true)
+	checker.Space("pass", false, false)
+	for _, name := range []string{"ada", "bob"} {
+		for _, space := range []string{"kept", "one", "pass"} {
+			checker.Asked(name, Interest{Space: space, Wide: true}, at(0))
+			checker.Subscribed(name, Interest{Space: space, Wide: true}, at(0.1))
+		}
+	}
+	for seq := uint64(1); seq <= 4; seq++ {
+		for _, space := range []string{"kept", "one", "pass"} {
+			message := Message{Space: space, Sender: "cy", Seq: seq}
+			began := at(float64(seq))
+			checker.Try(message, "a/b", "data", began)
+			checker.Answered(message, "accepted", began, began.Add(time.Millisecond))
+			for _, name := range []string{"ada", "bob"} {
+				checker.Got(name, message, "a/b", "data", began.Add(2*time.Millisecond))
+			}
+		}
+	}
+	checker.PutTaken(1, "one", at(0), at(0))
+	checker.InForce("gateway", 1, true, at(0), at(5))
+	checker.ReadBack(1, "one", at(5), at(5))
+	return checker
+}
+
+func TestEachPlantedViolationIsNamed(t *testing.T) {
+	start := time.Unix(5000, 0)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	fresh := Message{Space: "kept", Sender: "cy", Seq: 9}
+	try := func(checker *Checker, message Message, outcome string) {
+		checker.Try(message, "a/b", "data", at(9))
+		checker.Answered(message, outcome, at(9), at(9.1))
+	}
+	plants := map[string]func(checker *Checker){
+		"": func(*Checker) {},
+		NotInForce: func(checker *Checker) {
+			checker.PutTaken(2, "two", at(6), at(6))
+			checker.InForce("gateway", 1, true, at(0), at(9.5))
+		},
+		WentBack: func(checker *Checker) { checker.InForce("gateway", 0, true, at(0), at(1)) },
+		StaleRead: func(checker *Checker) {
+			checker.PutTaken(2, "two", at(6), at(6))
+			checker.ReadBack(1, "one", at(7), at(7))
+		},
+		BrokenTaken: func(checker *Checker) { checker.BrokenWasTaken("a broken one") },
+		Lost: func(checker *Checker) {
+			try(checker, fresh, "accepted")
+			checker.Got("ada", fresh, "a/b", "data", at(9.2))
+		},
+		Twice: func(checker *Checker) {
+			checker.Got("ada", Message{Space: "kept", Sender: "cy", Seq: 2}, "a/b", "data", at(9))
+		},
+		OutOfOrder: func(checker *Checker) {
+			late := Message{Space: "pass", Sender: "cy", Seq: 0}
+			try(checker, late, "accepted")
+			checker.Got("ada", late, "a/b", "data", at(9))
+		},
+		PlaceRefused: func(checker *Checker) { checker.PlaceLost("ada", at(5), at(39)) },
+		NeverAsked: func(checker *Checker) {
+			checker.Got("eve", Message{Space: "kept", Sender: "cy", Seq: 2}, "a/b", "data", at(9))
+		},
+		AllRefused: func(checker *Checker) {
+			message := Message{Space: "pass", Sender: "cy", Seq: 9}
+			try(checker, message, "refused")
+			checker.Got("ada", message, "a/b", "data", at(9))
+		},
+		AfterRemoval: func(checker *Checker) {
+			message := Message{Space: "pass", Sender: "cy", Seq: 9}
+			try(checker, message, "accepted")
+			checker.Removed("pass", at(6))
+			checker.Got("ada", message, "a/b", "data", at(9.1))
+		},
+		NotBack: func(checker *Checker) { checker.Served("a zone lost", 13*time.Second) },
+		Disagree: func(checker *Checker) {
+			left, right := Message{Space: "one", Sender: "dan", Seq: 1}, Message{Space: "one", Sender: "eve", Seq: 1}
+			try(checker, left, "accepted")
+			try(checker, right, "accepted")
+			checker.Got("ada", left, "a/b", "data", at(9.2))
+			checker.Got("ada", right, "a/b", "data", at(9.2))
+			checker.Got("bob", right, "a/b", "data", at(9.2))
+			checker.Got("bob", left, "a/b", "data", at(9.2))
+		},
+	}
+	for kind, plant := range plants {
+		checker := honest(at)
+		plant(checker)
+		checker.Close(at(20))
+		if kind == "" {
+			assert.Equal(t, len(checker.Violations()), 0, "%v", checker.Violations())
+			continue
+		}
+		assert.Assert(t, len(checker.Violations()) > 0, "%s was not caught", kind)
+		for _, line := range checker.Violations() {
+			assert.Assert(t, strings.HasPrefix(line, kind+": "), "%s was planted, %s was named", kind, line)
+		}
+	}
+}
+
+func TestLateAnswersAreCounted(t *testing.T) {
+	start := time.Unix(5000, 0)
+	checker := New()
+	checker.Space("urgent", true, false)
+	checker.AnswerWithin("urgent", time.Second)
+	for seq, took := range []time.Duration{time.Millisecond, time.Second, 1001 * time.Millisecond} {
+		message := Message{Space: "urgent", Sender: "cy", Seq: uint64(seq + 1)}
+		checker.Try(message, "a", "data", start)
+		checker.Answered(message, "accepted", start, start.Add(took))
+	}
+	assert.Equal(t, checker.Late, 1)
+}
--- a/internal/oracle/topics.go
+++ b/internal/checker/topics.go
@@ -2,14 +2,14 @@
 // all of its connections until the caller ends it, is told that its place is
 // lost, or a configuration is sent that takes its route away. It is owed what was
 // first sent after it was first confirmed and was accepted before it ended.
-package oracle
+package checker
 
 import (
 	"slices"
 	"strings"
 	"time"
 
-	"dahlialock/internal/helm"
+	"dahlialock/internal/statemachine"
 )
 
 // Spans and bounds that the promises of routed topics name.
@@ -61,8 +61,8 @@
 	taken    time.Time
 }
 
-func (routing *routing) leads(topic string) bool {
-	return slices.ContainsFunc(routing.prefixes, func(prefix string) bool { return strings.HasPrefix(topic, prefix) })
+func (r *routing) leads(topic string) bool {
+	return slices.ContainsFunc(r.prefixes, func(prefix string) bool { return strings.HasPrefix(topic, prefix) })
 }
 
 // span is a connection on which a subscription was present. Who falls silent may
@@ -80,7 +80,7 @@
 
 // Subscription is one caller's subscription to a routed topic.
 type Subscription struct {
-	oracle    *Oracle
+	checker   *Checker
 	name      string
 	topic     string
 	firstOK   time.Time
@@ -116,14 +116,14 @@
 
 // Route tells of a prefix that configurations lead to a space, in some or all
 // versions.
-func (oracle *Oracle) Route(prefix string, kept bool, holding time.Duration) {
-	oracle.Topics.routes = append(oracle.Topics.routes, route{prefix: prefix, kept: kept, holding: holding})
+func (c *Checker) Route(prefix string, kept bool, holding time.Duration) {
+	c.Topics.routes = append(c.Topics.routes, route{prefix: prefix, kept: kept, holding: holding})
 }
 
 // routeOf is the route of a topic: the longest prefix wins.
-func (topics *Topics) routeOf(topic string) route {
+func (t *Topics) routeOf(topic string) route {
 	var best route
-	for _, each := range topics.routes {
+	for _, each := range t.routes {
 		if strings.HasPrefix(topic, each.prefix) && len(each.prefix) >= len(best.prefix) {
 			best = each
 		}
@@ -133,10 +133,10 @@
 
 // RoutesSent tells that a configuration is put, with all its prefixes: whatever
 // it no longer leads anywhere ends.
-func (oracle *Oracle) RoutesSent(version uint64, prefixes []string, at time.Time) {
+func (c *Checker) RoutesSent(version uint64, prefixes []string, at time.Time) {
 	sent := &routing{version: version, prefixes: prefixes, sent: at}
-	oracle.Topics.routings = append(oracle.Topics.routings, sent)
-	for topic, subscriptions := range oracle.Topics.subscriptions {
+	c.Topics.routings = append(c.Topics.routings, sent)
+	for topic, subscriptions := range c.Topics.subscriptions {
 		if sent.leads(topic) {
 			continue
 		}
@@ -147,8 +147,8 @@
 }
 
 // RoutesTaken tells that it was acknowledged.
-func (oracle *Oracle) RoutesTaken(version uint64, at time.Time) {
-	for _, each := range oracle.Topics.routings {
+func (c *Checker) RoutesTaken(version uint64, at time.Time) {
+	for _, each := range c.Topics.routings {
 		if each.version == version && each.taken.IsZero() {
 			each.taken = at
 		}
@@ -157,9 +157,9 @@
 
 // mayLead tells whether a request for a topic that was sent at one moment and
 // answered at another may have been handled as one with, or without, a route.
-func (topics *Topics) mayLead(topic string, leads bool, sent, at time.Time) bool {
+func (t *Topics) mayLead(topic string, leads bool, sent, at time.Time) bool {
 	newest := uint64(0)
-	for _, each := range topics.routings {
+	for _, each := range t.routings {
 		if !each.taken.IsZero() && sent.Sub(each.taken) > ForceWithin {
 			newest = max(newest, each.version)
 		}
@@ -167,16 +167,16 @@
 	if newest == 0 {
 		return true
 	}
-	return slices.ContainsFunc(topics.routings, func(each *routing) bool {
+	return slices.ContainsFunc(t.routings, func(each *routing) bool {
 		return each.version >= newest && !each.sent.After(at) && each.leads(topic) == leads
 	})
 }
 
 // Handled tells that a request for a topic was answered as for one that has, or
 // has not, a route.
-func (oracle *Oracle) Handled(what, topic string, leads bool, sent, at time.Time) {
-	if !oracle.Topics.mayLead(topic, leads, sent, at) {
-		oracle.Violate(WrongRoute, "%s on %s was handled as if it had a route: %v", what, topic, leads)
+func (c *Checker) Handled(what, topic string, leads bool, sent, at time.Time) {
+	if !c.Topics.mayLead(topic, leads, sent, at) {
+		c.Violate(WrongRoute, "%s on %s was handled as if it had a route: %v", what, topic, leads)
 	}
 }
 
@@ -184,8 +184,8 @@
 
 // PostTried tells that a message is sent, once more or for the first time, and
 // since when its sender wanted it to be.
-func (oracle *Oracle) PostTried(name Post, topic, body string, wanted, at time.Time) {
-	topics := oracle.Topics
+func (c *Checker) PostTried(name Post, topic, body string, wanted, at time.Time) {
+	topics := c.Topics
 	each, found := topics.posts[name]
 	if !found {
 		each = &post{name: name, topic: topic, body: body, wanted: wanted, firstTry: at}
@@ -196,20 +196,20 @@
 }
 
 // PostAnswered tells how a try ended.
-func (oracle *Oracle) PostAnswered(name Post, outcome string, at time.Time) {
-	each := oracle.Topics.posts[name]
+func (c *Checker) PostAnswered(name Post, outcome string, at time.Time) {
+	each := c.Topics.posts[name]
 	switch outcome {
 	case "accepted":
 		if !each.accepted {
-			oracle.Accepted++
+			c.Accepted++
 			each.accepted, each.acceptedAt = true, at
-			oracle.Answers = append(oracle.Answers, at.Sub(each.wanted))
+			c.Answers = append(c.Answers, at.Sub(each.wanted))
 		}
 	case "refused":
-		oracle.Refused++
+		c.Refused++
 		each.refused++
 	default:
-		oracle.Unsettled++
+		c.Unsettled++
 	}
 }
 
@@ -217,68 +217,68 @@
 
 // Subscribing tells that a caller begins to ask for a topic; a place that was
 // saved before, by whomever, may be taken up.
-func (oracle *Oracle) Subscribing(name, topic string, saved *Saved) *Subscription {
-	made := &Subscription{oracle: oracle, name: name, topic: topic, saved: saved, got: map[Post]time.Time{}, place: map[Post]int{}, last: map[string]uint64{}, missed: map[Post]bool{}}
-	oracle.Topics.subscriptions[topic] = append(oracle.Topics.subscriptions[topic], made)
+func (c *Checker) Subscribing(name, topic string, saved *Saved) *Subscription {
+	made := &Subscription{checker: c, name: name, topic: topic, saved: saved, got: map[Post]time.Time{}, place: map[Post]int{}, last: map[string]uint64{}, missed: map[Post]bool{}}
+	c.Topics.subscriptions[topic] = append(c.Topics.subscriptions[topic], made)
 	return made
 }
 
 // Confirmed tells that the subscription is confirmed, on a connection that was
 // begun at a moment.
-func (subscription *Subscription) Confirmed(opened, at time.Time) {
-	if subscription.firstOK.IsZero() {
-		subscription.firstOK = at
+func (s *Subscription) Confirmed(opened, at time.Time) {
+	if s.firstOK.IsZero() {
+		s.firstOK = at
 	}
-	subscription.opened, subscription.connected = at, true
-	subscription.present = append(subscription.present, span{from: at})
-	subscription.oracle.Topics.Joins = append(subscription.oracle.Topics.Joins, at.Sub(opened))
-	if !subscription.oracle.Topics.routeOf(subscription.topic).kept {
-		clear(subscription.last)
+	s.opened, s.connected = at, true
+	s.present = append(s.present, span{from: at})
+	s.checker.Topics.Joins = append(s.checker.Topics.Joins, at.Sub(opened))
+	if !s.checker.Topics.routeOf(s.topic).kept {
+		clear(s.last)
 	}
 }
 
 // Cut tells that the connection ended.
-func (subscription *Subscription) Cut(at time.Time) {
-	subscription.connected = false
-	if count := len(subscription.present); count > 0 && subscription.present[count-1].until.IsZero() {
-		subscription.present[count-1].until = at
+func (s *Subscription) Cut(at time.Time) {
+	s.connected = false
+	if count := len(s.present); count > 0 && s.present[count-1].until.IsZero() {
+		s.present[count-1].until = at
 	}
 }
 
 // Silenced tells that the caller fell silent instead of closing, and until when
 // its connection may be held open for it.
-func (subscription *Subscription) Silenced(at, until time.Time) {
-	if count := len(subscription.present); count > 0 && subscription.present[count-1].until.IsZero() {
-		subscription.present[count-1].lingers = until
+func (s *Subscription) Silenced(at, until time.Time) {
+	if count := len(s.present); count > 0 && s.present[count-1].until.IsZero() {
+		s.present[count-1].lingers = until
 	}
-	subscription.Cut(at)
+	s.Cut(at)
 }
 
 // End tells that the subscription ends.
-func (subscription *Subscription) End(at time.Time) {
-	if subscription.ended.IsZero() {
-		subscription.ended = at
+func (s *Subscription) End(at time.Time) {
+	if s.ended.IsZero() {
+		s.ended = at
 	}
-	subscription.Cut(at)
+	s.Cut(at)
 }
 
 // Ended tells whether it has.
-func (subscription *Subscription) Ended() bool { return !subscription.ended.IsZero() }
+func (s *Subscription) Ended() bool { return !s.ended.IsZero() }
 
 // owed tells whether a message is owed, as far as it is known by now.
-func (subscription *Subscription) owed(each *post) bool {
-	if !each.accepted || !subscription.ended.IsZero() && each.acceptedAt.After(subscription.ended) {
+func (s *Subscription) owed(each *post) bool {
+	if !each.accepted || !s.ended.IsZero() && each.acceptedAt.After(s.ended) {
 		return false
 	}
-	if saved := subscription.saved; saved != nil {
-		return each.firstTry.After(saved.At) || subscription.oracle.Topics.follows(subscription.topic, saved.After, each.name)
+	if saved := s.saved; saved != nil {
+		return each.firstTry.After(saved.At) || s.checker.Topics.follows(s.topic, saved.After, each.name)
 	}
-	return !subscription.firstOK.IsZero() && each.firstTry.After(subscription.firstOK)
+	return !s.firstOK.IsZero() && each.firstTry.After(s.firstOK)
 }
 
 // follows tells whether any subscriber got one message after another.
-func (topics *Topics) follows(topic string, earlier, later Post) bool {
-	for _, each := range topics.subscriptions[topic] {
+func (t *Topics) follows(topic string, earlier, later Post) bool {
+	for _, each := range t.subscriptions[topic] {
 		first, got := each.place[earlier]
 		second, both := each.place[later]
 		if got && both && second > first {
@@ -289,80 +289,80 @@
 }
 
 // Expired tells that the place was refused as lost, which ends the subscription.
-func (subscription *Subscription) Expired(at time.Time) {
-	oracle := subscription.oracle
-	oracle.Topics.Expired++
-	route := oracle.Topics.routeOf(subscription.topic)
+func (s *Subscription) Expired(at time.Time) {
+	checker := s.checker
+	checker.Topics.Expired++
+	route := checker.Topics.routeOf(s.topic)
 	excused := !route.kept
 	lacks := 0
-	for _, each := range oracle.Topics.byTopic[subscription.topic] {
-		if _, got := subscription.got[each.name]; got || !subscription.owed(each) {
+	for _, each := range checker.Topics.byTopic[s.topic] {
+		if _, got := s.got[each.name]; got || !s.owed(each) {
 			continue
 		}
 		lacks++
 		excused = excused || at.Sub(each.firstTry) >= route.holding
 	}
-	if !excused && !subscription.Ended() {
-		oracle.Violate(PlaceRefused, "%s lost its place in %s, though all of %d messages that it lacks are held", subscription.name, subscription.topic, lacks)
+	if !excused && !s.Ended() {
+		checker.Violate(PlaceRefused, "%s lost its place in %s, though all of %d messages that it lacks are held", s.name, s.topic, lacks)
 	}
-	subscription.End(at)
+	s.End(at)
 }
 
 // Got tells that a message came, and since when nothing has gone wrong.
-func (subscription *Subscription) Got(name Post, topic, body string, calmSince, at time.Time) {
-	oracle := subscription.oracle
-	topics := oracle.Topics
-	oracle.Delivered++
-	who := subscription.name
+func (s *Subscription) Got(name Post, topic, body string, calmSince, at time.Time) {
+	checker := s.checker
+	topics := checker.Topics
+	checker.Delivered++
+	who := s.name
 	sent, known := topics.posts[name]
-	if !known || sent.topic != topic || sent.body != body || topic != subscription.topic {
-		oracle.Violate(NeverAsked, "%s got %v on %s, which nobody sent so", who, name, topic)
+	if !known || sent.topic != topic || sent.body != body || topic != s.topic {
+		checker.Violate(NeverAsked, "%s got %v on %s, which nobody sent so", who, name, topic)
 		return
 	}
-	if earlier, twice := subscription.got[name]; twice {
-		oracle.Violate(Twice, "%s got %v on %s and again %s later", who, name, topic, at.Sub(earlier))
+	if earlier, twice := s.got[name]; twice {
+		checker.Violate(Twice, "%s got %v on %s and again %s later", who, name, topic, at.Sub(earlier))
 		return
 	}
-	if last := subscription.last[name.Sender]; last > name.Seq {
-		oracle.Violate(OutOfOrder, "%s got %v on %s after seq %d", who, name, topic, last)
+	if last := s.last[name.Sender]; last > name.Seq {
+		checker.Violate(OutOfOrder, "%s got %v on %s after seq %d", who, name, topic, last)
 	}
-	if saved := subscription.saved; saved != nil && (saved.After == name || topics.follows(topic, name, saved.After)) {
-		oracle.Violate(Twice, "%s got %v on %s, which lies before the place that it took up", who, name, topic)
+	if saved := s.saved; saved != nil && (saved.After == name || topics.follows(topic, name, saved.After)) {
+		checker.Violate(Twice, "%s got %v on %s, which lies before the place that it took up", who, name, topic)
 	}
-	subscription.got[name] = at
-	subscription.place[name] = len(subscription.order)
-	subscription.order = append(subscription.order, name)
-	subscription.last[name.Sender] = max(subscription.last[name.Sender], name.Seq)
+	s.got[name] = at
+	s.place[name] = len(s.order)
+	s.order = append(s.order, name)
+	s.last[name.Sender] = max(s.last[name.Sender], name.Seq)
 	if !topics.mayLead(topic, true, sent.firstTry, at) {
-		oracle.Violate(AfterRemoval, "%s got %v on %s, first sent %s before", who, name, topic, at.Sub(sent.firstTry))
+		checker.Violate(AfterRemoval, "%s got %v on %s, first sent %s before", who, name, topic, at.Sub(sent.firstTry))
 	}
 	delay := at.Sub(sent.wanted)
-	if subscription.opened.Before(sent.wanted) && subscription.connected {
+	if s.opened.Before(sent.wanted) && s.connected {
 		topics.Delays = append(topics.Delays, delay)
 		if delay > DeliverWithin && sent.wanted.Sub(calmSince) > TroubleFor {
-			oracle.Violate(LateInCalm, "%s got %v on %s after %s", who, name, topic, delay)
+			checker.Violate(LateInCalm, "%s got %v on %s after %s", who, name, topic, delay)
 		}
 	}
 }
 
 // Unasked tells that a message came on a connection that has not asked for its
 // topic, or has left it.
-func (oracle *Oracle) Unasked(who string, name Post, topic string) {
-	oracle.Violate(NeverAsked, "%s got %v on %s without a subscription", who, name, topic)
+func (c *Checker) Unasked(who string, name Post, topic string) {
+	c.Violate(NeverAsked, "%s got %v on %s without a subscription", who, name, topic)
 }
 
 // Resent tells how the resend of an accepted message was answered, within the
 // time in which that must be acknowledged.
-func (oracle *Oracle) Resent(name Post, code string) {
-	oracle.Violate(Twice, "%v was accepted, and its resend refused: %s", name, code)
+func (c *Checker) Resent(name Post, code string) {
+	c.Violate(Twice, "%v was accepted, and its resend refused: %s", name, code)
 }
 
 // Counted tells how many subscribers of a topic a caller was told of, and since
 // when nothing has gone wrong.
-func (oracle *Oracle) Counted(topic string, number int, calmSince, at time.Time) {
+func (c *Checker) Counted(topic string, number int, calmSince, at time.Time) {
 	from := at.Add(-PresenceFor)
 	throughout, once := 0, 0
-	for _, each := range oracle.Topics.subscriptions[topic] {
+	for _, each := range c.Topics.subscriptions[topic] {
 		touched, whole := false, false
 		for _, present := range each.present {
 			if present.lingers.After(from) && present.from.Before(at) {
@@ -381,27 +381,27 @@
 		}
 	}
 	if float64(number) >= float64(throughout)*(1-PresenceShare)-PresenceSlack && float64(number) <= float64(once)*(1+PresenceShare)+PresenceSlack {
-		oracle.Topics.CountsRight++
+		c.Topics.CountsRight++
 		return
 	}
-	oracle.Topics.CountsWrong++
+	c.Topics.CountsWrong++
 	if at.Sub(calmSince) > TroubleFor {
-		oracle.Violate(Presence, "%d subscribers of %s were told, and %d to %d were there", number, topic, throughout, once)
+		c.Violate(Presence, "%d subscribers of %s were told, and %d to %d were there", number, topic, throughout, once)
 	}
 }
 
 // closeTopics judges what is only known at the end.
-func (oracle *Oracle) closeTopics(at time.Time) {
-	oracle.AllBrought(at)
-	for topic, subscriptions := range helm.Sorted(oracle.Topics.subscriptions) {
+func (c *Checker) closeTopics(at time.Time) {
+	c.AllBrought(at)
+	for topic, subscriptions := range statemachine.Sorted(c.Topics.subscriptions) {
 		for position, each := range subscriptions {
 			for name := range each.got {
-				if sent := oracle.Topics.posts[name]; sent.refused == sent.tries {
-					oracle.Violate(AllRefused, "%s got %v on %s, though every try was refused", each.name, name, each.topic)
+				if sent := c.Topics.posts[name]; sent.refused == sent.tries {
+					c.Violate(AllRefused, "%s got %v on %s, though every try was refused", each.name, name, each.topic)
 				}
 			}
 			for _, other := range subscriptions[position+1:] {
-				oracle.compareOrders(topic, each, other)
+				c.compareOrders(topic, each, other)
 			}
 		}
 	}
@@ -409,27 +409,27 @@
 
 // AllBrought judges, at a moment at which nothing is under way, that every
 // subscription to a kept topic has what it is owed.
-func (oracle *Oracle) AllBrought(at time.Time) {
-	for topic, subscriptions := range helm.Sorted(oracle.Topics.subscriptions) {
-		if !oracle.Topics.routeOf(topic).kept {
+func (c *Checker) AllBrought(at time.Time) {
+	for topic, subscriptions := range statemachine.Sorted(c.Topics.subscriptions) {
+		if !c.Topics.routeOf(topic).kept {
 			continue
 		}
 		for _, each := range subscriptions {
-			oracle.brought(each, at)
+			c.brought(each, at)
 		}
 	}
 }
 
-func (oracle *Oracle) brought(each *Subscription, at time.Time) {
-	for _, sent := range oracle.Topics.byTopic[each.topic] {
+func (c *Checker) brought(each *Subscription, at time.Time) {
+	for _, sent := range c.Topics.byTopic[each.topic] {
 		if _, got := each.got[sent.name]; got || each.missed[sent.name] || !each.owed(sent) {
 			continue
 		}
 		switch {
 		case each.last[sent.name.Sender] > sent.name.Seq:
-			oracle.Violate(Skipped, "%s got seq %d of %s on %s and never the owed %d", each.name, each.last[sent.name.Sender], sent.name.Sender, each.topic, sent.name.Seq)
+			c.Violate(Skipped, "%s got seq %d of %s on %s and never the owed %d", each.name, each.last[sent.name.Sender], sent.name.Sender, each.topic, sent.name.Seq)
 		case !each.Ended():
-			oracle.Violate(Lost, "%s never got %v on %s, accepted %s before", each.name, sent.name, each.topic, at.Sub(sent.acceptedAt))
+			c.Violate(Lost, "%s never got %v on %s, accepted %s before", each.name, sent.name, each.topic, at.Sub(sent.acceptedAt))
 		default:
 			continue
 		}
@@ -438,7 +438,7 @@
 }
 
 // compareOrders checks that two subscribers saw what both saw in one order.
-func (oracle *Oracle) compareOrders(topic string, left, right *Subscription) {
+func (c *Checker) compareOrders(topic string, left, right *Subscription) {
 	last := -1
 	for _, name := range left.order {
 		position, both := right.place[name]
@@ -446,7 +446,7 @@
 			continue
 		}
 		if position < last {
-			oracle.Violate(Disagree, "%s and %s saw %v on %s in different orders", left.name, right.name, name, topic)
+			c.Violate(Disagree, "%s and %s saw %v on %s in different orders", left.name, right.name, name, topic)
 			return
 		}
 		last = position
--- a/internal/oracle/topics_test.go
+++ b/internal/checker/topics_test.go
@@ -1,6 +1,6 @@
 // Each kind of violation that callers of routed topics can see is planted once,
-// in a run that is honest otherwise; the oracle must name that kind and no other.
-package oracle
+// in a run that is honest otherwise; the checker must name that kind and no other.
+package checker
 
 import (
 	"fmt"
@@ -20,7 +20,7 @@
 // topicRun is a run of two subscribers, ada and bob, of a kept and of a passing
 // topic, to which cy and dan sent.
 type topicRun struct {
-	*Oracle
+	*Checker
 	held map[string]*Subscription
 }
 
@@ -31,7 +31,7 @@
 )
 
 func honestTopics() *topicRun {
-	run := &topicRun{Oracle: New(), held: map[string]*Subscription{}}
+	run := &topicRun{Checker: New(), held: map[string]*Subscription{}}
 	run.Route("board.", true, Holding)
 	run.Route("halt.", false, 0)
 	run.Route("guest.", true, Holding)
@@ -62,27 +62,27 @@
 
 func bodyOf(sender string, seq uint64) string { return fmt.Sprintf("%s's %d", sender, seq) }
 
-func (run *topicRun) try(sender string, seq uint64, topic, outcome string, at float64) {
+func (tr *topicRun) try(sender string, seq uint64, topic, outcome string, at float64) {
 	name := Post{sender, seq}
-	run.PostTried(name, topic, bodyOf(sender, seq), moment(at), moment(at))
-	run.PostAnswered(name, outcome, moment(at+0.01))
+	tr.PostTried(name, topic, bodyOf(sender, seq), moment(at), moment(at))
+	tr.PostAnswered(name, outcome, moment(at+0.01))
 }
 
 // gets lets a message come long before anything went wrong for the last time, so
 // that being late is nobody's fault.
-func (run *topicRun) gets(subscription *Subscription, sender string, seq uint64, at float64) {
+func (tr *topicRun) gets(subscription *Subscription, sender string, seq uint64, at float64) {
 	subscription.Got(Post{sender, seq}, subscription.topic, bodyOf(sender, seq), moment(at), moment(at))
 }
 
-func (run *topicRun) send(sender string, seq uint64, topic string, at float64) {
-	run.try(sender, seq, topic, "accepted", at)
-	run.deliver(sender, seq, topic, at+0.02)
+func (tr *topicRun) send(sender string, seq uint64, topic string, at float64) {
+	tr.try(sender, seq, topic, "accepted", at)
+	tr.deliver(sender, seq, topic, at+0.02)
 }
 
-func (run *topicRun) deliver(sender string, seq uint64, topic string, at float64) {
+func (tr *topicRun) deliver(sender string, seq uint64, topic string, at float64) {
 	for _, name := range []string{"ada", "bob", "eve"} {
-		if subscription, found := run.held[name+" "+topic]; found {
-			run.gets(subscription, sender, seq, at)
+		if subscription, found := tr.held[name+" "+topic]; found {
+			tr.gets(subscription, sender, seq, at)
 		}
 	}
 }
@@ -188,8 +188,8 @@
 			run.Handled("a subscription", guestTopic, false, moment(7), moment(7.1))
 		}},
 		{WentBack, "a version goes back", func(run *topicRun, _, _ *Subscription) {
-			run.Showed("lantern", 2, moment(1), moment(1))
-			run.Showed("lantern", 1, moment(2), moment(2))
+			run.Showed("gateway", 2, moment(1), moment(1))
+			run.Showed("gateway", 1, moment(2), moment(2))
 		}},
 		{Presence, "too few are counted", func(run *topicRun, _, _ *Subscription) {
 			for number := range 4 {
@@ -260,9 +260,9 @@
 }
 
 // sendTo sends a message that only some get.
-func (run *topicRun) sendTo(sender string, seq uint64, topic string, at float64, names ...string) {
-	run.try(sender, seq, topic, "accepted", at)
+func (tr *topicRun) sendTo(sender string, seq uint64, topic string, at float64, names ...string) {
+	tr.try(sender, seq, topic, "accepted", at)
 	for _, name := range names {
-		run.gets(run.held[name+" "+topic], sender, seq, at+0.02)
+		tr.gets(tr.held[name+" "+topic], sender, seq, at+0.02)
 	}
 }
--- a/internal/caller/caller.go
+++ b/internal/client/client.go
@@ -1,8 +1,8 @@
-// Package caller is a client of a lantern, as a client program would be: it
-// opens a channel, sends visits, answers pings, follows moves within a
+// Package client is a client of a gateway, as a client program would be: it
+// opens a channel, sends requests, answers pings, follows moves within a
 // twentieth of a second, and resumes with its newest cursor after a cut. The
 // command line and the stand-in callers of trials use it.
-package caller
+package client
 
 import (
 	"bufio"
@@ -16,13 +16,13 @@
 	"time"
 )
 
-// Answer is a visit's answer.
+// Answer is a request's answer.
 type Answer struct {
 	Status       int    `json:"-"`
 	Outcome      string `json:"outcome,omitempty"`
 	Code         string `json:"code,omitempty"`
 	Text         string `json:"text,omitempty"`
-	Visit        string `json:"visit,omitempty"`
+	Request      string `json:"visit,omitempty"`
 	RetryAfterMs int64  `json:"retry_after_ms,omitempty"`
 	Again        bool   `json:"again,omitempty"`
 	Cursor       string `json:"cursor,omitempty"`
@@ -31,20 +31,20 @@
 
 // Event is one line of a channel.
 type Event struct {
-	Event    string          `json:"event,omitempty"`
-	Channel  string          `json:"channel,omitempty"`
-	Daemon   string          `json:"daemon,omitempty"`
-	Locality string          `json:"locality,omitempty"`
-	Version  uint64          `json:"version,omitempty"`
-	Space    string          `json:"space,omitempty"`
-	Topic    string          `json:"topic,omitempty"`
-	Sender   string          `json:"sender,omitempty"`
-	Seq      uint64          `json:"seq,omitempty"`
-	Data     json.RawMessage `json:"data,omitempty"`
-	Cursor   string          `json:"cursor,omitempty"`
-	Code     string          `json:"code,omitempty"`
-	To       string          `json:"to,omitempty"`
-	ToName   string          `json:"to_name,omitempty"`
+	Event   string          `json:"event,omitempty"`
+	Channel string          `json:"channel,omitempty"`
+	Daemon  string          `json:"daemon,omitempty"`
+	Zone    string          `json:"zone,omitempty"`
+	Version uint64          `json:"version,omitempty"`
+	Space   string          `json:"space,omitempty"`
+	Topic   string          `json:"topic,omitempty"`
+	Sender  string          `json:"sender,omitempty"`
+	Seq     uint64          `json:"seq,omitempty"`
+	Data    json.RawMessage `json:"data,omitempty"`
+	Cursor  string          `json:"cursor,omitempty"`
+	Code    string          `json:"code,omitempty"`
+	To      string          `json:"to,omitempty"`
+	ToName  string          `json:"to_name,omitempty"`
 }
 
 // Subscription names a topic or a prefix.
@@ -72,30 +72,30 @@
 	}}
 }
 
-// Visit posts one visit.
-func (caller *Caller) Visit(within context.Context, address, path string, body any) (Answer, error) {
-	packed, fault := json.Marshal(body)
-	if fault != nil {
-		return Answer{}, fault
+// Request posts one request.
+func (c *Caller) Request(within context.Context, address, path string, body any) (Answer, error) {
+	packed, err := json.Marshal(body)
+	if err != nil {
+		return Answer{}, err
 	}
-	request, fault := http.NewRequestWithContext(within, http.MethodPost, "http://"+address+path, bytes.NewReader(packed))
-	if fault != nil {
-		return Answer{}, fault
+	request, err := http.NewRequestWithContext(within, http.MethodPost, "http://"+address+path, bytes.NewReader(packed))
+	if err != nil {
+		return Answer{}, err
 	}
-	request.Header.Set("Authorization", "Bearer "+caller.Token)
+	request.Header.Set("Authorization", "Bearer "+c.Token)
 	request.Header.Set("Content-Type", "application/json")
-	response, fault := caller.HTTP.Do(request)
-	if fault != nil {
-		return Answer{}, fault
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return Answer{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	read, fault := io.ReadAll(response.Body)
-	if fault != nil {
-		return Answer{}, fault
+	read, err := io.ReadAll(response.Body)
+	if err != nil {
+		return Answer{}, err
 	}
 	answer := Answer{Status: response.StatusCode}
-	if fault := json.Unmarshal(read, &answer); fault != nil {
-		return Answer{}, fmt.Errorf("status %d: %w", response.StatusCode, fault)
+	if err := json.Unmarshal(read, &answer); err != nil {
+		return Answer{}, fmt.Errorf("status %d: %w", response.StatusCode, err)
 	}
 	return answer, nil
 }
@@ -112,19 +112,19 @@
 // Refusal says why a channel was not opened.
 type Refusal struct{ Answer Answer }
 
-func (refusal Refusal) Error() string {
-	return fmt.Sprintf("status %d %s: %s", refusal.Answer.Status, refusal.Answer.Code, refusal.Answer.Text)
+func (r Refusal) Error() string {
+	return fmt.Sprintf("status %d %s: %s", r.Answer.Status, r.Answer.Code, r.Answer.Text)
 }
 
 // Open opens a channel and waits for its hello.
-func (caller *Caller) Open(within context.Context, address string) (*Channel, error) {
+func (c *Caller) Open(within context.Context, address string) (*Channel, error) {
 	living, cancel := context.WithCancel(within)
-	request, fault := http.NewRequestWithContext(living, http.MethodGet, "http://"+address+"/v1/channel", nil)
-	if fault != nil {
+	request, err := http.NewRequestWithContext(living, http.MethodGet, "http://"+address+"/v1/channel", nil)
+	if err != nil {
 		cancel()
-		return nil, fault
+		return nil, err
 	}
-	request.Header.Set("Authorization", "Bearer "+caller.Token)
+	request.Header.Set("Authorization", "Bearer "+c.Token)
 	// Opening must not hang on a daemon that is frozen.
 	opened := make(chan struct{})
 	stopOpening := time.AfterFunc(3*time.Second, func() {
@@ -134,10 +134,10 @@
 			cancel()
 		}
 	})
-	response, fault := caller.HTTP.Do(request)
-	if fault != nil {
+	response, err := c.HTTP.Do(request)
+	if err != nil {
 		cancel()
-		return nil, fault
+		return nil, err
 	}
 	if response.StatusCode != http.StatusOK {
 		var answer Answer
@@ -150,24 +150,24 @@
 	}
 	reader := bufio.NewReaderSize(response.Body, 64<<10)
 	channel := &Channel{Address: address, Events: make(chan Event, 64), cancel: cancel}
-	line, fault := reader.ReadBytes('\n')
-	if fault == nil {
-		fault = json.Unmarshal(line, &channel.Hello)
+	line, err := reader.ReadBytes('\n')
+	if err == nil {
+		err = json.Unmarshal(line, &channel.Hello)
 	}
 	close(opened)
 	stopOpening.Stop()
-	if fault != nil {
+	if err != nil {
 		_ = response.Body.Close()
 		cancel()
-		return nil, fault
+		return nil, err
 	}
 	channel.Name = channel.Hello.Channel
 	go func() {
 		defer close(channel.Events)
 		defer func() { _ = response.Body.Close() }()
 		for {
-			line, fault := reader.ReadBytes('\n')
-			if fault != nil {
+			line, err := reader.ReadBytes('\n')
+			if err != nil {
 				return
 			}
 			var event Event
@@ -185,10 +185,10 @@
 }
 
 // Close ends a channel.
-func (channel *Channel) Close() { channel.cancel() }
+func (c *Channel) Close() { c.cancel() }
 
 // Subscribe adds subscriptions to a channel, or resumes a place.
-func (caller *Caller) Subscribe(within context.Context, channel *Channel, subscriptions []Subscription, cursor string) (Answer, error) {
+func (c *Caller) Subscribe(within context.Context, channel *Channel, subscriptions []Subscription, cursor string) (Answer, error) {
 	body := map[string]any{"channel": channel.Name}
 	if subscriptions != nil {
 		body["subscriptions"] = subscriptions
@@ -196,16 +196,16 @@
 	if cursor != "" {
 		body["cursor"] = cursor
 	}
-	return caller.Visit(within, channel.Address, "/v1/subscribe", body)
+	return c.Request(within, channel.Address, "/v1/subscribe", body)
 }
 
 // Publish sends a message.
-func (caller *Caller) Publish(within context.Context, address, space, topic string, seq uint64, data any) (Answer, error) {
-	return caller.Visit(within, address, "/v1/publish", map[string]any{"space": space, "topic": topic, "seq": seq, "data": data})
+func (c *Caller) Publish(within context.Context, address, space, topic string, seq uint64, data any) (Answer, error) {
+	return c.Request(within, address, "/v1/publish", map[string]any{"space": space, "topic": topic, "seq": seq, "data": data})
 }
 
 // Pong answers a ping.
-func (caller *Caller) Pong(within context.Context, channel *Channel) error {
-	_, fault := caller.Visit(within, channel.Address, "/v1/pong", map[string]any{"channel": channel.Name})
-	return fault
+func (c *Caller) Pong(within context.Context, channel *Channel) error {
+	_, err := c.Request(within, channel.Address, "/v1/pong", map[string]any{"channel": channel.Name})
+	return err
 }
--- a/internal/chart/configuration_test.go
+++ b/internal/config/configuration_test.go
@@ -1,6 +1,6 @@
 // The reading of configurations: what is wrong is told with its path, and no
 // bytes make it panic or take half a document.
-package chart
+package config
 
 import (
 	"encoding/json"
@@ -13,14 +13,14 @@
 const fine = `{"version": 3, "spaces": [
  {"name": "boards", "promise": "kept", "order": "sender", "holding": "35s", "tolerance": 1, "limits": {"data_bytes": 100, "publications_per_second": 5}, "publishers": ["team-*"]},
  {"name": "pass", "promise": "passing"}],
- "economy": {"enabled": true, "processor_weight": 2.5}, "localities": ["a", "b"], "links": [{"from": "a", "to": "b", "delay": "2ms"}]}`
+ "economy": {"enabled": true, "processor_weight": 2.5}, "zones": ["a", "b"], "links": [{"from": "a", "to": "b", "delay": "2ms"}]}`
 
 func TestAFineConfigurationIsRead(t *testing.T) {
 	configuration, faults := Read([]byte(fine))
 	assert.Equal(t, len(faults), 0, "%v", faults)
 	assert.Equal(t, configuration.Version, uint64(3))
 	boards := configuration.Spaces["boards"]
-	assert.Equal(t, boards.Strands(), StrandsPerSpace)
+	assert.Equal(t, boards.Partitions(), PartitionsPerSpace)
 	assert.Assert(t, boards.MayPublish("team-x") && !boards.MayPublish("other"))
 	assert.Equal(t, configuration.Economy.ProcessorWeight, 2.5)
 }
@@ -39,19 +39,19 @@
 		`{"version":1,"spaces":[],"x":1}`:             {"$.x", "unknown-key"},
 		`{"version":1,"spaces":[{"name":"a"}]}`:       {"$.spaces[0].promise", "missing"},
 		`{"version":1,"spaces":[{"promise":"kept"}]}`: {"$.spaces[0].name", "missing"},
-		`{"version":1,"spaces":[{"name":"a","promise":"kept"},{"name":"a","promise":"kept"}]}`:        {"$.spaces[1].name", "duplicate-name"},
-		`{"version":1,"spaces":[{"name":"a b","promise":"kept"}]}`:                                    {"$.spaces[0].name", "bad-name"},
-		`{"version":1,"spaces":[{"name":"a","promise":"maybe"}]}`:                                     {"$.spaces[0].promise", "out-of-range"},
-		`{"version":1,"spaces":[{"name":"a","promise":"passing","order":"channel"}]}`:                 {"$.spaces[0].order", "clash"},
-		`{"version":1,"spaces":[{"name":"a","promise":"passing","holding":"3s"}]}`:                    {"$.spaces[0].holding", "clash"},
-		`{"version":1,"spaces":[{"name":"a","promise":"kept","holding":"forever"}]}`:                  {"$.spaces[0].holding", "wrong-type"},
-		`{"version":1,"spaces":[{"name":"a","promise":"kept","tolerance":2}]}`:                        {"$.spaces[0].tolerance", "out-of-range"},
-		`{"version":1,"spaces":[{"name":"a","promise":"kept","limits":{"data_bytes":-1}}]}`:           {"$.spaces[0].limits.data_bytes", "out-of-range"},
-		`{"version":1,"spaces":[{"name":"a","promise":"kept","publishers":["x","x"]}]}`:               {"$.spaces[0].publishers[1]", "duplicate-name"},
-		`{"version":1,"spaces":[],"economy":{"processor_weight":-2}}`:                                 {"$.economy.processor_weight", "out-of-range"},
-		`{"version":1,"spaces":[],"economy":{"traffic_weight":1e99}}`:                                 {"$.economy.traffic_weight", "out-of-range"},
-		`{"version":1,"spaces":[],"localities":["a"],"links":[{"from":"a","to":"z","delay":"1ms"}]}`:  {"$.links[0].to", "dangling-name"},
-		`{"version":1,"spaces":[],"localities":["a"],"links":[{"from":"a","to":"a","delay":"-1ms"}]}`: {"$.links[0].delay", "out-of-range"},
+		`{"version":1,"spaces":[{"name":"a","promise":"kept"},{"name":"a","promise":"kept"}]}`:   {"$.spaces[1].name", "duplicate-name"},
+		`{"version":1,"spaces":[{"name":"a b","promise":"kept"}]}`:                               {"$.spaces[0].name", "bad-name"},
+		`{"version":1,"spaces":[{"name":"a","promise":"maybe"}]}`:                                {"$.spaces[0].promise", "out-of-range"},
+		`{"version":1,"spaces":[{"name":"a","promise":"passing","order":"channel"}]}`:            {"$.spaces[0].order", "clash"},
+		`{"version":1,"spaces":[{"name":"a","promise":"passing","holding":"3s"}]}`:               {"$.spaces[0].holding", "clash"},
+		`{"version":1,"spaces":[{"name":"a","promise":"kept","holding":"forever"}]}`:             {"$.spaces[0].holding", "wrong-type"},
+		`{"version":1,"spaces":[{"name":"a","promise":"kept","tolerance":2}]}`:                   {"$.spaces[0].tolerance", "out-of-range"},
+		`{"version":1,"spaces":[{"name":"a","promise":"kept","limits":{"data_bytes":-1}}]}`:      {"$.spaces[0].limits.data_bytes", "out-of-range"},
+		`{"version":1,"spaces":[{"name":"a","promise":"kept","publishers":["x","x"]}]}`:          {"$.spaces[0].publishers[1]", "duplicate-name"},
+		`{"version":1,"spaces":[],"economy":{"processor_weight":-2}}`:                            {"$.economy.processor_weight", "out-of-range"},
+		`{"version":1,"spaces":[],"economy":{"traffic_weight":1e99}}`:                            {"$.economy.traffic_weight", "out-of-range"},
+		`{"version":1,"spaces":[],"zones":["a"],"links":[{"from":"a","to":"z","delay":"1ms"}]}`:  {"$.links[0].to", "dangling-name"},
+		`{"version":1,"spaces":[],"zones":["a"],"links":[{"from":"a","to":"a","delay":"-1ms"}]}`: {"$.links[0].delay", "out-of-range"},
 	}
 	for document, wanted := range cases {
 		_, faults := Read([]byte(document))
--- a/internal/chart/routes.go
+++ b/internal/config/routes.go
@@ -1,8 +1,8 @@
 // Routes lead topics to spaces: of the prefixes that begin a topic's name, the
 // longest decides. Spaces that are reached so keep an order for each topic, and
-// their topics lie in a fixed number of shared strands, whatever the number of
+// their topics lie in a fixed number of shared partitions, whatever the number of
 // spaces and whichever come and go.
-package chart
+package config
 
 import (
 	"cmp"
@@ -13,13 +13,13 @@
 
 	"github.com/valyala/fastjson"
 
-	"dahlialock/internal/helm"
+	"dahlialock/internal/statemachine"
 )
 
-// SharedStrands is how many strands all routed topics lie in.
-const SharedStrands = 32
+// SharedPartitions is how many partitions all routed topics lie in.
+const SharedPartitions = 32
 
-// SharedSpace stands for the space in the names of shared strands; it is no fit
+// SharedSpace stands for the space in the names of shared partitions; it is no fit
 // name, so no space of an operator's can be taken for it.
 const SharedSpace = "+"
 
@@ -30,8 +30,8 @@
 }
 
 // Route names the space of a topic.
-func (configuration Configuration) Route(topic string) (space string, found bool) {
-	for _, route := range configuration.Routes {
+func (c Configuration) Route(topic string) (space string, found bool) {
+	for _, route := range c.Routes {
 		if strings.HasPrefix(topic, route.Prefix) {
 			return route.Space, true
 		}
@@ -40,7 +40,7 @@
 }
 
 // Routed tells whether any space is reached by routes.
-func (configuration Configuration) Routed() bool { return len(configuration.Routes) > 0 }
+func (c Configuration) Routed() bool { return len(c.Routes) > 0 }
 
 // TopicNumber is a 64-bit hash of a topic's name.
 func TopicNumber(topic string) uint64 {
@@ -55,45 +55,45 @@
 	return mixed
 }
 
-// SharedStrandName names one of the shared strands.
-func SharedStrandName(number int) string { return fmt.Sprintf("%s~0/%d", SharedSpace, number) }
+// SharedPartitionName names one of the shared partitions.
+func SharedPartitionName(number int) string { return fmt.Sprintf("%s~0/%d", SharedSpace, number) }
 
-// SharedStrand names the strand of a routed topic.
-func SharedStrand(topic string) string {
-	return SharedStrandName(int(TopicNumber(topic) % SharedStrands))
+// SharedPartition names the partition of a routed topic.
+func SharedPartition(topic string) string {
+	return SharedPartitionName(int(TopicNumber(topic) % SharedPartitions))
 }
 
-// IsShared tells whether a strand is one of the shared ones.
-func IsShared(strand string) bool { return strings.HasPrefix(strand, SharedSpace+"~") }
+// IsShared tells whether a partition is one of the shared ones.
+func IsShared(partition string) bool { return strings.HasPrefix(partition, SharedSpace+"~") }
 
 // routes reads the routes, and puts the longest prefixes first.
-func (reader *Reader) routes(path string, value *fastjson.Value, spaces map[string]Space) []Route {
+func (r *Reader) routes(path string, value *fastjson.Value, spaces map[string]Space) []Route {
 	var routes []Route
 	seen := map[string]bool{}
-	for position, item := range reader.List(path, value, SpaceLimit) {
+	for position, item := range r.List(path, value, SpaceLimit) {
 		here := fmt.Sprintf("%s[%d]", path, position)
-		members := reader.Object(here, item, "prefix", "space")
+		members := r.Object(here, item, "prefix", "space")
 		for _, needed := range []string{"prefix", "space"} {
 			if members[needed] == nil {
-				reader.Report(here+"."+needed, "missing", "%s is wanted", needed)
+				r.Report(here+"."+needed, "missing", "%s is wanted", needed)
 			}
 		}
-		route := Route{Prefix: reader.Text(here+".prefix", members["prefix"], ""), Space: reader.Text(here+".space", members["space"], "")}
+		route := Route{Prefix: r.Text(here+".prefix", members["prefix"], ""), Space: r.Text(here+".space", members["space"], "")}
 		if !fitPrefix(route.Prefix) {
-			reader.Report(here+".prefix", "bad-prefix", "a prefix has at most %d printable letters and no blank", PrefixLimit)
+			r.Report(here+".prefix", "bad-prefix", "a prefix has at most %d printable letters and no blank", PrefixLimit)
 		}
 		if seen[route.Prefix] {
-			reader.Report(here+".prefix", "duplicate-prefix", "the prefix %q stands twice", route.Prefix)
+			r.Report(here+".prefix", "duplicate-prefix", "the prefix %q stands twice", route.Prefix)
 		}
 		seen[route.Prefix] = true
 		if space, found := spaces[route.Space]; members["space"] != nil && !found {
-			reader.Report(here+".space", "dangling-name", "no space is named %q", route.Space)
+			r.Report(here+".space", "dangling-name", "no space is named %q", route.Space)
 		} else if found && space.Order != OrderTopic {
-			reader.Report(here+".space", "clash", "routes lead to spaces of order topic only")
+			r.Report(here+".space", "clash", "routes lead to spaces of order topic only")
 		}
 		routes = append(routes, route)
 	}
-	if helm.Mutated("first-route-wins") {
+	if statemachine.Mutated("first-route-wins") {
 		return routes
 	}
 	slices.SortStableFunc(routes, func(left, right Route) int {
--- a/internal/chart/routes_test.go
+++ b/internal/config/routes_test.go
@@ -1,5 +1,5 @@
 // Routes: the longest prefix decides, and what can't lead anywhere is refused.
-package chart
+package config
 
 import (
 	"math/rand/v2"
@@ -20,7 +20,7 @@
 	assert.Equal(t, configuration.Annex, "as sent")
 	assert.Equal(t, configuration.SubscriptionsEach, 7)
 	assert.Equal(t, configuration.Spaces["a"].Urgency, 2)
-	assert.Equal(t, configuration.Spaces["a"].Strands(), 0)
+	assert.Equal(t, configuration.Spaces["a"].Partitions(), 0)
 	for topic, wanted := range map[string]string{"x.1": "a", "x.y1": "b", "x.y": "b", "z": "a", "x": "", "y": "", "": ""} {
 		space, found := configuration.Route(topic)
 		assert.Equal(t, space, wanted, "topic %q", topic)
@@ -28,7 +28,7 @@
 	}
 }
 
-func TestRoutesAgainstAnOracle(t *testing.T) {
+func TestRoutesAgainstAnChecker(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
 	word := func(most int) string {
 		var text strings.Builder
@@ -84,12 +84,12 @@
 	}
 }
 
-func TestSharedStrandsAreSpread(t *testing.T) {
+func TestSharedPartitionsAreSpread(t *testing.T) {
 	count := map[string]int{}
 	for number := range 3200 {
-		name := SharedStrand("topic." + strings.Repeat("k", number%7) + string(rune('a'+number%26)) + string(rune('0'+number%10)) + string(rune(0x100+number)))
+		name := SharedPartition("topic." + strings.Repeat("k", number%7) + string(rune('a'+number%26)) + string(rune('0'+number%10)) + string(rune(0x100+number)))
 		assert.Assert(t, IsShared(name))
 		count[name]++
 	}
-	assert.Equal(t, len(count), SharedStrands)
+	assert.Equal(t, len(count), SharedPartitions)
 }
--- /dev/null
+++ b/internal/consensus/lease.go
@@ -0,0 +1,47 @@
+// A Lease is one controller's hold on a single duty that is not the primary's own,
+// such as the economy. It is granted by a majority of the voters, counted from
+// the moment of asking with a tenth off, and checked before every act.
+package consensus
+
+import (
+	"time"
+)
+
+// Lease is the asker's side of a duty.
+type Lease struct {
+	duty    string
+	nonce   uint64
+	askedAt time.Time
+	need    int
+	givers  map[string]bool
+	until   time.Time
+}
+
+// NewLease registers a duty that this controller may come to hold.
+func (w *Watch) NewLease(duty string) *Lease {
+	lease := &Lease{duty: duty, givers: map[string]bool{}}
+	w.leases[duty] = lease
+	return lease
+}
+
+func (l *Lease) ask(now time.Time, need int) DutyAsk {
+	l.nonce++
+	l.askedAt, l.need = now, need
+	l.givers = map[string]bool{}
+	return DutyAsk{Duty: l.duty, Nonce: l.nonce}
+}
+
+func (l *Lease) given(name string, nonce uint64) {
+	if name == "" || nonce != l.nonce {
+		return
+	}
+	l.givers[name] = true
+	if len(l.givers) >= l.need {
+		l.until = l.askedAt.Add(LeaseLength * 9 / 10)
+	}
+}
+
+// Held tells whether the duty may be done at this moment.
+func (l *Lease) Held(now time.Time) bool {
+	return now.Before(l.until)
+}
--- /dev/null
+++ b/internal/consensus/messages.go
@@ -0,0 +1,265 @@
+// The words that controllers exchange about epochs, lease and the control state,
+// and what each of them keeps on disk.
+package consensus
+
+import (
+	"time"
+
+	"dahlialock/internal/transport"
+)
+
+// Controller is one coordinator: its name, where it is, and the name of the disk
+// that it began with, so that one whose disk was lost is known to be another.
+type Controller struct {
+	Name    string
+	Address string
+	Zone    string
+	Disk    string
+}
+
+// At tells whether both are the same controller at the same address, whatever disk
+// it has.
+func (c Controller) At(other Controller) bool {
+	return c.Name == other.Name && c.Address == other.Address
+}
+
+// Record is an epoch: who is primary, who are its backups, and who may grant.
+type Record struct {
+	Epoch   uint64
+	Primary string
+	Backups []string
+	Voters  []Controller
+}
+
+// Find gives the voters's entry of a name.
+func (r Record) Find(name string) (Controller, bool) {
+	for _, controller := range r.Voters {
+		if controller.Name == name {
+			return controller, true
+		}
+	}
+	return Controller{}, false
+}
+
+// Entry gives the voters's entry of a controller at its address.
+func (r Record) Entry(self Controller) (Controller, bool) {
+	for _, controller := range r.Voters {
+		if controller.At(self) {
+			return controller, true
+		}
+	}
+	return Controller{}, false
+}
+
+// Majority is how many of the voters must grant.
+func (r Record) Majority() int {
+	return len(r.Voters)/2 + 1
+}
+
+// Ballot orders the attempts to decide one epoch.
+type Ballot struct {
+	Count uint64
+	Name  string
+}
+
+// Before orders ballots.
+func (b Ballot) Before(other Ballot) bool {
+	if b.Count != other.Count {
+		return b.Count < other.Count
+	}
+	return b.Name < other.Name
+}
+
+// Durable is what a controller must not forget: the newest decided epoch and its
+// part in deciding the next one; the name of its disk; and, from its first start
+// until the first epoch, the addresses of the founders that it is one of.
+type Durable struct {
+	Disk           string
+	Founders       []string
+	Record         Record
+	Promised       Ballot
+	AcceptedBallot Ballot
+	Accepted       Record
+	Complete       uint64
+	Recalled       bool
+}
+
+// Hello lets controllers find each other through the seeds.
+type Hello struct {
+	Self     Controller
+	Count    int
+	Known    []Controller
+	Blank    bool
+	Founding bool
+	Record   Record
+}
+
+// RecallAsk comes from a controller whose disk is blank.
+type RecallAsk struct {
+	Nonce uint64
+}
+
+// RecallResponse tells it what one other controller remembers.
+type RecallResponse struct {
+	Nonce   uint64
+	Durable Durable
+}
+
+// Prepare asks for the right to decide an epoch.
+type Prepare struct {
+	Epoch  uint64
+	Ballot Ballot
+}
+
+// Promise answers Prepare.
+type Promise struct {
+	Epoch          uint64
+	Ballot         Ballot
+	Given          bool
+	Wait           time.Duration
+	Promised       Ballot
+	AcceptedBallot Ballot
+	Accepted       Record
+}
+
+// Accept asks to take a record for an epoch.
+type Accept struct {
+	Epoch  uint64
+	Ballot Ballot
+	Record Record
+}
+
+// Accepted answers Accept.
+type Accepted struct {
+	Epoch  uint64
+	Ballot Ballot
+	Taken  bool
+}
+
+// Decided spreads a decided record.
+type Decided struct {
+	Record Record
+}
+
+// Renew asks for more lease; soon after an epoch was decided it tells the record
+// too, in case the word of it was lost.
+type Renew struct {
+	Epoch  uint64
+	Nonce  uint64
+	Record Record
+}
+
+// Grant gives lease and tells how far the granter's state reaches; without a
+// Nonce it only tells.
+type Grant struct {
+	Epoch    uint64
+	Nonce    uint64
+	Index    uint64
+	Complete uint64
+}
+
+// Yield gives the rest of the lease back: the primary is stopping, or its disk
+// hangs.
+type Yield struct {
+	Epoch uint64
+}
+
+// Append carries one command from the primary to each backup.
+type Append struct {
+	Epoch   uint64
+	Index   uint64
+	Command []byte
+}
+
+// AppendResponse says that the backup has synced it.
+type AppendResponse struct {
+	Epoch uint64
+	Index uint64
+}
+
+// Frame carries the whole state, either to level a backup at the present epoch
+// or to ready a spare for the next.
+type Frame struct {
+	Epoch uint64
+	For   uint64
+	Index uint64
+	State []byte
+}
+
+// FrameResponse says that the frame is synced.
+type FrameResponse struct {
+	Epoch uint64
+	For   uint64
+	Index uint64
+}
+
+// Confirm asks the voters whether the epoch still stands.
+type Confirm struct {
+	Epoch uint64
+	Nonce uint64
+}
+
+// ConfirmResponse answers for the present epoch only.
+type ConfirmResponse struct {
+	Epoch uint64
+	Nonce uint64
+}
+
+// DutyAsk asks a majority for the lease of a single duty.
+type DutyAsk struct {
+	Duty  string
+	Nonce uint64
+	Leave bool
+}
+
+// DutyResponse grants it or names who holds it.
+type DutyResponse struct {
+	Duty   string
+	Nonce  uint64
+	Given  bool
+	Holder string
+}
+
+type spareFrame struct {
+	From  string
+	For   uint64
+	Index uint64
+	State []byte
+}
+
+type diskEntry struct {
+	Durable *Durable
+	Index   uint64
+	Command []byte
+	State   []byte
+	Spare   *spareFrame
+}
+
+type diskFrame struct {
+	Durable Durable
+	Index   uint64
+	State   []byte
+	Spares  []spareFrame
+}
+
+func init() {
+	transport.MustRegister(100, Hello{})
+	transport.MustRegister(101, RecallAsk{})
+	transport.MustRegister(102, RecallResponse{})
+	transport.MustRegister(103, Prepare{})
+	transport.MustRegister(104, Promise{})
+	transport.MustRegister(105, Accept{})
+	transport.MustRegister(106, Accepted{})
+	transport.MustRegister(107, Decided{})
+	transport.MustRegister(108, Renew{})
+	transport.MustRegister(109, Grant{})
+	transport.MustRegister(110, Append{})
+	transport.MustRegister(111, AppendResponse{})
+	transport.MustRegister(112, Frame{})
+	transport.MustRegister(113, FrameResponse{})
+	transport.MustRegister(114, Confirm{})
+	transport.MustRegister(115, ConfirmResponse{})
+	transport.MustRegister(116, DutyAsk{})
+	transport.MustRegister(117, DutyResponse{})
+	transport.MustRegister(118, Yield{})
+}
--- a/internal/watchbill/mutation_test.go
+++ b/internal/consensus/mutation_test.go
@@ -1,8 +1,8 @@
 //go:build mutation
 
-// Each mechanism of the roster and of the copies is taken away once, and a run
+// Each mechanism of the voters and of the copies is taken away once, and a run
 // that is green with it must then fail.
-package watchbill
+package consensus
 
 import (
 	"fmt"
@@ -13,7 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"dahlialock/internal/helm"
+	"dahlialock/internal/statemachine"
 )
 
 // expectation is a trial that may fail.
@@ -22,19 +22,19 @@
 	lines  []string
 }
 
-func (expectation *expectation) Helper() {}
-func (expectation *expectation) Fail()   { expectation.failed = true }
-func (expectation *expectation) Log(values ...any) {
-	expectation.lines = append(expectation.lines, fmt.Sprint(values...))
+func (e *expectation) Helper() {}
+func (e *expectation) Fail()   { e.failed = true }
+func (e *expectation) Log(values ...any) {
+	e.lines = append(e.lines, fmt.Sprint(values...))
 }
-func (expectation *expectation) Logf(string, ...any) {}
-func (expectation *expectation) FailNow() {
-	expectation.failed = true
+func (e *expectation) Logf(string, ...any) {}
+func (e *expectation) FailNow() {
+	e.failed = true
 	runtime.Goexit()
 }
-func (expectation *expectation) Fatalf(format string, values ...any) {
-	expectation.Log(fmt.Sprintf(format, values...))
-	expectation.FailNow()
+func (e *expectation) Fatalf(format string, values ...any) {
+	e.Log(fmt.Sprintf(format, values...))
+	e.FailNow()
 }
 
 var proofs = []struct {
@@ -43,7 +43,7 @@
 }{
 	{"trust-lost-disk", func(t trial, seed uint64) { allBefalls(t, seed) }},
 	{"no-hold-back", func(t trial, seed uint64) { allBefalls(t, seed) }},
-	{"fixed-roster", func(t trial, seed uint64) { replace(t, seed, "witness") }},
+	{"fixed-voters", func(t trial, seed uint64) { replace(t, seed, "witness") }},
 	{"one-backup", func(t trial, seed uint64) { loseDisks(t, seed, 2) }},
 	{"patient-primary", func(t trial, seed uint64) {
 		longest := strikeHolder(t, seed, 1, "backup", strikes["hanging"])
@@ -67,7 +67,7 @@
 
 func TestEachMechanismIsNeeded(t *testing.T) {
 	for _, proof := range proofs {
-		restore := helm.Mutate(proof.mutation)
+		restore := statemachine.Mutate(proof.mutation)
 		found := false
 		for seed := range uint64(60) {
 			if got := tried(seed, proof.run); got.failed {
--- /dev/null
+++ b/internal/consensus/replication.go
@@ -0,0 +1,621 @@
+// The copies of the control state: the primary's and one on each backup that
+// the epoch's record names, as many as machines may be lost. The primary syncs a
+// command and sends it to all backups, and answers once each of them has synced
+// it. A backup that is lost, or slow with one command, is replaced by a next
+// epoch; any backup can take over. Whoever begins a next epoch first readies
+// spares with the whole state, and takes the record itself, on its disk, before
+// it asks others to: from then on neither it nor any backup that took such a
+// record adds to the state of the present epoch, so that a spare's copy is never
+// older than what was answered.
+package consensus
+
+import (
+	"slices"
+	"time"
+
+	"dahlialock/internal/logevent"
+	"dahlialock/internal/statemachine"
+)
+
+// Spans of copying. A spare that is silent is passed over; one that takes over
+// waits a little for more spares to choose from.
+const (
+	slowAfter   = 700 * time.Millisecond
+	ownSlow     = time.Second
+	spareLimit  = 600 * time.Millisecond
+	gatherFor   = 150 * time.Millisecond
+	followEvery = 300 * time.Millisecond
+)
+
+// copied is what the primary knows of one backup's copy.
+type copied struct {
+	heard time.Time
+	level bool
+	acked uint64
+}
+
+// asked is a spare that was sent the state.
+type asked struct {
+	at    time.Time
+	ready bool
+}
+
+// SetTolerance takes another tolerance from changed settings; the voters and the
+// backups follow.
+func (w *Watch) SetTolerance(tolerance int) { w.settings.Tolerance = tolerance }
+
+// neededBackups is how many backups must have synced what is answered, and
+// wantedBackups how many there should be: one at least, so that another controller
+// can take over.
+func (w *Watch) neededBackups() int {
+	if w.settings.Count > 0 {
+		return max(1, w.settings.Tolerance)
+	}
+	if statemachine.Mutated("one-backup") {
+		return min(1, w.settings.Tolerance)
+	}
+	return w.settings.Tolerance
+}
+
+func (w *Watch) wantedBackups() int {
+	return min(max(1, w.neededBackups()), len(w.durable.Record.Voters)-1)
+}
+
+// chooseBackups names backups of a voters without a past, in different
+// zones where possible.
+func (w *Watch) chooseBackups(voters []Controller) []string {
+	var chosen []string
+	for len(chosen) < min(max(1, w.neededBackups()), len(voters)-1) {
+		var others []Controller
+		for _, controller := range voters {
+			if !controller.At(w.settings.Self) && !slices.Contains(chosen, controller.Name) {
+				others = append(others, controller)
+			}
+		}
+		chosen = append(chosen, w.farthest(voters, others, chosen).Name)
+	}
+	return chosen
+}
+
+// farthest is the one of several controllers whose zone has the fewest copies:
+// this controller's own, and those of the named.
+func (w *Watch) farthest(voters, several []Controller, named []string) Controller {
+	copies := map[string]int{w.settings.Self.Zone: 1}
+	for _, controller := range voters {
+		if slices.Contains(named, controller.Name) {
+			copies[controller.Zone]++
+		}
+	}
+	best := several[0]
+	for _, controller := range several[1:] {
+		if copies[controller.Zone] < copies[best.Zone] {
+			best = controller
+		}
+	}
+	return best
+}
+
+// frozen tells whether this controller has taken a next epoch with another primary or
+// other backups: nothing is added to the present one any more.
+func (w *Watch) frozen() bool {
+	record, accepted := w.durable.Record, w.durable.Accepted
+	return accepted.Epoch == record.Epoch+1 && (accepted.Primary != record.Primary || !slices.Equal(accepted.Backups, record.Backups))
+}
+
+// watchCopies begins to look after the backups that the record names.
+func (w *Watch) watchCopies(now time.Time) {
+	w.copies = map[string]*copied{}
+	for _, name := range w.durable.Record.Backups {
+		w.copies[name] = &copied{heard: now}
+	}
+}
+
+// level tells whether all copies that are needed are there and whole.
+func (w *Watch) level() bool {
+	for _, name := range w.durable.Record.Backups {
+		if !w.copies[name].level {
+			return false
+		}
+	}
+	return len(w.durable.Record.Backups) >= w.neededBackups()
+}
+
+// Commands.
+
+// Submit copies a command to all disks and then tells done. It is refused at
+// once where this controller may not act.
+func (w *Watch) Submit(now time.Time, command []byte, limit time.Duration, done Done, effects *statemachine.Effects) {
+	if !w.HoldsLease(now) {
+		done(now, effects, Refused)
+		return
+	}
+	w.queue = append(w.queue, &submitted{command: command, done: done, limit: now.Add(limit)})
+	w.timers.ArmSooner("limits", now.Add(limit))
+	if len(w.queue) == 1 {
+		w.resumeQueue(now, effects)
+	}
+}
+
+// Waiting tells how many commands are not yet committed.
+func (w *Watch) Waiting() int { return len(w.queue) }
+
+func (w *Watch) resumeQueue(now time.Time, effects *statemachine.Effects) {
+	if len(w.queue) == 0 {
+		return
+	}
+	head := w.queue[0]
+	if head.index > 0 {
+		w.sendAppend(now, effects)
+		w.settle(now, effects)
+		return
+	}
+	if !w.level() || w.replacing || w.frozen() {
+		return
+	}
+	head.index, head.begun = w.index+1, now
+	epoch := w.durable.Record.Epoch
+	w.write(effects, diskEntry{Index: head.index, Command: head.command}, func(now time.Time, effects *statemachine.Effects) {
+		head.synced, head.begun = true, now
+		if len(w.queue) == 0 || w.queue[0] != head || w.durable.Record.Epoch != epoch && !w.IsPrimary() {
+			return
+		}
+		w.timers.ArmSooner("follow", now.Add(slowAfter))
+		w.sendAppend(now, effects)
+		w.settle(now, effects)
+	})
+}
+
+// sendAppend sends the command under way to all backups that lack it.
+func (w *Watch) sendAppend(now time.Time, effects *statemachine.Effects) {
+	for _, name := range w.durable.Record.Backups {
+		w.sendAppendTo(name, effects)
+	}
+}
+
+func (w *Watch) sendAppendTo(name string, effects *statemachine.Effects) {
+	if len(w.queue) == 0 || w.replacing || !w.queue[0].synced || w.copies[name].acked >= w.queue[0].index || statemachine.Mutated("answer-before-backup") {
+		return
+	}
+	head := w.queue[0]
+	backup, _ := w.durable.Record.Find(name)
+	effects.Send(backup.Address, Append{Epoch: w.durable.Record.Epoch, Index: head.index, Command: head.command})
+}
+
+func (w *Watch) onAppend(now time.Time, from string, entry Append, effects *statemachine.Effects) {
+	record := w.durable.Record
+	if w.blank || entry.Epoch != record.Epoch {
+		if !w.blank && entry.Epoch < record.Epoch {
+			effects.Send(from, Decided{Record: record})
+		}
+		return
+	}
+	if !w.isBackup() || w.durable.Complete != record.Epoch || w.takingOver || w.promisedAway() || w.frozen() ||
+		w.nameOf(from, record.Voters) != record.Primary {
+		return
+	}
+	w.primaryHeard = now
+	returned := AppendResponse{Epoch: entry.Epoch, Index: entry.Index}
+	if entry.Index == w.index+1 && w.restoring == 0 {
+		w.ledger.Apply(now, entry.Command)
+		w.index = entry.Index
+		w.write(effects, diskEntry{Index: entry.Index, Command: entry.Command}, func(_ time.Time, effects *statemachine.Effects) {
+			w.diskIndex = max(w.diskIndex, entry.Index)
+			effects.Send(from, returned)
+		})
+		return
+	}
+	if entry.Index <= w.diskIndex {
+		effects.Send(from, returned)
+	}
+}
+
+func (w *Watch) onAppendResponse(now time.Time, from string, returned AppendResponse, effects *statemachine.Effects) {
+	copied, named := w.copies[w.nameOf(from, w.durable.Record.Voters)]
+	if !named || !w.IsPrimary() || returned.Epoch != w.durable.Record.Epoch {
+		return
+	}
+	copied.heard = now
+	copied.acked = max(copied.acked, returned.Index)
+	w.settle(now, effects)
+}
+
+// settle ends the command under way once all backups have synced it. While a
+// backup is being replaced nothing ends: the spares hold the state before.
+func (w *Watch) settle(now time.Time, effects *statemachine.Effects) {
+	if len(w.queue) == 0 || !w.IsPrimary() || w.replacing || w.frozen() {
+		return
+	}
+	head := w.queue[0]
+	if !head.synced || head.index != w.index+1 || len(w.durable.Record.Backups) < w.neededBackups() {
+		return
+	}
+	for _, name := range w.durable.Record.Backups {
+		if w.copies[name].acked < head.index && !statemachine.Mutated("answer-before-backup") {
+			return
+		}
+	}
+	w.ledger.Apply(now, head.command)
+	w.index = head.index
+	w.queue = w.queue[1:]
+	outcome := Committed
+	if !w.HoldsLease(now) {
+		outcome = Unsettled
+	}
+	head.done(now, effects, outcome)
+	w.resumeQueue(now, effects)
+}
+
+// onGrantOfBackup looks how far a backup's copy reaches, and levels it.
+func (w *Watch) onGrantOfBackup(now time.Time, from, name string, grant Grant, effects *statemachine.Effects) {
+	copied := w.copies[name]
+	copied.heard = now
+	record := w.durable.Record
+	if w.gathered || w.durable.Complete != record.Epoch {
+		return
+	}
+	inFlight := len(w.queue) > 0 && w.queue[0].index > 0
+	ahead := inFlight && grant.Index == w.queue[0].index
+	// A backup that lost its disk can't go on from a command under way either.
+	if grant.Complete != record.Epoch || grant.Index < w.index || grant.Index > w.index && !ahead {
+		copied.level = false
+		effects.Send(from, Frame{Epoch: record.Epoch, For: record.Epoch, Index: w.index, State: w.ledger.Frame()})
+		return
+	}
+	w.copyLevel(now, name, effects)
+	w.sendAppendTo(name, effects)
+}
+
+// copyLevel notes that one backup's copy is whole.
+func (w *Watch) copyLevel(now time.Time, name string, effects *statemachine.Effects) {
+	if w.copies[name].level {
+		return
+	}
+	w.copies[name].level = true
+	effects.Note(logevent.BackupComplete, "backup", name, "index", w.index)
+	if w.level() {
+		w.whole = true
+		w.resumeQueue(now, effects)
+	}
+}
+
+// Replacing backups, and taking over from a lost primary.
+
+// follow looks after the copies: the primary after its backups, and they after
+// the primary.
+func (w *Watch) follow(now time.Time, effects *statemachine.Effects) {
+	if w.durable.Complete != w.durable.Record.Epoch {
+		return
+	}
+	switch {
+	case w.IsPrimary():
+		w.watchBackups(now, effects)
+	case w.isBackup():
+		w.watchPrimary(now, effects)
+	}
+}
+
+// failing lists the backups that are lost, or slow with the command under way.
+func (w *Watch) failing(now time.Time) (lost, slow []string) {
+	for _, name := range w.durable.Record.Backups {
+		copied := w.copies[name]
+		switch {
+		case now.Sub(copied.heard) >= lostAfter:
+			lost = append(lost, name)
+		case len(w.queue) > 0 && w.queue[0].synced && copied.acked < w.queue[0].index && now.Sub(w.queue[0].begun) >= slowAfter && !statemachine.Mutated("patient-primary"):
+			slow = append(slow, name)
+		}
+	}
+	return lost, slow
+}
+
+// near is a backup in a zone that already has a copy, where there is a
+// spare in one that has none: both copies would be lost with it.
+func (w *Watch) near(now time.Time) (string, bool) {
+	if !w.level() || len(w.queue) > 0 || now.Sub(w.decidedAt) < partAfter {
+		return "", false
+	}
+	record := w.durable.Record
+	seen := map[string]bool{w.settings.Self.Zone: true}
+	for _, name := range record.Backups {
+		backup, _ := record.Find(name)
+		if seen[backup.Zone] {
+			others := slices.DeleteFunc(slices.Clone(record.Backups), func(other string) bool { return other == name })
+			if spare, found := w.chooseSpare(now, others, record.Backups); found && !w.hasCopy(spare.Zone) {
+				return name, true
+			}
+		}
+		seen[backup.Zone] = true
+	}
+	return "", false
+}
+
+func (w *Watch) hasCopy(zone string) bool {
+	return zone == w.settings.Self.Zone || slices.ContainsFunc(w.durable.Record.Backups, func(name string) bool {
+		backup, _ := w.durable.Record.Find(name)
+		return backup.Zone == zone
+	})
+}
+
+// watchBackups replaces backups that are lost, slow or near, and names more
+// where there are too few. It goes on without, where no spare can be had and
+// the backup comes back.
+func (w *Watch) watchBackups(now time.Time, effects *statemachine.Effects) {
+	if !w.HoldsLease(now) || w.trying != nil || w.gathered {
+		return
+	}
+	record := w.durable.Record
+	lost, slow := w.failing(now)
+	leave := append(lost, slow...)
+	if name, found := w.near(now); found && len(leave) == 0 && !w.replacing {
+		effects.Note(logevent.BackupNear, "backup", name, "epoch", record.Epoch)
+		leave = []string{name}
+	} else if w.replacing && len(w.spares) > 0 {
+		// Once begun it is brought to its end, for the same backups.
+		leave = append(leave, slices.DeleteFunc(slices.Clone(w.leave), func(name string) bool { return slices.Contains(leave, name) })...)
+	}
+	few := len(record.Backups) < w.wantedBackups() && len(record.Voters) > w.neededBackups()
+	if few && len(leave) == 0 && !w.replacing {
+		_, found := w.chooseSpare(now, record.Backups, record.Backups)
+		few = found
+	}
+	if len(leave) == 0 && !few {
+		if w.replacing && len(w.spares) == 0 {
+			w.replacing, w.leave = false, nil
+			w.resumeQueue(now, effects)
+		}
+		return
+	}
+	if !w.replacing {
+		w.replacing = true
+		for _, name := range lost {
+			effects.Note(logevent.BackupLost, "backup", name, "epoch", record.Epoch)
+		}
+		for _, name := range slow {
+			effects.Note(logevent.BackupSlow, "backup", name, "epoch", record.Epoch, "index", w.queue[0].index)
+		}
+	}
+	w.leave = leave
+	w.gather(now, slices.DeleteFunc(slices.Clone(record.Backups), func(name string) bool { return slices.Contains(leave, name) }), leave, effects)
+}
+
+// watchPrimary takes over from a primary that is silent; the backup that is
+// named first goes first.
+func (w *Watch) watchPrimary(now time.Time, effects *statemachine.Effects) {
+	if w.unsure(now) || statemachine.Mutated("no-takeover") {
+		return
+	}
+	patience := lostAfter + time.Duration(slices.Index(w.durable.Record.Backups, w.settings.Self.Name))*followEvery
+	if silence := now.Sub(w.primaryHeard); silence < patience {
+		w.timers.ArmSooner("follow", now.Add(patience-silence))
+		return
+	}
+	if !w.takingOver {
+		w.takingOver = true
+		effects.Note(logevent.TakeoverBegun, "epoch", w.durable.Record.Epoch, "primary", w.durable.Record.Primary)
+	}
+	// The primary is asked as well: it may be back, and not be able to go on.
+	w.gather(now, nil, nil, effects)
+}
+
+// standDown gives a takeover up that has not been asked for yet, when the
+// primary is heard again.
+func (w *Watch) standDown() {
+	if w.takingOver && w.trying == nil && !w.gathered {
+		w.takingOver = false
+		w.spares, w.passedOver = map[string]*asked{}, nil
+	}
+}
+
+// chooseSpare picks a controller of the voters that holds no copy yet: not one of the
+// kept, nor of those to be left out, nor asked already, nor passed over.
+func (w *Watch) chooseSpare(now time.Time, keep, without []string) (Controller, bool) {
+	var several []Controller
+	taken := slices.Clone(keep)
+	for name := range statemachine.Sorted(w.spares) {
+		taken = append(taken, name)
+	}
+	for _, controller := range w.durable.Record.Voters {
+		if controller.At(w.settings.Self) || slices.Contains(taken, controller.Name) || slices.Contains(without, controller.Name) || slices.Contains(w.passedOver, controller.Name) {
+			continue
+		}
+		if heard, found := w.lastGrant[controller.Name]; w.IsPrimary() && (!found || now.Sub(heard) > lostAfter) {
+			continue
+		}
+		several = append(several, controller)
+	}
+	if len(several) == 0 {
+		return Controller{}, false
+	}
+	return w.farthest(w.durable.Record.Voters, several, taken), true
+}
+
+// gather readies spares for the next epoch: each gets the whole state first, and
+// only then is a majority asked. The primary asks as many as it lacks; who takes
+// over asks all at once, since it can't know who lives.
+func (w *Watch) gather(now time.Time, keep, without []string, effects *statemachine.Effects) {
+	if w.trying != nil || w.gathered {
+		return
+	}
+	for name, spare := range statemachine.Sorted(w.spares) {
+		if !spare.ready && now.Sub(spare.at) >= spareLimit {
+			w.passedOver = append(w.passedOver, name)
+			delete(w.spares, name)
+		}
+	}
+	wanted := w.wantedBackups() - len(keep)
+	if w.takingOver {
+		wanted = len(w.durable.Record.Voters)
+	}
+	for len(w.spares) < wanted {
+		chosen, found := w.chooseSpare(now, keep, without)
+		if !found {
+			// All were asked; those that were passed over are asked again.
+			w.passedOver = nil
+			break
+		}
+		w.spares[chosen.Name] = &asked{at: now}
+		effects.Send(chosen.Address, Frame{
+			Epoch: w.durable.Record.Epoch, For: w.durable.Record.Epoch + 1, Index: w.index, State: w.ledger.Frame(),
+		})
+	}
+	w.keep = keep
+	w.conclude(now, effects)
+	w.timers.ArmSooner("follow", now.Add(gatherFor))
+}
+
+// conclude asks for the next epoch once enough spares are ready.
+func (w *Watch) conclude(now time.Time, effects *statemachine.Effects) {
+	var ready []Controller
+	pending := 0
+	oldest := now
+	for name, spare := range statemachine.Sorted(w.spares) {
+		if spare.at.Before(oldest) {
+			oldest = spare.at
+		}
+		if !spare.ready {
+			pending++
+			continue
+		}
+		if controller, found := w.durable.Record.Find(name); found {
+			ready = append(ready, controller)
+		}
+	}
+	record := w.durable.Record
+	backups := slices.Clone(w.keep)
+	missing := w.wantedBackups() - len(backups) - len(ready)
+	if pending > 0 && (missing > 0 || w.takingOver && now.Sub(oldest) < gatherFor) {
+		return
+	}
+	for len(ready) > 0 && len(backups) < w.wantedBackups() {
+		best := w.farthest(record.Voters, ready, backups)
+		backups = append(backups, best.Name)
+		ready = slices.DeleteFunc(ready, func(controller Controller) bool { return controller.At(best) })
+	}
+	if len(backups) < w.neededBackups() || !w.takingOver && slices.Equal(backups, record.Backups) {
+		return
+	}
+	w.gathered = true
+	w.begin(now, Record{Epoch: record.Epoch + 1, Primary: w.settings.Self.Name, Backups: backups, Voters: record.Voters}, effects)
+}
+
+func (w *Watch) onFrame(now time.Time, from string, frame Frame, effects *statemachine.Effects) {
+	record := w.durable.Record
+	if w.blank {
+		return
+	}
+	if frame.Epoch != record.Epoch {
+		if frame.Epoch < record.Epoch {
+			effects.Send(from, Decided{Record: record})
+		} else {
+			w.askRecord(from, effects)
+		}
+		return
+	}
+	returned := FrameResponse{Epoch: frame.Epoch, For: frame.For, Index: frame.Index}
+	sender := w.nameOf(from, record.Voters)
+	if frame.For == record.Epoch+1 && w.member() && (sender == record.Primary || slices.Contains(record.Backups, sender)) {
+		held := &spareFrame{From: sender, For: frame.For, Index: frame.Index, State: frame.State}
+		w.frames[sender] = held
+		w.write(effects, diskEntry{Spare: held}, func(_ time.Time, effects *statemachine.Effects) {
+			effects.Send(from, returned)
+		})
+		return
+	}
+	if frame.For != record.Epoch || sender != record.Primary || !w.isBackup() || w.takingOver || w.frozen() {
+		return
+	}
+	if w.durable.Complete == record.Epoch && frame.Index < w.index {
+		// An older frame that came late; what was acknowledged since stays.
+		return
+	}
+	if err := w.ledger.Restore(frame.State); err != nil {
+		return
+	}
+	w.index = frame.Index
+	w.writeState(frame.State, effects)
+	w.durable.Complete = record.Epoch
+	w.saveDurable(effects, func(_ time.Time, effects *statemachine.Effects) {
+		effects.Send(from, returned)
+	})
+}
+
+func (w *Watch) onFrameResponse(now time.Time, from string, returned FrameResponse, effects *statemachine.Effects) {
+	record := w.durable.Record
+	if returned.Epoch != record.Epoch {
+		return
+	}
+	name := w.nameOf(from, record.Voters)
+	if returned.For == record.Epoch+1 {
+		spare, found := w.spares[name]
+		if !found || returned.Index != w.index || w.gathered || w.trying != nil {
+			return
+		}
+		if !w.takingOver && !(w.replacing && w.HoldsLease(now)) {
+			return
+		}
+		spare.ready = true
+		w.conclude(now, effects)
+		return
+	}
+	if copied, named := w.copies[name]; named && w.IsPrimary() && returned.Index == w.index && !w.gathered {
+		copied.heard = now
+		w.copyLevel(now, name, effects)
+	}
+}
+
+// Confirm asks a majority whether the present epoch still stands, so that an
+// answer read from the primary's state can't be an old one.
+func (w *Watch) Confirm(now time.Time, done Done, effects *statemachine.Effects) {
+	if !w.Speaking(now) || !w.stands() {
+		done(now, effects, Refused)
+		return
+	}
+	if statemachine.Mutated("lease-for-ever") {
+		done(now, effects, Committed)
+		return
+	}
+	w.nonce++
+	waiting := confirmation{done: done, limit: now.Add(confirmLimit), givers: map[string]bool{w.settings.Self.Address: true}}
+	w.confirms[w.nonce] = waiting
+	w.timers.ArmSooner("limits", now.Add(confirmLimit))
+	for _, controller := range w.durable.Record.Voters {
+		if !controller.At(w.settings.Self) {
+			effects.Send(controller.Address, Confirm{Epoch: w.durable.Record.Epoch, Nonce: w.nonce})
+		}
+	}
+	w.confirmed(now, w.nonce, effects)
+}
+
+// stands tells whether this controller has let nobody else have the next epoch.
+func (w *Watch) stands() bool {
+	return w.member() && !w.promisedAway() && !w.acceptedAway() && !w.takingOver
+}
+
+func (w *Watch) onConfirm(now time.Time, from string, confirm Confirm, effects *statemachine.Effects) {
+	if confirm.Epoch != w.durable.Record.Epoch || !w.stands() || w.unsure(now) {
+		return
+	}
+	effects.Send(from, ConfirmResponse{Epoch: confirm.Epoch, Nonce: confirm.Nonce})
+}
+
+func (w *Watch) onConfirmResponse(now time.Time, from string, returned ConfirmResponse, effects *statemachine.Effects) {
+	waiting, found := w.confirms[returned.Nonce]
+	if !found || returned.Epoch != w.durable.Record.Epoch {
+		return
+	}
+	waiting.givers[from] = true
+	w.confirmed(now, returned.Nonce, effects)
+}
+
+func (w *Watch) confirmed(now time.Time, nonce uint64, effects *statemachine.Effects) {
+	waiting := w.confirms[nonce]
+	if !enough(w.durable.Record.Epoch+1, w.durable.Record.Voters, waiting.givers) {
+		return
+	}
+	delete(w.confirms, nonce)
+	if !w.Speaking(now) || now.After(waiting.limit) {
+		waiting.done(now, effects, Unsettled)
+		return
+	}
+	waiting.done(now, effects, Committed)
+}
--- a/internal/watchbill/copies_test.go
+++ b/internal/consensus/replication_test.go
@@ -1,7 +1,7 @@
 // The copies of the control state: what was answered outlasts as many lost disks
 // as are tolerated, and a backup, or the primary itself, that is lost or slow
 // holds nothing up for long.
-package watchbill
+package consensus
 
 import (
 	"encoding/binary"
@@ -12,29 +12,29 @@
 
 	"gotest.tools/v3/assert"
 
-	"dahlialock/internal/helm"
+	"dahlialock/internal/statemachine"
 )
 
 // submit brings one command into whoever serves, again and again until it is
 // committed, and tells how long that took.
-func (bench *watchBench) submit(limit time.Duration) time.Duration {
-	bench.t.Helper()
-	began, committed := bench.now, false
+func (wb *watchBench) submit(limit time.Duration) time.Duration {
+	wb.t.Helper()
+	began, committed := wb.now, false
 	var try func()
 	try = func() {
 		if committed {
 			return
 		}
-		bench.after(100*time.Millisecond, try)
-		for _, pilot := range bench.pilots {
-			if pilot.up && !pilot.frozen && !pilot.cut && pilot.watch.HoldsTenure(pilot.local()) && pilot.watch.Waiting() == 0 {
-				bench.next++
-				number := bench.next
-				pilot.step(func(now time.Time, effects *helm.Effects) {
-					pilot.watch.Submit(now, binary.BigEndian.AppendUint64(nil, number), 2*time.Second, func(_ time.Time, _ *helm.Effects, outcome Outcome) {
+		wb.after(100*time.Millisecond, try)
+		for _, controller := range wb.controllers {
+			if controller.up && !controller.frozen && !controller.cut && controller.watch.HoldsLease(controller.local()) && controller.watch.Waiting() == 0 {
+				wb.next++
+				number := wb.next
+				controller.step(func(now time.Time, effects *statemachine.Effects) {
+					controller.watch.Submit(now, binary.BigEndian.AppendUint64(nil, number), 2*time.Second, func(_ time.Time, _ *statemachine.Effects, outcome Outcome) {
 						if outcome == Committed {
 							committed = true
-							bench.committed = append([]uint64(nil), pilot.ledger.said...)
+							wb.committed = append([]uint64(nil), controller.ledger.said...)
 						}
 					}, effects)
 				})
@@ -43,15 +43,15 @@
 		}
 	}
 	try()
-	bench.until(limit, "a command is committed", func() bool { return committed })
-	return bench.now - began
+	wb.until(limit, "a command is committed", func() bool { return committed })
+	return wb.now - began
 }
 
-// settledFleet is a fleet whose roster is whole.
+// settledFleet is a fleet whose voters is whole.
 func settledFleet(t trial, seed uint64, tolerance int) *watchBench {
 	bench := newFleet(t, seed, max(5, 2*tolerance+3), 3, tolerance)
 	bench.startAll()
-	bench.until(12*time.Second, "the roster is whole", func() bool { return bench.rostered(max(3, 2*tolerance+1)) && bench.serving() != nil })
+	bench.until(12*time.Second, "the voters is whole", func() bool { return bench.votersed(max(3, 2*tolerance+1)) && bench.serving() != nil })
 	bench.run(4 * time.Second)
 	for range 5 {
 		bench.submit(4 * time.Second)
@@ -59,17 +59,17 @@
 	return bench
 }
 
-func TestBackupsAreInDifferentLocalities(t *testing.T) {
+func TestBackupsAreInDifferentZones(t *testing.T) {
 	for tolerance := range 4 {
 		for seed := range uint64(5) {
 			bench := settledFleet(t, seed, tolerance)
 			record := bench.serving().watch.Record()
 			assert.Equal(t, len(record.Backups), max(1, tolerance))
-			localities := map[string]bool{}
+			zones := map[string]bool{}
 			for _, name := range append([]string{record.Primary}, record.Backups...) {
-				localities[bench.named(name).self.Locality] = true
+				zones[bench.named(name).self.Zone] = true
 			}
-			assert.Equal(t, len(localities), min(3, len(record.Backups)+1))
+			assert.Equal(t, len(zones), min(3, len(record.Backups)+1))
 		}
 	}
 }
@@ -95,8 +95,8 @@
 	// All lose power at once; the disks of the primary and of all
 	// backups but one, or of some others, are lost with it.
 	holders := append([]string{record.Primary}, record.Backups...)
-	for _, pilot := range bench.pilots {
-		pilot.kill()
+	for _, controller := range bench.controllers {
+		controller.kill()
 	}
 	spared := int(seed) % (tolerance + 1)
 	lost := 0
@@ -106,20 +106,20 @@
 			lost++
 		}
 	}
-	for _, pilot := range bench.pilots {
-		if lost < tolerance && !slices.Contains(holders, pilot.self.Name) {
-			pilot.wipe()
+	for _, controller := range bench.controllers {
+		if lost < tolerance && !slices.Contains(holders, controller.self.Name) {
+			controller.wipe()
 			lost++
 		}
 	}
-	for _, pilot := range bench.pilots {
-		pilot.founding = false
-		bench.after(time.Duration(bench.random.IntN(3000))*time.Millisecond, pilot.start)
+	for _, controller := range bench.controllers {
+		controller.founding = false
+		bench.after(time.Duration(bench.random.IntN(3000))*time.Millisecond, controller.start)
 	}
 	before := len(bench.committed)
 	bench.until(12*time.Second, "somebody serves", func() bool { return bench.serving() != nil })
 	assert.Assert(t, len(bench.serving().ledger.said) >= before)
-	bench.until(12*time.Second, "the roster is whole", func() bool { return bench.rostered(max(3, 2*tolerance+1)) })
+	bench.until(12*time.Second, "the voters is whole", func() bool { return bench.votersed(max(3, 2*tolerance+1)) })
 	bench.submit(4 * time.Second)
 	assert.Equal(t, len(bench.founded), 1)
 }
@@ -127,7 +127,7 @@
 // Whatever befalls the backups or the primary, a command is committed within two
 // seconds, and after a primary that stops in good order within half a second.
 func TestNobodyHoldsACommandUpForLong(t *testing.T) {
-	for name, strike := range helm.Sorted(strikes) {
+	for name, strike := range statemachine.Sorted(strikes) {
 		for tolerance := 1; tolerance < 4; tolerance++ {
 			for _, role := range []string{"backup", "primary"} {
 				t.Run(fmt.Sprint(name, " ", role, " ", tolerance), func(t *testing.T) {
@@ -148,20 +148,20 @@
 	}
 }
 
-var strikes = map[string]func(pilot *pilot){
-	"killed": func(pilot *pilot) { pilot.kill() },
-	"frozen": func(pilot *pilot) { pilot.frozen = true },
-	"cut":    func(pilot *pilot) { pilot.cut = true },
-	"stopped": func(pilot *pilot) {
-		pilot.step(func(now time.Time, effects *helm.Effects) { pilot.watch.Yield(now, effects) })
-		pilot.kill()
+var strikes = map[string]func(controller *controller){
+	"killed": func(controller *controller) { controller.kill() },
+	"frozen": func(controller *controller) { controller.frozen = true },
+	"cut":    func(controller *controller) { controller.cut = true },
+	"stopped": func(controller *controller) {
+		controller.step(func(now time.Time, effects *statemachine.Effects) { controller.watch.Yield(now, effects) })
+		controller.kill()
 	},
-	"hanging": func(pilot *pilot) { pilot.hung = pilot.bench.now + time.Minute },
+	"hanging": func(controller *controller) { controller.hung = controller.bench.now + time.Minute },
 }
 
 // strikeHolder strikes the primary or all backups and gives the longest time
 // that a command then took.
-func strikeHolder(t trial, seed uint64, tolerance int, role string, strike func(pilot *pilot)) time.Duration {
+func strikeHolder(t trial, seed uint64, tolerance int, role string, strike func(controller *controller)) time.Duration {
 	t.Helper()
 	bench := settledFleet(t, seed, tolerance)
 	record := bench.serving().watch.Record()
@@ -180,14 +180,14 @@
 	return longest
 }
 
-// A tolerance that changes while pilots run is followed.
+// A tolerance that changes while controllers run is followed.
 func TestChangedToleranceIsFollowed(t *testing.T) {
 	bench := settledFleet(t, 1, 1)
-	for _, pilot := range bench.pilots {
-		pilot.watch.SetTolerance(2)
+	for _, controller := range bench.controllers {
+		controller.watch.SetTolerance(2)
 	}
 	bench.tolerance = 2
-	bench.until(6*time.Second, "the roster has grown", func() bool { return bench.rostered(5) })
+	bench.until(6*time.Second, "the voters has grown", func() bool { return bench.votersed(5) })
 	bench.submit(2 * time.Second)
 	assert.Equal(t, len(bench.serving().watch.Record().Backups), 2)
 }
--- a/internal/economy/economy.go
+++ b/internal/consolidation/consolidation.go
@@ -1,13 +1,13 @@
-// The economy duty: from what the lanterns report it decides which of them rest,
+// The economy duty: from what the gateways report it decides which of them rest,
 // where their origins go, and how the awake ones share what is left. A decision
-// compares one sum before and after: processor time, of a lantern that is awake
-// and of the copies that it takes, and bytes between localities, each with the
+// compares one sum before and after: processor time, of a gateway that is awake
+// and of the copies that it takes, and bytes between zones, each with the
 // weight that the operators gave it. Loads are rates of what was observed, and
 // closeness is the observed way between daemons, with the configured links as
-// the start. There is always room to lose one lantern and one locality, a quiet
+// the start. There is always room to lose one gateway and one zone, a quiet
 // spell passes before anything is emptied, and waking comes long before the
 // awake ones are full. Old reports are never acted on.
-package economy
+package consolidation
 
 import (
 	"cmp"
@@ -15,9 +15,9 @@
 	"slices"
 	"time"
 
-	"dahlialock/internal/beacon"
-	"dahlialock/internal/chart"
-	"dahlialock/internal/helm"
+	"dahlialock/internal/config"
+	"dahlialock/internal/membership"
+	"dahlialock/internal/statemachine"
 )
 
 const (
@@ -25,14 +25,14 @@
 	pace       = 40
 	fullShare  = 0.75
 	quietShare = 0.55
-	// Shares of the mean at which a lantern begins to hand origins on, and down
+	// Shares of the mean at which a gateway begins to hand origins on, and down
 	// to which it does.
 	unevenShare = 1.35
 	evenShare   = 1.1
 	unevenLeast = 8
-	// A lantern's owner is one thread; beyond this share of it more are woken.
+	// A gateway's owner is one thread; beyond this share of it more are woken.
 	busyShare = 0.6
-	// What nobody has observed yet: the processor time of a lantern that is
+	// What nobody has observed yet: the processor time of a gateway that is
 	// awake and idle, and of one copy or delivery, and a message's bytes.
 	idleProcessor = 15 * time.Millisecond
 	eachProcessor = 120 * time.Microsecond
@@ -44,15 +44,15 @@
 
 // Observation is all that a decision may rest on.
 type Observation struct {
-	Configuration chart.Configuration
-	Members       map[string]beacon.Member
-	Loads         map[string]beacon.Load
+	Configuration config.Configuration
+	Members       map[string]membership.Member
+	Loads         map[string]membership.Load
 	Heard         map[string]time.Time
 }
 
 type rate struct {
 	at        time.Time
-	load      beacon.Load
+	load      membership.Load
 	known     bool
 	delivered float64
 	copies    float64
@@ -73,64 +73,64 @@
 }
 
 type candidate struct {
-	member beacon.Member
-	load   beacon.Load
+	member membership.Member
+	load   membership.Load
 	rate   rate
 }
 
 type fleet struct {
-	props    chart.Economy
+	settings config.Economy
 	links    map[[2]string]time.Duration
-	lanterns []candidate
+	gateways []candidate
 	total    int
 	busy     float64
 	asleep   func(name string) bool
 }
 
-// Decide gives each living lantern its orders.
-func (economist *Economist) Decide(now time.Time, seen Observation) map[string]beacon.Orders {
+// Decide gives each living gateway its orders.
+func (e *Economist) Decide(now time.Time, seen Observation) map[string]membership.Orders {
 	drained := func(name string) bool { return slices.Contains(seen.Configuration.Drains, name) }
 	here := &fleet{
-		props: seen.Configuration.Economy, links: links(seen.Configuration),
-		asleep: func(name string) bool { return economist.resting[name] || drained(name) },
+		settings: seen.Configuration.Economy, links: links(seen.Configuration),
+		asleep: func(name string) bool { return e.resting[name] || drained(name) },
 	}
 	fresh := true
-	for name, member := range helm.Sorted(seen.Members) {
-		if member.Kind != beacon.KindLantern || !member.Alive {
-			delete(economist.resting, name)
-			delete(economist.shedding, name)
-			delete(economist.rates, name)
+	for name, member := range statemachine.Sorted(seen.Members) {
+		if member.Kind != membership.KindGateway || !member.Alive {
+			delete(e.resting, name)
+			delete(e.shedding, name)
+			delete(e.rates, name)
 			continue
 		}
 		limit := staleAfter
 		if member.Resting {
-			limit += beacon.PatientHold
-			economist.resting[name] = true
+			limit += membership.PatientHold
+			e.resting[name] = true
 		}
 		if now.Sub(seen.Heard[name]) > limit {
 			fresh = false
 		}
 		load := seen.Loads[name]
-		lantern := candidate{member: member, load: load, rate: economist.observe(name, seen.Heard[name], load)}
+		gateway := candidate{member: member, load: load, rate: e.observe(name, seen.Heard[name], load)}
 		here.total += load.Origins
-		here.busy += lantern.rate.busy
-		here.lanterns = append(here.lanterns, lantern)
+		here.busy += gateway.rate.busy
+		here.gateways = append(here.gateways, gateway)
 	}
-	if !here.props.Enabled {
-		economist.resting, economist.shedding = map[string]bool{}, map[string]bool{}
-		economist.quietSince = time.Time{}
+	if !here.settings.Enabled {
+		e.resting, e.shedding = map[string]bool{}, map[string]bool{}
+		e.quietSince = time.Time{}
 	} else if fresh {
-		economist.choose(now, here)
+		e.choose(now, here)
 	}
-	orders := map[string]beacon.Orders{}
-	for _, lantern := range here.lanterns {
-		name := lantern.member.Name
-		order := beacon.Orders{Rest: here.asleep(name)}
+	orders := map[string]membership.Orders{}
+	for _, gateway := range here.gateways {
+		name := gateway.member.Name
+		order := membership.Orders{Rest: here.asleep(name)}
 		switch {
-		case order.Rest && lantern.load.Origins > 0:
-			order.Empty, order.Pace, order.Targets = true, pace, here.targets(lantern)
-		case !order.Rest && here.props.Enabled && fresh:
-			order.Keep, order.Targets = economist.even(here, lantern)
+		case order.Rest && gateway.load.Origins > 0:
+			order.Empty, order.Pace, order.Targets = true, pace, here.targets(gateway)
+		case !order.Rest && here.settings.Enabled && fresh:
+			order.Keep, order.Targets = e.even(here, gateway)
 			if order.Keep > 0 {
 				order.Pace = pace
 			}
@@ -140,12 +140,12 @@
 	return orders
 }
 
-// observe turns a lantern's running sums into rates.
-func (economist *Economist) observe(name string, heard time.Time, load beacon.Load) rate {
-	present, found := economist.rates[name]
+// observe turns a gateway's running sums into rates.
+func (e *Economist) observe(name string, heard time.Time, load membership.Load) rate {
+	present, found := e.rates[name]
 	if !found || load.Delivered < present.load.Delivered || load.Processor < present.load.Processor {
 		present = &rate{at: heard, load: load}
-		economist.rates[name] = present
+		e.rates[name] = present
 		return *present
 	}
 	past := heard.Sub(present.at)
@@ -168,7 +168,7 @@
 	return newest
 }
 
-func links(configuration chart.Configuration) map[[2]string]time.Duration {
+func links(configuration config.Configuration) map[[2]string]time.Duration {
 	table := map[[2]string]time.Duration{}
 	for _, link := range configuration.Links {
 		table[[2]string{link.From, link.To}], table[[2]string{link.To, link.From}] = link.Delay, link.Delay
@@ -176,38 +176,38 @@
 	return table
 }
 
-// way is how far one lantern is from another: as observed by either, else as the
-// operators' links have it, else near in one locality and far between two.
-func (here *fleet) way(from, to candidate) time.Duration {
+// way is how far one gateway is from another: as observed by either, else as the
+// operators' links have it, else near in one zone and far between two.
+func (f *fleet) way(from, to candidate) time.Duration {
 	if observed, found := from.load.Delays[to.member.Name]; found {
 		return observed
 	}
 	if observed, found := to.load.Delays[from.member.Name]; found {
 		return observed
 	}
-	if from.member.Locality == to.member.Locality {
+	if from.member.Zone == to.member.Zone {
 		return 0
 	}
-	if configured, found := here.links[[2]string{from.member.Locality, to.member.Locality}]; found {
+	if configured, found := f.links[[2]string{from.member.Zone, to.member.Zone}]; found {
 		return configured
 	}
 	return 2 * farFrom
 }
 
-// targets lists the lanterns to which a lantern's origins may go, the best
+// targets lists the gateways to which a gateway's origins may go, the best
 // first: near ones before far ones, and of those the one with most room.
-func (here *fleet) targets(leaving candidate) []string {
+func (f *fleet) targets(leaving candidate) []string {
 	var fit []candidate
-	for _, lantern := range here.lanterns {
-		if name := lantern.member.Name; name != leaving.member.Name && !here.asleep(name) && lantern.load.Ready {
-			fit = append(fit, lantern)
+	for _, gateway := range f.gateways {
+		if name := gateway.member.Name; name != leaving.member.Name && !f.asleep(name) && gateway.load.Ready {
+			fit = append(fit, gateway)
 		}
 	}
-	near := func(lantern candidate) int {
-		if lantern.member.Locality == leaving.member.Locality {
+	near := func(gateway candidate) int {
+		if gateway.member.Zone == leaving.member.Zone {
 			return 0
 		}
-		return 1 + int(here.way(leaving, lantern)/farFrom)
+		return 1 + int(f.way(leaving, gateway)/farFrom)
 	}
 	slices.SortStableFunc(fit, func(left, right candidate) int {
 		if order := cmp.Compare(near(left), near(right)); order != 0 {
@@ -216,121 +216,121 @@
 		return cmp.Compare(right.load.Room, left.load.Room)
 	})
 	var names []string
-	for _, lantern := range fit {
-		names = append(names, lantern.member.Name)
+	for _, gateway := range fit {
+		names = append(names, gateway.member.Name)
 	}
 	return names
 }
 
-func (here *fleet) awake(without string) []candidate {
+func (f *fleet) awake(without string) []candidate {
 	var found []candidate
-	for _, lantern := range here.lanterns {
-		if name := lantern.member.Name; name != without && !here.asleep(name) {
-			found = append(found, lantern)
+	for _, gateway := range f.gateways {
+		if name := gateway.member.Name; name != without && !f.asleep(name) {
+			found = append(found, gateway)
 		}
 	}
 	return found
 }
 
-// needed is how many lanterns must stay awake for a number of origins: enough to
+// needed is how many gateways must stay awake for a number of origins: enough to
 // hold everybody with a share of room left, and to work for them, and the spare
 // ones that were asked for.
-func (here *fleet) needed(total int, busy float64) int {
-	count := int(math.Ceil(float64(total) / (float64(here.props.OriginsEach) * fullShare)))
+func (f *fleet) needed(total int, busy float64) int {
+	count := int(math.Ceil(float64(total) / (float64(f.settings.OriginsEach) * fullShare)))
 	working := int(math.Ceil(busy / busyShare))
-	return max(count, working, 1) + here.props.SpareLanterns
+	return max(count, working, 1) + f.settings.SpareGateways
 }
 
-// roomy tells whether some awake lanterns could lose any one locality and still
+// roomy tells whether some awake gateways could lose any one zone and still
 // hold everybody.
-func (here *fleet) roomy(awake []candidate, total int) bool {
+func (f *fleet) roomy(awake []candidate, total int) bool {
 	places := map[string]int{}
-	for _, lantern := range awake {
-		places[lantern.member.Locality]++
+	for _, gateway := range awake {
+		places[gateway.member.Zone]++
 	}
 	if len(places) < 2 {
 		return false
 	}
 	for _, count := range places {
-		if (len(awake)-count)*here.props.OriginsEach < total {
+		if (len(awake)-count)*f.settings.OriginsEach < total {
 			return false
 		}
 	}
 	return true
 }
 
-func (economist *Economist) choose(now time.Time, here *fleet) {
+func (e *Economist) choose(now time.Time, here *fleet) {
 	awake := here.awake("")
 	want := max(here.needed(here.total, here.busy), 2)
 	if len(awake) < want || !here.roomy(awake, here.total) {
-		economist.quietSince = time.Time{}
-		economist.wake(here, max(want-len(awake), 1))
+		e.quietSince = time.Time{}
+		e.wake(here, max(want-len(awake), 1))
 		return
 	}
 	// Nobody is put to rest who would have to be woken for a little more.
 	swollen := int(float64(here.total) * fullShare / quietShare)
 	if len(awake) <= max(here.needed(swollen, here.busy*fullShare/quietShare), 2) {
-		economist.quietSince = time.Time{}
+		e.quietSince = time.Time{}
 		return
 	}
-	if economist.quietSince.IsZero() {
-		economist.quietSince = now
+	if e.quietSince.IsZero() {
+		e.quietSince = now
 	}
-	if now.Sub(economist.quietSince) < here.props.QuietFor {
+	if now.Sub(e.quietSince) < here.settings.QuietFor {
 		return
 	}
-	economist.quietSince = now
+	e.quietSince = now
 	best, bestCost := "", 0.0
-	for _, lantern := range awake {
-		rest := here.awake(lantern.member.Name)
+	for _, gateway := range awake {
+		rest := here.awake(gateway.member.Name)
 		if !here.roomy(rest, swollen) {
 			continue
 		}
-		if cost := here.change(lantern, rest); cost < bestCost {
-			best, bestCost = lantern.member.Name, cost
+		if cost := here.change(gateway, rest); cost < bestCost {
+			best, bestCost = gateway.member.Name, cost
 		}
 	}
 	if best != "" {
-		economist.resting[best] = true
-		delete(economist.shedding, best)
+		e.resting[best] = true
+		delete(e.shedding, best)
 	}
 }
 
-// change is by how much the sum of all costs would grow if a lantern rested and
+// change is by how much the sum of all costs would grow if a gateway rested and
 // its origins went to the nearest of the rest; below zero it saves. Processor
 // time counts in milliseconds and bytes in kilobytes, each for a second.
-func (here *fleet) change(leaving candidate, rest []candidate) float64 {
+func (f *fleet) change(leaving candidate, rest []candidate) float64 {
 	work := idleProcessor.Seconds() + leaving.rate.copies*eachProcessor.Seconds()
 	far := math.Inf(1)
-	for _, lantern := range rest {
-		if lantern.member.Locality == leaving.member.Locality {
+	for _, gateway := range rest {
+		if gateway.member.Zone == leaving.member.Zone {
 			far = 0
 		}
-		far = min(far, float64(here.way(leaving, lantern))/float64(farFrom))
+		far = min(far, float64(f.way(leaving, gateway))/float64(farFrom))
 	}
 	places := map[string]bool{}
-	for _, lantern := range rest {
-		places[lantern.member.Locality] = true
+	for _, gateway := range rest {
+		places[gateway.member.Zone] = true
 	}
-	// Copies that come here come from all localities alike; those from others
-	// need not be sent any more where a lantern of this locality remains.
+	// Copies that come here come from all zones alike; those from others
+	// need not be sent any more where a gateway of this zone remains.
 	crossing := leaving.rate.copies * eachBytes * float64(len(places)-1) / float64(max(len(places), 1))
 	bytes := -crossing
 	if far >= 1 {
 		// Every delivery to the origins that leave now crosses.
 		bytes = leaving.rate.delivered*eachBytes + float64(leaving.load.Origins)*eachBytes/5 - crossing
 	}
-	return -here.props.ProcessorWeight*work*1000 + here.props.TrafficWeight*bytes/1000
+	return -f.settings.ProcessorWeight*work*1000 + f.settings.TrafficWeight*bytes/1000
 }
 
-// even tells how many origins a lantern ought to keep, where it holds far more
+// even tells how many origins a gateway ought to keep, where it holds far more
 // than the mean of the awake ones near it, and who is to have the others.
-func (economist *Economist) even(here *fleet, lantern candidate) (int, []string) {
-	name := lantern.member.Name
+func (e *Economist) even(here *fleet, gateway candidate) (int, []string) {
+	name := gateway.member.Name
 	var near []candidate
 	sum := 0
 	for _, other := range here.awake("") {
-		if other.member.Locality == lantern.member.Locality || lantern.load.Origins > here.props.OriginsEach {
+		if other.member.Zone == gateway.member.Zone || gateway.load.Origins > here.settings.OriginsEach {
 			near = append(near, other)
 			sum += other.load.Origins
 		}
@@ -338,11 +338,11 @@
 	mean := float64(sum) / float64(max(len(near), 1))
 	keep := int(math.Ceil(mean * evenShare))
 	limit := mean * unevenShare
-	if economist.shedding[name] {
+	if e.shedding[name] {
 		limit = mean * evenShare
 	}
-	economist.shedding[name] = len(near) > 1 && float64(lantern.load.Origins) > limit && lantern.load.Origins > keep+unevenLeast
-	if !economist.shedding[name] {
+	e.shedding[name] = len(near) > 1 && float64(gateway.load.Origins) > limit && gateway.load.Origins > keep+unevenLeast
+	if !e.shedding[name] {
 		return 0, nil
 	}
 	var targets []string
@@ -358,24 +358,24 @@
 	return max(keep, 1), targets
 }
 
-// wake wakes lanterns, first where fewest of a locality are awake.
-func (economist *Economist) wake(here *fleet, count int) {
+// wake wakes gateways, first where fewest of a zone are awake.
+func (e *Economist) wake(here *fleet, count int) {
 	places := map[string]int{}
-	for _, lantern := range here.awake("") {
-		places[lantern.member.Locality]++
+	for _, gateway := range here.awake("") {
+		places[gateway.member.Zone]++
 	}
 	for range count {
 		best, bestPlace := "", ""
-		for _, lantern := range here.lanterns {
-			name, place := lantern.member.Name, lantern.member.Locality
-			if economist.resting[name] && (best == "" || places[place] < places[bestPlace]) {
+		for _, gateway := range here.gateways {
+			name, place := gateway.member.Name, gateway.member.Zone
+			if e.resting[name] && (best == "" || places[place] < places[bestPlace]) {
 				best, bestPlace = name, place
 			}
 		}
 		if best == "" {
 			return
 		}
-		delete(economist.resting, best)
+		delete(e.resting, best)
 		places[bestPlace]++
 	}
 }
--- a/internal/economy/economy_test.go
+++ b/internal/consolidation/consolidation_test.go
@@ -1,8 +1,8 @@
-// The economy against a small model of a fleet whose lanterns obey: whatever the
-// crowds, losses and noise, there is room to lose one locality as long as anybody
+// The economy against a small model of a fleet whose gateways obey: whatever the
+// crowds, losses and noise, there is room to lose one zone as long as anybody
 // still rests, nobody flaps, nothing is done on old reports, and what costs most
 // decides who rests.
-package economy
+package consolidation
 
 import (
 	"fmt"
@@ -12,8 +12,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"dahlialock/internal/beacon"
-	"dahlialock/internal/chart"
+	"dahlialock/internal/config"
+	"dahlialock/internal/membership"
 )
 
 type town struct {
@@ -25,45 +25,45 @@
 	changes   int
 }
 
-func newTown(seed uint64, lanterns int, props chart.Economy) *town {
+func newTown(seed uint64, gateways int, settings config.Economy) *town {
 	town := &town{
 		random: rand.New(rand.NewPCG(seed, 0xec0)), now: time.Unix(1_700_000_000, 0), economist: New(),
 		seen: Observation{
-			Configuration: chart.Configuration{Economy: props},
-			Members:       map[string]beacon.Member{}, Loads: map[string]beacon.Load{}, Heard: map[string]time.Time{},
+			Configuration: config.Configuration{Economy: settings},
+			Members:       map[string]membership.Member{}, Loads: map[string]membership.Load{}, Heard: map[string]time.Time{},
 		},
 	}
-	for number := range lanterns {
-		name := fmt.Sprintf("lantern-%d", number)
+	for number := range gateways {
+		name := fmt.Sprintf("gateway-%d", number)
 		town.order = append(town.order, name)
-		town.seen.Members[name] = beacon.Member{Name: name, Kind: beacon.KindLantern, Locality: fmt.Sprint(number % 3), Alive: true}
-		town.seen.Loads[name] = beacon.Load{Ready: true, Room: 2000}
+		town.seen.Members[name] = membership.Member{Name: name, Kind: membership.KindGateway, Zone: fmt.Sprint(number % 3), Alive: true}
+		town.seen.Loads[name] = membership.Load{Ready: true, Room: 2000}
 	}
 	return town
 }
 
-func (town *town) arrive(name string, count int) {
-	load := town.seen.Loads[name]
+func (t *town) arrive(name string, count int) {
+	load := t.seen.Loads[name]
 	load.Origins += count
 	load.Room -= count
-	town.seen.Loads[name] = load
+	t.seen.Loads[name] = load
 }
 
 // second lets the fleet obey for a second: work is done, origins move.
-func (town *town) second(noise float64) map[string]beacon.Orders {
-	town.now = town.now.Add(time.Second)
-	for _, name := range town.order {
-		load := town.seen.Loads[name]
-		wobble := 1 + noise*(town.random.Float64()-0.5)
+func (t *town) second(noise float64) map[string]membership.Orders {
+	t.now = t.now.Add(time.Second)
+	for _, name := range t.order {
+		load := t.seen.Loads[name]
+		wobble := 1 + noise*(t.random.Float64()-0.5)
 		load.Delivered += uint64(float64(load.Origins) * 4 * wobble)
 		load.Copies += uint64(float64(load.Origins) * wobble)
 		load.Processor += time.Duration(float64(load.Origins)*wobble*0.5) * time.Millisecond
-		town.seen.Loads[name] = load
-		town.seen.Heard[name] = town.now
+		t.seen.Loads[name] = load
+		t.seen.Heard[name] = t.now
 	}
-	orders := town.economist.Decide(town.now, town.seen)
-	for _, name := range town.order {
-		order, load, member := orders[name], town.seen.Loads[name], town.seen.Members[name]
+	orders := t.economist.Decide(t.now, t.seen)
+	for _, name := range t.order {
+		order, load, member := orders[name], t.seen.Loads[name], t.seen.Members[name]
 		moving := 0
 		switch {
 		case order.Empty:
@@ -73,29 +73,29 @@
 		}
 		for range moving {
 			if len(order.Targets) > 0 {
-				town.arrive(name, -1)
-				town.arrive(order.Targets[town.random.IntN(min(3, len(order.Targets)))], 1)
+				t.arrive(name, -1)
+				t.arrive(order.Targets[t.random.IntN(min(3, len(order.Targets)))], 1)
 			}
 		}
-		load = town.seen.Loads[name]
+		load = t.seen.Loads[name]
 		if rests := order.Rest && load.Origins == 0; rests != member.Resting {
-			town.changes++
+			t.changes++
 			member.Resting, load.Ready = rests, !order.Rest
-			town.seen.Members[name], town.seen.Loads[name] = member, load
+			t.seen.Members[name], t.seen.Loads[name] = member, load
 		}
 	}
 	return orders
 }
 
-func (town *town) total() (total int) {
-	for _, load := range town.seen.Loads {
+func (t *town) total() (total int) {
+	for _, load := range t.seen.Loads {
 		total += load.Origins
 	}
 	return total
 }
 
-func (town *town) resting() (count int) {
-	for _, member := range town.seen.Members {
+func (t *town) resting() (count int) {
+	for _, member := range t.seen.Members {
 		if member.Resting {
 			count++
 		}
@@ -103,7 +103,7 @@
 	return count
 }
 
-func (town *town) check(t *testing.T, orders map[string]beacon.Orders, each int) {
+func (to *town) check(t *testing.T, orders map[string]membership.Orders, each int) {
 	t.Helper()
 	places, awake, rests := map[string]int{}, 0, 0
 	for name, order := range orders {
@@ -112,21 +112,21 @@
 			continue
 		}
 		awake++
-		places[town.seen.Members[name].Locality]++
+		places[to.seen.Members[name].Zone]++
 	}
 	if rests == 0 {
 		return
 	}
 	assert.Assert(t, awake >= 2 && len(places) >= 2, "%d awake in %v", awake, places)
 	for place, count := range places {
-		assert.Assert(t, (awake-count)*each >= town.total(), "without %s %d lanterns are left for %d origins", place, awake-count, town.total())
+		assert.Assert(t, (awake-count)*each >= to.total(), "without %s %d gateways are left for %d origins", place, awake-count, to.total())
 	}
 }
 
 func TestThereIsAlwaysRoomAndNobodyFlaps(t *testing.T) {
 	for seed := range uint64(60) {
-		lanterns := 5 + int(seed%5)
-		town := newTown(seed, lanterns, chart.Economy{Enabled: true, ProcessorWeight: 1, TrafficWeight: 1, OriginsEach: 100, SpareLanterns: 1, QuietFor: 5 * time.Second})
+		gateways := 5 + int(seed%5)
+		town := newTown(seed, gateways, config.Economy{Enabled: true, ProcessorWeight: 1, TrafficWeight: 1, OriginsEach: 100, SpareGateways: 1, QuietFor: 5 * time.Second})
 		for range 120 {
 			// A crowd or a calm, wherever the platform sends it.
 			for range town.random.IntN(80) {
@@ -155,7 +155,7 @@
 }
 
 func TestOldReportsAreNeverActedOn(t *testing.T) {
-	town := newTown(1, 6, chart.Economy{Enabled: true, ProcessorWeight: 1, TrafficWeight: 1, OriginsEach: 100, SpareLanterns: 1, QuietFor: time.Second})
+	town := newTown(1, 6, config.Economy{Enabled: true, ProcessorWeight: 1, TrafficWeight: 1, OriginsEach: 100, SpareGateways: 1, QuietFor: time.Second})
 	for range 3 {
 		town.second(0)
 	}
@@ -168,15 +168,15 @@
 	assert.Equal(t, len(town.economist.resting), size)
 }
 
-// Two localities hold two lanterns each and one holds one. Where processor time
+// Two zones hold two gateways each and one holds one. Where processor time
 // costs most that one rests too; where traffic does it stays awake for its own.
 func TestWeightsDecideWhoRests(t *testing.T) {
 	for _, each := range []struct {
 		processor, traffic float64
 		stays              bool
 	}{{100, 0.01, false}, {0.01, 100, true}} {
-		town := newTown(3, 7, chart.Economy{
-			Enabled: true, ProcessorWeight: each.processor, TrafficWeight: each.traffic, OriginsEach: 100, SpareLanterns: 1, QuietFor: time.Second,
+		town := newTown(3, 7, config.Economy{
+			Enabled: true, ProcessorWeight: each.processor, TrafficWeight: each.traffic, OriginsEach: 100, SpareGateways: 1, QuietFor: time.Second,
 		})
 		for _, name := range town.order {
 			town.arrive(name, 12)
@@ -187,30 +187,30 @@
 		places := map[string]int{}
 		for name, member := range town.seen.Members {
 			if !town.economist.resting[name] {
-				places[member.Locality]++
+				places[member.Zone]++
 			}
 		}
 		assert.Assert(t, town.resting() >= 2, "%d rest", town.resting())
-		assert.Equal(t, len(places) == 3, each.stays, "awake by locality: %v", places)
+		assert.Equal(t, len(places) == 3, each.stays, "awake by zone: %v", places)
 	}
 }
 
-// After a crowd has landed on one lantern the others of its locality take their
+// After a crowd has landed on one gateway the others of its zone take their
 // part, and then it ends.
 func TestACrowdIsEvenedOut(t *testing.T) {
-	town := newTown(4, 6, chart.Economy{Enabled: true, ProcessorWeight: 1, TrafficWeight: 1, OriginsEach: 300, SpareLanterns: 4, QuietFor: time.Hour})
+	town := newTown(4, 6, config.Economy{Enabled: true, ProcessorWeight: 1, TrafficWeight: 1, OriginsEach: 300, SpareGateways: 4, QuietFor: time.Hour})
 	for _, name := range town.order {
 		town.arrive(name, 20)
 	}
-	town.arrive("lantern-0", 200)
+	town.arrive("gateway-0", 200)
 	for range 30 {
 		town.second(0)
 	}
-	left, right := town.seen.Loads["lantern-0"].Origins, town.seen.Loads["lantern-3"].Origins
+	left, right := town.seen.Loads["gateway-0"].Origins, town.seen.Loads["gateway-3"].Origins
 	assert.Assert(t, left-right < 60, "%d and %d", left, right)
-	assert.Equal(t, town.seen.Loads["lantern-1"].Origins, 20)
+	assert.Equal(t, town.seen.Loads["gateway-1"].Origins, 20)
 	for range 10 {
 		town.second(0)
 	}
-	assert.Equal(t, town.seen.Loads["lantern-0"].Origins, left, "it goes on for ever")
+	assert.Equal(t, town.seen.Loads["gateway-0"].Origins, left, "it goes on for ever")
 }
