--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,661 @@
+// A Controller is the coordinator daemon's state machine. It lives on a watch bill
+// (who is primary, what two disks hold) and, while it is primary, it takes
+// configurations, keeps the cluster's view, places partitions and answers the
+// daemons that ask with the version they have. It acts only under its lease,
+// which it checks at each step, so that a controller that was frozen does nothing
+// when it wakes after its successor has begun.
+package controller
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"dahlialock/internal/config"
+	"dahlialock/internal/consensus"
+	"dahlialock/internal/consolidation"
+	"dahlialock/internal/controlclient"
+	"dahlialock/internal/logevent"
+	"dahlialock/internal/membership"
+	"dahlialock/internal/statemachine"
+)
+
+// Spans of the primary's work.
+const (
+	suspicionFresh = 1200 * time.Millisecond
+	unheardFrom    = 2 * time.Second
+	storeUnheard   = 700 * time.Millisecond
+	tendEvery      = 200 * time.Millisecond
+	idleEvery      = 500 * time.Millisecond
+	commandLimit   = 2 * time.Second
+	settleFor      = 3 * time.Second
+	succeedsAfter  = 1200 * time.Millisecond
+	followingFor   = 5 * time.Second
+	doubtFor       = 300 * time.Millisecond
+	doubtLong      = time.Second
+	joinPause      = 20 * time.Millisecond
+	youngPause     = 100 * time.Millisecond
+)
+
+// Settings are a controller daemon's settings; see watchbill.Settings.
+type Settings struct {
+	Self     membership.Member
+	Count    int
+	Seeds    []string
+	Founding bool
+	NewDisk  string
+	// Highest answers a configuration that is not above the one held as taken;
+	// otherwise it is a conflict, unless it is the same.
+	Highest bool
+	// Tolerance, if given, is how many machines with a disk may be lost at once.
+	Tolerance *int
+}
+
+// Request is an operator's request at this daemon's own ctl.
+type Request struct {
+	Local  uint64
+	Method string
+	Path   string
+	Body   []byte
+}
+
+type held struct {
+	from  string
+	ask   membership.Ask
+	limit time.Time
+}
+
+type reported struct {
+	at          time.Time
+	incarnation uint64
+}
+
+// Controller is the state machine.
+type Controller struct {
+	settings      Settings
+	state         *State
+	watch         *consensus.Watch
+	pulse         *membership.Pulse
+	follower      *membership.Follower
+	controlClient *controlclient.ControlClient
+	timers        *statemachine.Timers
+	held          map[string]held
+	heard         map[string]time.Time
+	loads         map[string]membership.Load
+	suspected     map[string]map[string]reported
+	joining       map[string]membership.Member
+	complete      map[string]membership.PartitionComplete
+	lags          map[string]lag
+	doubts        map[string]*doubt
+	busy          bool
+	began         time.Time
+	acting        bool
+	parsed        config.Configuration
+	parsedAt      uint64
+	economist     *consolidation.Economist
+	lease         *consensus.Lease
+	orders        map[string]membership.Orders
+}
+
+// New makes a controller from what its disk held.
+func New(settings Settings, frame []byte, entries [][]byte) (*Controller, error) {
+	controller := &Controller{
+		settings: settings, state: newState(), timers: statemachine.NewTimers(),
+		held: map[string]held{}, heard: map[string]time.Time{}, loads: map[string]membership.Load{},
+		suspected: map[string]map[string]reported{}, joining: map[string]membership.Member{}, complete: map[string]membership.PartitionComplete{}, lags: map[string]lag{}, doubts: map[string]*doubt{},
+		orders: map[string]membership.Orders{},
+	}
+	self := consensus.Controller{Name: settings.Self.Name, Address: settings.Self.Address, Zone: settings.Self.Zone}
+	tolerance := DefaultTolerance
+	if settings.Tolerance != nil {
+		tolerance = *settings.Tolerance
+	}
+	watch, err := consensus.New(consensus.Settings{
+		Self: self, Count: settings.Count, Seeds: settings.Seeds, Founding: settings.Founding, Tolerance: tolerance, NewDisk: settings.NewDisk,
+	}, controller.state, frame, entries)
+	if err != nil {
+		return nil, err
+	}
+	controller.watch = watch
+	controller.lease = watch.NewLease("economy")
+	controller.economist = consolidation.New()
+	controller.pulse = membership.NewPulse(settings.Self)
+	controller.follower = membership.NewFollower(settings.Self, append([]string{settings.Self.Address}, settings.Seeds...), func() membership.Load { return membership.Load{} })
+	controller.controlClient = controlclient.New(controller.upstream, controller.follower.Other)
+	return controller, nil
+}
+
+func (c *Controller) upstream() string {
+	if primary, found := c.watch.Primary(); found {
+		return primary.Address
+	}
+	return c.follower.Upstream()
+}
+
+// Version is the newest configuration version this controller can vouch for.
+func (c *Controller) Version() uint64 { return c.follower.Version }
+
+// Follower gives the controller's own view, for its ctl.
+func (c *Controller) Follower() *membership.Follower { return c.follower }
+
+// Watch gives the controller's watch, for its ctl and the simulator's checks.
+func (c *Controller) Watch() *consensus.Watch { return c.watch }
+
+// State gives the control state, for the simulator's checks.
+func (c *Controller) State() *State { return c.state }
+
+// Ready tells whether this controller does its part.
+func (c *Controller) Ready() bool { return !c.watch.Blank() }
+
+// SetTolerance takes another tolerance from changed settings.
+func (c *Controller) SetTolerance(tolerance int) {
+	c.settings.Tolerance = &tolerance
+	c.watch.SetTolerance(tolerance)
+}
+
+// Start begins the controller's work.
+func (c *Controller) Start(now time.Time, effects *statemachine.Effects) {
+	c.watch.Start(now, effects)
+	c.pulse.Start(now)
+	c.follower.Start(now)
+	c.timers.Arm("tend", now.Add(tendEvery))
+}
+
+// NextDue is when the controller wants to run again.
+func (c *Controller) NextDue() time.Time {
+	return statemachine.Earliest(c.watch.NextDue(), c.pulse.NextDue(), c.follower.NextDue(), c.controlClient.NextDue(), c.timers.Next())
+}
+
+// Due runs whatever is due.
+func (c *Controller) Due(now time.Time, effects *statemachine.Effects) {
+	c.watch.Due(now, effects)
+	c.pulse.Due(now, effects)
+	c.follower.Due(now, effects)
+	c.controlClient.Due(now, effects)
+	for _, key := range c.timers.Expired(now) {
+		if key == "tend" {
+			c.tend(now, effects)
+		}
+	}
+}
+
+// Command takes what the adapters bring: synced writes and ctl requests.
+func (c *Controller) Command(now time.Time, command any, effects *statemachine.Effects) {
+	switch body := command.(type) {
+	case statemachine.Synced:
+		c.watch.Synced(now, body.Token, effects)
+		c.answerNews(now, effects)
+	case Request:
+		c.controlClient.Carry(now, body.Local, body.Method, body.Path, body.Body, effects)
+	case Stop:
+		c.watch.Yield(now, effects)
+		for _, other := range statemachine.Sorted(c.follower.Members) {
+			if other.Kind == membership.KindController && other.Name != c.settings.Self.Name {
+				effects.Send(other.Address, membership.Farewell{Name: c.settings.Self.Name, Incarnation: c.settings.Self.Incarnation})
+			}
+		}
+		effects.Stop = true
+	}
+}
+
+// Stop asks a daemon to end in good order.
+type Stop struct{}
+
+// Message takes what other daemons say.
+func (c *Controller) Message(now time.Time, meta statemachine.Meta, message any, effects *statemachine.Effects) {
+	if meta.From != c.settings.Self.Address {
+		c.pulse.Heard(now)
+	}
+	if c.watch.Message(now, meta, message, effects) {
+		c.answerNews(now, effects)
+		return
+	}
+	switch body := message.(type) {
+	case membership.Ask:
+		c.onAsk(now, meta.From, body, effects)
+	case membership.News:
+		if taken := c.follower.Take(now, body); taken.View {
+			c.pulse.Take(now, c.follower.Members, c.follower.Upstream(), c.follower.Index)
+		}
+	case membership.Redirect:
+		c.follower.Redirected(now, body, effects)
+	case membership.Heartbeat:
+		c.pulse.Beat(now, body)
+	case membership.Suspicion:
+		c.onSuspicion(now, body)
+	case membership.Farewell:
+		c.onFarewell(now, body, effects)
+	case membership.PartitionComplete:
+		if c.watch.HoldsLease(now) {
+			c.complete[body.Partition] = body
+			c.timers.ArmSooner("tend", now)
+		}
+	case membership.Lagging:
+		c.onLagging(now, body, effects)
+	case membership.ControlRequest:
+		c.onControl(now, meta.From, body, effects)
+	case membership.ControlResponse:
+		c.controlClient.Take(now, meta.From, body, effects)
+	case membership.ConfigAsk:
+		c.follower.AnswerConfig(meta.From, body, effects)
+	}
+}
+
+// Asking and answering.
+
+func (c *Controller) onAsk(now time.Time, from string, ask membership.Ask, effects *statemachine.Effects) {
+	if !c.watch.Speaking(now) {
+		if c.watch.IsPrimary() && c.watch.HoldsLease(now) {
+			return
+		}
+		effects.Send(from, c.redirect(ask))
+		return
+	}
+	c.beginActing(now, effects)
+	// Incarnations come from wall clocks, which may have been set back across a
+	// restart: a lower one counts once the higher has been silent for a while.
+	known, found := c.state.Members[ask.Self.Name]
+	if !found || ask.Self.Incarnation >= known.Incarnation || now.Sub(c.heard[known.Name]) > succeedsAfter {
+		c.heard[ask.Self.Name] = now
+		c.loads[ask.Self.Name] = ask.Load
+		c.noteMember(now, ask.Self, effects)
+	}
+	hold := membership.HoldAsk
+	if ask.Patient {
+		hold = membership.PatientHold
+	}
+	item := held{from: from, ask: ask, limit: now.Add(hold)}
+	if ask.Index != c.state.Index || ask.Version != c.state.Version || ask.Urgent {
+		c.give(now, item, effects)
+		return
+	}
+	c.held[ask.Self.Name] = item
+	c.timers.ArmSooner("tend", item.limit)
+}
+
+func (c *Controller) redirect(ask membership.Ask) membership.Redirect {
+	redirect := membership.Redirect{For: ask.Self.Name, Nonce: ask.Nonce, Epoch: c.watch.Record().Epoch}
+	if primary, found := c.watch.Primary(); found && primary.Name != c.settings.Self.Name {
+		redirect.Primary = primary.Address
+	}
+	for _, known := range c.watch.Known() {
+		redirect.Controllers = append(redirect.Controllers, known.Address)
+	}
+	return redirect
+}
+
+func (c *Controller) give(now time.Time, item held, effects *statemachine.Effects) {
+	delete(c.held, item.ask.Self.Name)
+	news := membership.News{
+		For: item.ask.Self.Name, Nonce: item.ask.Nonce, Epoch: c.watch.Record().Epoch,
+		Primary: c.settings.Self.Address, Index: c.state.Index, Version: c.state.Version,
+		Orders: c.orders[item.ask.Self.Name],
+	}
+	if item.ask.Version < c.state.Version {
+		news.Document = c.state.Document
+	}
+	if item.ask.Index != c.state.Index {
+		// Whoever has it from an earlier epoch is told all of it once.
+		since := item.ask.Index
+		if item.ask.Epoch != news.Epoch {
+			since = 0
+		}
+		c.state.view(&news, since)
+	}
+	effects.Send(item.from, news)
+}
+
+// answerNews answers those that wait, once there is news or their time is up.
+func (c *Controller) answerNews(now time.Time, effects *statemachine.Effects) {
+	if len(c.held) == 0 || !c.watch.Speaking(now) {
+		return
+	}
+	for _, item := range statemachine.Sorted(c.held) {
+		if item.ask.Index != c.state.Index || !item.limit.After(now) {
+			c.give(now, item, effects)
+		}
+	}
+}
+
+func (c *Controller) noteMember(now time.Time, self membership.Member, effects *statemachine.Effects) {
+	known, found := c.state.Members[self.Name]
+	self.Alive = true
+	self.Joined, self.Retiring, self.Retired, self.Resting = known.Joined, known.Retiring, known.Retired, known.Resting
+	self.Degraded = known.Degraded && known.Incarnation == self.Incarnation
+	if found && known.Incarnation != self.Incarnation {
+		self.Resting = false
+		if known.Disk != self.Disk {
+			self.Retiring, self.Retired = false, false
+		}
+	}
+	if found && self == known {
+		return
+	}
+	c.joining[self.Name] = self
+	delete(c.suspected, self.Name)
+	// Each change goes to everybody: while a fleet starts, many join in one.
+	pause := joinPause
+	if now.Sub(c.began) < settleFor {
+		pause = youngPause
+	}
+	c.timers.ArmSooner("tend", now.Add(pause))
+}
+
+func (c *Controller) onSuspicion(now time.Time, suspicion membership.Suspicion) {
+	if !c.watch.HoldsLease(now) {
+		return
+	}
+	for _, suspect := range suspicion.Silent {
+		table, found := c.suspected[suspect.Name]
+		if !found {
+			table = map[string]reported{}
+			c.suspected[suspect.Name] = table
+		}
+		table[suspicion.Reporter] = reported{at: now, incarnation: suspect.Incarnation}
+	}
+}
+
+func (c *Controller) onFarewell(now time.Time, farewell membership.Farewell, effects *statemachine.Effects) {
+	member, found := c.state.Members[farewell.Name]
+	if !c.watch.HoldsLease(now) || !found || !member.Alive || member.Incarnation != farewell.Incarnation {
+		return
+	}
+	member.Alive = false
+	c.joining[member.Name] = member
+	c.timers.ArmSooner("tend", now)
+}
+
+// Refused is told that a daemon's address refuses to be dialled: its process has
+// ended, and nobody need wait for its silence.
+func (c *Controller) Refused(now time.Time, address string, effects *statemachine.Effects) {
+	if !c.watch.HoldsLease(now) {
+		return
+	}
+	for _, member := range statemachine.Sorted(c.state.Members) {
+		_, joins := c.joining[member.Name]
+		if member.Address == address && member.Alive && !joins && member.Name != c.settings.Self.Name {
+			member.Alive, member.Resting = false, false
+			c.joining[member.Name] = member
+			c.timers.ArmSooner("tend", now)
+		}
+	}
+}
+
+// Tending.
+
+func (c *Controller) beginActing(now time.Time, effects *statemachine.Effects) {
+	if c.acting {
+		return
+	}
+	c.acting, c.began, c.busy = true, now, false
+	c.suspected = map[string]map[string]reported{}
+	c.joining = map[string]membership.Member{}
+	c.complete = map[string]membership.PartitionComplete{}
+	c.orders = map[string]membership.Orders{}
+	c.lags, c.doubts = map[string]lag{}, map[string]*doubt{}
+	for name, member := range c.state.Members {
+		c.heard[name] = now
+		if member.Degraded {
+			c.lags[name] = lag{at: now, incarnation: member.Incarnation}
+		}
+	}
+}
+
+func (c *Controller) onLagging(now time.Time, told membership.Lagging, effects *statemachine.Effects) {
+	if !c.watch.HoldsLease(now) {
+		return
+	}
+	if told.Sure {
+		c.believe(now, told)
+		return
+	}
+	// Links lag too, and between two stores either end may be at fault: then a
+	// word counts if the store does not answer the primary either, or if it goes on
+	// for long and not more is said of who says so.
+	present, found := c.doubts[told.Name]
+	if !found || present.told.Incarnation != told.Incarnation || now.Sub(present.since) > laggingFresh {
+		present = &doubt{since: now, reporters: map[string]time.Time{}}
+		c.doubts[told.Name] = present
+		if waiting, holds := c.held[told.Name]; holds {
+			c.give(now, waiting, effects)
+		}
+	}
+	present.told, present.reporters[told.Reporter] = told, now
+	others := 0
+	if reporter, doubted := c.doubts[told.Reporter]; doubted {
+		others = len(reporter.reporters)
+	}
+	if told.Delay > doubtLong && len(present.reporters) > others {
+		c.believe(now, told)
+		return
+	}
+	c.timers.ArmSooner("tend", now.Add(doubtFor))
+}
+
+// doubt is what one store said of another's disk.
+type doubt struct {
+	since     time.Time
+	told      membership.Lagging
+	reporters map[string]time.Time
+}
+
+func (c *Controller) believe(now time.Time, told membership.Lagging) {
+	delete(c.doubts, told.Name)
+	c.lags[told.Name] = lag{at: now, incarnation: told.Incarnation, delay: told.Delay}
+	if !c.state.Members[told.Name].Degraded {
+		c.timers.ArmSooner("tend", now)
+	}
+}
+
+// settleDoubts believes what was said of stores that have not answered since.
+func (c *Controller) settleDoubts(now time.Time) {
+	for name, present := range statemachine.Sorted(c.doubts) {
+		switch {
+		case now.Sub(present.since) > laggingFresh:
+			delete(c.doubts, name)
+		case now.Sub(present.since) >= doubtFor && c.heard[name].Before(present.since):
+			c.believe(now, present.told)
+		}
+	}
+}
+
+// ailments lists the stores that begin or cease to be taken for degraded.
+func (c *Controller) ailments(now time.Time, effects *statemachine.Effects) []membership.Member {
+	c.settleDoubts(now)
+	changed := c.state.ailments(now, c.lags)
+	for _, member := range changed {
+		if member.Degraded {
+			effects.Note(logevent.StoreDegraded, "store", member.Name, "delay", c.lags[member.Name].delay.String())
+		} else {
+			effects.Note(logevent.StoreWell, "store", member.Name)
+		}
+	}
+	return changed
+}
+
+func (c *Controller) stopActing(now time.Time, effects *statemachine.Effects) {
+	c.acting, c.busy = false, false
+	for name, item := range statemachine.Sorted(c.held) {
+		delete(c.held, name)
+		effects.Send(item.from, c.redirect(item.ask))
+	}
+}
+
+func (c *Controller) configuration() config.Configuration {
+	if c.parsedAt != c.state.Version {
+		c.parsed, _ = config.Read(c.state.Document)
+		c.parsedAt = c.state.Version
+	}
+	return c.parsed
+}
+
+func (c *Controller) tend(now time.Time, effects *statemachine.Effects) {
+	if !c.watch.HoldsLease(now) {
+		if c.acting {
+			c.stopActing(now, effects)
+		}
+		c.timers.Arm("tend", now.Add(idleEvery))
+		return
+	}
+	c.timers.Arm("tend", now.Add(tendEvery))
+	c.beginActing(now, effects)
+	c.answerNews(now, effects)
+	if c.busy || !c.watch.Serving(now) {
+		return
+	}
+	command := Command{}
+	for _, member := range statemachine.Sorted(c.joining) {
+		command.Members = append(command.Members, member)
+		if member.Alive {
+			effects.Note(logevent.MemberJoined, "member", member.Name, "kind", member.Kind, "zone", member.Zone)
+		} else {
+			effects.Note(logevent.MemberLost, "member", member.Name, "why", "its process ended")
+		}
+	}
+	c.joining = map[string]membership.Member{}
+	command.Members = append(command.Members, c.lost(now, effects)...)
+	command.Members = append(command.Members, c.retired(effects)...)
+	if len(command.Members) == 0 {
+		command.Members = c.ailments(now, effects)
+	}
+	for partition, settled := range statemachine.Sorted(c.complete) {
+		place, found := c.state.Places[partition]
+		if found && place.Epoch == settled.Epoch && !place.Complete {
+			command.Settled = append(command.Settled, settled)
+			effects.Note(logevent.PlacementComplete, "partition", partition, "epoch", settled.Epoch)
+		}
+	}
+	c.complete = map[string]membership.PartitionComplete{}
+	if wanted := c.settings.Tolerance; wanted != nil && *wanted != c.state.Tolerance {
+		command.Tolerance = wanted
+	}
+	if len(command.Members) == 0 && len(command.Settled) == 0 && command.Tolerance == nil {
+		command.Places = c.state.plan(c.configuration())
+		if now.Sub(c.began) <= settleFor/3 {
+			// New partitions wait until the stores that come back were heard; one
+			// whose holder came back with another disk does not.
+			command.Places = slices.DeleteFunc(command.Places, func(next membership.Placement) bool {
+				_, placed := c.state.Places[next.Partition]
+				return !placed
+			})
+		}
+		for _, place := range command.Places {
+			effects.Note(logevent.PlacementChanged, "partition", place.Partition, "epoch", place.Epoch, "first", place.First, "followers", strings.Join(place.Followers, " "))
+		}
+	}
+	if len(command.Members)+len(command.Settled)+len(command.Places) > 0 || command.Tolerance != nil {
+		c.submit(now, command, effects)
+		return
+	}
+	c.economize(now, effects)
+}
+
+func (c *Controller) submit(now time.Time, command Command, effects *statemachine.Effects) {
+	c.busy = true
+	c.watch.Submit(now, mustPack(command), commandLimit, func(now time.Time, effects *statemachine.Effects, outcome consensus.Outcome) {
+		c.busy = false
+		if outcome == consensus.Committed {
+			c.answerNews(now, effects)
+			c.timers.ArmSooner("tend", now.Add(10*time.Millisecond))
+		}
+	}, effects)
+}
+
+// lost lists the members that enough watchers no longer hear.
+func (c *Controller) lost(now time.Time, effects *statemachine.Effects) []membership.Member {
+	var gone []membership.Member
+	for name, reporters := range statemachine.Sorted(c.suspected) {
+		member, found := c.state.Members[name]
+		if !found || !member.Alive {
+			delete(c.suspected, name)
+			continue
+		}
+		fresh := 0
+		for reporter, report := range statemachine.Sorted(reporters) {
+			if now.Sub(report.at) > suspicionFresh || report.incarnation != member.Incarnation {
+				delete(reporters, reporter)
+				continue
+			}
+			fresh++
+		}
+		unheard := now.Sub(c.heard[name])
+		limit, unasked := unheardFrom, unheardFrom/2
+		if member.Resting {
+			limit += membership.PatientHold
+		}
+		if member.Kind == membership.KindStore {
+			unasked = storeUnheard
+		}
+		// Watchers alone can be misled by the links between them and a member;
+		// one that still asks the primary itself is not taken for lost on two
+		// reports, but on all of them.
+		if fresh >= 2 && unheard > unasked || fresh >= 1 && unheard > limit || fresh >= membership.Watchers {
+			member.Alive, member.Resting = false, false
+			gone = append(gone, member)
+			delete(c.suspected, name)
+			effects.Note(logevent.MemberLost, "member", name, "reporters", fresh, "unheard", unheard.String())
+		}
+	}
+	for name, member := range statemachine.Sorted(c.state.Members) {
+		// A daemon that is heard by its watchers and yet follows nothing acts on
+		// an old view: to the others it is as good as lost.
+		limit := followingFor
+		if member.Resting {
+			limit += membership.PatientHold
+		}
+		if unheard := now.Sub(c.heard[name]); member.Alive && unheard > limit && !slices.ContainsFunc(gone, func(other membership.Member) bool { return other.Name == name }) {
+			member.Alive, member.Resting = false, false
+			gone = append(gone, member)
+			effects.Note(logevent.MemberLost, "member", name, "why", "does not follow", "unheard", unheard.String())
+		}
+	}
+	return gone
+}
+
+// retired lists the stores that nothing refers to any more.
+func (c *Controller) retired(effects *statemachine.Effects) []membership.Member {
+	var done []membership.Member
+	for _, member := range statemachine.Sorted(c.state.Members) {
+		if member.Kind == membership.KindStore && member.Retiring && !member.Retired && !c.state.refers(member.Name) {
+			member.Retired = true
+			done = append(done, member)
+			effects.Note(logevent.StoreRetired, "store", member.Name)
+		}
+	}
+	return done
+}
+
+// economize lets the economy duty act, under its own lease.
+func (c *Controller) economize(now time.Time, effects *statemachine.Effects) {
+	configuration := c.configuration()
+	c.watch.AskDuty(now, c.lease, effects)
+	if !c.lease.Held(now) || now.Sub(c.began) < settleFor {
+		return
+	}
+	decided := c.economist.Decide(now, consolidation.Observation{
+		Configuration: configuration, Members: c.state.Members, Loads: c.loads, Heard: c.heard,
+	})
+	command := Command{}
+	for name, orders := range statemachine.Sorted(decided) {
+		earlier := c.orders[name]
+		c.orders[name] = orders
+		if !earlier.Equal(orders) {
+			if waiting, found := c.held[name]; found {
+				c.give(now, waiting, effects)
+			}
+		}
+		member := c.state.Members[name]
+		if rests := orders.Rest && c.loads[name].Resting; member.Resting != rests && member.Alive {
+			member.Resting = rests
+			command.Members = append(command.Members, member)
+			if rests {
+				effects.Note(logevent.GatewayRested, "gateway", name)
+			} else {
+				effects.Note(logevent.GatewayWoken, "gateway", name)
+			}
+		}
+	}
+	if len(command.Members) > 0 {
+		c.submit(now, command, effects)
+	}
+}
--- a/internal/pilotage/state_test.go
+++ b/internal/controller/state_test.go
@@ -1,6 +1,6 @@
 // Whoever follows the state by what changed sees the same as whoever is told all
 // of it, wherever it begins.
-package pilotage
+package controller
 
 import (
 	"fmt"
@@ -10,9 +10,9 @@
 
 	"gotest.tools/v3/assert"
 
-	"dahlialock/internal/beacon"
-	"dahlialock/internal/chart"
-	"dahlialock/internal/helm"
+	"dahlialock/internal/config"
+	"dahlialock/internal/membership"
+	"dahlialock/internal/statemachine"
 )
 
 func TestNewsOfWhatChangedGiveTheWholeView(t *testing.T) {
@@ -20,11 +20,11 @@
 		random := rand.New(rand.NewPCG(seed, 0xde17a))
 		state := newState()
 		now := time.Unix(1000, 0)
-		followers := make([]*beacon.Follower, 4)
+		followers := make([]*membership.Follower, 4)
 		for number := range followers {
-			followers[number] = beacon.NewFollower(beacon.Member{Name: "lantern"}, []string{"pilot"}, func() beacon.Load { return beacon.Load{} })
+			followers[number] = membership.NewFollower(membership.Member{Name: "gateway"}, []string{"controller"}, func() membership.Load { return membership.Load{} })
 			followers[number].Start(now)
-			followers[number].Due(now, &helm.Effects{})
+			followers[number].Due(now, &statemachine.Effects{})
 		}
 		version := uint64(0)
 		partial := 0
@@ -32,14 +32,14 @@
 			var command Command
 			switch random.IntN(5) {
 			case 0, 1:
-				command.Members = append(command.Members, beacon.Member{
-					Name: fmt.Sprint("keeper-", random.IntN(6)), Kind: beacon.KindKeeper, Alive: random.IntN(4) > 0, Incarnation: uint64(step), Disk: "disk",
+				command.Members = append(command.Members, membership.Member{
+					Name: fmt.Sprint("store-", random.IntN(6)), Kind: membership.KindStore, Alive: random.IntN(4) > 0, Incarnation: uint64(step), Disk: "disk",
 				})
 			case 2:
-				for name, place := range helm.Sorted(state.Places) {
-					settled := beacon.StrandComplete{Strand: name, Epoch: place.Epoch, Holders: []string{state.Members[place.First].Holder()}}
-					for _, understudy := range place.Understudies {
-						settled.Holders = append(settled.Holders, state.Members[understudy].Holder())
+				for name, place := range statemachine.Sorted(state.Places) {
+					settled := membership.PartitionComplete{Partition: name, Epoch: place.Epoch, Holders: []string{state.Members[place.First].Holder()}}
+					for _, follower := range place.Followers {
+						settled.Holders = append(settled.Holders, state.Members[follower].Holder())
 					}
 					if random.IntN(2) == 0 {
 						command.Settled = append(command.Settled, settled)
@@ -53,13 +53,13 @@
 				}
 			case 4:
 				if version > 0 {
-					configuration, _ := chart.Read(state.Document)
+					configuration, _ := config.Read(state.Document)
 					command.Places = state.plan(configuration)
 				}
 			}
 			state.Apply(now, mustPack(command))
 			follower := followers[random.IntN(len(followers))]
-			news := beacon.News{Nonce: 1, Epoch: 1, Primary: "pilot", Index: state.Index, Version: state.Version, Document: state.Document}
+			news := membership.News{Nonce: 1, Epoch: 1, Primary: "controller", Index: state.Index, Version: state.Version, Document: state.Document}
 			state.view(&news, follower.Index)
 			if news.Since > 0 {
 				partial++
--- /dev/null
+++ b/internal/daemon/host.go
@@ -0,0 +1,603 @@
+// A Host is where a machine lies in a real process: one owner runs the machine
+// and everything that touches it comes through queues. Around it stand the
+// adapters: the links between daemons, the disk, the log, the clock, and the
+// callers. The owner works in turns: it waits, takes all that came meanwhile,
+// and then flushes once what goes out, since each wake-up and each write costs.
+package daemon
+
+import (
+	"fmt"
+	"os"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"dahlialock/internal/logevent"
+	"dahlialock/internal/statemachine"
+	"dahlialock/internal/transport"
+	"dahlialock/internal/wal"
+)
+
+const (
+	inboxSize   = 4096
+	requestSize = 4096
+	batchMost   = 256
+	lookEvery   = 16
+	// A disk that refuses is tried again after a pause, and told of now and then.
+	refusedPause   = 200 * time.Millisecond
+	refusedReports = 50
+	endMost        = time.Second
+)
+
+type task struct {
+	command func(request uint64) any
+	inspect func(now time.Time) any
+	returns chan any
+	within  func(owner Owner)
+	attach  uint64
+	sink    chan statemachine.Deliver
+	detach  uint64
+	flush   func()
+}
+
+// sink takes the events of one channel: a queue, or a function that runs on the
+// owner's task.
+type sink struct {
+	queue chan statemachine.Deliver
+	take  func(statemachine.Deliver)
+}
+
+// flusher is what gathers output during a turn and sends it at its end.
+type flusher interface{ Flush() }
+
+// Host runs one machine.
+type Host struct {
+	machine   statemachine.Machine
+	watcher   statemachine.LinkWatcher
+	transport *transport.Transport
+	flush     []func()
+	logger    *logevent.Logger
+	book      *wal.Log
+	address   string
+	inbox     chan transport.Inbound
+	urgent    chan transport.Inbound
+	tasks     chan task
+	disk      chan []statemachine.Write
+	synced    chan []uint64
+	slow      func(channel uint64) any
+	ended     chan struct{}
+	slowDisk  atomic.Int64
+	Steps     atomic.Int64
+	Syncs     atomic.Int64
+}
+
+// Settings are what a host needs besides the machine.
+type Settings struct {
+	Address string
+	Logger  *logevent.Logger
+	Book    *wal.Log
+	Slow    func(channel uint64) any
+}
+
+// Open starts the links of a host; Run then runs the machine.
+func Open(settings Settings) (*Host, error) {
+	opened := &Host{
+		logger: settings.Logger, book: settings.Book, address: settings.Address, slow: settings.Slow,
+		inbox: make(chan transport.Inbound, inboxSize), urgent: make(chan transport.Inbound, inboxSize), tasks: make(chan task, requestSize),
+		disk: make(chan []statemachine.Write), synced: make(chan []uint64, 1), ended: make(chan struct{}),
+	}
+	links, err := transport.Open(settings.Address, opened.inbox, opened.urgent, func(remote string, err error) {
+		settings.Logger.Report(logevent.LinkGarbage, "remote", remote, "error", err.Error())
+	})
+	if err != nil {
+		return nil, err
+	}
+	opened.transport = links
+	if gathers, does := any(links).(flusher); does {
+		opened.flush = append(opened.flush, gathers.Flush)
+	}
+	return opened, nil
+}
+
+// Transport gives the links, for counters and trials.
+func (h *Host) Transport() *transport.Transport { return h.transport }
+
+// Ended is closed once the machine has stopped.
+func (h *Host) Ended() <-chan struct{} { return h.ended }
+
+// Run runs the machine until it stops.
+func (h *Host) Run(machine statemachine.Machine) {
+	h.machine = machine
+	if watcher, watches := machine.(statemachine.LinkWatcher); watches {
+		h.watcher = watcher
+		h.transport.Watch()
+	}
+	if h.book != nil {
+		go h.writeDisk()
+	}
+	go h.own()
+}
+
+// writeDisk is the one task that touches the disk. Entries that came together
+// are synced together.
+func (h *Host) writeDisk() {
+	for writes := range h.disk {
+		if slow := time.Duration(h.slowDisk.Load()); slow > 0 {
+			time.Sleep(slow)
+		}
+		var tokens []uint64
+		var entries [][]byte
+		flush := func() {
+			if len(entries) == 0 {
+				return
+			}
+			batch := entries
+			h.write(func() error { return h.book.Append(batch) })
+			entries = nil
+		}
+		for _, write := range writes {
+			if frame, whole := write.Whole(); whole {
+				flush()
+				h.write(func() error { return h.book.Checkpoint(frame) })
+			}
+			entries = append(entries, write.Entries...)
+			tokens = append(tokens, write.Token)
+		}
+		flush()
+		h.Syncs.Store(h.book.Syncs)
+		h.synced <- tokens
+	}
+}
+
+// write tries until the disk takes it: nothing counts as lasting meanwhile, and
+// the machine is told each time, so that others can do its part.
+func (h *Host) write(try func() error) {
+	for tries := 0; ; tries++ {
+		err := try()
+		if err == nil {
+			return
+		}
+		if tries%refusedReports == 0 {
+			h.logger.Report(logevent.DiskRefused, "error", err.Error(), "tries", tries+1)
+		}
+		h.Post(statemachine.DiskRefused{})
+		select {
+		case <-h.ended:
+			return
+		case <-time.After(refusedPause):
+		}
+	}
+}
+
+type running struct {
+	request uint64
+	returns map[uint64]func(value any)
+	sinks   map[uint64]sink
+	writes  []statemachine.Write
+	local   []transport.Inbound
+	now     time.Time
+	writing bool
+	stop    bool
+	ended   bool
+}
+
+func (h *Host) own() {
+	defer func() {
+		if broken := recover(); broken != nil {
+			h.logger.Report(logevent.InvariantBroken, "error", fmt.Sprint(broken), "stack", string(debug.Stack()))
+			os.Exit(2)
+		}
+	}()
+	state := &running{returns: map[uint64]func(value any){}, sinks: map[uint64]sink{}, now: time.Now()}
+	timer := time.NewTimer(time.Hour)
+	var armed time.Time
+	h.step(state, func(now time.Time, effects *statemachine.Effects) { h.machine.Start(now, effects) })
+	h.flushAll()
+	for !state.stop {
+		var disk chan []statemachine.Write
+		if len(state.writes) > 0 && !state.writing {
+			disk = h.disk
+		}
+		due := h.machine.NextDue()
+		if !due.IsZero() && !state.now.Before(due) {
+			h.due(state)
+			continue
+		}
+		if !due.Equal(armed) {
+			armed = due
+			if due.IsZero() {
+				timer.Reset(time.Hour)
+			} else {
+				timer.Reset(max(0, time.Until(due)))
+			}
+		}
+		select {
+		case inbound := <-h.urgent:
+			state.now = time.Now()
+			h.message(state, inbound)
+		case inbound := <-h.inbox:
+			state.now = time.Now()
+			h.first(state)
+			h.message(state, inbound)
+		case asked := <-h.tasks:
+			state.now = time.Now()
+			h.first(state)
+			h.run(state, asked)
+		case disk <- state.writes:
+			state.writes, state.writing = nil, true
+			continue
+		case tokens := <-h.synced:
+			state.now = time.Now()
+			h.lasts(state, tokens)
+		case <-timer.C:
+			state.now, armed = time.Now(), time.Time{}
+			h.due(state)
+			continue
+		}
+		h.finishTurn(state)
+	}
+	h.end(state)
+}
+
+// due runs what is due, as a turn of its own.
+func (h *Host) due(state *running) {
+	h.first(state)
+	h.step(state, func(now time.Time, effects *statemachine.Effects) { h.machine.Due(now, effects) })
+	h.finishTurn(state)
+}
+
+// finishTurn takes what else has come, lets the disk begin, and flushes.
+func (h *Host) finishTurn(state *running) {
+	h.more(state)
+	if len(state.writes) > 0 && !state.writing {
+		select {
+		case h.disk <- state.writes:
+			state.writes, state.writing = nil, true
+		default:
+		}
+	}
+	h.flushAll()
+}
+
+// flushAll ends a turn: what was gathered goes out.
+func (h *Host) flushAll() {
+	for _, flush := range h.flush {
+		flush()
+	}
+}
+
+func (h *Host) lasts(state *running, tokens []uint64) {
+	state.writing = false
+	for _, token := range tokens {
+		h.step(state, func(now time.Time, effects *statemachine.Effects) {
+			h.machine.Command(now, statemachine.Synced{Token: token}, effects)
+		})
+	}
+}
+
+// end lets the last writes and sends out before the process goes.
+func (h *Host) end(state *running) {
+	patience := time.NewTimer(endMost)
+	if state.writing {
+		select {
+		case <-h.synced:
+			state.writing = false
+		case <-patience.C:
+		}
+	}
+	if len(state.writes) > 0 && !state.writing {
+		h.disk <- state.writes
+		select {
+		case <-h.synced:
+		case <-patience.C:
+		}
+	}
+	for _, sink := range state.sinks {
+		sink.end()
+	}
+	for _, returns := range state.returns {
+		returns(nil)
+	}
+	state.ended = true
+	h.flushAll()
+	close(h.ended)
+	// Work is done by the owner as long as the process lives, so that none is left
+	// without an answer and nothing is touched by two tasks.
+	for asked := range h.tasks {
+		if asked.within != nil {
+			asked.within(Owner{host: h, state: state})
+			h.flushAll()
+		}
+	}
+}
+
+// first takes what the control state says before anything else, however much
+// traffic waits: a daemon that is busy must not look lost.
+func (h *Host) first(state *running) {
+	for range batchMost {
+		select {
+		case inbound := <-h.urgent:
+			h.message(state, inbound)
+		default:
+			return
+		}
+	}
+}
+
+// more takes what else has come, in fair turns, as long as no timer is due;
+// what is urgent goes first.
+func (h *Host) more(state *running) {
+	for count := range batchMost {
+		if state.stop {
+			return
+		}
+		if count%lookEvery == lookEvery-1 {
+			state.now = time.Now()
+			if due := h.machine.NextDue(); !due.IsZero() && !state.now.Before(due) {
+				return
+			}
+		}
+		h.first(state)
+		select {
+		case inbound := <-h.inbox:
+			h.message(state, inbound)
+		case asked := <-h.tasks:
+			h.run(state, asked)
+		case tokens := <-h.synced:
+			h.lasts(state, tokens)
+		default:
+			return
+		}
+	}
+}
+
+func (h *Host) message(state *running, inbound transport.Inbound) {
+	if _, refused := inbound.Message.(transport.Refused); refused {
+		h.step(state, func(now time.Time, effects *statemachine.Effects) {
+			h.watcher.Refused(now, inbound.Meta.From, effects)
+		})
+		return
+	}
+	h.step(state, func(now time.Time, effects *statemachine.Effects) {
+		h.machine.Message(now, inbound.Meta, inbound.Message, effects)
+	})
+}
+
+func (h *Host) run(state *running, asked task) {
+	switch {
+	case asked.inspect != nil:
+		asked.returns <- asked.inspect(state.now)
+	case asked.within != nil:
+		asked.within(Owner{host: h, state: state})
+	case asked.attach != 0:
+		state.sinks[asked.attach] = sink{queue: asked.sink}
+	case asked.detach != 0:
+		delete(state.sinks, asked.detach)
+	case asked.flush != nil:
+		h.flush = append(h.flush, asked.flush)
+	}
+	if asked.command == nil {
+		return
+	}
+	var then func(value any)
+	if returns := asked.returns; returns != nil {
+		then = func(value any) { returns <- value }
+	}
+	h.command(state, asked.command, then)
+}
+
+func (h *Host) command(state *running, command func(request uint64) any, then func(value any)) {
+	if state.ended {
+		if then != nil {
+			then(nil)
+		}
+		return
+	}
+	state.request++
+	request := state.request
+	if then != nil {
+		state.returns[request] = then
+	}
+	h.step(state, func(now time.Time, effects *statemachine.Effects) {
+		h.machine.Command(now, command(request), effects)
+	})
+}
+
+// step runs the machine once and carries out what it asks.
+func (h *Host) step(state *running, run func(now time.Time, effects *statemachine.Effects)) {
+	h.Steps.Add(1)
+	var effects statemachine.Effects
+	run(state.now, &effects)
+	h.carryOut(state, &effects)
+	for len(state.local) > 0 {
+		inbound := state.local[0]
+		state.local = state.local[1:]
+		var more statemachine.Effects
+		h.machine.Message(state.now, inbound.Meta, inbound.Message, &more)
+		h.carryOut(state, &more)
+	}
+}
+
+func (h *Host) carryOut(state *running, effects *statemachine.Effects) {
+	version := h.machine.Version()
+	for _, note := range effects.Notes {
+		h.logger.Sound(note)
+	}
+	for _, send := range effects.Sends {
+		if send.To == h.address {
+			state.local = append(state.local, transport.Inbound{Meta: statemachine.Meta{From: h.address, Version: version}, Message: send.Message})
+			continue
+		}
+		if err := h.transport.Send(send.To, version, send.Message); err != nil {
+			panic(err)
+		}
+	}
+	state.writes = append(state.writes, effects.Writes...)
+	for _, returned := range effects.Returns {
+		if waiting, found := state.returns[returned.Request]; found {
+			delete(state.returns, returned.Request)
+			waiting(returned.Value)
+		}
+	}
+	var slow []uint64
+	for _, deliver := range effects.Delivers {
+		sink, found := state.sinks[deliver.Channel]
+		if !found {
+			continue
+		}
+		if !sink.give(deliver) {
+			sink.end()
+			delete(state.sinks, deliver.Channel)
+			slow = append(slow, deliver.Channel)
+			continue
+		}
+		if deliver.Close {
+			sink.end()
+			delete(state.sinks, deliver.Channel)
+		}
+	}
+	state.stop = state.stop || effects.Stop
+	for _, channel := range slow {
+		h.step(state, func(now time.Time, effects *statemachine.Effects) {
+			h.machine.Command(now, h.slow(channel), effects)
+		})
+	}
+}
+
+// give hands an event over; false if the sink is full.
+func (s sink) give(deliver statemachine.Deliver) bool {
+	if s.take != nil {
+		s.take(deliver)
+		return true
+	}
+	select {
+	case s.queue <- deliver:
+		return true
+	default:
+		return false
+	}
+}
+
+// end tells the sink's other side that nothing more comes.
+func (s sink) end() {
+	if s.queue != nil {
+		close(s.queue)
+	}
+}
+
+// Owner is the owner's task as seen by work that runs on it. It may only be used
+// before that work returns, or in what the owner calls back.
+type Owner struct {
+	host  *Host
+	state *running
+}
+
+// Ask brings a command in at once; then runs on the owner's task with the
+// answer, which is nil if the machine ended first.
+func (o Owner) Ask(command func(request uint64) any, then func(value any)) {
+	o.host.command(o.state, command, then)
+}
+
+// Post brings a command in at once whose answer nobody waits for.
+func (o Owner) Post(command any) {
+	o.host.command(o.state, func(uint64) any { return command }, nil)
+}
+
+// Attach gives a channel a function that takes its events, on the owner's task;
+// Detach takes it away.
+func (o Owner) Attach(channel uint64, take func(statemachine.Deliver)) {
+	o.state.sinks[channel] = sink{take: take}
+}
+
+// Detach takes a channel's sink away.
+func (o Owner) Detach(channel uint64) { delete(o.state.sinks, channel) }
+
+// Within runs work on the owner's task, in the order in which it was brought in;
+// false if the machine has ended, which leaves the work nobody to ask. The work
+// must not block.
+func (h *Host) Within(work func(owner Owner)) bool {
+	h.tasks <- task{within: work}
+	select {
+	case <-h.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// Ask brings a command in for a caller without a task of its own; then runs on
+// the owner's task, must not block, and gets nil if the machine ended first.
+func (h *Host) Ask(command func(request uint64) any, then func(value any)) {
+	h.Within(func(owner Owner) { owner.Ask(command, then) })
+}
+
+// AttachFunc gives a channel a function that takes its events on the owner's
+// task and must not block.
+func (h *Host) AttachFunc(channel uint64, take func(statemachine.Deliver)) {
+	h.Within(func(owner Owner) { owner.Attach(channel, take) })
+}
+
+// EachTurn has the owner call flush at the end of each turn.
+func (h *Host) EachTurn(flush func()) {
+	select {
+	case h.tasks <- task{flush: flush}:
+	case <-h.ended:
+	}
+}
+
+// Do brings a command in and waits for its answer; false if the machine ended
+// first.
+func (h *Host) Do(command func(request uint64) any) (any, bool) {
+	returns := make(chan any, 1)
+	select {
+	case h.tasks <- task{command: command, returns: returns}:
+	case <-h.ended:
+		return nil, false
+	}
+	select {
+	case value := <-returns:
+		return value, value != nil
+	case <-h.ended:
+		return nil, false
+	}
+}
+
+// Post brings a command in and does not wait.
+func (h *Host) Post(command any) {
+	select {
+	case h.tasks <- task{command: func(uint64) any { return command }}:
+	case <-h.ended:
+	}
+}
+
+// Inspect runs a question on the owner's own thread.
+func (h *Host) Inspect(inspect func(now time.Time) any) (any, bool) {
+	returns := make(chan any, 1)
+	select {
+	case h.tasks <- task{inspect: inspect, returns: returns}:
+	case <-h.ended:
+		return nil, false
+	}
+	select {
+	case value := <-returns:
+		return value, true
+	case <-h.ended:
+		return nil, false
+	}
+}
+
+// Attach gives a channel its sink, Detach takes it away.
+func (h *Host) Attach(channel uint64, sink chan statemachine.Deliver) {
+	select {
+	case h.tasks <- task{attach: channel, sink: sink}:
+	case <-h.ended:
+	}
+}
+
+// Detach takes a channel's sink away.
+func (h *Host) Detach(channel uint64) {
+	select {
+	case h.tasks <- task{detach: channel}:
+	case <-h.ended:
+	}
+}
--- a/internal/berth/berth_test.go
+++ b/internal/daemon/host_test.go
@@ -1,4 +1,4 @@
-package berth
+package daemon
 
 import (
 	"io"
@@ -11,9 +11,9 @@
 
 	"gotest.tools/v3/assert"
 
-	"dahlialock/internal/beacon"
-	"dahlialock/internal/foghorn"
-	"dahlialock/internal/helm"
+	"dahlialock/internal/logevent"
+	"dahlialock/internal/membership"
+	"dahlialock/internal/statemachine"
 )
 
 // echo answers each command with its text, and hands it to channel 7.
@@ -24,89 +24,89 @@
 }
 
 type said struct {
-	visit uint64
-	text  string
+	request uint64
+	text    string
 }
 
 type (
-	hold    struct{ visit uint64 }
+	hold    struct{ request uint64 }
 	stopNow struct{}
 )
 
-func (*echo) Start(time.Time, *helm.Effects)                   {}
-func (*echo) Message(time.Time, helm.Meta, any, *helm.Effects) {}
-func (echo *echo) Due(time.Time, *helm.Effects)                { echo.due = time.Time{}; echo.turns++ }
-func (echo *echo) NextDue() time.Time                          { return echo.due }
-func (*echo) Version() uint64                                  { return 3 }
-func (*echo) Follower() *beacon.Follower                       { return &beacon.Follower{} }
+func (*echo) Start(time.Time, *statemachine.Effects)                           {}
+func (*echo) Message(time.Time, statemachine.Meta, any, *statemachine.Effects) {}
+func (e *echo) Due(time.Time, *statemachine.Effects)                           { e.due = time.Time{}; e.turns++ }
+func (e *echo) NextDue() time.Time                                             { return e.due }
+func (*echo) Version() uint64                                                  { return 3 }
+func (*echo) Follower() *membership.Follower                                   { return &membership.Follower{} }
 
-func (echo *echo) Command(now time.Time, command any, effects *helm.Effects) {
+func (e *echo) Command(now time.Time, command any, effects *statemachine.Effects) {
 	switch body := command.(type) {
 	case said:
-		effects.Return(body.visit, body.text)
-		effects.Delivers = append(effects.Delivers, helm.Deliver{Channel: 7, Event: body.text, Close: body.text == "last"})
+		effects.Return(body.request, body.text)
+		effects.Delivers = append(effects.Delivers, statemachine.Deliver{Channel: 7, Event: body.text, Close: body.text == "last"})
 	case hold:
-		echo.due = now
+		e.due = now
 	case stopNow:
 		effects.Stop = true
 	}
 }
 
-func openEcho(t *testing.T) (*Berth, *echo) {
-	listener, fault := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, fault)
+func openEcho(t *testing.T) (*Host, *echo) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
 	address := listener.Addr().String()
 	_ = listener.Close()
-	opened, fault := Open(Props{Address: address, Foghorn: foghorn.New(io.Discard, "echo", 0)})
-	assert.NilError(t, fault)
+	opened, err := Open(Settings{Address: address, Logger: logevent.New(io.Discard, "echo", 0)})
+	assert.NilError(t, err)
 	machine := &echo{}
 	opened.Run(machine)
 	t.Cleanup(func() {
 		opened.Post(stopNow{})
 		<-opened.Ended()
-		opened.Flare().Close()
+		opened.Transport().Close()
 	})
 	return opened, machine
 }
 
-func say(text string) func(visit uint64) any {
-	return func(visit uint64) any { return said{visit: visit, text: text} }
+func say(text string) func(request uint64) any {
+	return func(request uint64) any { return said{request: request, text: text} }
 }
 
 func TestAskIsAnsweredOnTheOwnersTask(t *testing.T) {
-	berth, _ := openEcho(t)
+	host, _ := openEcho(t)
 	answers := make(chan any, 1)
-	berth.Ask(say("a"), func(value any) { answers <- value })
+	host.Ask(say("a"), func(value any) { answers <- value })
 	assert.Equal(t, <-answers, "a")
-	value, alive := berth.Do(say("b"))
+	value, alive := host.Do(say("b"))
 	assert.Assert(t, alive)
 	assert.Equal(t, value, "b")
 }
 
 func TestAskAfterTheEndIsAnsweredWithNothing(t *testing.T) {
-	berth, _ := openEcho(t)
-	berth.Post(stopNow{})
-	<-berth.Ended()
+	host, _ := openEcho(t)
+	host.Post(stopNow{})
+	<-host.Ended()
 	answers := make(chan any, 1)
-	berth.Ask(say("a"), func(value any) { answers <- value })
+	host.Ask(say("a"), func(value any) { answers <- value })
 	assert.Assert(t, <-answers == nil)
-	_, alive := berth.Do(say("b"))
+	_, alive := host.Do(say("b"))
 	assert.Assert(t, !alive)
 }
 
 func TestWorkStaysInOrderAndEachTurnFlushesOnce(t *testing.T) {
-	berth, _ := openEcho(t)
+	host, _ := openEcho(t)
 	heard := make(chan string, 64)
 	turns := make(chan int, 64)
 	count := 0
-	berth.AttachFunc(7, func(deliver helm.Deliver) { heard <- deliver.Event.(string); count++ })
-	berth.EachTurn(func() {
+	host.AttachFunc(7, func(deliver statemachine.Deliver) { heard <- deliver.Event.(string); count++ })
+	host.EachTurn(func() {
 		if count > 0 {
 			turns <- count
 			count = 0
 		}
 	})
-	berth.Within(func(owner Owner) {
+	host.Within(func(owner Owner) {
 		for _, text := range []string{"a", "b", "c"} {
 			owner.Ask(say(text), func(value any) { heard <- "answer " + value.(string) })
 		}
@@ -118,11 +118,11 @@
 }
 
 func TestAChannelThatEndsHearsNothingMore(t *testing.T) {
-	berth, _ := openEcho(t)
+	host, _ := openEcho(t)
 	heard := make(chan string, 64)
-	berth.AttachFunc(7, func(deliver helm.Deliver) { heard <- deliver.Event.(string) })
+	host.AttachFunc(7, func(deliver statemachine.Deliver) { heard <- deliver.Event.(string) })
 	for _, text := range []string{"a", "last", "b"} {
-		_, alive := berth.Do(say(text))
+		_, alive := host.Do(say(text))
 		assert.Assert(t, alive)
 	}
 	close(heard)
@@ -134,10 +134,10 @@
 }
 
 func TestWhatIsDueRunsAtOnce(t *testing.T) {
-	berth, machine := openEcho(t)
-	berth.Post(hold{})
+	host, machine := openEcho(t)
+	host.Post(hold{})
 	for {
-		turns, alive := berth.Inspect(func(time.Time) any { return machine.turns })
+		turns, alive := host.Inspect(func(time.Time) any { return machine.turns })
 		assert.Assert(t, alive)
 		if turns.(int) > 0 {
 			return
@@ -155,13 +155,13 @@
 }
 
 func TestControlRefusesClearly(t *testing.T) {
-	berth, machine := openEcho(t)
+	host, machine := openEcho(t)
 	asked := 0
-	process := &process{berth: berth, built: Build{
+	process := &process{host: host, built: Build{
 		Machine: machine, Ready: func(time.Time) bool { return true }, Counters: func() any { return nil }, Adapter: words{},
-		Visit: func(local uint64, method, path string, _ []byte) any {
+		Request: func(local uint64, method, path string, _ []byte) any {
 			asked++
-			return said{visit: local, text: "not a reply"}
+			return said{request: local, text: "not a reply"}
 		},
 	}}
 	control := process.control()
--- a/internal/soundings/soundings.go
+++ b/internal/decisionlog/decisionlog.go
@@ -1,8 +1,8 @@
-// Package soundings keeps a bounded ring of recorded decisions: why a visit or
+// Package decisionlog keeps a bounded ring of recorded decisions: why a request or
 // a message went where it went. Every daemon has one and serves it at ctl, and
 // sextant asks them all. Entries about one message share its space, sender and
 // seq, which is how those of several daemons are put together.
-package soundings
+package decisionlog
 
 import (
 	"fmt"
@@ -17,7 +17,7 @@
 type Entry struct {
 	At      time.Time      `json:"at"`
 	Daemon  string         `json:"daemon"`
-	Visit   string         `json:"visit,omitempty"`
+	Request string         `json:"visit,omitempty"`
 	Message string         `json:"message,omitempty"`
 	Origin  string         `json:"origin,omitempty"`
 	Step    string         `json:"step"`
@@ -41,43 +41,43 @@
 }
 
 // Record adds a decision in place of the oldest; details come in pairs.
-func (ring *Ring) Record(now time.Time, visit, message, origin, step string, details ...any) {
-	entry := Entry{At: now, Daemon: ring.daemon, Visit: visit, Message: message, Origin: origin, Step: step}
+func (r *Ring) Record(now time.Time, request, message, origin, step string, details ...any) {
+	entry := Entry{At: now, Daemon: r.daemon, Request: request, Message: message, Origin: origin, Step: step}
 	if len(details) > 0 {
 		entry.Detail = make(map[string]any, len(details)/2)
 		for position := 0; position+1 < len(details); position += 2 {
 			entry.Detail[details[position].(string)] = details[position+1]
 		}
 	}
-	if len(ring.entries) < Size {
-		ring.entries = append(ring.entries, entry)
+	if len(r.entries) < Size {
+		r.entries = append(r.entries, entry)
 		return
 	}
-	ring.entries[ring.next] = entry
-	ring.next = (ring.next + 1) % Size
+	r.entries[r.next] = entry
+	r.next = (r.next + 1) % Size
 }
 
-// Find lists the entries about a visit, a message or an origin, oldest first.
-func (ring *Ring) Find(visit, message, origin string) []Entry {
+// Find lists the entries about a request, a message or an origin, oldest first.
+func (r *Ring) Find(request, message, origin string) []Entry {
 	found := []Entry{}
 	messages := map[string]bool{}
 	if message != "" {
 		messages[message] = true
 	}
 	each := func(check func(Entry)) {
-		for step := range ring.entries {
-			check(ring.entries[(ring.next+step)%len(ring.entries)])
+		for step := range r.entries {
+			check(r.entries[(r.next+step)%len(r.entries)])
 		}
 	}
-	if visit != "" {
+	if request != "" {
 		each(func(entry Entry) {
-			if entry.Visit == visit && entry.Message != "" {
+			if entry.Request == request && entry.Message != "" {
 				messages[entry.Message] = true
 			}
 		})
 	}
 	each(func(entry Entry) {
-		if visit != "" && entry.Visit == visit || entry.Message != "" && messages[entry.Message] || origin != "" && entry.Origin == origin {
+		if request != "" && entry.Request == request || entry.Message != "" && messages[entry.Message] || origin != "" && entry.Origin == origin {
 			found = append(found, entry)
 		}
 	})
--- a/internal/squall/squall.go
+++ b/internal/faults/faults.go
@@ -1,9 +1,9 @@
-// Package squall holds faults as values. A fault has a name, a start, a length
+// Package faults holds faults as values. A fault has a name, a start, a length
 // and a pick, which says whom it strikes; a storm is a list of them, drawn from
 // a seed, with one last fault that nothing takes away. The simulator and the
 // trials of real processes bring the same names about, so that a list can be
 // written down, run again and shortened in either world.
-package squall
+package faults
 
 import (
 	"fmt"
@@ -29,28 +29,28 @@
 
 // Names lists every fault that may come at any time. Both worlds know them all.
 var Names = []string{
-	"crowd", "cut-daemon", "cut-one-way", "cut-place", "cut-primary", "drain", "edit-props", "freeze-keeper", "freeze-lantern",
-	"freeze-pilot", "freeze-primary", "freeze-tender", "join-keeper", "join-lantern", "join-pilot", "kill-backup", "kill-keeper",
-	"kill-lantern", "kill-pilot", "kill-primary", "kill-tender", "loss", "lose-place", "operators", "power-loss", "relink", "resets",
-	"restart-beside", "restart-keeper", "restart-keepers", "restart-lantern", "restart-pilot", "retire", "rolling", "slow-daemon",
-	"slow-disk", "slow-links", "space", "vanish", "wander", "wipe-keeper", "wipe-pilot",
+	"crowd", "cut-daemon", "cut-one-way", "cut-place", "cut-primary", "drain", "edit-settings", "freeze-store", "freeze-gateway",
+	"freeze-controller", "freeze-primary", "freeze-agent", "join-store", "join-gateway", "join-controller", "kill-backup", "kill-store",
+	"kill-gateway", "kill-controller", "kill-primary", "kill-agent", "loss", "lose-place", "operators", "power-loss", "relink", "resets",
+	"restart-beside", "restart-store", "restart-stores", "restart-gateway", "restart-controller", "retire", "rolling", "slow-daemon",
+	"slow-disk", "slow-links", "space", "vanish", "wander", "wipe-store", "wipe-controller",
 }
 
 // Last lists the faults with which a run may end: they stay.
-var Last = []string{"kill-lantern", "kill-primary", "kill-backup", "kill-keeper", "kill-tender", "lose-place", "lose-two", "restart-all"}
+var Last = []string{"kill-gateway", "kill-primary", "kill-backup", "kill-store", "kill-agent", "lose-place", "lose-two", "restart-all"}
 
 // grave faults take away what a second grave fault at the same time would need
 // in order to be outlasted: a copy of what is kept, or a majority.
 var grave = map[string]bool{
-	"cut-daemon": true, "cut-place": true, "cut-primary": true, "freeze-keeper": true, "freeze-pilot": true, "freeze-primary": true,
-	"join-keeper": true, "kill-backup": true, "kill-keeper": true, "kill-pilot": true, "kill-primary": true, "lose-place": true,
-	"power-loss": true, "restart-keeper": true, "restart-keepers": true, "restart-pilot": true, "retire": true, "rolling": true,
-	"slow-daemon": true, "cut-one-way": true, "loss": true, "wipe-keeper": true, "wipe-pilot": true,
+	"cut-daemon": true, "cut-place": true, "cut-primary": true, "freeze-store": true, "freeze-controller": true, "freeze-primary": true,
+	"join-store": true, "kill-backup": true, "kill-store": true, "kill-controller": true, "kill-primary": true, "lose-place": true,
+	"power-loss": true, "restart-store": true, "restart-stores": true, "restart-controller": true, "retire": true, "rolling": true,
+	"slow-daemon": true, "cut-one-way": true, "loss": true, "wipe-store": true, "wipe-controller": true,
 }
 
 // wiping faults lose a disk, which the promises allow for one machine at a
 // time: nothing grave may meet them.
-var wiping = map[string]bool{"wipe-keeper": true, "wipe-pilot": true, "retire": true}
+var wiping = map[string]bool{"wipe-store": true, "wipe-controller": true, "retire": true}
 
 // Wiping tells whether a fault loses a disk.
 func Wiping(name string) bool { return wiping[name] }
@@ -80,7 +80,7 @@
 	return storm
 }
 
-// Mending is how long a strand may need to have its two copies again.
+// Mending is how long a partition may need to have its two copies again.
 const Mending = 12 * time.Second
 
 func near(left, right Fault) bool {
@@ -88,8 +88,8 @@
 }
 
 // String writes a fault as name@start+length#pick.
-func (fault Fault) String() string {
-	return fmt.Sprintf("%s@%s+%s#%d", fault.Name, fault.Start, fault.Length, fault.Pick)
+func (f Fault) String() string {
+	return fmt.Sprintf("%s@%s+%s#%d", f.Name, f.Start, f.Length, f.Pick)
 }
 
 // Format writes a list.
--- a/internal/squall/squall_test.go
+++ b/internal/faults/faults_test.go
@@ -1,6 +1,6 @@
 // What is written of a storm reads back the same, a drawn storm holds no clash,
 // and shortening ends at the faults that matter.
-package squall
+package faults
 
 import (
 	"math/rand/v2"
@@ -14,8 +14,8 @@
 func TestStormsReadBackAndShorten(t *testing.T) {
 	for seed := range uint64(200) {
 		storm := Draw(rand.New(rand.NewPCG(seed, 1)), Names, 30*time.Second, 12)
-		read, fault := Parse(Format(storm))
-		assert.NilError(t, fault)
+		read, err := Parse(Format(storm))
+		assert.NilError(t, err)
 		assert.Equal(t, Format(read), Format(storm))
 		for position, left := range storm {
 			for _, right := range storm[position+1:] {
@@ -32,7 +32,7 @@
 		assert.Equal(t, Format(short), Format(needed))
 	}
 	for _, wrong := range []string{"no-such@1s+1s#1", "resets@x+1s#1", "resets@1s", "resets@1s+1s#-1"} {
-		_, fault := Parse(wrong)
-		assert.Assert(t, fault != nil, wrong)
+		_, err := Parse(wrong)
+		assert.Assert(t, err != nil, wrong)
 	}
 }
--- a/internal/lamp/cursor.go
+++ b/internal/gateway/cursor.go
@@ -1,8 +1,8 @@
 // A cursor is a returning client's place: what it subscribes to, how far each
-// strand was handed to it, and the newest seq of each sender it saw in passing
+// partition was handed to it, and the newest seq of each sender it saw in passing
 // spaces. It is opaque to callers, bound to its origin by a keyed sum, and
 // refused if forged, of another origin, or of an unknown layout.
-package lamp
+package gateway
 
 import (
 	"crypto/hmac"
@@ -12,8 +12,8 @@
 	"strings"
 	"time"
 
-	"dahlialock/internal/flare"
-	"dahlialock/internal/helm"
+	"dahlialock/internal/statemachine"
+	"dahlialock/internal/transport"
 )
 
 const (
@@ -30,12 +30,12 @@
 }
 
 type cursor struct {
-	_         struct{} `cbor:",toarray"`
-	Layout    uint8
-	Origin    string
-	Interests []Interest
-	Strands   map[string]position
-	Marks     map[string]map[string]uint64
+	_          struct{} `cbor:",toarray"`
+	Layout     uint8
+	Origin     string
+	Interests  []Interest
+	Partitions map[string]position
+	Marks      map[string]map[string]uint64
 }
 
 func sign(key, body []byte) []byte {
@@ -46,7 +46,7 @@
 }
 
 func seal(key []byte, place cursor) string {
-	body := flare.MustMarshal(place)
+	body := transport.MustMarshal(place)
 	return base64.RawURLEncoding.EncodeToString(append(sign(key, body), body...))
 }
 
@@ -55,12 +55,12 @@
 	if len(text) > cursorLimit {
 		return cursor{}, "bad-cursor"
 	}
-	packed, fault := base64.RawURLEncoding.DecodeString(text)
-	if fault != nil || len(packed) <= sumSize || !hmac.Equal(packed[:sumSize], sign(key, packed[sumSize:])) {
+	packed, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil || len(packed) <= sumSize || !hmac.Equal(packed[:sumSize], sign(key, packed[sumSize:])) {
 		return cursor{}, "bad-cursor"
 	}
 	var place cursor
-	if fault := flare.Unmarshal(packed[sumSize:], &place); fault != nil || place.Layout != cursorLayout {
+	if err := transport.Unmarshal(packed[sumSize:], &place); err != nil || place.Layout != cursorLayout {
 		return cursor{}, "bad-cursor"
 	}
 	if place.Origin != origin {
@@ -71,17 +71,17 @@
 
 // cursor tells a channel's present place. A channel that is still being filled,
 // or holds nothing, has none: its origin's earlier place still stands.
-func (lantern *Lantern) cursor(now time.Time, channel *channel) string {
+func (g *Gateway) cursor(now time.Time, channel *channel) string {
 	if len(channel.subscriptions) == 0 || channel.floors == nil && channel.filling() {
 		return ""
 	}
-	place := cursor{Layout: cursorLayout, Origin: channel.origin, Strands: map[string]position{}, Marks: map[string]map[string]uint64{}}
+	place := cursor{Layout: cursorLayout, Origin: channel.origin, Partitions: map[string]position{}, Marks: map[string]map[string]uint64{}}
 	floor := func(name string, at uint64) {
-		present, found := place.Strands[name]
+		present, found := place.Partitions[name]
 		if !found || at < present.Floor {
 			present.Floor = at
 		}
-		place.Strands[name] = present
+		place.Partitions[name] = present
 	}
 	for interest, subscription := range channel.subscriptions {
 		if subscription.filling {
@@ -89,7 +89,7 @@
 		}
 		place.Interests = append(place.Interests, interest)
 		for name, since := range subscription.since {
-			if tracker, followed := lantern.trackers[name]; followed {
+			if tracker, followed := g.trackers[name]; followed {
 				since = max(since, tracker.verified)
 			}
 			floor(name, since)
@@ -99,14 +99,14 @@
 	// What waits in the buffer, or in a backlog that is being handed over, was
 	// not yet given.
 	for _, carry := range channel.buffer {
-		if _, live := place.Strands[carry.Strand]; live {
-			floor(carry.Strand, carry.Record.Offset-1)
+		if _, live := place.Partitions[carry.Partition]; live {
+			floor(carry.Partition, carry.Record.Offset-1)
 		}
 	}
 	for name, at := range channel.floors {
 		floor(name, at)
 	}
-	for name, at := range place.Strands {
+	for name, at := range place.Partitions {
 		at.Extras = channel.extras(name, at.Floor)
 		slices.Sort(at.Extras)
 		for interest, subscription := range channel.subscriptions {
@@ -117,7 +117,7 @@
 				at.Since[interest.key()] = since
 			}
 		}
-		place.Strands[name] = at
+		place.Partitions[name] = at
 	}
 	for space, marks := range channel.marks {
 		copied := map[string]uint64{}
@@ -130,15 +130,15 @@
 			place.Marks[space] = copied
 		}
 	}
-	return seal(lantern.props.Key, place)
+	return seal(g.settings.Key, place)
 }
 
-func (interest Interest) key() string {
+func (i Interest) key() string {
 	wide := "t"
-	if interest.Wide {
+	if i.Wide {
 		wide = "w"
 	}
-	return wide + interest.Path
+	return wide + i.Path
 }
 
 func compareInterests(left, right Interest) int {
@@ -151,24 +151,24 @@
 // extras lists what the origin has above a floor. In the ordinary case floors
 // only rise, and what falls below one is let go; while a backlog is handed over
 // the floor is an older one, and all that is remembered counts.
-func (channel *channel) extras(name string, floor uint64) []uint64 {
+func (c *channel) extras(name string, floor uint64) []uint64 {
 	var extras []uint64
-	if helm.Mutated("no-client-memory") {
+	if statemachine.Mutated("no-client-memory") {
 		return nil
 	}
-	if channel.floors != nil {
-		for offset := range channel.got[name] {
+	if c.floors != nil {
+		for offset := range c.got[name] {
 			if offset > floor {
 				extras = append(extras, offset)
 			}
 		}
 		return extras
 	}
-	for offset := range channel.above[name] {
+	for offset := range c.above[name] {
 		if offset > floor {
 			extras = append(extras, offset)
 		} else {
-			delete(channel.above[name], offset)
+			delete(c.above[name], offset)
 		}
 	}
 	return extras
--- a/internal/lamp/messages.go
+++ b/internal/gateway/messages.go
@@ -1,20 +1,20 @@
-// What lanterns say to each other about messages, what their adapters bring in
+// What gateways say to each other about messages, what their adapters bring in
 // from callers, and what goes back to callers.
-package lamp
+package gateway
 
 import (
 	"encoding/json"
 	"time"
 
-	"dahlialock/internal/flare"
-	"dahlialock/internal/strand"
+	"dahlialock/internal/partition"
+	"dahlialock/internal/transport"
 )
 
 // Carry is the one copy of a kept message for one destination daemon.
 type Carry struct {
-	_      struct{} `cbor:",toarray"`
-	Strand string
-	Record strand.Record
+	_         struct{} `cbor:",toarray"`
+	Partition string
+	Record    partition.Record
 }
 
 // Pass is the one copy of a passing message for one destination daemon.
@@ -25,12 +25,12 @@
 	Sender string
 	Seq    uint64
 	Data   []byte
-	// Late is set where it is offered again, to a lantern that was just found.
+	// Late is set where it is offered again, to a gateway that was just found.
 	Late bool
 }
 
 // RoutedCopy is the one copy of a message of a routed topic for one destination
-// daemon; the strand follows from the topic.
+// daemon; the partition follows from the topic.
 type RoutedCopy struct {
 	_      struct{} `cbor:",toarray"`
 	Topic  string
@@ -42,16 +42,16 @@
 	Data   []byte
 }
 
-func (routed RoutedCopy) record() strand.Record {
-	return strand.Record{
-		Topic: routed.Topic, Sender: routed.Sender, Seq: routed.Seq, Offset: routed.Offset, Prior: routed.Offset - routed.Behind, Data: routed.Data,
+func (rc RoutedCopy) record() partition.Record {
+	return partition.Record{
+		Topic: rc.Topic, Sender: rc.Sender, Seq: rc.Seq, Offset: rc.Offset, Prior: rc.Offset - rc.Behind, Data: rc.Data,
 	}
 }
 
 func init() {
-	flare.MustRegister(602, RoutedCopy{})
-	flare.MustRegister(600, Carry{})
-	flare.MustRegister(601, Pass{})
+	transport.MustRegister(602, RoutedCopy{})
+	transport.MustRegister(600, Carry{})
+	transport.MustRegister(601, Pass{})
 }
 
 // Interest is what a subscription asks for: one topic, or all under a prefix.
@@ -66,7 +66,7 @@
 type (
 	// OpenChannel begins a channel for an origin.
 	OpenChannel struct {
-		Visit   uint64
+		Request uint64
 		Channel uint64
 		Name    string
 		Origin  string
@@ -80,50 +80,50 @@
 	}
 	// Subscribe adds interests to a channel, from a cursor on if there is one.
 	Subscribe struct {
-		Visit     uint64
-		VisitName string
-		Channel   uint64
-		Origin    string
-		Interests []Interest
-		Cursor    string
+		Request     uint64
+		RequestName string
+		Channel     uint64
+		Origin      string
+		Interests   []Interest
+		Cursor      string
 	}
 	// Unsubscribe takes interests away.
 	Unsubscribe struct {
-		Visit     uint64
-		VisitName string
-		Channel   uint64
-		Origin    string
-		Interests []Interest
+		Request     uint64
+		RequestName string
+		Channel     uint64
+		Origin      string
+		Interests   []Interest
 	}
 	// Publish sends a message on.
 	Publish struct {
-		Visit     uint64
-		VisitName string
-		Origin    string
-		Sender    string
-		Space     string
-		Topic     string
-		Seq       uint64
-		Data      []byte
+		Request     uint64
+		RequestName string
+		Origin      string
+		Sender      string
+		Space       string
+		Topic       string
+		Seq         uint64
+		Data        []byte
 	}
-	// Count asks how many origins subscribe to a routed topic, over all lanterns.
+	// Count asks how many origins subscribe to a routed topic, over all gateways.
 	Count struct {
-		Visit     uint64
-		VisitName string
-		Channel   uint64
-		Origin    string
-		Topic     string
+		Request     uint64
+		RequestName string
+		Channel     uint64
+		Origin      string
+		Topic       string
 	}
 	// Heard tells that a channel's caller said something.
 	Heard struct{ Channel uint64 }
 	// Pong answers a ping.
 	Pong struct {
-		Visit   uint64
+		Request uint64
 		Channel uint64
 		Origin  string
 	}
-	// ControlVisit is an operator's request at this daemon's own ctl.
-	ControlVisit struct {
+	// ControlRequest is an operator's request at this daemon's own ctl.
+	ControlRequest struct {
 		Local  uint64
 		Method string
 		Path   string
@@ -131,10 +131,10 @@
 	}
 	// FindDecisions asks the ring of recorded decisions.
 	FindDecisions struct {
-		Local                  uint64
-		Visit, Message, Origin string
+		Local                    uint64
+		Request, Message, Origin string
 	}
-	// Stop asks the lantern to end in good order.
+	// Stop asks the gateway to end in good order.
 	Stop struct{}
 )
 
@@ -173,16 +173,16 @@
 
 // Event is one line on a channel.
 type Event struct {
-	Event    string          `json:"event"`
-	Channel  string          `json:"channel,omitempty"`
-	Daemon   string          `json:"daemon,omitempty"`
-	Locality string          `json:"locality,omitempty"`
-	Version  uint64          `json:"version,omitempty"`
-	Space    string          `json:"space,omitempty"`
-	Topic    string          `json:"topic,omitempty"`
-	Sender   string          `json:"sender,omitempty"`
-	Seq      uint64          `json:"seq,omitempty"`
-	Data     json.RawMessage `json:"data,omitempty"`
+	Event   string          `json:"event"`
+	Channel string          `json:"channel,omitempty"`
+	Daemon  string          `json:"daemon,omitempty"`
+	Zone    string          `json:"zone,omitempty"`
+	Version uint64          `json:"version,omitempty"`
+	Space   string          `json:"space,omitempty"`
+	Topic   string          `json:"topic,omitempty"`
+	Sender  string          `json:"sender,omitempty"`
+	Seq     uint64          `json:"seq,omitempty"`
+	Data    json.RawMessage `json:"data,omitempty"`
 	// Body is the data of a message of a routed topic, whatever its bytes.
 	Body   []byte `json:"-"`
 	Cursor string `json:"cursor,omitempty"`
--- /dev/null
+++ b/internal/gateway/opening_test.go
@@ -0,0 +1,62 @@
+package gateway_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dahlialock/internal/gateway"
+	"dahlialock/internal/membership"
+	"dahlialock/internal/statemachine"
+)
+
+// begun is a gateway that has no news yet.
+func begun() *fleetlab {
+	fleetlab := &fleetlab{now: time.Unix(1000, 0), gateway: gateway.New(gateway.Settings{
+		Self:  membership.Member{Name: "gateway-1", Kind: membership.KindGateway, Address: "10.0.0.1:1", Caller: "10.0.0.1:8000", Zone: "east", Incarnation: 1},
+		Agent: "10.0.0.1:2",
+	})}
+	var effects statemachine.Effects
+	fleetlab.gateway.Start(fleetlab.now, &effects)
+	return fleetlab
+}
+
+func TestACallerRightAfterAStartWaitsForTheFirstNews(t *testing.T) {
+	fleetlab := begun()
+	assert.Equal(t, len(fleetlab.greet(t, 1, "u1").Returns), 0)
+	fleetlab.pass(300 * time.Millisecond)
+	assert.Equal(t, fleetlab.gateway.Version(), uint64(1))
+	assert.Equal(t, outcome(t, fleetlab.heard).Outcome, gateway.OutcomeAccepted)
+}
+
+func TestACallerIsRefusedOnceTheLookIsOver(t *testing.T) {
+	fleetlab := begun()
+	// No news ever: nothing answers what the gateway asks.
+	assert.Equal(t, len(fleetlab.greet(t, 1, "u1").Returns), 0)
+	var refused statemachine.Effects
+	from := fleetlab.now
+	for len(refused.Returns) == 0 && fleetlab.now.Sub(from) < 5*time.Second {
+		fleetlab.now = fleetlab.gateway.NextDue()
+		fleetlab.gateway.Due(fleetlab.now, &refused)
+	}
+	answer := outcome(t, refused)
+	assert.Equal(t, answer.Outcome, gateway.OutcomeRefused)
+	assert.Assert(t, answer.RetryAfter > 0)
+	assert.Assert(t, fleetlab.now.Sub(from) <= 600*time.Millisecond, "after %s", fleetlab.now.Sub(from))
+}
+
+func TestAGatewayServesNoLongerUnconfirmedThanItsBoundsAllow(t *testing.T) {
+	for given, wanted := range map[time.Duration]time.Duration{0: 2500 * time.Millisecond, time.Second: time.Second, time.Minute: 2500 * time.Millisecond} {
+		fleetlab := &fleetlab{now: time.Unix(1000, 0), gateway: gateway.New(gateway.Settings{
+			Self:  membership.Member{Name: "gateway-1", Kind: membership.KindGateway, Address: "10.0.0.1:1", Caller: "10.0.0.1:8000", Zone: "east", Incarnation: 1},
+			Agent: "10.0.0.1:2", ConfirmedFor: given,
+		})}
+		var effects statemachine.Effects
+		fleetlab.gateway.Start(fleetlab.now, &effects)
+		fleetlab.pass(time.Millisecond)
+		from := fleetlab.gateway.Follower().Confirmed
+		assert.Assert(t, fleetlab.gateway.Confirmed(from.Add(min(wanted, 1900*time.Millisecond))), "%s", given)
+		assert.Assert(t, !fleetlab.gateway.Confirmed(from.Add(wanted+time.Millisecond)), "%s", given)
+	}
+}
--- a/internal/lamp/policies.go
+++ b/internal/gateway/policies.go
@@ -1,17 +1,17 @@
-// Every visit passes policies: plug-ins behind one interface, in a fixed order.
-// A policy lets a visit pass, refuses it with its final answer, or asks for one
+// Every request passes policies: plug-ins behind one interface, in a fixed order.
+// A policy lets a request pass, refuses it with its final answer, or asks for one
 // look at the news before it judges again.
-package lamp
+package gateway
 
 import (
 	"fmt"
 	"strings"
 	"time"
 
-	"dahlialock/internal/helm"
+	"dahlialock/internal/statemachine"
 )
 
-// Judged is a visit as the policies see it.
+// Judged is a request as the policies see it.
 type Judged struct {
 	Kind   string
 	Origin string
@@ -25,7 +25,7 @@
 	// Routed tells that the space was found by the routes: its topics are plain
 	// names.
 	Routed  bool
-	Lantern *Lantern
+	Gateway *Gateway
 }
 
 // Verdict is what a policy says.
@@ -37,10 +37,10 @@
 
 var pass = Verdict{Pass: true}
 
-// Policy judges visits.
+// Policy judges requests.
 type Policy interface {
 	Name() string
-	Judge(now time.Time, visit *Judged) Verdict
+	Judge(now time.Time, request *Judged) Verdict
 }
 
 func standardPolicies() []Policy {
@@ -48,19 +48,19 @@
 }
 
 // judge asks all policies in turn; look is called where news may help.
-func (lantern *Lantern) judge(now time.Time, visit *Judged, visitName string, retry func(now time.Time, effects *helm.Effects), answer func(Answer)) bool {
-	visit.Lantern = lantern
-	for _, policy := range lantern.policies {
-		verdict := policy.Judge(now, visit)
+func (g *Gateway) judge(now time.Time, request *Judged, requestName string, retry func(now time.Time, effects *statemachine.Effects), answer func(Answer)) bool {
+	request.Gateway = g
+	for _, policy := range g.policies {
+		verdict := policy.Judge(now, request)
 		if verdict.Pass {
 			continue
 		}
-		if verdict.Look && !visit.Looked {
-			lantern.ring.Record(now, visitName, "", visit.Origin, "look", "policy", policy.Name(), "space", visit.Space)
-			lantern.look(now, retry)
+		if verdict.Look && !request.Looked {
+			g.ring.Record(now, requestName, "", request.Origin, "look", "policy", policy.Name(), "space", request.Space)
+			g.look(now, retry)
 			return false
 		}
-		lantern.ring.Record(now, visitName, lantern.messageOf(visit), visit.Origin, "refused", "policy", policy.Name(), "code", verdict.Answer.Code)
+		g.ring.Record(now, requestName, g.messageOf(request), request.Origin, "refused", "policy", policy.Name(), "code", verdict.Answer.Code)
 		answer(verdict.Answer)
 		return false
 	}
@@ -71,14 +71,14 @@
 
 func (servingPolicy) Name() string { return "serving" }
 
-func (servingPolicy) Judge(now time.Time, visit *Judged) Verdict {
-	lantern := visit.Lantern
+func (servingPolicy) Judge(now time.Time, request *Judged) Verdict {
+	gateway := request.Gateway
 	switch {
-	case lantern.stopping && !(visit.Routed && lantern.servesOn(now)):
+	case gateway.stopping && !(request.Routed && gateway.servesOn(now)):
 		return Verdict{Answer: refused(503, "stopping", "this daemon is stopping", comeBackSoon)}
-	case lantern.behind > lantern.follower.Version:
+	case gateway.behind > gateway.follower.Version:
 		return Verdict{Look: true, Answer: refused(503, "behind", "this daemon is catching up with the configuration", comeBackSoon)}
-	case !lantern.Confirmed(now):
+	case !gateway.Confirmed(now):
 		return Verdict{Answer: refused(503, "unconfirmed", "this daemon can't confirm its configuration", comeBackLater)}
 	}
 	return pass
@@ -88,8 +88,8 @@
 
 func (senderPolicy) Name() string { return "sender" }
 
-func (senderPolicy) Judge(_ time.Time, visit *Judged) Verdict {
-	if visit.Kind == "publish" && visit.Sender != visit.Origin {
+func (senderPolicy) Judge(_ time.Time, request *Judged) Verdict {
+	if request.Kind == "publish" && request.Sender != request.Origin {
 		return Verdict{Answer: refused(403, "wrong-sender", "an origin publishes under its own name only", 0)}
 	}
 	return pass
@@ -99,17 +99,17 @@
 
 func (topicPolicy) Name() string { return "topic" }
 
-func (topicPolicy) Judge(_ time.Time, visit *Judged) Verdict {
-	if visit.Routed {
-		if visit.Kind == "publish" && !FitRouted(visit.Topic) || len(visit.Paths) > 0 && !FitRouted(visit.Paths[0].Path) {
+func (topicPolicy) Judge(_ time.Time, request *Judged) Verdict {
+	if request.Routed {
+		if request.Kind == "publish" && !FitRouted(request.Topic) || len(request.Paths) > 0 && !FitRouted(request.Paths[0].Path) {
 			return Verdict{Answer: refused(400, "bad-topic", "a routed topic is a name without blanks", 0)}
 		}
 		return pass
 	}
-	if visit.Kind == "publish" && !FitTopic(visit.Topic) {
+	if request.Kind == "publish" && !FitTopic(request.Topic) {
 		return Verdict{Answer: refused(400, "bad-topic", "a topic is a path of parts that are not empty", 0)}
 	}
-	for _, interest := range visit.Paths {
+	for _, interest := range request.Paths {
 		if !FitTopic(interest.Path) && !(interest.Wide && interest.Path == "") {
 			return Verdict{Answer: refused(400, "bad-topic", "a topic is a path of parts that are not empty", 0)}
 		}
@@ -147,21 +147,21 @@
 
 func (spacePolicy) Name() string { return "space" }
 
-func (spacePolicy) Judge(_ time.Time, visit *Judged) Verdict {
-	for _, name := range visit.spaces() {
-		if _, found := visit.Lantern.spaces[name]; !found {
+func (spacePolicy) Judge(_ time.Time, request *Judged) Verdict {
+	for _, name := range request.spaces() {
+		if _, found := request.Gateway.spaces[name]; !found {
 			return Verdict{Look: true, Answer: refused(404, "no-such-space", fmt.Sprintf("no space is named %q", name), 0)}
 		}
 	}
 	return pass
 }
 
-func (visit *Judged) spaces() []string {
-	if visit.Kind == "publish" {
-		return []string{visit.Space}
+func (j *Judged) spaces() []string {
+	if j.Kind == "publish" {
+		return []string{j.Space}
 	}
 	var names []string
-	for _, interest := range visit.Paths {
+	for _, interest := range j.Paths {
 		names = append(names, interest.Space)
 	}
 	return names
@@ -171,11 +171,11 @@
 
 func (rightsPolicy) Name() string { return "rights" }
 
-func (rightsPolicy) Judge(_ time.Time, visit *Judged) Verdict {
-	for _, name := range visit.spaces() {
-		space := visit.Lantern.spaces[name].space
-		if visit.Kind == "publish" && !space.MayPublish(visit.Sender) || visit.Kind == "subscribe" && !space.MaySubscribe(visit.Origin) {
-			return Verdict{Answer: refused(403, "not-allowed", fmt.Sprintf("the space %q does not let this origin %s", name, visit.Kind), 0)}
+func (rightsPolicy) Judge(_ time.Time, request *Judged) Verdict {
+	for _, name := range request.spaces() {
+		space := request.Gateway.spaces[name].space
+		if request.Kind == "publish" && !space.MayPublish(request.Sender) || request.Kind == "subscribe" && !space.MaySubscribe(request.Origin) {
+			return Verdict{Answer: refused(403, "not-allowed", fmt.Sprintf("the space %q does not let this origin %s", name, request.Kind), 0)}
 		}
 	}
 	return pass
@@ -185,21 +185,21 @@
 
 func (sizePolicy) Name() string { return "size" }
 
-func (sizePolicy) Judge(_ time.Time, visit *Judged) Verdict {
-	if visit.Kind != "publish" {
+func (sizePolicy) Judge(_ time.Time, request *Judged) Verdict {
+	if request.Kind != "publish" {
 		return pass
 	}
-	if most := visit.Lantern.spaces[visit.Space].space.DataBytes; len(visit.Data) > most {
-		return Verdict{Answer: refused(413, "too-large", fmt.Sprintf("%d bytes are more than %d", len(visit.Data), most), 0)}
+	if most := request.Gateway.spaces[request.Space].space.DataBytes; len(request.Data) > most {
+		return Verdict{Answer: refused(413, "too-large", fmt.Sprintf("%d bytes are more than %d", len(request.Data), most), 0)}
 	}
-	if visit.Seq == 0 {
+	if request.Seq == 0 {
 		return Verdict{Answer: refused(400, "bad-seq", "a seq begins at 1", 0)}
 	}
 	return pass
 }
 
 // ratePolicy lets a space's publications pass at the rate it allows, counted
-// on this lantern in whole seconds.
+// on this gateway in whole seconds.
 type ratePolicy struct {
 	second map[string]int64
 	count  map[string]int
@@ -211,21 +211,21 @@
 
 func (*ratePolicy) Name() string { return "rate" }
 
-func (policy *ratePolicy) Judge(now time.Time, visit *Judged) Verdict {
-	if visit.Kind != "publish" {
+func (rp *ratePolicy) Judge(now time.Time, request *Judged) Verdict {
+	if request.Kind != "publish" {
 		return pass
 	}
-	most := visit.Lantern.spaces[visit.Space].space.PerSecond
+	most := request.Gateway.spaces[request.Space].space.PerSecond
 	if most == 0 {
 		return pass
 	}
-	if second := now.Unix(); policy.second[visit.Space] != second {
-		policy.second[visit.Space], policy.count[visit.Space] = second, 0
+	if second := now.Unix(); rp.second[request.Space] != second {
+		rp.second[request.Space], rp.count[request.Space] = second, 0
 	}
-	if policy.count[visit.Space] >= most {
+	if rp.count[request.Space] >= most {
 		back := now.Truncate(time.Second).Add(time.Second).Sub(now)
 		return Verdict{Answer: refused(429, "too-many", "the space's rate is used up", back)}
 	}
-	policy.count[visit.Space]++
+	rp.count[request.Space]++
 	return pass
 }
--- /dev/null
+++ b/internal/gateway/publish.go
@@ -0,0 +1,533 @@
+// Publishing. The messages of one sender in one space go one after the other:
+// the next begins when the one before has its answer, and a refusal or an
+// unsettled fate holds off those behind it, so that none overtakes. A kept
+// message goes to the first of its partition and is fanned out once it is
+// accepted; a passing one is fanned out at once. The destinations come from the
+// runOverlay peer at the topic's area, one copy for each daemon.
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"dahlialock/internal/config"
+	"dahlialock/internal/controller"
+	"dahlialock/internal/decisionlog"
+	"dahlialock/internal/overlay"
+	"dahlialock/internal/partition"
+	"dahlialock/internal/statemachine"
+)
+
+const (
+	senderIdle   = 90 * time.Second
+	seqMemory    = 30 * time.Second
+	queueMost    = 64
+	blockFor     = 3 * time.Second
+	appendRetry  = 150 * time.Millisecond
+	joinPatience = 800 * time.Millisecond
+)
+
+type senderKey struct {
+	space  string
+	sender string
+}
+
+type sentMemory struct {
+	digest uint64
+	at     time.Time
+}
+
+type sender struct {
+	queue     []*publication
+	lastSeq   uint64
+	recalled  bool
+	trail     []trailed
+	arrived   time.Time
+	recent    map[uint64]sentMemory
+	blocked   uint64
+	blockedAt time.Time
+	lastUse   time.Time
+}
+
+// trailed is a message of a sender that was accepted a moment ago.
+type trailed struct {
+	mark partition.Mark
+	seq  uint64
+	at   time.Time
+}
+
+// before tells the trail that goes with a sender's next message.
+func (s *sender) before(now time.Time) partition.Trail {
+	s.trail = slices.DeleteFunc(s.trail, func(each trailed) bool { return now.Sub(each.at) > partition.TrailFor })
+	var trail partition.Trail
+	older := max(0, len(s.trail)-partition.TrailMost)
+	floors := map[uint8]uint64{}
+	for _, each := range s.trail[:older] {
+		floors[each.mark.Partition] = max(floors[each.mark.Partition], each.mark.Offset)
+	}
+	for number, offset := range statemachine.Sorted(floors) {
+		trail.Floor = append(trail.Floor, partition.Reach{Partition: number, Offset: offset})
+	}
+	for _, each := range s.trail[older:] {
+		trail.Marks = append(trail.Marks, each.mark)
+	}
+	return trail
+}
+
+type publication struct {
+	request   Publish
+	key       senderKey
+	id        uint64
+	partition string
+	sentAt    time.Time
+	limit     time.Time
+	// open are the numbers of the sends without an answer; see routedPublication.
+	open     map[uint64]bool
+	recalled bool
+	answered bool
+}
+
+type recall struct {
+	key     senderKey
+	waiting int
+	ready   bool
+	lastSeq uint64
+	recent  []partition.Recent
+	limit   time.Time
+}
+
+func (g *Gateway) messageOf(request *Judged) string {
+	if request.Kind != "publish" {
+		return ""
+	}
+	return decisionlog.MessageName(request.Space, request.Sender, request.Seq)
+}
+
+func (g *Gateway) publish(now time.Time, request Publish, effects *statemachine.Effects) {
+	g.Counts.Requests++
+	if g.routedTopic(request.Space) {
+		g.publishRouted(now, request, false, effects)
+		return
+	}
+	g.tryPublish(now, request, false, effects)
+}
+
+func (g *Gateway) tryPublish(now time.Time, request Publish, looked bool, effects *statemachine.Effects) {
+	judged := &Judged{
+		Kind: "publish", Origin: request.Origin, Sender: request.Sender, Space: request.Space, Topic: request.Topic,
+		Seq: request.Seq, Data: request.Data, Looked: looked,
+	}
+	item := &publication{request: request, key: senderKey{space: request.Space, sender: request.Sender}}
+	answer := func(returned Answer) { g.settlePublication(now, item, returned, effects) }
+	retry := func(now time.Time, effects *statemachine.Effects) { g.tryPublish(now, request, true, effects) }
+	if !g.judge(now, judged, request.RequestName, retry, answer) {
+		return
+	}
+	from, found := g.senders[item.key]
+	if !found {
+		from = &sender{recent: map[uint64]sentMemory{}, arrived: now}
+		g.senders[item.key] = from
+	}
+	from.lastUse = now
+	if from.blocked > 0 && request.Seq > from.blocked {
+		if now.Sub(from.blockedAt) < blockFor {
+			answer(refused(503, "earlier-refused", "an earlier seq of this sender has no accepted answer; send that one first", comeBackLater))
+			return
+		}
+		from.blocked = 0
+	}
+	if len(from.queue) >= queueMost {
+		answer(refused(429, "queue-full", "too many publications of this sender wait", comeBackLater))
+		return
+	}
+	g.ring.Record(now, request.RequestName, g.messageOf(judged), request.Origin, "judged", "topic", request.Topic,
+		"version", g.follower.Version, "queued", len(from.queue))
+	item.limit = now.Add(min(patience, g.spaces[request.Space].space.AnswerWithin*7/10))
+	from.queue = append(from.queue, item)
+	g.timers.ArmSooner("limits", item.limit)
+	if len(from.queue) == 1 {
+		g.begin(now, from, effects)
+	}
+}
+
+// countOutcome counts the final answer of a publication.
+func (g *Gateway) countOutcome(answer Answer) {
+	switch answer.Outcome {
+	case OutcomeAccepted:
+		g.Counts.Accepted++
+	case OutcomeRefused:
+		g.Counts.RefusedRequests++
+	case OutcomeUnsettled:
+		g.Counts.UnsettledRequests++
+	}
+}
+
+// settlePublication gives a publication its final answer.
+func (g *Gateway) settlePublication(now time.Time, item *publication, answer Answer, effects *statemachine.Effects) {
+	if item.answered {
+		return
+	}
+	item.answered = true
+	g.countOutcome(answer)
+	g.ring.Record(now, item.request.RequestName, decisionlog.MessageName(item.request.Space, item.request.Sender, item.request.Seq),
+		item.request.Origin, "answered", "outcome", answer.Outcome, "code", answer.Code)
+	effects.Return(item.request.Request, answer)
+}
+
+// begin starts the publication at the head of a sender's queue.
+func (g *Gateway) begin(now time.Time, from *sender, effects *statemachine.Effects) {
+	for len(from.queue) > 0 {
+		item := from.queue[0]
+		state, found := g.spaces[item.request.Space]
+		if !found {
+			from.queue = from.queue[1:]
+			g.settlePublication(now, item, refused(404, "no-such-space", "the space was removed", 0), effects)
+			continue
+		}
+		if state.space.Promise == config.Kept {
+			g.keep(now, state, from, item, effects)
+			return
+		}
+		g.passOn(now, state, from, item, effects)
+		return
+	}
+}
+
+// finish ends the head of a queue. Where it was not accepted, those behind it
+// are refused, and later seqs are held off until this one is sent again.
+func (g *Gateway) finish(now time.Time, item *publication, answer Answer, effects *statemachine.Effects) {
+	delete(g.appends, item.id)
+	for send := range item.open {
+		delete(g.sends, send)
+	}
+	g.settlePublication(now, item, answer, effects)
+	from, found := g.senders[item.key]
+	if !found || len(from.queue) == 0 || from.queue[0] != item {
+		return
+	}
+	from.queue = from.queue[1:]
+	if answer.Outcome == OutcomeAccepted {
+		if item.request.Seq >= from.blocked {
+			from.blocked = 0
+		}
+		g.begin(now, from, effects)
+		return
+	}
+	if answer.RetryAfter > 0 {
+		from.blocked, from.blockedAt = item.request.Seq, now
+		waiting := from.queue
+		from.queue = nil
+		for _, behind := range waiting {
+			g.settlePublication(now, behind, refused(503, "earlier-refused", "an earlier seq of this sender was not accepted", comeBackLater), effects)
+		}
+		return
+	}
+	g.begin(now, from, effects)
+}
+
+// Kept messages.
+
+func (g *Gateway) partitionOf(state *spaceState, topic string) string {
+	return partitionName(state.name, partition.Number(topic, state.space.Partitions()))
+}
+
+func partitionName(space string, number int) string {
+	name := controller.PartitionName("", 0, number)
+	return space + name[len("~0"):]
+}
+
+// areaOf is where a topic lies: a space with one shared order is one area, so
+// that all who hold a part of it receive the whole of it.
+func areaOf(space config.Space, path string) overlay.Area {
+	if space.Order == config.OrderChannel {
+		return overlay.Whole
+	}
+	return overlay.AreaOf(path)
+}
+
+func (g *Gateway) keep(now time.Time, state *spaceState, from *sender, item *publication, effects *statemachine.Effects) {
+	// A seq that does not follow the newest one known here may come from a
+	// sender that was elsewhere meanwhile; its trail is learned anew.
+	follows := from.recalled && item.request.Seq <= from.lastSeq+1
+	if !follows && !item.recalled && state.space.Partitions() > 1 {
+		item.recalled = true
+		g.recallSender(now, state, item, effects)
+		return
+	}
+	item.partition = g.partitionOf(state, item.request.Topic)
+	g.nextRequest++
+	item.id = g.nextRequest
+	g.appends[item.id] = item
+	g.overlay.Publish(now, state.name, areaOf(state.space, item.request.Topic), nil, effects)
+	g.sendAppend(now, from, item, effects)
+}
+
+func (g *Gateway) firstOf(name string) (address, store string, found bool) {
+	place, placed := g.follower.Places[name]
+	if !placed {
+		return "", "", false
+	}
+	member, known := g.follower.Members[place.First]
+	return member.Address, place.First, known
+}
+
+func (g *Gateway) sendAppend(now time.Time, from *sender, item *publication, effects *statemachine.Effects) {
+	item.sentAt = now
+	g.timers.ArmSooner("limits", now.Add(appendRetry))
+	address, store, found := g.firstOf(item.partition)
+	if !found {
+		g.follower.Hurry(now)
+		return
+	}
+	var before partition.Trail
+	if state, known := g.spaces[item.request.Space]; known && state.space.Partitions() > 1 {
+		before = from.before(now)
+	}
+	g.nextRequest++
+	send := g.nextRequest
+	if item.open == nil {
+		item.open = map[uint64]bool{}
+	}
+	item.open[send] = true
+	g.sends[send] = item
+	g.ring.Record(now, item.request.RequestName, decisionlog.MessageName(item.request.Space, item.request.Sender, item.request.Seq),
+		item.request.Origin, "append", "partition", item.partition, "store", store, "epoch", g.follower.Places[item.partition].Epoch)
+	effects.Send(address, partition.Append{
+		Partition: item.partition, Request: send, Topic: item.request.Topic, Sender: item.request.Sender, Seq: item.request.Seq,
+		Data: item.request.Data, Before: before, OnlyAgain: item.request.Seq <= from.lastSeq,
+	})
+}
+
+func (g *Gateway) onAppendResponse(now time.Time, returned partition.AppendResponse, effects *statemachine.Effects) {
+	if item, routed := g.routed.sends[returned.Request]; routed && item.partition == returned.Partition {
+		g.onRoutedResponse(now, item, returned, effects)
+		return
+	}
+	item, found := g.sends[returned.Request]
+	if !found || item.partition != returned.Partition {
+		return
+	}
+	delete(item.open, returned.Request)
+	delete(g.sends, returned.Request)
+	message := decisionlog.MessageName(item.request.Space, item.request.Sender, item.request.Seq)
+	g.ring.Record(now, item.request.RequestName, message, item.request.Origin, "kept", "outcome", returned.Outcome,
+		"code", returned.Code, "partition", returned.Partition, "epoch", returned.Epoch, "offset", returned.Record.Offset, "again", returned.Again)
+	switch returned.Outcome {
+	case partition.Accepted:
+		if from, known := g.senders[item.key]; known {
+			from.lastSeq = max(from.lastSeq, item.request.Seq)
+			from.trail = append(from.trail, trailed{
+				mark: partition.Mark{Partition: partition.NumberIn(returned.Partition), Offset: returned.Record.Offset, Topic: item.request.Topic},
+				seq:  item.request.Seq, at: now,
+			})
+		}
+		if state, present := g.spaces[item.request.Space]; present && !returned.Again {
+			g.fanOutKept(now, state, returned.Partition, returned.Record, item, effects)
+		}
+		g.finish(now, item, accepted(map[string]any{"again": returned.Again}), effects)
+	case partition.Refused:
+		switch returned.Code {
+		case "not-first":
+			// The store or this gateway lacks news; the limit decides.
+			g.follower.Hurry(now)
+			item.sentAt = now
+			g.timers.ArmSooner("limits", now.Add(appendRetry))
+		case "old-seq", "seq-reused":
+			g.finish(now, item, refused(409, returned.Code, "this seq is not above the sender's newest", 0), effects)
+		default:
+			if len(item.open) > 0 {
+				// An earlier try has no answer; it may yet be kept.
+				g.finish(now, item, unsettled(returned.Code, "send the same seq again", returned.RetryAfter), effects)
+				return
+			}
+			g.finish(now, item, refused(503, returned.Code, "the partition can't keep two copies at this moment", returned.RetryAfter), effects)
+		}
+	default:
+		g.finish(now, item, unsettled(returned.Code, "send the same seq again", comeBackLater), effects)
+	}
+}
+
+func (g *Gateway) recallSender(now time.Time, state *spaceState, item *publication, effects *statemachine.Effects) {
+	byStore := map[string][]string{}
+	for number := range state.space.Partitions() {
+		name := partitionName(state.name, number)
+		address, _, found := g.firstOf(name)
+		if !found {
+			g.follower.Hurry(now)
+			g.finish(now, item, refused(503, "not-placed", "the space's partitions are not placed yet", comeBackLater), effects)
+			return
+		}
+		byStore[address] = append(byStore[address], name)
+	}
+	g.nextRequest++
+	g.recalls[g.nextRequest] = &recall{key: item.key, waiting: len(byStore), ready: true, limit: item.limit}
+	for address, names := range statemachine.Sorted(byStore) {
+		effects.Send(address, partition.SenderAsk{Request: g.nextRequest, Partitions: names, Sender: item.request.Sender})
+	}
+}
+
+func (g *Gateway) onSenderResponse(now time.Time, returned partition.SenderResponse, effects *statemachine.Effects) {
+	asked, found := g.recalls[returned.Request]
+	if !found {
+		return
+	}
+	asked.waiting--
+	asked.ready = asked.ready && returned.Ready
+	asked.lastSeq = max(asked.lastSeq, returned.LastSeq)
+	asked.recent = append(asked.recent, returned.Recent...)
+	if asked.waiting > 0 {
+		return
+	}
+	delete(g.recalls, returned.Request)
+	from, known := g.senders[asked.key]
+	if !known || len(from.queue) == 0 {
+		return
+	}
+	if !asked.ready {
+		g.follower.Hurry(now)
+		g.finish(now, from.queue[0], refused(503, "partition-moving", "a partition of the space is being taken over", comeBackLater), effects)
+		return
+	}
+	from.recalled, from.lastSeq, from.trail = true, asked.lastSeq, nil
+	slices.SortFunc(asked.recent, func(left, right partition.Recent) int { return cmp.Compare(left.Seq, right.Seq) })
+	for _, each := range asked.recent {
+		from.trail = append(from.trail, trailed{mark: each.Mark, seq: each.Seq, at: now.Add(-each.Age / 2)})
+	}
+	g.begin(now, from, effects)
+}
+
+// fanOutKept sends one copy to each destination daemon, and hands the message
+// to this daemon's own subscribers.
+func (g *Gateway) fanOutKept(now time.Time, state *spaceState, name string, record partition.Record, item *publication, effects *statemachine.Effects) {
+	area := areaOf(state.space, record.Topic)
+	carry := Carry{Partition: name, Record: record}
+	spread := func(now time.Time, effects *statemachine.Effects, settled bool) {
+		destinations := g.overlay.Destinations(state.name, area)
+		g.spread(now, item, destinations, settled, carry, effects)
+	}
+	if _, followed := g.trackers[name]; followed {
+		g.onCarry(now, carry, effects)
+	}
+	if g.overlay.Settled(state.name, area) {
+		spread(now, effects, true)
+		return
+	}
+	g.overlay.Publish(now, state.name, area, spread, effects)
+}
+
+func (g *Gateway) spread(now time.Time, item *publication, destinations []string, settled bool, message any, effects *statemachine.Effects) {
+	for _, name := range destinations {
+		if member, found := g.follower.Members[name]; found {
+			g.Counts.CopiesOut++
+			effects.Send(member.Address, message)
+		}
+	}
+	g.ring.Record(now, item.request.RequestName, decisionlog.MessageName(item.request.Space, item.request.Sender, item.request.Seq),
+		item.request.Origin, "fanned-out", "destinations", destinations, "why", "subscriber list of the peer at the topic's area", "settled", settled)
+}
+
+// Passing messages.
+
+func (g *Gateway) passOn(now time.Time, state *spaceState, from *sender, item *publication, effects *statemachine.Effects) {
+	request := item.request
+	if memory, known := from.recent[request.Seq]; known {
+		if memory.digest != partition.Digest(request.Topic, request.Data) {
+			g.finish(now, item, refused(409, "seq-reused", "this seq was used for another message", 0), effects)
+			return
+		}
+		g.finish(now, item, accepted(map[string]any{"again": true}), effects)
+		return
+	}
+	if request.Seq <= from.lastSeq && now.Sub(from.arrived) > seqMemory {
+		g.finish(now, item, refused(409, "old-seq", "this seq is not above the sender's newest", 0), effects)
+		return
+	}
+	// A sender that came here a moment ago may send again what another gateway
+	// passed on. It is passed on once more, and whoever had it, or a later one,
+	// lets it fall.
+	area := areaOf(state.space, request.Topic)
+	g.overlay.Publish(now, state.name, area, func(now time.Time, effects *statemachine.Effects, settled bool) {
+		if item.answered {
+			return
+		}
+		if !settled {
+			g.finish(now, item, refused(503, "no-neighbours", "the overlay is being mended", comeBackSoon), effects)
+			return
+		}
+		if request.Seq > from.lastSeq+1 {
+			from.arrived = now
+		}
+		from.lastSeq = max(from.lastSeq, request.Seq)
+		from.recent[request.Seq] = sentMemory{digest: partition.Digest(request.Topic, request.Data), at: now}
+		for seq, memory := range from.recent {
+			if now.Sub(memory.at) > seqMemory {
+				delete(from.recent, seq)
+			}
+		}
+		message := Pass{Space: state.name, Topic: request.Topic, Sender: request.Sender, Seq: request.Seq, Data: request.Data}
+		state.remember(now, message, true)
+		g.passHere(now, state, message, effects)
+		g.spread(now, item, g.overlay.Destinations(state.name, area), true, message, effects)
+		g.finish(now, item, accepted(map[string]any{"again": false}), effects)
+	}, effects)
+}
+
+// limits resends appends that stayed without an answer and gives up on those
+// whose time is up.
+func (g *Gateway) limits(now time.Time, effects *statemachine.Effects) {
+	var next time.Time
+	for id, asked := range statemachine.Sorted(g.recalls) {
+		if !asked.limit.After(now) {
+			delete(g.recalls, id)
+		} else {
+			next = statemachine.Earliest(next, asked.limit)
+		}
+	}
+	for _, item := range statemachine.Sorted(g.appends) {
+		from, known := g.senders[item.key]
+		if known && item.limit.After(now) && !item.sentAt.Add(appendRetry).After(now) {
+			g.sendAppend(now, from, item, effects)
+		}
+		if item.limit.After(now) {
+			next = statemachine.Earliest(next, item.sentAt.Add(appendRetry), item.limit)
+		}
+	}
+	for _, from := range g.sortedSenders() {
+		for len(from.queue) > 0 && !from.queue[0].limit.After(now) {
+			item := from.queue[0]
+			if statemachine.Mutated("refuse-what-is-open") {
+				g.finish(now, item, refused(503, "no-answer", "", 0), effects)
+			} else if len(item.open) > 0 {
+				g.finish(now, item, unsettled("no-answer", "the store did not answer; send the same seq again", comeBackLater), effects)
+			} else {
+				g.finish(now, item, refused(503, "no-answer", "the message was not kept", comeBackLater), effects)
+			}
+		}
+		if len(from.queue) > 0 {
+			next = statemachine.Earliest(next, from.queue[0].limit)
+		}
+	}
+	for id, fetch := range statemachine.Sorted(g.fetches) {
+		next = statemachine.Earliest(next, g.tendFetch(now, id, fetch, effects))
+	}
+	if !next.IsZero() {
+		g.timers.ArmSooner("limits", next)
+	}
+}
+
+func (g *Gateway) sortedSenders() func(yield func(senderKey, *sender) bool) {
+	return func(yield func(senderKey, *sender) bool) {
+		byName := map[string]senderKey{}
+		for key, from := range g.senders {
+			if len(from.queue) > 0 {
+				byName[key.space+" "+key.sender] = key
+			}
+		}
+		for _, key := range statemachine.Sorted(byName) {
+			if from, found := g.senders[key]; found && !yield(key, from) {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/publish_test.go
@@ -0,0 +1,44 @@
+// An answer of a store that comes twice settles the send that it names, and no
+// other: what is still open is unsettled at its limit, and never refused.
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dahlialock/internal/config"
+	"dahlialock/internal/membership"
+	"dahlialock/internal/partition"
+	"dahlialock/internal/statemachine"
+)
+
+func TestAnAnswerThatComesTwiceSettlesOneSend(t *testing.T) {
+	now := time.Unix(1000, 0)
+	gateway := New(Settings{Self: membership.Member{Name: "gateway-1", Kind: membership.KindGateway, Address: "a:1"}, Agent: "a:2"})
+	gateway.follower.Members["store-1"] = membership.Member{Name: "store-1", Kind: membership.KindStore, Address: "k:1", Alive: true}
+	gateway.follower.Places["boards~1/0"] = membership.Placement{Partition: "boards~1/0", Epoch: 1, First: "store-1"}
+	gateway.spaces["boards"] = &spaceState{space: config.Space{Name: "boards", Promise: config.Kept}, name: "boards~1"}
+	key := senderKey{space: "boards", sender: "u"}
+	from := &sender{recent: map[uint64]sentMemory{}}
+	item := &publication{
+		request: Publish{Request: 9, Sender: "u", Origin: "u", Space: "boards", Topic: "t", Seq: 1}, key: key, id: 77, partition: "boards~1/0",
+		limit: now.Add(500 * time.Millisecond),
+	}
+	from.queue = []*publication{item}
+	gateway.senders[key], gateway.appends[item.id] = from, item
+	var effects statemachine.Effects
+	gateway.sendAppend(now, from, item, &effects)
+	now = now.Add(appendRetry)
+	gateway.sendAppend(now, from, item, &effects)
+	first := effects.Sends[0].Message.(partition.Append).Request
+	for range 2 {
+		gateway.onAppendResponse(now, partition.AppendResponse{Partition: item.partition, Request: first, Outcome: partition.Refused, Code: "not-first"}, &effects)
+	}
+	effects = statemachine.Effects{}
+	gateway.limits(item.limit, &effects)
+	assert.Equal(t, len(effects.Returns), 1)
+	assert.Equal(t, effects.Returns[0].Value.(Answer).Outcome, OutcomeUnsettled)
+	assert.Equal(t, len(gateway.sends), 0)
+}
--- /dev/null
+++ b/internal/gateway/routed_publish.go
@@ -0,0 +1,198 @@
+// Publishing to routed topics. The partition's first gives every message its place
+// in the topic's order and remembers its sender's seqs; once it is accepted one
+// copy goes to each gateway with subscribers. Messages of different topics don't
+// wait for each other, and those of one topic go to the first in the order in
+// which they came. A passing message's data never goes to a store: only its
+// place in the order does.
+package gateway
+
+import (
+	"time"
+
+	"dahlialock/internal/config"
+	"dahlialock/internal/decisionlog"
+	"dahlialock/internal/partition"
+	"dahlialock/internal/statemachine"
+)
+
+const (
+	routedRetry    = 200 * time.Millisecond
+	routedRemember = 30 * time.Second
+)
+
+type routedKey struct {
+	topic  string
+	sender string
+	seq    uint64
+}
+
+type routedPublication struct {
+	request   Publish
+	id        uint64
+	space     string
+	partition string
+	bare      bool
+	sentAt    time.Time
+	limit     time.Time
+	sends     int
+	// open are the numbers of the sends without an answer. An answer settles the
+	// send that it names, so that one which comes twice settles no other.
+	open map[uint64]bool
+}
+
+func (g *Gateway) publishRouted(now time.Time, request Publish, looked bool, effects *statemachine.Effects) {
+	space := g.routeOf(request.Space, request.Topic)
+	judged := &Judged{
+		Kind: "publish", Origin: request.Origin, Sender: request.Sender, Space: space, Topic: request.Topic,
+		Seq: request.Seq, Data: request.Data, Looked: looked, Routed: true,
+	}
+	item := &routedPublication{request: request, space: space, partition: config.SharedPartition(request.Topic), open: map[uint64]bool{}}
+	answer := func(returned Answer) { g.answerRouted(now, item, returned, effects) }
+	retry := func(now time.Time, effects *statemachine.Effects) { g.publishRouted(now, request, true, effects) }
+	if !g.judge(now, judged, request.RequestName, retry, answer) {
+		return
+	}
+	key := routedKey{topic: request.Topic, sender: request.Sender, seq: request.Seq}
+	if _, known := g.routed.accepted[key]; known {
+		answer(accepted(nil))
+		return
+	}
+	state := g.spaces[space]
+	item.bare = state.space.Promise != config.Kept
+	item.limit = now.Add(min(patience, state.space.AnswerWithin/2))
+	g.nextRequest++
+	item.id = g.nextRequest
+	g.routed.appends[item.id] = item
+	g.overlay.Reach(now, routedPlane, request.Topic, func(time.Time, *statemachine.Effects, bool) {}, effects)
+	g.sendRouted(now, item, effects)
+	g.timers.ArmSooner("routed", item.limit)
+}
+
+func (g *Gateway) answerRouted(now time.Time, item *routedPublication, returned Answer, effects *statemachine.Effects) {
+	g.countOutcome(returned)
+	delete(g.routed.appends, item.id)
+	for send := range item.open {
+		delete(g.routed.sends, send)
+	}
+	g.ring.Record(now, item.request.RequestName, decisionlog.MessageName(item.space, item.request.Sender, item.request.Seq),
+		item.request.Origin, "answered", "outcome", returned.Outcome, "code", returned.Code, "topic", item.request.Topic, "tries", item.sends)
+	effects.Return(item.request.Request, returned)
+}
+
+func (g *Gateway) sendRouted(now time.Time, item *routedPublication, effects *statemachine.Effects) {
+	item.sentAt = now
+	g.timers.ArmSooner("routed", now.Add(routedRetry))
+	address, _, found := g.firstOf(item.partition)
+	if !found {
+		g.follower.Hurry(now)
+		return
+	}
+	data := item.request.Data
+	if item.bare {
+		data = nil
+	}
+	item.sends++
+	g.nextRequest++
+	item.open[g.nextRequest] = true
+	g.routed.sends[g.nextRequest] = item
+	effects.Send(address, partition.Append{
+		Partition: item.partition, Request: g.nextRequest, Topic: item.request.Topic, Sender: item.request.Sender, Seq: item.request.Seq, Data: data, Bare: item.bare,
+	})
+}
+
+func (g *Gateway) onRoutedResponse(now time.Time, item *routedPublication, returned partition.AppendResponse, effects *statemachine.Effects) {
+	delete(item.open, returned.Request)
+	delete(g.routed.sends, returned.Request)
+	switch returned.Outcome {
+	case partition.Accepted:
+		g.routed.accepted[routedKey{topic: item.request.Topic, sender: item.request.Sender, seq: item.request.Seq}] = now
+		record := returned.Record
+		record.Topic, record.Sender, record.Seq, record.Data = item.request.Topic, item.request.Sender, item.request.Seq, item.request.Data
+		if !returned.Again || item.bare || item.sends > 1 {
+			// What was kept before and is not passed on now is found by the
+			// partition's heads; a passing message is not, and who had it, or a
+			// later one, lets it fall.
+			g.fanOutRouted(now, item, record, effects)
+		}
+		g.answerRouted(now, item, accepted(nil), effects)
+	case partition.Refused:
+		switch {
+		case returned.Code == "not-first":
+			g.follower.Hurry(now)
+		case returned.Code == "old-seq" || returned.Code == "seq-reused":
+			g.answerRouted(now, item, refused(409, returned.Code, "this seq is not above the sender's newest of this topic", 0), effects)
+		case len(item.open) > 0:
+			// An earlier try has no answer; it may yet be kept.
+			g.answerRouted(now, item, unsettled(returned.Code, "send the same seq again", comeBackSoon), effects)
+		default:
+			g.answerRouted(now, item, refused(503, returned.Code, "the partition can't keep all its copies at this moment", max(returned.RetryAfter, comeBackSoon)), effects)
+		}
+	default:
+		g.answerRouted(now, item, unsettled(returned.Code, "send the same seq again", comeBackSoon), effects)
+	}
+}
+
+// fanOutRouted hands a message to the subscribers here and sends one copy to
+// each gateway that has any.
+func (g *Gateway) fanOutRouted(now time.Time, item *routedPublication, record partition.Record, effects *statemachine.Effects) {
+	g.onRouted(now, record, effects)
+	copied := RoutedCopy{
+		Topic: record.Topic, Sender: record.Sender, Seq: record.Seq, Offset: record.Offset, Behind: record.Offset - record.Prior, Data: record.Data,
+	}
+	g.overlay.Reach(now, routedPlane, item.request.Topic, func(now time.Time, effects *statemachine.Effects, settled bool) {
+		destinations := g.overlay.Listeners(routedPlane, item.request.Topic)
+		for _, name := range destinations {
+			if member, found := g.follower.Members[name]; found {
+				g.Counts.CopiesOut++
+				effects.Send(member.Address, copied)
+			}
+		}
+		g.ring.Record(now, item.request.RequestName, decisionlog.MessageName(item.space, item.request.Sender, item.request.Seq),
+			item.request.Origin, "fanned-out", "destinations", destinations, "why", "subscriber list of the peer at the topic's cell",
+			"settled", settled, "partition", item.partition, "offset", record.Offset)
+	}, effects)
+}
+
+// tendPublications sends again what stayed without an answer, and gives up at
+// once on what can't be had in time.
+func (g *Gateway) tendPublications(now time.Time, effects *statemachine.Effects) {
+	var next time.Time
+	for _, item := range statemachine.Sorted(g.routed.appends) {
+		if !item.limit.After(now) {
+			if len(item.open) > 0 {
+				g.answerRouted(now, item, unsettled("no-answer", "the store did not answer; send the same seq again", comeBackSoon), effects)
+			} else {
+				g.answerRouted(now, item, refused(503, "no-answer", "the message was not kept", comeBackSoon), effects)
+			}
+			continue
+		}
+		if !item.sentAt.Add(routedRetry).After(now) {
+			g.sendRouted(now, item, effects)
+		}
+		next = statemachine.Earliest(next, item.sentAt.Add(routedRetry), item.limit)
+	}
+	if !next.IsZero() {
+		g.timers.ArmSooner("routed", next)
+	}
+}
+
+// resendRouted sends what waits for a store to the partition's new first.
+func (g *Gateway) resendRouted(now time.Time, effects *statemachine.Effects) {
+	for _, item := range statemachine.Sorted(g.routed.appends) {
+		if now.Sub(item.sentAt) > 20*time.Millisecond {
+			g.sendRouted(now, item, effects)
+		}
+	}
+	for id, asked := range statemachine.Sorted(g.routed.fetches) {
+		g.sendFetch(now, id, asked, effects)
+	}
+}
+
+// forgetRouted lets old memories go.
+func (g *Gateway) forgetRouted(now time.Time) {
+	for key, at := range g.routed.accepted {
+		if now.Sub(at) > routedRemember {
+			delete(g.routed.accepted, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/stopping_test.go
@@ -0,0 +1,162 @@
+package gateway_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dahlialock/internal/config"
+	"dahlialock/internal/gateway"
+	"dahlialock/internal/membership"
+	"dahlialock/internal/partition"
+	"dahlialock/internal/statemachine"
+)
+
+const document = `{"version":1,"spaces":[{"name":"boards","promise":"kept","order":"topic"}],"routes":[{"prefix":"b.","space":"boards"}]}`
+
+// fleetlab is one gateway that has its first news and another to send callers to.
+type fleetlab struct {
+	now     time.Time
+	gateway *gateway.Gateway
+	request uint64
+	toldAt  time.Time
+	// heard is what the newest news brought about.
+	heard statemachine.Effects
+}
+
+func (f *fleetlab) do(command any) statemachine.Effects {
+	var effects statemachine.Effects
+	f.gateway.Command(f.now, command, &effects)
+	return effects
+}
+
+func (f *fleetlab) pass(length time.Duration) statemachine.Effects {
+	var all statemachine.Effects
+	until := f.now.Add(length)
+	for {
+		due := f.gateway.NextDue()
+		if due.IsZero() || due.After(until) {
+			break
+		}
+		if due.After(f.now) {
+			f.now = due
+		}
+		var effects statemachine.Effects
+		f.gateway.Due(f.now, &effects)
+		f.news(effects)
+		all.Append(effects)
+	}
+	f.now = until
+	return all
+}
+
+// news answers what the gateway asks its agent, and tells it of heartbeats.
+func (f *fleetlab) news(effects statemachine.Effects) {
+	for _, send := range effects.Sends {
+		ask, matches := send.Message.(membership.Ask)
+		if !matches || f.now.Sub(f.toldAt) < 300*time.Millisecond {
+			continue
+		}
+		f.toldAt = f.now
+		partitionName := config.SharedPartition("b.1")
+		f.heard = statemachine.Effects{}
+		f.gateway.Message(f.now, statemachine.Meta{From: "10.0.0.1:2", Version: 1}, membership.News{
+			For: "gateway-1", Nonce: ask.Nonce, Epoch: 1, Primary: "10.0.0.9:1", Index: 1, Version: 1, Document: []byte(document), Changed: true,
+			Births: map[string]uint64{"boards": 1},
+			Members: []membership.Member{
+				{Name: "gateway-1", Kind: membership.KindGateway, Address: "10.0.0.1:1", Caller: "10.0.0.1:8000", Zone: "east", Incarnation: 1, Alive: true, Joined: 1},
+				{Name: "gateway-2", Kind: membership.KindGateway, Address: "10.0.0.2:1", Caller: "10.0.0.2:8000", Zone: "east", Incarnation: 1, Alive: true, Joined: 1},
+				{Name: "store-1", Kind: membership.KindStore, Address: "10.0.0.3:1", Zone: "east", Incarnation: 1, Alive: true, Joined: 1},
+			},
+			Placements: []membership.Placement{{Partition: partitionName, Epoch: 1, First: "store-1"}},
+		}, &f.heard)
+	}
+}
+
+func open(t *testing.T) *fleetlab {
+	t.Helper()
+	fleetlab := &fleetlab{now: time.Unix(1000, 0), gateway: gateway.New(gateway.Settings{
+		Self:  membership.Member{Name: "gateway-1", Kind: membership.KindGateway, Address: "10.0.0.1:1", Caller: "10.0.0.1:8000", Zone: "east", Incarnation: 1},
+		Agent: "10.0.0.1:2",
+	})}
+	var effects statemachine.Effects
+	fleetlab.gateway.Start(fleetlab.now, &effects)
+	fleetlab.pass(time.Millisecond)
+	assert.Equal(t, fleetlab.gateway.Version(), uint64(1))
+	return fleetlab
+}
+
+func (f *fleetlab) greet(t *testing.T, channel uint64, origin string) statemachine.Effects {
+	t.Helper()
+	f.request++
+	return f.do(gateway.OpenChannel{Request: f.request, Channel: channel, Name: origin, Origin: origin, Lines: true})
+}
+
+func outcome(t *testing.T, effects statemachine.Effects) gateway.Answer {
+	t.Helper()
+	assert.Equal(t, len(effects.Returns), 1)
+	return effects.Returns[0].Value.(gateway.Answer)
+}
+
+func moves(effects statemachine.Effects) int {
+	count := 0
+	for _, deliver := range effects.Delivers {
+		if event, matches := deliver.Event.(gateway.Event); matches && event.Event == "move" && event.To == "10.0.0.2:8000" {
+			count++
+		}
+	}
+	return count
+}
+
+func TestAStoppingGatewayTellsWhoComesWhereToGo(t *testing.T) {
+	fleetlab := open(t)
+	fleetlab.do(gateway.Stop{})
+	effects := fleetlab.greet(t, 1, "u1")
+	assert.Equal(t, outcome(t, effects).Outcome, gateway.OutcomeAccepted)
+	assert.Equal(t, moves(effects), 1)
+	fleetlab.request++
+	other := fleetlab.do(gateway.OpenChannel{Request: fleetlab.request, Channel: 2, Name: "u2", Origin: "u2"})
+	assert.Equal(t, outcome(t, other).Code, "stopping")
+}
+
+func TestAStoppingGatewayServesThoseWhoAreStillHere(t *testing.T) {
+	fleetlab := open(t)
+	fleetlab.greet(t, 1, "u1")
+	fleetlab.do(gateway.Stop{})
+	fleetlab.request++
+	effects := fleetlab.do(gateway.Publish{Request: fleetlab.request, Origin: "u1", Sender: "u1", Topic: "b.1", Seq: 1, Data: []byte("x")})
+	assert.Equal(t, len(effects.Returns), 0)
+	found := false
+	for _, send := range effects.Sends {
+		appended, matches := send.Message.(partition.Append)
+		found = found || matches && appended.Topic == "b.1" && send.To == "10.0.0.3:1"
+	}
+	assert.Assert(t, found, "the publication must go to its store: %v", effects.Sends)
+}
+
+func TestAStoppingGatewayDoesNotWaitForThoseWhoDoNotGo(t *testing.T) {
+	fleetlab := open(t)
+	for channel := range uint64(40) {
+		fleetlab.greet(t, channel+1, "u")
+	}
+	effects := fleetlab.do(gateway.Stop{})
+	effects.Append(fleetlab.pass(250 * time.Millisecond))
+	assert.Equal(t, moves(effects), 40)
+	assert.Assert(t, !effects.Stop)
+	effects = fleetlab.pass(time.Second)
+	assert.Assert(t, effects.Stop)
+	ended := 0
+	for _, deliver := range effects.Delivers {
+		if deliver.Close {
+			ended++
+		}
+	}
+	assert.Equal(t, ended, 40)
+	farewell := false
+	for _, send := range effects.Sends {
+		_, matches := send.Message.(membership.Farewell)
+		farewell = farewell || matches && send.To == "10.0.0.1:2"
+	}
+	assert.Assert(t, farewell, "the agent must hear of the end")
+}
--- /dev/null
+++ b/internal/httpapi/httpapi.go
@@ -0,0 +1,474 @@
+// Package httpapi is the callers' side of a gateway: HTTP/1.1 with JSON through
+// the standard library. A client opens a channel, which is a long streamed
+// response with an event a line, and sends requests to the same daemon. Bodies
+// are read strictly, and every fault is told with its path.
+package httpapi
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+	"unicode/utf8"
+
+	"github.com/valyala/fastjson"
+
+	"dahlialock/internal/config"
+	"dahlialock/internal/daemon"
+	"dahlialock/internal/gateway"
+	"dahlialock/internal/statemachine"
+)
+
+const (
+	bodyMost   = config.DataCeiling + 512<<10
+	sinkSize   = 1024
+	writeLimit = 10 * time.Second
+)
+
+// Token is the pass of an origin: its name, and a keyed sum of it.
+func Token(key []byte, origin string) string {
+	sum := hmac.New(sha256.New, key)
+	_, _ = sum.Write([]byte("origin:" + origin))
+	return origin + "." + hex.EncodeToString(sum.Sum(nil))
+}
+
+// Origin reads a pass; it is empty if the pass is not a right one. Where there
+// is no key anyone is admitted, and the pass is the name alone.
+func Origin(key []byte, token string) string {
+	if len(key) == 0 {
+		if !config.FitName(token) {
+			return ""
+		}
+		return token
+	}
+	last := strings.LastIndexByte(token, '.')
+	if last <= 0 || !config.FitName(token[:last]) || !hmac.Equal([]byte(Token(key, token[:last])), []byte(token)) {
+		return ""
+	}
+	return token[:last]
+}
+
+// Server serves callers.
+type Server struct {
+	host     *daemon.Host
+	name     string
+	key      []byte
+	requests atomic.Uint64
+	started  string
+}
+
+// New makes the callers' handler of a gateway.
+func New(name string, key []byte, at *daemon.Host) http.Handler {
+	server := &Server{host: at, name: name, key: key, started: strconv.FormatInt(time.Now().UnixNano(), 36)}
+	routes := http.NewServeMux()
+	routes.HandleFunc("GET /v1/channel", server.channel)
+	routes.HandleFunc("POST /v1/subscribe", server.subscribe)
+	routes.HandleFunc("POST /v1/unsubscribe", server.unsubscribe)
+	routes.HandleFunc("POST /v1/publish", server.publish)
+	routes.HandleFunc("POST /v1/pong", server.pong)
+	routes.HandleFunc("POST /v1/count", server.count)
+	return routes
+}
+
+func (s *Server) requestName() string {
+	return fmt.Sprintf("%s-%s-%d", s.name, s.started, s.requests.Add(1))
+}
+
+func (s *Server) give(writer http.ResponseWriter, request string, answer gateway.Answer) {
+	body := map[string]any{"outcome": answer.Outcome, "visit": request}
+	if answer.Code != "" {
+		body["code"], body["text"] = answer.Code, answer.Text
+	}
+	if answer.RetryAfter > 0 {
+		seconds := int((answer.RetryAfter + time.Second - 1) / time.Second)
+		writer.Header().Set("Retry-After", strconv.Itoa(seconds))
+		body["retry_after_ms"] = answer.RetryAfter.Milliseconds()
+	}
+	if answer.Cursor != "" {
+		body["cursor"] = answer.Cursor
+	}
+	for name, value := range answer.Fields {
+		body[name] = value
+	}
+	packed, err := json.Marshal(body)
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	writer.Header().Set("Visit-Id", request)
+	writer.WriteHeader(answer.Status)
+	_, _ = writer.Write(append(packed, '\n'))
+}
+
+func refuse(status int, code, text string) gateway.Answer {
+	return gateway.Answer{Status: status, Outcome: gateway.OutcomeRefused, Code: code, Text: text}
+}
+
+// admit reads the caller's pass.
+func (s *Server) admit(writer http.ResponseWriter, request *http.Request, name string) (string, bool) {
+	token, found := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
+	origin := ""
+	if found {
+		origin = Origin(s.key, token)
+	}
+	if origin == "" {
+		s.give(writer, name, refuse(http.StatusUnauthorized, "not-authentic", "a bearer token of this fleet is wanted"))
+		return "", false
+	}
+	return origin, true
+}
+
+// read reads a body strictly, with the keys that may stand in it.
+func (s *Server) read(writer http.ResponseWriter, request *http.Request, name string, walk *config.Reader, keys ...string) (map[string]*fastjson.Value, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, bodyMost))
+	if err != nil {
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			s.give(writer, name, refuse(http.StatusRequestEntityTooLarge, "too-large", err.Error()))
+		} else {
+			s.give(writer, name, refuse(http.StatusBadRequest, "malformed", err.Error()))
+		}
+		return nil, false
+	}
+	value, whole := walk.Parse(body)
+	if !whole {
+		s.faulty(writer, name, walk)
+		return nil, false
+	}
+	return walk.Object("$", value, keys...), true
+}
+
+// enter admits a request and reads its body.
+func (s *Server) enter(writer http.ResponseWriter, request *http.Request, walk *config.Reader, keys ...string) (name, origin string, members map[string]*fastjson.Value, whole bool) {
+	name = s.requestName()
+	if origin, whole = s.admit(writer, request, name); !whole {
+		return name, "", nil, false
+	}
+	members, whole = s.read(writer, request, name, walk, keys...)
+	return name, origin, members, whole
+}
+
+func (s *Server) faulty(writer http.ResponseWriter, name string, walk *config.Reader) {
+	code := walk.Faults[0].Code
+	answer := refuse(http.StatusBadRequest, code, walk.Faults[0].String())
+	answer.Fields = map[string]any{"faults": walk.Faults}
+	s.give(writer, name, answer)
+}
+
+func need(walk *config.Reader, members map[string]*fastjson.Value, key string) {
+	if members[key] == nil {
+		walk.Report("$."+key, "missing", "%s is wanted", key)
+	}
+}
+
+func (s *Server) do(writer http.ResponseWriter, name string, command func(request uint64) any) {
+	value, alive := s.host.Do(command)
+	answer, matches := value.(gateway.Answer)
+	if !alive || !matches {
+		answer = refuse(http.StatusServiceUnavailable, "stopping", "this daemon is stopping")
+		answer.Outcome, answer.RetryAfter = gateway.OutcomeUnsettled, 250*time.Millisecond
+	}
+	s.give(writer, name, answer)
+}
+
+func channelNumber(text string) (uint64, bool) {
+	number, err := strconv.ParseUint(text, 16, 64)
+	return number, err == nil && number != 0
+}
+
+func mustNumber() uint64 {
+	var body [8]byte
+	for {
+		if _, err := rand.Read(body[:]); err != nil {
+			panic(err)
+		}
+		number := uint64(0)
+		for _, each := range body {
+			number = number<<8 | uint64(each)
+		}
+		if number != 0 {
+			return number
+		}
+	}
+}
+
+// channel opens a channel and writes its events until either side ends it.
+func (s *Server) channel(writer http.ResponseWriter, request *http.Request) {
+	name := s.requestName()
+	origin, admitted := s.admit(writer, request, name)
+	if !admitted {
+		return
+	}
+	number := mustNumber()
+	channel := strconv.FormatUint(number, 16)
+	sink := make(chan statemachine.Deliver, sinkSize)
+	s.host.Attach(number, sink)
+	value, alive := s.host.Do(func(local uint64) any {
+		return gateway.OpenChannel{Request: local, Channel: number, Name: channel, Origin: origin}
+	})
+	answer, matches := value.(gateway.Answer)
+	if !alive || !matches || answer.Outcome != gateway.OutcomeAccepted {
+		s.host.Detach(number)
+		if !matches {
+			answer = refuse(http.StatusServiceUnavailable, "stopping", "this daemon is stopping")
+			answer.RetryAfter = 250 * time.Millisecond
+		}
+		s.give(writer, name, answer)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/x-ndjson")
+	writer.Header().Set("Cache-Control", "no-store")
+	writer.Header().Set("Visit-Id", name)
+	writer.WriteHeader(http.StatusOK)
+	why := s.stream(writer, request, sink)
+	s.host.Detach(number)
+	s.host.Post(gateway.CloseChannel{Channel: number, Why: why})
+}
+
+func (s *Server) stream(writer http.ResponseWriter, request *http.Request, sink chan statemachine.Deliver) string {
+	controller := http.NewResponseController(writer)
+	encoder := json.NewEncoder(writer)
+	encoder.SetEscapeHTML(false)
+	closed := false
+	for {
+		var first statemachine.Deliver
+		var open bool
+		select {
+		case first, open = <-sink:
+		case <-request.Context().Done():
+			return "closed"
+		}
+		if !open {
+			if !closed {
+				_ = encoder.Encode(gateway.Event{Event: "gone", Code: "slow"})
+				_ = controller.Flush()
+			}
+			return "ended"
+		}
+		_ = controller.SetWriteDeadline(time.Now().Add(writeLimit))
+		for {
+			if err := encoder.Encode(written(first.Event)); err != nil {
+				return "broken"
+			}
+			closed = closed || first.Close
+			select {
+			case next, more := <-sink:
+				if more {
+					first = next
+					continue
+				}
+				_ = controller.Flush()
+				if !closed {
+					_ = encoder.Encode(gateway.Event{Event: "gone", Code: "slow"})
+					_ = controller.Flush()
+				}
+				return "ended"
+			default:
+			}
+			break
+		}
+		if err := controller.Flush(); err != nil {
+			return "broken"
+		}
+	}
+}
+
+// written is an event as JSON: a message of a routed topic has bytes of any kind,
+// which stand there as a string, or in base64 if they are no text.
+func written(event any) any {
+	message, matches := event.(gateway.Event)
+	if !matches || message.Body == nil {
+		return event
+	}
+	if !utf8.Valid(message.Body) {
+		return struct {
+			gateway.Event
+			Base64 []byte `json:"data_base64"`
+		}{Event: message, Base64: message.Body}
+	}
+	packed, err := json.Marshal(string(message.Body))
+	if err != nil {
+		return event
+	}
+	message.Data = packed
+	return message
+}
+
+// routedData reads the bytes of a message for a routed topic.
+func routedData(walk *config.Reader, members map[string]*fastjson.Value) []byte {
+	switch text, plain := members["data"], members["data_base64"]; {
+	case text != nil && plain != nil, text == nil && plain == nil:
+		walk.Report("$.data", "missing", "either data or data_base64 is wanted")
+	case text != nil:
+		return []byte(walk.Text("$.data", text, ""))
+	default:
+		bytes, err := base64.StdEncoding.DecodeString(walk.Text("$.data_base64", plain, ""))
+		if err != nil {
+			walk.Report("$.data_base64", "malformed", "%s", err.Error())
+		}
+		return bytes
+	}
+	return nil
+}
+
+func interests(walk *config.Reader, value *fastjson.Value) []gateway.Interest {
+	var found []gateway.Interest
+	for position, item := range walk.List("$.subscriptions", value, 256) {
+		path := fmt.Sprintf("$.subscriptions[%d]", position)
+		members := walk.Object(path, item, "space", "topic", "prefix")
+		// Without a space the routes decide, which lead topics only.
+		interest := gateway.Interest{Space: walk.Text(path+".space", members["space"], "")}
+		if members["space"] == nil && members["topic"] == nil {
+			walk.Report(path+".space", "missing", "space is wanted")
+		}
+		switch {
+		case members["topic"] != nil && members["prefix"] != nil, members["topic"] == nil && members["prefix"] == nil:
+			walk.Report(path, "missing", "either topic or prefix is wanted")
+		case members["topic"] != nil:
+			interest.Path = walk.Text(path+".topic", members["topic"], "")
+		default:
+			interest.Path, interest.Wide = walk.Text(path+".prefix", members["prefix"], ""), true
+		}
+		found = append(found, interest)
+	}
+	return found
+}
+
+func (s *Server) subscribe(writer http.ResponseWriter, request *http.Request) {
+	var walk config.Reader
+	name, origin, members, whole := s.enter(writer, request, &walk, "channel", "subscriptions", "cursor")
+	if !whole {
+		return
+	}
+	need(&walk, members, "channel")
+	if members["cursor"] == nil {
+		need(&walk, members, "subscriptions")
+	}
+	channel, fit := channelNumber(walk.Text("$.channel", members["channel"], ""))
+	command := gateway.Subscribe{
+		RequestName: name, Channel: channel, Origin: origin, Interests: interests(&walk, members["subscriptions"]),
+		Cursor: walk.Text("$.cursor", members["cursor"], ""),
+	}
+	if len(walk.Faults) > 0 {
+		s.faulty(writer, name, &walk)
+		return
+	}
+	if !fit {
+		s.give(writer, name, refuse(http.StatusNotFound, "no-such-channel", "this channel is not open here"))
+		return
+	}
+	s.do(writer, name, func(local uint64) any {
+		command.Request = local
+		return command
+	})
+}
+
+func (s *Server) unsubscribe(writer http.ResponseWriter, request *http.Request) {
+	var walk config.Reader
+	name, origin, members, whole := s.enter(writer, request, &walk, "channel", "subscriptions")
+	if !whole {
+		return
+	}
+	need(&walk, members, "channel")
+	need(&walk, members, "subscriptions")
+	channel, _ := channelNumber(walk.Text("$.channel", members["channel"], ""))
+	command := gateway.Unsubscribe{RequestName: name, Channel: channel, Origin: origin, Interests: interests(&walk, members["subscriptions"])}
+	if len(walk.Faults) > 0 {
+		s.faulty(writer, name, &walk)
+		return
+	}
+	s.do(writer, name, func(local uint64) any {
+		command.Request = local
+		return command
+	})
+}
+
+func (s *Server) publish(writer http.ResponseWriter, request *http.Request) {
+	var walk config.Reader
+	name, origin, members, whole := s.enter(writer, request, &walk, "space", "topic", "sender", "seq", "data", "data_base64")
+	if !whole {
+		return
+	}
+	for _, key := range []string{"topic", "seq"} {
+		need(&walk, members, key)
+	}
+	routed := members["space"] == nil
+	if !routed {
+		need(&walk, members, "data")
+	}
+	command := gateway.Publish{
+		RequestName: name, Origin: origin, Sender: walk.Text("$.sender", members["sender"], origin),
+		Space: walk.Text("$.space", members["space"], ""), Topic: walk.Text("$.topic", members["topic"], ""),
+		Seq: uint64(walk.Whole("$.seq", members["seq"], 0, 1, math.MaxInt64)),
+	}
+	if routed {
+		command.Data = routedData(&walk, members)
+	}
+	if len(walk.Faults) > 0 {
+		s.faulty(writer, name, &walk)
+		return
+	}
+	if !routed {
+		command.Data = members["data"].MarshalTo(nil)
+	}
+	s.do(writer, name, func(local uint64) any {
+		command.Request = local
+		return command
+	})
+}
+
+func (s *Server) pong(writer http.ResponseWriter, request *http.Request) {
+	var walk config.Reader
+	name, origin, members, whole := s.enter(writer, request, &walk, "channel")
+	if !whole {
+		return
+	}
+	need(&walk, members, "channel")
+	channel, _ := channelNumber(walk.Text("$.channel", members["channel"], ""))
+	if len(walk.Faults) > 0 {
+		s.faulty(writer, name, &walk)
+		return
+	}
+	s.do(writer, name, func(local uint64) any { return gateway.Pong{Request: local, Channel: channel, Origin: origin} })
+}
+
+// count tells how many origins subscribe to a routed topic.
+func (s *Server) count(writer http.ResponseWriter, request *http.Request) {
+	var walk config.Reader
+	name, origin, members, whole := s.enter(writer, request, &walk, "channel", "topic")
+	if !whole {
+		return
+	}
+	need(&walk, members, "channel")
+	need(&walk, members, "topic")
+	channel, _ := channelNumber(walk.Text("$.channel", members["channel"], ""))
+	command := gateway.Count{RequestName: name, Channel: channel, Origin: origin, Topic: walk.Text("$.topic", members["topic"], "")}
+	if len(walk.Faults) > 0 {
+		s.faulty(writer, name, &walk)
+		return
+	}
+	value, alive := s.host.Do(func(local uint64) any {
+		command.Request = local
+		return command
+	})
+	answer, matches := value.(gateway.Answer)
+	if !alive || !matches {
+		answer = refuse(http.StatusServiceUnavailable, "stopping", "this daemon is stopping")
+		answer.RetryAfter = 250 * time.Millisecond
+	} else if answer.Outcome == gateway.OutcomeAccepted {
+		answer.Fields = map[string]any{"count": answer.Number}
+	}
+	s.give(writer, name, answer)
+}
--- a/internal/mooring/mooring_test.go
+++ b/internal/httpapi/httpapi_test.go
@@ -1,4 +1,4 @@
-package mooring_test
+package httpapi_test
 
 import (
 	"bufio"
@@ -13,49 +13,49 @@
 
 	"gotest.tools/v3/assert"
 
-	"dahlialock/internal/berth"
-	"dahlialock/internal/foghorn"
-	"dahlialock/internal/helm"
-	"dahlialock/internal/lamp"
-	"dahlialock/internal/mooring"
+	"dahlialock/internal/daemon"
+	"dahlialock/internal/gateway"
+	"dahlialock/internal/httpapi"
+	"dahlialock/internal/logevent"
+	"dahlialock/internal/statemachine"
 )
 
 // stub hands each publication to every open channel, as routed topics do.
 type stub struct {
 	channels  map[uint64]bool
-	published []lamp.Publish
-	subscribe []lamp.Subscribe
+	published []gateway.Publish
+	subscribe []gateway.Subscribe
 }
 
-func (*stub) Start(time.Time, *helm.Effects)                   {}
-func (*stub) Message(time.Time, helm.Meta, any, *helm.Effects) {}
-func (*stub) Due(time.Time, *helm.Effects)                     {}
-func (*stub) NextDue() time.Time                               { return time.Time{} }
-func (*stub) Version() uint64                                  { return 0 }
+func (*stub) Start(time.Time, *statemachine.Effects)                           {}
+func (*stub) Message(time.Time, statemachine.Meta, any, *statemachine.Effects) {}
+func (*stub) Due(time.Time, *statemachine.Effects)                             {}
+func (*stub) NextDue() time.Time                                               { return time.Time{} }
+func (*stub) Version() uint64                                                  { return 0 }
 
 type stopNow struct{}
 
-func (stub *stub) Command(_ time.Time, command any, effects *helm.Effects) {
-	done := lamp.Answer{Status: 200, Outcome: lamp.OutcomeAccepted}
+func (s *stub) Command(_ time.Time, command any, effects *statemachine.Effects) {
+	done := gateway.Answer{Status: 200, Outcome: gateway.OutcomeAccepted}
 	switch body := command.(type) {
-	case lamp.OpenChannel:
-		stub.channels[body.Channel] = true
-		effects.Return(body.Visit, done)
-		effects.Delivers = append(effects.Delivers, helm.Deliver{Channel: body.Channel, Event: lamp.Event{Event: "hello", Channel: body.Name}})
-	case lamp.CloseChannel:
-		delete(stub.channels, body.Channel)
-	case lamp.Subscribe:
-		stub.subscribe = append(stub.subscribe, body)
+	case gateway.OpenChannel:
+		s.channels[body.Channel] = true
+		effects.Return(body.Request, done)
+		effects.Delivers = append(effects.Delivers, statemachine.Deliver{Channel: body.Channel, Event: gateway.Event{Event: "hello", Channel: body.Name}})
+	case gateway.CloseChannel:
+		delete(s.channels, body.Channel)
+	case gateway.Subscribe:
+		s.subscribe = append(s.subscribe, body)
 		done.Cursor = "t1"
-		effects.Return(body.Visit, done)
-	case lamp.Count:
+		effects.Return(body.Request, done)
+	case gateway.Count:
 		done.Number = 12
-		effects.Return(body.Visit, done)
-	case lamp.Publish:
-		stub.published = append(stub.published, body)
-		effects.Return(body.Visit, done)
-		for channel := range helm.Sorted(stub.channels) {
-			effects.Delivers = append(effects.Delivers, helm.Deliver{Channel: channel, Event: lamp.Event{
+		effects.Return(body.Request, done)
+	case gateway.Publish:
+		s.published = append(s.published, body)
+		effects.Return(body.Request, done)
+		for channel := range statemachine.Sorted(s.channels) {
+			effects.Delivers = append(effects.Delivers, statemachine.Deliver{Channel: channel, Event: gateway.Event{
 				Event: "message", Topic: body.Topic, Sender: body.Sender, Seq: body.Seq, Body: body.Data, Cursor: "t2",
 			}})
 		}
@@ -70,41 +70,41 @@
 }
 
 func open(t *testing.T) *fixture {
-	listener, fault := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, fault)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
 	address := listener.Addr().String()
 	_ = listener.Close()
-	at, fault := berth.Open(berth.Props{Address: address, Foghorn: foghorn.New(io.Discard, "lantern", 0)})
-	assert.NilError(t, fault)
+	at, err := daemon.Open(daemon.Settings{Address: address, Logger: logevent.New(io.Discard, "gateway", 0)})
+	assert.NilError(t, err)
 	opened := &fixture{stub: &stub{channels: map[uint64]bool{}}}
 	at.Run(opened.stub)
-	opened.server = httptest.NewServer(mooring.New("lantern-1", nil, at))
+	opened.server = httptest.NewServer(httpapi.New("gateway-1", nil, at))
 	t.Cleanup(func() {
 		opened.server.CloseClientConnections()
 		opened.server.Close()
 		at.Post(stopNow{})
 		<-at.Ended()
-		at.Flare().Close()
+		at.Transport().Close()
 	})
 	return opened
 }
 
-func (fixture *fixture) ask(t *testing.T, method, path, token, body string) *http.Response {
+func (f *fixture) ask(t *testing.T, method, path, token, body string) *http.Response {
 	t.Helper()
-	visit, fault := http.NewRequest(method, fixture.server.URL+path, bytes.NewBufferString(body))
-	assert.NilError(t, fault)
-	visit.Header.Set("Authorization", "Bearer "+token)
-	response, fault := http.DefaultClient.Do(visit)
-	assert.NilError(t, fault)
+	request, err := http.NewRequest(method, f.server.URL+path, bytes.NewBufferString(body))
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer "+token)
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
 	t.Cleanup(func() { _ = response.Body.Close() })
 	return response
 }
 
-func (fixture *fixture) told(t *testing.T, path, body string, status int) map[string]any {
+func (f *fixture) told(t *testing.T, path, body string, status int) map[string]any {
 	t.Helper()
-	response := fixture.ask(t, "POST", path, "u1", body)
-	packed, fault := io.ReadAll(response.Body)
-	assert.NilError(t, fault)
+	response := f.ask(t, "POST", path, "u1", body)
+	packed, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
 	assert.Equal(t, response.StatusCode, status, "%s", packed)
 	var answer map[string]any
 	assert.NilError(t, json.Unmarshal(packed, &answer))
@@ -123,7 +123,7 @@
 	channel := next()["channel"].(string)
 	answer := fixture.told(t, "/v1/subscribe", `{"channel":"`+channel+`","subscriptions":[{"topic":"kafi810.2f"}]}`, 200)
 	assert.Equal(t, answer["cursor"], "t1")
-	assert.DeepEqual(t, fixture.stub.subscribe[0].Interests, []lamp.Interest{{Path: "kafi810.2f"}})
+	assert.DeepEqual(t, fixture.stub.subscribe[0].Interests, []gateway.Interest{{Path: "kafi810.2f"}})
 	fixture.told(t, "/v1/publish", `{"topic":"kafi810.2f","seq":1,"data":"not <JSON> é"}`, 200)
 	event := next()
 	assert.Equal(t, event["data"], "not <JSON> é")
@@ -142,7 +142,7 @@
 	assert.Equal(t, string(fixture.stub.published[0].Data), `{"x":[1]}`)
 }
 
-func TestFaultyVisits(t *testing.T) {
+func TestFaultyRequests(t *testing.T) {
 	fixture := open(t)
 	for path, bodies := range map[string][]string{
 		"/v1/publish": {
--- a/internal/pier/command.go
+++ b/internal/lineserver/command.go
@@ -1,11 +1,11 @@
-// Package pier serves callers on plain connections: each keeps one open, asks
-// on it and is told on it. What the bytes mean is a Protocol's matter; the pier
-// reads commands through it, brings them to the lantern in the order in which
+// Package lineserver serves callers on plain connections: each keeps one open, asks
+// on it and is told on it. What the bytes mean is a Protocol's matter; the server
+// reads commands through it, brings them to the gateway in the order in which
 // each connection sent them, and writes answers and events back.
-package pier
+package lineserver
 
 import (
-	"dahlialock/internal/lamp"
+	"dahlialock/internal/gateway"
 )
 
 // Kind is what a caller's command asks for.
@@ -23,7 +23,7 @@
 	Ping
 )
 
-// Codes of what the pier itself refuses.
+// Codes of what the server itself refuses.
 const (
 	CodeMalformed = "malformed"
 	CodeTooLarge  = "too-large"
@@ -65,7 +65,7 @@
 	// more must come first, and more than there are if bytes yet to come belong to
 	// a command that is not wanted whole.
 	Read(bytes []byte) (Command, int)
-	AppendAnswer(buffer []byte, about About, answer lamp.Answer) []byte
-	AppendEvent(buffer []byte, event lamp.Event) []byte
+	AppendAnswer(buffer []byte, about About, answer gateway.Answer) []byte
+	AppendEvent(buffer []byte, event gateway.Event) []byte
 	AppendPong(buffer []byte) []byte
 }
--- a/internal/pier/connection.go
+++ b/internal/lineserver/connection.go
@@ -1,5 +1,5 @@
 // One connection: what its reading task does, and how bytes get onto it.
-package pier
+package lineserver
 
 import (
 	"net"
@@ -9,10 +9,10 @@
 
 	"golang.org/x/sys/unix"
 
-	"dahlialock/internal/berth"
+	"dahlialock/internal/daemon"
 )
 
-// state is where a connection stands with the lantern.
+// state is where a connection stands with the gateway.
 type state uint8
 
 const (
@@ -71,25 +71,25 @@
 // write tries once, without waiting.
 func write(descriptor uintptr, bytes []byte) (int, error) {
 	for {
-		sent, fault := unix.Write(int(descriptor), bytes)
-		switch fault {
+		sent, err := unix.Write(int(descriptor), bytes)
+		switch err {
 		case unix.EINTR:
 		case unix.EAGAIN:
 			return 0, nil
 		default:
-			return max(0, sent), fault
+			return max(0, sent), err
 		}
 	}
 }
 
 // cut ends a connection at once. The reading task closes it: closing waits for
 // that task, which may wait for the owner.
-func (each *connection) cut(why string) {
-	if each.why == "" {
-		each.why = why
+func (c *connection) cut(why string) {
+	if c.why == "" {
+		c.why = why
 	}
-	each.over.Store(true)
-	_ = each.socket.SetDeadline(time.Unix(1, 0))
+	c.over.Store(true)
+	_ = c.socket.SetDeadline(time.Unix(1, 0))
 }
 
 // asked is a command that is on its way to the owner.
@@ -103,27 +103,27 @@
 }
 
 // read reads a connection until either side ends it.
-func (pier *Pier) read(from *connection) {
-	if pier.props.Silent > 0 {
+func (s *Server) read(from *connection) {
+	if s.settings.Silent > 0 {
 		// Until something came the owner does not know of it.
-		_ = from.socket.SetReadDeadline(time.Now().Add(pier.props.Silent))
+		_ = from.socket.SetReadDeadline(time.Now().Add(s.settings.Silent))
 	}
 	first, alive := true, true
 	_ = from.raw.Read(func(descriptor uintptr) bool {
 		for alive && !from.over.Load() {
-			buffer := pier.buffer()
-			length, fault := unix.Read(int(descriptor), buffer)
-			if length > 0 && fault == nil {
-				alive = pier.arrived(from, buffer[:length])
+			buffer := s.buffer()
+			length, err := unix.Read(int(descriptor), buffer)
+			if length > 0 && err == nil {
+				alive = s.arrived(from, buffer[:length])
 			}
-			pier.keep(buffer)
+			s.keep(buffer)
 			switch {
-			case fault == unix.EINTR:
-			case fault == unix.EAGAIN:
+			case err == unix.EINTR:
+			case err == unix.EAGAIN:
 				return false
-			case fault != nil || length == 0:
+			case err != nil || length == 0:
 				alive = false
-			case first && pier.props.Silent > 0:
+			case first && s.settings.Silent > 0:
 				first = false
 				_ = from.socket.SetReadDeadline(time.Time{})
 			}
@@ -131,30 +131,30 @@
 		return true
 	})
 	_ = from.socket.Close()
-	pier.held.Add(-1)
-	pier.props.Berth.Within(func(owner berth.Owner) { pier.over(owner, from) })
+	s.held.Add(-1)
+	s.settings.Host.Within(func(owner daemon.Owner) { s.over(owner, from) })
 }
 
-func (pier *Pier) buffer() []byte {
+func (s *Server) buffer() []byte {
 	select {
-	case spare := <-pier.spare:
+	case spare := <-s.spare:
 		return spare
 	default:
 		return make([]byte, readSize)
 	}
 }
 
-func (pier *Pier) keep(buffer []byte) {
+func (s *Server) keep(buffer []byte) {
 	select {
-	case pier.spare <- buffer:
+	case s.spare <- buffer:
 	default:
 	}
 }
 
 // arrived takes what came; false if the connection is of no more use.
-func (pier *Pier) arrived(from *connection, bytes []byte) bool {
-	pier.Counters.Reads.Add(1)
-	from.heard.Store(pier.ticks.Load())
+func (s *Server) arrived(from *connection, bytes []byte) bool {
+	s.Counters.Reads.Add(1)
+	from.heard.Store(s.ticks.Load())
 	if from.lost {
 		return true
 	}
@@ -172,7 +172,7 @@
 		if len(bytes) == 0 {
 			break
 		}
-		command, used := pier.props.Protocol.Read(bytes)
+		command, used := s.settings.Protocol.Read(bytes)
 		if used == 0 {
 			break
 		}
@@ -184,7 +184,7 @@
 			pongs++
 			continue
 		}
-		batch = append(batch, pier.ask(command))
+		batch = append(batch, s.ask(command))
 		// If nothing more can be read, the refusal goes out, then the end.
 		from.lost = command.Lost
 	}
@@ -195,7 +195,7 @@
 		from.rest = append(from.rest[:0], bytes...)
 	}
 	if pongs > 0 {
-		sent, whole := pier.pong(from, pongs)
+		sent, whole := s.pong(from, pongs)
 		if !whole {
 			return false
 		}
@@ -206,20 +206,20 @@
 	if len(batch) == 0 {
 		return true
 	}
-	pier.Counters.Commands.Add(int64(len(batch)))
+	s.Counters.Commands.Add(int64(len(batch)))
 	if from.waiting.Add(int32(len(batch))) > waitingMost {
-		pier.Counters.Slow.Add(1)
+		s.Counters.Slow.Add(1)
 		return false
 	}
-	return pier.props.Berth.Within(func(owner berth.Owner) { pier.take(owner, from, batch) })
+	return s.settings.Host.Within(func(owner daemon.Owner) { s.take(owner, from, batch) })
 }
 
 // pong answers signs of life at once. Where the socket takes nothing now the
 // owner has to; where it takes a part the connection can't be read any more.
-func (pier *Pier) pong(to *connection, count int) (sent, whole bool) {
+func (s *Server) pong(to *connection, count int) (sent, whole bool) {
 	var text []byte
 	for range count {
-		text = pier.props.Protocol.AppendPong(text)
+		text = s.settings.Protocol.AppendPong(text)
 	}
 	taken := 0
 	_ = to.raw.Write(func(descriptor uintptr) bool {
@@ -228,22 +228,22 @@
 		}
 		return true
 	})
-	pier.Counters.Writes.Add(1)
+	s.Counters.Writes.Add(1)
 	return taken > 0, taken == 0 || taken == len(text)
 }
 
 // ask makes a command last beyond the bytes that it was read from.
-func (pier *Pier) ask(command Command) asked {
+func (s *Server) ask(command Command) asked {
 	made := asked{
 		fault: command.Fault, lost: command.Lost,
 		about: About{Kind: command.Kind, Word: string(command.Word), Topic: string(command.Topic), Seq: command.Seq},
 	}
 	if command.Fault != "" {
-		pier.Counters.Unreadable.Add(1)
+		s.Counters.Unreadable.Add(1)
 		return made
 	}
 	made.origin, made.cursor = string(command.Origin), string(command.Cursor)
-	if command.Kind == Open && pier.props.Admit != nil && !pier.props.Admit(made.origin, string(command.Token)) {
+	if command.Kind == Open && s.settings.Admit != nil && !s.settings.Admit(made.origin, string(command.Token)) {
 		made.fault = CodeStranger
 		return made
 	}
--- a/internal/pier/pier.go
+++ b/internal/lineserver/lineserver.go
@@ -1,4 +1,4 @@
-// The pier proper. Each connection has a task that reads: it sleeps in the
+// The server proper. Each connection has a task that reads: it sleeps in the
 // runtime's own poller, and hands all that one arrival brought to the owner as
 // one piece of work, so that commands stay in order and cost one wake-up. Answers
 // and events gather on the owner's turn in a buffer for each connection, and the
@@ -6,7 +6,7 @@
 // where a caller does not read fast enough does a task wait to write the rest.
 // Signs of life are answered by the reading task. A connection that does not read
 // what it is sent, or says nothing for too long, is cut.
-package pier
+package lineserver
 
 import (
 	"context"
@@ -16,7 +16,7 @@
 	"sync/atomic"
 	"time"
 
-	"dahlialock/internal/berth"
+	"dahlialock/internal/daemon"
 )
 
 const (
@@ -35,11 +35,11 @@
 	silentTicks = 4
 )
 
-// Props are what a pier needs.
-type Props struct {
+// Settings are what a server needs.
+type Settings struct {
 	// Address is where callers connect to.
 	Address  string
-	Berth    *berth.Berth
+	Host     *daemon.Host
 	Protocol Protocol
 	// Admit tells whether a token is the origin's; nil admits everyone.
 	Admit func(origin, token string) bool
@@ -56,9 +56,9 @@
 	Connections, Refused, Reads, Commands, Writes, BytesOut, Slow, Silent, Unreadable atomic.Int64
 }
 
-// Pier serves the connections of callers.
-type Pier struct {
-	props    Props
+// Server serves the connections of callers.
+type Server struct {
+	settings Settings
 	listener net.Listener
 	closing  chan struct{}
 	closed   atomic.Bool
@@ -74,109 +74,109 @@
 	names       map[string]string
 }
 
-// Sums gives the counters by name; it may be asked before there is a pier.
-func (pier *Pier) Sums() map[string]int64 {
-	if pier == nil {
+// Sums gives the counters by name; it may be asked before there is a server.
+func (s *Server) Sums() map[string]int64 {
+	if s == nil {
 		return map[string]int64{}
 	}
-	counters := &pier.Counters
+	counters := &s.Counters
 	return map[string]int64{
-		"held": pier.held.Load(), "connections": counters.Connections.Load(), "refused": counters.Refused.Load(), "reads": counters.Reads.Load(),
+		"held": s.held.Load(), "connections": counters.Connections.Load(), "refused": counters.Refused.Load(), "reads": counters.Reads.Load(),
 		"commands": counters.Commands.Load(), "writes": counters.Writes.Load(), "bytes_out": counters.BytesOut.Load(),
 		"slow": counters.Slow.Load(), "silent": counters.Silent.Load(), "unreadable": counters.Unreadable.Load(),
 	}
 }
 
 // Start listens and serves until Close.
-func Start(props Props) (*Pier, error) {
-	if props.UnsentMost == 0 {
-		props.UnsentMost = unsentMost
+func Start(settings Settings) (*Server, error) {
+	if settings.UnsentMost == 0 {
+		settings.UnsentMost = unsentMost
 	}
-	pier := &Pier{
-		props: props, closing: make(chan struct{}), spare: make(chan []byte, spareBuffers),
+	server := &Server{
+		settings: settings, closing: make(chan struct{}), spare: make(chan []byte, spareBuffers),
 		connections: map[uint64]*connection{}, names: map[string]string{},
 	}
-	// The pier watches silence itself and needs no probes.
+	// The server watches silence itself and needs no probes.
 	listening := net.ListenConfig{KeepAlive: -1}
-	listener, fault := listening.Listen(context.Background(), "tcp", props.Address)
-	if fault != nil {
-		return nil, fault
+	listener, err := listening.Listen(context.Background(), "tcp", settings.Address)
+	if err != nil {
+		return nil, err
 	}
-	pier.listener = listener
-	props.Berth.EachTurn(pier.flush)
-	go pier.accept()
-	if props.Silent > 0 {
-		go pier.tickAway()
+	server.listener = listener
+	settings.Host.EachTurn(server.flush)
+	go server.accept()
+	if settings.Silent > 0 {
+		go server.tickAway()
 	}
-	return pier, nil
+	return server, nil
 }
 
-func (pier *Pier) accept() {
+func (s *Server) accept() {
 	for {
-		accepted, fault := pier.listener.Accept()
-		if fault != nil {
+		accepted, err := s.listener.Accept()
+		if err != nil {
 			select {
-			case <-pier.closing:
+			case <-s.closing:
 				return
 			case <-time.After(acceptPause):
 				continue
 			}
 		}
 		socket := accepted.(*net.TCPConn)
-		if most := int64(pier.props.ConnectionsMost); most > 0 && pier.held.Load() >= most {
-			pier.Counters.Refused.Add(1)
+		if most := int64(s.settings.ConnectionsMost); most > 0 && s.held.Load() >= most {
+			s.Counters.Refused.Add(1)
 			_ = socket.Close()
 			continue
 		}
-		raw, fault := socket.SyscallConn()
-		if fault != nil {
+		raw, err := socket.SyscallConn()
+		if err != nil {
 			_ = socket.Close()
 			continue
 		}
-		pier.held.Add(1)
-		pier.Counters.Connections.Add(1)
-		go pier.read(newConnection(socket, raw))
+		s.held.Add(1)
+		s.Counters.Connections.Add(1)
+		go s.read(newConnection(socket, raw))
 	}
 }
 
 // tickAway counts the time in which connections are silent.
-func (pier *Pier) tickAway() {
-	ticker := time.NewTicker(pier.props.Silent / silentTicks)
+func (s *Server) tickAway() {
+	ticker := time.NewTicker(s.settings.Silent / silentTicks)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-pier.closing:
+		case <-s.closing:
 			return
 		case <-ticker.C:
 		}
-		if pier.held.Load() > 0 && !pier.props.Berth.Within(func(berth.Owner) { pier.tick() }) {
+		if s.held.Load() > 0 && !s.settings.Host.Within(func(daemon.Owner) { s.tick() }) {
 			return
 		}
 	}
 }
 
-// tick cuts who is silent. The lantern leaves that to the pier, so that signs of
+// tick cuts who is silent. The gateway leaves that to the server, so that signs of
 // life don't wake it.
-func (pier *Pier) tick() {
-	now := pier.ticks.Add(1)
-	for _, each := range pier.connections {
+func (s *Server) tick() {
+	now := s.ticks.Add(1)
+	for _, each := range s.connections {
 		if now-each.heard.Load() > silentTicks && each.why == "" {
-			pier.Counters.Silent.Add(1)
+			s.Counters.Silent.Add(1)
 			each.cut("silent")
 		}
 	}
 }
 
 // Close ends listening and all connections.
-func (pier *Pier) Close() {
-	if !pier.closed.CompareAndSwap(false, true) {
+func (s *Server) Close() {
+	if !s.closed.CompareAndSwap(false, true) {
 		return
 	}
-	close(pier.closing)
-	_ = pier.listener.Close()
+	close(s.closing)
+	_ = s.listener.Close()
 	done := make(chan struct{})
-	pier.props.Berth.Within(func(berth.Owner) {
-		for _, each := range pier.connections {
+	s.settings.Host.Within(func(daemon.Owner) {
+		for _, each := range s.connections {
 			each.cut("stopping")
 		}
 		close(done)
@@ -187,8 +187,8 @@
 func mustNumber() uint64 {
 	var body [8]byte
 	for {
-		if _, fault := rand.Read(body[:]); fault != nil {
-			panic(fault)
+		if _, err := rand.Read(body[:]); err != nil {
+			panic(err)
 		}
 		if number := binary.LittleEndian.Uint64(body[:]); number != 0 {
 			return number
--- /dev/null
+++ b/internal/lineserver/owner.go
@@ -0,0 +1,246 @@
+// The owner's side of the server: commands go to the gateway, and what comes back
+// gathers for each connection until the end of the turn.
+package lineserver
+
+import (
+	"strconv"
+	"time"
+
+	"dahlialock/internal/daemon"
+	"dahlialock/internal/gateway"
+	"dahlialock/internal/statemachine"
+)
+
+// flush writes what the turn made, each connection's once.
+func (s *Server) flush() {
+	for position, each := range s.dirty {
+		each.dirty = false
+		s.send(each)
+		s.dirty[position] = nil
+	}
+	s.dirty = s.dirty[:0]
+}
+
+func (s *Server) send(to *connection) {
+	if to.stuck.Load() {
+		if to.owed+len(to.output) > s.settings.UnsentMost {
+			s.Counters.Slow.Add(1)
+			to.cut("slow")
+		}
+		return
+	}
+	if len(to.output) > 0 {
+		to.sent, to.fault = 0, nil
+		if err := to.raw.Write(to.put); err != nil || to.fault != nil {
+			to.cut("closed")
+			return
+		}
+		s.Counters.Writes.Add(1)
+		s.Counters.BytesOut.Add(int64(to.sent))
+		if to.stuck.Load() {
+			rest := to.output[to.sent:]
+			to.output, to.owed = nil, len(rest)
+			go s.sendRest(to, rest)
+			return
+		}
+		if cap(to.output) > keepSize {
+			to.output = nil
+		} else {
+			to.output = to.output[:0]
+		}
+	}
+	if to.ending {
+		to.finish()
+	}
+}
+
+// sendRest waits until the socket has taken the rest of a write.
+func (s *Server) sendRest(to *connection, rest []byte) {
+	_ = to.socket.SetWriteDeadline(time.Now().Add(writeLimit))
+	sent, err := to.socket.Write(rest)
+	_ = to.socket.SetWriteDeadline(time.Time{})
+	s.Counters.BytesOut.Add(int64(sent))
+	s.settings.Host.Within(func(daemon.Owner) {
+		if err != nil {
+			if to.why == "" {
+				s.Counters.Slow.Add(1)
+			}
+			to.cut("slow")
+			return
+		}
+		to.owed = 0
+		to.stuck.Store(false)
+		s.mark(to)
+	})
+}
+
+// finish says that nothing more comes, and gives the caller a moment to read
+// what did.
+func (to *connection) finish() {
+	if to.why != "" {
+		return
+	}
+	to.why = "ended"
+	_ = to.socket.CloseWrite()
+	_ = to.socket.SetReadDeadline(time.Now().Add(lingerLimit))
+}
+
+// gather keeps what was appended until the end of the turn.
+func (s *Server) gather(to *connection, output []byte) {
+	to.output = output
+	if len(output) > 0 {
+		s.mark(to)
+	}
+}
+
+// mark has a connection looked at when the turn ends.
+func (s *Server) mark(to *connection) {
+	if !to.dirty {
+		to.dirty = true
+		s.dirty = append(s.dirty, to)
+	}
+}
+
+func (s *Server) answer(to *connection, about About, answer gateway.Answer) {
+	to.waiting.Add(-1)
+	if to.state == ended {
+		return
+	}
+	s.gather(to, s.settings.Protocol.AppendAnswer(to.output, about, answer))
+}
+
+func refused(code string, back time.Duration) gateway.Answer {
+	return gateway.Answer{Outcome: gateway.OutcomeRefused, Code: code, RetryAfter: back}
+}
+
+// take does what one read of a connection brought.
+func (s *Server) take(owner daemon.Owner, from *connection, batch []asked) {
+	if from.state == fresh {
+		s.connections[from.channel] = from
+	}
+	for position := range batch {
+		command := &batch[position]
+		command.about.Topic = s.name(command.about.Topic)
+		about := command.about
+		switch {
+		case command.fault != "":
+			s.answer(from, about, refused(command.fault, 0))
+			if command.lost {
+				s.end(from)
+			}
+		case about.Kind == Open && from.state == fresh:
+			s.open(owner, from, command)
+		case about.Kind == Open:
+			s.answer(from, about, refused(CodeTwice, 0))
+		case from.state != open:
+			s.answer(from, about, refused(CodeNotOpen, comeBack))
+		case about.Kind == Ping:
+			// It came before the channel was open, or while bytes wait.
+			from.waiting.Add(-1)
+			s.gather(from, s.settings.Protocol.AppendPong(from.output))
+		default:
+			s.carry(owner, from, command)
+		}
+	}
+}
+
+func (s *Server) open(owner daemon.Owner, from *connection, command *asked) {
+	about := command.about
+	from.state, from.origin = opening, command.origin
+	owner.Attach(from.channel, func(deliver statemachine.Deliver) { s.deliver(from, deliver) })
+	owner.Ask(func(request uint64) any {
+		return gateway.OpenChannel{Request: request, Channel: from.channel, Name: strconv.FormatUint(from.channel, 16), Origin: command.origin, Lines: true}
+	}, func(value any) {
+		answer := answerOf(value)
+		if from.state == opening {
+			from.state = fresh
+			if answer.Outcome == gateway.OutcomeAccepted {
+				from.state = open
+				from.greeted.Store(true)
+			}
+		}
+		if from.state != open {
+			owner.Detach(from.channel)
+		}
+		if from.state == ended && answer.Outcome == gateway.OutcomeAccepted {
+			owner.Post(gateway.CloseChannel{Channel: from.channel, Why: from.why})
+		}
+		s.answer(from, about, answer)
+	})
+}
+
+// answerOf is the gateway's answer; where it ended, nobody can tell what became
+// of what it was asked.
+func answerOf(value any) gateway.Answer {
+	if answer, matches := value.(gateway.Answer); matches {
+		return answer
+	}
+	return gateway.Answer{Outcome: gateway.OutcomeUnsettled, Code: CodeStopping, RetryAfter: comeBack}
+}
+
+func (s *Server) carry(owner daemon.Owner, from *connection, command *asked) {
+	about := command.about
+	owner.Ask(func(request uint64) any {
+		switch about.Kind {
+		case Subscribe:
+			return gateway.Subscribe{
+				Request: request, Channel: from.channel, Origin: from.origin, Interests: []gateway.Interest{{Path: about.Topic}}, Cursor: command.cursor,
+			}
+		case Unsubscribe:
+			return gateway.Unsubscribe{Request: request, Channel: from.channel, Origin: from.origin, Interests: []gateway.Interest{{Path: about.Topic}}}
+		case Publish:
+			return gateway.Publish{Request: request, Origin: from.origin, Sender: from.origin, Topic: about.Topic, Seq: about.Seq, Data: command.body}
+		default:
+			return gateway.Count{Request: request, Channel: from.channel, Origin: from.origin, Topic: about.Topic}
+		}
+	}, func(value any) { s.answer(from, about, answerOf(value)) })
+}
+
+// deliver takes an event of the gateway.
+func (s *Server) deliver(to *connection, deliver statemachine.Deliver) {
+	if to.state == ended {
+		return
+	}
+	if event, matches := deliver.Event.(gateway.Event); matches {
+		s.gather(to, s.settings.Protocol.AppendEvent(to.output, event))
+	}
+	if deliver.Close {
+		s.end(to)
+	}
+}
+
+// end closes a connection after what was written.
+func (s *Server) end(to *connection) {
+	to.ending, to.state = true, ended
+	s.mark(to)
+}
+
+// over ends the channel of a connection that is gone.
+func (s *Server) over(owner daemon.Owner, gone *connection) {
+	had := gone.state
+	gone.state = ended
+	delete(s.connections, gone.channel)
+	if had == fresh {
+		return
+	}
+	switch {
+	case gone.lost:
+		gone.why = "unreadable"
+	case gone.why == "":
+		gone.why = "closed"
+	}
+	owner.Detach(gone.channel)
+	owner.Post(gateway.CloseChannel{Channel: gone.channel, Why: gone.why})
+}
+
+// name keeps one text for each name that comes again and again.
+func (s *Server) name(text string) string {
+	if known, found := s.names[text]; found {
+		return known
+	}
+	if len(s.names) >= namesMost {
+		clear(s.names)
+	}
+	s.names[text] = text
+	return text
+}
--- a/internal/foghorn/foghorn_test.go
+++ b/internal/logevent/logevent_test.go
@@ -1,5 +1,5 @@
 // The catalogue in the code and the one in the docs are the same list.
-package foghorn
+package logevent
 
 import (
 	"bytes"
@@ -14,8 +14,8 @@
 )
 
 func TestDocsAndCodeHaveTheSameEvents(t *testing.T) {
-	body, fault := os.ReadFile("../../docs/events.md")
-	assert.NilError(t, fault)
+	body, err := os.ReadFile("../../docs/events.md")
+	assert.NilError(t, err)
 	rows := map[string]bool{}
 	for _, line := range strings.Split(string(body), "\n") {
 		if strings.HasPrefix(line, "| ") && !strings.HasPrefix(line, "| number") && !strings.HasPrefix(line, "| ---") {
@@ -31,11 +31,11 @@
 
 func TestAnEventIsOneLineWithItsNumber(t *testing.T) {
 	var written bytes.Buffer
-	New(&written, "lantern-1", logrus.InfoLevel).Report(MemberLost, "member", "keeper-2")
+	New(&written, "gateway-1", logrus.InfoLevel).Report(MemberLost, "member", "store-2")
 	var line map[string]any
 	assert.NilError(t, json.Unmarshal(written.Bytes(), &line))
 	assert.Equal(t, line["number"], float64(MemberLost))
-	assert.Equal(t, line["member"], "keeper-2")
-	assert.Equal(t, line["daemon"], "lantern-1")
+	assert.Equal(t, line["member"], "store-2")
+	assert.Equal(t, line["daemon"], "gateway-1")
 	assert.Equal(t, strings.Count(written.String(), "\n"), 1)
 }
--- a/internal/beacon/follower_test.go
+++ b/internal/membership/follower_test.go
@@ -1,6 +1,6 @@
 // A follower that lost sight of the primary finds it again, though the primary
 // holds questions back that bring no news.
-package beacon
+package membership
 
 import (
 	"testing"
@@ -8,15 +8,15 @@
 
 	"gotest.tools/v3/assert"
 
-	"dahlialock/internal/helm"
+	"dahlialock/internal/statemachine"
 )
 
 func TestASearchIsAnsweredThoughThereIsNoNews(t *testing.T) {
 	now := time.Unix(1000, 0)
-	follower := NewFollower(Member{Name: "lantern-1"}, []string{"pilot"}, func() Load { return Load{} })
+	follower := NewFollower(Member{Name: "gateway-1"}, []string{"controller"}, func() Load { return Load{} })
 	follower.Start(now)
 	answer := func(ask Ask) {
-		follower.Take(now, News{Nonce: ask.Nonce, Epoch: 1, Primary: "pilot", Index: 1, Changed: true})
+		follower.Take(now, News{Nonce: ask.Nonce, Epoch: 1, Primary: "controller", Index: 1, Changed: true})
 	}
 	// The primary answers a question without news after its hold, unless it is
 	// urgent; for three seconds it answers nothing.
@@ -29,7 +29,7 @@
 		now = now.Add(10 * time.Millisecond)
 		silent := step > 100 && step < 400
 		if !follower.NextDue().After(now) {
-			var effects helm.Effects
+			var effects statemachine.Effects
 			follower.Due(now, &effects)
 			for _, send := range effects.Sends {
 				ask := send.Message.(Ask)
--- a/internal/beacon/member.go
+++ b/internal/membership/member.go
@@ -1,7 +1,7 @@
-// Members of the cohort, and the ring that names each member's watchers. Every
+// Members of the cluster, and the ring that names each member's watchers. Every
 // daemon computes the same ring from the same view, so that nobody has to be
 // told whom it watches.
-package beacon
+package membership
 
 import (
 	"encoding/json"
@@ -10,26 +10,26 @@
 	"strings"
 	"time"
 
-	"dahlialock/internal/flare"
-	"dahlialock/internal/helm"
+	"dahlialock/internal/statemachine"
+	"dahlialock/internal/transport"
 )
 
 // Kinds of daemons.
 const (
-	KindLantern = "lantern"
-	KindTender  = "tender"
-	KindKeeper  = "keeper"
-	KindPilot   = "pilot"
+	KindGateway    = "gateway"
+	KindAgent      = "agent"
+	KindStore      = "store"
+	KindController = "controller"
 )
 
-// Member is one daemon as the cohort knows it.
+// Member is one daemon as the cluster knows it.
 type Member struct {
 	Name        string `json:"name"`
 	Kind        string `json:"kind"`
 	Address     string `json:"address"`
 	Control     string `json:"ctl"`
 	Caller      string `json:"caller,omitempty"`
-	Locality    string `json:"locality"`
+	Zone        string `json:"zone"`
 	Incarnation uint64 `json:"incarnation"`
 	Disk        string `json:"disk,omitempty"`
 	Alive       bool   `json:"alive"`
@@ -37,57 +37,57 @@
 	Retiring    bool   `json:"retiring,omitempty"`
 	Retired     bool   `json:"retired,omitempty"`
 	Resting     bool   `json:"resting,omitempty"`
-	// Ailing keepers are slow or refuse to write; their strands are given to
+	// Degraded stores are slow or refuse to write; their partitions are given to
 	// others as long as there are enough.
-	Ailing bool `json:"ailing,omitempty"`
+	Degraded bool `json:"degraded,omitempty"`
 }
 
-// Holder names a keeper together with its disk, so that a wiped keeper is not
+// Holder names a store together with its disk, so that a wiped store is not
 // taken for a holder of what it lost.
-func (member Member) Holder() string { return member.Name + "@" + member.Disk }
+func (m Member) Holder() string { return m.Name + "@" + m.Disk }
 
-// Placement is where one strand lives in one of its epochs.
+// Placement is where one partition lives in one of its epochs.
 type Placement struct {
-	Strand       string   `json:"strand"`
-	Epoch        uint64   `json:"epoch"`
-	First        string   `json:"first"`
-	Understudies []string `json:"understudies"`
-	Complete     bool     `json:"complete"`
-	Safe         []string `json:"safe"`
+	Partition string   `json:"partition"`
+	Epoch     uint64   `json:"epoch"`
+	First     string   `json:"first"`
+	Followers []string `json:"followers"`
+	Complete  bool     `json:"complete"`
+	Safe      []string `json:"safe"`
 }
 
-// MarshalJSON tells the first of the understudies under its own name too, as it
+// MarshalJSON tells the first of the followers under its own name too, as it
 // was told when there was one only.
-func (place Placement) MarshalJSON() ([]byte, error) {
+func (p Placement) MarshalJSON() ([]byte, error) {
 	type plain Placement
-	understudy := ""
-	if len(place.Understudies) > 0 {
-		understudy = place.Understudies[0]
+	follower := ""
+	if len(p.Followers) > 0 {
+		follower = p.Followers[0]
 	}
 	return json.Marshal(struct {
 		plain
-		Understudy string `json:"understudy"`
-	}{plain: plain(place), Understudy: understudy})
+		Follower string `json:"follower"`
+	}{plain: plain(p), Follower: follower})
 }
 
-// Names tells whether a keeper is the strand's first or one of its understudies.
-func (place Placement) Names(keeper string) bool {
-	return place.First == keeper || slices.Contains(place.Understudies, keeper)
+// Names tells whether a store is the partition's first or one of its followers.
+func (p Placement) Names(store string) bool {
+	return p.First == store || slices.Contains(p.Followers, store)
 }
 
 // Load is what a daemon observes of itself; it is not kept, only reported.
 type Load struct {
-	_         struct{} `cbor:",toarray"`
-	Origins   int
-	Room      int
-	Visits    uint64
-	Delivered uint64
-	Copies    uint64
-	Processor time.Duration
-	Ready     bool
-	Resting   bool
-	Strands   []string
-	Delays    map[string]time.Duration
+	_          struct{} `cbor:",toarray"`
+	Origins    int
+	Room       int
+	Requests   uint64
+	Delivered  uint64
+	Copies     uint64
+	Processor  time.Duration
+	Ready      bool
+	Resting    bool
+	Partitions []string
+	Delays     map[string]time.Duration
 }
 
 // Ask is a daemon's question with what it has, and from which epoch it has it; it
@@ -101,7 +101,7 @@
 	Load    Load
 	Patient bool
 	// Urgent asks to be answered at once, news or not: the asker looks for the
-	// primary, or a visit waits for what there is.
+	// primary, or a request waits for what there is.
 	Urgent bool
 	Epoch  uint64
 }
@@ -125,7 +125,7 @@
 	Orders     Orders
 }
 
-// Orders are what the economy asks of one lantern.
+// Orders are what the economy asks of one gateway.
 // Rest empties it and lets it rest; Keep, if above zero, asks it to hand on
 // what it holds beyond.
 type Orders struct {
@@ -139,12 +139,12 @@
 
 // Redirect tells who is primary, as far as the sender knows.
 type Redirect struct {
-	_       struct{} `cbor:",toarray"`
-	For     string
-	Nonce   uint64
-	Epoch   uint64
-	Primary string
-	Pilots  []string
+	_           struct{} `cbor:",toarray"`
+	For         string
+	Nonce       uint64
+	Epoch       uint64
+	Primary     string
+	Controllers []string
 }
 
 // Heartbeat goes to a few watchers.
@@ -170,14 +170,14 @@
 	Silence     time.Duration
 }
 
-// ChartAsk asks any daemon for a configuration newer than the asker's.
-type ChartAsk struct {
+// ConfigAsk asks any daemon for a configuration newer than the asker's.
+type ConfigAsk struct {
 	_       struct{} `cbor:",toarray"`
 	Version uint64
 }
 
-// ChartReturn gives it.
-type ChartReturn struct {
+// ConfigResponse gives it.
+type ConfigResponse struct {
 	_        struct{} `cbor:",toarray"`
 	Version  uint64
 	Document []byte
@@ -191,15 +191,15 @@
 	Incarnation uint64
 }
 
-// StrandComplete comes from a first whose understudies have everything. Holders
-// are the keepers with the disks on which it lies, the first's own among them.
-type StrandComplete struct {
-	Strand  string
-	Epoch   uint64
-	Holders []string
+// PartitionComplete comes from a first whose followers have everything. Holders
+// are the stores with the disks on which it lies, the first's own among them.
+type PartitionComplete struct {
+	Partition string
+	Epoch     uint64
+	Holders   []string
 }
 
-// Lagging comes from a keeper that sees another one's disk, or its own, take far
+// Lagging comes from a store that sees another one's disk, or its own, take far
 // longer than it should, or refuse.
 type Lagging struct {
 	Reporter    string
@@ -210,17 +210,17 @@
 	Sure bool
 }
 
-// ControlVisit carries an operator's request on to the primary.
-type ControlVisit struct {
-	Visit  uint64
-	Method string
-	Path   string
-	Body   []byte
+// ControlRequest carries an operator's request on to the primary.
+type ControlRequest struct {
+	Request uint64
+	Method  string
+	Path    string
+	Body    []byte
 }
 
-// ControlReturn is its answer.
-type ControlReturn struct {
-	Visit      uint64
+// ControlResponse is its answer.
+type ControlResponse struct {
+	Request    uint64
 	Status     int
 	Body       []byte
 	RetryAfter time.Duration
@@ -228,18 +228,18 @@
 }
 
 func init() {
-	flare.MustRegister(307, Farewell{})
-	flare.MustRegister(308, StrandComplete{})
-	flare.MustRegister(311, Lagging{})
-	flare.MustRegister(309, ControlVisit{})
-	flare.MustRegister(310, ControlReturn{})
-	flare.MustRegister(300, Ask{})
-	flare.MustRegister(301, News{})
-	flare.MustRegister(302, Redirect{})
-	flare.MustRegister(303, Heartbeat{})
-	flare.MustRegister(304, Suspicion{})
-	flare.MustRegister(305, ChartAsk{})
-	flare.MustRegister(306, ChartReturn{})
+	transport.MustRegister(307, Farewell{})
+	transport.MustRegister(308, PartitionComplete{})
+	transport.MustRegister(311, Lagging{})
+	transport.MustRegister(309, ControlRequest{})
+	transport.MustRegister(310, ControlResponse{})
+	transport.MustRegister(300, Ask{})
+	transport.MustRegister(301, News{})
+	transport.MustRegister(302, Redirect{})
+	transport.MustRegister(303, Heartbeat{})
+	transport.MustRegister(304, Suspicion{})
+	transport.MustRegister(305, ConfigAsk{})
+	transport.MustRegister(306, ConfigResponse{})
 }
 
 // Watchers is how many members watch each.
@@ -260,12 +260,12 @@
 	members []Member
 }
 
-// NewRing makes the ring of a view. Tenders don't watch, and neither do
-// resting lanterns, which are to do almost nothing.
+// NewRing makes the ring of a view. Agents don't watch, and neither do
+// resting gateways, which are to do almost nothing.
 func NewRing(members map[string]Member) Ring {
 	var ring Ring
-	for _, member := range helm.Sorted(members) {
-		if member.Alive && !member.Resting && member.Kind != KindTender {
+	for _, member := range statemachine.Sorted(members) {
+		if member.Alive && !member.Resting && member.Kind != KindAgent {
 			ring.members = append(ring.members, member)
 		}
 	}
@@ -283,10 +283,10 @@
 }
 
 // WatchersOf names the members that watch one: those that follow it on the
-// ring, at least one of them in another locality where there is any.
-func (ring Ring) WatchersOf(watched Member) []Member {
+// ring, at least one of them in another zone where there is any.
+func (r Ring) WatchersOf(watched Member) []Member {
 	place := ringPlace(watched.Name)
-	start, _ := slices.BinarySearchFunc(ring.members, place, func(member Member, place uint64) int {
+	start, _ := slices.BinarySearchFunc(r.members, place, func(member Member, place uint64) int {
 		if ringPlace(member.Name) <= place {
 			return -1
 		}
@@ -295,14 +295,14 @@
 	// The ring is walked only as far as it takes: a view is taken by asking for the
 	// watchers of everybody.
 	chosen, passed := make([]Member, 0, Watchers), make([]Member, 0, Watchers)
-	localities := map[string]int{}
-	for step := range ring.members {
-		member := ring.members[(start+step)%len(ring.members)]
+	zones := map[string]int{}
+	for step := range r.members {
+		member := r.members[(start+step)%len(r.members)]
 		if member.Name == watched.Name {
 			continue
 		}
-		if localities[member.Locality] < Watchers-1 {
-			localities[member.Locality]++
+		if zones[member.Zone] < Watchers-1 {
+			zones[member.Zone]++
 			if chosen = append(chosen, member); len(chosen) == Watchers {
 				return chosen
 			}
@@ -320,7 +320,7 @@
 }
 
 // Equal compares orders.
-func (orders Orders) Equal(other Orders) bool {
-	return orders.Rest == other.Rest && orders.Empty == other.Empty && orders.Keep == other.Keep && orders.Pace == other.Pace &&
-		slices.Equal(orders.Targets, other.Targets)
+func (o Orders) Equal(other Orders) bool {
+	return o.Rest == other.Rest && o.Empty == other.Empty && o.Keep == other.Keep && o.Pace == other.Pace &&
+		slices.Equal(o.Targets, other.Targets)
 }
--- a/internal/beacon/ring_bench_test.go
+++ b/internal/membership/ring_bench_test.go
@@ -1,5 +1,5 @@
 // What a view costs its taker: the watchers of every member are asked for.
-package beacon
+package membership
 
 import (
 	"fmt"
@@ -12,14 +12,14 @@
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			view := map[string]Member{}
 			for number := range size {
-				name := fmt.Sprintf("keeper-%d", number)
-				view[name] = Member{Name: name, Kind: KindKeeper, Address: name + ":1", Locality: fmt.Sprintf("zone-%d", number%3), Alive: true}
+				name := fmt.Sprintf("store-%d", number)
+				view[name] = Member{Name: name, Kind: KindStore, Address: name + ":1", Zone: fmt.Sprintf("zone-%d", number%3), Alive: true}
 			}
-			pulse := NewPulse(view["keeper-1"])
+			pulse := NewPulse(view["store-1"])
 			now := time.Unix(1_700_000_000, 0)
 			pulse.Start(now)
 			for b.Loop() {
-				pulse.Take(now, view, "keeper-0:1", 1)
+				pulse.Take(now, view, "store-0:1", 1)
 			}
 		})
 	}
--- a/internal/fairway/churn_test.go
+++ b/internal/overlay/churn_test.go
@@ -4,7 +4,7 @@
 // time. A while after the last fault every daemon must know the others'
 // subscribers exactly; and where nothing fails, nobody misses a listener for
 // longer than a comparison takes to come round.
-package fairway
+package overlay
 
 import (
 	"fmt"
@@ -14,8 +14,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"dahlialock/internal/chart"
-	"dahlialock/internal/helm"
+	"dahlialock/internal/config"
+	"dahlialock/internal/statemachine"
 )
 
 // healedAfter bounds how long wrong knowledge may outlast the last fault: the
@@ -42,7 +42,7 @@
 }
 
 func newStrait(t *testing.T, seed uint64, count, topics int) *strait {
-	names := lanternNames(count)
+	names := gatewayNames(count)
 	strait := &strait{
 		net: newNet(t, seed), truth: newCrowd(names...), names: names, topics: someTopics(topics),
 		members: map[string]uint64{}, life: uint64(count),
@@ -56,133 +56,133 @@
 	return strait
 }
 
-func (strait *strait) after(length time.Duration, run func()) {
-	strait.events = append(strait.events, event{strait.now.Add(length), run})
+func (s *strait) after(length time.Duration, run func()) {
+	s.events = append(s.events, event{s.now.Add(length), run})
 }
 
 // sail lets time pass and events happen.
-func (strait *strait) sail(length time.Duration) {
-	until := strait.now.Add(length)
+func (s *strait) sail(length time.Duration) {
+	until := s.now.Add(length)
 	for {
 		pick := -1
-		for position, each := range strait.events {
-			if !each.at.After(until) && (pick < 0 || each.at.Before(strait.events[pick].at)) {
+		for position, each := range s.events {
+			if !each.at.After(until) && (pick < 0 || each.at.Before(s.events[pick].at)) {
 				pick = position
 			}
 		}
 		if pick < 0 {
-			strait.run(until.Sub(strait.now))
+			s.run(until.Sub(s.now))
 			return
 		}
-		taken := strait.events[pick]
-		strait.events = slices.Delete(strait.events, pick, pick+1)
-		if taken.at.After(strait.now) {
-			strait.run(taken.at.Sub(strait.now))
+		taken := s.events[pick]
+		s.events = slices.Delete(s.events, pick, pick+1)
+		if taken.at.After(s.now) {
+			s.run(taken.at.Sub(s.now))
 		}
 		taken.run()
 	}
 }
 
 // tellViews lets every daemon hear who is there, each at its own time.
-func (strait *strait) tellViews() {
-	for _, name := range strait.names {
-		strait.after(time.Duration(strait.random.Int64N(int64(viewLag))), func() { strait.tellView(name) })
+func (s *strait) tellViews() {
+	for _, name := range s.names {
+		s.after(time.Duration(s.random.Int64N(int64(viewLag))), func() { s.tellView(name) })
 	}
 }
 
-func (strait *strait) tellView(name string) {
-	part, alive := strait.parts[name]
-	if !alive || strait.frozen[name] {
+func (s *strait) tellView(name string) {
+	part, alive := s.parts[name]
+	if !alive || s.frozen[name] {
 		return
 	}
-	others := map[string]Lantern{}
-	for other, life := range strait.members {
+	others := map[string]Gateway{}
+	for other, life := range s.members {
 		if other != name {
-			others[other] = Lantern{Name: other, Address: other, Joined: life}
+			others[other] = Gateway{Name: other, Address: other, Joined: life}
 		}
 	}
-	var effects helm.Effects
-	part.View(strait.now, others, &effects)
-	if life, member := strait.members[name]; member {
-		part.Live(strait.now, life, &effects)
+	var effects statemachine.Effects
+	part.View(s.now, others, &effects)
+	if life, member := s.members[name]; member {
+		part.Live(s.now, life, &effects)
 	}
-	strait.carry(name, &effects)
+	s.carry(name, &effects)
 }
 
-func (strait *strait) leave(name string) {
-	delete(strait.members, name)
-	strait.tellViews()
+func (s *strait) leave(name string) {
+	delete(s.members, name)
+	s.tellViews()
 }
 
-func (strait *strait) join(name string) {
-	strait.life++
-	strait.members[name] = strait.life
-	strait.tellViews()
+func (s *strait) join(name string) {
+	s.life++
+	s.members[name] = s.life
+	s.tellViews()
 }
 
 // fault brings one fault about, and tells how long it lasts.
-func (strait *strait) fault() (kind string, length time.Duration) {
-	name := strait.names[strait.random.IntN(len(strait.names))]
-	length = time.Duration(500+strait.random.IntN(6000)) * time.Millisecond
-	if strait.parts[name] == nil || strait.frozen[name] {
+func (s *strait) fault() (kind string, length time.Duration) {
+	name := s.names[s.random.IntN(len(s.names))]
+	length = time.Duration(500+s.random.IntN(6000)) * time.Millisecond
+	if s.parts[name] == nil || s.frozen[name] {
 		return "none", 0
 	}
-	switch strait.random.IntN(6) {
+	switch s.random.IntN(6) {
 	case 0:
 		kind = "kill"
-		delete(strait.parts, name)
-		strait.truth[name] = map[string]int{}
-		noticed := min(length, time.Duration(strait.random.IntN(2000))*time.Millisecond)
-		strait.after(noticed, func() { strait.leave(name) })
-		strait.after(length, func() {
-			strait.parts[name] = New(name)
-			strait.join(name)
+		delete(s.parts, name)
+		s.truth[name] = map[string]int{}
+		noticed := min(length, time.Duration(s.random.IntN(2000))*time.Millisecond)
+		s.after(noticed, func() { s.leave(name) })
+		s.after(length, func() {
+			s.parts[name] = New(name)
+			s.join(name)
 		})
 	case 1:
 		kind = "freeze"
-		strait.frozen[name] = true
-		strait.after(length, func() {
-			strait.frozen[name] = false
-			strait.thaw(name)
-			if _, member := strait.members[name]; !member {
-				strait.join(name)
+		s.frozen[name] = true
+		s.after(length, func() {
+			s.frozen[name] = false
+			s.thaw(name)
+			if _, member := s.members[name]; !member {
+				s.join(name)
 			}
-			strait.tellView(name)
+			s.tellView(name)
 		})
 		if length > 4*time.Second {
-			strait.after(4*time.Second, func() { strait.leave(name) })
+			s.after(4*time.Second, func() { s.leave(name) })
 		}
 	case 2, 3:
 		kind = "cut"
-		other := strait.names[strait.random.IntN(len(strait.names))]
-		both := strait.random.IntN(2) == 0
-		strait.cut[[2]string{name, other}] = true
+		other := s.names[s.random.IntN(len(s.names))]
+		both := s.random.IntN(2) == 0
+		s.cut[[2]string{name, other}] = true
 		if both {
-			strait.cut[[2]string{other, name}] = true
+			s.cut[[2]string{other, name}] = true
 		}
-		strait.after(length, func() {
-			delete(strait.cut, [2]string{name, other})
-			delete(strait.cut, [2]string{other, name})
+		s.after(length, func() {
+			delete(s.cut, [2]string{name, other})
+			delete(s.cut, [2]string{other, name})
 		})
 	case 4:
 		kind = "loss"
-		strait.loss = 0.3
-		strait.after(length, func() { strait.loss = 0 })
+		s.loss = 0.3
+		s.after(length, func() { s.loss = 0 })
 	default:
 		kind = "taken for lost"
-		strait.leave(name)
-		strait.after(length, func() { strait.join(name) })
+		s.leave(name)
+		s.after(length, func() { s.join(name) })
 	}
 	return kind, length
 }
 
 // turn lets some caller come or go somewhere.
-func (strait *strait) turn() {
-	name := strait.names[strait.random.IntN(len(strait.names))]
-	if strait.parts[name] == nil || strait.frozen[name] {
+func (s *strait) turn() {
+	name := s.names[s.random.IntN(len(s.names))]
+	if s.parts[name] == nil || s.frozen[name] {
 		return
 	}
-	strait.tell(strait.truth, name, strait.topics[strait.random.IntN(len(strait.topics))], strait.random.IntN(4))
+	s.tell(s.truth, name, s.topics[s.random.IntN(len(s.topics))], s.random.IntN(4))
 }
 
 // storm runs a seed, and tells what is wrong a while after the last fault.
@@ -218,16 +218,16 @@
 }
 
 // watch notes since when listeners are not known, and gives the longest time.
-func (strait *strait) watch(since map[missing]time.Time) time.Duration {
+func (s *strait) watch(since map[missing]time.Time) time.Duration {
 	longest := time.Duration(0)
-	for name, part := range helm.Sorted(strait.parts) {
-		for _, topic := range strait.topics {
-			number := chart.TopicNumber(topic)
+	for name, part := range statemachine.Sorted(s.parts) {
+		for _, topic := range s.topics {
+			number := config.TopicNumber(topic)
 			here := part.cellAt(trialPlane, number)
 			if here == nil {
 				continue
 			}
-			for other, counts := range strait.truth {
+			for other, counts := range s.truth {
 				key := missing{name, other, topic}
 				known := here.members[other]
 				if other == name || counts[topic] == 0 || known != nil && known.counts[number] > 0 {
@@ -235,9 +235,9 @@
 					continue
 				}
 				if began, found := since[key]; found {
-					longest = max(longest, strait.now.Sub(began))
+					longest = max(longest, s.now.Sub(began))
 				} else {
-					since[key] = strait.now
+					since[key] = s.now
 				}
 			}
 		}
--- a/internal/fairway/cost_test.go
+++ b/internal/overlay/cost_test.go
@@ -3,7 +3,7 @@
 // encoded and decoded as on a link. Besides the time of the benchmark itself
 // they report, for each daemon, signals, frames, bytes and the processor time
 // spent in the overlay and the codec.
-package fairway
+package overlay
 
 import (
 	"container/heap"
@@ -13,8 +13,8 @@
 	"testing"
 	"time"
 
-	"dahlialock/internal/flare"
-	"dahlialock/internal/helm"
+	"dahlialock/internal/statemachine"
+	"dahlialock/internal/transport"
 )
 
 type parcel struct {
@@ -27,19 +27,19 @@
 
 type parcels []parcel
 
-func (queue parcels) Len() int { return len(queue) }
-func (queue parcels) Less(left, right int) bool {
-	if !queue[left].at.Equal(queue[right].at) {
-		return queue[left].at.Before(queue[right].at)
+func (p parcels) Len() int { return len(p) }
+func (p parcels) Less(left, right int) bool {
+	if !p[left].at.Equal(p[right].at) {
+		return p[left].at.Before(p[right].at)
 	}
-	return queue[left].order < queue[right].order
+	return p[left].order < p[right].order
 }
-func (queue parcels) Swap(left, right int) { queue[left], queue[right] = queue[right], queue[left] }
-func (queue *parcels) Push(item any)       { *queue = append(*queue, item.(parcel)) }
-func (queue *parcels) Pop() any {
-	last := len(*queue) - 1
-	item := (*queue)[last]
-	*queue = (*queue)[:last]
+func (p parcels) Swap(left, right int) { p[left], p[right] = p[right], p[left] }
+func (p *parcels) Push(item any)       { *p = append(*p, item.(parcel)) }
+func (p *parcels) Pop() any {
+	last := len(*p) - 1
+	item := (*p)[last]
+	*p = (*p)[:last]
 	return item
 }
 
@@ -48,7 +48,7 @@
 	now       time.Time
 	random    *rand.Rand
 	names     []string
-	parts     map[string]*Fairway
+	parts     map[string]*Overlay
 	lives     map[string]uint64
 	queue     parcels
 	order     int
@@ -59,8 +59,8 @@
 
 func newYard(seed uint64, count int) *yard {
 	yard := &yard{
-		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 11)), names: lanternNames(count),
-		parts: map[string]*Fairway{}, lives: map[string]uint64{},
+		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 11)), names: gatewayNames(count),
+		parts: map[string]*Overlay{}, lives: map[string]uint64{},
 	}
 	for position, name := range yard.names {
 		yard.parts[name], yard.lives[name] = New(name), uint64(position+1)
@@ -68,78 +68,78 @@
 	return yard
 }
 
-func (yard *yard) step(name string, run func(part *Fairway, effects *helm.Effects)) {
-	var effects helm.Effects
+func (y *yard) step(name string, run func(part *Overlay, effects *statemachine.Effects)) {
+	var effects statemachine.Effects
 	began := time.Now()
-	run(yard.parts[name], &effects)
+	run(y.parts[name], &effects)
 	var frames [][]byte
 	for _, send := range effects.Sends {
-		frame, fault := flare.Encode(helm.Meta{From: "10.0.0.1:7000"}, send.Message)
-		if fault != nil {
-			panic(fault)
+		frame, err := transport.Encode(statemachine.Meta{From: "10.0.0.1:7000"}, send.Message)
+		if err != nil {
+			panic(err)
 		}
 		frames = append(frames, frame)
 	}
-	yard.processor += time.Since(began)
+	y.processor += time.Since(began)
 	for position, send := range effects.Sends {
-		yard.frames++
-		yard.bytes += len(frames[position])
-		yard.order++
-		heap.Push(&yard.queue, parcel{at: yard.now.Add(time.Millisecond), order: yard.order, from: name, to: send.To, frame: frames[position]})
+		y.frames++
+		y.bytes += len(frames[position])
+		y.order++
+		heap.Push(&y.queue, parcel{at: y.now.Add(time.Millisecond), order: y.order, from: name, to: send.To, frame: frames[position]})
 	}
 }
 
-func (yard *yard) run(length time.Duration) {
-	until := yard.now.Add(length)
+func (y *yard) run(length time.Duration) {
+	until := y.now.Add(length)
 	for {
 		next, due := until, ""
-		for _, name := range yard.names {
-			if at := yard.parts[name].NextDue(); !at.IsZero() && at.Before(next) {
+		for _, name := range y.names {
+			if at := y.parts[name].NextDue(); !at.IsZero() && at.Before(next) {
 				next, due = at, name
 			}
 		}
-		if len(yard.queue) > 0 && yard.queue[0].at.Before(next) {
-			taken := heap.Pop(&yard.queue).(parcel)
-			if taken.at.After(yard.now) {
-				yard.now = taken.at
+		if len(y.queue) > 0 && y.queue[0].at.Before(next) {
+			taken := heap.Pop(&y.queue).(parcel)
+			if taken.at.After(y.now) {
+				y.now = taken.at
 			}
-			yard.step(taken.to, func(part *Fairway, effects *helm.Effects) {
-				_, message, fault := flare.Decode(taken.frame[4:])
-				if fault != nil {
-					panic(fault)
+			y.step(taken.to, func(part *Overlay, effects *statemachine.Effects) {
+				_, message, err := transport.Decode(taken.frame[4:])
+				if err != nil {
+					panic(err)
 				}
-				part.Take(yard.now, message.(Signals), effects)
+				part.Take(y.now, message.(Signals), effects)
 			})
 			continue
 		}
 		if due == "" {
-			yard.now = until
+			y.now = until
 			return
 		}
-		if next.After(yard.now) {
-			yard.now = next
+		if next.After(y.now) {
+			y.now = next
 		}
-		yard.step(due, func(part *Fairway, effects *helm.Effects) { part.Due(yard.now, effects) })
+		y.step(due, func(part *Overlay, effects *statemachine.Effects) { part.Due(y.now, effects) })
 	}
 }
 
-func (yard *yard) view() {
-	for _, name := range yard.names {
-		others := map[string]Lantern{}
-		for _, other := range yard.names {
+func (y *yard) view() {
+	for _, name := range y.names {
+		others := map[string]Gateway{}
+		for _, other := range y.names {
 			if other != name {
-				others[other] = Lantern{Name: other, Address: other, Joined: yard.lives[other]}
+				others[other] = Gateway{Name: other, Address: other, Joined: y.lives[other]}
 			}
 		}
-		yard.step(name, func(part *Fairway, effects *helm.Effects) {
-			part.View(yard.now, others, effects)
-			part.Live(yard.now, yard.lives[name], effects)
+		y.step(name, func(part *Overlay, effects *statemachine.Effects) {
+			part.View(y.now, others, effects)
+			part.Live(y.now, y.lives[name], effects)
 		})
 	}
 }
 
 // seat is one subscription of one caller.
-type seat struct{ lantern, topic string }
+type seat struct{ gateway, topic string }
 
 type house struct {
 	*yard
@@ -153,40 +153,40 @@
 	topicsAll  = 1030
 )
 
-func (house *house) take(name, topic string, step int) {
+func (h *house) take(name, topic string, step int) {
 	at := seat{name, topic}
-	house.counts[at] += step
-	house.step(name, func(part *Fairway, effects *helm.Effects) {
-		part.Tell(house.now, trialPlane, topic, house.counts[at], effects)
+	h.counts[at] += step
+	h.step(name, func(part *Overlay, effects *statemachine.Effects) {
+		part.Tell(h.now, trialPlane, topic, h.counts[at], effects)
 	})
 }
 
 // arrive lets callers come one after another over some time, each with its
-// subscriptions, at whatever lantern.
-func (house *house) arrive(callers int, within time.Duration) {
+// subscriptions, at whatever gateway.
+func (h *house) arrive(callers int, within time.Duration) {
 	for range callers {
-		name := house.names[house.random.IntN(len(house.names))]
+		name := h.names[h.random.IntN(len(h.names))]
 		for range seatsEach {
-			topic := topicNamed(house.random.IntN(topicsAll))
-			house.take(name, topic, 1)
-			house.seats = append(house.seats, seat{name, topic})
+			topic := topicNamed(h.random.IntN(topicsAll))
+			h.take(name, topic, 1)
+			h.seats = append(h.seats, seat{name, topic})
 		}
-		house.run(within / time.Duration(callers))
+		h.run(within / time.Duration(callers))
 	}
 }
 
-func (house *house) reset(share float64) int {
+func (h *house) reset(share float64) int {
 	var kept []seat
 	gone := 0
-	for _, at := range house.seats {
-		if house.random.Float64() < share {
-			house.take(at.lantern, at.topic, -1)
+	for _, at := range h.seats {
+		if h.random.Float64() < share {
+			h.take(at.gateway, at.topic, -1)
 			gone++
 		} else {
 			kept = append(kept, at)
 		}
 	}
-	house.seats = kept
+	h.seats = kept
 	return gone
 }
 
@@ -196,8 +196,8 @@
 	return house
 }
 
-func (yard *yard) sum() (signals uint64, joins uint64) {
-	for _, part := range yard.parts {
+func (y *yard) sum() (signals uint64, joins uint64) {
+	for _, part := range y.parts {
 		signals += part.Counts.SignalsOut
 		joins += part.Counts.Joins
 	}
@@ -205,19 +205,19 @@
 }
 
 // report gives what was spent since it was last reset, for each daemon.
-func (yard *yard) report(b *testing.B, before uint64) {
-	each := float64(len(yard.names) * b.N)
-	signals, _ := yard.sum()
+func (y *yard) report(b *testing.B, before uint64) {
+	each := float64(len(y.names) * b.N)
+	signals, _ := y.sum()
 	b.ReportMetric(float64(signals-before)/each, "signals/daemon")
-	b.ReportMetric(float64(yard.frames)/each, "frames/daemon")
-	b.ReportMetric(float64(yard.bytes)/each, "bytes/daemon")
-	b.ReportMetric(float64(yard.processor.Microseconds())/1000/each, "ms/daemon")
+	b.ReportMetric(float64(y.frames)/each, "frames/daemon")
+	b.ReportMetric(float64(y.bytes)/each, "bytes/daemon")
+	b.ReportMetric(float64(y.processor.Microseconds())/1000/each, "ms/daemon")
 	b.ReportMetric(0, "ns/op")
 }
 
-func (yard *yard) clear() uint64 {
-	yard.frames, yard.bytes, yard.processor = 0, 0, 0
-	signals, _ := yard.sum()
+func (y *yard) clear() uint64 {
+	y.frames, y.bytes, y.processor = 0, 0, 0
+	signals, _ := y.sum()
 	return signals
 }
 
@@ -281,7 +281,7 @@
 }
 
 // BenchmarkReset: four fifths of all callers are cut off at once and come back
-// within a second, at whatever lantern.
+// within a second, at whatever gateway.
 func BenchmarkReset(b *testing.B) {
 	for _, count := range fleets {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
@@ -352,7 +352,7 @@
 	topics := someTopics(topicsAll)
 	b.ResetTimer()
 	for turn := range b.N {
-		var effects helm.Effects
+		var effects statemachine.Effects
 		part.Tell(house.now, trialPlane, topics[turn%topicsAll], turn/topicsAll%3, &effects)
 	}
 }
@@ -384,10 +384,14 @@
 					name := house.names[house.random.IntN(len(house.names))]
 					for range 2 {
 						area := AreaOf(fmt.Sprintf("board/%d", house.random.IntN(1000)))
-						house.step(name, func(part *Fairway, effects *helm.Effects) { part.Subscribe(house.now, "space", area, nil, effects) })
+						house.step(name, func(part *Overlay, effects *statemachine.Effects) {
+							part.Subscribe(house.now, "space", area, nil, effects)
+						})
 					}
 					area := AreaOf(fmt.Sprintf("board/%d", house.random.IntN(1000)))
-					house.step(name, func(part *Fairway, effects *helm.Effects) { part.Publish(house.now, "space", area, nil, effects) })
+					house.step(name, func(part *Overlay, effects *statemachine.Effects) {
+						part.Publish(house.now, "space", area, nil, effects)
+					})
 					house.run(5 * time.Millisecond)
 				}
 				house.run(500 * time.Millisecond)
--- a/internal/fairway/mutation_test.go
+++ b/internal/overlay/mutation_test.go
@@ -2,19 +2,19 @@
 
 // The healing of the cells is needed: without it the model of churn finds
 // knowledge that stays wrong. Built with the tag mutation only.
-package fairway
+package overlay
 
 import (
 	"testing"
 
 	"gotest.tools/v3/assert"
 
-	"dahlialock/internal/helm"
+	"dahlialock/internal/statemachine"
 )
 
 func TestKnowledgeStaysWrongWithoutComparisons(t *testing.T) {
 	for _, mutation := range []string{"no-notice-checks", "gaps-unheeded"} {
-		restore := helm.Mutate(mutation)
+		restore := statemachine.Mutate(mutation)
 		red := 0
 		for seed := range uint64(60) {
 			if wrong, faults := storm(t, seed, 4+int(seed%5)); len(wrong) > 0 {
