--- /dev/null
+++ b/internal/simulator/scenario.go
@@ -0,0 +1,925 @@
+// Scenarios: what befalls a simulated fleet. Each is a name with a function that
+// schedules its faults from the seed; all share the same callers, operators and
+// checks. At the end every fault is taken away, callers are given time to come
+// back, and the checker closes its book.
+package simulator
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"dahlialock/internal/checker"
+	"dahlialock/internal/config"
+	"dahlialock/internal/controller"
+	"dahlialock/internal/faults"
+	"dahlialock/internal/gateway"
+	"dahlialock/internal/membership"
+	"dahlialock/internal/partition"
+	"dahlialock/internal/statemachine"
+)
+
+// Scenario is one kind of run.
+type Scenario struct {
+	Name   string
+	Length time.Duration
+	Faults func(simulation *Simulation, length time.Duration)
+	Plot   func(seed uint64) Plot
+	// Topics is set for runs with callers of routed topics.
+	Topics func(seed uint64) TopicPlot
+}
+
+type spaceDocument struct {
+	Name    string `json:"name"`
+	Promise string `json:"promise"`
+	Order   string `json:"order,omitempty"`
+}
+
+type document struct {
+	Version uint64          `json:"version"`
+	Spaces  []spaceDocument `json:"spaces"`
+	Economy any             `json:"economy,omitempty"`
+	Drains  []string        `json:"drains,omitempty"`
+	Routes  []routeDocument `json:"routes,omitempty"`
+}
+
+// Operator puts and reads configurations at random daemons.
+type Operator struct {
+	simulation *Simulation
+	version    uint64
+	extra      bool
+	extras     map[string]bool
+	economy    any
+	drains     []string
+	sent       map[uint64][]byte
+	reads      int
+}
+
+func (o *Operator) document() []byte {
+	spaces := []spaceDocument{
+		{Name: "boards", Promise: "kept"}, {Name: "decisions", Promise: "kept", Order: "channel"}, {Name: "cursors", Promise: "passing"},
+	}
+	if o.extra {
+		spaces = append(spaces, spaceDocument{Name: "brief", Promise: "passing"})
+	}
+	for name := range statemachine.Sorted(o.extras) {
+		spaces = append(spaces, spaceDocument{Name: name, Promise: "passing"})
+	}
+	made := document{Version: o.version, Spaces: spaces, Economy: o.economy, Drains: o.drains}
+	if world := o.simulation.world; world != nil {
+		for _, each := range world.routes() {
+			promise := config.Passing
+			if each.kept {
+				promise = config.Kept
+			}
+			made.Spaces = append(made.Spaces, spaceDocument{Name: each.space, Promise: string(promise), Order: string(config.OrderTopic)})
+			made.Routes = append(made.Routes, routeDocument{Prefix: each.prefix, Space: each.space})
+		}
+		o.simulation.Checker.RoutesSent(o.version, prefixes(world.routes()), o.simulation.Now)
+	}
+	body, err := json.Marshal(made)
+	must(err)
+	return body
+}
+
+func (o *Operator) anyNode() *Node {
+	var up []*Node
+	for _, node := range o.simulation.Nodes("") {
+		if node.Up && !node.Frozen {
+			up = append(up, node)
+		}
+	}
+	if len(up) == 0 {
+		return nil
+	}
+	return up[o.simulation.Random.IntN(len(up))]
+}
+
+// put puts a configuration until it is taken or found out of date.
+func (o *Operator) put(version uint64, body []byte, done func()) {
+	simulation := o.simulation
+	node := o.anyNode()
+	if node == nil {
+		simulation.After(500*time.Millisecond, func() { o.put(version, body, done) })
+		return
+	}
+	began := simulation.Now
+	simulation.Control(node, http.MethodPut, "/v1/configuration", body, func(returned membership.ControlResponse, alive bool) {
+		switch {
+		case alive && returned.Status == http.StatusOK:
+			simulation.trace("configuration %d taken through %s", version, node.Name)
+			simulation.Checker.PutTaken(version, string(body), began, simulation.Now)
+			simulation.Checker.RoutesTaken(version, simulation.Now)
+			if done != nil {
+				done()
+			}
+		case alive && returned.Status == http.StatusConflict:
+		case alive && returned.Status == http.StatusBadRequest:
+			simulation.Checker.Violate(checker.BrokenTaken, "a valid configuration was refused: %s", returned.Body)
+		default:
+			simulation.After(500*time.Millisecond, func() { o.put(version, body, done) })
+		}
+	})
+}
+
+// read reads the configuration back.
+func (o *Operator) read() {
+	simulation := o.simulation
+	node := o.anyNode()
+	if node == nil {
+		return
+	}
+	began := simulation.Now
+	simulation.Control(node, http.MethodGet, "/v1/configuration", nil, func(returned membership.ControlResponse, alive bool) {
+		if !alive || returned.Status != http.StatusOK {
+			return
+		}
+		var got struct {
+			Version       uint64          `json:"version"`
+			Configuration json.RawMessage `json:"configuration"`
+		}
+		must(json.Unmarshal(returned.Body, &got))
+		o.reads++
+		simulation.Checker.ReadBack(got.Version, string(got.Configuration), began, simulation.Now)
+	})
+}
+
+// broken puts a configuration that must be refused.
+func (o *Operator) broken() {
+	simulation := o.simulation
+	node := o.anyNode()
+	if node == nil {
+		return
+	}
+	bodies := []string{
+		`{"version":900,"spaces":[{"name":"boards"}]}`, `{"version":900,"spaces":[],"spaces":[]}`, `{"version":-1,"spaces":[]}`,
+		`{"version":900,"spaces":[{"name":"a","promise":"kept","holding":"0s"}]} x`, `{"version":900,"spaces":[],"other":1}`,
+	}
+	body := bodies[simulation.Random.IntN(len(bodies))]
+	simulation.Control(node, http.MethodPut, "/v1/configuration", []byte(body), func(returned membership.ControlResponse, alive bool) {
+		if alive && returned.Status == http.StatusOK {
+			simulation.Checker.BrokenWasTaken(body)
+		}
+	})
+}
+
+func (o *Operator) next(done func()) {
+	o.version++
+	body := o.document()
+	o.sent[o.version] = body
+	o.put(o.version, body, done)
+}
+
+// race puts two configurations of one version and different content at once.
+func (o *Operator) race() {
+	o.version++
+	body := o.document()
+	other := bytes.Replace(body, []byte(`"promise":"passing"`), []byte(`"promise":"passing","answer_within":"2s"`), 1)
+	o.sent[o.version] = body
+	o.put(o.version, body, nil)
+	o.put(o.version, other, nil)
+}
+
+// work puts, races, repeats and reads configurations all along.
+func (o *Operator) work(until time.Time) {
+	simulation := o.simulation
+	if simulation.Now.After(until) {
+		return
+	}
+	simulation.After(time.Duration(300+simulation.Random.IntN(1500))*time.Millisecond, func() { o.work(until) })
+	switch simulation.Random.IntN(6) {
+	case 0:
+		o.next(nil)
+	case 1:
+		o.next(nil)
+		o.next(nil)
+	case 2:
+		o.broken()
+	case 3:
+		if o.version > 2 {
+			o.put(o.version-1, o.sent[o.version-1], nil)
+		}
+	default:
+		o.read()
+	}
+}
+
+func newOperator(simulation *Simulation) *Operator {
+	return &Operator{simulation: simulation, extras: map[string]bool{}, sent: map[uint64][]byte{}}
+}
+
+const sampleEvery = 100 * time.Millisecond
+
+// sample looks at what is in force on every daemon.
+func (s *Simulation) sample() {
+	s.After(sampleEvery, s.sample)
+	for _, client := range s.clients {
+		client.watch()
+	}
+	switch primary := s.Primary(); {
+	case primary == nil:
+		s.primarySince = time.Time{}
+	case s.primarySince.IsZero():
+		s.primarySince = s.Now
+	}
+	for _, node := range s.Nodes(membership.KindGateway) {
+		if !node.Up || node.Frozen || node.Stopping {
+			continue
+		}
+		healthy := node.HealthySince
+		beside := s.besideOf(node)
+		if !beside.Up || beside.Frozen {
+			continue
+		}
+		if beside.HealthySince.After(healthy) {
+			healthy = beside.HealthySince
+		}
+		if s.cutFromMost(node) || s.cutFromMost(beside) {
+			continue
+		}
+		if orders := node.Gateway().Follower().Orders; !node.Ready() && !orders.Rest && !slices.Contains(node.Gateway().Configuration().Drains, node.Name) {
+			s.unready[node.Name] += sampleEvery
+			s.Checker.NotReady(node.Name, s.calmSince(), s.Now)
+		}
+		if s.primarySince.After(healthy) && !node.Ready() {
+			healthy = s.primarySince
+		}
+		if node.Ready() || s.Now.Sub(healthy) > checker.ForceWithin && !s.primarySince.IsZero() {
+			s.Checker.InForce(node.Name, node.Gateway().Configuration().Version, node.Ready(), healthy, s.Now)
+		}
+	}
+}
+
+func (s *Simulation) cutFromMost(node *Node) bool {
+	cut, all := 0, 0
+	for _, other := range s.Nodes(membership.KindController) {
+		all++
+		if s.cuts[link(node, other)]+s.cuts[link(other, node)] > 0 {
+			cut++
+		}
+	}
+	return cut*2 >= all
+}
+
+// Prepare starts a fleet with a configuration and callers, and waits until it
+// serves.
+func Prepare(seed uint64, size Size, trace func(line string)) (*Simulation, *Operator) {
+	return prepare(seed, size, 0, trace)
+}
+
+func prepare(seed uint64, size Size, apart time.Duration, trace func(line string)) (*Simulation, *Operator) {
+	simulation := New(seed, size)
+	return simulation, simulation.begin(apart, trace)
+}
+
+// begin starts the daemons and puts the first configuration.
+func (s *Simulation) begin(apart time.Duration, trace func(line string)) *Operator {
+	s.Trace = trace
+	s.apart = apart
+	s.StartAll()
+	operator := newOperator(s)
+	s.operator = operator
+	s.Checker.Space("boards", true, false)
+	s.Checker.Space("decisions", true, true)
+	s.Checker.Space("cursors", false, false)
+	taken := false
+	s.After(time.Second, func() { operator.next(func() { taken = true }) })
+	if !s.RunUntil(20*time.Second, func() bool { return taken }) {
+		s.Checker.Violate(checker.NotBack, "no configuration was taken in 20 s")
+	}
+	s.RunUntil(10*time.Second, func() bool {
+		for _, node := range s.Nodes(membership.KindGateway) {
+			if !node.Ready() || node.Gateway().Configuration().Version == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	s.trouble = s.Now
+	s.sample()
+	return operator
+}
+
+// Crowd adds the usual callers.
+func (s *Simulation) Crowd(count int) {
+	topics := []string{}
+	for project := range 3 {
+		for board := range 4 {
+			topics = append(topics, fmt.Sprintf("p%d/b%d", project, board))
+		}
+	}
+	for number := range count {
+		place := number % s.Size.Places
+		random := s.Random
+		interests := []gateway.Interest{
+			{Space: "boards", Path: topics[random.IntN(len(topics))]}, {Space: "boards", Path: fmt.Sprintf("p%d", random.IntN(3)), Wide: true},
+			{Space: "cursors", Path: topics[random.IntN(len(topics))]}, {Space: "decisions", Path: "", Wide: true},
+		}
+		switch number % 4 {
+		case 1:
+			interests = append(interests, gateway.Interest{Space: "boards", Wide: true})
+		case 2:
+			interests = interests[:2]
+		}
+		client := s.AddClient(fmt.Sprintf("origin-%d", number), place, interests...)
+		if number%2 == 0 {
+			client.Resends = true
+			client.Publishes(1+number%3,
+				Plan{Space: "boards", Topics: topics, Every: 250 * time.Millisecond},
+				Plan{Space: "decisions", Topics: topics[:3], Every: 700 * time.Millisecond},
+				Plan{Space: "cursors", Topics: topics, Every: 400 * time.Millisecond})
+		}
+	}
+}
+
+// Run runs a scenario under one seed.
+func Run(scenario Scenario, seed uint64, size Size, trace func(line string)) *Simulation {
+	if scenario.Topics != nil {
+		return RunTopics(seed, size, scenario.Topics(seed), trace)
+	}
+	if scenario.Plot != nil {
+		return RunPlot(seed, size, scenario.Plot(seed), trace)
+	}
+	simulation, operator := Prepare(seed, size, trace)
+	simulation.Crowd(size.Callers)
+	simulation.Run(3 * time.Second)
+	operator.work(simulation.Now.Add(scenario.Length))
+	simulation.trouble = simulation.Now.Add(-checker.TroubleFor)
+	if scenario.Faults != nil {
+		simulation.open++
+		scenario.Faults(simulation, scenario.Length)
+	}
+	simulation.Run(scenario.Length)
+	if scenario.Faults != nil {
+		simulation.ends(scenario.Name)
+	}
+	simulation.Settle(20 * time.Second)
+	return simulation
+}
+
+// Settle takes all faults away, lets callers come back and go on for a while,
+// and closes the book.
+func (s *Simulation) Settle(wait time.Duration) {
+	s.Heal()
+	for _, node := range s.Nodes("") {
+		if node.Frozen {
+			node.Thaw()
+			s.trouble = s.Now
+		}
+		if !node.Up {
+			node.Start()
+			s.trouble = s.Now
+		}
+	}
+	s.Run(wait * 7 / 10)
+	s.close(wait * 3 / 10)
+}
+
+// close ends new publications, and the run.
+func (s *Simulation) close(wait time.Duration) {
+	for _, client := range s.clients {
+		client.Quiet()
+	}
+	s.Run(wait)
+	for _, client := range s.clients {
+		if !client.subscribed && !client.Gone {
+			s.Checker.Violate(checker.NotBack, "%s is still not served %s after the last fault", client.Name, wait)
+		}
+	}
+	s.describe()
+	s.Checker.Close(s.Now)
+}
+
+// describe traces what is still under way at the end.
+func (s *Simulation) describe() {
+	if s.Trace == nil {
+		return
+	}
+	for _, node := range s.Nodes(membership.KindGateway) {
+		for name, status := range statemachine.Sorted(node.Gateway().Trackers(node.local())) {
+			s.trace("%s ready %v %s: %+v", node.Name, node.Ready(), name, status)
+		}
+	}
+	for _, node := range s.Nodes(membership.KindStore) {
+		for name, status := range statemachine.Sorted(node.Machine.(*partition.Store).Partitions()) {
+			s.trace("%s %s: %+v", node.Name, name, status)
+		}
+	}
+	for _, client := range s.topicClients {
+		for topic, each := range statemachine.Sorted(client.topics) {
+			s.trace("%s connected %v holds %s from %q: %v", client.Name, client.connected, topic, each.cursor, each.held)
+		}
+	}
+	for _, client := range s.clients {
+		s.trace("%s at %s connected %v subscribed %v outbox %d", client.Name, client.node.Name, client.connected, client.subscribed, len(client.outbox))
+	}
+}
+
+// ServiceBack measures how long after a moment every caller can publish and is
+// subscribed again, and when each part of the recovery was seen.
+func (s *Simulation) ServiceBack(what string) {
+	from := s.Now
+	comeback := &Comeback{What: what}
+	s.back, s.backFrom = comeback, from
+	var check func()
+	check = func() {
+		after := s.Now.Sub(from)
+		primary, partitions, callers := s.serving()
+		for _, part := range []struct {
+			there bool
+			since *time.Duration
+		}{{primary, &comeback.TakenOver}, {partitions, &comeback.Refilled}, {callers, &comeback.CallersBack}} {
+			if !part.there {
+				*part.since = 0
+			} else if *part.since == 0 {
+				*part.since = after
+			}
+		}
+		// Word of the loss may come after a moment in which all still seems
+		// well, so service counts as back once it has held for four seconds.
+		if back := max(comeback.TakenOver, comeback.Refilled, comeback.CallersBack); primary && partitions && callers && after-back > 4*time.Second || after > 2*checker.BackWithin {
+			if !primary || !partitions || !callers {
+				back = after
+			}
+			s.Checker.Served(what, back)
+			s.trace("service is back %s after %s: %+v", back, what, *comeback)
+			s.Comeback = append(s.Comeback, *comeback)
+			s.back = nil
+			return
+		}
+		s.After(50*time.Millisecond, check)
+	}
+	s.After(50*time.Millisecond, check)
+}
+
+// Faults.
+
+func (s *Simulation) pickUp(kind string) *Node {
+	var up []*Node
+	for _, node := range s.Nodes(kind) {
+		if node.Up && !node.Frozen {
+			up = append(up, node)
+		}
+	}
+	if len(up) == 0 {
+		return nil
+	}
+	return up[s.Random.IntN(len(up))]
+}
+
+func (s *Simulation) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(s.Random.Int64N(int64(most-least)+1))
+}
+
+// killFor kills a daemon and starts it again after a while.
+func (s *Simulation) killFor(node *Node, length time.Duration, wipe bool) {
+	if node == nil || !node.Up {
+		return
+	}
+	node.Kill()
+	if wipe {
+		node.Wipe()
+	}
+	s.After(length, node.Start)
+}
+
+func (s *Simulation) freezeFor(node *Node, length time.Duration) {
+	if node == nil {
+		return
+	}
+	node.Freeze()
+	s.After(length, node.Thaw)
+}
+
+func (s *Simulation) restartFor(node *Node, length time.Duration) {
+	if node == nil || !node.Up {
+		return
+	}
+	node.Terminate()
+	s.After(6*time.Second+length, node.Start)
+}
+
+// every repeats a fault over a run.
+func (s *Simulation) every(length, least, most time.Duration, fault func()) {
+	until := s.Now.Add(length - 2*time.Second)
+	var again func()
+	again = func() {
+		if s.Now.After(until) {
+			return
+		}
+		fault()
+		s.After(s.between(least, most), again)
+	}
+	s.After(s.between(0, least), again)
+}
+
+func (s *Simulation) controllerIn(role string) *Node {
+	primary := s.Primary()
+	if primary == nil {
+		return nil
+	}
+	record := primary.Machine.(*controller.Controller).Watch().Record()
+	if role == "backup" {
+		if len(record.Backups) == 0 {
+			return nil
+		}
+		return s.nodes[record.Backups[0]]
+	}
+	return s.nodes[record.Primary]
+}
+
+func kill(kind string) func(simulation *Simulation, length time.Duration) {
+	return func(simulation *Simulation, length time.Duration) {
+		simulation.every(length, 6*time.Second, 10*time.Second, func() {
+			simulation.killFor(simulation.pickUp(kind), simulation.between(200*time.Millisecond, 5*time.Second), false)
+		})
+	}
+}
+
+func freeze(kind string) func(simulation *Simulation, length time.Duration) {
+	return func(simulation *Simulation, length time.Duration) {
+		simulation.every(length, 6*time.Second, 9*time.Second, func() {
+			simulation.freezeFor(simulation.pickUp(kind), simulation.between(300*time.Millisecond, 6*time.Second))
+		})
+	}
+}
+
+func killPrimary(simulation *Simulation, length time.Duration) {
+	simulation.every(length, 9*time.Second, 13*time.Second, func() {
+		simulation.killFor(simulation.controllerIn("primary"), simulation.between(time.Second, 8*time.Second), false)
+	})
+}
+
+// single lists faults that may be combined in pairs.
+var single = map[string]func(simulation *Simulation, length time.Duration){
+	"calm":              func(*Simulation, time.Duration) {},
+	"kill-gateway":      kill(membership.KindGateway),
+	"kill-agent":        kill(membership.KindAgent),
+	"kill-store":        kill(membership.KindStore),
+	"kill-controller":   kill(membership.KindController),
+	"freeze-gateway":    freeze(membership.KindGateway),
+	"freeze-store":      freeze(membership.KindStore),
+	"freeze-controller": freeze(membership.KindController),
+	"kill-primary":      killPrimary,
+	"kill-backup": func(simulation *Simulation, length time.Duration) {
+		simulation.every(length, 9*time.Second, 13*time.Second, func() {
+			simulation.killFor(simulation.controllerIn("backup"), simulation.between(time.Second, 8*time.Second), false)
+		})
+	},
+	"freeze-primary": func(simulation *Simulation, length time.Duration) {
+		simulation.every(length, 9*time.Second, 13*time.Second, func() {
+			simulation.freezeFor(simulation.controllerIn("primary"), simulation.between(time.Second, 8*time.Second))
+		})
+	},
+	"wipe-controller": func(simulation *Simulation, length time.Duration) {
+		simulation.every(length, 14*time.Second, 18*time.Second, func() {
+			simulation.killFor(simulation.pickUp(membership.KindController), simulation.between(time.Second, 5*time.Second), true)
+		})
+	},
+	"wipe-store": func(simulation *Simulation, length time.Duration) {
+		simulation.every(length, 14*time.Second, 18*time.Second, func() {
+			simulation.killFor(simulation.pickUp(membership.KindStore), simulation.between(time.Second, 5*time.Second), true)
+		})
+	},
+	"restart-gateways": func(simulation *Simulation, length time.Duration) {
+		simulation.every(length, 8*time.Second, 10*time.Second, func() {
+			simulation.restartFor(simulation.pickUp(membership.KindGateway), simulation.between(0, time.Second))
+		})
+	},
+	"restart-stores": func(simulation *Simulation, length time.Duration) {
+		simulation.every(length, 11*time.Second, 13*time.Second, func() {
+			simulation.restartFor(simulation.pickUp(membership.KindStore), simulation.between(0, time.Second))
+		})
+	},
+	"resets": func(simulation *Simulation, length time.Duration) {
+		simulation.every(length, 2*time.Second, 6*time.Second, func() {
+			for _, client := range simulation.clients {
+				if simulation.Random.IntN(10) > 0 {
+					client.Reset(simulation.between(0, 400*time.Millisecond))
+				}
+			}
+		})
+	},
+	"vanish": func(simulation *Simulation, length time.Duration) {
+		simulation.every(length, 2*time.Second, 5*time.Second, func() {
+			client := simulation.clients[simulation.Random.IntN(len(simulation.clients))]
+			client.Reset(simulation.between(time.Second, 20*time.Second))
+		})
+	},
+	"wander": func(simulation *Simulation, length time.Duration) {
+		simulation.every(length, 500*time.Millisecond, 2*time.Second, func() {
+			client := simulation.clients[simulation.Random.IntN(len(simulation.clients))]
+			client.Place = simulation.Random.IntN(simulation.Size.Places)
+			client.Reset(simulation.between(0, 50*time.Millisecond))
+		})
+	},
+	"loss": func(simulation *Simulation, length time.Duration) {
+		simulation.every(length, 5*time.Second, 9*time.Second, func() {
+			simulation.loss = 0.05 + simulation.Random.Float64()*0.15
+			simulation.After(simulation.between(time.Second, 4*time.Second), simulation.Heal)
+		})
+	},
+	"cut-links": func(simulation *Simulation, length time.Duration) {
+		simulation.every(length, 5*time.Second, 9*time.Second, func() {
+			nodes := simulation.Nodes("")
+			for range 8 {
+				from, to := nodes[simulation.Random.IntN(len(nodes))], nodes[simulation.Random.IntN(len(nodes))]
+				if from != to && !beside(from, to) {
+					simulation.Cut(from, to)
+				}
+			}
+			simulation.After(simulation.between(500*time.Millisecond, 5*time.Second), simulation.Heal)
+		})
+	},
+	"cut-daemon": func(simulation *Simulation, length time.Duration) {
+		simulation.every(length, 9*time.Second, 12*time.Second, func() {
+			chosen := simulation.pickUp("")
+			simulation.trace("%s is cut off", chosen.Name)
+			simulation.CutAway(func(node *Node) bool { return node == chosen || beside(node, chosen) })
+			simulation.After(simulation.between(500*time.Millisecond, 7*time.Second), simulation.Heal)
+		})
+	},
+	"cut-place": func(simulation *Simulation, length time.Duration) {
+		simulation.every(length, 14*time.Second, 18*time.Second, func() {
+			place := simulation.Random.IntN(simulation.Size.Places)
+			simulation.trace("place %d is cut off", place)
+			simulation.CutAway(func(node *Node) bool { return node.Place == place })
+			simulation.After(simulation.between(500*time.Millisecond, 8*time.Second), simulation.Heal)
+		})
+	},
+	"lose-place": func(simulation *Simulation, length time.Duration) {
+		simulation.After(3*time.Second, func() {
+			place := simulation.Random.IntN(simulation.Size.Places)
+			for _, node := range simulation.Nodes("") {
+				if node.Place == place {
+					node.Kill()
+					simulation.After(simulation.between(14*time.Second, 16*time.Second), node.Start)
+				}
+			}
+			simulation.ServiceBack("a zone lost")
+		})
+	},
+	"lose-primary": func(simulation *Simulation, length time.Duration) {
+		simulation.After(3*time.Second, func() {
+			if node := simulation.controllerIn("primary"); node != nil {
+				simulation.killFor(node, 20*time.Second, false)
+				simulation.ServiceBack("the primary lost")
+			}
+		})
+	},
+	"lose-two": func(simulation *Simulation, length time.Duration) {
+		simulation.After(3*time.Second, func() {
+			kinds := [][2]string{{membership.KindGateway, membership.KindStore}, {membership.KindController, membership.KindStore}, {membership.KindGateway, membership.KindController}}
+			pair := kinds[simulation.Random.IntN(len(kinds))]
+			for _, kind := range pair {
+				simulation.killFor(simulation.pickUp(kind), 20*time.Second, false)
+			}
+			simulation.ServiceBack("two daemons of different kinds lost")
+		})
+	},
+	"cut-primary": func(simulation *Simulation, length time.Duration) {
+		simulation.every(length, 12*time.Second, 15*time.Second, func() {
+			chosen := simulation.controllerIn("primary")
+			if chosen == nil {
+				return
+			}
+			simulation.trace("%s is cut off from the other controllers", chosen.Name)
+			for _, other := range simulation.Nodes(membership.KindController) {
+				if other != chosen {
+					simulation.Cut(chosen, other)
+					simulation.Cut(other, chosen)
+				}
+			}
+			simulation.After(simulation.between(6*time.Second, 9*time.Second), simulation.Heal)
+		})
+	},
+	"lose-disk-in-turn": func(simulation *Simulation, length time.Duration) {
+		// One store is away for a moment, and the disk of another is lost just
+		// as the first comes back: what was accepted meanwhile must be elsewhere.
+		simulation.every(length, 16*time.Second, 18*time.Second, func() {
+			stores := simulation.Nodes(membership.KindStore)
+			away := simulation.Random.IntN(len(stores))
+			wait := simulation.between(400*time.Millisecond, 1500*time.Millisecond)
+			simulation.killFor(stores[away], wait, false)
+			lost := stores[(away+1+simulation.Random.IntN(len(stores)-1))%len(stores)]
+			simulation.After(wait, func() { simulation.killFor(lost, 3*time.Second, true) })
+		})
+	},
+	"rest-and-crowd": func(simulation *Simulation, length time.Duration) {
+		// A quiet fleet empties gateways and lets them rest; then a crowd comes
+		// within a second, half of it in one place.
+		simulation.thrift()
+		simulation.After(length*6/10, func() {
+			simulation.trace("a crowd comes; %d gateways rest", simulation.resting())
+			for number := range 24 {
+				place := number % simulation.Size.Places
+				if number%2 == 0 {
+					place = 0
+				}
+				simulation.AddClient(fmt.Sprintf("crowd-%d", number), place, gateway.Interest{Space: "boards", Path: "p1", Wide: true})
+			}
+			simulation.ServiceBack("a crowd on a rested fleet")
+		})
+	},
+	"rest-and-fail": func(simulation *Simulation, length time.Duration) {
+		// The same quiet fleet, while the duty's holder and others are lost.
+		simulation.thrift()
+		simulation.every(length, 7*time.Second, 10*time.Second, func() {
+			kinds := []string{membership.KindGateway, membership.KindController, membership.KindStore, membership.KindAgent}
+			if simulation.Random.IntN(2) == 0 {
+				simulation.killFor(simulation.controllerIn("primary"), simulation.between(time.Second, 6*time.Second), false)
+				return
+			}
+			simulation.killFor(simulation.pickUp(kinds[simulation.Random.IntN(len(kinds))]), simulation.between(200*time.Millisecond, 5*time.Second), false)
+		})
+	},
+	"busy-operators": func(simulation *Simulation, length time.Duration) {
+		// Configurations are put and read back all the time while primaries
+		// are lost.
+		simulation.every(length, 250*time.Millisecond, 400*time.Millisecond, func() { simulation.operator.next(nil) })
+		simulation.every(length, 80*time.Millisecond, 150*time.Millisecond, simulation.operator.read)
+		killPrimary(simulation, length)
+	},
+	"drain": func(simulation *Simulation, length time.Duration) {
+		// An operator empties a gateway; ten seconds later nobody is on it.
+		simulation.After(2*time.Second, func() {
+			node := simulation.pickUp(membership.KindGateway)
+			simulation.operator.drains = []string{node.Name}
+			simulation.operator.next(func() {
+				simulation.After(10*time.Second, func() {
+					if node.Up && node.Gateway().Load().Origins > 0 && len(simulation.operator.drains) > 0 {
+						simulation.Checker.Violate("drain", "%s still holds %d origins", node.Name, node.Gateway().Load().Origins)
+					}
+				})
+			})
+		})
+	},
+	"moves": func(simulation *Simulation, length time.Duration) {
+		// Gateways are drained in turn and origins move and reconnect all the
+		// time, but no daemon and no link is lost: then not even a passing
+		// message may be missed.
+		simulation.Checker.PassingOwed = true
+		gateways := simulation.Nodes(membership.KindGateway)
+		turn := 0
+		simulation.every(length, 3*time.Second, 4*time.Second, func() {
+			simulation.operator.drains = []string{gateways[turn%len(gateways)].Name}
+			turn++
+			simulation.operator.next(nil)
+		})
+		simulation.every(length, 400*time.Millisecond, 900*time.Millisecond, func() {
+			client := simulation.clients[simulation.Random.IntN(len(simulation.clients))]
+			client.Place = simulation.Random.IntN(simulation.Size.Places)
+			client.Reset(simulation.between(0, 50*time.Millisecond))
+		})
+	},
+	"retire": func(simulation *Simulation, length time.Duration) {
+		simulation.After(2*time.Second, func() {
+			node := simulation.pickUp(membership.KindStore)
+			simulation.retire(node, func() {
+				simulation.trace("%s was retired and is wiped", node.Name)
+				simulation.killFor(node, 5*time.Second, true)
+			}, func() {})
+		})
+	},
+	"remove-space": func(simulation *Simulation, length time.Duration) {
+		simulation.briefSpace(length)
+	},
+}
+
+// thrift turns the economy on, with short spells.
+func (s *Simulation) thrift() {
+	s.operator.economy = map[string]any{"enabled": true, "origins_each": 8, "spare_gateways": 1, "quiet_for": "2s"}
+	s.operator.next(nil)
+}
+
+// resting counts the gateways that rest.
+func (s *Simulation) resting() int {
+	count := 0
+	for _, node := range s.Nodes(membership.KindGateway) {
+		if node.Up && node.Gateway().Resting() {
+			count++
+		}
+	}
+	return count
+}
+
+func beside(left, right *Node) bool {
+	pair := []string{left.Kind, right.Kind}
+	slices.Sort(pair)
+	return pair[0] == membership.KindGateway && pair[1] == membership.KindAgent && left.Name[len(left.Kind):] == right.Name[len(right.Kind):]
+}
+
+// retire retires a store; never is called if it is refused for want of others.
+func (s *Simulation) retire(node *Node, done, never func()) {
+	var poll func()
+	ask := func(method, path string) {
+		at := s.pickUp("")
+		if at == nil {
+			s.After(500*time.Millisecond, func() { s.retire(node, done, never) })
+			return
+		}
+		s.Control(at, method, path, nil, func(returned membership.ControlResponse, alive bool) {
+			var value struct {
+				Retired bool `json:"retired"`
+			}
+			if alive && returned.Status < 300 {
+				must(json.Unmarshal(returned.Body, &value))
+			}
+			switch {
+			case value.Retired:
+				done()
+			case alive && returned.Status == http.StatusConflict:
+				never()
+			case alive && returned.Status < 300:
+				s.After(200*time.Millisecond, poll)
+			default:
+				s.After(500*time.Millisecond, func() { s.retire(node, done, never) })
+			}
+		})
+	}
+	poll = func() { ask(http.MethodGet, "/v1/stores/"+node.Name) }
+	ask(http.MethodPost, "/v1/stores/"+node.Name+"/retire")
+}
+
+// briefSpace adds a space, lets it be used, and removes it, while a gateway is
+// cut off in one of several ways.
+func (s *Simulation) briefSpace(length time.Duration) {
+	operator := newOperator(s)
+	operator.version, operator.extra = 1000, true
+	s.Checker.Space("brief", false, false)
+	operator.next(func() {
+		var users []*Client
+		for number := range 4 {
+			client := s.AddClient(fmt.Sprintf("brief-%d", number), number%s.Size.Places, gateway.Interest{Space: "brief", Wide: true})
+			client.Publishes(1, Plan{Space: "brief", Topics: []string{"a/b", "c"}, Every: 150 * time.Millisecond})
+			users = append(users, client)
+		}
+		s.After(4*time.Second, func() {
+			chosen := s.pickUp(membership.KindGateway)
+			switch s.Random.IntN(4) {
+			case 0:
+				s.trace("%s is cut off", chosen.Name)
+				s.CutAway(func(node *Node) bool { return node == chosen || beside(node, chosen) })
+			case 1:
+				for _, controller := range s.Nodes(membership.KindController) {
+					for _, node := range s.Nodes("") {
+						if node == chosen || beside(node, chosen) {
+							s.Cut(node, controller)
+							s.Cut(controller, node)
+						}
+					}
+				}
+			case 2:
+				s.trace("place %d is cut off", chosen.Place)
+				s.CutAway(func(node *Node) bool { return node.Place == chosen.Place })
+			}
+			operator.extra = false
+			operator.next(func() {
+				s.Checker.Removed("brief", s.Now)
+				s.After(6*time.Second, func() {
+					for _, client := range users {
+						client.Gone = true
+						s.Checker.Dropped(client.Name)
+					}
+					s.Heal()
+				})
+			})
+		})
+	})
+}
+
+// Scenarios lists all, single and in pairs with one last fault.
+func Scenarios() []Scenario {
+	var found []Scenario
+	var names []string
+	for name := range single {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		found = append(found, Scenario{Name: name, Length: 25 * time.Second, Faults: single[name]})
+	}
+	for _, name := range faults.Names {
+		found = append(found, Scenario{Name: "storm-" + name, Plot: func(seed uint64) Plot { return drawPlot(seed, []string{name}, 3) }})
+	}
+	for _, name := range faults.Last {
+		found = append(found, Scenario{Name: "last-" + name, Plot: func(uint64) Plot { return Plot{Last: name} }})
+	}
+	found = append(found,
+		Scenario{Name: "pairs", Plot: pairPlot},
+		Scenario{Name: "storm", Plot: func(seed uint64) Plot { return drawPlot(seed, faults.Names, 9) }})
+	return append(found, topicScenarios()...)
+}
+
+// Find finds a scenario by its name.
+func Find(name string) (Scenario, bool) {
+	for _, scenario := range Scenarios() {
+		if scenario.Name == name {
+			return scenario, true
+		}
+	}
+	return Scenario{}, false
+}
--- a/internal/swell/swell_test.go
+++ b/internal/simulator/simulator_test.go
@@ -1,6 +1,6 @@
-// A fixed handful of seeds of every scenario, judged by the oracle, and the
+// A fixed handful of seeds of every scenario, judged by the checker, and the
 // proof that a seed is one run: the same seed gives the same trace.
-package swell
+package simulator
 
 import (
 	"fmt"
@@ -38,24 +38,24 @@
 	seed     uint64
 	showed   string
 }{
-	{"wipe-keeper", 3, "a wiped keeper acted as first on a blank log"},
-	{"kill-lantern", 1, "a ping carried a place without interests"},
-	{"kill-lantern", 2, "a join was given up while its way led through a lost daemon"},
-	{"lose-place", 24, "followers went round the pilots one by one"},
-	{"calm", 15, "a fill ended below what its strand was verified to"},
-	{"resets", 70, "a sender came back to a lantern with an old trail"},
-	{"freeze-lantern", 0, "held messages kept a strand from being fresh"},
+	{"wipe-store", 3, "a wiped store acted as first on a blank log"},
+	{"kill-gateway", 1, "a ping carried a place without interests"},
+	{"kill-gateway", 2, "a join was given up while its way led through a lost daemon"},
+	{"lose-place", 24, "followers went round the controllers one by one"},
+	{"calm", 15, "a fill ended below what its partition was verified to"},
+	{"resets", 70, "a sender came back to a gateway with an old trail"},
+	{"freeze-gateway", 0, "held messages kept a partition from being fresh"},
 	{"vanish", 0, "the chain of a sender's messages broke at one of no interest"},
 	{"resets", 5, "a resend after a move was refused in a passing space"},
-	{"pairs", 1, "keepers trimmed by another machine's clock what they had just taken over"},
-	{"pairs", 2, "a lantern without its tender kept its origins and refused them"},
-	{"storm", 0, "joins were led to a lost lantern by one that follows nothing"},
-	{"storm-retire", 5, "the same, with a keeper retired before"},
+	{"pairs", 1, "stores trimmed by another machine's clock what they had just taken over"},
+	{"pairs", 2, "a gateway without its agent kept its origins and refused them"},
+	{"storm", 0, "joins were led to a lost gateway by one that follows nothing"},
+	{"storm-retire", 5, "the same, with a store retired before"},
 	{"last-restart-all", 3123, "a first told of a head below what it had accepted before a restart"},
 	{"last-restart-all", 3187, "the same"},
-	{"storm-wipe-pilot", 1, "a backup that lost its disk under a command never became level"},
-	{"storm-cut-place", 1000, "primary and backup stayed in one locality after a cut, and were lost with it"},
-	{"storm-wipe-pilot", 3, "the same, until no lost keeper was replaced"},
+	{"storm-wipe-controller", 1, "a backup that lost its disk under a command never became level"},
+	{"storm-cut-place", 1000, "primary and backup stayed in one zone after a cut, and were lost with it"},
+	{"storm-wipe-controller", 3, "the same, until no lost store was replaced"},
 	{"topics-hot", 5, "the end of one page of missed messages was taken for the topic's end"},
 	{"topics-steady", 4006, "an answer that came twice settled another send, and a kept message was refused"},
 }
@@ -63,10 +63,10 @@
 func judge(t *testing.T, scenario Scenario, seed uint64) {
 	t.Helper()
 	run := Run(scenario, seed, Small, nil)
-	for _, line := range run.Oracle.Violations() {
-		t.Errorf("harbour swell -scenario %s -from %d -seeds 1 -trace: %s", scenario.Name, seed, line)
+	for _, line := range run.Checker.Violations() {
+		t.Errorf("fleetlab swell -scenario %s -from %d -seeds 1 -trace: %s", scenario.Name, seed, line)
 	}
-	assert.Check(t, run.Oracle.Accepted > 200 && run.Oracle.Delivered > 1000, "seed %d did little: %s", seed, run.Oracle.Summary())
+	assert.Check(t, run.Checker.Accepted > 200 && run.Checker.Delivered > 1000, "seed %d did little: %s", seed, run.Checker.Summary())
 }
 
 func TestScenariosKeepThePromises(t *testing.T) {
@@ -90,8 +90,8 @@
 	seeds    uint64
 }{
 	{"topics-calm", 1}, {"topics-configurations", 1}, {"topics-steady", 1}, {"topics-hot", 1}, {"topics-pairs", 2}, {"topics-storm", 1},
-	{"topics-kill-lantern", 1}, {"topics-kill-keeper", 1}, {"topics-wipe-keeper", 1}, {"topics-freeze-keeper", 1},
-	{"topics-rolling", 1}, {"topics-restart-keepers", 1}, {"topics-join-lantern", 1}, {"topics-resets", 1}, {"topics-wander", 1},
+	{"topics-kill-gateway", 1}, {"topics-kill-store", 1}, {"topics-wipe-store", 1}, {"topics-freeze-store", 1},
+	{"topics-rolling", 1}, {"topics-restart-stores", 1}, {"topics-join-gateway", 1}, {"topics-resets", 1}, {"topics-wander", 1},
 	{"topics-cut-daemon", 1}, {"topics-relink", 1}, {"topics-slow-daemon", 1}, {"topics-space", 1}, {"topics-operators", 1},
 	{"topics-last-power-off", 1}, {"topics-last-power-off-and-wipe", 1}, {"topics-last-kill-all", 1}, {"topics-last-lose-place", 1},
 }
@@ -136,7 +136,7 @@
 		run.Run(each.away + 3*time.Second)
 		assert.Equal(t, client.Gone, each.lost, "after %s", each.away)
 		run.Settle(10 * time.Second)
-		assert.Equal(t, len(run.Oracle.Violations()), 0, "%v", run.Oracle.Violations())
+		assert.Equal(t, len(run.Checker.Violations()), 0, "%v", run.Checker.Violations())
 	}
 }
 
@@ -149,16 +149,16 @@
 			t.Run(fmt.Sprintf("%s-%d", name, seed), func(t *testing.T) {
 				t.Parallel()
 				run := Run(scenario, 2000+seed, Sizes[name], nil)
-				for _, line := range run.Oracle.Violations() {
-					t.Errorf("harbour swell -scenario storm -size %s -from %d -seeds 1 -trace: %s", name, 2000+seed, line)
+				for _, line := range run.Checker.Violations() {
+					t.Errorf("fleetlab swell -scenario storm -size %s -from %d -seeds 1 -trace: %s", name, 2000+seed, line)
 				}
-				assert.Check(t, run.Oracle.Delivered > 10000, "%s", run.Oracle.Summary())
+				assert.Check(t, run.Checker.Delivered > 10000, "%s", run.Checker.Summary())
 			})
 		}
 	}
 }
 
-// Routed topics in both deployments' shapes and in one with four localities.
+// Routed topics in both deployments' shapes and in one with four zones.
 func TestRoutedTopicsInLargerFleets(t *testing.T) {
 	for name, scenarioName := range map[string]string{"fjordlys": "topics-pairs", "qureshi": "topics-calm", "four": "topics-lose-place"} {
 		t.Run(name, func(t *testing.T) {
@@ -166,10 +166,10 @@
 			scenario, found := Find(scenarioName)
 			assert.Assert(t, found)
 			run := Run(scenario, 2000, Sizes[name], nil)
-			for _, line := range run.Oracle.Violations() {
-				t.Errorf("harbour swell -scenario %s -size %s -from 2000 -seeds 1 -trace: %s", scenarioName, name, line)
+			for _, line := range run.Checker.Violations() {
+				t.Errorf("fleetlab swell -scenario %s -size %s -from 2000 -seeds 1 -trace: %s", scenarioName, name, line)
 			}
-			assert.Check(t, run.Oracle.Delivered > 10000, "%s", run.Oracle.Summary())
+			assert.Check(t, run.Checker.Delivered > 10000, "%s", run.Checker.Summary())
 		})
 	}
 }
--- /dev/null
+++ b/internal/simulator/topic_client.go
@@ -0,0 +1,692 @@
+// Stand-in callers of routed topics, as the users' clients behave on their lines:
+// one connection, whose commands and answers keep their order; every topic is
+// asked for anew on each connection, with the cursor of its last message; a
+// publication of open fate is sent again under its number until its deadline, and
+// one that was certainly not done gets a new number, a few times.
+package simulator
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"dahlialock/internal/checker"
+	"dahlialock/internal/gateway"
+	"dahlialock/internal/membership"
+	"dahlialock/internal/statemachine"
+)
+
+// Spans of a caller on a line.
+const (
+	lineDelay       = time.Millisecond
+	pingEvery       = 2 * time.Second
+	silentFor       = 5 * time.Second
+	droppedAfter    = 7 * time.Second
+	dialPatience    = time.Second
+	answerPatience  = 1200 * time.Millisecond
+	topicDeadline   = 1200 * time.Millisecond
+	resendAgain     = 60 * time.Millisecond
+	joinWithin      = 500 * time.Millisecond
+	renewalsMost    = 2
+	accountableSpan = 10 * time.Second
+)
+
+// TopicClient is one caller of routed topics.
+type TopicClient struct {
+	simulation *Simulation
+	Name       string
+	Place      int
+	fixed      *Node
+	node       *Node
+	life       uint64
+	channel    uint64
+	turn       int
+	connected  bool
+	heardAt    time.Time
+	saidAt     time.Time
+	beganAt    time.Time
+	awayUntil  time.Time
+	failures   int
+	moveTo     string
+	Gone       bool
+	stopped    bool
+	unjudged   bool
+
+	topics   map[string]*taken
+	seq      uint64
+	pipeline int
+	outbox   map[string][]*posting
+}
+
+// taken is a topic that a caller wants to hold.
+type taken struct {
+	topic   string
+	cursor  string
+	after   checker.Post
+	entry   *checker.Subscription
+	asked   bool
+	held    bool
+	leaving bool
+	nowhere bool
+	askedAt time.Time
+}
+
+// posting is a publication whose fate is not known.
+type posting struct {
+	name     checker.Post
+	topic    string
+	body     string
+	wanted   time.Time
+	renewals int
+	tries    int
+	inFlight bool
+	waits    bool
+}
+
+// AddTopicClient adds a caller that holds topics.
+func (s *Simulation) AddTopicClient(name string, place int, topics ...string) *TopicClient {
+	client := &TopicClient{simulation: s, Name: name, Place: place, topics: map[string]*taken{}, outbox: map[string][]*posting{}, pipeline: 1}
+	s.topicClients = append(s.topicClients, client)
+	for _, topic := range topics {
+		client.topics[topic] = &taken{topic: topic}
+	}
+	turn := client.turn
+	s.After(s.between(0, 400*time.Millisecond), func() { client.connect(turn) })
+	s.After(s.between(0, pingEvery), client.watch)
+	return client
+}
+
+// platform is what the platform knows of a gateway: whether it gets new callers,
+// and how often in turn it did not answer as ready.
+type platform struct {
+	in     bool
+	missed int
+}
+
+// probe asks every gateway once a second whether it is ready.
+func (s *Simulation) probe() {
+	s.After(time.Second, s.probe)
+	for _, node := range s.Nodes(membership.KindGateway) {
+		known, found := s.probed[node.Name]
+		if !found {
+			known = &platform{}
+			s.probed[node.Name] = known
+		}
+		if node.Ready() {
+			known.in, known.missed = true, 0
+			continue
+		}
+		if known.missed++; known.missed >= 2 {
+			known.in = false
+		}
+	}
+}
+
+// pick chooses as the platform does: in the caller's zone, of those that are in,
+// or of all where fewer than half are; with none in, of those elsewhere.
+func (tc *TopicClient) pick() *Node {
+	simulation := tc.simulation
+	if tc.fixed != nil {
+		return tc.fixed
+	}
+	if target := simulation.byPort[tc.moveTo]; target != nil {
+		tc.moveTo = ""
+		return target
+	}
+	var zone, in, elsewhere []*Node
+	for _, node := range simulation.Nodes(membership.KindGateway) {
+		known, found := simulation.probed[node.Name]
+		switch {
+		case node.Place == tc.Place:
+			zone = append(zone, node)
+			if found && known.in {
+				in = append(in, node)
+			}
+		case found && known.in:
+			elsewhere = append(elsewhere, node)
+		}
+	}
+	switch {
+	case len(in) == 0 && len(elsewhere) > 0:
+		in = elsewhere
+	case len(in)*2 < len(zone):
+		in = zone
+	}
+	if len(in) == 0 {
+		return nil
+	}
+	return in[simulation.Random.IntN(len(in))]
+}
+
+// say sends a command on the line; done is called with its answer if that comes
+// while the connection lasts.
+func (tc *TopicClient) say(command func(request uint64) any, done func(answer gateway.Answer)) {
+	simulation, node, turn, life := tc.simulation, tc.node, tc.turn, tc.life
+	tc.saidAt = simulation.Now
+	lost := func() {
+		simulation.After(lineDelay, func() { tc.cut(turn, true, simulation.between(0, 50*time.Millisecond)) })
+	}
+	simulation.After(lineDelay, func() {
+		if !node.Up || node.life != life {
+			lost()
+			return
+		}
+		node.enter(func() {
+			if node.life != life {
+				return
+			}
+			node.request++
+			request := node.request
+			node.returns[request] = func(value any, alive bool) {
+				if !alive {
+					lost()
+					return
+				}
+				simulation.After(lineDelay, func() {
+					if tc.turn == turn {
+						tc.heardAt = simulation.Now
+						done(value.(gateway.Answer))
+					}
+				})
+			}
+			node.step(func(now time.Time, effects *statemachine.Effects) {
+				node.Machine.Command(now, command(request), effects)
+			})
+		})
+	})
+}
+
+func (tc *TopicClient) later(wait time.Duration) {
+	turn := tc.turn
+	tc.simulation.After(wait, func() { tc.connect(turn) })
+}
+
+func (tc *TopicClient) connect(turn int) {
+	simulation := tc.simulation
+	if tc.Gone || tc.turn != turn || tc.connected {
+		return
+	}
+	tc.turn++
+	turn = tc.turn
+	tc.node = tc.pick()
+	if tc.node == nil {
+		tc.later(300 * time.Millisecond)
+		return
+	}
+	node := tc.node
+	tc.life = node.life
+	tc.beganAt, tc.heardAt = simulation.Now, simulation.Now
+	simulation.number++
+	channel := simulation.number
+	tc.channel = channel
+	tc.say(func(request uint64) any {
+		// The line's writer stands before the channel does.
+		node.sinks[channel] = func(deliver statemachine.Deliver) {
+			simulation.After(lineDelay, func() { tc.event(turn, deliver) })
+		}
+		return gateway.OpenChannel{Request: request, Channel: channel, Name: fmt.Sprint(channel), Origin: tc.Name, Lines: true}
+	}, func(answer gateway.Answer) {
+		if answer.Outcome != gateway.OutcomeAccepted {
+			simulation.trace("%s is not let in by %s: %s", tc.Name, node.Name, answer.Code)
+			tc.blame(answer.Code, "hello of "+tc.Name)
+			tc.cut(turn, false, simulation.between(50*time.Millisecond, 250*time.Millisecond))
+			return
+		}
+		tc.connected, tc.failures = true, 0
+		for _, each := range statemachine.Sorted(tc.topics) {
+			tc.subscribe(each)
+		}
+		for topic := range statemachine.Sorted(tc.outbox) {
+			tc.pump(topic)
+		}
+	})
+	simulation.After(dialPatience, func() {
+		if tc.turn == turn && !tc.connected {
+			tc.cut(turn, false, simulation.between(0, 200*time.Millisecond))
+		}
+	})
+}
+
+// cut ends the connection, from either side, and comes back after a while. One
+// that only falls silent leaves its channel behind for a time.
+func (tc *TopicClient) cut(turn int, tells bool, wait time.Duration) {
+	if tc.turn != turn {
+		return
+	}
+	simulation, node, life, channel := tc.simulation, tc.node, tc.life, tc.channel
+	tc.turn++
+	if !tc.connected {
+		tc.failures++
+		wait += time.Duration(min(tc.failures, 8)) * 50 * time.Millisecond
+	}
+	tc.connected = false
+	for _, each := range statemachine.Sorted(tc.topics) {
+		each.asked, each.held = false, false
+		switch {
+		case each.entry == nil:
+		case tells:
+			each.entry.Cut(simulation.Now)
+		default:
+			each.entry.Silenced(simulation.Now, simulation.Now.Add(droppedAfter))
+		}
+		if each.leaving {
+			delete(tc.topics, each.topic)
+		}
+	}
+	for _, queue := range statemachine.Sorted(tc.outbox) {
+		for _, item := range queue {
+			if item.inFlight {
+				tc.settled(item, "unsettled", "cut-off")
+			}
+			item.waits = false
+		}
+	}
+	if node != nil {
+		gone := droppedAfter
+		if tells {
+			gone = lineDelay
+		}
+		simulation.After(gone, func() {
+			if !node.Up || node.life != life {
+				return
+			}
+			node.enter(func() {
+				if _, open := node.sinks[channel]; !open || node.life != life {
+					return
+				}
+				delete(node.sinks, channel)
+				node.step(func(now time.Time, effects *statemachine.Effects) {
+					node.Machine.Command(now, gateway.CloseChannel{Channel: channel, Why: "closed"}, effects)
+				})
+			})
+		})
+	}
+	tc.later(wait)
+}
+
+// leave ends a caller for good.
+func (tc *TopicClient) leave() {
+	tc.Gone = true
+	for _, each := range statemachine.Sorted(tc.topics) {
+		if each.entry != nil {
+			each.entry.End(tc.simulation.Now)
+		}
+	}
+	tc.cut(tc.turn, true, 0)
+}
+
+// Away cuts the connection, by closing it or by falling silent.
+func (tc *TopicClient) Away(closes bool, wait time.Duration) {
+	tc.awayUntil = tc.simulation.Now.Add(wait + 2*time.Second)
+	tc.cut(tc.turn, closes, wait)
+}
+
+// watch says something now and then, and resets a connection that is silent.
+func (tc *TopicClient) watch() {
+	simulation := tc.simulation
+	if tc.Gone {
+		return
+	}
+	simulation.After(500*time.Millisecond, tc.watch)
+	if !tc.connected {
+		return
+	}
+	if simulation.Now.Sub(tc.heardAt) > silentFor {
+		simulation.trace("%s hears nothing of %s", tc.Name, tc.node.Name)
+		tc.cut(tc.turn, true, 0)
+		return
+	}
+	if simulation.Now.Sub(tc.saidAt) < pingEvery {
+		return
+	}
+	// Signs of life are answered by the line itself.
+	tc.saidAt = simulation.Now
+	node, life, turn, channel := tc.node, tc.life, tc.turn, tc.channel
+	simulation.After(lineDelay, func() {
+		if !node.Up || node.life != life {
+			return
+		}
+		node.enter(func() {
+			if node.life != life {
+				return
+			}
+			node.step(func(now time.Time, effects *statemachine.Effects) {
+				node.Machine.Command(now, gateway.Heard{Channel: channel}, effects)
+			})
+			simulation.After(lineDelay, func() {
+				if tc.turn == turn {
+					tc.heardAt = simulation.Now
+				}
+			})
+		})
+	})
+}
+
+// blame tells the checker of a request that a daemon refused.
+func (tc *TopicClient) blame(code, what string) {
+	if !tc.unjudged && !tc.Gone {
+		tc.simulation.Checker.RefusedAs(code, what, tc.simulation.calmSince(), tc.simulation.Now)
+	}
+}
+
+// Topics.
+
+// take begins to hold a topic.
+func (tc *TopicClient) take(topic string) {
+	if present, found := tc.topics[topic]; found && !present.leaving || tc.Gone {
+		return
+	}
+	tc.topics[topic] = &taken{topic: topic}
+	if tc.connected {
+		tc.subscribe(tc.topics[topic])
+	}
+}
+
+// drop ends holding a topic.
+func (tc *TopicClient) drop(topic string) {
+	present, found := tc.topics[topic]
+	if !found || present.leaving {
+		return
+	}
+	simulation := tc.simulation
+	if present.entry != nil {
+		present.entry.End(simulation.Now)
+	}
+	if !tc.connected || !present.held && !present.asked {
+		delete(tc.topics, topic)
+		return
+	}
+	present.leaving = true
+	turn := tc.turn
+	tc.say(func(request uint64) any {
+		return gateway.Unsubscribe{Request: request, Channel: tc.channel, Origin: tc.Name, Interests: []gateway.Interest{{Path: topic}}}
+	}, func(answer gateway.Answer) {
+		if answer.Outcome != gateway.OutcomeAccepted {
+			tc.cut(turn, true, 0)
+			return
+		}
+		if tc.topics[topic] == present {
+			delete(tc.topics, topic)
+		}
+	})
+}
+
+func (tc *TopicClient) subscribe(each *taken) {
+	simulation, turn, topic := tc.simulation, tc.turn, each.topic
+	if each.asked || each.held || each.leaving {
+		return
+	}
+	if each.entry == nil || each.entry.Ended() && each.cursor == "" {
+		each.entry = simulation.Checker.Subscribing(tc.Name, topic, nil)
+	}
+	each.asked, each.askedAt = true, simulation.Now
+	entry, sent := each.entry, simulation.Now
+	tc.say(func(request uint64) any {
+		return gateway.Subscribe{Request: request, Channel: tc.channel, Origin: tc.Name, Interests: []gateway.Interest{{Path: topic}}, Cursor: each.cursor}
+	}, func(answer gateway.Answer) {
+		if tc.topics[topic] != each {
+			return
+		}
+		each.asked = false
+		again := func(wait time.Duration) {
+			simulation.After(wait, func() {
+				if tc.turn == turn && tc.topics[topic] == each {
+					tc.subscribe(each)
+				}
+			})
+		}
+		if answer.Outcome != gateway.OutcomeAccepted {
+			simulation.trace("%s at %s subscribes to %s from %q: %s %s", tc.Name, tc.node.Name, topic, each.cursor, answer.Outcome, answer.Code)
+		}
+		each.nowhere = false
+		switch {
+		case answer.Outcome == gateway.OutcomeAccepted:
+			simulation.Checker.Handled("a subscription", topic, true, sent, simulation.Now)
+			each.held = true
+			if each.leaving {
+				return
+			}
+			entry.Confirmed(tc.beganAt, simulation.Now)
+			if each.cursor == "" {
+				each.cursor = answer.Cursor
+			}
+			simulation.save(each)
+		case answer.Code == "place-lost":
+			entry.Expired(simulation.Now)
+			each.cursor, each.after, each.entry = "", checker.Post{}, nil
+			again(simulation.between(0, 100*time.Millisecond))
+		case answer.Code == "no-such-space":
+			each.nowhere = true
+			simulation.Checker.Handled("a subscription", topic, false, sent, simulation.Now)
+			again(simulation.between(300*time.Millisecond, 900*time.Millisecond))
+		case each.leaving:
+			// It was taken back before it was answered.
+		case answer.Code == "moved" || answer.Code == "no-such-channel":
+			tc.blameUnlessMoved(answer.Code, "subscription of "+tc.Name)
+			tc.cut(turn, true, simulation.between(0, 50*time.Millisecond))
+		default:
+			if answer.RetryAfter == 0 {
+				simulation.Checker.Violate(checker.PlaceRefused, "%s on %s: %s %s", tc.Name, topic, answer.Code, answer.Text)
+			}
+			tc.blame(answer.Code, "subscription of "+tc.Name+" to "+topic)
+			again(simulation.between(100*time.Millisecond, 900*time.Millisecond))
+		}
+	})
+	simulation.After(answerPatience+300*time.Millisecond, func() {
+		if tc.turn == turn && each.asked && tc.topics[topic] == each && each.askedAt.Equal(sent) {
+			tc.blame("silent", "subscription of "+tc.Name)
+			tc.cut(turn, true, 0)
+		}
+	})
+}
+
+func (tc *TopicClient) blameUnlessMoved(code, what string) {
+	if code != "moved" {
+		tc.blame(code, what)
+	}
+}
+
+// holds tells whether all that the caller wants is there.
+func (tc *TopicClient) holds() bool {
+	if !tc.connected {
+		return false
+	}
+	for _, each := range tc.topics {
+		// One that was just taken up is still under way.
+		underway := each.asked && tc.simulation.Now.Sub(each.askedAt) < joinWithin
+		if !each.held && !each.leaving && !each.nowhere && !underway {
+			return false
+		}
+	}
+	return true
+}
+
+func (tc *TopicClient) event(turn int, deliver statemachine.Deliver) {
+	if tc.turn != turn {
+		return
+	}
+	simulation := tc.simulation
+	tc.heardAt = simulation.Now
+	if event, matches := deliver.Event.(gateway.Event); matches {
+		switch event.Event {
+		case "message":
+			tc.message(event)
+		case "move":
+			tc.moveTo = event.To
+			tc.cut(turn, true, simulation.between(0, 50*time.Millisecond))
+			return
+		}
+	}
+	if deliver.Close {
+		tc.cut(turn, true, simulation.between(0, 100*time.Millisecond))
+	}
+}
+
+func (tc *TopicClient) message(event gateway.Event) {
+	simulation := tc.simulation
+	name := checker.Post{Sender: event.Sender, Seq: event.Seq}
+	each, found := tc.topics[event.Topic]
+	simulation.trace("%s at %s gets %s/%d on %s, %s", tc.Name, tc.node.Name, event.Sender, event.Seq, event.Topic, event.Cursor)
+	if !found || !each.asked && !each.held || each.entry == nil {
+		simulation.Checker.Unasked(tc.Name, name, event.Topic)
+		return
+	}
+	if each.leaving {
+		return
+	}
+	each.entry.Got(name, event.Topic, string(event.Body), simulation.calmSince(), simulation.Now)
+	each.cursor, each.after = event.Cursor, name
+	simulation.save(each)
+}
+
+// count asks how many subscribe to a topic.
+func (tc *TopicClient) count(topic string) {
+	if !tc.connected {
+		return
+	}
+	simulation, sent := tc.simulation, tc.simulation.Now
+	tc.say(func(request uint64) any {
+		return gateway.Count{Request: request, Channel: tc.channel, Origin: tc.Name, Topic: topic}
+	}, func(answer gateway.Answer) {
+		switch {
+		case answer.Outcome == gateway.OutcomeAccepted:
+			simulation.Checker.Handled("a count", topic, true, sent, simulation.Now)
+			simulation.Checker.Counted(topic, answer.Number, simulation.calmSince(), simulation.Now)
+		case answer.Code == "no-such-space":
+			simulation.Checker.Handled("a count", topic, false, sent, simulation.Now)
+		default:
+			tc.blame(answer.Code, "count by "+tc.Name)
+		}
+	})
+}
+
+// Publishing.
+
+// publish sends something new on a topic, if its earlier ones leave room.
+func (tc *TopicClient) publish(topic string) {
+	queue := tc.outbox[topic]
+	if tc.Gone || tc.stopped || len(queue) >= tc.pipeline || !tc.connected {
+		return
+	}
+	item := &posting{topic: topic, wanted: tc.simulation.Now}
+	tc.outbox[topic] = append(queue, item)
+	tc.pump(topic)
+}
+
+func (tc *TopicClient) pump(topic string) {
+	for _, item := range slices.Clone(tc.outbox[topic]) {
+		if tc.connected && !item.inFlight && !item.waits {
+			tc.try(item)
+		}
+	}
+}
+
+// finish takes a publication from its queue.
+func (tc *TopicClient) finish(item *posting) {
+	tc.outbox[item.topic] = slices.DeleteFunc(tc.outbox[item.topic], func(other *posting) bool { return other == item })
+	if len(tc.outbox[item.topic]) == 0 {
+		delete(tc.outbox, item.topic)
+	}
+}
+
+func (tc *TopicClient) settled(item *posting, outcome, code string) {
+	simulation := tc.simulation
+	item.inFlight = false
+	simulation.Checker.PostAnswered(item.name, outcome, simulation.Now)
+	if outcome != gateway.OutcomeAccepted && code != "cut-off" && code != "moved" && code != "no-such-space" {
+		tc.blame(code, fmt.Sprintf("%s/%d on %s", item.name.Sender, item.name.Seq, item.topic))
+	}
+}
+
+func (tc *TopicClient) try(item *posting) {
+	simulation, turn := tc.simulation, tc.turn
+	late := func() bool { return simulation.Now.Sub(item.wanted) > topicDeadline }
+	if late() {
+		tc.finish(item)
+		return
+	}
+	if item.name.Seq == 0 {
+		tc.seq++
+		item.name = checker.Post{Sender: tc.Name, Seq: tc.seq}
+		item.body = fmt.Sprintf("%s's message %d on %s", tc.Name, tc.seq, item.topic)
+	}
+	item.inFlight = true
+	item.tries++
+	name, tries, sent := item.name, item.tries, simulation.Now
+	simulation.Checker.PostTried(name, item.topic, item.body, item.wanted, sent)
+	node := tc.node
+	again := func(wait time.Duration) {
+		item.waits = true
+		simulation.After(wait, func() {
+			if item.waits {
+				item.waits = false
+				if tc.connected && !item.inFlight {
+					tc.try(item)
+				}
+			}
+		})
+	}
+	tc.post(item, func(answer gateway.Answer) {
+		simulation.trace("%s/%d try %d at %s on %s: %s %s", name.Sender, name.Seq, tries, node.Name, item.topic, answer.Outcome, answer.Code)
+		tc.settled(item, answer.Outcome, answer.Code)
+		switch {
+		case answer.Outcome == gateway.OutcomeAccepted:
+			simulation.Checker.Handled("a publication", item.topic, true, sent, simulation.Now)
+			tc.finish(item)
+			if simulation.Random.IntN(8) == 0 {
+				tc.resend(item)
+			}
+		case answer.Outcome == gateway.OutcomeUnsettled:
+			again(simulation.between(resendAgain/2, 2*resendAgain))
+		case answer.Code == "no-such-space":
+			simulation.Checker.Handled("a publication", item.topic, false, sent, simulation.Now)
+			tc.finish(item)
+		case answer.RetryAfter > 0 || answer.Code == "old-seq":
+			if item.renewals++; item.renewals > renewalsMost || late() {
+				tc.finish(item)
+				break
+			}
+			// What was certainly not done is sent under a new number.
+			tc.finish(item)
+			renewed := &posting{topic: item.topic, wanted: item.wanted, renewals: item.renewals, waits: true}
+			tc.outbox[item.topic] = append(tc.outbox[item.topic], renewed)
+			item = renewed
+			again(max(answer.RetryAfter, simulation.between(resendAgain/2, 2*resendAgain)))
+		default:
+			simulation.Checker.Violate(checker.RefusedCalm, "%s/%d on %s: %s %s", name.Sender, name.Seq, item.topic, answer.Code, answer.Text)
+			tc.finish(item)
+		}
+		tc.pump(item.topic)
+	})
+	simulation.After(answerPatience, func() {
+		if tc.turn == turn && item.inFlight && item.name == name && item.tries == tries {
+			tc.blame("silent", fmt.Sprintf("%s/%d on %s", name.Sender, name.Seq, item.topic))
+			tc.cut(turn, true, 0)
+		}
+	})
+}
+
+func (tc *TopicClient) post(item *posting, done func(answer gateway.Answer)) {
+	name, topic, body := item.name, item.topic, item.body
+	tc.say(func(request uint64) any {
+		return gateway.Publish{
+			Request: request, RequestName: fmt.Sprintf("%s/%d", name.Sender, name.Seq), Origin: tc.Name, Sender: tc.Name,
+			Topic: topic, Seq: name.Seq, Data: []byte(body),
+		}
+	}, done)
+}
+
+// resend sends an accepted number again while that must be acknowledged.
+func (tc *TopicClient) resend(item *posting) {
+	simulation, accepted := tc.simulation, tc.simulation.Now
+	simulation.After(simulation.between(0, accountableSpan*8/10), func() {
+		if !tc.connected || tc.Gone {
+			return
+		}
+		tc.post(item, func(answer gateway.Answer) {
+			if answer.Outcome == gateway.OutcomeRefused && answer.RetryAfter == 0 && answer.Code != "no-such-space" && simulation.Now.Sub(accepted) < accountableSpan {
+				simulation.Checker.Resent(item.name, answer.Code)
+			}
+		})
+	})
+}
--- a/internal/swell/topics.go
+++ b/internal/simulator/topics.go
@@ -2,7 +2,7 @@
 // topics, publish, come and go, the faults that strike such callers, and the
 // faults of their users that close a run. At the end new callers take up places
 // that others were given before.
-package swell
+package simulator
 
 import (
 	"fmt"
@@ -10,10 +10,10 @@
 	"slices"
 	"time"
 
-	"dahlialock/internal/beacon"
-	"dahlialock/internal/helm"
-	"dahlialock/internal/oracle"
-	"dahlialock/internal/squall"
+	"dahlialock/internal/checker"
+	"dahlialock/internal/faults"
+	"dahlialock/internal/membership"
+	"dahlialock/internal/statemachine"
 )
 
 const (
@@ -46,10 +46,10 @@
 // topicWorld is what a run with routed topics holds beside its callers.
 type topicWorld struct {
 	topics []string
-	saved  []oracle.Saved
+	saved  []checker.Saved
 	given  int
 	// early are the first places of the hot topic.
-	early []oracle.Saved
+	early []checker.Saved
 	// away lists the fleeting prefixes that are not led anywhere now.
 	away map[string]bool
 	// crowdAt is when the usual callers came; steady, that they keep what they
@@ -86,19 +86,19 @@
 func onceTopic(number int) string { return fmt.Sprintf("board.once.%d", number) }
 
 // onceNow is the one of them that is sent to now, if there is one.
-func (swell *Swell) onceNow() string {
-	number := int(swell.Now.Sub(swell.world.crowdAt) / onceFor)
-	if swell.world.crowdAt.IsZero() || number >= onceCount {
+func (s *Simulation) onceNow() string {
+	number := int(s.Now.Sub(s.world.crowdAt) / onceFor)
+	if s.world.crowdAt.IsZero() || number >= onceCount {
 		return ""
 	}
 	return onceTopic(number)
 }
 
 // routes lists what leads somewhere at present.
-func (world *topicWorld) routes() []topicRoute {
+func (tw *topicWorld) routes() []topicRoute {
 	routes := slices.Clone(topicRoutes)
 	for _, each := range fleeting {
-		if !world.away[each.prefix] {
+		if !tw.away[each.prefix] {
 			routes = append(routes, each)
 		}
 	}
@@ -114,15 +114,15 @@
 }
 
 // save notes some of the cursors that callers are given.
-func (swell *Swell) save(each *taken) {
-	world := swell.world
+func (s *Simulation) save(each *taken) {
+	world := s.world
 	if each.entry == nil || each.entry.Ended() || each.cursor == "" {
 		return
 	}
 	world.given++
-	saved := oracle.Saved{Topic: each.topic, Cursor: each.cursor, After: each.after, At: swell.Now}
+	saved := checker.Saved{Topic: each.topic, Cursor: each.cursor, After: each.after, At: s.Now}
 	if each.topic == world.hot {
-		// Only the first places are taken up, each on another lantern perhaps.
+		// Only the first places are taken up, each on another gateway perhaps.
 		if len(world.early) < 3 {
 			world.early = append(world.early, saved)
 		}
@@ -130,193 +130,193 @@
 	}
 	if len(world.saved) < savedMost {
 		world.saved = append(world.saved, saved)
-	} else if place := swell.Random.IntN(world.given); place < savedMost {
+	} else if place := s.Random.IntN(world.given); place < savedMost {
 		world.saved[place] = saved
 	}
 }
 
 // prepareTopics starts a fleet whose configuration routes topics.
-func prepareTopics(seed uint64, size Size, apart time.Duration, trace func(line string)) (*Swell, *Operator) {
-	swell := New(seed, size)
-	swell.world = newTopicWorld(size)
+func prepareTopics(seed uint64, size Size, apart time.Duration, trace func(line string)) (*Simulation, *Operator) {
+	simulation := New(seed, size)
+	simulation.world = newTopicWorld(size)
 	for _, each := range append(slices.Clone(topicRoutes), fleeting...) {
-		swell.Oracle.Route(each.prefix, each.kept, oracle.Holding)
+		simulation.Checker.Route(each.prefix, each.kept, checker.Holding)
 	}
-	operator := swell.begin(apart, trace)
-	swell.probe()
-	return swell, operator
+	operator := simulation.begin(apart, trace)
+	simulation.probe()
+	return simulation, operator
 }
 
 // TopicCrowd adds the usual callers of routed topics, one that calls each of the
-// first lanterns itself, and what they do all along.
-func (swell *Swell) TopicCrowd(count int) {
-	swell.world.crowdAt = swell.Now
+// first gateways itself, and what they do all along.
+func (s *Simulation) TopicCrowd(count int) {
+	s.world.crowdAt = s.Now
 	for number := range count {
-		client := swell.AddTopicClient(fmt.Sprintf("caller-%d", number), number%swell.Size.Places)
+		client := s.AddTopicClient(fmt.Sprintf("caller-%d", number), number%s.Size.Places)
 		client.settleIn(number)
 	}
-	for number, node := range swell.Nodes(beacon.KindLantern)[:3] {
-		client := swell.AddTopicClient(fmt.Sprintf("prober-%d", number), node.Place)
+	for number, node := range s.Nodes(membership.KindGateway)[:3] {
+		client := s.AddTopicClient(fmt.Sprintf("prober-%d", number), node.Place)
 		client.fixed, client.unjudged = node, true
 		client.probes()
 	}
 }
 
 // settleIn gives a caller its topics and habits.
-func (client *TopicClient) settleIn(number int) {
-	swell := client.swell
-	topics := swell.world.topics
+func (tc *TopicClient) settleIn(number int) {
+	simulation := tc.simulation
+	topics := simulation.world.topics
 	for range 3 + number%2 {
-		topic := topics[swell.Random.IntN(len(topics))]
-		client.topics[topic] = &taken{topic: topic}
+		topic := topics[simulation.Random.IntN(len(topics))]
+		tc.topics[topic] = &taken{topic: topic}
 	}
 	if number%4 == 3 {
-		client.pipeline = 8
+		tc.pipeline = 8
 	}
 	once := onceTopic(number % onceCount)
-	client.topics[once] = &taken{topic: once}
-	client.publishes(180 * time.Millisecond)
-	if hot := swell.world.hot; hot != "" {
-		// Most lanterns have nobody who holds it.
+	tc.topics[once] = &taken{topic: once}
+	tc.publishes(180 * time.Millisecond)
+	if hot := simulation.world.hot; hot != "" {
+		// Most gateways have nobody who holds it.
 		if number < 2 {
-			client.topics[hot] = &taken{topic: hot}
+			tc.topics[hot] = &taken{topic: hot}
 		}
 		if number == 3 {
-			client.floods(hot)
+			tc.floods(hot)
 		}
 	}
-	client.wanders()
+	tc.wanders()
 }
 
 // floods lets a caller send to one topic as fast as it is answered.
-func (client *TopicClient) floods(topic string) {
-	client.swell.After(30*time.Millisecond, func() {
-		if client.Gone || client.stopped {
+func (tc *TopicClient) floods(topic string) {
+	tc.simulation.After(30*time.Millisecond, func() {
+		if tc.Gone || tc.stopped {
 			return
 		}
-		client.publish(topic)
-		client.floods(topic)
+		tc.publish(topic)
+		tc.floods(topic)
 	})
 }
 
 // publishes lets a caller publish all along, now and then a burst.
-func (client *TopicClient) publishes(every time.Duration) {
-	swell := client.swell
-	swell.After(every/2+swell.between(0, every), func() {
-		if client.Gone || client.stopped {
+func (tc *TopicClient) publishes(every time.Duration) {
+	simulation := tc.simulation
+	simulation.After(every/2+simulation.between(0, every), func() {
+		if tc.Gone || tc.stopped {
 			return
 		}
-		topics := swell.world.topics
-		topic := topics[swell.Random.IntN(len(topics))]
-		if once := swell.onceNow(); once != "" && swell.Random.IntN(10) == 0 {
+		topics := simulation.world.topics
+		topic := topics[simulation.Random.IntN(len(topics))]
+		if once := simulation.onceNow(); once != "" && simulation.Random.IntN(10) == 0 {
 			topic = once
 		}
 		burst := 1
-		if client.pipeline > 1 && swell.Random.IntN(3) == 0 {
-			burst = 1 + swell.Random.IntN(client.pipeline)
+		if tc.pipeline > 1 && simulation.Random.IntN(3) == 0 {
+			burst = 1 + simulation.Random.IntN(tc.pipeline)
 		}
 		for range burst {
-			client.publish(topic)
+			tc.publish(topic)
 		}
-		client.publishes(every)
+		tc.publishes(every)
 	})
 }
 
 // wanders lets a caller take up and drop topics, ask for counts, and go away for
 // a time.
-func (client *TopicClient) wanders() {
-	swell := client.swell
-	swell.After(swell.between(500*time.Millisecond, 2500*time.Millisecond), func() {
-		if client.Gone || client.stopped {
+func (tc *TopicClient) wanders() {
+	simulation := tc.simulation
+	simulation.After(simulation.between(500*time.Millisecond, 2500*time.Millisecond), func() {
+		if tc.Gone || tc.stopped {
 			return
 		}
-		client.wanders()
-		topics := swell.world.topics
-		topic := topics[swell.Random.IntN(len(topics))]
-		kind := swell.Random.IntN(8)
-		if swell.world.steady {
+		tc.wanders()
+		topics := simulation.world.topics
+		topic := topics[simulation.Random.IntN(len(topics))]
+		kind := simulation.Random.IntN(8)
+		if simulation.world.steady {
 			kind = 7
 		}
 		switch kind {
 		case 0, 1:
 			var held []string
-			for name, each := range helm.Sorted(client.topics) {
+			for name, each := range statemachine.Sorted(tc.topics) {
 				if !each.leaving {
 					held = append(held, name)
 				}
 			}
 			if len(held) > 2 {
-				client.drop(held[swell.Random.IntN(len(held))])
+				tc.drop(held[simulation.Random.IntN(len(held))])
 			}
-			client.take(topic)
+			tc.take(topic)
 		case 2:
-			if client.connected {
-				client.Away(swell.Random.IntN(2) == 0, swell.between(300*time.Millisecond, 8*time.Second))
+			if tc.connected {
+				tc.Away(simulation.Random.IntN(2) == 0, simulation.between(300*time.Millisecond, 8*time.Second))
 			}
 		default:
-			client.count(topic)
+			tc.count(topic)
 		}
 	})
 }
 
-// probes lets a caller that calls one lantern itself ask for what was just added
+// probes lets a caller that calls one gateway itself ask for what was just added
 // or removed, or never was.
-func (client *TopicClient) probes() {
-	swell := client.swell
-	swell.After(swell.between(100*time.Millisecond, 500*time.Millisecond), func() {
-		if client.Gone || client.stopped {
+func (tc *TopicClient) probes() {
+	simulation := tc.simulation
+	simulation.After(simulation.between(100*time.Millisecond, 500*time.Millisecond), func() {
+		if tc.Gone || tc.stopped {
 			return
 		}
-		client.probes()
+		tc.probes()
 		topics := []string{"guest.a", "guest.b", "flash.a", "nowhere.a"}
-		topic := topics[swell.Random.IntN(len(topics))]
-		switch swell.Random.IntN(4) {
+		topic := topics[simulation.Random.IntN(len(topics))]
+		switch simulation.Random.IntN(4) {
 		case 0:
-			client.count(topic)
+			tc.count(topic)
 		case 1:
-			if present, found := client.topics[topic]; found && swell.Random.IntN(3) == 0 || found && present.entry != nil && present.entry.Ended() {
-				client.drop(topic)
+			if present, found := tc.topics[topic]; found && simulation.Random.IntN(3) == 0 || found && present.entry != nil && present.entry.Ended() {
+				tc.drop(topic)
 			} else {
-				client.take(topic)
+				tc.take(topic)
 			}
 		default:
-			client.publish(topic)
+			tc.publish(topic)
 		}
 	})
 }
 
 // RunTopics runs a plot with callers of routed topics.
-func RunTopics(seed uint64, size Size, plot TopicPlot, trace func(line string)) *Swell {
-	swell, operator := prepareTopics(seed, size, plot.Apart, trace)
-	swell.world.steady, swell.world.hot = plot.Steady, plot.Hot
-	swell.TopicCrowd(size.Callers)
-	swell.Run(2 * time.Second)
+func RunTopics(seed uint64, size Size, plot TopicPlot, trace func(line string)) *Simulation {
+	simulation, operator := prepareTopics(seed, size, plot.Apart, trace)
+	simulation.world.steady, simulation.world.hot = plot.Steady, plot.Hot
+	simulation.TopicCrowd(size.Callers)
+	simulation.Run(2 * time.Second)
 	if plot.Changes {
-		operator.work(swell.Now.Add(topicStorm + 20*time.Second))
+		operator.work(simulation.Now.Add(topicStorm + 20*time.Second))
 	}
-	swell.trouble = swell.Now.Add(-oracle.TroubleFor)
-	swell.trace("storm: %s; last %s", squall.Format(plot.Storm), plot.Last)
+	simulation.trouble = simulation.Now.Add(-checker.TroubleFor)
+	simulation.trace("storm: %s; last %s", faults.Format(plot.Storm), plot.Last)
 	for _, fault := range plot.Storm {
-		swell.After(fault.Start, func() { swell.bring(fault) })
+		simulation.After(fault.Start, func() { simulation.bring(fault) })
 	}
-	swell.Run(topicStorm)
-	if !swell.RunUntil(60*time.Second, func() bool { return swell.open == 0 }) {
-		swell.Oracle.Violate(oracle.NotBack, "a fault has not come to its end after a minute")
+	simulation.Run(topicStorm)
+	if !simulation.RunUntil(60*time.Second, func() bool { return simulation.open == 0 }) {
+		simulation.Checker.Violate(checker.NotBack, "a fault has not come to its end after a minute")
 	}
 	if len(plot.Storm) > 0 {
-		swell.Run(oracle.TroubleFor + 4*time.Second)
+		simulation.Run(checker.TroubleFor + 4*time.Second)
 	}
 	if plot.Last != "" {
-		swell.closing(plot.Last)
-		swell.Run(oracle.TroubleFor + 2*time.Second)
+		simulation.closing(plot.Last)
+		simulation.Run(checker.TroubleFor + 2*time.Second)
 	}
-	swell.closeTopics()
-	return swell
+	simulation.closeTopics()
+	return simulation
 }
 
 // TopicPlot is what befalls a run with routed topics.
 type TopicPlot struct {
-	Storm   []squall.Fault
+	Storm   []faults.Fault
 	Last    string
 	Apart   time.Duration
 	Changes bool
@@ -324,7 +324,7 @@
 	// fetch brings.
 	Hot string
 	// Steady callers neither take up nor drop anything nor go away, so that nothing
-	// of theirs mends what a lantern was not told.
+	// of theirs mends what a gateway was not told.
 	Steady bool
 }
 
@@ -334,27 +334,27 @@
 var TopicLast = []string{"power-off", "power-off-and-wipe", "kill-all"}
 
 // closing brings a closing fault about as soon as a configuration is taken.
-func (swell *Swell) closing(name string) {
-	swell.trace("closing fault: %s", name)
-	swell.open++
+func (s *Simulation) closing(name string) {
+	s.trace("closing fault: %s", name)
+	s.open++
 	taken := false
-	swell.operator.next(func() { taken = true })
-	if !swell.RunUntil(10*time.Second, func() bool { return taken }) {
-		swell.Oracle.Violate(oracle.NotBack, "no configuration was taken in 10 s of calm")
+	s.operator.next(func() { taken = true })
+	if !s.RunUntil(10*time.Second, func() bool { return taken }) {
+		s.Checker.Violate(checker.NotBack, "no configuration was taken in 10 s of calm")
 	}
-	accepted := swell.Oracle.Accepted
-	swell.RunUntil(time.Second, func() bool { return swell.Oracle.Accepted > accepted })
+	accepted := s.Checker.Accepted
+	s.RunUntil(time.Second, func() bool { return s.Checker.Accepted > accepted })
 	var lost *Node
 	switch name {
 	case "power-off", "kill-all":
 	case "power-off-and-wipe":
-		kinds := []string{beacon.KindKeeper, beacon.KindPilot}
-		lost = swell.pickUp(kinds[swell.Random.IntN(len(kinds))])
+		kinds := []string{membership.KindStore, membership.KindController}
+		lost = s.pickUp(kinds[s.Random.IntN(len(kinds))])
 	default:
-		swell.strikeLast(name)
+		s.strikeLast(name)
 	}
 	if slices.Contains(TopicLast, name) {
-		for _, node := range swell.Nodes("") {
+		for _, node := range s.Nodes("") {
 			if !node.Up {
 				continue
 			}
@@ -366,24 +366,24 @@
 			if node == lost {
 				node.Wipe()
 			}
-			swell.After(swell.between(300*time.Millisecond, 1500*time.Millisecond), node.Start)
+			s.After(s.between(300*time.Millisecond, 1500*time.Millisecond), node.Start)
 		}
 	}
-	swell.ServiceBack(name)
-	swell.open--
-	swell.trouble = swell.Now
+	s.ServiceBack(name)
+	s.open--
+	s.trouble = s.Now
 }
 
 // closeTopics ends publications, lets new callers take up places that others
 // were given, and closes the book.
-func (swell *Swell) closeTopics() {
-	swell.Run(2 * time.Second)
-	for _, client := range swell.topicClients {
+func (s *Simulation) closeTopics() {
+	s.Run(2 * time.Second)
+	for _, client := range s.topicClients {
 		client.stopped = true
 	}
-	swell.Run(2 * time.Second)
+	s.Run(2 * time.Second)
 	// Callers who are away come back to what is owed to them.
-	for _, client := range swell.topicClients {
+	for _, client := range s.topicClients {
 		client.stopped = true
 		if client.fixed != nil {
 			client.leave()
@@ -391,36 +391,36 @@
 			client.later(0)
 		}
 	}
-	swell.Run(2 * time.Second)
-	swell.Oracle.AllBrought(swell.Now)
-	swell.takeSaved()
-	reads := swell.operator.reads
+	s.Run(2 * time.Second)
+	s.Checker.AllBrought(s.Now)
+	s.takeSaved()
+	reads := s.operator.reads
 	for number := range 8 {
-		swell.After(time.Duration(number)*500*time.Millisecond, swell.operator.read)
+		s.After(time.Duration(number)*500*time.Millisecond, s.operator.read)
 	}
-	swell.Run(4 * time.Second)
-	if swell.operator.reads == reads {
-		swell.Oracle.Violate(oracle.StaleRead, "the configuration does not come back at the end")
+	s.Run(4 * time.Second)
+	if s.operator.reads == reads {
+		s.Checker.Violate(checker.StaleRead, "the configuration does not come back at the end")
 	}
-	for _, client := range swell.topicClients {
+	for _, client := range s.topicClients {
 		if !client.Gone && !client.holds() {
-			swell.Oracle.Violate(oracle.NotBack, "%s is still not served at the end", client.Name)
+			s.Checker.Violate(checker.NotBack, "%s is still not served at the end", client.Name)
 		}
 	}
-	swell.describe()
-	swell.Oracle.Close(swell.Now)
+	s.describe()
+	s.Checker.Close(s.Now)
 }
 
 // takeSaved lets new callers take up the places that were saved.
-func (swell *Swell) takeSaved() {
-	random := rand.New(rand.NewPCG(swell.Seed, 0x7a4e))
-	saved := slices.Clone(swell.world.saved)
+func (s *Simulation) takeSaved() {
+	random := rand.New(rand.NewPCG(s.Seed, 0x7a4e))
+	saved := slices.Clone(s.world.saved)
 	random.Shuffle(len(saved), func(left, right int) { saved[left], saved[right] = saved[right], saved[left] })
-	saved = append(slices.Clone(swell.world.early), saved...)
+	saved = append(slices.Clone(s.world.early), saved...)
 	var takers []*TopicClient
 	for position := range saved {
 		place := saved[position]
-		if swell.world.away[swell.fleetingOf(place.Topic)] {
+		if s.world.away[s.fleetingOf(place.Topic)] {
 			continue
 		}
 		chosen := slices.IndexFunc(takers, func(taker *TopicClient) bool {
@@ -429,18 +429,18 @@
 		})
 		if chosen < 0 {
 			chosen = len(takers)
-			takers = append(takers, swell.AddTopicClient(fmt.Sprintf("taker-%d", chosen), chosen%swell.Size.Places))
+			takers = append(takers, s.AddTopicClient(fmt.Sprintf("taker-%d", chosen), chosen%s.Size.Places))
 		}
 		taker := takers[chosen]
 		taker.stopped = true
 		taker.topics[place.Topic] = &taken{
-			topic: place.Topic, cursor: place.Cursor, after: place.After, entry: swell.Oracle.Subscribing(taker.Name, place.Topic, &place),
+			topic: place.Topic, cursor: place.Cursor, after: place.After, entry: s.Checker.Subscribing(taker.Name, place.Topic, &place),
 		}
 	}
 }
 
 // fleetingOf is the fleeting prefix of a topic, if it has one.
-func (swell *Swell) fleetingOf(topic string) string {
+func (s *Simulation) fleetingOf(topic string) string {
 	for _, each := range fleeting {
 		if len(topic) > len(each.prefix) && topic[:len(each.prefix)] == each.prefix {
 			return each.prefix
@@ -450,54 +450,54 @@
 }
 
 // change takes a fleeting route away, or brings it back.
-func (swell *Swell) change(prefix string, away bool, done func()) {
-	swell.world.away[prefix] = away
-	swell.operator.next(done)
+func (s *Simulation) change(prefix string, away bool, done func()) {
+	s.world.away[prefix] = away
+	s.operator.next(done)
 }
 
 // topicBrought are the faults that strike callers, as callers of routed topics
 // are struck by them.
 var topicBrought = map[string]bringer{
-	"resets": func(swell *Swell, fault squall.Fault, end func()) {
-		for _, client := range swell.topicClients {
-			if swell.Random.IntN(5) > 0 && client.connected {
-				client.Away(true, swell.between(0, 400*time.Millisecond))
+	"resets": func(simulation *Simulation, fault faults.Fault, end func()) {
+		for _, client := range simulation.topicClients {
+			if simulation.Random.IntN(5) > 0 && client.connected {
+				client.Away(true, simulation.between(0, 400*time.Millisecond))
 			}
 		}
-		over(fault, swell, end, func() {})
+		over(fault, simulation, end, func() {})
 	},
-	"vanish": func(swell *Swell, fault squall.Fault, end func()) {
-		client := swell.topicClients[fault.Pick%uint64(len(swell.topicClients))]
+	"vanish": func(simulation *Simulation, fault faults.Fault, end func()) {
+		client := simulation.topicClients[fault.Pick%uint64(len(simulation.topicClients))]
 		client.Away(fault.Pick%3 == 0, fault.Length*4)
-		swell.After(fault.Length*4, end)
+		simulation.After(fault.Length*4, end)
 	},
-	"wander": func(swell *Swell, fault squall.Fault, end func()) {
-		for _, client := range swell.topicClients {
-			if swell.Random.IntN(3) == 0 && client.connected {
-				client.Place = swell.Random.IntN(swell.Size.Places)
-				client.Away(true, swell.between(0, 50*time.Millisecond))
+	"wander": func(simulation *Simulation, fault faults.Fault, end func()) {
+		for _, client := range simulation.topicClients {
+			if simulation.Random.IntN(3) == 0 && client.connected {
+				client.Place = simulation.Random.IntN(simulation.Size.Places)
+				client.Away(true, simulation.between(0, 50*time.Millisecond))
 			}
 		}
-		over(fault, swell, end, func() {})
+		over(fault, simulation, end, func() {})
 	},
-	"crowd": func(swell *Swell, fault squall.Fault, end func()) {
+	"crowd": func(simulation *Simulation, fault faults.Fault, end func()) {
 		var crowd []*TopicClient
-		for number := range swell.Size.Callers {
-			client := swell.AddTopicClient(fmt.Sprintf("crowd-%d-%d", fault.Pick, len(swell.topicClients)), number%swell.Size.Places, "board.0", "board.1", "halt.0")
+		for number := range simulation.Size.Callers {
+			client := simulation.AddTopicClient(fmt.Sprintf("crowd-%d-%d", fault.Pick, len(simulation.topicClients)), number%simulation.Size.Places, "board.0", "board.1", "halt.0")
 			client.publishes(time.Second)
 			crowd = append(crowd, client)
 		}
-		over(fault, swell, end, func() {
+		over(fault, simulation, end, func() {
 			for _, client := range crowd {
 				client.leave()
 			}
 		})
 	},
-	"rolling": func(swell *Swell, fault squall.Fault, end func()) {
+	"rolling": func(simulation *Simulation, fault faults.Fault, end func()) {
 		// The platform waits a moment between two machines, and for nothing else.
-		kinds := []string{beacon.KindPilot, beacon.KindKeeper, beacon.KindTender, beacon.KindLantern}
-		nodes := swell.Nodes(kinds[fault.Pick%4])
-		gap := swell.between(time.Second, 1300*time.Millisecond)
+		kinds := []string{membership.KindController, membership.KindStore, membership.KindAgent, membership.KindGateway}
+		nodes := simulation.Nodes(kinds[fault.Pick%4])
+		gap := simulation.between(time.Second, 1300*time.Millisecond)
 		var next func()
 		next = func() {
 			if len(nodes) == 0 {
@@ -506,20 +506,20 @@
 			}
 			node := nodes[0]
 			nodes = nodes[1:]
-			swell.again(node, 100*time.Millisecond, func() { swell.After(gap, next) })
+			simulation.again(node, 100*time.Millisecond, func() { simulation.After(gap, next) })
 		}
 		next()
 	},
-	"space": func(swell *Swell, fault squall.Fault, end func()) {
+	"space": func(simulation *Simulation, fault faults.Fault, end func()) {
 		prefix := fleeting[fault.Pick%uint64(len(fleeting))].prefix
-		if swell.world.away[prefix] {
+		if simulation.world.away[prefix] {
 			end()
 			return
 		}
-		swell.change(prefix, true, func() {})
-		swell.After(4*time.Second+fault.Length, func() {
-			swell.change(prefix, false, func() {})
-			swell.After(4*time.Second, end)
+		simulation.change(prefix, true, func() {})
+		simulation.After(4*time.Second+fault.Length, func() {
+			simulation.change(prefix, false, func() {})
+			simulation.After(4*time.Second, end)
 		})
 	},
 }
@@ -527,8 +527,8 @@
 // drawTopicPlot draws the plot of a seed.
 func drawTopicPlot(seed uint64, names []string, count int) TopicPlot {
 	random := rand.New(rand.NewPCG(seed, 0x70b1))
-	plot := TopicPlot{Storm: squall.Draw(random, names, topicStorm, count), Changes: true}
-	last := append(slices.Clone(TopicLast), squall.Last...)
+	plot := TopicPlot{Storm: faults.Draw(random, names, topicStorm, count), Changes: true}
+	last := append(slices.Clone(TopicLast), faults.Last...)
 	if random.IntN(2) == 0 {
 		plot.Last = last[random.IntN(len(last))]
 	}
@@ -549,22 +549,22 @@
 		{Name: "topics-calm", Topics: func(uint64) TopicPlot { return TopicPlot{} }},
 		{Name: "topics-configurations", Topics: func(uint64) TopicPlot { return TopicPlot{Changes: true} }},
 		{Name: "topics-pairs", Topics: pairTopicPlot},
-		{Name: "topics-storm", Topics: func(seed uint64) TopicPlot { return drawTopicPlot(seed, squall.Names, 8) }},
+		{Name: "topics-storm", Topics: func(seed uint64) TopicPlot { return drawTopicPlot(seed, faults.Names, 8) }},
 	}
 	found = append(found, Scenario{Name: "topics-steady", Topics: func(seed uint64) TopicPlot {
-		plot := drawTopicPlot(seed, []string{"relink", "cut-one-way", "restart-lantern", "loss"}, 8)
+		plot := drawTopicPlot(seed, []string{"relink", "cut-one-way", "restart-gateway", "loss"}, 8)
 		plot.Last, plot.Steady, plot.Changes = "", true, false
 		return plot
 	}})
 	found = append(found, Scenario{Name: "topics-hot", Topics: func(seed uint64) TopicPlot {
-		plot := drawTopicPlot(seed, []string{"resets", "kill-keeper", "freeze-keeper", "vanish", "restart-lantern", "slow-daemon"}, 6)
+		plot := drawTopicPlot(seed, []string{"resets", "kill-store", "freeze-store", "vanish", "restart-gateway", "slow-daemon"}, 6)
 		plot.Last, plot.Hot = "", "board.hot"
 		return plot
 	}})
-	for _, name := range squall.Names {
+	for _, name := range faults.Names {
 		found = append(found, Scenario{Name: "topics-" + name, Topics: func(seed uint64) TopicPlot { return drawTopicPlot(seed, []string{name}, 3) }})
 	}
-	for _, name := range append(slices.Clone(TopicLast), squall.Last...) {
+	for _, name := range append(slices.Clone(TopicLast), faults.Last...) {
 		found = append(found, Scenario{Name: "topics-last-" + name, Topics: func(uint64) TopicPlot { return TopicPlot{Last: name} }})
 	}
 	return found
--- a/internal/helm/mutation.go
+++ b/internal/statemachine/mutation.go
@@ -1,10 +1,10 @@
 //go:build mutation
 
 // Mutations are mechanisms that a test takes away to see that the promise which
-// they keep is then broken, and that the oracle sees it. This file is part of
+// they keep is then broken, and that the checker sees it. This file is part of
 // builds with the tag mutation only, as the tests use it; a released daemon
 // holds none.
-package helm
+package statemachine
 
 var mutation string
 
--- a/internal/helm/helm.go
+++ b/internal/statemachine/statemachine.go
@@ -1,9 +1,9 @@
-// Package helm holds the contract between every protocol part and the world.
+// Package statemachine holds the contract between every protocol part and the world.
 // A machine is a deterministic state machine with a single owner: it is given
 // the time, messages, commands and due timers, and it answers with effects
 // only. It holds no clock, socket, disk or random source; those are adapters
 // around it, so that the daemons and the simulator run the very same code.
-package helm
+package statemachine
 
 import (
 	"time"
@@ -34,17 +34,17 @@
 }
 
 // Whole gives the frame of a write, if it has one.
-func (write Write) Whole() ([]byte, bool) {
-	if write.Pack != nil {
-		return write.Pack(), true
+func (w Write) Whole() ([]byte, bool) {
+	if w.Pack != nil {
+		return w.Pack(), true
 	}
-	return write.Frame, write.Frame != nil
+	return w.Frame, w.Frame != nil
 }
 
-// Return is the final answer to a visit that an adapter brought in.
+// Return is the final answer to a request that an adapter brought in.
 type Return struct {
-	Visit uint64
-	Value any
+	Request uint64
+	Value   any
 }
 
 // Deliver hands an event to the writer of one channel; Close ends it after.
@@ -71,35 +71,35 @@
 }
 
 // Send appends a message to be sent on.
-func (effects *Effects) Send(to string, message any) {
+func (e *Effects) Send(to string, message any) {
 	if to == "" {
 		return
 	}
-	effects.Sends = append(effects.Sends, Send{To: to, Message: message})
+	e.Sends = append(e.Sends, Send{To: to, Message: message})
 }
 
 // Append adds what another step asked of the world.
-func (effects *Effects) Append(later Effects) {
-	effects.Sends = append(effects.Sends, later.Sends...)
-	effects.Writes = append(effects.Writes, later.Writes...)
-	effects.Returns = append(effects.Returns, later.Returns...)
-	effects.Delivers = append(effects.Delivers, later.Delivers...)
-	effects.Notes = append(effects.Notes, later.Notes...)
-	effects.Stop = effects.Stop || later.Stop
+func (e *Effects) Append(later Effects) {
+	e.Sends = append(e.Sends, later.Sends...)
+	e.Writes = append(e.Writes, later.Writes...)
+	e.Returns = append(e.Returns, later.Returns...)
+	e.Delivers = append(e.Delivers, later.Delivers...)
+	e.Notes = append(e.Notes, later.Notes...)
+	e.Stop = e.Stop || later.Stop
 }
 
-// Return appends the answer to a visit.
-func (effects *Effects) Return(visit uint64, value any) {
-	effects.Returns = append(effects.Returns, Return{Visit: visit, Value: value})
+// Return appends the answer to a request.
+func (e *Effects) Return(request uint64, value any) {
+	e.Returns = append(e.Returns, Return{Request: request, Value: value})
 }
 
 // Note appends a log event; fields come in pairs of name and value.
-func (effects *Effects) Note(number int, fields ...any) {
+func (e *Effects) Note(number int, fields ...any) {
 	note := Note{Number: number, Fields: make(map[string]any, len(fields)/2)}
 	for index := 0; index+1 < len(fields); index += 2 {
 		note.Fields[fields[index].(string)] = fields[index+1]
 	}
-	effects.Notes = append(effects.Notes, note)
+	e.Notes = append(e.Notes, note)
 }
 
 // Synced tells a machine that a write with this token lasts.
--- a/internal/helm/timers.go
+++ b/internal/statemachine/timers.go
@@ -1,7 +1,7 @@
 // Timers names the moments at which a machine wants to run again. Keys are
 // kept with their moment, and expired keys come out in order of moment and
 // then of key, so that a run never depends on the order of a map.
-package helm
+package statemachine
 
 import (
 	"sort"
@@ -19,33 +19,33 @@
 }
 
 // Arm sets the moment of a key, in place of an earlier one.
-func (timers *Timers) Arm(key string, at time.Time) {
-	timers.moments[key] = at
+func (t *Timers) Arm(key string, at time.Time) {
+	t.moments[key] = at
 }
 
 // ArmSooner sets the moment unless an earlier one is already set.
-func (timers *Timers) ArmSooner(key string, at time.Time) {
-	if present, found := timers.moments[key]; found && !at.Before(present) {
+func (t *Timers) ArmSooner(key string, at time.Time) {
+	if present, found := t.moments[key]; found && !at.Before(present) {
 		return
 	}
-	timers.moments[key] = at
+	t.moments[key] = at
 }
 
 // Disarm forgets a key.
-func (timers *Timers) Disarm(key string) {
-	delete(timers.moments, key)
+func (t *Timers) Disarm(key string) {
+	delete(t.moments, key)
 }
 
 // Armed tells whether a key waits.
-func (timers *Timers) Armed(key string) bool {
-	_, found := timers.moments[key]
+func (t *Timers) Armed(key string) bool {
+	_, found := t.moments[key]
 	return found
 }
 
 // Next is the earliest moment, or the zero time if none is armed.
-func (timers *Timers) Next() time.Time {
+func (t *Timers) Next() time.Time {
 	var next time.Time
-	for _, at := range timers.moments {
+	for _, at := range t.moments {
 		if next.IsZero() || at.Before(next) {
 			next = at
 		}
@@ -54,22 +54,22 @@
 }
 
 // Expired takes out and returns the keys that are due.
-func (timers *Timers) Expired(now time.Time) []string {
+func (t *Timers) Expired(now time.Time) []string {
 	var keys []string
-	for key, at := range timers.moments {
+	for key, at := range t.moments {
 		if !at.After(now) {
 			keys = append(keys, key)
 		}
 	}
 	sort.Slice(keys, func(left, right int) bool {
-		leftAt, rightAt := timers.moments[keys[left]], timers.moments[keys[right]]
+		leftAt, rightAt := t.moments[keys[left]], t.moments[keys[right]]
 		if !leftAt.Equal(rightAt) {
 			return leftAt.Before(rightAt)
 		}
 		return keys[left] < keys[right]
 	})
 	for _, key := range keys {
-		delete(timers.moments, key)
+		delete(t.moments, key)
 	}
 	return keys
 }
--- a/internal/fleet/fleet.go
+++ b/internal/testfleet/testfleet.go
@@ -1,9 +1,9 @@
-// Package fleet starts a whole fleet on one machine as the platform would: each
+// Package testfleet starts a whole fleet on one machine as the platform would: each
 // daemon a plain process with its own settings file, TERM and then KILL after
-// six seconds, readiness asked every second. Localities are ranges of loopback
+// six seconds, readiness asked every second. Zones are ranges of loopback
 // addresses, and the delays between them are set through the daemons' trial
 // settings. It is a test tool; no daemon uses it.
-package fleet
+package testfleet
 
 import (
 	"encoding/json"
@@ -20,29 +20,29 @@
 	"syscall"
 	"time"
 
-	"dahlialock/internal/beacon"
+	"dahlialock/internal/membership"
 )
 
 // Deployment is the size of a fleet.
 type Deployment struct {
-	Name     string
-	Lanterns int
-	Keepers  int
-	Pilots   int
-	Places   int
-	Delay    time.Duration
-	Port     int
+	Name        string
+	Gateways    int
+	Stores      int
+	Controllers int
+	Places      int
+	Delay       time.Duration
+	Port        int
 }
 
 // Deployments are the two of the brief, and a small one for quick trials.
 var Deployments = map[string]Deployment{
-	"fjordlys": {Name: "fjordlys", Lanterns: 7, Keepers: 3, Pilots: 5, Places: 3, Delay: 500 * time.Microsecond, Port: 21000},
-	"qureshi":  {Name: "qureshi", Lanterns: 9, Keepers: 3, Pilots: 5, Places: 3, Delay: 1500 * time.Microsecond, Port: 22000},
-	"small":    {Name: "small", Lanterns: 3, Keepers: 3, Pilots: 3, Places: 3, Delay: 500 * time.Microsecond, Port: 23000},
+	"fjordlys": {Name: "fjordlys", Gateways: 7, Stores: 3, Controllers: 5, Places: 3, Delay: 500 * time.Microsecond, Port: 21000},
+	"qureshi":  {Name: "qureshi", Gateways: 9, Stores: 3, Controllers: 5, Places: 3, Delay: 1500 * time.Microsecond, Port: 22000},
+	"small":    {Name: "small", Gateways: 3, Stores: 3, Controllers: 3, Places: 3, Delay: 500 * time.Microsecond, Port: 23000},
 }
 
 // Key is the fleet's key in trials.
-const Key = "harbour-trial-key-0123456789"
+const Key = "fleetlab-trial-key-0123456789"
 
 // Trial is what is imposed on one daemon's links.
 type Trial struct {
@@ -58,7 +58,7 @@
 type Daemon struct {
 	Name     string
 	Kind     string
-	Locality string
+	Zone     string
 	Address  string
 	Control  string
 	Caller   string
@@ -86,10 +86,10 @@
 	names      []string
 }
 
-// Place is the name of a locality.
+// Place is the name of a zone.
 func Place(number int) string { return "zone-" + string(rune('a'+number)) }
 
-// Prefix is the range of addresses of a locality.
+// Prefix is the range of addresses of a zone.
 func Prefix(number int) string { return fmt.Sprintf("127.0.%d.", number+1) }
 
 // New lays out a fleet in a folder; binaries are in another.
@@ -100,21 +100,21 @@
 		port++
 		return fmt.Sprintf("%s%d:%d", Prefix(number), port%200+10, port)
 	}
-	var pilots, seeds []string
-	for number := range deployment.Pilots {
-		pilots = append(pilots, next(number%deployment.Places))
+	var controllers, seeds []string
+	for number := range deployment.Controllers {
+		controllers = append(controllers, next(number%deployment.Places))
 	}
-	seeds = pilots[:min(3, len(pilots))]
+	seeds = controllers[:min(3, len(controllers))]
 	spare := false
 	add := func(kind string, number int, address string, more map[string]any) *Daemon {
 		place := number % deployment.Places
 		daemon := &Daemon{
-			Name: fmt.Sprintf("%s-%d", kind, number+1), Kind: kind, Locality: Place(place), Address: address, Control: next(place),
+			Name: fmt.Sprintf("%s-%d", kind, number+1), Kind: kind, Zone: Place(place), Address: address, Control: next(place),
 			binary: filepath.Join(binaries, kind),
 		}
 		daemon.folder = filepath.Join(folder, daemon.Name)
 		daemon.settings = map[string]any{
-			"name": daemon.Name, "address": daemon.Address, "ctl": daemon.Control, "locality": daemon.Locality, "seeds": seeds,
+			"name": daemon.Name, "address": daemon.Address, "ctl": daemon.Control, "zone": daemon.Zone, "seeds": seeds,
 		}
 		daemon.base, daemon.imposed = Trial{Delays: fleet.delays(place)}, map[int]Trial{}
 		daemon.settings["trial"] = daemon.base
@@ -126,97 +126,97 @@
 		fleet.names = append(fleet.names, daemon.Name)
 		return daemon
 	}
-	addKeeper := func(number int) {
-		add(beacon.KindKeeper, number, next(number%deployment.Places), map[string]any{
-			"data": filepath.Join(folder, fmt.Sprintf("keeper-%d", number+1), "data"),
+	addStore := func(number int) {
+		add(membership.KindStore, number, next(number%deployment.Places), map[string]any{
+			"data": filepath.Join(folder, fmt.Sprintf("store-%d", number+1), "data"),
 		})
 	}
-	addPilot := func(number int, address string) {
-		add(beacon.KindPilot, number, address, map[string]any{
-			"pilots": deployment.Pilots, "data": filepath.Join(folder, fmt.Sprintf("pilot-%d", number+1), "data"),
+	addController := func(number int, address string) {
+		add(membership.KindController, number, address, map[string]any{
+			"controllers": deployment.Controllers, "data": filepath.Join(folder, fmt.Sprintf("controller-%d", number+1), "data"),
 		})
 	}
-	addLantern := func(number int) {
+	addGateway := func(number int) {
 		place := number % deployment.Places
-		lanternAddress, tenderAddress, callerAddress := next(place), next(place), next(place)
-		lantern := add(beacon.KindLantern, number, lanternAddress, map[string]any{"tender": tenderAddress, "caller": callerAddress, "key": Key})
-		lantern.Caller = callerAddress
-		add(beacon.KindTender, number, tenderAddress, map[string]any{"lantern": lanternAddress})
+		gatewayAddress, agentAddress, callerAddress := next(place), next(place), next(place)
+		gateway := add(membership.KindGateway, number, gatewayAddress, map[string]any{"agent": agentAddress, "caller": callerAddress, "key": Key})
+		gateway.Caller = callerAddress
+		add(membership.KindAgent, number, agentAddress, map[string]any{"gateway": gatewayAddress})
 	}
-	for number := range deployment.Pilots {
-		addPilot(number, pilots[number])
+	for number := range deployment.Controllers {
+		addController(number, controllers[number])
 	}
-	for number := range deployment.Keepers {
-		addKeeper(number)
+	for number := range deployment.Stores {
+		addStore(number)
 	}
-	for number := range deployment.Lanterns {
-		addLantern(number)
+	for number := range deployment.Gateways {
+		addGateway(number)
 	}
 	// Machines that are laid out and not started: a trial lets them join.
 	spare = true
 	for number := range Spares {
-		addPilot(deployment.Pilots+number, next((deployment.Pilots+number)%deployment.Places))
-		addKeeper(deployment.Keepers + number)
-		addLantern(deployment.Lanterns + number)
+		addController(deployment.Controllers+number, next((deployment.Controllers+number)%deployment.Places))
+		addStore(deployment.Stores + number)
+		addGateway(deployment.Gateways + number)
 	}
 	for _, daemon := range fleet.Daemons {
-		if fault := os.MkdirAll(daemon.folder, 0o755); fault != nil {
-			return nil, fault
+		if err := os.MkdirAll(daemon.folder, 0o755); err != nil {
+			return nil, err
 		}
-		if fault := daemon.writeSettings(); fault != nil {
-			return nil, fault
+		if err := daemon.writeSettings(); err != nil {
+			return nil, err
 		}
 	}
 	return fleet, nil
 }
 
-func (fleet *Fleet) delays(place int) map[string]string {
+func (f *Fleet) delays(place int) map[string]string {
 	delays := map[string]string{}
-	for other := range fleet.Deployment.Places {
-		if other != place && fleet.Deployment.Delay > 0 {
-			delays[Prefix(other)] = fleet.Deployment.Delay.String()
+	for other := range f.Deployment.Places {
+		if other != place && f.Deployment.Delay > 0 {
+			delays[Prefix(other)] = f.Deployment.Delay.String()
 		}
 	}
 	return delays
 }
 
-func (daemon *Daemon) settingsPath() string { return filepath.Join(daemon.folder, "props.json") }
+func (d *Daemon) settingsPath() string { return filepath.Join(d.folder, "settings.json") }
 
 // Settings is the text of a daemon's right settings.
-func (daemon *Daemon) Settings() string {
-	body, fault := json.MarshalIndent(daemon.settings, "", "  ")
-	if fault != nil {
-		panic(fault)
+func (d *Daemon) Settings() string {
+	body, err := json.MarshalIndent(d.settings, "", "  ")
+	if err != nil {
+		panic(err)
 	}
 	return string(body)
 }
 
-func (daemon *Daemon) writeSettings() error {
-	draft := daemon.settingsPath() + ".draft"
-	if fault := os.WriteFile(draft, []byte(daemon.Settings()), 0o644); fault != nil {
-		return fault
+func (d *Daemon) writeSettings() error {
+	draft := d.settingsPath() + ".draft"
+	if err := os.WriteFile(draft, []byte(d.Settings()), 0o644); err != nil {
+		return err
 	}
-	return os.Rename(draft, daemon.settingsPath())
+	return os.Rename(draft, d.settingsPath())
 }
 
 // Impose puts something on a daemon's links and disk, without a signal, until
 // Relieve takes just that away again; several may overlap.
-func (fleet *Fleet) Impose(name string, number int, trial Trial) error {
-	daemon := fleet.Daemons[name]
+func (f *Fleet) Impose(name string, number int, trial Trial) error {
+	daemon := f.Daemons[name]
 	daemon.imposed[number] = trial
-	return daemon.weather()
+	return daemon.impairment()
 }
 
 // Relieve takes away what Impose put on a daemon.
-func (fleet *Fleet) Relieve(name string, number int) error {
-	daemon := fleet.Daemons[name]
+func (f *Fleet) Relieve(name string, number int) error {
+	daemon := f.Daemons[name]
 	delete(daemon.imposed, number)
-	return daemon.weather()
+	return daemon.impairment()
 }
 
-func (daemon *Daemon) weather() error {
-	sum := Trial{Delays: maps.Clone(daemon.base.Delays), Loss: map[string]float64{}}
-	for _, each := range daemon.imposed {
+func (d *Daemon) impairment() error {
+	sum := Trial{Delays: maps.Clone(d.base.Delays), Loss: map[string]float64{}}
+	for _, each := range d.imposed {
 		maps.Copy(sum.Delays, each.Delays)
 		maps.Copy(sum.Loss, each.Loss)
 		sum.Cuts, sum.Mutes, sum.Deaf = append(sum.Cuts, each.Cuts...), append(sum.Mutes, each.Mutes...), append(sum.Deaf, each.Deaf...)
@@ -224,17 +224,17 @@
 			sum.Disk = each.Disk
 		}
 	}
-	daemon.settings["trial"] = sum
-	return daemon.writeSettings()
+	d.settings["trial"] = sum
+	return d.writeSettings()
 }
 
 // Spares is how many machines of each kind are laid out besides.
 const Spares = 2
 
 // Spare finds a machine of a kind that has not joined yet.
-func (fleet *Fleet) Spare(kind string) (*Daemon, bool) {
-	for _, name := range fleet.names {
-		if daemon := fleet.Daemons[name]; daemon.Kind == kind && !daemon.joined.Load() {
+func (f *Fleet) Spare(kind string) (*Daemon, bool) {
+	for _, name := range f.names {
+		if daemon := f.Daemons[name]; daemon.Kind == kind && !daemon.joined.Load() {
 			return daemon, true
 		}
 	}
@@ -242,22 +242,22 @@
 }
 
 // Edit changes a daemon's settings file to any text, without a signal.
-func (fleet *Fleet) Edit(name string, text []byte) error {
-	return os.WriteFile(fleet.Daemons[name].settingsPath(), text, 0o644)
+func (f *Fleet) Edit(name string, text []byte) error {
+	return os.WriteFile(f.Daemons[name].settingsPath(), text, 0o644)
 }
 
 // Vanish takes a daemon's settings file away.
-func (fleet *Fleet) Vanish(name string) error { return os.Remove(fleet.Daemons[name].settingsPath()) }
+func (f *Fleet) Vanish(name string) error { return os.Remove(f.Daemons[name].settingsPath()) }
 
 // Restore writes a daemon's right settings again.
-func (fleet *Fleet) Restore(name string) error { return fleet.Daemons[name].writeSettings() }
+func (f *Fleet) Restore(name string) error { return f.Daemons[name].writeSettings() }
 
 // Names lists the daemons that have joined, in the order in which they are
 // started.
-func (fleet *Fleet) Names() []string {
+func (f *Fleet) Names() []string {
 	var names []string
-	for _, name := range fleet.names {
-		if fleet.Daemons[name].joined.Load() {
+	for _, name := range f.names {
+		if f.Daemons[name].joined.Load() {
 			names = append(names, name)
 		}
 	}
@@ -265,29 +265,29 @@
 }
 
 // OfKind lists the daemons of one kind.
-func (fleet *Fleet) OfKind(kind string) []*Daemon {
+func (f *Fleet) OfKind(kind string) []*Daemon {
 	var found []*Daemon
-	for _, name := range fleet.Names() {
-		if fleet.Daemons[name].Kind == kind {
-			found = append(found, fleet.Daemons[name])
+	for _, name := range f.Names() {
+		if f.Daemons[name].Kind == kind {
+			found = append(found, f.Daemons[name])
 		}
 	}
 	return found
 }
 
 // Start starts one daemon.
-func (fleet *Fleet) Start(name string) error {
-	daemon := fleet.Daemons[name]
-	log, fault := os.OpenFile(filepath.Join(daemon.folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if fault != nil {
-		return fault
+func (f *Fleet) Start(name string) error {
+	daemon := f.Daemons[name]
+	log, err := os.OpenFile(filepath.Join(daemon.folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
 	}
 	defer func() { _ = log.Close() }()
-	command := exec.Command(daemon.binary, "-trial", "-props", daemon.settingsPath())
+	command := exec.Command(daemon.binary, "-trial", "-settings", daemon.settingsPath())
 	command.Stderr, command.Stdout = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if fault := command.Start(); fault != nil {
-		return fault
+	if err := command.Start(); err != nil {
+		return err
 	}
 	running := &life{command: command, exited: make(chan struct{})}
 	daemon.life.Store(running)
@@ -302,37 +302,37 @@
 
 // StartAll starts every daemon, if all addresses are free: two fleets on one
 // machine would take each other's daemons for their own.
-func (fleet *Fleet) StartAll() error {
-	for _, daemon := range fleet.Daemons {
+func (f *Fleet) StartAll() error {
+	for _, daemon := range f.Daemons {
 		for _, address := range []string{daemon.Address, daemon.Control, daemon.Caller} {
 			if address == "" {
 				continue
 			}
-			listener, fault := net.Listen("tcp", address)
-			if fault != nil {
-				return fault
+			listener, err := net.Listen("tcp", address)
+			if err != nil {
+				return err
 			}
 			_ = listener.Close()
 		}
 	}
-	for _, name := range fleet.Names() {
-		if fault := fleet.Start(name); fault != nil {
-			return fault
+	for _, name := range f.Names() {
+		if err := f.Start(name); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
 // Signal sends a signal to a daemon.
-func (fleet *Fleet) Signal(name string, signal syscall.Signal) {
-	if daemon := fleet.Daemons[name]; daemon.Running() {
+func (f *Fleet) Signal(name string, signal syscall.Signal) {
+	if daemon := f.Daemons[name]; daemon.Running() {
 		_ = daemon.life.Load().command.Process.Signal(signal)
 	}
 }
 
 // Running tells whether a daemon's process is there.
-func (daemon *Daemon) Running() bool {
-	running := daemon.life.Load()
+func (d *Daemon) Running() bool {
+	running := d.life.Load()
 	if running == nil {
 		return false
 	}
@@ -345,52 +345,52 @@
 }
 
 // Process is the daemon's process number.
-func (daemon *Daemon) Process() int { return daemon.life.Load().command.Process.Pid }
+func (d *Daemon) Process() int { return d.life.Load().command.Process.Pid }
 
 // Starts is how often it was started.
-func (daemon *Daemon) Starts() int64 { return daemon.starts.Load() }
+func (d *Daemon) Starts() int64 { return d.starts.Load() }
 
 // ExitCode is how the last process ended.
-func (daemon *Daemon) ExitCode() int {
-	running := daemon.life.Load()
+func (d *Daemon) ExitCode() int {
+	running := d.life.Load()
 	<-running.exited
 	return running.command.ProcessState.ExitCode()
 }
 
 // Kill ends a daemon at once.
-func (fleet *Fleet) Kill(name string) {
-	fleet.Signal(name, syscall.SIGKILL)
-	if running := fleet.Daemons[name].life.Load(); running != nil {
+func (f *Fleet) Kill(name string) {
+	f.Signal(name, syscall.SIGKILL)
+	if running := f.Daemons[name].life.Load(); running != nil {
 		<-running.exited
 	}
 }
 
 // Stop asks politely, and forcibly after six seconds; it tells how long it took
 // and whether force was needed.
-func (fleet *Fleet) Stop(name string) (time.Duration, bool) {
-	daemon := fleet.Daemons[name]
+func (f *Fleet) Stop(name string) (time.Duration, bool) {
+	daemon := f.Daemons[name]
 	if !daemon.Running() {
 		return 0, false
 	}
 	began := time.Now()
-	fleet.Signal(name, syscall.SIGTERM)
+	f.Signal(name, syscall.SIGTERM)
 	select {
 	case <-daemon.life.Load().exited:
 		return time.Since(began), false
 	case <-time.After(6 * time.Second):
-		fleet.Kill(name)
+		f.Kill(name)
 		return time.Since(began), true
 	}
 }
 
 // StopAll ends all daemons.
-func (fleet *Fleet) StopAll() {
+func (f *Fleet) StopAll() {
 	done := make(chan struct{})
-	names := fleet.Names()
+	names := f.Names()
 	for _, name := range names {
 		go func() {
-			fleet.Signal(name, syscall.SIGCONT)
-			fleet.Stop(name)
+			f.Signal(name, syscall.SIGCONT)
+			f.Stop(name)
 			done <- struct{}{}
 		}()
 	}
@@ -400,21 +400,21 @@
 }
 
 // Wipe empties a stopped daemon's data folder.
-func (fleet *Fleet) Wipe(name string) error {
-	return os.RemoveAll(filepath.Join(fleet.Daemons[name].folder, "data"))
+func (f *Fleet) Wipe(name string) error {
+	return os.RemoveAll(filepath.Join(f.Daemons[name].folder, "data"))
 }
 
 // LogPath is where a daemon logs.
-func (fleet *Fleet) LogPath(name string) string {
-	return filepath.Join(fleet.Daemons[name].folder, "log")
+func (f *Fleet) LogPath(name string) string {
+	return filepath.Join(f.Daemons[name].folder, "log")
 }
 
 var probe = &http.Client{Timeout: 900 * time.Millisecond, Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}}
 
 // Ready asks a daemon's readiness once.
-func (daemon *Daemon) Ready() bool {
-	response, fault := probe.Get("http://" + daemon.Control + "/ready")
-	if fault != nil {
+func (d *Daemon) Ready() bool {
+	response, err := probe.Get("http://" + d.Control + "/ready")
+	if err != nil {
 		return false
 	}
 	_ = response.Body.Close()
@@ -422,10 +422,10 @@
 }
 
 // Self reads a daemon's counters.
-func (daemon *Daemon) Self() (map[string]any, error) {
-	response, fault := probe.Get("http://" + daemon.Control + "/v1/self")
-	if fault != nil {
-		return nil, fault
+func (d *Daemon) Self() (map[string]any, error) {
+	response, err := probe.Get("http://" + d.Control + "/v1/self")
+	if err != nil {
+		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	var value map[string]any
@@ -433,12 +433,12 @@
 }
 
 // WaitReady waits until all the named daemons are ready.
-func (fleet *Fleet) WaitReady(limit time.Duration, names ...string) error {
+func (f *Fleet) WaitReady(limit time.Duration, names ...string) error {
 	until := time.Now().Add(limit)
 	for {
 		var missing []string
 		for _, name := range names {
-			if !fleet.Daemons[name].Ready() {
+			if !f.Daemons[name].Ready() {
 				missing = append(missing, name)
 			}
 		}
@@ -453,9 +453,9 @@
 }
 
 // ProcessorTime is the processor time that a daemon's process has used.
-func (daemon *Daemon) ProcessorTime() time.Duration {
-	body, fault := os.ReadFile(fmt.Sprintf("/proc/%d/stat", daemon.Process()))
-	if fault != nil {
+func (d *Daemon) ProcessorTime() time.Duration {
+	body, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", d.Process()))
+	if err != nil {
 		return 0
 	}
 	text := string(body)
--- a/internal/fleet/fleet_test.go
+++ b/internal/testfleet/testfleet_test.go
@@ -1,6 +1,6 @@
 // A small fleet of real processes, as a new user and the platform would meet
 // it: started, configured, used, given bad input, reloaded, stopped.
-package fleet
+package testfleet
 
 import (
 	"bytes"
@@ -23,8 +23,8 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"dahlialock/internal/caller"
-	"dahlialock/internal/mooring"
+	"dahlialock/internal/client"
+	"dahlialock/internal/httpapi"
 )
 
 const wide = 60 * time.Second
@@ -39,12 +39,12 @@
 	t.Helper()
 	binaries := t.TempDir()
 	build := exec.Command("go", "build", "-o", binaries, "../../cmd/...")
-	output, fault := build.CombinedOutput()
-	assert.NilError(t, fault, "%s", output)
+	output, err := build.CombinedOutput()
+	assert.NilError(t, err, "%s", output)
 	deployment := Deployments["small"]
 	deployment.Port = 24500
-	running, fault := New(deployment, t.TempDir(), binaries)
-	assert.NilError(t, fault)
+	running, err := New(deployment, t.TempDir(), binaries)
+	assert.NilError(t, err)
 	assert.NilError(t, running.StartAll())
 	t.Cleanup(running.StopAll)
 	assert.NilError(t, running.WaitReady(wide, running.Names()...))
@@ -52,28 +52,28 @@
 }
 
 // command runs one of our programs and gives its exit code and output.
-func (bench *bench) command(name string, arguments ...string) (int, string) {
-	command := exec.Command(filepath.Join(bench.binaries, name), arguments...)
-	output, fault := command.CombinedOutput()
+func (b *bench) command(name string, arguments ...string) (int, string) {
+	command := exec.Command(filepath.Join(b.binaries, name), arguments...)
+	output, err := command.CombinedOutput()
 	var exit *exec.ExitError
-	if fault != nil && !errors.As(fault, &exit) {
-		bench.t.Fatal(fault)
+	if err != nil && !errors.As(err, &exit) {
+		b.t.Fatal(err)
 	}
 	return command.ProcessState.ExitCode(), string(output)
 }
 
-func (bench *bench) file(text string) string {
-	path := filepath.Join(bench.t.TempDir(), "file.json")
-	assert.NilError(bench.t, os.WriteFile(path, []byte(text), 0o644))
+func (b *bench) file(text string) string {
+	path := filepath.Join(b.t.TempDir(), "file.json")
+	assert.NilError(b.t, os.WriteFile(path, []byte(text), 0o644))
 	return path
 }
 
-func (bench *bench) origin(name string) *caller.Caller {
-	return &caller.Caller{Token: mooring.Token([]byte(Key), name), HTTP: caller.NewClient("")}
+func (b *bench) origin(name string) *client.Caller {
+	return &client.Caller{Token: httpapi.Token([]byte(Key), name), HTTP: client.NewClient("")}
 }
 
 // next reads a channel's events up to one of a kind.
-func next(t *testing.T, channel *caller.Channel, kind string) caller.Event {
+func next(t *testing.T, channel *client.Channel, kind string) client.Event {
 	t.Helper()
 	limit := time.After(wide)
 	for {
@@ -93,24 +93,24 @@
  {"name": "cursors", "promise": "passing", "publishers": ["ada"], "limits": {"data_bytes": 50}}]}`
 
 // A released daemon holds no way to take a mechanism away.
-func (bench *bench) released() {
-	t := bench.t
+func (b *bench) released() {
+	t := b.t
 	names := map[string]bool{}
 	question := regexp.MustCompile(`helm\.Mutated\("([a-z-]+)"\)`)
-	assert.NilError(t, filepath.WalkDir("..", func(path string, _ os.DirEntry, fault error) error {
-		if fault != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
-			return fault
+	assert.NilError(t, filepath.WalkDir("..", func(path string, _ os.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
 		}
-		body, fault := os.ReadFile(path)
+		body, err := os.ReadFile(path)
 		for _, found := range question.FindAllStringSubmatch(string(body), -1) {
 			names[found[1]] = true
 		}
-		return fault
+		return err
 	}))
 	assert.Assert(t, len(names) > 10, "%v", names)
-	for _, program := range []string{"lantern", "tender", "keeper", "pilot"} {
-		body, fault := os.ReadFile(filepath.Join(bench.binaries, program))
-		assert.NilError(t, fault)
+	for _, program := range []string{"gateway", "agent", "store", "controller"} {
+		body, err := os.ReadFile(filepath.Join(b.binaries, program))
+		assert.NilError(t, err)
 		for name := range names {
 			assert.Assert(t, !bytes.Contains(body, []byte(name)), "%s holds %s", program, name)
 		}
@@ -127,11 +127,11 @@
 	code, output := bench.command("dahlialock", "check", bench.file(`{"version":1,"spaces":[{"name":"a"}],"x":1}`))
 	assert.Equal(t, code, 3, output)
 	assert.Assert(t, strings.Contains(output, "$.x") && strings.Contains(output, "$.spaces[0].promise"), output)
-	code, output = bench.command("dahlialock", "put", "-wait", "20s", "-ctl", control("lantern-1"), bench.file(fmt.Sprintf(configuration, 2)))
+	code, output = bench.command("dahlialock", "put", "-wait", "20s", "-ctl", control("gateway-1"), bench.file(fmt.Sprintf(configuration, 2)))
 	assert.Equal(t, code, 0, output)
-	code, output = bench.command("dahlialock", "put", "-ctl", control("tender-2"), bench.file(fmt.Sprintf(configuration, 2)))
+	code, output = bench.command("dahlialock", "put", "-ctl", control("agent-2"), bench.file(fmt.Sprintf(configuration, 2)))
 	assert.Equal(t, code, 0, "the same again: %s", output)
-	code, output = bench.command("dahlialock", "put", "-ctl", control("keeper-1"), bench.file(fmt.Sprintf(configuration, 1)))
+	code, output = bench.command("dahlialock", "put", "-ctl", control("store-1"), bench.file(fmt.Sprintf(configuration, 1)))
 	assert.Equal(t, code, 3, "an older one: %s", output)
 	for _, name := range bench.fleet.Names() {
 		code, output = bench.command("dahlialock", "get", "-json", "-ctl", control(name))
@@ -141,9 +141,9 @@
 		assert.Equal(t, got.Version, 2, "read at %s", name)
 	}
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		for _, name := range []string{"lantern-1", "lantern-2", "lantern-3"} {
-			self, fault := daemons[name].Self()
-			if fault != nil || self["version"] != 2.0 {
+		for _, name := range []string{"gateway-1", "gateway-2", "gateway-3"} {
+			self, err := daemons[name].Self()
+			if err != nil || self["version"] != 2.0 {
 				return poll.Continue("%s has not the version yet", name)
 			}
 		}
@@ -161,76 +161,76 @@
 	bench.retires()
 }
 
-func (bench *bench) messagesCross() {
-	t, within := bench.t, context.Background()
-	reader, writer := bench.origin("bob"), bench.origin("ada")
-	channel, fault := reader.Open(within, bench.fleet.Daemons["lantern-3"].Caller)
-	assert.NilError(t, fault)
+func (b *bench) messagesCross() {
+	t, within := b.t, context.Background()
+	reader, writer := b.origin("bob"), b.origin("ada")
+	channel, err := reader.Open(within, b.fleet.Daemons["gateway-3"].Caller)
+	assert.NilError(t, err)
 	defer channel.Close()
 	prefix, topic := "project1", "project1/x"
-	answer, fault := reader.Subscribe(within, channel, []caller.Subscription{
+	answer, err := reader.Subscribe(within, channel, []client.Subscription{
 		{Space: "boards", Prefix: &prefix}, {Space: "decisions", Prefix: new(string)}, {Space: "cursors", Topic: &topic},
 	}, "")
-	assert.NilError(t, fault)
+	assert.NilError(t, err)
 	assert.Equal(t, answer.Status, 200, "%+v", answer)
-	at := bench.fleet.Daemons["lantern-1"].Caller
+	at := b.fleet.Daemons["gateway-1"].Caller
 	for seq, space := range []string{"boards", "decisions", "cursors"} {
-		answer, fault = writer.Publish(within, at, space, topic, uint64(seq+1), map[string]int{"n": seq})
-		assert.NilError(t, fault)
+		answer, err = writer.Publish(within, at, space, topic, uint64(seq+1), map[string]int{"n": seq})
+		assert.NilError(t, err)
 		assert.Equal(t, answer.Outcome, "accepted", "%+v", answer)
 		event := next(t, channel, "message")
 		assert.Equal(t, event.Space, space)
 		assert.Equal(t, string(event.Data), fmt.Sprintf(`{"n":%d}`, seq))
 	}
-	again, fault := writer.Publish(within, at, "boards", topic, 1, map[string]int{"n": 0})
-	assert.NilError(t, fault)
+	again, err := writer.Publish(within, at, "boards", topic, 1, map[string]int{"n": 0})
+	assert.NilError(t, err)
 	assert.Assert(t, again.Outcome == "accepted" && again.Again, "%+v", again)
 
-	code, output := bench.command("sextant", "-ctl", bench.fleet.Daemons["keeper-2"].Control, "-message", "boards/ada/1")
+	code, output := b.command("sextant", "-ctl", b.fleet.Daemons["store-2"].Control, "-message", "boards/ada/1")
 	assert.Equal(t, code, 0, output)
 	for _, step := range []string{"judged", "append", "accepted", "fanned-out", "delivered"} {
 		assert.Assert(t, strings.Contains(output, " "+step+" "), "sextant does not tell of %s:\n%s", step, output)
 	}
-	code, output = bench.command("sextant", "-ctl", bench.fleet.Daemons["keeper-2"].Control, "-visit", "nobody-knows-1")
+	code, output = b.command("sextant", "-ctl", b.fleet.Daemons["store-2"].Control, "-visit", "nobody-knows-1")
 	assert.Equal(t, code, 1, output)
 
 	// One copy for each destination daemon, however many subscribe there.
 	for number := range 4 {
-		more := bench.origin(fmt.Sprintf("more-%d", number))
-		other, fault := more.Open(within, bench.fleet.Daemons["lantern-3"].Caller)
-		assert.NilError(t, fault)
+		more := b.origin(fmt.Sprintf("more-%d", number))
+		other, err := more.Open(within, b.fleet.Daemons["gateway-3"].Caller)
+		assert.NilError(t, err)
 		defer other.Close()
-		answer, fault = more.Subscribe(within, other, []caller.Subscription{{Space: "boards", Topic: &topic}}, "")
-		assert.NilError(t, fault)
+		answer, err = more.Subscribe(within, other, []client.Subscription{{Space: "boards", Topic: &topic}}, "")
+		assert.NilError(t, err)
 		assert.Equal(t, answer.Status, 200)
 	}
 	copies := func() float64 {
-		self, fault := bench.fleet.Daemons["lantern-1"].Self()
-		assert.NilError(t, fault)
-		return self["counters"].(map[string]any)["lantern"].(map[string]any)["CopiesOut"].(float64)
+		self, err := b.fleet.Daemons["gateway-1"].Self()
+		assert.NilError(t, err)
+		return self["counters"].(map[string]any)["gateway"].(map[string]any)["CopiesOut"].(float64)
 	}
 	before := copies()
-	answer, fault = writer.Publish(within, at, "boards", topic, 10, 1)
-	assert.NilError(t, fault)
+	answer, err = writer.Publish(within, at, "boards", topic, 10, 1)
+	assert.NilError(t, err)
 	assert.Equal(t, answer.Outcome, "accepted")
 	next(t, channel, "message")
 	assert.Equal(t, copies()-before, 1.0)
 }
 
-func (bench *bench) badInput() {
-	t := bench.t
-	address := bench.fleet.Daemons["lantern-2"].Caller
+func (b *bench) badInput() {
+	t := b.t
+	address := b.fleet.Daemons["gateway-2"].Caller
 	post := func(path, token, body string) (int, string, string) {
-		request, fault := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader(body))
-		assert.NilError(t, fault)
+		request, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader(body))
+		assert.NilError(t, err)
 		if token != "" {
 			request.Header.Set("Authorization", "Bearer "+token)
 		}
-		response, fault := http.DefaultClient.Do(request)
-		assert.NilError(t, fault)
+		response, err := http.DefaultClient.Do(request)
+		assert.NilError(t, err)
 		defer func() { _ = response.Body.Close() }()
-		text, fault := io.ReadAll(response.Body)
-		assert.NilError(t, fault)
+		text, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
 		var value struct {
 			Code    string
 			Outcome string
@@ -239,7 +239,7 @@
 		assert.Equal(t, value.Outcome, "refused", "%s", text)
 		return response.StatusCode, value.Code, string(text)
 	}
-	ada, bob := mooring.Token([]byte(Key), "ada"), mooring.Token([]byte(Key), "bob")
+	ada, bob := httpapi.Token([]byte(Key), "ada"), httpapi.Token([]byte(Key), "bob")
 	for _, each := range []struct {
 		path, token, body string
 		status            int
@@ -270,46 +270,46 @@
 		assert.Assert(t, strings.Contains(text, each.part), text)
 	}
 	within := context.Background()
-	origin := bench.origin("ada")
-	channel, fault := origin.Open(within, address)
-	assert.NilError(t, fault)
+	origin := b.origin("ada")
+	channel, err := origin.Open(within, address)
+	assert.NilError(t, err)
 	defer channel.Close()
 	for cursor, wanted := range map[string]string{"AAAA": "bad-cursor", "!!!": "bad-cursor"} {
-		answer, fault := origin.Subscribe(within, channel, nil, cursor)
-		assert.NilError(t, fault)
+		answer, err := origin.Subscribe(within, channel, nil, cursor)
+		assert.NilError(t, err)
 		assert.Equal(t, answer.Code, wanted)
 	}
-	answer, fault := origin.Subscribe(within, channel, []caller.Subscription{{Space: "boards", Prefix: new(string)}}, "")
-	assert.NilError(t, fault)
-	other := bench.origin("bob")
-	theirs, fault := other.Open(within, address)
-	assert.NilError(t, fault)
+	answer, err := origin.Subscribe(within, channel, []client.Subscription{{Space: "boards", Prefix: new(string)}}, "")
+	assert.NilError(t, err)
+	other := b.origin("bob")
+	theirs, err := other.Open(within, address)
+	assert.NilError(t, err)
 	defer theirs.Close()
-	stolen, fault := other.Subscribe(within, theirs, nil, answer.Cursor)
-	assert.NilError(t, fault)
+	stolen, err := other.Subscribe(within, theirs, nil, answer.Cursor)
+	assert.NilError(t, err)
 	assert.Equal(t, stolen.Code, "other-origin")
 }
 
 // spaces asks for one that was just added, through a daemon that may not know
 // it yet, and for one that was just removed.
-func (bench *bench) spaces() {
-	t, within := bench.t, context.Background()
-	writer := bench.origin("ada")
+func (b *bench) spaces() {
+	t, within := b.t, context.Background()
+	writer := b.origin("ada")
 	with := strings.Replace(fmt.Sprintf(configuration, 3), `"spaces": [`, `"spaces": [{"name": "fresh", "promise": "passing"}, `, 1)
-	code, output := bench.command("dahlialock", "put", "-wait", "20s", "-ctl", bench.fleet.Daemons["lantern-1"].Control, bench.file(with))
+	code, output := b.command("dahlialock", "put", "-wait", "20s", "-ctl", b.fleet.Daemons["gateway-1"].Control, b.file(with))
 	assert.Equal(t, code, 0, output)
-	for _, name := range []string{"lantern-3", "lantern-2", "lantern-1"} {
-		answer, fault := writer.Publish(within, bench.fleet.Daemons[name].Caller, "fresh", "a/b", uint64(len(name))+uint64(time.Now().UnixNano()), 1)
-		assert.NilError(t, fault)
+	for _, name := range []string{"gateway-3", "gateway-2", "gateway-1"} {
+		answer, err := writer.Publish(within, b.fleet.Daemons[name].Caller, "fresh", "a/b", uint64(len(name))+uint64(time.Now().UnixNano()), 1)
+		assert.NilError(t, err)
 		assert.Equal(t, answer.Outcome, "accepted", "at %s: %+v", name, answer)
 	}
-	code, output = bench.command("dahlialock", "put", "-wait", "20s", "-ctl", bench.fleet.Daemons["pilot-2"].Control, bench.file(fmt.Sprintf(configuration, 4)))
+	code, output = b.command("dahlialock", "put", "-wait", "20s", "-ctl", b.fleet.Daemons["controller-2"].Control, b.file(fmt.Sprintf(configuration, 4)))
 	assert.Equal(t, code, 0, output)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		for _, name := range []string{"lantern-3", "lantern-2", "lantern-1"} {
-			answer, fault := writer.Publish(within, bench.fleet.Daemons[name].Caller, "fresh", "a/b", uint64(time.Now().UnixNano()), 1)
-			if fault != nil || answer.Code != "no-such-space" {
-				return poll.Continue("%s: %v %+v", name, fault, answer)
+		for _, name := range []string{"gateway-3", "gateway-2", "gateway-1"} {
+			answer, err := writer.Publish(within, b.fleet.Daemons[name].Caller, "fresh", "a/b", uint64(time.Now().UnixNano()), 1)
+			if err != nil || answer.Code != "no-such-space" {
+				return poll.Continue("%s: %v %+v", name, err, answer)
 			}
 		}
 		return poll.Success()
@@ -317,32 +317,32 @@
 }
 
 // garbage sends bytes that are no frames to every daemon's own address.
-func (bench *bench) garbage() {
-	t := bench.t
-	for _, name := range bench.fleet.Names() {
+func (b *bench) garbage() {
+	t := b.t
+	for _, name := range b.fleet.Names() {
 		for _, body := range [][]byte{{0xff, 0xff, 0xff, 0xff, 1, 2, 3}, {0, 0, 0, 3, 1, 2, 3}, []byte("GET / HTTP/1.1\r\n\r\n")} {
-			link, fault := net.Dial("tcp", bench.fleet.Daemons[name].Address)
-			assert.NilError(t, fault)
-			_, fault = link.Write(body)
-			assert.NilError(t, fault)
+			link, err := net.Dial("tcp", b.fleet.Daemons[name].Address)
+			assert.NilError(t, err)
+			_, err = link.Write(body)
+			assert.NilError(t, err)
 			assert.NilError(t, link.SetReadDeadline(time.Now().Add(wide)))
-			_, fault = link.Read(make([]byte, 1))
-			assert.Assert(t, errors.Is(fault, io.EOF) || errors.Is(fault, syscall.ECONNRESET), "%s did not close the link: %v", name, fault)
+			_, err = link.Read(make([]byte, 1))
+			assert.Assert(t, errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET), "%s did not close the link: %v", name, err)
 			_ = link.Close()
 		}
 	}
-	for _, name := range bench.fleet.Names() {
-		assert.Assert(t, bench.fleet.Daemons[name].Running(), "%s ended", name)
-		bench.logs(name, `"number":1020`)
+	for _, name := range b.fleet.Names() {
+		assert.Assert(t, b.fleet.Daemons[name].Running(), "%s ended", name)
+		b.logs(name, `"number":1020`)
 	}
-	assert.NilError(t, bench.fleet.WaitReady(wide, bench.fleet.Names()...))
+	assert.NilError(t, b.fleet.WaitReady(wide, b.fleet.Names()...))
 }
 
-func (bench *bench) logs(name, text string) {
-	bench.t.Helper()
-	poll.WaitOn(bench.t, func(poll.LogT) poll.Result {
-		body, fault := os.ReadFile(bench.fleet.LogPath(name))
-		if fault == nil && bytes.Contains(body, []byte(text)) {
+func (b *bench) logs(name, text string) {
+	b.t.Helper()
+	poll.WaitOn(b.t, func(poll.LogT) poll.Result {
+		body, err := os.ReadFile(b.fleet.LogPath(name))
+		if err == nil && bytes.Contains(body, []byte(text)) {
 			return poll.Success()
 		}
 		return poll.Continue("%s has not logged %s", name, text)
@@ -351,177 +351,177 @@
 
 // configurations puts what must be refused, each with the path of its fault, and
 // sees that nothing has changed.
-func (bench *bench) configurations() {
-	t := bench.t
+func (b *bench) configurations() {
+	t := b.t
 	for _, each := range []struct{ part, path string }{
 		{`"economy": {"processor_weight": -1}`, "$.economy.processor_weight"},
 		{`"economy": {"traffic_weight": 1e9}`, "$.economy.traffic_weight"},
 		{`"economy": {"traffic_weight": "much"}`, "$.economy.traffic_weight"},
 		{`"economy": {"origins_each": 0}`, "$.economy.origins_each"},
-		{`"economy": {"spare_lanterns": 65}`, "$.economy.spare_lanterns"},
+		{`"economy": {"spare_gateways": 65}`, "$.economy.spare_gateways"},
 		{`"economy": {"quiet_for": "-3s"}`, "$.economy.quiet_for"},
 		{`"economy": {"enabled": 1}`, "$.economy.enabled"},
 		{`"economy": {"enabled": true, "enabled": false}`, "$.economy.enabled"},
-		{`"drains": ["lantern-9"]`, "$.drains[0]"},
-		{`"drains": ["keeper-1"]`, "$.drains[0]"},
-		{`"drains": ["lantern-1", "lantern-2", "lantern-3"]`, "$.drains"},
-		{`"localities": ["a"], "links": [{"from": "a", "to": "b", "delay": "1ms"}]`, "$.links[0].to"},
-		{`"localities": ["a", "a"]`, "$.localities[1]"},
+		{`"drains": ["gateway-9"]`, "$.drains[0]"},
+		{`"drains": ["store-1"]`, "$.drains[0]"},
+		{`"drains": ["gateway-1", "gateway-2", "gateway-3"]`, "$.drains"},
+		{`"zones": ["a"], "links": [{"from": "a", "to": "b", "delay": "1ms"}]`, "$.links[0].to"},
+		{`"zones": ["a", "a"]`, "$.zones[1]"},
 	} {
 		body := strings.Replace(fmt.Sprintf(configuration, 900), "{", "{"+each.part+",", 1)
-		code, output := bench.command("dahlialock", "put", "-wait", "20s", "-ctl", bench.fleet.Daemons["tender-3"].Control, bench.file(body))
+		code, output := b.command("dahlialock", "put", "-wait", "20s", "-ctl", b.fleet.Daemons["agent-3"].Control, b.file(body))
 		assert.Equal(t, code, 3, "%s: %s", each.part, output)
 		assert.Assert(t, strings.Contains(output, each.path), "%s: %s", each.part, output)
 	}
-	code, output := bench.command("dahlialock", "get", "-wait", "20s", "-ctl", bench.fleet.Daemons["lantern-1"].Control)
+	code, output := b.command("dahlialock", "get", "-wait", "20s", "-ctl", b.fleet.Daemons["gateway-1"].Control)
 	assert.Equal(t, code, 0, output)
 	assert.Assert(t, !strings.Contains(output, "900"), output)
 }
 
-func (bench *bench) settings() {
-	t := bench.t
-	code, output := bench.command("lantern", "-name", "x y", "-address", "nowhere:1", "-locality", "a")
+func (b *bench) settings() {
+	t := b.t
+	code, output := b.command("gateway", "-name", "x y", "-address", "nowhere:1", "-zone", "a")
 	assert.Equal(t, code, 64, output)
-	for _, part := range []string{"$.name", "$.address", "$.ctl", "$.caller", "$.tender", "$.key"} {
+	for _, part := range []string{"$.name", "$.address", "$.ctl", "$.caller", "$.agent", "$.key"} {
 		assert.Assert(t, strings.Contains(output, part), output)
 	}
 	// A bad edit without a signal keeps the old settings and says so; a right
 	// one is taken, with a signal too.
-	daemon := bench.fleet.Daemons["lantern-2"]
+	daemon := b.fleet.Daemons["gateway-2"]
 	swapped := func(key, value string) string {
 		return strings.Replace(daemon.Settings(), fmt.Sprintf("%q: %q", key, daemon.settings[key]), fmt.Sprintf("%q: %q", key, value), 1)
 	}
 	for _, each := range []struct{ what, text, says string }{
 		{"half written", daemon.Settings()[:100], "unexpected EOF"},
-		{"another name", swapped("name", "lantern-3"), "only a restart changes name"},
-		{"another locality", swapped("locality", "zone-q"), "only a restart changes locality"},
+		{"another name", swapped("name", "gateway-3"), "only a restart changes name"},
+		{"another zone", swapped("zone", "zone-q"), "only a restart changes zone"},
 		{"an unknown key", strings.Replace(daemon.Settings(), "{", `{"frobnicate": 1,`, 1), "$.frobnicate"},
 		{"empty", "", "$: EOF"},
 	} {
-		assert.NilError(t, bench.fleet.Edit("lantern-2", []byte(each.text)))
-		bench.logs("lantern-2", each.says)
+		assert.NilError(t, b.fleet.Edit("gateway-2", []byte(each.text)))
+		b.logs("gateway-2", each.says)
 		assert.Assert(t, daemon.Ready(), each.what)
 	}
-	assert.NilError(t, bench.fleet.Vanish("lantern-2"))
-	bench.logs("lantern-2", "no such file")
+	assert.NilError(t, b.fleet.Vanish("gateway-2"))
+	b.logs("gateway-2", "no such file")
 	assert.Assert(t, daemon.Ready(), "the file vanished")
-	assert.NilError(t, bench.fleet.Restore("lantern-2"))
-	bench.logs("lantern-2", `"why":"file"`)
+	assert.NilError(t, b.fleet.Restore("gateway-2"))
+	b.logs("gateway-2", `"why":"file"`)
 	// What a trial may impose is refused on an ordinary daemon.
-	code, output = bench.command("lantern", "-props", daemon.settingsPath())
+	code, output = b.command("gateway", "-settings", daemon.settingsPath())
 	assert.Equal(t, code, 64, output)
 	assert.Assert(t, strings.Contains(output, "$.trial: this key is not known"), output)
-	bench.fleet.Signal("lantern-2", syscall.SIGHUP)
-	bench.logs("lantern-2", `"why":"signal"`)
+	b.fleet.Signal("gateway-2", syscall.SIGHUP)
+	b.logs("gateway-2", `"why":"signal"`)
 }
 
-// moves stops a lantern politely: its origins are sent elsewhere and resume.
-func (bench *bench) moves() {
-	t, within := bench.t, context.Background()
-	reader, writer := bench.origin("eve"), bench.origin("ada")
-	channel, fault := reader.Open(within, bench.fleet.Daemons["lantern-2"].Caller)
-	assert.NilError(t, fault)
+// moves stops a gateway politely: its origins are sent elsewhere and resume.
+func (b *bench) moves() {
+	t, within := b.t, context.Background()
+	reader, writer := b.origin("eve"), b.origin("ada")
+	channel, err := reader.Open(within, b.fleet.Daemons["gateway-2"].Caller)
+	assert.NilError(t, err)
 	defer channel.Close()
-	answer, fault := reader.Subscribe(within, channel, []caller.Subscription{{Space: "boards", Prefix: new(string)}}, "")
-	assert.NilError(t, fault)
+	answer, err := reader.Subscribe(within, channel, []client.Subscription{{Space: "boards", Prefix: new(string)}}, "")
+	assert.NilError(t, err)
 	assert.Equal(t, answer.Status, 200)
-	bench.fleet.Signal("lantern-2", syscall.SIGTERM)
+	b.fleet.Signal("gateway-2", syscall.SIGTERM)
 	move := next(t, channel, "move")
 	assert.Assert(t, move.To != "" && move.To != channel.Address && move.Cursor != "")
 	channel.Close()
-	missed, fault := writer.Publish(within, bench.fleet.Daemons["lantern-1"].Caller, "boards", "project9/y", 100, "missed")
-	assert.NilError(t, fault)
+	missed, err := writer.Publish(within, b.fleet.Daemons["gateway-1"].Caller, "boards", "project9/y", 100, "missed")
+	assert.NilError(t, err)
 	assert.Equal(t, missed.Outcome, "accepted", "%+v", missed)
-	resumed, fault := reader.Open(within, move.To)
-	assert.NilError(t, fault)
+	resumed, err := reader.Open(within, move.To)
+	assert.NilError(t, err)
 	defer resumed.Close()
-	answer, fault = reader.Subscribe(within, resumed, nil, move.Cursor)
-	assert.NilError(t, fault)
+	answer, err = reader.Subscribe(within, resumed, nil, move.Cursor)
+	assert.NilError(t, err)
 	assert.Equal(t, answer.Status, 200, "%+v", answer)
 	assert.Equal(t, string(next(t, resumed, "message").Data), `"missed"`)
-	assert.Equal(t, bench.fleet.Daemons["lantern-2"].ExitCode(), 0)
-	assert.NilError(t, bench.fleet.Start("lantern-2"))
-	assert.NilError(t, bench.fleet.WaitReady(wide, "lantern-2"))
+	assert.Equal(t, b.fleet.Daemons["gateway-2"].ExitCode(), 0)
+	assert.NilError(t, b.fleet.Start("gateway-2"))
+	assert.NilError(t, b.fleet.WaitReady(wide, "gateway-2"))
 }
 
-// damage flips a byte in the middle of a keeper's log: it is reported, put
+// damage flips a byte in the middle of a store's log: it is reported, put
 // aside, and the copy rebuilt; what was accepted is still there for a cursor.
-func (bench *bench) damage() {
-	t, within := bench.t, context.Background()
-	reader, writer := bench.origin("dan"), bench.origin("ada")
-	channel, fault := reader.Open(within, bench.fleet.Daemons["lantern-1"].Caller)
-	assert.NilError(t, fault)
-	answer, fault := reader.Subscribe(within, channel, []caller.Subscription{{Space: "boards", Prefix: new(string)}}, "")
-	assert.NilError(t, fault)
+func (b *bench) damage() {
+	t, within := b.t, context.Background()
+	reader, writer := b.origin("dan"), b.origin("ada")
+	channel, err := reader.Open(within, b.fleet.Daemons["gateway-1"].Caller)
+	assert.NilError(t, err)
+	answer, err := reader.Subscribe(within, channel, []client.Subscription{{Space: "boards", Prefix: new(string)}}, "")
+	assert.NilError(t, err)
 	assert.Equal(t, answer.Status, 200, "%+v", answer)
 	channel.Close()
 	for seq := range uint64(20) {
-		kept, fault := writer.Publish(within, bench.fleet.Daemons["lantern-3"].Caller, "boards", fmt.Sprintf("damage/%d", seq), 200+seq, seq)
-		assert.NilError(t, fault)
+		kept, err := writer.Publish(within, b.fleet.Daemons["gateway-3"].Caller, "boards", fmt.Sprintf("damage/%d", seq), 200+seq, seq)
+		assert.NilError(t, err)
 		assert.Equal(t, kept.Outcome, "accepted", "%+v", kept)
 	}
-	bench.fleet.Kill("keeper-1")
-	data := filepath.Join(filepath.Dir(bench.fleet.LogPath("keeper-1")), "data")
-	logs, fault := filepath.Glob(filepath.Join(data, "log-*"))
-	assert.NilError(t, fault)
+	b.fleet.Kill("store-1")
+	data := filepath.Join(filepath.Dir(b.fleet.LogPath("store-1")), "data")
+	logs, err := filepath.Glob(filepath.Join(data, "log-*"))
+	assert.NilError(t, err)
 	assert.Assert(t, len(logs) > 0)
 	for _, name := range logs {
-		body, fault := os.ReadFile(name)
-		assert.NilError(t, fault)
+		body, err := os.ReadFile(name)
+		assert.NilError(t, err)
 		if len(body) < 200 {
 			continue
 		}
 		body[len(body)/3] ^= 0x5a
 		assert.NilError(t, os.WriteFile(name, body, 0o644))
 	}
-	assert.NilError(t, bench.fleet.Start("keeper-1"))
-	bench.logs("keeper-1", `"number":1041`)
-	assert.NilError(t, bench.fleet.WaitReady(wide, "keeper-1"))
+	assert.NilError(t, b.fleet.Start("store-1"))
+	b.logs("store-1", `"number":1041`)
+	assert.NilError(t, b.fleet.WaitReady(wide, "store-1"))
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		again, fault := reader.Open(within, bench.fleet.Daemons["lantern-2"].Caller)
-		if fault != nil {
-			return poll.Continue("%v", fault)
+		again, err := reader.Open(within, b.fleet.Daemons["gateway-2"].Caller)
+		if err != nil {
+			return poll.Continue("%v", err)
 		}
 		defer again.Close()
-		resumed, fault := reader.Subscribe(within, again, nil, answer.Cursor)
-		if fault != nil || resumed.Status != 200 {
-			return poll.Continue("%v %+v", fault, resumed)
+		resumed, err := reader.Subscribe(within, again, nil, answer.Cursor)
+		if err != nil || resumed.Status != 200 {
+			return poll.Continue("%v %+v", err, resumed)
 		}
 		assert.Equal(t, resumed.Missed, 20)
 		return poll.Success()
 	}, poll.WithTimeout(wide))
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		_, output := bench.command("dahlialock", "placement", "-ctl", bench.fleet.Daemons["pilot-2"].Control)
+		_, output := b.command("dahlialock", "placement", "-ctl", b.fleet.Daemons["controller-2"].Control)
 		if strings.Contains(output, "false") || !strings.Contains(output, "true") {
-			return poll.Continue("not all strands are complete")
+			return poll.Continue("not all partitions are complete")
 		}
 		return poll.Success()
 	}, poll.WithTimeout(wide))
 }
 
-func (bench *bench) retires() {
-	t := bench.t
-	code, output := bench.command("dahlialock", "keeper", "-wait", "40s", "-ctl", bench.fleet.Daemons["tender-1"].Control, "retire", "keeper-2")
+func (b *bench) retires() {
+	t := b.t
+	code, output := b.command("dahlialock", "store", "-wait", "40s", "-ctl", b.fleet.Daemons["agent-1"].Control, "retire", "store-2")
 	assert.Equal(t, code, 0, output)
-	code, output = bench.command("dahlialock", "placement", "-json", "-ctl", bench.fleet.Daemons["pilot-3"].Control)
+	code, output = b.command("dahlialock", "placement", "-json", "-ctl", b.fleet.Daemons["controller-3"].Control)
 	assert.Equal(t, code, 0, output)
 	var got struct {
-		Strands []struct {
-			First, Understudy string
-			Complete          bool
+		Partitions []struct {
+			First, Follower string
+			Complete        bool
 		}
 	}
 	assert.NilError(t, json.Unmarshal([]byte(output), &got))
-	assert.Equal(t, len(got.Strands), 9)
-	for _, each := range got.Strands {
-		assert.Assert(t, each.Complete && each.First != "keeper-2" && each.Understudy != "keeper-2", "%+v", each)
+	assert.Equal(t, len(got.Partitions), 9)
+	for _, each := range got.Partitions {
+		assert.Assert(t, each.Complete && each.First != "store-2" && each.Follower != "store-2", "%+v", each)
 	}
-	code, output = bench.command("dahlialock", "keeper", "-ctl", bench.fleet.Daemons["tender-1"].Control, "retire", "keeper-1")
+	code, output = b.command("dahlialock", "store", "-ctl", b.fleet.Daemons["agent-1"].Control, "retire", "store-1")
 	assert.Equal(t, code, 3, "with too few left: %s", output)
-	code, output = bench.command("dahlialock", "keeper", "-ctl", bench.fleet.Daemons["tender-3"].Control, "retire", "lantern-1")
-	assert.Equal(t, code, 3, "no keeper: %s", output)
-	code, output = bench.command("dahlialock", "keeper", "-ctl", bench.fleet.Daemons["tender-1"].Control, "retire", "keeper-9")
+	code, output = b.command("dahlialock", "store", "-ctl", b.fleet.Daemons["agent-3"].Control, "retire", "gateway-1")
+	assert.Equal(t, code, 3, "no store: %s", output)
+	code, output = b.command("dahlialock", "store", "-ctl", b.fleet.Daemons["agent-1"].Control, "retire", "store-9")
 	assert.Equal(t, code, 3, output)
-	code, output = bench.command("dahlialock", "cohort", "-ctl", "127.0.0.1:9")
+	code, output = b.command("dahlialock", "cluster", "-ctl", "127.0.0.1:9")
 	assert.Equal(t, code, 1, "nobody there: %s", output)
 }
--- a/internal/portolan/portolan.go
+++ b/internal/topology/topology.go
@@ -1,8 +1,8 @@
-// Package portolan reads localities and the ways between them from a GraphViz or
+// Package topology reads zones and the ways between them from a GraphViz or
 // GeoJSON file, each through a library, and puts them into an operators'
 // configuration, which is then checked as strictly as any other. A fault names
 // its line or its element.
-package portolan
+package topology
 
 import (
 	"encoding/json"
@@ -17,13 +17,13 @@
 	"github.com/paulmach/orb"
 	"github.com/paulmach/orb/geojson"
 
-	"dahlialock/internal/chart"
+	"dahlialock/internal/config"
 )
 
 // ErrorTopology tells what is wrong with a topology file.
 var ErrorTopology = errorx.NewNamespace("portolan").NewType("topology")
 
-// Link is a way between two localities.
+// Link is a way between two zones.
 type Link struct {
 	From  string `json:"from"`
 	To    string `json:"to"`
@@ -32,8 +32,8 @@
 
 // Topology is what a file says.
 type Topology struct {
-	Localities []string
-	Links      []Link
+	Zones []string
+	Links []Link
 }
 
 // Read reads a file: GeoJSON if it begins with a brace, else GraphViz.
@@ -44,87 +44,87 @@
 	return readGraph(text)
 }
 
-func (topology *Topology) place(element, name string) error {
-	if !chart.FitName(name) {
-		return ErrorTopology.New("%s: %q is not a fit name for a locality", element, name)
+func (t *Topology) place(element, name string) error {
+	if !config.FitName(name) {
+		return ErrorTopology.New("%s: %q is not a fit name for a zone", element, name)
 	}
-	if slices.Contains(topology.Localities, name) {
-		return ErrorTopology.New("%s: the locality %q stands twice", element, name)
+	if slices.Contains(t.Zones, name) {
+		return ErrorTopology.New("%s: the zone %q stands twice", element, name)
 	}
-	topology.Localities = append(topology.Localities, name)
+	t.Zones = append(t.Zones, name)
 	return nil
 }
 
-func (topology *Topology) link(element string, link Link) error {
-	length, fault := time.ParseDuration(link.Delay)
-	if fault != nil || length < 0 || length > time.Minute {
+func (t *Topology) link(element string, link Link) error {
+	length, err := time.ParseDuration(link.Delay)
+	if err != nil || length < 0 || length > time.Minute {
 		return ErrorTopology.New("%s: %q is not a delay such as \"500us\", up to 1m", element, link.Delay)
 	}
 	for _, end := range []string{link.From, link.To} {
-		if !slices.Contains(topology.Localities, end) {
-			return ErrorTopology.New("%s: no locality is named %q", element, end)
+		if !slices.Contains(t.Zones, end) {
+			return ErrorTopology.New("%s: no zone is named %q", element, end)
 		}
 	}
 	if link.From == link.To {
 		return ErrorTopology.New("%s: a way from %q to itself", element, link.From)
 	}
-	for _, other := range topology.Links {
+	for _, other := range t.Links {
 		if other.From == link.From && other.To == link.To || other.From == link.To && other.To == link.From {
 			return ErrorTopology.New("%s: the way between %q and %q stands twice", element, link.From, link.To)
 		}
 	}
-	topology.Links = append(topology.Links, link)
+	t.Links = append(t.Links, link)
 	return nil
 }
 
-// readGraph reads an undirected graph: a node for each locality, an edge with
+// readGraph reads an undirected graph: a node for each zone, an edge with
 // the delay as its label for each way.
-func readGraph(text []byte) (topology Topology, fault error) {
+func readGraph(text []byte) (topology Topology, err error) {
 	defer func() {
 		// The library panics over a few malformed graphs.
 		if broken := recover(); broken != nil {
-			fault = ErrorTopology.New("GraphViz: %v", broken)
+			err = ErrorTopology.New("GraphViz: %v", broken)
 		}
 	}()
-	tree, fault := gographviz.Parse(text)
-	if fault != nil {
-		return topology, ErrorTopology.New("GraphViz: %s", strings.Join(strings.Fields(fault.Error()), " "))
+	tree, err := gographviz.Parse(text)
+	if err != nil {
+		return topology, ErrorTopology.New("GraphViz: %s", strings.Join(strings.Fields(err.Error()), " "))
 	}
 	graph := gographviz.NewGraph()
-	if fault := gographviz.Analyse(tree, graph); fault != nil {
-		return topology, ErrorTopology.New("GraphViz: %v", fault)
+	if err := gographviz.Analyse(tree, graph); err != nil {
+		return topology, ErrorTopology.New("GraphViz: %v", err)
 	}
 	if graph.Directed {
 		return topology, ErrorTopology.New("GraphViz: a graph is wanted, not a digraph: a way goes both ways")
 	}
 	for _, node := range graph.Nodes.Sorted() {
-		if fault := topology.place("node "+node.Name, unquote(node.Name)); fault != nil {
-			return topology, fault
+		if err := topology.place("node "+node.Name, unquote(node.Name)); err != nil {
+			return topology, err
 		}
 	}
 	for _, edge := range graph.Edges.Sorted() {
 		element := fmt.Sprintf("edge %s -- %s", edge.Src, edge.Dst)
 		link := Link{From: unquote(edge.Src), To: unquote(edge.Dst), Delay: unquote(edge.Attrs[gographviz.Label])}
-		if fault := topology.link(element, link); fault != nil {
-			return topology, fault
+		if err := topology.link(element, link); err != nil {
+			return topology, err
 		}
 	}
 	return topology, nil
 }
 
 func unquote(text string) string {
-	if plain, fault := strconv.Unquote(text); fault == nil {
+	if plain, err := strconv.Unquote(text); err == nil {
 		return plain
 	}
 	return text
 }
 
 // readGeo reads a collection of features: a point with a name for each
-// locality, a line with from, to and delay for each way.
-func readGeo(text []byte) (topology Topology, fault error) {
-	collection, fault := geojson.UnmarshalFeatureCollection(text)
-	if fault != nil {
-		return topology, ErrorTopology.New("GeoJSON: %v", fault)
+// zone, a line with from, to and delay for each way.
+func readGeo(text []byte) (topology Topology, err error) {
+	collection, err := geojson.UnmarshalFeatureCollection(text)
+	if err != nil {
+		return topology, ErrorTopology.New("GeoJSON: %v", err)
 	}
 	property := func(feature *geojson.Feature, name string) string {
 		value, _ := feature.Properties[name].(string)
@@ -135,8 +135,8 @@
 		element := fmt.Sprintf("features[%d]", position)
 		switch feature.Geometry.(type) {
 		case orb.Point:
-			if fault := topology.place(element, property(feature, "name")); fault != nil {
-				return topology, fault
+			if err := topology.place(element, property(feature, "name")); err != nil {
+				return topology, err
 			}
 		case orb.LineString:
 			lines = append(lines, func() error {
@@ -147,27 +147,27 @@
 		}
 	}
 	for _, line := range lines {
-		if fault := line(); fault != nil {
-			return topology, fault
+		if err := line(); err != nil {
+			return topology, err
 		}
 	}
 	return topology, nil
 }
 
 // Into puts a topology into a configuration that has none of its own.
-func (topology Topology) Into(document []byte) ([]byte, error) {
+func (t Topology) Into(document []byte) ([]byte, error) {
 	var members map[string]json.RawMessage
-	if fault := json.Unmarshal(document, &members); fault != nil {
-		return nil, ErrorTopology.New("the configuration: %v", fault)
+	if err := json.Unmarshal(document, &members); err != nil {
+		return nil, ErrorTopology.New("the configuration: %v", err)
 	}
-	for _, key := range []string{"localities", "links"} {
+	for _, key := range []string{"zones", "links"} {
 		if _, found := members[key]; found {
 			return nil, ErrorTopology.New("$.%s: the configuration has its own, leave one of them out", key)
 		}
 	}
-	added, fault := json.Marshal(map[string]any{"localities": append([]string{}, topology.Localities...), "links": append([]Link{}, topology.Links...)})
-	if fault != nil {
-		return nil, fault
+	added, err := json.Marshal(map[string]any{"zones": append([]string{}, t.Zones...), "links": append([]Link{}, t.Links...)})
+	if err != nil {
+		return nil, err
 	}
 	// The rest stays as it was written, so that every fault in it is found.
 	body := strings.TrimSpace(string(document))
--- a/internal/portolan/portolan_test.go
+++ b/internal/topology/topology_test.go
@@ -1,6 +1,6 @@
 // Both kinds of files give the same configuration, and each fault names where it
 // is; whatever bytes come, nothing panics.
-package portolan
+package topology
 
 import (
 	"strings"
@@ -8,7 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"dahlialock/internal/chart"
+	"dahlialock/internal/config"
 )
 
 const graph = `graph places { north; south; "east-1"; north -- south [label="500us"]; south -- "east-1" [label="1.5ms"]; }`
@@ -22,20 +22,20 @@
 
 func TestTopologiesFromBothKindsOfFiles(t *testing.T) {
 	for _, text := range []string{graph, geo} {
-		topology, fault := Read([]byte(text))
-		assert.NilError(t, fault)
-		document, fault := topology.Into([]byte(`{"version": 3, "spaces": []}`))
-		assert.NilError(t, fault)
-		configuration, faults := chart.Read(document)
+		topology, err := Read([]byte(text))
+		assert.NilError(t, err)
+		document, err := topology.Into([]byte(`{"version": 3, "spaces": []}`))
+		assert.NilError(t, err)
+		configuration, faults := config.Read(document)
 		assert.Equal(t, len(faults), 0, "%v", faults)
-		assert.Equal(t, len(configuration.Localities), 3)
+		assert.Equal(t, len(configuration.Zones), 3)
 		assert.Equal(t, len(configuration.Links), 2)
-		_, fault = topology.Into([]byte(`{"version": 3, "links": []}`))
-		assert.ErrorContains(t, fault, "$.links")
+		_, err = topology.Into([]byte(`{"version": 3, "links": []}`))
+		assert.ErrorContains(t, err, "$.links")
 		// A fault of the configuration itself is still found.
-		document, fault = topology.Into([]byte(`{"version": 3, "spaces": [], "spaces": []}`))
-		assert.NilError(t, fault)
-		_, faults = chart.Read(document)
+		document, err = topology.Into([]byte(`{"version": 3, "spaces": [], "spaces": []}`))
+		assert.NilError(t, err)
+		_, faults = config.Read(document)
 		assert.Assert(t, len(faults) > 0)
 	}
 	for _, each := range []struct{ text, says string }{
@@ -51,8 +51,8 @@
 		{`{"type":`, "GeoJSON"},
 		{`{}`, "GeoJSON"},
 	} {
-		_, fault := Read([]byte(each.text))
-		assert.ErrorContains(t, fault, each.says, "%s", each.text)
+		_, err := Read([]byte(each.text))
+		assert.ErrorContains(t, err, each.says, "%s", each.text)
 	}
 }
 
@@ -60,13 +60,13 @@
 	f.Add([]byte(graph))
 	f.Add([]byte(geo))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		topology, fault := Read(text)
-		if fault != nil {
+		topology, err := Read(text)
+		if err != nil {
 			return
 		}
-		document, fault := topology.Into([]byte(`{"version": 1, "spaces": []}`))
-		assert.NilError(t, fault)
-		_, faults := chart.Read(document)
+		document, err := topology.Into([]byte(`{"version": 1, "spaces": []}`))
+		assert.NilError(t, err)
+		_, faults := config.Read(document)
 		assert.Equal(t, len(faults), 0, "%v", faults)
 	})
 }
--- a/internal/flare/codec.go
+++ b/internal/transport/codec.go
@@ -3,7 +3,7 @@
 // where the connection has not named it already, the sender's configuration
 // version, and the body in cbor. Decoding is strict: an unknown number, trailing
 // bytes, an oversized or truncated frame is an error and touches nothing.
-package flare
+package transport
 
 import (
 	"bytes"
@@ -13,7 +13,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/joomcode/errorx"
 
-	"dahlialock/internal/helm"
+	"dahlialock/internal/statemachine"
 )
 
 // FrameLimit bounds one frame between processes.
@@ -53,23 +53,23 @@
 func mustEncoding() cbor.UserBufferEncMode {
 	options := cbor.CoreDetEncOptions()
 	options.Time = cbor.TimeUnixMicro
-	mode, fault := options.UserBufferEncMode()
-	if fault != nil {
-		panic(fault)
+	mode, err := options.UserBufferEncMode()
+	if err != nil {
+		panic(err)
 	}
 	return mode
 }
 
 func mustDecoding() cbor.DecMode {
-	mode, fault := cbor.DecOptions{
+	mode, err := cbor.DecOptions{
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
 		MaxNestedLevels:  32,
 		MaxArrayElements: 4 << 20,
 		MaxMapPairs:      4 << 20,
 		IndefLength:      cbor.IndefLengthForbidden,
 	}.DecMode()
-	if fault != nil {
-		panic(fault)
+	if err != nil {
+		panic(err)
 	}
 	return mode
 }
@@ -88,7 +88,7 @@
 }
 
 // controlBelow bounds the numbers of what the control state says: epochs,
-// tenures, heartbeats, news and operators' requests.
+// leases, heartbeats, news and operators' requests.
 const controlBelow = 400
 
 // Urgent tells whether a message is of the control state.
@@ -120,9 +120,9 @@
 // MustMarshal encodes our own structures, for which an error is a broken
 // invariant.
 func MustMarshal(value any) []byte {
-	body, fault := encoding.Marshal(value)
-	if fault != nil {
-		panic(fault)
+	body, err := encoding.Marshal(value)
+	if err != nil {
+		panic(err)
 	}
 	return body
 }
@@ -133,10 +133,10 @@
 }
 
 // Encode makes the bytes of one frame, its length included.
-func Encode(meta helm.Meta, message any) ([]byte, error) {
+func Encode(meta statemachine.Meta, message any) ([]byte, error) {
 	var buffer bytes.Buffer
-	if fault := appendFrame(&buffer, meta.From, meta.Version, message); fault != nil {
-		return nil, fault
+	if err := appendFrame(&buffer, meta.From, meta.Version, message); err != nil {
+		return nil, err
 	}
 	return buffer.Bytes(), nil
 }
@@ -160,9 +160,9 @@
 	buffer.Write(head)
 	buffer.WriteString(from)
 	buffer.Write(binary.AppendUvarint(scratch[:0], version))
-	if fault := encoding.MarshalToBuffer(message, buffer); fault != nil {
+	if err := encoding.MarshalToBuffer(message, buffer); err != nil {
 		buffer.Truncate(before)
-		return ErrorFrame.Wrap(fault, "body of %T", message)
+		return ErrorFrame.Wrap(err, "body of %T", message)
 	}
 	length := buffer.Len() - before - headerSize
 	if length > FrameLimit {
@@ -174,7 +174,7 @@
 }
 
 // Decode reads one frame, its length taken off.
-func Decode(packed []byte) (helm.Meta, any, error) {
+func Decode(packed []byte) (statemachine.Meta, any, error) {
 	var once reader
 	return once.decode(packed, "")
 }
@@ -186,8 +186,8 @@
 }
 
 // decode reads a frame that came from an address, unless the frame names it.
-func (reader *reader) decode(packed []byte, from string) (helm.Meta, any, error) {
-	meta := helm.Meta{From: from}
+func (r *reader) decode(packed []byte, from string) (statemachine.Meta, any, error) {
+	meta := statemachine.Meta{From: from}
 	if len(packed) < 2 {
 		return meta, nil, ErrorFrame.New("%d bytes are no frame", len(packed))
 	}
@@ -207,28 +207,28 @@
 		return meta, nil, ErrorFrame.New("the version is cut off")
 	}
 	meta.Version = version
-	message, fault := reader.body(number, rest[size:])
-	return meta, message, fault
+	message, err := r.body(number, rest[size:])
+	return meta, message, err
 }
 
-func (reader *reader) body(number uint16, packed []byte) (any, error) {
-	value, found := reader.values[number]
+func (r *reader) body(number uint16, packed []byte) (any, error) {
+	value, found := r.values[number]
 	if !found {
 		kind, known := typeOfNumber[number]
 		if !known {
 			return nil, ErrorFrame.New("number %d is unknown", number)
 		}
 		value = reflect.New(kind)
-		if reader.values == nil {
-			reader.values = map[uint16]reflect.Value{}
+		if r.values == nil {
+			r.values = map[uint16]reflect.Value{}
 		}
-		reader.values[number] = value
+		r.values[number] = value
 	}
-	fault := decoding.Unmarshal(packed, value.Interface())
+	err := decoding.Unmarshal(packed, value.Interface())
 	message := value.Elem().Interface()
 	value.Elem().SetZero()
-	if fault != nil {
-		return nil, ErrorFrame.Wrap(fault, "body of %s", value.Elem().Type().String())
+	if err != nil {
+		return nil, ErrorFrame.Wrap(err, "body of %s", value.Elem().Type().String())
 	}
 	return message, nil
 }
--- a/internal/flare/link.go
+++ b/internal/transport/link.go
@@ -6,11 +6,11 @@
 // destination all of a turn's frames in one write. While a connection takes
 // them, that write is made at once by the owner, without a wait and without a
 // task of the link's own. In all other cases (no connection yet, a peer that does
-// not read, weather that a trial asks for) the bytes go to the dialling loop,
+// not read, impairment that a trial asks for) the bytes go to the dialling loop,
 // which alone tends what is not plain: it dials with growing pauses, keeps what
 // waits within a bound by dropping the oldest, and gives the link back to the
 // owner once nothing waits. Losing frames is something the machines expect.
-package flare
+package transport
 
 import (
 	"bytes"
@@ -29,7 +29,7 @@
 	"github.com/panjf2000/gnet/v2/pkg/pool/goroutine"
 	"golang.org/x/sys/unix"
 
-	"dahlialock/internal/helm"
+	"dahlialock/internal/statemachine"
 )
 
 const (
@@ -59,16 +59,16 @@
 
 // Inbound is a message that arrived, or a note about a link.
 type Inbound struct {
-	Meta    helm.Meta
+	Meta    statemachine.Meta
 	Message any
 }
 
 // Refused is the note that nobody listens at an address, as its machine says.
 type Refused struct{}
 
-// Weather is what a trial imposes on links, by prefix of the other's address:
+// Impairment is what a trial imposes on links, by prefix of the other's address:
 // cuts are both ways, mutes only outwards, and deaf only inwards.
-type Weather struct {
+type Impairment struct {
 	Delays map[string]time.Duration
 	Loss   map[string]float64
 	Cuts   []string
@@ -76,8 +76,8 @@
 	Deaf   []string
 }
 
-func (weather *Weather) calm() bool {
-	return len(weather.Delays)+len(weather.Loss)+len(weather.Cuts)+len(weather.Mutes)+len(weather.Deaf) == 0
+func (i *Impairment) calm() bool {
+	return len(i.Delays)+len(i.Loss)+len(i.Cuts)+len(i.Mutes)+len(i.Deaf) == 0
 }
 
 // Counters are running sums, read by anyone and written by the links.
@@ -88,20 +88,20 @@
 	Writes, Dials atomic.Int64
 }
 
-// Flare is a daemon's end of all its links.
-type Flare struct {
+// Transport is a daemon's end of all its links.
+type Transport struct {
 	gnet.BuiltinEventEngine
-	address  string
-	home     string
-	inbox    chan<- Inbound
-	urgent   chan<- Inbound
-	client   *gnet.Client
-	engine   gnet.Engine
-	booted   chan struct{}
-	ended    <-chan error
-	weather  atomic.Pointer[Weather]
-	garbage  func(remote string, fault error)
-	Counters Counters
+	address    string
+	home       string
+	inbox      chan<- Inbound
+	urgent     chan<- Inbound
+	client     *gnet.Client
+	engine     gnet.Engine
+	booted     chan struct{}
+	ended      <-chan error
+	impairment atomic.Pointer[Impairment]
+	garbage    func(remote string, err error)
+	Counters   Counters
 
 	// Of the owner: links by destination, those with frames of this turn, and
 	// whether the owner ends its turns with Flush.
@@ -110,7 +110,7 @@
 	turns   bool
 	scratch []byte
 
-	// compresses is set where turns to other localities are packed.
+	// compresses is set where turns to other zones are packed.
 	compresses atomic.Bool
 	// watches is set where the owner wants to know of addresses that refuse.
 	watches atomic.Bool
@@ -186,20 +186,20 @@
 // their link.
 type clientEvents struct {
 	gnet.BuiltinEventEngine
-	flare *Flare
+	transport *Transport
 }
 
-func (events *clientEvents) OnOpen(connection gnet.Conn) ([]byte, gnet.Action) {
+func (ce *clientEvents) OnOpen(connection gnet.Conn) ([]byte, gnet.Action) {
 	opened, matches := connection.Context().(*link)
 	if !matches {
 		return nil, gnet.None
 	}
-	return nil, events.flare.opened(opened, connection)
+	return nil, ce.transport.opened(opened, connection)
 }
 
-func (events *clientEvents) OnClose(connection gnet.Conn, _ error) gnet.Action {
+func (ce *clientEvents) OnClose(connection gnet.Conn, _ error) gnet.Action {
 	if closed, matches := connection.Context().(*link); matches {
-		events.flare.lost(closed, connection)
+		ce.transport.lost(closed, connection)
 	}
 	return gnet.None
 }
@@ -211,8 +211,8 @@
 
 // Open listens on the address and starts the dialling side. Garbage is told of
 // frames that could not be read.
-func Open(address string, inbox, urgent chan<- Inbound, garbage func(remote string, fault error)) (*Flare, error) {
-	opened := &Flare{
+func Open(address string, inbox, urgent chan<- Inbound, garbage func(remote string, err error)) (*Transport, error) {
+	opened := &Transport{
 		address: address,
 		home:    homeOf(address),
 		inbox:   inbox,
@@ -222,12 +222,12 @@
 		links:   map[string]*link{},
 		inward:  map[string]gnet.Conn{},
 	}
-	opened.weather.Store(&Weather{})
+	opened.impairment.Store(&Impairment{})
 	// gnet's pool of tasks, which nothing here uses, would wake up twice a second.
 	goroutine.DefaultWorkerPool.Release()
-	probe, fault := net.Listen("tcp", address)
-	if fault != nil {
-		return nil, fault
+	probe, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
 	}
 	_ = probe.Close()
 	failed := make(chan error, 1)
@@ -240,42 +240,42 @@
 	}()
 	select {
 	case <-opened.booted:
-	case fault := <-failed:
-		return nil, fault
+	case err := <-failed:
+		return nil, err
 	}
-	if fault := opened.openClient(); fault != nil {
-		return nil, fault
+	if err := opened.openClient(); err != nil {
+		return nil, err
 	}
 	return opened, nil
 }
 
 // openClient starts the dialling loop. gnet names a loop only through one of its
 // connections, so that the first one goes to our own address, and ends at once.
-func (flare *Flare) openClient() error {
-	client, fault := gnet.NewClient(&clientEvents{flare: flare}, gnet.WithLogLevel(logging.ErrorLevel), gnet.WithLogger(silent{}),
+func (t *Transport) openClient() error {
+	client, err := gnet.NewClient(&clientEvents{transport: t}, gnet.WithLogLevel(logging.ErrorLevel), gnet.WithLogger(silent{}),
 		gnet.WithNumEventLoop(1), gnet.WithReadBufferCap(1<<10))
-	if fault != nil {
-		return fault
+	if err != nil {
+		return err
 	}
-	if fault := client.Start(); fault != nil {
-		return fault
+	if err := client.Start(); err != nil {
+		return err
 	}
-	flare.client = client
-	plain, fault := flare.dial(flare.address)
-	if fault != nil {
-		return fault
+	t.client = client
+	plain, err := t.dial(t.address)
+	if err != nil {
+		return err
 	}
-	first, fault := client.Enroll(plain)
-	if fault != nil {
-		return fault
+	first, err := client.Enroll(plain)
+	if err != nil {
+		return err
 	}
-	flare.loop = first.EventLoop()
+	t.loop = first.EventLoop()
 	_ = first.Close()
-	time.AfterFunc(idleLimit, flare.sweepLater)
+	time.AfterFunc(idleLimit, t.sweepLater)
 	return nil
 }
 
-// homeOf is the part of an address that daemons of one locality share in a
+// homeOf is the part of an address that daemons of one zone share in a
 // trial: the first three numbers.
 func homeOf(address string) string {
 	last := strings.LastIndex(address, ".")
@@ -286,92 +286,92 @@
 }
 
 // OnBoot is called by gnet once the listener stands.
-func (flare *Flare) OnBoot(engine gnet.Engine) gnet.Action {
-	flare.engine = engine
-	close(flare.booted)
+func (t *Transport) OnBoot(engine gnet.Engine) gnet.Action {
+	t.engine = engine
+	close(t.booted)
 	return gnet.None
 }
 
 // OnOpen is called by gnet for a connection that came in.
-func (flare *Flare) OnOpen(connection gnet.Conn) ([]byte, gnet.Action) {
+func (t *Transport) OnOpen(connection gnet.Conn) ([]byte, gnet.Action) {
 	connection.SetContext(&peer{})
 	return nil, gnet.None
 }
 
 // OnClose is called by gnet for a connection that ended.
-func (flare *Flare) OnClose(connection gnet.Conn, _ error) gnet.Action {
-	if closed, matches := connection.Context().(*peer); matches && flare.inward[closed.from] == connection {
-		delete(flare.inward, closed.from)
+func (t *Transport) OnClose(connection gnet.Conn, _ error) gnet.Action {
+	if closed, matches := connection.Context().(*peer); matches && t.inward[closed.from] == connection {
+		delete(t.inward, closed.from)
 	}
 	return gnet.None
 }
 
 // OnTraffic is called by gnet when bytes came in.
-func (flare *Flare) OnTraffic(connection gnet.Conn) gnet.Action {
+func (t *Transport) OnTraffic(connection gnet.Conn) gnet.Action {
 	from, matches := connection.Context().(*peer)
 	if !matches {
 		return gnet.Close
 	}
 	for {
-		header, fault := connection.Peek(headerSize)
-		if fault != nil {
+		header, err := connection.Peek(headerSize)
+		if err != nil {
 			return gnet.None
 		}
 		packed := header[0]&(packedMark>>24) != 0
-		length, complete, fault := from.length(header)
-		if fault != nil {
-			return flare.refuse(connection, fault)
+		length, complete, err := from.length(header)
+		if err != nil {
+			return t.refuse(connection, err)
 		}
 		if !complete || connection.InboundBuffered() < headerSize+length {
 			return gnet.None
 		}
-		if _, fault := connection.Discard(headerSize); fault != nil {
+		if _, err := connection.Discard(headerSize); err != nil {
 			return gnet.Close
 		}
-		body, fault := connection.Next(length)
-		if fault != nil {
+		body, err := connection.Next(length)
+		if err != nil {
 			return gnet.Close
 		}
-		flare.Counters.BytesIn.Add(int64(headerSize + length))
+		t.Counters.BytesIn.Add(int64(headerSize + length))
 		if packed {
-			fault = flare.readTurn(connection, from, body)
+			err = t.readTurn(connection, from, body)
 		} else {
-			fault = flare.readFrame(connection, from, body)
+			err = t.readFrame(connection, from, body)
 		}
-		if fault != nil {
-			return flare.refuse(connection, fault)
+		if err != nil {
+			return t.refuse(connection, err)
 		}
 	}
 }
 
 // length reads a header, of a frame or of a packed turn.
-func (peer *peer) length(header []byte) (int, bool, error) {
+func (p *peer) length(header []byte) (int, bool, error) {
 	if header[0]&(packedMark>>24) == 0 {
 		return FrameLength(header)
 	}
 	length := int(binary.BigEndian.Uint32(header) &^ packedMark)
-	if peer.unpacker == nil || length == 0 || length > 2*packMost {
+	if p.unpacker == nil || length == 0 || length > 2*packMost {
 		return 0, false, ErrorFrame.New("a packed turn of %d bytes", length)
 	}
 	return length, true, nil
 }
 
 // readTurn unpacks a turn and reads its frames.
-func (flare *Flare) readTurn(connection gnet.Conn, from *peer, packed []byte) error {
-	body, fault := from.unpacker.unpack(packed)
-	if fault != nil {
-		return fault
+func (t *Transport) readTurn(connection gnet.Conn, from *peer, packed []byte) error {
+	body, err := from.unpacker.unpack(packed)
+	if err != nil {
+		return err
 	}
 	for len(body) > 0 {
-		length, complete, fault := FrameLength(body)
-		if fault != nil {
-			return fault
+		length, complete, err := FrameLength(body)
+		if err != nil {
+			return err
 		}
 		if !complete || len(body) < headerSize+length {
 			return ErrorFrame.New("a packed turn ends within a frame")
 		}
-		if fault := flare.readFrame(connection, from, body[headerSize:headerSize+length]); fault != nil {
-			return fault
+		if err := t.readFrame(connection, from, body[headerSize:headerSize+length]); err != nil {
+			return err
 		}
 		body = body[headerSize+length:]
 	}
@@ -379,56 +379,56 @@
 }
 
 // readFrame takes one message in.
-func (flare *Flare) readFrame(connection gnet.Conn, from *peer, frame []byte) error {
-	meta, message, fault := flare.reader.decode(frame, from.from)
-	if fault != nil {
-		return fault
+func (t *Transport) readFrame(connection gnet.Conn, from *peer, frame []byte) error {
+	meta, message, err := t.reader.decode(frame, from.from)
+	if err != nil {
+		return err
 	}
 	if meta.From == "" {
 		return ErrorFrame.New("%T from nobody", message)
 	}
 	if first, names := message.(preamble); names {
-		flare.named(connection, from, meta.From, first)
+		t.named(connection, from, meta.From, first)
 		return nil
 	}
-	flare.Counters.MessagesIn.Add(1)
-	if weather := flare.weather.Load(); !anyPrefix(meta.From, weather.Cuts, weather.Deaf) {
-		flare.take(Inbound{Meta: meta, Message: message})
+	t.Counters.MessagesIn.Add(1)
+	if impairment := t.impairment.Load(); !anyPrefix(meta.From, impairment.Cuts, impairment.Deaf) {
+		t.take(Inbound{Meta: meta, Message: message})
 	}
 	return nil
 }
 
 // named notes whose connection this is. One from each peer is enough, and the
 // newest is the one that it writes on.
-func (flare *Flare) named(connection gnet.Conn, from *peer, address string, first preamble) {
+func (t *Transport) named(connection gnet.Conn, from *peer, address string, first preamble) {
 	from.from = address
 	if first.Packed && from.unpacker == nil {
 		from.unpacker = newUnpacker()
 	}
-	if older, found := flare.inward[address]; found && older != connection {
+	if older, found := t.inward[address]; found && older != connection {
 		_ = older.Close()
 	}
-	flare.inward[address] = connection
+	t.inward[address] = connection
 }
 
 // take queues what came in. What is of the control state has a queue of its own
 // that is emptied first. Where the owner can't keep up the rest is dropped, as a
 // network would, rather than hold up everything behind it.
-func (flare *Flare) take(inbound Inbound) {
+func (t *Transport) take(inbound Inbound) {
 	if Urgent(inbound.Message) {
-		flare.urgent <- inbound
+		t.urgent <- inbound
 		return
 	}
 	select {
-	case flare.inbox <- inbound:
+	case t.inbox <- inbound:
 	default:
-		flare.Counters.Shed.Add(1)
+		t.Counters.Shed.Add(1)
 	}
 }
 
-func (flare *Flare) refuse(connection gnet.Conn, fault error) gnet.Action {
-	flare.Counters.Garbage.Add(1)
-	flare.garbage(connection.RemoteAddr().String(), fault)
+func (t *Transport) refuse(connection gnet.Conn, err error) gnet.Action {
+	t.Counters.Garbage.Add(1)
+	t.garbage(connection.RemoteAddr().String(), err)
 	return gnet.Close
 }
 
@@ -443,121 +443,121 @@
 	return false
 }
 
-func (flare *Flare) cutTo(address string) bool {
-	weather := flare.weather.Load()
-	return anyPrefix(address, weather.Cuts, weather.Mutes)
+func (t *Transport) cutTo(address string) bool {
+	impairment := t.impairment.Load()
+	return anyPrefix(address, impairment.Cuts, impairment.Mutes)
 }
 
-// SetWeather changes what a trial imposes.
-func (flare *Flare) SetWeather(weather Weather) {
-	flare.weather.Store(&weather)
+// SetImpairment changes what a trial imposes.
+func (t *Transport) SetImpairment(impairment Impairment) {
+	t.impairment.Store(&impairment)
 }
 
-// Compress has turns to other localities packed, on connections made from now
+// Compress has turns to other zones packed, on connections made from now
 // on.
-func (flare *Flare) Compress() { flare.compresses.Store(true) }
+func (t *Transport) Compress() { t.compresses.Store(true) }
 
 // Watch has connections that end dialled again at once, and addresses that refuse
 // that told to the owner.
-func (flare *Flare) Watch() { flare.watches.Store(true) }
+func (t *Transport) Watch() { t.watches.Store(true) }
 
 // Send queues a message for the end of the turn; it never blocks for long and
 // never fails loudly. It is for the owner alone. Until the owner has called
 // Flush for the first time, each message goes out at once.
-func (flare *Flare) Send(to string, version uint64, message any) error {
-	if to == flare.address {
-		flare.inbox <- Inbound{Meta: helm.Meta{From: flare.address, Version: version}, Message: message}
+func (t *Transport) Send(to string, version uint64, message any) error {
+	if to == t.address {
+		t.inbox <- Inbound{Meta: statemachine.Meta{From: t.address, Version: version}, Message: message}
 		return nil
 	}
-	present, found := flare.links[to]
+	present, found := t.links[to]
 	if !found {
-		present = &link{to: to, away: homeOf(to) != flare.home}
-		flare.links[to] = present
+		present = &link{to: to, away: homeOf(to) != t.home}
+		t.links[to] = present
 	}
-	if fault := appendFrame(&present.pending, "", version, message); fault != nil {
-		return fault
+	if err := appendFrame(&present.pending, "", version, message); err != nil {
+		return err
 	}
 	present.frames++
 	if present.frames == 1 {
-		flare.dirty = append(flare.dirty, present)
+		t.dirty = append(t.dirty, present)
 	}
-	if !flare.turns {
-		flare.flush()
+	if !t.turns {
+		t.flush()
 	}
 	return nil
 }
 
 // Flush ends a turn: each destination gets the turn's frames in one write.
-func (flare *Flare) Flush() {
-	flare.turns = true
-	flare.flush()
+func (t *Transport) Flush() {
+	t.turns = true
+	t.flush()
 }
 
-func (flare *Flare) flush() {
-	for position, present := range flare.dirty {
-		flare.put(present)
+func (t *Transport) flush() {
+	for position, present := range t.dirty {
+		t.put(present)
 		present.frames = 0
 		if present.pending.Cap() > spareMost {
 			present.pending = bytes.Buffer{}
 		} else {
 			present.pending.Reset()
 		}
-		flare.dirty[position] = nil
+		t.dirty[position] = nil
 	}
-	flare.dirty = flare.dirty[:0]
+	t.dirty = t.dirty[:0]
 }
 
 // put writes a turn's frames, or hands them to the dialling loop.
-func (flare *Flare) put(present *link) {
+func (t *Transport) put(present *link) {
 	present.uses.Add(1)
 	body := present.pending.Bytes()
 	open := present.way.Load()
-	if open == nil || open.handed != present.handed || !flare.weather.Load().calm() {
-		flare.handOver(present, chunk{body: bytes.Clone(body), frames: present.frames})
+	if open == nil || open.handed != present.handed || !t.impairment.Load().calm() {
+		t.handOver(present, chunk{body: bytes.Clone(body), frames: present.frames})
 		return
 	}
 	var wrapped []byte
-	wrapped, flare.scratch = open.socket.wrap(flare.scratch, body)
-	flare.Counters.Writes.Add(1)
-	sent, fault := open.socket.write(wrapped)
-	if fault != nil && !errors.Is(fault, unix.EAGAIN) {
-		flare.broken(present, open.socket)
-		flare.handOver(present, chunk{body: bytes.Clone(body), frames: present.frames})
+	wrapped, t.scratch = open.socket.wrap(t.scratch, body)
+	t.Counters.Writes.Add(1)
+	sent, err := open.socket.write(wrapped)
+	if err != nil && !errors.Is(err, unix.EAGAIN) {
+		t.broken(present, open.socket)
+		t.handOver(present, chunk{body: bytes.Clone(body), frames: present.frames})
 		return
 	}
-	flare.count(present, present.frames, sent)
+	t.count(present, present.frames, sent)
 	if sent < len(wrapped) {
-		flare.handOver(present, chunk{body: bytes.Clone(wrapped[sent:]), rest: open.socket})
+		t.handOver(present, chunk{body: bytes.Clone(wrapped[sent:]), rest: open.socket})
 	}
 }
 
-func (flare *Flare) count(present *link, frames, sent int) {
-	flare.Counters.MessagesOut.Add(int64(frames))
-	flare.Counters.BytesOut.Add(int64(sent))
+func (t *Transport) count(present *link, frames, sent int) {
+	t.Counters.MessagesOut.Add(int64(frames))
+	t.Counters.BytesOut.Add(int64(sent))
 	if present.away {
-		flare.Counters.MessagesAway.Add(int64(frames))
-		flare.Counters.BytesAway.Add(int64(sent))
+		t.Counters.MessagesAway.Add(int64(frames))
+		t.Counters.BytesAway.Add(int64(sent))
 	}
 }
 
 // handOver gives bytes to the dialling loop; the way is closed to the owner until
 // that loop has opened it again.
-func (flare *Flare) handOver(present *link, handed chunk) {
+func (t *Transport) handOver(present *link, handed chunk) {
 	present.handed++
-	flare.onLoop(func() { flare.accept(present, handed) })
+	t.onLoop(func() { t.accept(present, handed) })
 }
 
 // broken tells the dialling loop that a write failed.
-func (flare *Flare) broken(present *link, failed *socket) {
-	flare.onLoop(func() {
+func (t *Transport) broken(present *link, failed *socket) {
+	t.onLoop(func() {
 		if present.socket == failed {
-			_ = flare.loop.Close(present.wire)
+			_ = t.loop.Close(present.wire)
 		}
 	})
 }
 
-func (flare *Flare) onLoop(run func()) {
-	_ = flare.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+func (t *Transport) onLoop(run func()) {
+	_ = t.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
 		run()
 		return nil
 	}))
@@ -567,143 +567,143 @@
 
 // accept takes what the owner handed over, in pieces of one frame each where a
 // trial may treat them unequally.
-func (flare *Flare) accept(present *link, handed chunk) {
+func (t *Transport) accept(present *link, handed chunk) {
 	present.taken++
 	if !present.known {
 		present.known = true
-		flare.tended = append(flare.tended, present)
+		t.tended = append(t.tended, present)
 	}
 	handed.at = time.Now()
-	if handed.rest != nil || flare.weather.Load().calm() {
+	if handed.rest != nil || t.impairment.Load().calm() {
 		present.add(handed)
 	} else {
 		for body := handed.body; len(body) > 0; {
-			length, complete, fault := FrameLength(body)
-			if !complete || fault != nil {
+			length, complete, err := FrameLength(body)
+			if !complete || err != nil {
 				break
 			}
 			frame := body[:headerSize+length]
 			body = body[headerSize+length:]
 			piece := chunk{body: frame, frames: 1, at: handed.at}
-			if delay := flare.delay(present.to, frame); delay > 0 {
+			if delay := t.delay(present.to, frame); delay > 0 {
 				piece.due = handed.at.Add(delay)
 			}
 			present.add(piece)
 		}
 	}
 	for present.queued > queueMost && len(present.queue) > 1 {
-		flare.drop(present)
+		t.drop(present)
 	}
-	flare.pump(present)
+	t.pump(present)
 }
 
-func (link *link) add(added chunk) {
-	link.queue = append(link.queue, added)
-	link.queued += len(added.body)
+func (l *link) add(added chunk) {
+	l.queue = append(l.queue, added)
+	l.queued += len(added.body)
 }
 
-func (link *link) pop() chunk {
-	first := link.queue[0]
-	link.queue[0] = chunk{}
-	link.queue = link.queue[1:]
-	link.queued -= len(first.body)
-	if len(link.queue) == 0 {
-		link.queue = nil
+func (l *link) pop() chunk {
+	first := l.queue[0]
+	l.queue[0] = chunk{}
+	l.queue = l.queue[1:]
+	l.queued -= len(first.body)
+	if len(l.queue) == 0 {
+		l.queue = nil
 	}
 	return first
 }
 
 // drop loses the oldest of what waits. The rest of a frame can't be lost without
 // the connection that has its beginning.
-func (flare *Flare) drop(present *link) {
+func (t *Transport) drop(present *link) {
 	oldest := present.pop()
-	flare.Counters.Dropped.Add(int64(max(1, oldest.frames)))
+	t.Counters.Dropped.Add(int64(max(1, oldest.frames)))
 	if oldest.rest != nil && oldest.rest == present.socket && present.wire != nil {
-		_ = flare.loop.Close(present.wire)
+		_ = t.loop.Close(present.wire)
 	}
 }
 
 // pump moves what waits onto the connection, as far as it takes it.
-func (flare *Flare) pump(present *link) {
+func (t *Transport) pump(present *link) {
 	for len(present.queue) > 0 {
 		first := present.queue[0]
 		switch {
 		case first.rest != nil && first.rest != present.socket:
-			flare.drop(present)
+			t.drop(present)
 			continue
-		case flare.cutTo(present.to):
+		case t.cutTo(present.to):
 			// What follows goes over a link that is dialled anew.
-			flare.drop(present)
+			t.drop(present)
 			if present.wire != nil {
-				_ = flare.loop.Close(present.wire)
+				_ = t.loop.Close(present.wire)
 			}
 			continue
 		case present.wire == nil:
-			flare.call(present)
+			t.call(present)
 			return
 		case !first.due.IsZero() && time.Until(first.due) > 0:
-			flare.arm(present, time.Until(first.due))
+			t.arm(present, time.Until(first.due))
 			return
 		case present.wire.OutboundBuffered() > bufferMost:
-			flare.arm(present, lookAgain)
+			t.arm(present, lookAgain)
 			return
 		}
 		present.pop()
 		wrapped := first.body
 		if first.rest == nil {
-			wrapped, flare.wrapping = present.socket.wrap(flare.wrapping, first.body)
+			wrapped, t.wrapping = present.socket.wrap(t.wrapping, first.body)
 		}
-		flare.Counters.Writes.Add(1)
-		flare.count(present, first.frames, len(wrapped))
+		t.Counters.Writes.Add(1)
+		t.count(present, first.frames, len(wrapped))
 		_, _ = present.wire.Write(wrapped)
 	}
 	switch {
 	case present.wire == nil:
 	case present.wire.OutboundBuffered() > 0:
-		flare.arm(present, lookAgain)
+		t.arm(present, lookAgain)
 	default:
 		present.way.Store(&way{socket: present.socket, handed: present.taken})
 	}
 }
 
 // arm comes back to a link after a while.
-func (flare *Flare) arm(present *link, wait time.Duration) {
+func (t *Transport) arm(present *link, wait time.Duration) {
 	due := time.Now().Add(wait)
 	if !present.armed.IsZero() && !due.Before(present.armed) {
 		return
 	}
 	present.armed = due
 	time.AfterFunc(wait, func() {
-		flare.onLoop(func() {
+		t.onLoop(func() {
 			present.armed = time.Time{}
-			flare.pump(present)
+			t.pump(present)
 		})
 	})
 }
 
 // call dials, unless that is being done or was tried a moment ago.
-func (flare *Flare) call(present *link) {
-	if present.dialling || flare.stopped {
+func (t *Transport) call(present *link) {
+	if present.dialling || t.stopped {
 		return
 	}
 	if wait := time.Until(present.retryAt); wait > 0 {
-		flare.arm(present, wait)
+		t.arm(present, wait)
 		return
 	}
 	present.dialling = true
 	go func() {
-		plain, fault := flare.dial(present.to)
-		if fault == nil {
-			_, fault = flare.client.EnrollContext(plain, present)
+		plain, err := t.dial(present.to)
+		if err == nil {
+			_, err = t.client.EnrollContext(plain, present)
 		}
-		if fault != nil {
-			flare.onLoop(func() { flare.missed(present, fault) })
+		if err != nil {
+			t.onLoop(func() { t.missed(present, err) })
 		}
 	}()
 }
 
-func (flare *Flare) dial(to string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialLimit, KeepAlive: -1, LocalAddr: &net.TCPAddr{IP: net.ParseIP(hostOf(flare.address))}}
+func (t *Transport) dial(to string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialLimit, KeepAlive: -1, LocalAddr: &net.TCPAddr{IP: net.ParseIP(hostOf(t.address))}}
 	dialer.Control = func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(descriptor uintptr) {
 			// Where a system does not know it, a dead peer is found later.
@@ -714,116 +714,116 @@
 }
 
 // opened takes a connection that was made: who we are goes first.
-func (flare *Flare) opened(present *link, wire gnet.Conn) gnet.Action {
+func (t *Transport) opened(present *link, wire gnet.Conn) gnet.Action {
 	present.dialling = false
-	descriptor, fault := wire.Dup()
-	if fault != nil {
-		flare.pauseLink(present)
+	descriptor, err := wire.Dup()
+	if err != nil {
+		t.pauseLink(present)
 		return gnet.Close
 	}
-	flare.Counters.Dials.Add(1)
+	t.Counters.Dials.Add(1)
 	present.wire, present.socket, present.pause, present.idle = wire, &socket{descriptor: descriptor}, 0, false
 	present.openAt = time.Now()
-	packs := present.away && flare.compresses.Load()
+	packs := present.away && t.compresses.Load()
 	if packs {
 		present.socket.packer = newPacker()
 	}
 	var first bytes.Buffer
-	if fault := appendFrame(&first, flare.address, 0, preamble{Packed: packs}); fault != nil {
+	if err := appendFrame(&first, t.address, 0, preamble{Packed: packs}); err != nil {
 		return gnet.Close
 	}
-	if _, fault := wire.Write(first.Bytes()); fault != nil {
+	if _, err := wire.Write(first.Bytes()); err != nil {
 		return gnet.None
 	}
 	oldest := time.Now().Add(-staleAfter)
 	for len(present.queue) > 0 && present.queue[0].at.Before(oldest) {
-		flare.drop(present)
+		t.drop(present)
 	}
-	flare.pump(present)
+	t.pump(present)
 	return gnet.None
 }
 
 // missed is told of a connection that could not be made.
-func (flare *Flare) missed(present *link, fault error) {
+func (t *Transport) missed(present *link, err error) {
 	present.dialling = false
-	if flare.watches.Load() && errors.Is(fault, unix.ECONNREFUSED) {
+	if t.watches.Load() && errors.Is(err, unix.ECONNREFUSED) {
 		select {
-		case flare.urgent <- Inbound{Meta: helm.Meta{From: present.to}, Message: Refused{}}:
+		case t.urgent <- Inbound{Meta: statemachine.Meta{From: present.to}, Message: Refused{}}:
 		default:
 		}
 	}
-	flare.pauseLink(present)
+	t.pauseLink(present)
 	oldest := time.Now().Add(-staleAfter)
 	for len(present.queue) > 0 && present.queue[0].at.Before(oldest) {
-		flare.drop(present)
+		t.drop(present)
 	}
 	if len(present.queue) > 0 {
-		flare.call(present)
+		t.call(present)
 	}
 }
 
 // lost is told of a connection that ended.
-func (flare *Flare) lost(present *link, wire gnet.Conn) {
+func (t *Transport) lost(present *link, wire gnet.Conn) {
 	if present.wire != wire {
 		return
 	}
 	present.way.Store(nil)
 	present.socket.end()
 	present.wire, present.socket = nil, nil
-	flare.pauseLink(present)
-	if flare.watches.Load() && !present.idle && !flare.stopped {
+	t.pauseLink(present)
+	if t.watches.Load() && !present.idle && !t.stopped {
 		wait := probeAfter
 		if time.Since(present.openAt) < probeSlowly {
 			// Somebody answers and hangs up again and again.
 			wait = probeSlowly
 		}
 		time.AfterFunc(wait, func() {
-			flare.onLoop(func() {
-				if present.wire == nil && !flare.cutTo(present.to) {
+			t.onLoop(func() {
+				if present.wire == nil && !t.cutTo(present.to) {
 					present.retryAt = time.Time{}
-					flare.call(present)
+					t.call(present)
 				}
 			})
 		})
 	}
 	if len(present.queue) > 0 {
 		// The queue is in the hands of whoever ended the connection.
-		flare.arm(present, present.pause)
+		t.arm(present, present.pause)
 	}
 }
 
-func (flare *Flare) pauseLink(present *link) {
+func (t *Transport) pauseLink(present *link) {
 	present.pause = min(max(2*present.pause, pauseLeast), pauseMost)
 	present.retryAt = time.Now().Add(present.pause)
 }
 
 // sweepLater has connections closed on which nothing went for a while.
-func (flare *Flare) sweepLater() {
-	flare.onLoop(func() {
-		if flare.stopped {
+func (t *Transport) sweepLater() {
+	t.onLoop(func() {
+		if t.stopped {
 			return
 		}
-		for _, present := range flare.tended {
+		for _, present := range t.tended {
 			uses := present.uses.Load()
 			if uses == present.seenUses && present.wire != nil && len(present.queue) == 0 {
 				present.idle = true
-				_ = flare.loop.Close(present.wire)
+				_ = t.loop.Close(present.wire)
 			}
 			present.seenUses = uses
 		}
-		time.AfterFunc(idleLimit, flare.sweepLater)
+		time.AfterFunc(idleLimit, t.sweepLater)
 	})
 }
 
-func (flare *Flare) delay(to string, frame []byte) time.Duration {
-	weather := flare.weather.Load()
+func (t *Transport) delay(to string, frame []byte) time.Duration {
+	impairment := t.impairment.Load()
 	var delay time.Duration
-	for prefix, length := range weather.Delays {
+	for prefix, length := range impairment.Delays {
 		if strings.HasPrefix(to, prefix) {
 			delay = length
 		}
 	}
-	for prefix, chance := range weather.Loss {
+	for prefix, chance := range impairment.Loss {
 		if strings.HasPrefix(to, prefix) {
 			sum := fnv.New32a()
 			_, _ = sum.Write(frame)
@@ -836,8 +836,8 @@
 }
 
 func hostOf(address string) string {
-	host, _, fault := net.SplitHostPort(address)
-	if fault != nil {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
 		return ""
 	}
 	return host
@@ -845,25 +845,25 @@
 
 // Close ends listening and dialling, within two seconds; a second call does
 // nothing.
-func (flare *Flare) Close() {
-	if !flare.closing.CompareAndSwap(false, true) {
+func (t *Transport) Close() {
+	if !t.closing.CompareAndSwap(false, true) {
 		return
 	}
 	stopped := make(chan struct{})
-	flare.onLoop(func() {
-		flare.stopped = true
+	t.onLoop(func() {
+		t.stopped = true
 		close(stopped)
 	})
 	await(stopped)
 	// gnet would look for its own end twice a second; its task tells us sooner.
 	now, cancel := context.WithCancel(context.Background())
 	cancel()
-	_ = flare.engine.Stop(now)
+	_ = t.engine.Stop(now)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		_ = flare.client.Stop()
-		<-flare.ended
+		_ = t.client.Stop()
+		<-t.ended
 	}()
 	await(ended)
 }
--- a/internal/flare/link_bench_test.go
+++ b/internal/transport/link_bench_test.go
@@ -2,7 +2,7 @@
 // the loopback address, frames that go out in turns, and the processor time,
 // allocations and waits of one of the two for each message that it sends and
 // gets back. One processor is used, as on the small machines that daemons run on.
-package flare_test
+package transport_test
 
 import (
 	"bufio"
@@ -19,9 +19,9 @@
 
 	"gotest.tools/v3/assert"
 
-	"dahlialock/internal/flare"
-	"dahlialock/internal/lamp"
-	"dahlialock/internal/strand"
+	"dahlialock/internal/gateway"
+	"dahlialock/internal/partition"
+	"dahlialock/internal/transport"
 )
 
 func freeAddress(tb testing.TB) string {
@@ -31,17 +31,17 @@
 
 func freeAddressOf(tb testing.TB, host string) string {
 	tb.Helper()
-	listener, fault := net.Listen("tcp", host+":0")
-	assert.NilError(tb, fault)
+	listener, err := net.Listen("tcp", host+":0")
+	assert.NilError(tb, err)
 	defer func() { assert.NilError(tb, listener.Close()) }()
 	return listener.Addr().String()
 }
 
 type end struct {
 	address string
-	links   *flare.Flare
-	inbox   chan flare.Inbound
-	urgent  chan flare.Inbound
+	links   *transport.Transport
+	inbox   chan transport.Inbound
+	urgent  chan transport.Inbound
 }
 
 func openEnd(tb testing.TB) *end {
@@ -51,24 +51,24 @@
 
 func openEndAt(tb testing.TB, address string) *end {
 	tb.Helper()
-	made := &end{address: address, inbox: make(chan flare.Inbound, 4096), urgent: make(chan flare.Inbound, 4096)}
-	links, fault := flare.Open(made.address, made.inbox, made.urgent, func(remote string, fault error) {
-		tb.Errorf("garbage from %s: %v", remote, fault)
+	made := &end{address: address, inbox: make(chan transport.Inbound, 4096), urgent: make(chan transport.Inbound, 4096)}
+	links, err := transport.Open(made.address, made.inbox, made.urgent, func(remote string, err error) {
+		tb.Errorf("garbage from %s: %v", remote, err)
 	})
-	assert.NilError(tb, fault)
+	assert.NilError(tb, err)
 	made.links = links
 	tb.Cleanup(links.Close)
 	return made
 }
 
 // turn sends a few messages as one turn of an owner.
-func (end *end) turn(tb testing.TB, to string, messages []any) {
+func (e *end) turn(tb testing.TB, to string, messages []any) {
 	for _, message := range messages {
-		if fault := end.links.Send(to, 7, message); fault != nil {
-			tb.Fatal(fault)
+		if err := e.links.Send(to, 7, message); err != nil {
+			tb.Fatal(err)
 		}
 	}
-	if turns, matches := any(end.links).(interface{ Flush() }); matches {
+	if turns, matches := any(e.links).(interface{ Flush() }); matches {
 		turns.Flush()
 	}
 }
@@ -77,12 +77,12 @@
 	body := bytes.Repeat([]byte("reading of a sensor "), 12)[:230]
 	var messages []any
 	for number := range count {
-		record := strand.Record{Offset: uint64(number) + 70000, Epoch: 3, Topic: "boards/ada/17", Sender: "client-17", Seq: 99, Data: body, At: time.Unix(1700000000, 0)}
+		record := partition.Record{Offset: uint64(number) + 70000, Epoch: 3, Topic: "boards/ada/17", Sender: "client-17", Seq: 99, Data: body, At: time.Unix(1700000000, 0)}
 		messages = append(messages,
-			strand.Append{Strand: "+~0/17", Visit: 123456, Topic: "boards/ada/17", Sender: "client-17", Seq: 99, Data: body},
-			lamp.Carry{Strand: "+~0/17", Record: record},
-			strand.AppendReturn{Strand: "+~0/17", Visit: 123456, Outcome: strand.Accepted, Epoch: 3, Record: record},
-			strand.CopyReturn{Strand: "+~0/17", Epoch: 3, Have: 70000, HaveEpoch: 3},
+			partition.Append{Partition: "+~0/17", Request: 123456, Topic: "boards/ada/17", Sender: "client-17", Seq: 99, Data: body},
+			gateway.Carry{Partition: "+~0/17", Record: record},
+			partition.AppendResponse{Partition: "+~0/17", Request: 123456, Outcome: partition.Accepted, Epoch: 3, Record: record},
+			partition.CopyResponse{Partition: "+~0/17", Epoch: 3, Have: 70000, HaveEpoch: 3},
 		)
 	}
 	return messages[:count]
@@ -126,10 +126,10 @@
 	address := freeAddress(b)
 	child := exec.Command(os.Args[0], "-test.run=^TestMirror$", "-test.timeout=10m")
 	child.Env = append(os.Environ(), mirrorFor+"="+address)
-	input, fault := child.StdinPipe()
-	assert.NilError(b, fault)
-	output, fault := child.StdoutPipe()
-	assert.NilError(b, fault)
+	input, err := child.StdinPipe()
+	assert.NilError(b, err)
+	output, err := child.StdoutPipe()
+	assert.NilError(b, err)
 	assert.NilError(b, child.Start())
 	b.Cleanup(func() {
 		_ = input.Close()
