--- a/internal/flare/link_test.go
+++ b/internal/transport/link_test.go
@@ -1,7 +1,7 @@
 // Links over real sockets: order and whole delivery through slow and plain
 // ways, one write a turn, and peers that do not read, go away or talk nonsense,
 // none of which may hold up the owner or another link.
-package flare_test
+package transport_test
 
 import (
 	"io"
@@ -11,26 +11,26 @@
 
 	"gotest.tools/v3/assert"
 
-	"dahlialock/internal/flare"
-	"dahlialock/internal/helm"
-	"dahlialock/internal/strand"
+	"dahlialock/internal/partition"
+	"dahlialock/internal/statemachine"
+	"dahlialock/internal/transport"
 )
 
 const patience = 20 * time.Second
 
-func receive(t *testing.T, from <-chan flare.Inbound) flare.Inbound {
+func receive(t *testing.T, from <-chan transport.Inbound) transport.Inbound {
 	t.Helper()
 	select {
 	case inbound := <-from:
 		return inbound
 	case <-time.After(patience):
 		t.Fatal("nothing came")
-		return flare.Inbound{}
+		return transport.Inbound{}
 	}
 }
 
-func appendOf(number uint64) strand.Append {
-	return strand.Append{Strand: "s~1/2", Visit: number, Data: make([]byte, number%300)}
+func appendOf(number uint64) partition.Append {
+	return partition.Append{Partition: "s~1/2", Request: number, Data: make([]byte, number%300)}
 }
 
 func TestFramesKeepTheirOrderAndAllArrive(t *testing.T) {
@@ -47,8 +47,8 @@
 		inbound := receive(t, right.inbox)
 		assert.Equal(t, inbound.Meta.From, left.address)
 		assert.Equal(t, inbound.Meta.Version, number)
-		assert.Equal(t, inbound.Message.(strand.Append).Visit, number)
-		assert.Equal(t, uint64(len(inbound.Message.(strand.Append).Data)), number%300)
+		assert.Equal(t, inbound.Message.(partition.Append).Request, number)
+		assert.Equal(t, uint64(len(inbound.Message.(partition.Append).Data)), number%300)
 	}
 	assert.Equal(t, left.links.Counters.Dropped.Load(), int64(0))
 	assert.Equal(t, left.links.Counters.Dials.Load(), int64(1))
@@ -62,15 +62,15 @@
 	for sent := uint64(0); sent < most; {
 		for range 1 + sent%17 {
 			message := appendOf(sent)
-			frame, fault := flare.Encode(helm.Meta{Version: sent}, message)
-			assert.NilError(t, fault)
+			frame, err := transport.Encode(statemachine.Meta{Version: sent}, message)
+			assert.NilError(t, err)
 			plain += len(frame)
 			assert.NilError(t, left.links.Send(right.address, sent, message))
 			sent++
 		}
 		// A turn that is too large to pack goes among the packed ones.
 		if sent%1000 < 17 {
-			assert.NilError(t, left.links.Send(right.address, sent, strand.Append{Visit: sent, Data: make([]byte, 40<<10)}))
+			assert.NilError(t, left.links.Send(right.address, sent, partition.Append{Request: sent, Data: make([]byte, 40<<10)}))
 			sent++
 		}
 		left.links.Flush()
@@ -78,7 +78,7 @@
 	for number := range uint64(most) {
 		inbound := receive(t, right.inbox)
 		assert.Equal(t, inbound.Meta.From, left.address)
-		assert.Equal(t, inbound.Message.(strand.Append).Visit, number)
+		assert.Equal(t, inbound.Message.(partition.Append).Request, number)
 	}
 	assert.Equal(t, left.links.Counters.Dropped.Load(), int64(0))
 	assert.Assert(t, left.links.Counters.BytesOut.Load() < int64(plain), "nothing became smaller")
@@ -105,33 +105,33 @@
 	left, right := openEnd(t), openEnd(t)
 	for number := range uint64(50) {
 		assert.NilError(t, left.links.Send(right.address, 0, appendOf(number)))
-		assert.Equal(t, receive(t, right.inbox).Message.(strand.Append).Visit, number)
+		assert.Equal(t, receive(t, right.inbox).Message.(partition.Append).Request, number)
 	}
 }
 
 func TestNothingIsCarriedOverFromAnEarlierMessage(t *testing.T) {
 	left, right := openEnd(t), openEnd(t)
-	full := strand.FetchReturn{Strand: "a", Visit: 1, Records: []strand.Record{{Offset: 1, Topic: "t", Data: []byte("x")}}, Ready: true, Gone: true}
+	full := partition.FetchResponse{Partition: "a", Request: 1, Records: []partition.Record{{Offset: 1, Topic: "t", Data: []byte("x")}}, Ready: true, Gone: true}
 	assert.NilError(t, left.links.Send(right.address, 0, full))
-	assert.NilError(t, left.links.Send(right.address, 0, strand.FetchReturn{Visit: 2}))
-	first, second := receive(t, right.inbox).Message.(strand.FetchReturn), receive(t, right.inbox).Message.(strand.FetchReturn)
+	assert.NilError(t, left.links.Send(right.address, 0, partition.FetchResponse{Request: 2}))
+	first, second := receive(t, right.inbox).Message.(partition.FetchResponse), receive(t, right.inbox).Message.(partition.FetchResponse)
 	assert.DeepEqual(t, first.Records[0].Data, []byte("x"))
-	assert.Equal(t, second.Visit, uint64(2))
-	assert.Assert(t, len(second.Records) == 0 && !second.Ready && !second.Gone && second.Strand == "")
+	assert.Equal(t, second.Request, uint64(2))
+	assert.Assert(t, len(second.Records) == 0 && !second.Ready && !second.Gone && second.Partition == "")
 }
 
 func TestAPeerThatDoesNotReadHoldsNobodyUp(t *testing.T) {
-	deaf, fault := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, fault)
+	deaf, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
 	defer func() { assert.NilError(t, deaf.Close()) }()
 	left, right := openEnd(t), openEnd(t)
-	large := strand.Append{Strand: "s~1/2", Data: make([]byte, 64<<10)}
+	large := partition.Append{Partition: "s~1/2", Data: make([]byte, 64<<10)}
 	began := time.Now()
 	for number := range uint64(400) {
 		assert.NilError(t, left.links.Send(deaf.Addr().String(), 0, large))
 		assert.NilError(t, left.links.Send(right.address, 0, appendOf(number)))
 		left.links.Flush()
-		assert.Equal(t, receive(t, right.inbox).Message.(strand.Append).Visit, number)
+		assert.Equal(t, receive(t, right.inbox).Message.(partition.Append).Request, number)
 	}
 	assert.Assert(t, time.Since(began) < patience)
 	assert.Assert(t, left.links.Counters.Dropped.Load() > 0, "the bound of what waits was not kept")
@@ -140,10 +140,10 @@
 func TestAPeerThatIsNotThereAndComesLater(t *testing.T) {
 	address := freeAddress(t)
 	left := openEnd(t)
-	inbox, urgent := make(chan flare.Inbound, 4096), make(chan flare.Inbound, 4096)
-	come := func() *flare.Flare {
-		links, fault := flare.Open(address, inbox, urgent, func(string, error) {})
-		assert.NilError(t, fault)
+	inbox, urgent := make(chan transport.Inbound, 4096), make(chan transport.Inbound, 4096)
+	come := func() *transport.Transport {
+		links, err := transport.Open(address, inbox, urgent, func(string, error) {})
+		assert.NilError(t, err)
 		return links
 	}
 	number := uint64(0)
@@ -184,9 +184,9 @@
 func TestNonsenseEndsItsOwnConnectionOnly(t *testing.T) {
 	heard := make(chan error, 16)
 	address := freeAddress(t)
-	inbox, urgent := make(chan flare.Inbound, 16), make(chan flare.Inbound, 16)
-	links, fault := flare.Open(address, inbox, urgent, func(_ string, fault error) { heard <- fault })
-	assert.NilError(t, fault)
+	inbox, urgent := make(chan transport.Inbound, 16), make(chan transport.Inbound, 16)
+	links, err := transport.Open(address, inbox, urgent, func(_ string, err error) { heard <- err })
+	assert.NilError(t, err)
 	t.Cleanup(links.Close)
 	for _, nonsense := range [][]byte{
 		{0, 0, 0, 0}, {0xff, 0xff, 0xff, 0xff}, {0, 0, 0, 1, 9}, {0, 0, 0, 3, 0x01, 0xf4, 0}, []byte("GET / HTTP/1.1\r\n\r\n"),
@@ -194,33 +194,33 @@
 		{0, 0, 0, 5, 0x01, 0x2f, 0, 0x80, 0},
 		{0, 0, 0, 4, 0x00, 0x01, 0, 0x80},
 	} {
-		connection, fault := net.Dial("tcp", address)
-		assert.NilError(t, fault)
-		_, fault = connection.Write(nonsense)
-		assert.NilError(t, fault)
+		connection, err := net.Dial("tcp", address)
+		assert.NilError(t, err)
+		_, err = connection.Write(nonsense)
+		assert.NilError(t, err)
 		select {
-		case fault := <-heard:
-			assert.Assert(t, fault != nil)
+		case err := <-heard:
+			assert.Assert(t, err != nil)
 		case <-time.After(patience):
 			t.Fatalf("%v was not refused", nonsense)
 		}
 		assert.NilError(t, connection.SetReadDeadline(time.Now().Add(patience)))
-		_, fault = connection.Read(make([]byte, 1))
-		assert.Assert(t, fault == io.EOF || fault != nil && !fault.(net.Error).Timeout(), "the connection still stands after %v", nonsense)
+		_, err = connection.Read(make([]byte, 1))
+		assert.Assert(t, err == io.EOF || err != nil && !err.(net.Error).Timeout(), "the connection still stands after %v", nonsense)
 		assert.NilError(t, connection.Close())
 	}
 	left := openEnd(t)
 	assert.NilError(t, left.links.Send(address, 0, appendOf(7)))
-	assert.Equal(t, receive(t, inbox).Message.(strand.Append).Visit, uint64(7))
+	assert.Equal(t, receive(t, inbox).Message.(partition.Append).Request, uint64(7))
 }
 
 // Whoever watches is told that nobody listens at an address once a process there
 // has ended, and is told nothing where a link was merely reset.
 func TestAnAddressThatRefusesIsTold(t *testing.T) {
 	address := freeAddress(t)
-	inbox, urgent := make(chan flare.Inbound, 4096), make(chan flare.Inbound, 4096)
-	there, fault := flare.Open(address, inbox, urgent, func(string, error) {})
-	assert.NilError(t, fault)
+	inbox, urgent := make(chan transport.Inbound, 4096), make(chan transport.Inbound, 4096)
+	there, err := transport.Open(address, inbox, urgent, func(string, error) {})
+	assert.NilError(t, err)
 	left := openEnd(t)
 	left.links.Watch()
 	assert.NilError(t, left.links.Send(address, 0, appendOf(1)))
@@ -228,18 +228,18 @@
 	receive(t, inbox)
 	there.Close()
 	told := receive(t, left.urgent)
-	_, refused := told.Message.(flare.Refused)
+	_, refused := told.Message.(transport.Refused)
 	assert.Assert(t, refused, "%T", told.Message)
 	assert.Equal(t, told.Meta.From, address)
 
-	resetting, fault := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, fault)
+	resetting, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
 	defer func() { _ = resetting.Close() }()
 	accepted := make(chan struct{}, 16)
 	go func() {
 		for {
-			connection, fault := resetting.Accept()
-			if fault != nil {
+			connection, err := resetting.Accept()
+			if err != nil {
 				return
 			}
 			_ = connection.(*net.TCPConn).SetLinger(0)
--- a/internal/flare/pack.go
+++ b/internal/transport/pack.go
@@ -1,4 +1,4 @@
-// Compression of turns between localities, where bytes cost more than the time
+// Compression of turns between zones, where bytes cost more than the time
 // it takes. A turn is small, a few hundred bytes, so that a format which begins
 // anew or sends its tables with each block gains little: here both ends of a
 // connection keep the same model, which goes on from turn to turn. What occurred
@@ -6,7 +6,7 @@
 // of it is written in Huffman codes made from what was seen before: text in which
 // nothing repeats still shrinks to its entropy. Both ends make the codes anew
 // after the same bytes, so that no table is ever sent.
-package flare
+package transport
 
 import (
 	"encoding/binary"
@@ -62,39 +62,39 @@
 
 // renew makes the codes from the counts, which it then lets fade. Every symbol
 // keeps a code.
-func (alphabet *alphabet) renew() {
-	alphabet.measure()
+func (a *alphabet) renew() {
+	a.measure()
 	code := uint16(0)
-	for size := uint8(1); int(size) <= alphabet.limit; size++ {
-		for symbol, own := range alphabet.sizes {
+	for size := uint8(1); int(size) <= a.limit; size++ {
+		for symbol, own := range a.sizes {
 			if own != size {
 				continue
 			}
-			alphabet.codes[symbol] = code
-			from := int(code) << (alphabet.limit - int(size))
-			for position := range 1 << (alphabet.limit - int(size)) {
-				alphabet.table[from+position] = uint16(symbol)<<4 | uint16(size)
+			a.codes[symbol] = code
+			from := int(code) << (a.limit - int(size))
+			for position := range 1 << (a.limit - int(size)) {
+				a.table[from+position] = uint16(symbol)<<4 | uint16(size)
 			}
 			code++
 		}
 		code <<= 1
 	}
-	for symbol, count := range alphabet.counts {
-		alphabet.counts[symbol] = count>>1 | 1
+	for symbol, count := range a.counts {
+		a.counts[symbol] = count>>1 | 1
 	}
 }
 
 // measure finds the sizes of the best codes for the counts, by merging the two
 // rarest over and over, and has none of them over the limit.
-func (alphabet *alphabet) measure() {
+func (a *alphabet) measure() {
 	var (
 		orders  [symbolCount]uint64
 		weights [2 * symbolCount]uint32
 		parents [2 * symbolCount]uint16
 		depths  [2 * symbolCount]uint8
 	)
-	order := orders[:len(alphabet.counts)]
-	for symbol, count := range alphabet.counts {
+	order := orders[:len(a.counts)]
+	for symbol, count := range a.counts {
 		order[symbol] = uint64(count)<<16 | uint64(symbol)
 	}
 	slices.Sort(order)
@@ -118,17 +118,17 @@
 	for position := 2*leaves - 3; position >= 0; position-- {
 		depths[position] = depths[parents[position]] + 1
 		if position < leaves {
-			bySize[min(int(depths[position]), alphabet.limit)]++
+			bySize[min(int(depths[position]), a.limit)]++
 		}
 	}
 	// Codes that were cut to the limit take room, which others give by growing.
 	room := 0
-	for size := 1; size <= alphabet.limit; size++ {
-		room += bySize[size] << (alphabet.limit - size)
+	for size := 1; size <= a.limit; size++ {
+		room += bySize[size] << (a.limit - size)
 	}
-	for ; room > 1<<alphabet.limit; room-- {
-		bySize[alphabet.limit]--
-		for size := alphabet.limit - 1; size > 0; size-- {
+	for ; room > 1<<a.limit; room-- {
+		bySize[a.limit]--
+		for size := a.limit - 1; size > 0; size-- {
 			if bySize[size] > 0 {
 				bySize[size]--
 				bySize[size+1] += 2
@@ -137,9 +137,9 @@
 		}
 	}
 	position := 0
-	for size := alphabet.limit; size > 0; size-- {
+	for size := a.limit; size > 0; size-- {
 		for range bySize[size] {
-			alphabet.sizes[order[position]&0xffff] = uint8(size)
+			a.sizes[order[position]&0xffff] = uint8(size)
 			position++
 		}
 	}
@@ -171,25 +171,25 @@
 
 // slide keeps the newest part of the window once it has grown; it tells how many
 // bytes went. Both ends do it at the same moments.
-func (model *model) slide(more int) int {
-	if len(model.window)+more <= cap(model.window) {
+func (m *model) slide(more int) int {
+	if len(m.window)+more <= cap(m.window) {
 		return 0
 	}
-	gone := max(0, len(model.window)-windowMost)
-	kept := copy(model.window, model.window[gone:])
-	model.window = model.window[:kept]
+	gone := max(0, len(m.window)-windowMost)
+	kept := copy(m.window, m.window[gone:])
+	m.window = m.window[:kept]
 	return gone
 }
 
 // learn makes codes anew once enough was seen.
-func (model *model) learn(more int) {
-	model.seen += more
-	if model.seen < model.renewAt {
+func (m *model) learn(more int) {
+	m.seen += more
+	if m.seen < m.renewAt {
 		return
 	}
-	model.symbols.renew()
-	model.sizes.renew()
-	model.seen, model.renewAt = 0, min(2*model.renewAt, renewMost)
+	m.symbols.renew()
+	m.sizes.renew()
+	m.seen, m.renewAt = 0, min(2*m.renewAt, renewMost)
 }
 
 // slotOf gives a length's slot, and how many of its low bits follow.
@@ -227,43 +227,43 @@
 }
 
 // pack appends the packed form of a body to out.
-func (packer *packer) pack(out, body []byte) []byte {
-	packer.out, packer.bits, packer.filled = binary.AppendUvarint(out, uint64(len(body))), 0, 0
+func (p *packer) pack(out, body []byte) []byte {
+	p.out, p.bits, p.filled = binary.AppendUvarint(out, uint64(len(body))), 0, 0
 	for len(body) > 0 {
 		piece := body[:min(len(body), windowMost)]
-		packer.piece(piece)
-		packer.learn(len(piece))
+		p.piece(piece)
+		p.learn(len(piece))
 		body = body[len(piece):]
 	}
-	if packer.filled > 0 {
-		packer.out = append(packer.out, byte(packer.bits<<(8-packer.filled)))
+	if p.filled > 0 {
+		p.out = append(p.out, byte(p.bits<<(8-p.filled)))
 	}
-	done := packer.out
-	packer.out = nil
+	done := p.out
+	p.out = nil
 	return done
 }
 
 // piece packs bytes that fit into the window besides what it keeps.
-func (packer *packer) piece(piece []byte) {
-	if gone := int32(packer.slide(len(piece))); gone > 0 {
-		for position, head := range packer.heads {
-			packer.heads[position] = max(-1, head-gone)
+func (p *packer) piece(piece []byte) {
+	if gone := int32(p.slide(len(piece))); gone > 0 {
+		for position, head := range p.heads {
+			p.heads[position] = max(-1, head-gone)
 		}
 	}
-	at := len(packer.window)
-	packer.window = append(packer.window, piece...)
-	whole := packer.window
+	at := len(p.window)
+	p.window = append(p.window, piece...)
+	whole := p.window
 	for at < len(whole) {
 		length, repeat, distance := 0, false, 0
-		if packer.repeated > 0 && packer.repeated <= at {
-			if length = common(whole, at-packer.repeated, at); length >= repeatLeast {
+		if p.repeated > 0 && p.repeated <= at {
+			if length = common(whole, at-p.repeated, at); length >= repeatLeast {
 				repeat = true
 			} else {
 				length = 0
 			}
 		}
 		if length < 16 && at+matchLeast <= len(whole) {
-			if head := int(packer.heads[hashOf(whole[at:])]); head >= 0 && head < at && at-head <= windowMost {
+			if head := int(p.heads[hashOf(whole[at:])]); head >= 0 && head < at && at-head <= windowMost {
 				// A new distance takes some two bytes more than the one used last.
 				if found := common(whole, head, at); found >= matchLeast && found > length+2 {
 					length, repeat, distance = found, false, at-head
@@ -272,42 +272,42 @@
 		}
 		switch {
 		case length == 0:
-			packer.symbol(&packer.symbols, int(whole[at]))
+			p.symbol(&p.symbols, int(whole[at]))
 			length = 1
 		case repeat:
-			packer.length(firstRepeat, length-repeatLeast)
+			p.length(firstRepeat, length-repeatLeast)
 		default:
-			packer.length(firstMatch, length-matchLeast)
+			p.length(firstMatch, length-matchLeast)
 			size := bits.Len(uint(distance)) - 1
-			packer.symbol(&packer.sizes, size)
-			packer.plain(uint64(distance)&(1<<size-1), size)
-			packer.repeated = distance
+			p.symbol(&p.sizes, size)
+			p.plain(uint64(distance)&(1<<size-1), size)
+			p.repeated = distance
 		}
 		for end := at + length; at < end; at++ {
 			if at+matchLeast <= len(whole) {
-				packer.heads[hashOf(whole[at:])] = int32(at)
+				p.heads[hashOf(whole[at:])] = int32(at)
 			}
 		}
 	}
 }
 
-func (packer *packer) length(first, length int) {
+func (p *packer) length(first, length int) {
 	slot, extra := slotOf(length)
-	packer.symbol(&packer.symbols, first+slot)
-	packer.plain(uint64(length)&(1<<extra-1), extra)
+	p.symbol(&p.symbols, first+slot)
+	p.plain(uint64(length)&(1<<extra-1), extra)
 }
 
-func (packer *packer) symbol(from *alphabet, symbol int) {
+func (p *packer) symbol(from *alphabet, symbol int) {
 	from.counts[symbol]++
-	packer.plain(uint64(from.codes[symbol]), int(from.sizes[symbol]))
+	p.plain(uint64(from.codes[symbol]), int(from.sizes[symbol]))
 }
 
-func (packer *packer) plain(value uint64, count int) {
-	packer.bits = packer.bits<<count | value
-	packer.filled += count
-	for packer.filled >= 8 {
-		packer.filled -= 8
-		packer.out = append(packer.out, byte(packer.bits>>packer.filled))
+func (p *packer) plain(value uint64, count int) {
+	p.bits = p.bits<<count | value
+	p.filled += count
+	for p.filled >= 8 {
+		p.filled -= 8
+		p.out = append(p.out, byte(p.bits>>p.filled))
 	}
 }
 
@@ -340,86 +340,86 @@
 
 // unpack gives what a body was packed from; it holds until the next call. After
 // an error nothing more that comes on the connection can be read.
-func (unpacker *unpacker) unpack(packed []byte) ([]byte, error) {
+func (u *unpacker) unpack(packed []byte) ([]byte, error) {
 	length, size := binary.Uvarint(packed)
 	if size <= 0 || length == 0 || length > packMost {
 		return nil, ErrorFrame.New("a packed turn of %d bytes", length)
 	}
-	unpacker.in, unpacker.bits, unpacker.filled, unpacker.lack = packed[size:], 0, 0, 0
+	u.in, u.bits, u.filled, u.lack = packed[size:], 0, 0, 0
 	body := make([]byte, 0, length)
 	for left := int(length); left > 0; {
 		piece := min(left, windowMost)
-		unpacker.slide(piece)
-		at := len(unpacker.window)
-		if fault := unpacker.piece(at + piece); fault != nil {
-			return nil, fault
+		u.slide(piece)
+		at := len(u.window)
+		if err := u.piece(at + piece); err != nil {
+			return nil, err
 		}
-		unpacker.learn(piece)
-		body = append(body, unpacker.window[at:]...)
+		u.learn(piece)
+		body = append(body, u.window[at:]...)
 		left -= piece
 	}
-	if left := 8*len(unpacker.in) + unpacker.filled - unpacker.lack; left < 0 || left >= 8 {
+	if left := 8*len(u.in) + u.filled - u.lack; left < 0 || left >= 8 {
 		return nil, ErrorFrame.New("a packed turn of another length")
 	}
 	return body, nil
 }
 
 // piece fills the window up to an end.
-func (unpacker *unpacker) piece(end int) error {
-	for len(unpacker.window) < end {
-		symbol := unpacker.symbol(&unpacker.symbols)
+func (u *unpacker) piece(end int) error {
+	for len(u.window) < end {
+		symbol := u.symbol(&u.symbols)
 		if symbol < firstMatch {
-			unpacker.window = append(unpacker.window, byte(symbol))
+			u.window = append(u.window, byte(symbol))
 			continue
 		}
 		length := 0
 		if symbol < firstRepeat {
-			length = unpacker.length(symbol-firstMatch) + matchLeast
-			size := unpacker.symbol(&unpacker.sizes)
-			unpacker.repeated = 1<<size | int(unpacker.plain(size))
+			length = u.length(symbol-firstMatch) + matchLeast
+			size := u.symbol(&u.sizes)
+			u.repeated = 1<<size | int(u.plain(size))
 		} else {
-			length = unpacker.length(symbol-firstRepeat) + repeatLeast
+			length = u.length(symbol-firstRepeat) + repeatLeast
 		}
-		if unpacker.repeated == 0 || unpacker.repeated > len(unpacker.window) || length > end-len(unpacker.window) {
+		if u.repeated == 0 || u.repeated > len(u.window) || length > end-len(u.window) {
 			return ErrorFrame.New("a packed turn names what was not there")
 		}
 		for range length {
-			unpacker.window = append(unpacker.window, unpacker.window[len(unpacker.window)-unpacker.repeated])
+			u.window = append(u.window, u.window[len(u.window)-u.repeated])
 		}
 	}
 	return nil
 }
 
-func (unpacker *unpacker) length(slot int) int {
+func (u *unpacker) length(slot int) int {
 	least, extra := lengthOf(slot)
-	return least | int(unpacker.plain(extra))
+	return least | int(u.plain(extra))
 }
 
 // fill has some bits ready; after the end of what came they are zeros, which
 // are counted.
-func (unpacker *unpacker) fill(count int) {
-	for unpacker.filled < count {
+func (u *unpacker) fill(count int) {
+	for u.filled < count {
 		next := byte(0)
-		if len(unpacker.in) > 0 {
-			next, unpacker.in = unpacker.in[0], unpacker.in[1:]
+		if len(u.in) > 0 {
+			next, u.in = u.in[0], u.in[1:]
 		} else {
-			unpacker.lack += 8
+			u.lack += 8
 		}
-		unpacker.bits, unpacker.filled = unpacker.bits<<8|uint64(next), unpacker.filled+8
+		u.bits, u.filled = u.bits<<8|uint64(next), u.filled+8
 	}
 }
 
-func (unpacker *unpacker) symbol(from *alphabet) int {
-	unpacker.fill(from.limit)
-	entry := from.table[unpacker.bits>>(unpacker.filled-from.limit)&(1<<from.limit-1)]
-	unpacker.filled -= int(entry & 15)
+func (u *unpacker) symbol(from *alphabet) int {
+	u.fill(from.limit)
+	entry := from.table[u.bits>>(u.filled-from.limit)&(1<<from.limit-1)]
+	u.filled -= int(entry & 15)
 	symbol := int(entry >> 4)
 	from.counts[symbol]++
 	return symbol
 }
 
-func (unpacker *unpacker) plain(count int) uint64 {
-	unpacker.fill(count)
-	unpacker.filled -= count
-	return unpacker.bits >> unpacker.filled & (1<<count - 1)
+func (u *unpacker) plain(count int) uint64 {
+	u.fill(count)
+	u.filled -= count
+	return u.bits >> u.filled & (1<<count - 1)
 }
--- a/internal/flare/pack_test.go
+++ b/internal/transport/pack_test.go
@@ -1,6 +1,6 @@
-// Compression between localities: whatever goes in comes out, turn after turn,
+// Compression between zones: whatever goes in comes out, turn after turn,
 // and nothing from outside makes the unpacker panic.
-package flare
+package transport
 
 import (
 	"bytes"
@@ -10,14 +10,14 @@
 
 	"gotest.tools/v3/assert"
 
-	"dahlialock/internal/helm"
+	"dahlialock/internal/statemachine"
 )
 
 func there(tb testing.TB, packer *packer, unpacker *unpacker, body []byte) int {
 	tb.Helper()
 	packed := packer.pack(nil, body)
-	back, fault := unpacker.unpack(packed)
-	assert.NilError(tb, fault)
+	back, err := unpacker.unpack(packed)
+	assert.NilError(tb, err)
 	assert.Assert(tb, bytes.Equal(back, body), "%d bytes differ", len(body))
 	return len(packed)
 }
@@ -92,7 +92,7 @@
 	f.Add(packer.pack(nil, []byte("a turn of some frames")), packer.pack(nil, []byte("a turn of some more frames")))
 	f.Fuzz(func(_ *testing.T, first, second []byte) {
 		unpacker := newUnpacker()
-		if _, fault := unpacker.unpack(first); fault == nil {
+		if _, err := unpacker.unpack(first); err == nil {
 			_, _ = unpacker.unpack(second)
 		}
 	})
@@ -110,7 +110,7 @@
 	})
 }
 
-// A turn as a lantern's: a publication's record for a daemon in another locality.
+// A turn as a gateway's: a publication's record for a daemon in another zone.
 func BenchmarkPack(b *testing.B) {
 	random := rand.New(rand.NewPCG(7, 8))
 	var turns [][]byte
@@ -131,8 +131,8 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		packed := packer.pack(nil, turns[number%256])
-		if _, fault := unpacker.unpack(packed); fault != nil {
-			b.Fatal(fault)
+		if _, err := unpacker.unpack(packed); err != nil {
+			b.Fatal(err)
 		}
 		number++
 	}
@@ -153,5 +153,5 @@
 	if !known {
 		MustRegister(9999, preambleLike{})
 	}
-	return appendFrame(turn, helm.Meta{}.From, 7, message)
+	return appendFrame(turn, statemachine.Meta{}.From, 7, message)
 }
--- a/internal/flare/socket.go
+++ b/internal/transport/socket.go
@@ -1,7 +1,7 @@
 // The owner's descriptor of a connection. The owner writes without waiting; the
 // dialling loop ends the connection, maybe in the same moment. Neither waits for
 // the other: if a write is under way, the writer closes the descriptor after it.
-package flare
+package transport
 
 import (
 	"encoding/binary"
@@ -25,12 +25,12 @@
 }
 
 // wrap gives the bytes that go out for a turn, and the scratch for the next one.
-func (socket *socket) wrap(scratch, body []byte) (wrapped, kept []byte) {
-	if socket.packer == nil || len(body) > packMost {
+func (s *socket) wrap(scratch, body []byte) (wrapped, kept []byte) {
+	if s.packer == nil || len(body) > packMost {
 		return body, scratch
 	}
 	wrapped = append(scratch[:0], 0, 0, 0, 0)
-	wrapped = socket.packer.pack(wrapped, body)
+	wrapped = s.packer.pack(wrapped, body)
 	binary.BigEndian.PutUint32(wrapped, packedMark|uint32(len(wrapped)-headerSize))
 	if cap(wrapped) > spareMost {
 		return wrapped, nil
@@ -39,29 +39,29 @@
 }
 
 // write tries once, and tells how many bytes were taken.
-func (socket *socket) write(body []byte) (int, error) {
-	if !socket.state.CompareAndSwap(socketIdle, socketBusy) {
+func (s *socket) write(body []byte) (int, error) {
+	if !s.state.CompareAndSwap(socketIdle, socketBusy) {
 		return 0, unix.EPIPE
 	}
-	sent, fault := unix.Write(socket.descriptor, body)
-	for fault == unix.EINTR {
-		sent, fault = unix.Write(socket.descriptor, body)
+	sent, err := unix.Write(s.descriptor, body)
+	for err == unix.EINTR {
+		sent, err = unix.Write(s.descriptor, body)
 	}
-	if !socket.state.CompareAndSwap(socketBusy, socketIdle) {
-		socket.state.Store(socketEnded)
-		_ = unix.Close(socket.descriptor)
+	if !s.state.CompareAndSwap(socketBusy, socketIdle) {
+		s.state.Store(socketEnded)
+		_ = unix.Close(s.descriptor)
 	}
-	return max(0, sent), fault
+	return max(0, sent), err
 }
 
 // end closes the descriptor, or leaves that to the write that is under way.
-func (socket *socket) end() {
+func (s *socket) end() {
 	for {
-		if socket.state.CompareAndSwap(socketIdle, socketEnded) {
-			_ = unix.Close(socket.descriptor)
+		if s.state.CompareAndSwap(socketIdle, socketEnded) {
+			_ = unix.Close(s.descriptor)
 			return
 		}
-		if socket.state.CompareAndSwap(socketBusy, socketEnding) {
+		if s.state.CompareAndSwap(socketBusy, socketEnding) {
 			return
 		}
 	}
--- a/internal/logbook/logbook.go
+++ b/internal/wal/wal.go
@@ -1,11 +1,11 @@
-// Package logbook keeps a daemon's own state on a small disk: two slots that
+// Package wal keeps a daemon's own state on a small disk: two slots that
 // are written in turn, with a short log between. A slot holds a whole frame
 // with a generation; the log of a generation holds the entries after it. A
 // write lasts only once it is synced, file and folder both. On opening, the
 // newest whole slot wins and the logs after it are replayed; a torn tail is
 // cut, and damage anywhere else is an error that the owner must answer by
 // rebuilding its copy from another holder.
-package logbook
+package wal
 
 import (
 	"encoding/binary"
@@ -35,7 +35,7 @@
 
 var table = crc32.MakeTable(crc32.Castagnoli)
 
-// Folder is the disk as the logbook sees it. Nothing lasts before Sync of the
+// Folder is the disk as the log sees it. Nothing lasts before Sync of the
 // file, and no name lasts before SyncFolder.
 type Folder interface {
 	Read(name string) ([]byte, bool, error)
@@ -47,7 +47,7 @@
 	SyncFolder() error
 }
 
-// Recovered is what a logbook held when it was opened.
+// Recovered is what a log held when it was opened.
 type Recovered struct {
 	Blank   bool
 	Frame   []byte
@@ -55,8 +55,8 @@
 	Torn    int
 }
 
-// Logbook is an open logbook; one owner uses it.
-type Logbook struct {
+// Log is an open log; one owner uses it.
+type Log struct {
 	folder     Folder
 	generation uint64
 	logSize    int64
@@ -126,9 +126,9 @@
 }
 
 func readSlot(folder Folder, name string) (slot, error) {
-	body, found, fault := folder.Read(name)
-	if fault != nil {
-		return slot{}, ErrorDisk.Wrap(fault, "reading %s", name)
+	body, found, err := folder.Read(name)
+	if err != nil {
+		return slot{}, ErrorDisk.Wrap(err, "reading %s", name)
 	}
 	if !found {
 		return slot{}, nil
@@ -145,60 +145,60 @@
 }
 
 // Open reads a folder, making it if it is blank.
-func Open(folder Folder) (*Logbook, Recovered, error) {
-	even, fault := readSlot(folder, "slot-even")
-	if fault != nil {
-		return nil, Recovered{}, fault
+func Open(folder Folder) (*Log, Recovered, error) {
+	even, err := readSlot(folder, "slot-even")
+	if err != nil {
+		return nil, Recovered{}, err
 	}
-	odd, fault := readSlot(folder, "slot-odd")
-	if fault != nil {
-		return nil, Recovered{}, fault
+	odd, err := readSlot(folder, "slot-odd")
+	if err != nil {
+		return nil, Recovered{}, err
 	}
 	newest := even
 	if odd.whole && (!even.whole || odd.generation > even.generation) {
 		newest = odd
 	}
-	book := &Logbook{folder: folder}
+	book := &Log{folder: folder}
 	if !newest.whole {
 		return book, Recovered{Blank: true}, book.found(even.present && odd.present)
 	}
 	recovered := Recovered{Frame: newest.frame}
 	book.generation = newest.generation
-	fault = book.replay(&recovered, even.present && odd.present && !(even.whole && odd.whole))
-	return book, recovered, fault
+	err = book.replay(&recovered, even.present && odd.present && !(even.whole && odd.whole))
+	return book, recovered, err
 }
 
-func (book *Logbook) found(bothDamaged bool) error {
+func (l *Log) found(bothDamaged bool) error {
 	if bothDamaged {
 		return ErrorDamage.New("neither slot is whole")
 	}
 	for generation := range uint64(3) {
-		if _, found, fault := book.folder.Read(logName(generation)); fault != nil || found {
-			if fault != nil {
-				return ErrorDisk.Wrap(fault, "reading a log")
+		if _, found, err := l.folder.Read(logName(generation)); err != nil || found {
+			if err != nil {
+				return ErrorDisk.Wrap(err, "reading a log")
 			}
-			if _, slotFound, _ := book.folder.Read("slot-odd"); !slotFound {
+			if _, slotFound, _ := l.folder.Read("slot-odd"); !slotFound {
 				return ErrorDamage.New("a log without any slot")
 			}
 		}
 	}
-	return book.Checkpoint(nil)
+	return l.Checkpoint(nil)
 }
 
-func (book *Logbook) replay(recovered *Recovered, otherTorn bool) error {
+func (l *Log) replay(recovered *Recovered, otherTorn bool) error {
 	for {
-		name := logName(book.generation)
-		body, found, fault := book.folder.Read(name)
-		if fault != nil {
-			return ErrorDisk.Wrap(fault, "reading %s", name)
+		name := logName(l.generation)
+		body, found, err := l.folder.Read(name)
+		if err != nil {
+			return ErrorDisk.Wrap(err, "reading %s", name)
 		}
 		generation, rest, whole := uint64(0), []byte(nil), false
 		if found {
 			generation, rest, whole = readPrefix(body, logMagic)
 		}
-		if !whole || generation != book.generation {
+		if !whole || generation != l.generation {
 			// The slot was synced but its log was not begun yet.
-			return book.beginLog()
+			return l.beginLog()
 		}
 		kept := len(body) - len(rest)
 		for len(rest) > 0 {
@@ -211,13 +211,13 @@
 			rest = after
 		}
 		if len(rest) == 0 {
-			book.logSize = int64(kept)
-			next, _, _ := book.folder.Read(logName(book.generation + 1))
-			if followed, _, whole := readPrefix(next, logMagic); whole && followed == book.generation+1 {
+			l.logSize = int64(kept)
+			next, _, _ := l.folder.Read(logName(l.generation + 1))
+			if followed, _, whole := readPrefix(next, logMagic); whole && followed == l.generation+1 {
 				if !otherTorn {
 					return ErrorDamage.New("log %d follows without its slot", followed)
 				}
-				book.generation++
+				l.generation++
 				continue
 			}
 			return nil
@@ -226,11 +226,11 @@
 			return ErrorDamage.New("%s is damaged at byte %d", name, kept)
 		}
 		recovered.Torn = len(rest)
-		book.logSize = int64(kept)
-		if fault := book.folder.Truncate(name, int64(kept)); fault != nil {
-			return ErrorDisk.Wrap(fault, "cutting %s", name)
+		l.logSize = int64(kept)
+		if err := l.folder.Truncate(name, int64(kept)); err != nil {
+			return ErrorDisk.Wrap(err, "cutting %s", name)
 		}
-		return book.sync(name)
+		return l.sync(name)
 	}
 }
 
@@ -249,93 +249,93 @@
 	return false
 }
 
-func (book *Logbook) sync(name string) error {
-	book.Syncs++
-	if fault := book.folder.Sync(name); fault != nil {
-		return ErrorDisk.Wrap(fault, "syncing %s", name)
+func (l *Log) sync(name string) error {
+	l.Syncs++
+	if err := l.folder.Sync(name); err != nil {
+		return ErrorDisk.Wrap(err, "syncing %s", name)
 	}
 	return nil
 }
 
 // Append puts entries on the disk; they last when it returns without error.
 // After an error it may be asked for again: what was written in part is cut first.
-func (book *Logbook) Append(entries [][]byte) error {
+func (l *Log) Append(entries [][]byte) error {
 	var body []byte
 	for _, entry := range entries {
-		body = appendEntry(body, book.generation, entry)
+		body = appendEntry(body, l.generation, entry)
 	}
-	name := logName(book.generation)
-	if book.uncut {
-		if fault := book.folder.Truncate(name, book.logSize); fault != nil {
-			return ErrorDisk.Wrap(fault, "cutting %s", name)
+	name := logName(l.generation)
+	if l.uncut {
+		if err := l.folder.Truncate(name, l.logSize); err != nil {
+			return ErrorDisk.Wrap(err, "cutting %s", name)
 		}
 	}
-	book.uncut = true
-	if fault := book.folder.Append(name, body); fault != nil {
-		return ErrorDisk.Wrap(fault, "appending to %s", name)
+	l.uncut = true
+	if err := l.folder.Append(name, body); err != nil {
+		return ErrorDisk.Wrap(err, "appending to %s", name)
 	}
-	if fault := book.sync(name); fault != nil {
-		return fault
+	if err := l.sync(name); err != nil {
+		return err
 	}
-	book.uncut = false
-	book.logSize += int64(len(body))
+	l.uncut = false
+	l.logSize += int64(len(body))
 	return nil
 }
 
 // LogSize is the size of the present log, by which an owner decides when to
 // write a frame.
-func (book *Logbook) LogSize() int64 {
-	return book.logSize
+func (l *Log) LogSize() int64 {
+	return l.logSize
 }
 
 // Checkpoint writes a frame that stands for all entries so far into the other
 // slot and begins a new log after it.
-func (book *Logbook) Checkpoint(frame []byte) error {
-	generation := book.generation + 1
+func (l *Log) Checkpoint(frame []byte) error {
+	generation := l.generation + 1
 	body := appendEntry(seal(slotMagic, generation), generation, frame)
 	name := slotName(generation)
-	if fault := book.folder.Create(name, body); fault != nil {
-		return ErrorDisk.Wrap(fault, "writing %s", name)
+	if err := l.folder.Create(name, body); err != nil {
+		return ErrorDisk.Wrap(err, "writing %s", name)
 	}
-	if fault := book.sync(name); fault != nil {
-		return fault
+	if err := l.sync(name); err != nil {
+		return err
 	}
-	if fault := book.folder.SyncFolder(); fault != nil {
-		return ErrorDisk.Wrap(fault, "syncing the folder")
+	if err := l.folder.SyncFolder(); err != nil {
+		return ErrorDisk.Wrap(err, "syncing the folder")
 	}
-	book.generation, book.uncut = generation, false
-	if fault := book.beginLog(); fault != nil {
-		return fault
+	l.generation, l.uncut = generation, false
+	if err := l.beginLog(); err != nil {
+		return err
 	}
 	// The log before the one that led here stands on a slot that is gone.
-	if fault := book.folder.Remove(logName(generation + 1)); fault != nil {
-		return ErrorDisk.Wrap(fault, "removing %s", logName(generation+1))
+	if err := l.folder.Remove(logName(generation + 1)); err != nil {
+		return ErrorDisk.Wrap(err, "removing %s", logName(generation+1))
 	}
 	return nil
 }
 
-func (book *Logbook) beginLog() error {
-	prefix := seal(logMagic, book.generation)
-	name := logName(book.generation)
-	if fault := book.folder.Create(name, prefix); fault != nil {
-		return ErrorDisk.Wrap(fault, "beginning %s", name)
+func (l *Log) beginLog() error {
+	prefix := seal(logMagic, l.generation)
+	name := logName(l.generation)
+	if err := l.folder.Create(name, prefix); err != nil {
+		return ErrorDisk.Wrap(err, "beginning %s", name)
 	}
-	book.logSize = int64(len(prefix))
-	if fault := book.sync(name); fault != nil {
-		return fault
+	l.logSize = int64(len(prefix))
+	if err := l.sync(name); err != nil {
+		return err
 	}
-	if fault := book.folder.SyncFolder(); fault != nil {
-		return ErrorDisk.Wrap(fault, "syncing the folder")
+	if err := l.folder.SyncFolder(); err != nil {
+		return ErrorDisk.Wrap(err, "syncing the folder")
 	}
 	return nil
 }
 
 // Scribble writes entries without syncing them, as a process does that is
 // killed in the middle; it serves the simulator.
-func (book *Logbook) Scribble(entries [][]byte) {
+func (l *Log) Scribble(entries [][]byte) {
 	var body []byte
 	for _, entry := range entries {
-		body = appendEntry(body, book.generation, entry)
+		body = appendEntry(body, l.generation, entry)
 	}
-	_ = book.folder.Append(logName(book.generation), body)
+	_ = l.folder.Append(logName(l.generation), body)
 }
--- a/internal/logbook/logbook_test.go
+++ b/internal/wal/wal_test.go
@@ -1,6 +1,6 @@
-// The logbook against an oracle: whatever the disk loses at a power cut, what
+// The log against a checker: whatever the disk loses at a power cut, what
 // was synced is there again, and damage to synced bytes is never passed over.
-package logbook
+package wal
 
 import (
 	"errors"
@@ -29,8 +29,8 @@
 		disk := NewMemoryFolder()
 		var lasting []string
 		for round := range 12 {
-			book, recovered, fault := Open(disk)
-			assert.NilError(t, fault, "seed %d round %d", seed, round)
+			book, recovered, err := Open(disk)
+			assert.NilError(t, err, "seed %d round %d", seed, round)
 			assert.DeepEqual(t, replayed(recovered), lasting)
 			for step := range random.IntN(8) {
 				if random.IntN(4) == 0 {
@@ -63,28 +63,28 @@
 func TestDamageIsReported(t *testing.T) {
 	for at := prefixSize; at < 80; at++ {
 		disk := NewMemoryFolder()
-		book, _, fault := Open(disk)
-		assert.NilError(t, fault)
+		book, _, err := Open(disk)
+		assert.NilError(t, err)
 		for number := range 6 {
 			assert.NilError(t, book.Append([][]byte{[]byte(fmt.Sprintf("entry number %d", number))}))
 		}
 		assert.Assert(t, disk.Damage(logName(book.generation), at))
-		_, _, fault = Open(disk)
-		assert.Assert(t, errorx.IsOfType(fault, ErrorDamage), "byte %d: %v", at, fault)
+		_, _, err = Open(disk)
+		assert.Assert(t, errorx.IsOfType(err, ErrorDamage), "byte %d: %v", at, err)
 	}
 }
 
 func TestDamagedNewestSlotFallsBack(t *testing.T) {
 	disk := NewMemoryFolder()
-	book, _, fault := Open(disk)
-	assert.NilError(t, fault)
+	book, _, err := Open(disk)
+	assert.NilError(t, err)
 	assert.NilError(t, book.Checkpoint([]byte("first")))
 	assert.NilError(t, book.Append([][]byte{[]byte("a")}))
 	assert.NilError(t, book.Checkpoint([]byte("second")))
 	assert.NilError(t, book.Append([][]byte{[]byte("b")}))
 	disk.Damage(slotName(book.generation), prefixSize+entryHeader+1)
-	_, recovered, fault := Open(disk)
-	assert.NilError(t, fault)
+	_, recovered, err := Open(disk)
+	assert.NilError(t, err)
 	assert.DeepEqual(t, replayed(recovered), []string{"first", "a", "b"})
 }
 
@@ -94,32 +94,32 @@
 	full, hoarse bool
 }
 
-func (folder *fullFolder) Append(name string, body []byte) error {
-	if folder.full {
-		_ = folder.MemoryFolder.Append(name, body[:len(body)/2])
+func (ff *fullFolder) Append(name string, body []byte) error {
+	if ff.full {
+		_ = ff.MemoryFolder.Append(name, body[:len(body)/2])
 		return errors.New("no space left")
 	}
-	return folder.MemoryFolder.Append(name, body)
+	return ff.MemoryFolder.Append(name, body)
 }
 
-func (folder *fullFolder) Sync(name string) error {
-	if folder.hoarse {
+func (ff *fullFolder) Sync(name string) error {
+	if ff.hoarse {
 		return errors.New("not synced")
 	}
-	return folder.MemoryFolder.Sync(name)
+	return ff.MemoryFolder.Sync(name)
 }
 
 func TestARefusedWriteIsTriedAgain(t *testing.T) {
 	folder := &fullFolder{MemoryFolder: NewMemoryFolder()}
-	book, _, fault := Open(folder)
-	assert.NilError(t, fault)
+	book, _, err := Open(folder)
+	assert.NilError(t, err)
 	assert.NilError(t, book.Append([][]byte{[]byte("a")}))
 	folder.full = true
 	for range 3 {
 		assert.Assert(t, errorx.IsOfType(book.Append([][]byte{[]byte("second entry")}), ErrorDisk))
 	}
-	_, recovered, fault := Open(folder.MemoryFolder)
-	assert.NilError(t, fault)
+	_, recovered, err := Open(folder.MemoryFolder)
+	assert.NilError(t, err)
 	assert.DeepEqual(t, replayed(recovered), []string{"a"})
 	folder.full, folder.hoarse = false, true
 	assert.Assert(t, errorx.IsOfType(book.Append([][]byte{[]byte("second entry")}), ErrorDisk))
@@ -127,8 +127,8 @@
 	assert.NilError(t, book.Append([][]byte{[]byte("second entry")}))
 	assert.NilError(t, book.Append([][]byte{[]byte("third")}))
 	folder.PowerCut(0)
-	_, recovered, fault = Open(folder)
-	assert.NilError(t, fault)
+	_, recovered, err = Open(folder)
+	assert.NilError(t, err)
 	assert.DeepEqual(t, replayed(recovered), []string{"a", "second entry", "third"})
 }
 
@@ -138,11 +138,11 @@
 		disk := NewMemoryFolder()
 		_ = disk.Create("slot-odd", slotBody)
 		_ = disk.Create("log-1", logBody)
-		book, recovered, fault := Open(disk)
-		if fault == nil {
+		book, recovered, err := Open(disk)
+		if err == nil {
 			assert.NilError(t, book.Append([][]byte{[]byte("after")}))
-			_, again, fault := Open(disk)
-			assert.NilError(t, fault)
+			_, again, err := Open(disk)
+			assert.NilError(t, err)
 			assert.Equal(t, len(again.Entries), len(recovered.Entries)+1)
 		}
 	})
