--- a/internal/simulator/docs_test.go
+++ b/internal/simulator/docs_test.go
@@ -16,7 +16,7 @@
 func TestDocsNameWhatExists(t *testing.T) {
 	tests, mutated := map[string]bool{}, map[string]bool{}
 	testName := regexp.MustCompile(`(?m)^func (Test\w+|Fuzz\w+)\(`)
-	question := regexp.MustCompile(`helm\.Mutated\("([a-z-]+)"\)`)
+	question := regexp.MustCompile(`statemachine\.Mutated\("([a-z-]+)"\)`)
 	assert.NilError(t, filepath.WalkDir("../..", func(path string, entry os.DirEntry, err error) error {
 		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") {
 			return err
--- a/internal/testfleet/testfleet_test.go
+++ b/internal/testfleet/testfleet_test.go
@@ -96,7 +96,7 @@
 func (b *bench) released() {
 	t := b.t
 	names := map[string]bool{}
-	question := regexp.MustCompile(`helm\.Mutated\("([a-z-]+)"\)`)
+	question := regexp.MustCompile(`statemachine\.Mutated\("([a-z-]+)"\)`)
 	assert.NilError(t, filepath.WalkDir("..", func(path string, _ os.DirEntry, err error) error {
 		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 			return err
