The simulator has links with a bandwidth, windows and bytes counted by kind of message

Each machine has a link with a rate each way, which its daemons and its callers share; a connection has a bounded window, so that a full link and a peer that does not read hold a sender up, and what it holds beyond that is bounded as in the transport. Sizes are those of the codec. Traffic tells bytes by type of message. Runs whose Size names no link are the same as before. RunGrown is the shape of the grown deployment, in which all power is lost.

--- /dev/null
+++ b/internal/simulator/bandwidth.go
@@ -0,0 +1,372 @@
+// Links with a bandwidth: each machine has one, and its daemons and their callers
+// share it. Bytes wait for it in the order in which they come, in segments; a
+// connection has no more than a window of them under way, so that a sender is
+// held up by a link that is full and by a peer that does not read. What a sender
+// holds beyond that waits in its own queue, as in internal/transport. Links have no
+// bandwidth, and none of this acts, unless the Size names one.
+package simulator
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"dahlialock/internal/membership"
+	"dahlialock/internal/statemachine"
+	"dahlialock/internal/transport"
+)
+
+const (
+	// segmentSize is how many bytes go over a link at once.
+	segmentSize = 1448
+	// windowSize is how many bytes are under way on one connection, unless the
+	// Size says otherwise.
+	windowSize = 64 << 10
+	// sendQueueLimit bounds what a daemon holds for one peer.
+	sendQueueLimit = 1 << 20
+	// lineHead stands for what a command or an answer has beside its texts.
+	lineHead = 24
+)
+
+// Bandwidth is what the link of a machine takes each way, in bytes a second; zero is
+// without a limit.
+type Bandwidth struct {
+	Up, Down int
+}
+
+// lane is one direction of a machine's link.
+type lane struct {
+	rate int
+	free time.Time
+}
+
+// pass gives the moment at which bytes that come now are through.
+func (l *lane) pass(now time.Time, size int) time.Time {
+	if l == nil || l.rate == 0 {
+		return now
+	}
+	if l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(size) * time.Second / time.Duration(l.rate))
+	return l.free
+}
+
+// nic is the link of a machine.
+type nic struct {
+	up, down lane
+}
+
+// Traffic is what a daemon sent and received of one type of message.
+type Traffic struct {
+	MessagesOut, BytesOut, MessagesIn, BytesIn, Dropped int64
+}
+
+// KindTraffic is the traffic of one type.
+type KindTraffic struct {
+	Kind string
+	Traffic
+}
+
+// linkOf gives a daemon its machine's link; an agent stands beside its gateway.
+func (s *Simulation) linkOf(kind string, number int) *nic {
+	if kind == membership.KindAgent {
+		kind = membership.KindGateway
+	}
+	name := fmt.Sprintf("%s-%d", kind, number+1)
+	if present, found := s.nics[name]; found {
+		return present
+	}
+	bandwidth := s.Size.Links[kind]
+	made := &nic{up: lane{rate: bandwidth.Up}, down: lane{rate: bandwidth.Down}}
+	s.nics[name] = made
+	return made
+}
+
+// limited tells whether links have a bandwidth in this run.
+func (s *Simulation) limited() bool { return len(s.Size.Links) > 0 }
+
+func (s *Simulation) window() int {
+	if s.Size.Window > 0 {
+		return s.Size.Window
+	}
+	return windowSize
+}
+
+// pipe is one direction of a connection.
+type pipe struct {
+	simulation *Simulation
+	up, down   *lane
+	delay      func() time.Duration
+	// enter runs something at the end that reads, once it does.
+	enter    func(run func())
+	dropped  func(lost *parcel)
+	queue    []*parcel
+	queued   int
+	underWay int
+	last     time.Time
+	over     bool
+}
+
+// parcel is a message on its way.
+type parcel struct {
+	kind       string
+	size, left int
+	sent       func()
+	landed     func()
+}
+
+// put queues a message, and drops the oldest ones where too much waits.
+func (p *pipe) put(added *parcel) {
+	added.left = added.size
+	p.queue = append(p.queue, added)
+	p.queued += added.size
+	for p.queued > sendQueueLimit && p.dropped != nil {
+		oldest := slices.IndexFunc(p.queue, func(each *parcel) bool { return each.left == each.size })
+		if oldest < 0 || oldest == len(p.queue)-1 {
+			break
+		}
+		lost := p.queue[oldest]
+		p.queue = slices.Delete(p.queue, oldest, oldest+1)
+		p.queued -= lost.size
+		p.dropped(lost)
+	}
+	p.pump()
+}
+
+// pump sends what the window has room for.
+func (p *pipe) pump() {
+	for len(p.queue) > 0 && p.underWay < p.simulation.window() && !p.over {
+		first := p.queue[0]
+		size := min(first.left, segmentSize)
+		first.left -= size
+		p.queued -= size
+		p.segment(first, size, first.left == 0)
+		if first.left == 0 {
+			p.queue = p.queue[1:]
+			first.sent()
+		}
+	}
+}
+
+// segment takes a few bytes over both machines' links.
+func (p *pipe) segment(of *parcel, size int, last bool) {
+	simulation := p.simulation
+	p.underWay += size
+	at := p.up.pass(simulation.Now, size).Add(p.delay())
+	if at.Before(p.last) {
+		at = p.last
+	}
+	p.last = at
+	simulation.At(at, func() {
+		simulation.At(p.down.pass(simulation.Now, size), func() {
+			if p.over {
+				return
+			}
+			p.enter(func() {
+				simulation.After(p.delay(), func() {
+					p.underWay -= size
+					p.pump()
+				})
+				if last {
+					of.landed()
+				}
+			})
+		})
+	})
+}
+
+// close loses what is under way.
+func (p *pipe) close() {
+	p.over = true
+	p.queue = nil
+}
+
+// connection is a pipe between two lives of daemons.
+type connection struct {
+	*pipe
+	from, to uint64
+}
+
+// connect gives the connection from one daemon to another.
+func (s *Simulation) connect(from, to *Node) *pipe {
+	key := link(from, to)
+	present, found := s.connections[key]
+	if found && present.from == from.life && present.to == to.life {
+		return present.pipe
+	}
+	if found {
+		present.close()
+	}
+	life := to.life
+	made := &pipe{
+		simulation: s, up: &from.nic.up, down: &to.nic.down,
+		delay: func() time.Duration { return s.delay(from.Place, to.Place) },
+		enter: func(run func()) {
+			if to.Up && to.life == life {
+				to.enter(run)
+			}
+		},
+		dropped: func(lost *parcel) { from.traffic(lost.kind).Dropped++ },
+	}
+	if from.nic == to.nic {
+		made.up, made.down = nil, nil
+	}
+	s.arrival[key] = s.Now
+	s.connections[key] = connection{pipe: made, from: from.life, to: to.life}
+	return made
+}
+
+// dispatch sends a frame over links with a bandwidth.
+func (s *Simulation) dispatch(from, to *Node, message any, frame []byte) {
+	if !to.Up {
+		if to.refuses {
+			s.refuse(from, to)
+		}
+		return
+	}
+	kind := strings.TrimPrefix(fmt.Sprintf("%T", message), "*")
+	s.connect(from, to).put(&parcel{
+		kind: kind, size: len(frame),
+		sent: func() { from.counts(kind, len(frame), 0) },
+		landed: func() {
+			to.counts(kind, 0, len(frame))
+			if s.cuts[link(from, to)] == 0 {
+				to.receive(frame)
+			}
+		},
+	})
+}
+
+// receive reads a frame that came in.
+func (n *Node) receive(frame []byte) {
+	var meta statemachine.Meta
+	var message any
+	var err error
+	n.metered(func() { meta, message, err = transport.Decode(frame[4:]) })
+	must(err)
+	n.step(func(now time.Time, effects *statemachine.Effects) { n.Machine.Message(now, meta, message, effects) })
+}
+
+func (n *Node) traffic(kind string) *Traffic {
+	present, found := n.trafficOf[kind]
+	if !found {
+		present = &Traffic{}
+		n.trafficOf[kind] = present
+	}
+	return present
+}
+
+func (n *Node) counts(kind string, sent, received int) {
+	traffic := n.traffic(kind)
+	if sent > 0 {
+		traffic.MessagesOut++
+		traffic.BytesOut += int64(sent)
+	}
+	if received > 0 {
+		traffic.MessagesIn++
+		traffic.BytesIn += int64(received)
+	}
+}
+
+// Traffic sums what the daemons of a kind, or all, sent and received over links with
+// a bandwidth since the last ForgetTraffic, by type of message, with the most
+// bytes first.
+func (s *Simulation) Traffic(kind string) []KindTraffic {
+	sums := map[string]*Traffic{}
+	for _, node := range s.Nodes(kind) {
+		for name, each := range statemachine.Sorted(node.trafficOf) {
+			if sums[name] == nil {
+				sums[name] = &Traffic{}
+			}
+			sums[name].add(*each)
+		}
+	}
+	var found []KindTraffic
+	for name, each := range statemachine.Sorted(sums) {
+		found = append(found, KindTraffic{Kind: name, Traffic: *each})
+	}
+	slices.SortStableFunc(found, func(left, right KindTraffic) int {
+		return cmp.Compare(right.BytesOut+right.BytesIn, left.BytesOut+left.BytesIn)
+	})
+	return found
+}
+
+func (t *Traffic) add(other Traffic) {
+	t.MessagesOut += other.MessagesOut
+	t.BytesOut += other.BytesOut
+	t.MessagesIn += other.MessagesIn
+	t.BytesIn += other.BytesIn
+	t.Dropped += other.Dropped
+}
+
+// ForgetTraffic begins to count anew.
+func (s *Simulation) ForgetTraffic() {
+	for _, node := range s.Nodes("") {
+		clear(node.trafficOf)
+	}
+}
+
+// Lines of callers. A caller's own link has no limit, its gateway's has.
+
+// line is the connection of a caller.
+type line struct {
+	up, down *pipe
+}
+
+func (s *Simulation) openLine(node *Node) *line {
+	life := node.life
+	delay := func() time.Duration { return lineDelay }
+	return &line{
+		up: &pipe{simulation: s, down: &node.nic.down, delay: delay, enter: func(run func()) {
+			if node.Up && node.life == life {
+				node.enter(run)
+			}
+		}},
+		down: &pipe{simulation: s, up: &node.nic.up, delay: delay, enter: func(run func()) { run() }},
+	}
+}
+
+func (l *line) close() {
+	if l != nil {
+		l.up.close()
+		l.down.close()
+	}
+}
+
+// Kinds of traffic with callers.
+const (
+	lineCommand = "line command"
+	lineAnswer  = "line answer"
+	lineEvent   = "line event"
+)
+
+// toNode brings a command from a caller to its gateway.
+func (tc *TopicClient) toNode(size int, run func()) {
+	if tc.line == nil {
+		tc.simulation.After(lineDelay, run)
+		return
+	}
+	node, life := tc.node, tc.life
+	if !node.Up || node.life != life {
+		tc.simulation.After(lineDelay, run)
+		return
+	}
+	tc.line.up.put(&parcel{kind: lineCommand, size: lineHead + size, sent: func() {}, landed: func() {
+		node.counts(lineCommand, 0, lineHead+size)
+		run()
+	}})
+}
+
+// toCaller brings an answer or an event from the gateway to its caller.
+func (l *line) toCaller(simulation *Simulation, node *Node, kind string, size int, run func()) {
+	if l == nil {
+		simulation.After(lineDelay, run)
+		return
+	}
+	l.down.put(&parcel{
+		kind: kind, size: lineHead + size, sent: func() { node.counts(kind, lineHead+size, 0) }, landed: run,
+	})
+}
--- /dev/null
+++ b/internal/simulator/bandwidth_test.go
@@ -0,0 +1,77 @@
+// Links with a bandwidth: what they take, whom they hold up, and that a run over
+// them is the same each time.
+package simulator
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// testPipe is a pipe over two lanes without delay, to a reader that may stop.
+func testPipe(simulation *Simulation, rate int, reads *bool) *pipe {
+	var held []func()
+	return &pipe{
+		simulation: simulation, up: &lane{rate: rate}, down: &lane{rate: rate}, delay: func() time.Duration { return 0 },
+		enter: func(run func()) {
+			held = append(held, run)
+			if *reads {
+				for _, each := range held {
+					each()
+				}
+				held = nil
+			}
+		},
+	}
+}
+
+func TestALinkTakesItsBytesASecond(t *testing.T) {
+	simulation := New(1, Small)
+	reads, began := true, simulation.Now
+	var landed time.Duration
+	pipe := testPipe(simulation, 100_000, &reads)
+	for range 10 {
+		pipe.put(&parcel{size: 20_000, sent: func() {}, landed: func() { landed = simulation.Now.Sub(began) }})
+	}
+	simulation.Run(10 * time.Second)
+	// Two links in a row, of which the second is a segment behind the first.
+	assert.Assert(t, landed >= 2*time.Second && landed < 2050*time.Millisecond, "%v", landed)
+}
+
+func TestAPeerThatDoesNotReadHoldsItsSenderUp(t *testing.T) {
+	simulation := New(1, Small)
+	reads, landed, sent, dropped := false, 0, 0, 0
+	pipe := testPipe(simulation, 0, &reads)
+	pipe.dropped = func(*parcel) { dropped++ }
+	for range 20 {
+		pipe.put(&parcel{size: 10_000, sent: func() { sent++ }, landed: func() { landed++ }})
+	}
+	simulation.Run(time.Second)
+	assert.Equal(t, sent, windowSize/10_000)
+	assert.Equal(t, landed, 0)
+	reads = true
+	pipe.put(&parcel{size: 10_000, sent: func() { sent++ }, landed: func() { landed++ }})
+	for pipe.enter(func() {}); landed < 21; {
+		assert.Assert(t, simulation.RunUntil(time.Second, func() bool { return landed == 21 }), "%d of 21", landed)
+	}
+	assert.Equal(t, dropped, 0)
+	reads = false
+	for range 200 {
+		pipe.put(&parcel{size: 10_000, sent: func() { sent++ }, landed: func() { landed++ }})
+	}
+	assert.Assert(t, dropped > 80 && pipe.queued <= sendQueueLimit, "%d dropped, %d bytes wait", dropped, pipe.queued)
+}
+
+func TestARunOverLinksWithABandwidthIsReproducible(t *testing.T) {
+	size := Small
+	size.Links = map[string]Bandwidth{"gateway": {Up: 200_000, Down: 200_000}}
+	scenario, found := Find("topics-pairs")
+	assert.Assert(t, found)
+	first, second := Run(scenario, 3, size, nil), Run(scenario, 3, size, nil)
+	assert.Equal(t, first.Events, second.Events)
+	assert.Equal(t, first.Checker.Summary(), second.Checker.Summary())
+	assert.DeepEqual(t, first.Traffic(""), second.Traffic(""))
+	assert.Assert(t, len(first.Traffic("")) > 10)
+	assert.Equal(t, len(Run(scenario, 3, Small, nil).Traffic("")), 0)
+}
--- /dev/null
+++ b/internal/simulator/grown.go
@@ -0,0 +1,226 @@
+// The grown shape: many gateways on thin links, with callers whose messages take
+// the share of a link that they take on the users' grown deployment. What its
+// machines need after all of them lost power is seen here, by kind of message.
+package simulator
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"dahlialock/internal/checker"
+	"dahlialock/internal/membership"
+)
+
+// Grown is a part of the users' grown deployment: the callers of a gateway and the
+// bandwidth of its link are scaled alike.
+var Grown = Size{
+	Gateways: 12, Stores: 5, Controllers: 5, Places: 3, Callers: 480, Delay: 500 * time.Microsecond, Tolerance: 2, Seeded: true,
+	Links: map[string]Bandwidth{
+		membership.KindGateway:    {Up: grownLink, Down: grownLink},
+		membership.KindStore:      {Up: 75_000_000, Down: 75_000_000},
+		membership.KindController: {Up: 125_000_000, Down: 125_000_000},
+	},
+}
+
+const (
+	// callersOfLink is how many callers a link of 2.6 Mbit/s has on the grown
+	// deployment, and grownLink the bytes a second of ours, for forty.
+	callersOfLink = 107
+	grownLink     = 2_600_000 / 8 * 40 / callersOfLink
+	grownBody     = 700
+	// grownEach is how often a caller sends, and grownChurn how often it takes up
+	// another topic.
+	grownEach  = 7300 * time.Millisecond
+	grownChurn = 20 * time.Second
+	// Spans of a run: before the loss, without power, and after it.
+	grownBefore = 8 * time.Second
+	grownDown   = 940 * time.Millisecond
+	grownAfter  = 12 * time.Second
+)
+
+// Service is what callers wanted and got in one second of a run.
+type Service struct {
+	Wanted, Served int
+}
+
+// GrownResult is what came of a run of the grown shape.
+type GrownResult struct {
+	Simulation *Simulation
+	// Before and After count by second, from the beginning of the traffic and from
+	// the return of power.
+	Before, After []Service
+	// Calm and Recovery are the bytes by kind over gateways' links in the last
+	// seconds before the loss and in the first after it.
+	Calm, Recovery         []KindTraffic
+	CalmSpan, RecoverySpan time.Duration
+}
+
+// RunGrown runs the grown shape: all power is lost in its midst, and comes back.
+func RunGrown(seed uint64, size Size, trace func(line string)) *GrownResult {
+	simulation, _ := prepareTopics(seed, size, 0, trace)
+	simulation.world.body, simulation.world.steady = grownBody, true
+	simulation.world.topics = boards(size.Callers * 5 / 3)
+	for number := range size.Callers {
+		client := simulation.AddTopicClient(fmt.Sprintf("caller-%d", number), number%size.Places)
+		client.unjudged = true
+		client.holdsTopics(3)
+	}
+	simulation.Run(4 * time.Second)
+	for _, client := range simulation.topicClients {
+		client.demands()
+	}
+	began := simulation.Now
+	simulation.Run(grownBefore / 2)
+	simulation.ForgetTraffic()
+	simulation.Run(grownBefore / 2)
+	result := &GrownResult{Simulation: simulation, Calm: simulation.Traffic(membership.KindGateway), CalmSpan: grownBefore / 2, RecoverySpan: grownAfter / 2}
+	simulation.losePower()
+	simulation.Run(grownDown)
+	simulation.ForgetTraffic()
+	back := simulation.Now
+	for _, node := range simulation.Nodes("") {
+		simulation.After(simulation.between(0, 300*time.Millisecond), node.Start)
+	}
+	simulation.Run(grownAfter / 2)
+	result.Recovery = simulation.Traffic(membership.KindGateway)
+	simulation.Run(grownAfter / 2)
+	simulation.open--
+	simulation.trouble = simulation.Now
+	simulation.closeTopics()
+	result.Before = simulation.world.service(began, grownBefore)
+	result.After = simulation.world.service(back, grownAfter)
+	return result
+}
+
+// losePower ends every process at once.
+func (s *Simulation) losePower() {
+	s.trace("all power is lost")
+	s.open++
+	for _, node := range s.Nodes("") {
+		node.Kill()
+	}
+	for _, each := range s.nics {
+		each.up.free, each.down.free = s.Now, s.Now
+	}
+}
+
+// holdsTopics has a caller hold a few topics.
+func (tc *TopicClient) holdsTopics(count int) {
+	topics := tc.simulation.world.topics
+	for range count {
+		topic := topics[tc.simulation.Random.IntN(len(topics))]
+		tc.topics[topic] = &taken{topic: topic}
+	}
+}
+
+// demands lets a caller send, and take up other topics, at moments that do not
+// depend on how it is served.
+func (tc *TopicClient) demands() {
+	simulation := tc.simulation
+	simulation.After(simulation.between(0, grownEach), tc.demandsSending)
+	simulation.After(simulation.between(0, grownChurn), tc.demandsTopics)
+}
+
+func (tc *TopicClient) demandsSending() {
+	simulation, world := tc.simulation, tc.simulation.world
+	if tc.stopped {
+		return
+	}
+	simulation.After(grownEach/2+simulation.between(0, grownEach), tc.demandsSending)
+	topic := world.topics[simulation.Random.IntN(len(world.topics))]
+	world.demands = append(world.demands, demand{at: simulation.Now, served: tc.wants(topic)})
+}
+
+// wants sends on a topic, and gives what tells whether it was taken in time.
+func (tc *TopicClient) wants(topic string) func() bool {
+	tc.pipeline = 8
+	if len(tc.outbox[topic]) >= tc.pipeline {
+		return func() bool { return false }
+	}
+	item := &posting{topic: topic, wanted: tc.simulation.Now, acceptedAt: &time.Time{}}
+	wanted, acceptedAt := item.wanted, item.acceptedAt
+	tc.outbox[topic] = append(tc.outbox[topic], item)
+	tc.pump(topic)
+	return func() bool { return !acceptedAt.IsZero() && acceptedAt.Sub(wanted) <= topicDeadline }
+}
+
+func (tc *TopicClient) demandsTopics() {
+	simulation, world := tc.simulation, tc.simulation.world
+	if tc.stopped {
+		return
+	}
+	simulation.After(grownChurn/2+simulation.between(0, grownChurn), tc.demandsTopics)
+	tc.drop(firstOf(tc.topics))
+	topic := world.topics[simulation.Random.IntN(len(world.topics))]
+	tc.take(topic)
+	present, wanted := tc.topics[topic], simulation.Now
+	world.demands = append(world.demands, demand{at: wanted, served: func() bool {
+		return present != nil && !present.heldAt.IsZero() && present.heldAt.Sub(wanted) <= topicDeadline
+	}})
+}
+
+// firstOf is the first of a caller's topics by name.
+func firstOf(topics map[string]*taken) string {
+	first := ""
+	for name := range topics {
+		if first == "" || name < first {
+			first = name
+		}
+	}
+	return first
+}
+
+// demand is something that a caller wanted.
+type demand struct {
+	at     time.Time
+	served func() bool
+}
+
+// service counts by second what was wanted from a moment on, and got.
+func (tw *topicWorld) service(from time.Time, span time.Duration) []Service {
+	found := make([]Service, span/time.Second)
+	for _, each := range tw.demands {
+		second := int(each.at.Sub(from) / time.Second)
+		if each.at.Before(from) || second >= len(found) {
+			continue
+		}
+		found[second].Wanted++
+		if each.served() {
+			found[second].Served++
+		}
+	}
+	return found
+}
+
+// Shares tells the part that was served of each second.
+func Shares(seconds []Service) string {
+	var texts []string
+	for _, each := range seconds {
+		texts = append(texts, fmt.Sprintf("%.2f", float64(each.Served)/float64(max(1, each.Wanted))))
+	}
+	return strings.Join(texts, " ")
+}
+
+// Lost lists what was acknowledged and is missing.
+func (r *GrownResult) Lost() []string {
+	var lost []string
+	for _, line := range r.Simulation.Checker.Violations() {
+		if strings.HasPrefix(line, checker.Lost+": ") {
+			lost = append(lost, line)
+		}
+	}
+	return lost
+}
+
+// TrafficTable tells bytes by kind, for each gateway and second.
+func TrafficTable(kinds []KindTraffic, gateways int, span time.Duration) string {
+	var text strings.Builder
+	each := float64(gateways) * span.Seconds()
+	fmt.Fprintf(&text, "%-32s %9s %9s %9s %9s %8s\n", "kind", "out B/s", "out 1/s", "in B/s", "in 1/s", "dropped")
+	for _, kind := range kinds {
+		fmt.Fprintf(&text, "%-32s %9.0f %9.1f %9.0f %9.1f %8d\n", kind.Kind, float64(kind.BytesOut)/each, float64(kind.MessagesOut)/each,
+			float64(kind.BytesIn)/each, float64(kind.MessagesIn)/each, kind.Dropped)
+	}
+	return text.String()
+}
--- a/internal/simulator/network.go
+++ b/internal/simulator/network.go
@@ -84,6 +84,10 @@
 	if from.Place != to.Place {
 		s.Away += int64(len(frame))
 	}
+	if s.limited() && from != to {
+		s.dispatch(from, to, send.Message, frame)
+		return
+	}
 	at := s.Now.Add(s.delay(from.Place, to.Place))
 	if from == to {
 		at = s.Now
@@ -116,12 +120,7 @@
 			return
 		}
 		to.enter(func() {
-			var meta statemachine.Meta
-			var message any
-			var err error
-			to.metered(func() { meta, message, err = transport.Decode(frame[4:]) })
-			must(err)
-			to.step(func(now time.Time, effects *statemachine.Effects) { to.Machine.Message(now, meta, message, effects) })
+			to.receive(frame)
 		})
 	})
 }
--- a/internal/simulator/simulator.go
+++ b/internal/simulator/simulator.go
@@ -23,12 +23,16 @@
 
 // Size is the shape of a simulated fleet.
 // With Seeded, the first controllers found as the seeds, told so at their first start
-// only, and nobody is told how many controllers there are.
+// only, and nobody is told how many controllers there are. With Links, by kind of
+// daemon, the links of machines have a bandwidth, and connections have at most
+// Window bytes under way.
 type Size struct {
 	Gateways, Stores, Controllers, Places, Callers int
 	Delay                                          time.Duration
 	Seeded                                         bool
 	Tolerance                                      int
+	Links                                          map[string]Bandwidth
+	Window                                         int
 }
 
 // stepProcessor stands for the processor time of one step of a machine.
@@ -89,6 +93,8 @@
 	loss         float64
 	lag          time.Duration
 	relinks      int
+	nics         map[string]*nic
+	connections  map[string]connection
 	apart        time.Duration
 	seeds        []string
 	trouble      time.Time
@@ -141,6 +147,8 @@
 	founded      bool
 	refuses      bool
 	showed       shown
+	nic          *nic
+	trafficOf    map[string]*Traffic
 }
 
 // shown is what a gateway last had in force while it served.
@@ -164,6 +172,7 @@
 	simulation := &Simulation{
 		Seed: seed, Random: rand.New(rand.NewPCG(seed, 0x5eed)), Now: time.Unix(1_700_000_000, 0), Checker: checker.New(), Size: size,
 		nodes: map[string]*Node{}, byPort: map[string]*Node{}, arrival: map[string]time.Time{}, cuts: map[string]int{}, Sent: map[string]int{}, unready: map[string]time.Duration{}, probed: map[string]*platform{},
+		nics: map[string]*nic{}, connections: map[string]connection{},
 	}
 	simulation.started = simulation.Now
 	for number := range min(3, size.Controllers) {
@@ -226,7 +235,7 @@
 func (s *Simulation) add(kind string, number int, build func(node *Node, stored stored) hosted) *Node {
 	node := &Node{
 		simulation: s, Name: fmt.Sprintf("%s-%d", kind, number+1), Kind: kind, Place: number % s.Size.Places, Address: address(kind, number),
-		build: build, rate: 1 + (s.Random.Float64()-0.5)*0.04,
+		build: build, rate: 1 + (s.Random.Float64()-0.5)*0.04, nic: s.linkOf(kind, number), trafficOf: map[string]*Traffic{},
 	}
 	if kind == membership.KindController || kind == membership.KindStore {
 		node.disk = wal.NewMemoryFolder()
--- a/internal/simulator/topic_client.go
+++ b/internal/simulator/topic_client.go
@@ -8,6 +8,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"dahlialock/internal/checker"
@@ -40,6 +41,7 @@
 	node       *Node
 	life       uint64
 	channel    uint64
+	line       *line
 	turn       int
 	connected  bool
 	heardAt    time.Time
@@ -69,6 +71,7 @@
 	leaving bool
 	nowhere bool
 	askedAt time.Time
+	heldAt  time.Time
 }
 
 // posting is a publication whose fate is not known.
@@ -81,6 +84,8 @@
 	tries    int
 	inFlight bool
 	waits    bool
+	// acceptedAt, if somebody asks, is when it was taken, under any number.
+	acceptedAt *time.Time
 }
 
 // AddTopicClient adds a caller that holds topics.
@@ -158,15 +163,15 @@
 	return in[simulation.Random.IntN(len(in))]
 }
 
-// say sends a command on the line; done is called with its answer if that comes
+// say sends a command of a size on the line; done is called with its answer if that comes
 // while the connection lasts.
-func (tc *TopicClient) say(command func(request uint64) any, done func(answer gateway.Answer)) {
-	simulation, node, turn, life := tc.simulation, tc.node, tc.turn, tc.life
+func (tc *TopicClient) say(size int, command func(request uint64) any, done func(answer gateway.Answer)) {
+	simulation, node, turn, life, line := tc.simulation, tc.node, tc.turn, tc.life, tc.line
 	tc.saidAt = simulation.Now
 	lost := func() {
 		simulation.After(lineDelay, func() { tc.cut(turn, true, simulation.between(0, 50*time.Millisecond)) })
 	}
-	simulation.After(lineDelay, func() {
+	tc.toNode(size, func() {
 		if !node.Up || node.life != life {
 			lost()
 			return
@@ -182,10 +187,11 @@
 					lost()
 					return
 				}
-				simulation.After(lineDelay, func() {
+				answer := value.(gateway.Answer)
+				line.toCaller(simulation, node, lineAnswer, len(answer.Cursor), func() {
 					if tc.turn == turn {
 						tc.heardAt = simulation.Now
-						done(value.(gateway.Answer))
+						done(answer)
 					}
 				})
 			}
@@ -219,10 +225,14 @@
 	simulation.number++
 	channel := simulation.number
 	tc.channel = channel
-	tc.say(func(request uint64) any {
+	if simulation.limited() {
+		tc.line = simulation.openLine(node)
+	}
+	line := tc.line
+	tc.say(len(tc.Name), func(request uint64) any {
 		// The line's writer stands before the channel does.
 		node.sinks[channel] = func(deliver statemachine.Deliver) {
-			simulation.After(lineDelay, func() { tc.event(turn, deliver) })
+			line.toCaller(simulation, node, lineEvent, deliveredSize(deliver), func() { tc.event(turn, deliver) })
 		}
 		return gateway.OpenChannel{Request: request, Channel: channel, Name: fmt.Sprint(channel), Origin: tc.Name, Lines: true}
 	}, func(answer gateway.Answer) {
@@ -255,6 +265,8 @@
 	}
 	simulation, node, life, channel := tc.simulation, tc.node, tc.life, tc.channel
 	tc.turn++
+	tc.line.close()
+	tc.line = nil
 	if !tc.connected {
 		tc.failures++
 		wait += time.Duration(min(tc.failures, 8)) * 50 * time.Millisecond
@@ -342,7 +354,8 @@
 	// Signs of life are answered by the line itself.
 	tc.saidAt = simulation.Now
 	node, life, turn, channel := tc.node, tc.life, tc.turn, tc.channel
-	simulation.After(lineDelay, func() {
+	line := tc.line
+	tc.toNode(0, func() {
 		if !node.Up || node.life != life {
 			return
 		}
@@ -353,7 +366,7 @@
 			node.step(func(now time.Time, effects *statemachine.Effects) {
 				node.Machine.Command(now, gateway.Heard{Channel: channel}, effects)
 			})
-			simulation.After(lineDelay, func() {
+			line.toCaller(simulation, node, lineAnswer, 0, func() {
 				if tc.turn == turn {
 					tc.heardAt = simulation.Now
 				}
@@ -398,7 +411,7 @@
 	}
 	present.leaving = true
 	turn := tc.turn
-	tc.say(func(request uint64) any {
+	tc.say(len(topic), func(request uint64) any {
 		return gateway.Unsubscribe{Request: request, Channel: tc.channel, Origin: tc.Name, Interests: []gateway.Interest{{Path: topic}}}
 	}, func(answer gateway.Answer) {
 		if answer.Outcome != gateway.OutcomeAccepted {
@@ -421,7 +434,7 @@
 	}
 	each.asked, each.askedAt = true, simulation.Now
 	entry, sent := each.entry, simulation.Now
-	tc.say(func(request uint64) any {
+	tc.say(len(topic)+len(each.cursor), func(request uint64) any {
 		return gateway.Subscribe{Request: request, Channel: tc.channel, Origin: tc.Name, Interests: []gateway.Interest{{Path: topic}}, Cursor: each.cursor}
 	}, func(answer gateway.Answer) {
 		if tc.topics[topic] != each {
@@ -442,7 +455,7 @@
 		switch {
 		case answer.Outcome == gateway.OutcomeAccepted:
 			simulation.Checker.Handled("a subscription", topic, true, sent, simulation.Now)
-			each.held = true
+			each.held, each.heldAt = true, simulation.Now
 			if each.leaving {
 				return
 			}
@@ -522,6 +535,15 @@
 	}
 }
 
+// deliveredSize is what an event takes on the line beside its head.
+func deliveredSize(deliver statemachine.Deliver) int {
+	event, matches := deliver.Event.(gateway.Event)
+	if !matches {
+		return 0
+	}
+	return len(event.Topic) + len(event.Sender) + len(event.Cursor) + len(event.Body)
+}
+
 func (tc *TopicClient) message(event gateway.Event) {
 	simulation := tc.simulation
 	name := checker.Post{Sender: event.Sender, Seq: event.Seq}
@@ -545,7 +567,7 @@
 		return
 	}
 	simulation, sent := tc.simulation, tc.simulation.Now
-	tc.say(func(request uint64) any {
+	tc.say(len(topic), func(request uint64) any {
 		return gateway.Count{Request: request, Channel: tc.channel, Origin: tc.Name, Topic: topic}
 	}, func(answer gateway.Answer) {
 		switch {
@@ -609,6 +631,9 @@
 		tc.seq++
 		item.name = checker.Post{Sender: tc.Name, Seq: tc.seq}
 		item.body = fmt.Sprintf("%s's message %d on %s", tc.Name, tc.seq, item.topic)
+		if missing := simulation.world.body - len(item.body); missing > 0 {
+			item.body += strings.Repeat(".", missing)
+		}
 	}
 	item.inFlight = true
 	item.tries++
@@ -632,6 +657,9 @@
 		switch {
 		case answer.Outcome == gateway.OutcomeAccepted:
 			simulation.Checker.Handled("a publication", item.topic, true, sent, simulation.Now)
+			if item.acceptedAt != nil {
+				*item.acceptedAt = simulation.Now
+			}
 			tc.finish(item)
 			if simulation.Random.IntN(8) == 0 {
 				tc.resend(item)
@@ -648,7 +676,7 @@
 			}
 			// What was certainly not done is sent under a new number.
 			tc.finish(item)
-			renewed := &posting{topic: item.topic, wanted: item.wanted, renewals: item.renewals, waits: true}
+			renewed := &posting{topic: item.topic, wanted: item.wanted, renewals: item.renewals, waits: true, acceptedAt: item.acceptedAt}
 			tc.outbox[item.topic] = append(tc.outbox[item.topic], renewed)
 			item = renewed
 			again(max(answer.RetryAfter, simulation.between(resendAgain/2, 2*resendAgain)))
@@ -668,7 +696,7 @@
 
 func (tc *TopicClient) post(item *posting, done func(answer gateway.Answer)) {
 	name, topic, body := item.name, item.topic, item.body
-	tc.say(func(request uint64) any {
+	tc.say(len(topic)+len(body), func(request uint64) any {
 		return gateway.Publish{
 			Request: request, RequestName: fmt.Sprintf("%s/%d", name.Sender, name.Seq), Origin: tc.Name, Sender: tc.Name,
 			Topic: topic, Seq: name.Seq, Data: []byte(body),
--- a/internal/simulator/topics.go
+++ b/internal/simulator/topics.go
@@ -57,6 +57,10 @@
 	crowdAt time.Time
 	steady  bool
 	hot     string
+	// body is the least length of what callers send.
+	body int
+	// demands are what callers of the grown shape wanted.
+	demands []demand
 }
 
 func boards(count int) []string {
