--- a/internal/simulator/topic_client.go
+++ b/internal/simulator/topic_client.go
@@ -71,7 +71,8 @@
 	leaving bool
 	nowhere bool
 	askedAt time.Time
-	heldAt  time.Time
+	// heldAt is when it was first held.
+	heldAt time.Time
 }
 
 // posting is a publication whose fate is not known.
@@ -455,7 +456,10 @@
 		switch {
 		case answer.Outcome == gateway.OutcomeAccepted:
 			simulation.Checker.Handled("a subscription", topic, true, sent, simulation.Now)
-			each.held, each.heldAt = true, simulation.Now
+			each.held = true
+			if each.heldAt.IsZero() {
+				each.heldAt = simulation.Now
+			}
 			if each.leaving {
 				return
 			}
