Links send by class, paced by the machine's link, with a window that peers confirm

Cause: what a link could not take waited in the sockets and in the network, in the order in which it came; after a loss of all power a gateway's lease, live messages and answers stood behind seconds of interests and catch-up, and timed out. Excluded: processor time (a quarter used), and the bandwidth itself (with ten times of it nothing waits). Now what waits stands in the transport: Order gives the highest class first (control, urgent, live, interest, catch-up), each class and peer in order, a lower class a turn after 64 KiB passed it, 1 MiB at most for a class and peer; Pace gives the machine's link no more than 20 ms ahead; Window bounds what a peer has not confirmed, by how long confirmations take. Answers to catch-up are dropped when the connection ends. Daemons set no rate yet.

--- a/internal/partition/messages.go
+++ b/internal/partition/messages.go
@@ -76,6 +76,14 @@
 	Bare bool
 }
 
+// LinkClass tells that a passing message is of use now or never.
+func (a Append) LinkClass() transport.Class {
+	if a.Bare {
+		return transport.ClassUrgent
+	}
+	return transport.ClassLive
+}
+
 // Outcomes of an append.
 const (
 	Accepted uint8 = iota + 1
--- a/internal/simulator/simulator.go
+++ b/internal/simulator/simulator.go
@@ -18,6 +18,7 @@
 	"dahlialock/internal/membership"
 	"dahlialock/internal/partition"
 	"dahlialock/internal/statemachine"
+	"dahlialock/internal/transport"
 	"dahlialock/internal/wal"
 )
 
@@ -94,7 +95,7 @@
 	lag          time.Duration
 	relinks      int
 	nics         map[string]*nic
-	connections  map[string]connection
+	connections  map[string]*connection
 	apart        time.Duration
 	seeds        []string
 	trouble      time.Time
@@ -149,6 +150,9 @@
 	showed       shown
 	nic          *nic
 	trafficOf    map[string]*Traffic
+	order        transport.Order[outgoingFrame]
+	pace         *transport.Pace
+	pumps        bool
 }
 
 // shown is what a gateway last had in force while it served.
@@ -172,7 +176,7 @@
 	simulation := &Simulation{
 		Seed: seed, Random: rand.New(rand.NewPCG(seed, 0x5eed)), Now: time.Unix(1_700_000_000, 0), Checker: checker.New(), Size: size,
 		nodes: map[string]*Node{}, byPort: map[string]*Node{}, arrival: map[string]time.Time{}, cuts: map[string]int{}, Sent: map[string]int{}, unready: map[string]time.Duration{}, probed: map[string]*platform{},
-		nics: map[string]*nic{}, connections: map[string]connection{},
+		nics: map[string]*nic{}, connections: map[string]*connection{},
 	}
 	simulation.started = simulation.Now
 	for number := range min(3, size.Controllers) {
@@ -335,6 +339,8 @@
 	}
 	n.returns, n.sinks = map[uint64]func(any, bool){}, map[uint64]func(statemachine.Deliver){}
 	n.writes, n.writing, n.backlog = nil, false, nil
+	n.order, n.pace, n.pumps = transport.Order[outgoingFrame]{}, &transport.Pace{}, false
+	n.pace.SetRate(simulation.Size.Links[linkKind(n.Kind)].Up)
 	n.HealthySince = simulation.Now
 	var held stored
 	if n.disk != nil {
--- /dev/null
+++ b/internal/transport/classes.go
@@ -0,0 +1,62 @@
+// Classes of messages: what goes first over a link that is full. Order holds
+// between two messages of one class to one peer, and between no others.
+package transport
+
+import (
+	"reflect"
+
+	"dahlialock/internal/statemachine"
+)
+
+// Class ranks a message; a lower one goes first.
+type Class int
+
+// Classes, from first to last. ClassControl is epochs, leases, heartbeats, views
+// and operators' requests; ClassUrgent what is of use now or never; ClassLive what
+// callers wait for; ClassInterest who wants to be told of what; ClassCatchUp what
+// was missed before.
+const (
+	ClassControl Class = iota
+	ClassUrgent
+	ClassLive
+	ClassInterest
+	ClassCatchUp
+	classCount
+)
+
+// ranked is a message whose class depends on what it says.
+type ranked interface{ LinkClass() Class }
+
+// Numbers of messages below classLive are of the control state.
+const (
+	interestFrom = 400
+	liveFrom     = 500
+)
+
+// classOfNumber names what is not as the range of its number has it. A partition's
+// Copy and Frame are one stream and stay in one class, with what callers wait for.
+var classOfNumber = map[uint16]Class{
+	506: ClassCatchUp, // partition.FetchResponse
+	601: ClassUrgent,  // gateway.Pass
+}
+
+// ClassOf tells the class of a message.
+func ClassOf(message any) Class {
+	if statemachine.Mutated("single-class") {
+		return ClassLive
+	}
+	if own, does := message.(ranked); does {
+		return own.LinkClass()
+	}
+	number := numberOfType[reflect.TypeOf(message)]
+	if class, found := classOfNumber[number]; found {
+		return class
+	}
+	switch {
+	case number < interestFrom:
+		return ClassControl
+	case number < liveFrom:
+		return ClassInterest
+	}
+	return ClassLive
+}
--- /dev/null
+++ b/internal/transport/classes_test.go
@@ -0,0 +1,34 @@
+package transport_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dahlialock/internal/partition"
+	"dahlialock/internal/transport"
+)
+
+// What a partition's epoch copies is one stream, and so is what the control state
+// says: neither may be overtaken by a part of itself.
+func TestEachMessageHasTheClassOfItsKind(t *testing.T) {
+	classes := map[transport.Class][]string{}
+	for number, name := range transport.Numbers() {
+		message, _ := transport.Prototype(number)
+		class := transport.ClassOf(message)
+		classes[class] = append(classes[class], name)
+		switch {
+		case strings.HasPrefix(name, "consensus."), strings.HasPrefix(name, "membership."):
+			assert.Equal(t, class, transport.ClassControl, name)
+		case strings.HasPrefix(name, "overlay."):
+			assert.Equal(t, class, transport.ClassInterest, name)
+		}
+	}
+	assert.DeepEqual(t, classes[transport.ClassUrgent], []string{"gateway.Pass"})
+	assert.DeepEqual(t, classes[transport.ClassCatchUp], []string{"partition.FetchResponse"})
+	for _, message := range []any{partition.Copy{}, partition.CopyResponse{}, partition.Frame{}, partition.Append{}, partition.AppendResponse{}, partition.Heads{}} {
+		assert.Equal(t, transport.ClassOf(message), transport.ClassLive, "%T", message)
+	}
+	assert.Equal(t, transport.ClassOf(partition.Append{Bare: true}), transport.ClassUrgent)
+}
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -16,107 +16,171 @@
 	"dahlialock/internal/statemachine"
 )
 
-// accept takes what the owner handed over, in pieces of one frame each where a
-// trial may treat them unequally.
-func (t *Transport) accept(present *link, handed chunk) {
+// accept takes what the owner handed over.
+func (t *Transport) accept(present *link, handed []chunk) {
 	present.taken++
-	if !present.known {
-		present.known = true
-		t.tended = append(t.tended, present)
+	t.tended[present.to] = present
+	now := time.Now()
+	for _, each := range handed {
+		if each.rest != nil {
+			present.rest = each
+			continue
+		}
+		for _, piece := range t.pieces(present, each, now) {
+			t.dropped(t.order.Put(present.to, piece.class, len(piece.body), piece))
+		}
 	}
-	handed.at = time.Now()
-	if handed.rest != nil || t.impairment.Load().calm() {
-		present.add(handed)
-	} else {
-		for body := handed.body; len(body) > 0; {
-			length, complete, err := FrameLength(body)
-			if !complete || err != nil {
-				break
-			}
-			frame := body[:headerSize+length]
-			body = body[headerSize+length:]
-			piece := chunk{body: frame, frames: 1, at: handed.at}
-			if delay := t.delay(present.to, frame); delay > 0 {
-				piece.due = handed.at.Add(delay)
-			}
-			present.add(piece)
+	t.pump(present)
+}
+
+// pieces cuts a turn between frames, so that what is more urgent can go in between;
+// to one frame each where a trial may treat them unequally.
+func (t *Transport) pieces(present *link, whole chunk, now time.Time) []chunk {
+	calm := t.impairment.Load().calm()
+	whole.at = now
+	if calm && len(whole.body) <= pieceMost {
+		return []chunk{whole}
+	}
+	var pieces []chunk
+	begin, end, frames := 0, 0, 0
+	cut := func() {
+		if frames == 0 {
+			return
 		}
+		piece := chunk{body: whole.body[begin:end], class: whole.class, frames: frames, at: now}
+		if delay := t.delay(present.to, piece.body); delay > 0 {
+			piece.due = now.Add(delay)
+		}
+		pieces = append(pieces, piece)
+		begin, frames = end, 0
 	}
-	for present.queued > queueMost && len(present.queue) > 1 {
-		t.drop(present)
+	for end < len(whole.body) {
+		length, complete, err := FrameLength(whole.body[end:])
+		if !complete || err != nil {
+			break
+		}
+		if !calm || end+headerSize+length-begin > pieceMost {
+			cut()
+		}
+		end += headerSize + length
+		frames++
 	}
-	t.pump(present)
+	cut()
+	return pieces
 }
 
-func (l *link) add(added chunk) {
-	l.queue = append(l.queue, added)
-	l.queued += len(added.body)
+// pump looks after one link, and sends what waits.
+func (t *Transport) pump(present *link) {
+	t.finishWrite(present)
+	t.sendWaiting()
+	t.settle(present)
 }
 
-func (l *link) pop() chunk {
-	first := l.queue[0]
-	l.queue[0] = chunk{}
-	l.queue = l.queue[1:]
-	l.queued -= len(first.body)
-	if len(l.queue) == 0 {
-		l.queue = nil
+// sendWaiting moves what waits onto connections, as far as they and the machine's
+// link take it.
+func (t *Transport) sendWaiting() {
+	for {
+		now := time.Now()
+		if wait := t.pace.Wait(now); wait > 0 {
+			t.held.Store(!t.order.Empty())
+			t.sendLater(now, wait)
+			return
+		}
+		peer, next, found := t.order.Next(t.takes)
+		if !found {
+			t.held.Store(false)
+			return
+		}
+		t.give(now, t.tended[peer], next)
+		t.settle(t.tended[peer])
 	}
-	return first
 }
 
-// drop loses the oldest of what waits. The rest of a frame can't be lost without
-// the connection that has its beginning.
-func (t *Transport) drop(present *link) {
-	oldest := present.pop()
-	t.Counters.Dropped.Add(int64(max(1, oldest.frames)))
-	if oldest.rest != nil && oldest.rest == present.socket && present.wire != nil {
-		_ = t.loop.Close(present.wire)
+// finishWrite goes on with a write of which the owner's socket took a part.
+func (t *Transport) finishWrite(present *link) {
+	rest := present.rest
+	if rest.rest == nil {
+		return
 	}
+	present.rest = chunk{}
+	if rest.rest != present.socket || present.wire == nil {
+		t.Counters.Dropped.Add(1)
+		return
+	}
+	t.write(time.Now(), present, rest.body, 0)
 }
 
-// pump moves what waits onto the connection, as far as it takes it.
-func (t *Transport) pump(present *link) {
-	for len(present.queue) > 0 {
-		first := present.queue[0]
-		switch {
-		case first.rest != nil && first.rest != present.socket:
-			t.drop(present)
-			continue
-		case t.cutTo(present.to):
-			// What follows goes over a link that is dialled anew.
-			t.drop(present)
-			if present.wire != nil {
-				_ = t.loop.Close(present.wire)
-			}
-			continue
-		case present.wire == nil:
-			t.call(present)
-			return
-		case !first.due.IsZero() && time.Until(first.due) > 0:
-			t.arm(present, time.Until(first.due))
-			return
-		case present.wire.OutboundBuffered() > bufferMost:
-			t.arm(present, lookAgain)
-			return
-		}
-		present.pop()
-		wrapped := first.body
-		if first.rest == nil {
-			wrapped, t.wrapping = present.socket.wrap(t.wrapping, first.body)
+// takes tells whether a peer's connection takes what is next for it, and sees to it
+// that it will.
+func (t *Transport) takes(peer string, next chunk) bool {
+	present := t.tended[peer]
+	switch {
+	case t.cutTo(peer):
+		// It is lost at once.
+		return true
+	case present.wire == nil:
+		t.call(present)
+		return false
+	case !next.due.IsZero() && time.Until(next.due) > 0:
+		t.arm(present, time.Until(next.due))
+		return false
+	case present.wire.OutboundBuffered() > bufferMost:
+		t.arm(present, lookAgain)
+		return false
+	}
+	return present.socket.window.Open()
+}
+
+// give puts a chunk on a connection.
+func (t *Transport) give(now time.Time, present *link, next chunk) {
+	if t.cutTo(present.to) {
+		// What follows goes over a link that is dialled anew.
+		t.Counters.Dropped.Add(int64(next.frames))
+		if present.wire != nil {
+			_ = t.loop.Close(present.wire)
 		}
-		t.Counters.Writes.Add(1)
-		t.count(present, first.frames, len(wrapped))
-		_, _ = present.wire.Write(wrapped)
+		return
 	}
+	var wrapped []byte
+	wrapped, t.wrapping = present.socket.wrap(t.wrapping, next.body)
+	present.socket.window.Sent(now, len(wrapped))
+	t.write(now, present, wrapped, next.frames)
+}
+
+func (t *Transport) write(now time.Time, present *link, body []byte, frames int) {
+	t.Counters.Writes.Add(1)
+	t.pace.Spend(now, len(body))
+	t.count(present, frames, len(body))
+	_, _ = present.wire.Write(body)
+}
+
+// settle opens the way to the owner again where nothing waits.
+func (t *Transport) settle(present *link) {
 	switch {
-	case present.wire == nil:
+	case present.wire == nil || present.rest.rest != nil || t.order.Waits(present.to):
 	case present.wire.OutboundBuffered() > 0:
 		t.arm(present, lookAgain)
 	default:
-		present.way.Store(&way{socket: present.socket, handed: present.taken})
+		if open := present.way.Load(); open == nil || open.socket != present.socket || open.handed != present.taken {
+			present.way.Store(&way{socket: present.socket, handed: present.taken})
+		}
 	}
 }
 
+// sendLater comes back when the machine's link takes more.
+func (t *Transport) sendLater(now time.Time, wait time.Duration) {
+	if t.order.Empty() || t.sendAt.After(now) {
+		return
+	}
+	t.sendAt = now.Add(wait)
+	time.AfterFunc(wait, func() {
+		t.onLoop(func() {
+			t.sendAt = time.Time{}
+			t.sendWaiting()
+		})
+	})
+}
+
 // arm comes back to a link after a while.
 func (t *Transport) arm(present *link, wait time.Duration) {
 	due := time.Now().Add(wait)
@@ -183,13 +247,11 @@
 	if err := appendFrame(&first, t.address, 0, preamble{Packed: packs}); err != nil {
 		return gnet.Close
 	}
+	present.socket.window.Sent(present.openAt, first.Len())
 	if _, err := wire.Write(first.Bytes()); err != nil {
 		return gnet.None
 	}
-	oldest := time.Now().Add(-staleAfter)
-	for len(present.queue) > 0 && present.queue[0].at.Before(oldest) {
-		t.drop(present)
-	}
+	t.dropStale(present)
 	t.pump(present)
 	return gnet.None
 }
@@ -204,15 +266,24 @@
 		}
 	}
 	t.pauseLink(present)
-	oldest := time.Now().Add(-staleAfter)
-	for len(present.queue) > 0 && present.queue[0].at.Before(oldest) {
-		t.drop(present)
-	}
-	if len(present.queue) > 0 {
+	t.dropStale(present)
+	if t.order.Waits(present.to) {
 		t.call(present)
 	}
 }
 
+// dropStale loses what waited for a connection for too long.
+func (t *Transport) dropStale(present *link) {
+	oldest := time.Now().Add(-staleAfter)
+	t.dropped(t.order.ForgetAll(present.to, func(each chunk) bool { return each.at.Before(oldest) }))
+}
+
+func (t *Transport) dropped(lost []chunk) {
+	for _, each := range lost {
+		t.Counters.Dropped.Add(int64(each.frames))
+	}
+}
+
 // lost is told of a connection that ended.
 func (t *Transport) lost(present *link, wire gnet.Conn) {
 	if present.wire != wire {
@@ -237,7 +308,10 @@
 			})
 		})
 	}
-	if len(present.queue) > 0 {
+	present.rest = chunk{}
+	// Whoever asked for what it had missed asks again, on a connection of its own.
+	t.dropped(t.order.Forget(present.to, ClassCatchUp, func(chunk) bool { return true }))
+	if t.order.Waits(present.to) {
 		// The queue is in the hands of whoever ended the connection.
 		t.arm(present, present.pause)
 	}
@@ -256,7 +330,7 @@
 		}
 		for _, present := range t.tended {
 			uses := present.uses.Load()
-			if uses == present.seenUses && present.wire != nil && len(present.queue) == 0 {
+			if uses == present.seenUses && present.wire != nil && !t.order.Waits(present.to) {
 				present.idle = true
 				_ = t.loop.Close(present.wire)
 			}
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -3,18 +3,20 @@
 // dialled, so that the two directions are independent and each is in order.
 //
 // The owner of the machine sends: Send queues frames, and Flush hands each
-// destination all of a turn's frames in one write. While a connection takes
-// them, that write is made at once by the owner, without a wait and without a
-// task of the link's own. In all other cases (no connection yet, a peer that does
-// not read, impairment that a trial asks for) the bytes go to the dialling loop,
-// which alone tends what is not plain: it dials with growing pauses, keeps what
-// waits within a bound by dropping the oldest, and gives the link back to the
-// owner once nothing waits. Losing frames is something the machines expect.
+// destination all of a turn's frames in one write. While a connection and the
+// machine's link take them, that write is made at once by the owner, without a wait
+// and without a task of the link's own. In all other cases (no connection yet, a
+// link that is full, a peer that does not read, impairment that a trial asks for)
+// the bytes go to the dialling loop, which alone tends what is not plain: it dials
+// with growing pauses, keeps what waits in the order of its classes and within a
+// bound, and gives a link back to the owner once nothing waits for it. Losing frames
+// is something the machines expect.
 package transport
 
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -28,8 +30,6 @@
 )
 
 const (
-	// queueMost bounds the bytes that wait for one destination.
-	queueMost = 1 << 20
 	// staleAfter is the age at which what waited for a connection goes no more.
 	staleAfter = 2 * time.Second
 	// bufferMost is how much of a slow connection's bytes gnet may hold.
@@ -48,6 +48,8 @@
 	deafLimit = 1500 * time.Millisecond
 	// keepAlive finds accepted connections whose peer is gone for good.
 	keepAlive = 15 * time.Second
+	// pieceMost is how many bytes of a turn go at once where they had to wait.
+	pieceMost = 8 << 10
 	// spareMost bounds the bytes that a link keeps for its next turn.
 	spareMost = 16 << 10
 )
@@ -81,6 +83,8 @@
 	MessagesAway, BytesAway                                            atomic.Int64
 	// Writes are system calls that wrote to links, Dials connections made.
 	Writes, Dials atomic.Int64
+	// Held counts turns that waited for the machine's link or a peer's window.
+	Held atomic.Int64
 }
 
 // Transport is a daemon's end of all its links.
@@ -104,6 +108,12 @@
 	dirty   []*link
 	turns   bool
 	scratch []byte
+	turn    []byte
+
+	// pace holds back what the machine's link can't take; held is set while
+	// something waits for it.
+	pace Pace
+	held atomic.Bool
 
 	// compresses is set where turns to other zones are packed.
 	compresses atomic.Bool
@@ -117,7 +127,9 @@
 
 	// Of the dialling loop.
 	loop     gnet.EventLoop
-	tended   []*link
+	tended   map[string]*link
+	order    Order[chunk]
+	sendAt   time.Time
 	stopped  bool
 	wrapping []byte
 }
@@ -126,6 +138,8 @@
 type peer struct {
 	from     string
 	unpacker *unpacker
+	// took are the bytes that came, told those that were confirmed.
+	took, told int64
 }
 
 // link is one destination.
@@ -133,10 +147,11 @@
 	to   string
 	away bool
 
-	// Of the owner: the frames of this turn, and how often bytes went to the
-	// dialling loop.
-	pending bytes.Buffer
-	frames  int
+	// Of the owner: the frames of this turn by class, and how often bytes went to
+	// the dialling loop.
+	pending [classCount]bytes.Buffer
+	frames  [classCount]int
+	dirty   bool
 	handed  uint64
 
 	// way is where the owner may write, if it handed over no more since.
@@ -144,9 +159,9 @@
 	// uses counts turns, for the dialling loop to see which links are idle.
 	uses atomic.Uint64
 
-	// Of the dialling loop.
-	queue    []chunk
-	queued   int
+	// Of the dialling loop. rest is what is left of a write, and goes before all
+	// else that waits.
+	rest     chunk
 	taken    uint64
 	wire     gnet.Conn
 	socket   *socket
@@ -155,7 +170,6 @@
 	retryAt  time.Time
 	armed    time.Time
 	seenUses uint64
-	known    bool
 	// idle is set where we ended the connection ourselves.
 	idle   bool
 	openAt time.Time
@@ -167,10 +181,11 @@
 	handed uint64
 }
 
-// chunk is what the owner handed over: whole frames, or, if it has a socket, the
-// rest of a write that only that socket's connection may take.
+// chunk is what the owner handed over: whole frames of one class, or, if it has a
+// socket, the rest of a write that only that socket's connection may take.
 type chunk struct {
 	body   []byte
+	class  Class
 	frames int
 	at     time.Time
 	due    time.Time
@@ -199,8 +214,25 @@
 	return gnet.None
 }
 
-func (*clientEvents) OnTraffic(connection gnet.Conn) gnet.Action {
-	_, _ = connection.Discard(-1)
+// OnTraffic is called by gnet where a peer confirms what it took.
+func (ce *clientEvents) OnTraffic(connection gnet.Conn) gnet.Action {
+	confirming, matches := connection.Context().(*link)
+	if !matches {
+		_, _ = connection.Discard(-1)
+		return gnet.None
+	}
+	count := int64(-1)
+	for connection.InboundBuffered() >= confirmationSize {
+		body, err := connection.Next(confirmationSize)
+		if err != nil {
+			return gnet.Close
+		}
+		count = int64(binary.BigEndian.Uint64(body))
+	}
+	if count >= 0 && confirming.wire == connection {
+		confirming.socket.window.Confirmed(time.Now(), count)
+		ce.transport.pump(confirming)
+	}
 	return gnet.None
 }
 
@@ -216,6 +248,7 @@
 		garbage: garbage,
 		links:   map[string]*link{},
 		inward:  map[string]gnet.Conn{},
+		tended:  map[string]*link{},
 	}
 	opened.impairment.Store(&Impairment{})
 	// gnet's pool of tasks, which nothing here uses, would wake up twice a second.
--- /dev/null
+++ b/internal/transport/pace.go
@@ -0,0 +1,147 @@
+// How fast a daemon gives bytes to its machine's link, and how many of a connection
+// may be on their way. What a link can't take yet then waits here, where its order
+// can still be changed, and not in queues below.
+package transport
+
+import (
+	"sync/atomic"
+	"time"
+
+	"dahlialock/internal/statemachine"
+)
+
+// Pacing.
+const (
+	// paceAhead is how much of the link's time may be given to it ahead.
+	paceAhead = 20 * time.Millisecond
+	// paceShare is the part of the link's bytes that are ours to give; the rest is
+	// for what the layers below add.
+	paceShare = 0.9
+)
+
+// Pace is the time at which a link will have taken what it was given. It is used by
+// the owner and by the dialling loop, and without a rate it never holds back.
+type Pace struct {
+	rate atomic.Int64
+	free atomic.Int64
+}
+
+// SetRate sets the bytes that the link takes a second, 0 for no limit.
+func (p *Pace) SetRate(rate int) { p.rate.Store(int64(float64(rate) * paceShare)) }
+
+// Spend gives bytes to the link.
+func (p *Pace) Spend(now time.Time, size int) {
+	rate := p.rate.Load()
+	if rate == 0 {
+		return
+	}
+	took := int64(size) * int64(time.Second) / rate
+	for {
+		free := p.free.Load()
+		if p.free.CompareAndSwap(free, max(free, now.UnixNano())+took) {
+			return
+		}
+	}
+}
+
+// Wait tells how long the link can't be given more.
+func (p *Pace) Wait(now time.Time) time.Duration {
+	if p.rate.Load() == 0 || statemachine.Mutated("single-class") {
+		return 0
+	}
+	return max(0, time.Duration(p.free.Load()-now.UnixNano())-paceAhead)
+}
+
+// Windows.
+const (
+	outstandingLeast int64 = 4 << 10
+	outstandingFirst int64 = 8 << 10
+	outstandingMost  int64 = 1 << 20
+	// ConfirmEach is how many bytes there are between two confirmations, counted
+	// from the connection's beginning at both of its ends.
+	ConfirmEach = 2 << 10
+	// confirmationSize is the length of a confirmation, a count of bytes.
+	confirmationSize = 8
+	// delayWanted is how long bytes may wait on their way, beyond the shortest time
+	// that was seen, while a window grows; above delayMost it shrinks.
+	delayWanted = 15 * time.Millisecond
+	delayMost   = 40 * time.Millisecond
+	// shortestMost is the longest way that is believed to be one, and no queue.
+	shortestMost = 60 * time.Millisecond
+)
+
+// Window bounds the bytes on one connection that its receiver has not confirmed. It
+// grows while confirmations come as quickly as they ever did, and shrinks while
+// bytes wait on their way: behind others' on a full link, or at a peer that does not
+// read. Whoever may write on the connection calls Sent and Open; confirmations may
+// come at the same time.
+type Window struct {
+	// limit is zero before it was ever changed.
+	limit     atomic.Int64
+	sent      atomic.Int64
+	confirmed atomic.Int64
+	// used is set where the window was nearly full since it last grew.
+	used atomic.Bool
+	// mark is a count of bytes, markAt when it was reached; zero if no way is
+	// being timed.
+	mark   atomic.Int64
+	markAt atomic.Int64
+	// Of whoever takes confirmations.
+	shortest time.Duration
+	shrunkAt int64
+}
+
+// Sent notes bytes that are about to be given to the connection.
+func (w *Window) Sent(now time.Time, size int) {
+	count := w.sent.Add(int64(size))
+	if count-w.confirmed.Load() > w.bound()*3/4 {
+		w.used.Store(true)
+	}
+	if boundary := count / ConfirmEach * ConfirmEach; boundary > count-int64(size) && w.mark.Load() == 0 {
+		w.markAt.Store(now.UnixNano())
+		w.mark.Store(boundary)
+	}
+}
+
+// Confirmed notes how many bytes the receiver has taken in all.
+func (w *Window) Confirmed(now time.Time, count int64) {
+	if count < w.confirmed.Load() {
+		return
+	}
+	w.confirmed.Store(count)
+	if mark := w.mark.Load(); mark != 0 && mark <= count {
+		took := time.Duration(now.UnixNano() - w.markAt.Load())
+		w.mark.Store(0)
+		w.adapt(took)
+	}
+}
+
+func (w *Window) adapt(took time.Duration) {
+	if w.shortest == 0 || took < w.shortest {
+		w.shortest = took
+	}
+	switch waited := took - min(w.shortest, shortestMost); {
+	case waited < delayWanted && w.used.Load():
+		w.used.Store(false)
+		w.limit.Store(min(outstandingMost, w.bound()+w.bound()/2))
+	case waited > delayMost && w.confirmed.Load() >= w.shrunkAt:
+		w.limit.Store(max(outstandingLeast, w.bound()/2))
+		// Once for what is on its way now.
+		w.shrunkAt = w.sent.Load()
+	}
+}
+
+// Open tells whether more may be given to the connection.
+func (w *Window) Open() bool {
+	return w.sent.Load()-w.confirmed.Load() < w.bound() || statemachine.Mutated("single-class")
+}
+
+// ToConfirm tells a receiver whether it has taken enough since its last confirmation.
+func ToConfirm(told, took int64) bool { return took/ConfirmEach > told/ConfirmEach }
+
+func (w *Window) bound() int64 {
+	if limit := w.limit.Load(); limit != 0 {
+		return limit
+	}
+	return outstandingFirst
+}
--- a/internal/transport/receive.go
+++ b/internal/transport/receive.go
@@ -31,7 +31,7 @@
 	for {
 		header, err := connection.Peek(headerSize)
 		if err != nil {
-			return gnet.None
+			return from.confirm(connection)
 		}
 		packed := header[0]&(packedMark>>24) != 0
 		length, complete, err := from.length(header)
@@ -39,7 +39,7 @@
 			return t.refuse(connection, err)
 		}
 		if !complete || connection.InboundBuffered() < headerSize+length {
-			return gnet.None
+			return from.confirm(connection)
 		}
 		if _, err := connection.Discard(headerSize); err != nil {
 			return gnet.Close
@@ -49,6 +49,7 @@
 			return gnet.Close
 		}
 		t.Counters.BytesIn.Add(int64(headerSize + length))
+		from.took += int64(headerSize + length)
 		if packed {
 			err = t.readTurn(connection, from, body)
 		} else {
@@ -60,6 +61,18 @@
 	}
 }
 
+// confirm tells the sender how many bytes were taken, now and then.
+func (p *peer) confirm(connection gnet.Conn) gnet.Action {
+	if !ToConfirm(p.told, p.took) {
+		return gnet.None
+	}
+	p.told = p.took
+	if _, err := connection.Write(binary.BigEndian.AppendUint64(nil, uint64(p.told))); err != nil {
+		return gnet.Close
+	}
+	return gnet.None
+}
+
 // length reads a header, of a frame or of a packed turn.
 func (p *peer) length(header []byte) (int, bool, error) {
 	if header[0]&(packedMark>>24) == 0 {
--- a/internal/transport/send.go
+++ b/internal/transport/send.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"time"
 
 	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
@@ -43,11 +44,13 @@
 		present = &link{to: to, away: homeOf(to) != t.home}
 		t.links[to] = present
 	}
-	if err := appendFrame(&present.pending, "", version, message); err != nil {
+	class := ClassOf(message)
+	if err := appendFrame(&present.pending[class], "", version, message); err != nil {
 		return err
 	}
-	present.frames++
-	if present.frames == 1 {
+	present.frames[class]++
+	if !present.dirty {
+		present.dirty = true
 		t.dirty = append(t.dirty, present)
 	}
 	if !t.turns {
@@ -63,43 +66,92 @@
 }
 
 func (t *Transport) flush() {
+	if len(t.dirty) == 0 {
+		return
+	}
+	now := time.Now()
 	for position, present := range t.dirty {
-		t.put(present)
-		present.frames = 0
-		if present.pending.Cap() > spareMost {
-			present.pending = bytes.Buffer{}
-		} else {
-			present.pending.Reset()
-		}
+		t.put(now, present)
+		present.clean()
 		t.dirty[position] = nil
 	}
 	t.dirty = t.dirty[:0]
 }
 
+// clean makes a link ready for the next turn.
+func (l *link) clean() {
+	l.dirty = false
+	for class := range l.pending {
+		l.frames[class] = 0
+		if l.pending[class].Cap() > spareMost {
+			l.pending[class] = bytes.Buffer{}
+		} else {
+			l.pending[class].Reset()
+		}
+	}
+}
+
+// whole gives a turn's frames in the order of their classes, and how many they are.
+func (t *Transport) whole(present *link) (body []byte, frames int) {
+	classes := 0
+	for class := range present.pending {
+		if present.frames[class] > 0 {
+			classes++
+			frames += present.frames[class]
+			body = present.pending[class].Bytes()
+		}
+	}
+	if classes == 1 {
+		return body, frames
+	}
+	t.turn = t.turn[:0]
+	for class := range present.pending {
+		t.turn = append(t.turn, present.pending[class].Bytes()...)
+	}
+	body = t.turn
+	if cap(t.turn) > spareMost {
+		t.turn = nil
+	}
+	return body, frames
+}
+
 // put writes a turn's frames, or hands them to the dialling loop.
-func (t *Transport) put(present *link) {
+func (t *Transport) put(now time.Time, present *link) {
 	present.uses.Add(1)
-	body := present.pending.Bytes()
 	open := present.way.Load()
 	if open == nil || open.handed != present.handed || !t.impairment.Load().calm() {
-		t.handOver(present, chunk{body: bytes.Clone(body), frames: present.frames})
+		t.handOverTurn(present)
+		return
+	}
+	if t.held.Load() || t.pace.Wait(now) > 0 || !open.socket.window.Open() {
+		t.Counters.Held.Add(1)
+		t.handOverTurn(present)
 		return
 	}
+	body, frames := t.whole(present)
 	var wrapped []byte
 	wrapped, t.scratch = open.socket.wrap(t.scratch, body)
 	t.Counters.Writes.Add(1)
+	open.socket.window.Sent(now, len(wrapped))
 	sent, err := open.socket.write(wrapped)
 	if err != nil && !errors.Is(err, unix.EAGAIN) {
 		t.broken(present, open.socket)
-		t.handOver(present, chunk{body: bytes.Clone(body), frames: present.frames})
+		t.handOverTurn(present)
 		return
 	}
-	t.count(present, present.frames, sent)
+	t.pace.Spend(now, sent)
+	t.count(present, frames, sent)
 	if sent < len(wrapped) {
 		t.handOver(present, chunk{body: bytes.Clone(wrapped[sent:]), rest: open.socket})
 	}
 }
 
+// Spent tells of bytes that others gave to the machine's link.
+func (t *Transport) Spent(size int) { t.pace.Spend(time.Now(), size) }
+
+// SetRate sets the bytes a second that the machine's link takes, 0 for no limit.
+func (t *Transport) SetRate(rate int) { t.pace.SetRate(rate) }
+
 func (t *Transport) count(present *link, frames, sent int) {
 	t.Counters.MessagesOut.Add(int64(frames))
 	t.Counters.BytesOut.Add(int64(sent))
@@ -109,9 +161,20 @@
 	}
 }
 
+// handOverTurn gives a turn's frames to the dialling loop, by class.
+func (t *Transport) handOverTurn(present *link) {
+	var handed []chunk
+	for class := range present.pending {
+		if present.frames[class] > 0 {
+			handed = append(handed, chunk{body: bytes.Clone(present.pending[class].Bytes()), class: Class(class), frames: present.frames[class]})
+		}
+	}
+	t.handOver(present, handed...)
+}
+
 // handOver gives bytes to the dialling loop; the way is closed to the owner until
 // that loop has opened it again.
-func (t *Transport) handOver(present *link, handed chunk) {
+func (t *Transport) handOver(present *link, handed ...chunk) {
 	present.handed++
 	t.onLoop(func() { t.accept(present, handed) })
 }
--- a/internal/transport/socket.go
+++ b/internal/transport/socket.go
@@ -22,6 +22,8 @@
 	state      atomic.Int32
 	// packer is set where turns are packed. Whoever may write may pack.
 	packer *packer
+	// window bounds what the peer has not confirmed.
+	window Window
 }
 
 // wrap gives the bytes that go out for a turn, and the scratch for the next one.
