--- a/internal/checker/topics.go
+++ b/internal/checker/topics.go
@@ -2,6 +2,7 @@
 // all of its connections until the caller ends it, is told that its place is
 // lost, or a configuration is sent that takes its route away. It is owed what was
 // first sent after it was first confirmed and was accepted before it ended.
+
 package checker
 
 import (
--- a/internal/config/routes.go
+++ b/internal/config/routes.go
@@ -2,6 +2,7 @@
 // longest decides. Spaces that are reached so keep an order for each topic, and
 // their topics lie in a fixed number of shared partitions, whatever the number of
 // spaces and whichever come and go.
+
 package config
 
 import (
--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -1,6 +1,7 @@
 // A Lease is one controller's hold on a single duty that is not the primary's own,
 // such as the economy. It is granted by a majority of the voters, counted from
 // the moment of asking with a tenth off, and checked before every act.
+
 package consensus
 
 import (
--- a/internal/consensus/messages.go
+++ b/internal/consensus/messages.go
@@ -1,5 +1,6 @@
 // The words that controllers exchange about epochs, lease and the control state,
 // and what each of them keeps on disk.
+
 package consensus
 
 import (
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -7,6 +7,7 @@
 // it asks others to: from then on neither it nor any backup that took such a
 // record adds to the state of the present epoch, so that a spare's copy is never
 // older than what was answered.
+
 package consensus
 
 import (
--- a/internal/consensus/voters.go
+++ b/internal/consensus/voters.go
@@ -7,6 +7,7 @@
 // the open ballots from enough of the others first. The primary brings standby
 // controllers in, one at a time, also in place of one that is lost, by an epoch that
 // majorities of both the old and the new voters take.
+
 package consensus
 
 import (
--- a/internal/consolidation/consolidation.go
+++ b/internal/consolidation/consolidation.go
@@ -1,3 +1,5 @@
+// Package consolidation decides which gateways rest while there is little traffic.
+//
 // The economy duty: from what the gateways report it decides which of them rest,
 // where their origins go, and how the awake ones share what is left. A decision
 // compares one sum before and after: processor time, of a gateway that is awake
--- a/internal/controlclient/controlclient.go
+++ b/internal/controlclient/controlclient.go
@@ -1,3 +1,5 @@
+// Package controlclient forwards operators' requests to the primary controller.
+//
 // A ControlClient carries operators' requests from whichever daemon they reached to
 // the primary controller, so that every daemon gives the same answer. It follows
 // redirections, tries another controller when one stays silent, and gives up early:
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -2,6 +2,7 @@
 // placement, the epochs, and the retiring of stores. A controller that may not act
 // sends the request on or refuses it at once; it never answers from a state
 // that may be old.
+
 package controller
 
 import (
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -1,3 +1,5 @@
+// Package controller is the state machine of the daemons that coordinate the cluster.
+//
 // A Controller is the coordinator daemon's state machine. It lives on a watch bill
 // (who is primary, what two disks hold) and, while it is primary, it takes
 // configurations, keeps the cluster's view, places partitions and answers the
--- a/internal/controller/placement.go
+++ b/internal/controller/placement.go
@@ -5,6 +5,7 @@
 // as there are enough without it. A store counts as a holder only
 // together with the disk on which the accepted messages lie; a partition whose
 // holders are all away waits for one of them rather than begin empty.
+
 package controller
 
 import (
--- a/internal/controller/state.go
+++ b/internal/controller/state.go
@@ -1,6 +1,7 @@
 // The control state: the configuration in force, the members of the cluster and
 // where every partition lives. It changes only by commands, which are applied in
 // the same order and with the same result on primary and backup.
+
 package controller
 
 import (
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -3,6 +3,7 @@
 // adapters: the links between daemons, the disk, the log, the clock, and the
 // callers. The owner works in turns: it waits, takes all that came meanwhile,
 // and then flushes once what goes out, since each wake-up and each write costs.
+
 package daemon
 
 import (
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -3,6 +3,7 @@
 // missed; until that is done its live messages wait, so that nothing is handed
 // over twice, skipped or out of order. Several interests resumed together are
 // filled as one, since a sender's order runs across them.
+
 package gateway
 
 import (
--- a/internal/gateway/cursor.go
+++ b/internal/gateway/cursor.go
@@ -2,6 +2,7 @@
 // partition was handed to it, and the newest seq of each sender it saw in passing
 // spaces. It is opaque to callers, bound to its origin by a keyed sum, and
 // refused if forged, of another origin, or of an unknown layout.
+
 package gateway
 
 import (
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,3 +1,5 @@
+// Package gateway is the state machine of the daemons that hold client connections.
+//
 // A Gateway is the proxy daemon's state machine: it holds client connections,
 // hosts the overlay's peers, passes every request through the policies, and fans
 // messages out. It follows the control state through the agent beside it. It
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -1,5 +1,6 @@
 // What gateways say to each other about messages, what their adapters bring in
 // from callers, and what goes back to callers.
+
 package gateway
 
 import (
--- a/internal/gateway/policies.go
+++ b/internal/gateway/policies.go
@@ -1,6 +1,7 @@
 // Every request passes policies: plug-ins behind one interface, in a fixed order.
 // A policy lets a request pass, refuses it with its final answer, or asks for one
 // look at the news before it judges again.
+
 package gateway
 
 import (
--- a/internal/gateway/publish.go
+++ b/internal/gateway/publish.go
@@ -4,6 +4,7 @@
 // message goes to the first of its partition and is fanned out once it is
 // accepted; a passing one is fanned out at once. The destinations come from the
 // runOverlay peer at the topic's area, one copy for each daemon.
+
 package gateway
 
 import (
--- a/internal/gateway/recent.go
+++ b/internal/gateway/recent.go
@@ -4,6 +4,7 @@
 // and what came: an origin that resumes gets from that what it has not had, and
 // a gateway that is newly found as a destination is offered what was passed on
 // just before.
+
 package gateway
 
 import (
--- a/internal/gateway/routed.go
+++ b/internal/gateway/routed.go
@@ -5,6 +5,7 @@
 // who lack it at once. The first also tells which topics moved, so that a lost
 // last message shows. Passing topics take the same order and keep nothing: what
 // does not come in time is passed over.
+
 package gateway
 
 import (
--- a/internal/gateway/routed_publish.go
+++ b/internal/gateway/routed_publish.go
@@ -4,6 +4,7 @@
 // wait for each other, and those of one topic go to the first in the order in
 // which they came. A passing message's data never goes to a store: only its
 // place in the order does.
+
 package gateway
 
 import (
--- a/internal/gateway/tracker.go
+++ b/internal/gateway/tracker.go
@@ -4,6 +4,7 @@
 // fetched from the partition's first. The first tells the head of the partition as it
 // moves, and the tracker then verifies that it missed nothing up to there, so
 // that a lost last message shows too.
+
 package gateway
 
 import (
--- a/internal/lineserver/connection.go
+++ b/internal/lineserver/connection.go
@@ -1,4 +1,5 @@
 // One connection: what its reading task does, and how bytes get onto it.
+
 package lineserver
 
 import (
--- a/internal/lineserver/owner.go
+++ b/internal/lineserver/owner.go
@@ -1,5 +1,6 @@
 // The owner's side of the server: commands go to the gateway, and what comes back
 // gathers for each connection until the end of the turn.
+
 package lineserver
 
 import (
--- a/internal/membership/follower.go
+++ b/internal/membership/follower.go
@@ -3,6 +3,7 @@
 // seeds, learns the controllers from redirections and from the view, and goes round
 // them when one stays silent. Nothing older than what it holds is ever taken,
 // and the first answer counts only if it came fresh.
+
 package membership
 
 import (
--- a/internal/membership/pulse.go
+++ b/internal/membership/pulse.go
@@ -3,6 +3,7 @@
 // primary whom it no longer hears. A watcher that was frozen does not blame the
 // others for its own silence: after a long gap in its own steps it begins to
 // listen anew.
+
 package membership
 
 import (
--- a/internal/overlay/notices.go
+++ b/internal/overlay/notices.go
@@ -18,6 +18,7 @@
 //
 // The overlay sends by timers of its own: the owner runs Due at NextDue, as for
 // joins, and has nothing to call at the end of its turn.
+
 package overlay
 
 import (
--- a/internal/overlay/plane.go
+++ b/internal/overlay/plane.go
@@ -4,6 +4,7 @@
 // every topic under a prefix lies inside that prefix's square. A peer's
 // reference point lies inside its area, moved by a hash of its daemon's name so
 // that no two peers share a point.
+
 package overlay
 
 import (
--- a/internal/partition/append.go
+++ b/internal/partition/append.go
@@ -1,5 +1,6 @@
 // Appending: a first gives a message its offset, and accepts it once every named
 // copy lies on its disk.
+
 package partition
 
 import (
--- a/internal/partition/copy.go
+++ b/internal/partition/copy.go
@@ -1,5 +1,6 @@
 // Copying: a first sends each follower what it does not have yet, and knows of
 // each how far its disk reaches.
+
 package partition
 
 import (
--- a/internal/partition/disk.go
+++ b/internal/partition/disk.go
@@ -1,5 +1,6 @@
 // The disk of a store: what a step logs goes out as one write, and a frame that
 // stands for all of it when the log has grown long.
+
 package partition
 
 import (
--- a/internal/partition/follow.go
+++ b/internal/partition/follow.go
@@ -1,5 +1,6 @@
 // Fetching and following: what gateways lack, and how they learn that they lack
 // it.
+
 package partition
 
 import (
--- a/internal/partition/lag.go
+++ b/internal/partition/lag.go
@@ -1,6 +1,7 @@
 // What a store observes of disks, its own and those of the copies that it sends:
 // one that is far slower than the others, hangs or refuses is told to the
 // primary, which gives its partitions to others.
+
 package partition
 
 import (
--- a/internal/partition/messages.go
+++ b/internal/partition/messages.go
@@ -1,5 +1,6 @@
 // The words between gateways and stores, and between the two stores of a
 // partition.
+
 package partition
 
 import (
--- a/internal/partition/partition.go
+++ b/internal/partition/partition.go
@@ -4,6 +4,7 @@
 // the memory too. A shared partition holds the topics of all routed spaces: there a
 // sender is remembered for each topic, and each topic's last offset outlives its
 // records, so that whoever comes back is told whether it lost anything.
+
 package partition
 
 import (
--- a/internal/settings/watch.go
+++ b/internal/settings/watch.go
@@ -3,6 +3,7 @@
 // content is looked at each second, and a change is told when the content
 // differs from what was seen last: a file that stays missing or faulty is told
 // once. Whether a content is any good is judged by Read alone.
+
 package settings
 
 import (
--- a/internal/simulator/client.go
+++ b/internal/simulator/client.go
@@ -2,6 +2,7 @@
 // back, moves when asked, reconnects after a cut to a daemon that the platform
 // held ready, and resumes with its newest cursor; and its publishing side, which
 // sends an unanswered seq again until it has an answer.
+
 package simulator
 
 import (
--- a/internal/simulator/meter.go
+++ b/internal/simulator/meter.go
@@ -1,5 +1,6 @@
 // Metering: what a run's daemons work and say, told to whoever measures. A clock is
 // read only then, and has no part in the run itself.
+
 package simulator
 
 import (
--- a/internal/simulator/scenario.go
+++ b/internal/simulator/scenario.go
@@ -2,6 +2,7 @@
 // schedules its faults from the seed; all share the same callers, operators and
 // checks. At the end every fault is taken away, callers are given time to come
 // back, and the checker closes its book.
+
 package simulator
 
 import (
--- a/internal/simulator/storm.go
+++ b/internal/simulator/storm.go
@@ -2,6 +2,7 @@
 // its length, and a run that is made of one: faults alone or together, a calm
 // in which everything must be as if nothing had been, and one last fault that
 // stays. Each fault undoes only what it did, so that any of them may overlap.
+
 package simulator
 
 import (
--- a/internal/simulator/topic_client.go
+++ b/internal/simulator/topic_client.go
@@ -3,6 +3,7 @@
 // asked for anew on each connection, with the cursor of its last message; a
 // publication of open fate is sent again under its number until its deadline, and
 // one that was certainly not done gets a new number, a few times.
+
 package simulator
 
 import (
--- a/internal/simulator/topics.go
+++ b/internal/simulator/topics.go
@@ -2,6 +2,7 @@
 // topics, publish, come and go, the faults that strike such callers, and the
 // faults of their users that close a run. At the end new callers take up places
 // that others were given before.
+
 package simulator
 
 import (
--- a/internal/statemachine/mutation.go
+++ b/internal/statemachine/mutation.go
@@ -4,6 +4,7 @@
 // they keep is then broken, and that the checker sees it. This file is part of
 // builds with the tag mutation only, as the tests use it; a released daemon
 // holds none.
+
 package statemachine
 
 var mutation string
--- a/internal/statemachine/order.go
+++ b/internal/statemachine/order.go
@@ -1,6 +1,7 @@
 // Iterators over snapshots of maps, in key order: the one way in which the
 // machines walk a map, so that equal inputs give equal effects and a walk may
 // change the map it walks.
+
 package statemachine
 
 import (
--- a/internal/statemachine/released.go
+++ b/internal/statemachine/released.go
@@ -2,6 +2,7 @@
 
 // In a released build every mechanism is there, and the compiler leaves out
 // whatever stood behind the question.
+
 package statemachine
 
 // Mutated tells whether a mechanism has been taken away: never.
--- a/internal/statemachine/timers.go
+++ b/internal/statemachine/timers.go
@@ -1,6 +1,7 @@
 // Timers names the moments at which a machine wants to run again. Keys are
 // kept with their moment, and expired keys come out in order of moment and
 // then of key, so that a run never depends on the order of a map.
+
 package statemachine
 
 import (
--- a/internal/transport/codec.go
+++ b/internal/transport/codec.go
@@ -3,6 +3,7 @@
 // where the connection has not named it already, the sender's configuration
 // version, and the body in cbor. Decoding is strict: an unknown number, trailing
 // bytes, an oversized or truncated frame is an error and touches nothing.
+
 package transport
 
 import (
--- a/internal/transport/pack.go
+++ b/internal/transport/pack.go
@@ -6,6 +6,7 @@
 // of it is written in Huffman codes made from what was seen before: text in which
 // nothing repeats still shrinks to its entropy. Both ends make the codes anew
 // after the same bytes, so that no table is ever sent.
+
 package transport
 
 import (
--- a/internal/transport/socket.go
+++ b/internal/transport/socket.go
@@ -1,6 +1,7 @@
 // The owner's descriptor of a connection. The owner writes without waiting; the
 // dialling loop ends the connection, maybe in the same moment. Neither waits for
 // the other: if a write is under way, the writer closes the descriptor after it.
+
 package transport
 
 import (
--- a/internal/wal/folder.go
+++ b/internal/wal/folder.go
@@ -1,5 +1,6 @@
 // The two folders a log can live in: a real one, and one in memory that
 // forgets what was not synced, for the simulator and the tests.
+
 package wal
 
 import (
