--- /dev/null
+++ b/internal/consensus/disk.go
@@ -0,0 +1,67 @@
+// What a controller keeps on its disk: entries that last before anything that
+// follows from them is said, and from time to time the whole.
+package consensus
+
+import (
+	"time"
+
+	"dahlialock/internal/statemachine"
+	"dahlialock/internal/transport"
+)
+
+func (w *Watch) write(effects *statemachine.Effects, entry diskEntry, then continuation) {
+	w.token++
+	w.synced[w.token] = then
+	packed := transport.MustMarshal(entry)
+	w.logBytes += len(packed)
+	effects.Writes = append(effects.Writes, statemachine.Write{Token: w.token, Entries: [][]byte{packed}})
+}
+
+func (w *Watch) saveDurable(effects *statemachine.Effects, then continuation) {
+	copied := w.durable
+	w.write(effects, diskEntry{Durable: &copied}, func(now time.Time, effects *statemachine.Effects) {
+		w.diskComplete = copied.Complete
+		if then != nil {
+			then(now, effects)
+		}
+	})
+}
+
+// writeState puts the whole state on the disk. No command is put after it before
+// it is there.
+func (w *Watch) writeState(state []byte, effects *statemachine.Effects) {
+	index := w.index
+	w.restoring++
+	w.write(effects, diskEntry{Index: index, State: state}, func(time.Time, *statemachine.Effects) {
+		w.restoring--
+		w.diskIndex = index
+	})
+}
+
+// Synced goes on with what waited for the disk.
+func (w *Watch) Synced(now time.Time, token uint64, effects *statemachine.Effects) {
+	then, found := w.synced[token]
+	if !found {
+		return
+	}
+	delete(w.synced, token)
+	if then != nil {
+		then(now, effects)
+	}
+	if w.logBytes > frameLogLimit && len(w.synced) == 0 && len(w.queue) == 0 {
+		w.logBytes = 0
+		w.token++
+		w.synced[w.token] = nil
+		effects.Writes = append(effects.Writes, statemachine.Write{Token: w.token, Frame: transport.MustMarshal(diskFrame{
+			Durable: w.durable, Index: w.index, State: w.ledger.Frame(), Spares: w.heldFrames(),
+		})})
+	}
+}
+
+func (w *Watch) heldFrames() []spareFrame {
+	var held []spareFrame
+	for _, frame := range statemachine.Sorted(w.frames) {
+		held = append(held, *frame)
+	}
+	return held
+}
--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -1,47 +1,230 @@
-// A Lease is one controller's hold on a single duty that is not the primary's own,
-// such as the economy. It is granted by a majority of the voters, counted from
-// the moment of asking with a tenth off, and checked before every act.
+// The primary's lease: voters grant it against the asking moment, and an answer
+// that is read from the primary's state is confirmed by a majority first.
 package consensus
 
 import (
+	"slices"
 	"time"
+
+	"dahlialock/internal/logevent"
+	"dahlialock/internal/statemachine"
 )
 
-// Lease is the asker's side of a duty.
-type Lease struct {
-	duty    string
-	nonce   uint64
-	askedAt time.Time
-	need    int
-	givers  map[string]bool
-	until   time.Time
+func (w *Watch) renew(now time.Time, effects *statemachine.Effects) {
+	w.timers.Arm("renew", now.Add(renewEvery))
+	if w.blank {
+		return
+	}
+	if w.IsPrimary() && w.durable.Complete == w.durable.Record.Epoch {
+		w.watchLease(now, effects)
+		if len(w.queue) > 0 && w.queue[0].index > 0 && !w.queue[0].synced && now.Sub(w.queue[0].begun) > ownSlow && !statemachine.Mutated("patient-primary") {
+			if !w.yielded {
+				w.Yield(now, effects)
+			}
+			return
+		}
+		w.yielded = false
+		w.nonce++
+		w.renewals[w.nonce] = now
+		w.grants[w.nonce] = map[string]bool{}
+		delete(w.renewals, w.nonce-16)
+		delete(w.grants, w.nonce-16)
+		renew := Renew{Epoch: w.durable.Record.Epoch, Nonce: w.nonce}
+		if now.Sub(w.decidedAt) < tellFor {
+			renew.Record = w.durable.Record
+		}
+		for _, controller := range w.durable.Record.Voters {
+			if !controller.At(w.settings.Self) {
+				effects.Send(controller.Address, renew)
+			}
+		}
+		w.grantOwn(now, effects)
+		w.follow(now, effects)
+		w.watchVoters(now, effects)
+		return
+	}
+	w.follow(now, effects)
+}
+
+// grantOwn counts the primary's own vote, unless it has promised a ballot away.
+func (w *Watch) grantOwn(now time.Time, effects *statemachine.Effects) {
+	if !w.mayGrant(now) {
+		return
+	}
+	w.grantedUntil, w.grantedTo = now.Add(LeaseLength), w.durable.Record.Primary
+	w.countGrant(now, w.settings.Self.Name, w.nonce, effects)
+}
+
+func (w *Watch) promisedAway() bool {
+	promised := w.durable.Promised
+	return promised.Count > 0 && promised.Name != w.durable.Record.Primary
+}
+
+func (w *Watch) countGrant(now time.Time, name string, nonce uint64, effects *statemachine.Effects) {
+	asked, found := w.renewals[nonce]
+	if !found {
+		return
+	}
+	w.grants[nonce][name] = true
+	if len(w.grants[nonce]) < w.durable.Record.Majority() {
+		return
+	}
+	until := asked.Add(LeaseLength * 9 / 10)
+	if until.After(w.leaseUntil) {
+		w.leaseUntil = until
+	}
+	if !w.leaseHeld && now.Before(w.leaseUntil) {
+		w.leaseHeld = true
+		effects.Note(logevent.LeaseGained, "epoch", w.durable.Record.Epoch)
+	}
 }
 
-// NewLease registers a duty that this controller may come to hold.
-func (w *Watch) NewLease(duty string) *Lease {
-	lease := &Lease{duty: duty, givers: map[string]bool{}}
-	w.leases[duty] = lease
-	return lease
+func (w *Watch) watchLease(now time.Time, effects *statemachine.Effects) {
+	if now.Before(w.leaseUntil) {
+		return
+	}
+	if w.leaseHeld {
+		w.leaseHeld = false
+		effects.Note(logevent.LeaseLost, "epoch", w.durable.Record.Epoch)
+	}
+	// Witnesses that promised a ballot away grant nothing more in this epoch;
+	// if that candidate is gone, the primary asks for the next epoch itself.
+	since := w.leaseUntil
+	if since.Before(w.actingSince) {
+		since = w.actingSince
+	}
+	if w.yielded || now.Sub(since) < lostAfter || w.trying != nil || w.gathered {
+		return
+	}
+	if lost, _ := w.failing(now); len(lost) == 0 {
+		record := w.durable.Record
+		record.Epoch++
+		w.replacing, w.gathered = true, true
+		w.begin(now, record, effects)
+	}
 }
 
-func (l *Lease) ask(now time.Time, need int) DutyAsk {
-	l.nonce++
-	l.askedAt, l.need = now, need
-	l.givers = map[string]bool{}
-	return DutyAsk{Duty: l.duty, Nonce: l.nonce}
+func (w *Watch) onRenew(now time.Time, from string, renew Renew, effects *statemachine.Effects) {
+	w.learn(now, renew.Record, effects)
+	record := w.durable.Record
+	if w.blank || renew.Epoch < record.Epoch {
+		if !w.blank {
+			effects.Send(from, Decided{Record: record})
+		}
+		return
+	}
+	if renew.Epoch > record.Epoch {
+		w.askRecord(from, effects)
+		return
+	}
+	if w.nameOf(from, record.Voters) != record.Primary || !w.mayGrant(now) {
+		return
+	}
+	if w.standDown(); w.takingOver {
+		return
+	}
+	w.primaryHeard = now
+	w.grantedUntil, w.grantedTo = now.Add(LeaseLength), record.Primary
+	effects.Send(from, Grant{Epoch: renew.Epoch, Nonce: renew.Nonce, Index: w.diskIndex, Complete: w.diskComplete})
 }
 
-func (l *Lease) given(name string, nonce uint64) {
-	if name == "" || nonce != l.nonce {
+// Yield gives the lease back, so that a backup need not wait for its end.
+func (w *Watch) Yield(now time.Time, effects *statemachine.Effects) {
+	if !w.IsPrimary() {
 		return
 	}
-	l.givers[name] = true
-	if len(l.givers) >= l.need {
-		l.until = l.askedAt.Add(LeaseLength * 9 / 10)
+	w.yielded = true
+	w.leaseUntil = time.Time{}
+	w.renewals, w.grants = map[uint64]time.Time{}, map[uint64]map[string]bool{}
+	effects.Note(logevent.LeaseYielded, "epoch", w.durable.Record.Epoch)
+	for _, controller := range w.durable.Record.Voters {
+		if !controller.At(w.settings.Self) {
+			effects.Send(controller.Address, Yield{Epoch: w.durable.Record.Epoch})
+		}
 	}
 }
 
-// Held tells whether the duty may be done at this moment.
-func (l *Lease) Held(now time.Time) bool {
-	return now.Before(l.until)
+func (w *Watch) onYield(now time.Time, from string, yield Yield, effects *statemachine.Effects) {
+	record := w.durable.Record
+	if yield.Epoch != record.Epoch || !w.member() || w.nameOf(from, record.Voters) != record.Primary || w.grantedTo != record.Primary {
+		return
+	}
+	w.grantedUntil = now
+	w.primaryHeard = now.Add(-lostAfter)
+	w.follow(now, effects)
+}
+
+func (w *Watch) onGrant(now time.Time, from string, grant Grant, effects *statemachine.Effects) {
+	record := w.durable.Record
+	if !w.IsPrimary() || grant.Epoch != record.Epoch {
+		return
+	}
+	name := w.nameOf(from, record.Voters)
+	if name == "" {
+		return
+	}
+	if grant.Nonce > 0 {
+		w.lastGrant[name] = now
+		w.countGrant(now, name, grant.Nonce, effects)
+	}
+	if slices.Contains(record.Backups, name) {
+		w.onGrantOfBackup(now, from, name, grant, effects)
+	}
+}
+
+// Confirm asks a majority whether the present epoch still stands, so that an
+// answer read from the primary's state can't be an old one.
+func (w *Watch) Confirm(now time.Time, done Done, effects *statemachine.Effects) {
+	if !w.Speaking(now) || !w.stands() {
+		done(now, effects, Refused)
+		return
+	}
+	if statemachine.Mutated("lease-for-ever") {
+		done(now, effects, Committed)
+		return
+	}
+	w.nonce++
+	waiting := confirmation{done: done, limit: now.Add(confirmLimit), givers: map[string]bool{w.settings.Self.Address: true}}
+	w.confirms[w.nonce] = waiting
+	w.timers.ArmSooner("limits", now.Add(confirmLimit))
+	for _, controller := range w.durable.Record.Voters {
+		if !controller.At(w.settings.Self) {
+			effects.Send(controller.Address, Confirm{Epoch: w.durable.Record.Epoch, Nonce: w.nonce})
+		}
+	}
+	w.confirmed(now, w.nonce, effects)
+}
+
+// stands tells whether this controller has let nobody else have the next epoch.
+func (w *Watch) stands() bool {
+	return w.member() && !w.promisedAway() && !w.acceptedAway() && !w.takingOver
+}
+
+func (w *Watch) onConfirm(now time.Time, from string, confirm Confirm, effects *statemachine.Effects) {
+	if confirm.Epoch != w.durable.Record.Epoch || !w.stands() || w.unsure(now) {
+		return
+	}
+	effects.Send(from, ConfirmResponse{Epoch: confirm.Epoch, Nonce: confirm.Nonce})
+}
+
+func (w *Watch) onConfirmResponse(now time.Time, from string, returned ConfirmResponse, effects *statemachine.Effects) {
+	waiting, found := w.confirms[returned.Nonce]
+	if !found || returned.Epoch != w.durable.Record.Epoch {
+		return
+	}
+	waiting.givers[from] = true
+	w.confirmed(now, returned.Nonce, effects)
+}
+
+func (w *Watch) confirmed(now time.Time, nonce uint64, effects *statemachine.Effects) {
+	waiting := w.confirms[nonce]
+	if !enough(w.durable.Record.Epoch+1, w.durable.Record.Voters, waiting.givers) {
+		return
+	}
+	delete(w.confirms, nonce)
+	if !w.Speaking(now) || now.After(waiting.limit) {
+		waiting.done(now, effects, Unsettled)
+		return
+	}
+	waiting.done(now, effects, Committed)
 }
