--- a/cmd/dahlialock/main.go
+++ b/cmd/dahlialock/main.go
@@ -518,6 +518,7 @@
 		{name: "epochs", usage: "[-ctl A]", synopsis: "tell the controllers' epoch, primary and backup", run: epochs},
 		{name: "self", usage: "[-ctl A]", synopsis: "tell the counters of the one daemon asked", run: self},
 		{name: "store", usage: "[-ctl A] show|retire|return NAME", synopsis: "show a store, empty and retire it, or take it back", run: store},
+		explainCommand(),
 		{name: "token", usage: "-key K ORIGIN", synopsis: "make the token of an origin", flags: callerFlags, run: token},
 		{name: "publish", usage: "-key K -caller A -origin O -space S -topic T JSON", synopsis: "publish one message", flags: callerFlags, run: publish},
 		{name: "listen", usage: "-key K -caller A -origin O -space S [-topic T | -prefix P]", synopsis: "print the messages of a topic or prefix", flags: callerFlags, run: listen},
--- a/cmd/fleetlab/origin.go
+++ b/cmd/fleetlab/origin.go
@@ -377,4 +377,6 @@
 type rawJSON string
 
 // MarshalJSON gives the text as it is.
+//
+//nolint:unparam // the interface json.Marshaler has an error
 func (rj rawJSON) MarshalJSON() ([]byte, error) { return []byte(rj), nil }
--- a/cmd/fleetlab/trial.go
+++ b/cmd/fleetlab/trial.go
@@ -352,16 +352,15 @@
 }
 
 type measured struct {
-	processor  map[string]time.Duration
-	bytesAway  float64
-	messages   float64
-	syncs      float64
-	steps      float64
-	delivered  float64
-	copies     float64
-	stray      float64
-	overlay    float64
-	gatewaysUp int
+	processor map[string]time.Duration
+	bytesAway float64
+	messages  float64
+	syncs     float64
+	steps     float64
+	delivered float64
+	copies    float64
+	stray     float64
+	overlay   float64
 }
 
 func (tr *trialRun) measure() measured {
--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -1,6 +1,6 @@
 // Package decisionlog keeps a bounded ring of recorded decisions: why a request or
 // a message went where it went. Every daemon has one and serves it at ctl, and
-// sextant asks them all. Entries about one message share its space, sender and
+// the command `dahlialock explain` asks them all. Entries about one message share its space, sender and
 // seq, which is how those of several daemons are put together.
 package decisionlog
 
--- a/internal/testfleet/testfleet_test.go
+++ b/internal/testfleet/testfleet_test.go
@@ -186,12 +186,12 @@
 	assert.NilError(t, err)
 	assert.Assert(t, again.Outcome == "accepted" && again.Again, "%+v", again)
 
-	code, output := b.command("sextant", "-ctl", b.fleet.Daemons["store-2"].Control, "-message", "boards/ada/1")
+	code, output := b.command("dahlialock", "explain", "-ctl", b.fleet.Daemons["store-2"].Control, "-message", "boards/ada/1")
 	assert.Equal(t, code, 0, output)
 	for _, step := range []string{"judged", "append", "accepted", "fanned-out", "delivered"} {
-		assert.Assert(t, strings.Contains(output, " "+step+" "), "sextant does not tell of %s:\n%s", step, output)
+		assert.Assert(t, strings.Contains(output, " "+step+" "), "explain does not tell of %s:\n%s", step, output)
 	}
-	code, output = b.command("sextant", "-ctl", b.fleet.Daemons["store-2"].Control, "-visit", "nobody-knows-1")
+	code, output = b.command("dahlialock", "explain", "-ctl", b.fleet.Daemons["store-2"].Control, "-visit", "nobody-knows-1")
 	assert.Equal(t, code, 1, output)
 
 	// One copy for each destination daemon, however many subscribe there.
