--- a/internal/config/configuration.go
+++ b/internal/config/configuration.go
@@ -116,7 +116,7 @@
 	QuietFor        time.Duration
 }
 
-// Zone is a place with its distances, for closeness.
+// Link is the delay of the way between two zones, for closeness.
 type Link struct {
 	From, To string
 	Delay    time.Duration
@@ -314,8 +314,8 @@
 		return false
 	}
 	for _, letter := range name {
-		if !(letter >= 'a' && letter <= 'z' || letter >= 'A' && letter <= 'Z' || letter >= '0' && letter <= '9' ||
-			letter == '-' || letter == '_' || letter == '.') {
+		if (letter < 'a' || letter > 'z') && (letter < 'A' || letter > 'Z') && (letter < '0' || letter > '9') &&
+			letter != '-' && letter != '_' && letter != '.' {
 			return false
 		}
 	}
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -229,28 +229,8 @@
 		}
 		return
 	}
-	earlier := w.durable
-	self := w.settings.Self.Name
-	complete := uint64(0)
-	switch {
-	case !listed:
-		if w.blank || w.member() {
-			effects.Note(logevent.StandsBy, "epoch", record.Epoch, "primary", record.Primary)
-		}
-	case record.Epoch == 1:
-		complete = 1
-	case record.Primary != self && !slices.Contains(record.Backups, self):
-	case record.Primary != self && w.frames[record.Primary] != nil && w.frames[record.Primary].For == record.Epoch:
-		spare := w.frames[record.Primary]
-		if err := w.ledger.Restore(spare.State); err == nil {
-			w.index = spare.Index
-			complete = record.Epoch
-			w.writeState(spare.State, effects)
-		}
-	case record.Epoch == earlier.Record.Epoch+1 && earlier.Complete == earlier.Record.Epoch && earlier.Record.Epoch > 0 &&
-		(earlier.Record.Primary == self || slices.Contains(earlier.Record.Backups, self)):
-		complete = record.Epoch
-	}
+	earlier, self := w.durable, w.settings.Self.Name
+	complete := w.completeUnder(record, listed, effects)
 	if record.Epoch > 1 && !slices.Equal(earlier.Record.Voters, record.Voters) {
 		w.noteVoters(earlier.Record, record, effects)
 	}
@@ -295,6 +275,34 @@
 	}
 }
 
+// completeUnder gives the epoch for which the state here is whole once a record is
+// learnt, 0 if it is whole for none: whoever was level with the epoch before stays
+// level, and a spare takes the snapshot that it got for this record.
+func (w *Watch) completeUnder(record Record, listed bool, effects *statemachine.Effects) uint64 {
+	earlier := w.durable
+	self := w.settings.Self.Name
+	switch {
+	case !listed:
+		if w.blank || w.member() {
+			effects.Note(logevent.StandsBy, "epoch", record.Epoch, "primary", record.Primary)
+		}
+	case record.Epoch == 1:
+		return 1
+	case record.Primary != self && !slices.Contains(record.Backups, self):
+	case record.Primary != self && w.frames[record.Primary] != nil && w.frames[record.Primary].For == record.Epoch:
+		spare := w.frames[record.Primary]
+		if err := w.ledger.Restore(spare.State); err == nil {
+			w.index = spare.Index
+			w.writeState(spare.State, effects)
+			return record.Epoch
+		}
+	case record.Epoch == earlier.Record.Epoch+1 && earlier.Complete == earlier.Record.Epoch && earlier.Record.Epoch > 0 &&
+		(earlier.Record.Primary == self || slices.Contains(earlier.Record.Backups, self)):
+		return record.Epoch
+	}
+	return 0
+}
+
 // holdBack sees to it that this controller lets nobody but the primary have the next
 // epoch while lease that others granted may still run: a new voters's members
 // have not granted it themselves.
--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -205,7 +205,7 @@
 	if confirm.Epoch != w.durable.Record.Epoch || !w.stands() || w.unsure(now) {
 		return
 	}
-	effects.Send(from, ConfirmResponse{Epoch: confirm.Epoch, Nonce: confirm.Nonce})
+	effects.Send(from, ConfirmResponse(confirm))
 }
 
 func (w *Watch) onConfirmResponse(now time.Time, from string, returned ConfirmResponse, effects *statemachine.Effects) {
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -167,7 +167,7 @@
 }
 
 // sendAppend sends the command under way to all backups that lack it.
-func (w *Watch) sendAppend(now time.Time, effects *statemachine.Effects) {
+func (w *Watch) sendAppend(_ time.Time, effects *statemachine.Effects) {
 	for _, name := range w.durable.Record.Backups {
 		w.sendAppendTo(name, effects)
 	}
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -102,7 +102,7 @@
 	w.begin(now, Record{Epoch: record.Epoch + 1, Primary: w.settings.Self.Name, Backups: backups, Voters: record.Voters}, effects)
 }
 
-func (w *Watch) onFrame(now time.Time, from string, frame Frame, effects *statemachine.Effects) {
+func (w *Watch) onFrame(_ time.Time, from string, frame Frame, effects *statemachine.Effects) {
 	record := w.durable.Record
 	if w.blank {
 		return
@@ -154,7 +154,7 @@
 		if !found || returned.Index != w.index || w.gathered || w.trying != nil {
 			return
 		}
-		if !w.takingOver && !(w.replacing && w.HoldsLease(now)) {
+		if !w.takingOver && (!w.replacing || !w.HoldsLease(now)) {
 			return
 		}
 		spare.ready = true
--- a/internal/consolidation/consolidation_test.go
+++ b/internal/consolidation/consolidation_test.go
@@ -103,8 +103,8 @@
 	return count
 }
 
-func (to *town) check(t *testing.T, orders map[string]membership.Orders, each int) {
-	t.Helper()
+func (t *town) check(tb testing.TB, orders map[string]membership.Orders, each int) {
+	tb.Helper()
 	places, awake, rests := map[string]int{}, 0, 0
 	for name, order := range orders {
 		if order.Rest {
@@ -112,14 +112,14 @@
 			continue
 		}
 		awake++
-		places[to.seen.Members[name].Zone]++
+		places[t.seen.Members[name].Zone]++
 	}
 	if rests == 0 {
 		return
 	}
-	assert.Assert(t, awake >= 2 && len(places) >= 2, "%d awake in %v", awake, places)
+	assert.Assert(tb, awake >= 2 && len(places) >= 2, "%d awake in %v", awake, places)
 	for place, count := range places {
-		assert.Assert(t, (awake-count)*each >= to.total(), "without %s %d gateways are left for %d origins", place, awake-count, to.total())
+		assert.Assert(tb, (awake-count)*each >= t.total(), "without %s %d gateways are left for %d origins", place, awake-count, t.total())
 	}
 }
 
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -154,10 +154,10 @@
 	}
 	command := Command{Version: configuration.Version, Document: document}
 	c.watch.Submit(now, mustPack(command), commandLimit, func(now time.Time, effects *statemachine.Effects, outcome consensus.Outcome) {
-		switch {
-		case outcome == consensus.Refused:
+		switch outcome {
+		case consensus.Refused:
 			give(effects, http.StatusServiceUnavailable, controlclient.Error("refused", "the configuration was not taken", nil))
-		case outcome == consensus.Unsettled:
+		case consensus.Unsettled:
 			give(effects, http.StatusServiceUnavailable, controlclient.Error("unsettled", "the configuration may have been taken; send the same again", nil))
 		default:
 			// Another may have come in between while this one waited.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -290,7 +290,7 @@
 	return redirect
 }
 
-func (c *Controller) give(now time.Time, item held, effects *statemachine.Effects) {
+func (c *Controller) give(_ time.Time, item held, effects *statemachine.Effects) {
 	delete(c.held, item.ask.Self.Name)
 	news := membership.News{
 		For: item.ask.Self.Name, Nonce: item.ask.Nonce, Epoch: c.watch.Record().Epoch,
@@ -323,7 +323,7 @@
 	}
 }
 
-func (c *Controller) noteMember(now time.Time, self membership.Member, effects *statemachine.Effects) {
+func (c *Controller) noteMember(now time.Time, self membership.Member, _ *statemachine.Effects) {
 	known, found := c.state.Members[self.Name]
 	self.Alive = true
 	self.Joined, self.Retiring, self.Retired, self.Resting = known.Joined, known.Retiring, known.Retired, known.Resting
@@ -361,7 +361,7 @@
 	}
 }
 
-func (c *Controller) onFarewell(now time.Time, farewell membership.Farewell, effects *statemachine.Effects) {
+func (c *Controller) onFarewell(now time.Time, farewell membership.Farewell, _ *statemachine.Effects) {
 	member, found := c.state.Members[farewell.Name]
 	if !c.watch.HoldsLease(now) || !found || !member.Alive || member.Incarnation != farewell.Incarnation {
 		return
@@ -389,7 +389,7 @@
 
 // Tending.
 
-func (c *Controller) beginActing(now time.Time, effects *statemachine.Effects) {
+func (c *Controller) beginActing(now time.Time, _ *statemachine.Effects) {
 	if c.acting {
 		return
 	}
@@ -479,7 +479,7 @@
 	return changed
 }
 
-func (c *Controller) stopActing(now time.Time, effects *statemachine.Effects) {
+func (c *Controller) stopActing(_ time.Time, effects *statemachine.Effects) {
 	c.acting, c.busy = false, false
 	for name, item := range statemachine.Sorted(c.held) {
 		delete(c.held, name)
--- a/internal/controller/placement.go
+++ b/internal/controller/placement.go
@@ -272,11 +272,9 @@
 				}
 				recovered.Degraded = false
 				changed = append(changed, recovered)
-				well++
 			}
 			member.Degraded = true
 			changed = append(changed, member)
-			well--
 			return changed
 		}
 	}
--- a/internal/controller/shared_test.go
+++ b/internal/controller/shared_test.go
@@ -32,7 +32,6 @@
 
 type publication struct {
 	seq     uint64
-	request uint64
 	tries   int
 	refused int
 	busy    bool
--- a/internal/daemon/host_test.go
+++ b/internal/daemon/host_test.go
@@ -18,9 +18,8 @@
 
 // echo answers each command with its text, and hands it to channel 7.
 type echo struct {
-	waiting []said
-	turns   int
-	due     time.Time
+	turns int
+	due   time.Time
 }
 
 type said struct {
@@ -29,7 +28,7 @@
 }
 
 type (
-	hold    struct{ request uint64 }
+	hold    struct{}
 	stopNow struct{}
 )
 
--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -19,7 +19,7 @@
 		assert.Equal(t, Format(read), Format(storm))
 		for position, left := range storm {
 			for _, right := range storm[position+1:] {
-				assert.Assert(t, !(Clashes(left.Name, right.Name) && near(left, right)), "%s and %s", left, right)
+				assert.Assert(t, !Clashes(left.Name, right.Name) || !near(left, right), "%s and %s", left, right)
 			}
 		}
 		if len(storm) < 3 {
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -239,7 +239,6 @@
 	limit      time.Time
 	tracker    string
 	version    uint64
-	answered   bool
 }
 
 type fetched struct {
@@ -527,7 +526,7 @@
 
 // advanceFetch goes on once the overlay peers have settled: it asks the first
 // of each partition, and ends when all have answered.
-func (g *Gateway) advanceFetch(now time.Time, id uint64, round *fetch, place cursor, effects *statemachine.Effects) {
+func (g *Gateway) advanceFetch(now time.Time, id uint64, round *fetch, _ cursor, effects *statemachine.Effects) {
 	if round.joins > 0 || g.fetches[id] != round {
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,11 +119,8 @@
 	stopping   bool
 	stopUntil  time.Time
 	wasReady   bool
-	// turnsAway is set once a caller on lines came here: such callers can be told
-	// where to go before they are served.
-	turnsAway bool
-	turn      int
-	Counts    Counts
+	turn       int
+	Counts     Counts
 }
 
 type spaceState struct {
@@ -387,7 +384,7 @@
 	if taken.View {
 		g.viewed(now, effects)
 	}
-	if taken.Document && !(statemachine.Mutated("deaf-gateway") && g.settings.Self.Name == "gateway-1" && g.config.Version > 0) {
+	if taken.Document && (!statemachine.Mutated("deaf-gateway") || g.settings.Self.Name != "gateway-1" || g.config.Version <= 0) {
 		g.enforce(now, effects)
 	}
 	if resting := g.Resting(); resting != wasResting {
@@ -671,7 +668,7 @@
 	g.emit(id, event, effects)
 }
 
-func (g *Gateway) beginStop(now time.Time, effects *statemachine.Effects) {
+func (g *Gateway) beginStop(now time.Time, _ *statemachine.Effects) {
 	if g.stopping {
 		return
 	}
--- a/internal/gateway/policies.go
+++ b/internal/gateway/policies.go
@@ -75,7 +75,7 @@
 func (servingPolicy) Judge(now time.Time, request *Judged) Verdict {
 	gateway := request.Gateway
 	switch {
-	case gateway.stopping && !(request.Routed && gateway.servesOn(now)):
+	case gateway.stopping && (!request.Routed || !gateway.servesOn(now)):
 		return Verdict{Answer: refused(503, "stopping", "this daemon is stopping", comeBackSoon)}
 	case gateway.behind > gateway.follower.Version:
 		return Verdict{Look: true, Answer: refused(503, "behind", "this daemon is catching up with the configuration", comeBackSoon)}
@@ -111,7 +111,7 @@
 		return Verdict{Answer: refused(400, "bad-topic", "a topic is a path of parts that are not empty", 0)}
 	}
 	for _, interest := range request.Paths {
-		if !FitTopic(interest.Path) && !(interest.Wide && interest.Path == "") {
+		if !FitTopic(interest.Path) && (!interest.Wide || interest.Path != "") {
 			return Verdict{Answer: refused(400, "bad-topic", "a topic is a path of parts that are not empty", 0)}
 		}
 	}
--- a/internal/gateway/routed.go
+++ b/internal/gateway/routed.go
@@ -327,7 +327,7 @@
 	return true
 }
 
-func (g *Gateway) answerPlace(now time.Time, taken *place, request Subscribe, cursor string, effects *statemachine.Effects) {
+func (g *Gateway) answerPlace(now time.Time, _ *place, request Subscribe, cursor string, effects *statemachine.Effects) {
 	returned := accepted(nil)
 	returned.Cursor = cursor
 	g.answerSubscribe(now, request, returned, effects)
@@ -377,7 +377,7 @@
 // Handing over.
 
 // handRouted gives a message to a place that is filled and lacks it.
-func (g *Gateway) handRouted(now time.Time, taken *place, record partition.Record, effects *statemachine.Effects) {
+func (g *Gateway) handRouted(_ time.Time, taken *place, record partition.Record, effects *statemachine.Effects) {
 	if taken.filling || record.Offset <= taken.upTo && (taken.topic.kept || !statemachine.Mutated("no-passing-offsets")) {
 		return
 	}
@@ -679,7 +679,7 @@
 // Heads.
 
 // onTopicHeads takes which topics of a shared partition moved.
-func (g *Gateway) onTopicHeads(now time.Time, head partition.Head, effects *statemachine.Effects) {
+func (g *Gateway) onTopicHeads(now time.Time, head partition.Head, _ *statemachine.Effects) {
 	if _, used := g.routed.partitions[head.Partition]; !used || statemachine.Mutated("no-topic-heads") || head.Epoch < g.follower.Places[head.Partition].Epoch {
 		return
 	}
--- a/internal/gateway/tracker.go
+++ b/internal/gateway/tracker.go
@@ -246,13 +246,13 @@
 	}
 	for _, mark := range record.Before.Marks {
 		other, found := g.trackers[partitionName(tracker.full, int(mark.Partition))]
-		if found && !(other == tracker && mark.Offset >= record.Offset) && !other.settled(mark.Topic, mark.Offset) {
+		if found && (other != tracker || mark.Offset < record.Offset) && !other.settled(mark.Topic, mark.Offset) {
 			return false
 		}
 	}
 	for _, reach := range record.Before.Floor {
 		other, found := g.trackers[partitionName(tracker.full, int(reach.Partition))]
-		if found && !(other == tracker && reach.Offset >= record.Offset) && !other.reached(reach.Offset) {
+		if found && (other != tracker || reach.Offset < record.Offset) && !other.reached(reach.Offset) {
 			return false
 		}
 	}
--- a/internal/overlay/cost_test.go
+++ b/internal/overlay/cost_test.go
@@ -196,18 +196,17 @@
 	return house
 }
 
-func (y *yard) sum() (signals uint64, joins uint64) {
+func (y *yard) sum() (signals uint64) {
 	for _, part := range y.parts {
 		signals += part.Counts.SignalsOut
-		joins += part.Counts.Joins
 	}
-	return signals, joins
+	return signals
 }
 
 // report gives what was spent since it was last reset, for each daemon.
 func (y *yard) report(b *testing.B, before uint64) {
 	each := float64(len(y.names) * b.N)
-	signals, _ := y.sum()
+	signals := y.sum()
 	b.ReportMetric(float64(signals-before)/each, "signals/daemon")
 	b.ReportMetric(float64(y.frames)/each, "frames/daemon")
 	b.ReportMetric(float64(y.bytes)/each, "bytes/daemon")
@@ -217,7 +216,7 @@
 
 func (y *yard) clear() uint64 {
 	y.frames, y.bytes, y.processor = 0, 0, 0
-	signals, _ := y.sum()
+	signals := y.sum()
 	return signals
 }
 
@@ -240,7 +239,7 @@
 				house.run(1500 * time.Millisecond)
 				spent.frames, spent.bytes, spent.processor = spent.frames+house.frames, spent.bytes+house.bytes, spent.processor+house.processor
 				spent.names = house.names
-				sum, _ := house.sum()
+				sum := house.sum()
 				signals += sum
 			}
 			spent.report(b, -signals)
@@ -266,7 +265,7 @@
 				house.run(500 * time.Millisecond)
 				spent.frames, spent.bytes, spent.processor = spent.frames+house.frames, spent.bytes+house.bytes, spent.processor+house.processor
 				spent.names = house.names
-				sum, _ := house.sum()
+				sum := house.sum()
 				signals += sum
 				house.counts, house.seats, house.queue = nil, nil, nil
 				runtime.GC()
@@ -335,7 +334,7 @@
 				}
 				house.run(300 * time.Millisecond)
 				spent.frames, spent.bytes, spent.processor = spent.frames+house.frames, spent.bytes+house.bytes, spent.processor+house.processor
-				sum, _ := house.sum()
+				sum := house.sum()
 				signals += sum - before
 			}
 			spent.names = []string{"all"}
@@ -399,7 +398,6 @@
 				spent.names = house.names
 				for _, part := range house.parts {
 					signals += part.Counts.SignalsOut
-					joins += part.Counts.Joins
 					tells += part.Counts.ByKind[SignalTell]
 					greets += part.Counts.ByKind[SignalGreet]
 				}
--- a/internal/overlay/overlay.go
+++ b/internal/overlay/overlay.go
@@ -1243,7 +1243,7 @@
 
 // probeAll sends each hosted peer's join through one other daemon, which shows
 // neighbours that this side did not know.
-func (o *Overlay) probeAll(now time.Time, daemon string) {
+func (o *Overlay) probeAll(_ time.Time, daemon string) {
 	for _, here := range statemachine.Sorted(o.spaces) {
 		if _, cells := o.planes[here.name]; cells {
 			// A comparison of cells finds what a probe would.
@@ -1348,7 +1348,7 @@
 // compare lets a few peers in turn greet their enclosing neighbours again and
 // send their join through another daemon. What a lost signal, a split or a
 // misjudged edge left out is found so, whoever lost it.
-func (o *Overlay) compare(now time.Time, effects *statemachine.Effects) {
+func (o *Overlay) compare(now time.Time, _ *statemachine.Effects) {
 	any := false
 	var names []string
 	for name := range statemachine.Sorted(o.gateways) {
--- a/internal/partition/copy.go
+++ b/internal/partition/copy.go
@@ -184,14 +184,14 @@
 	}
 	epoch, held := partition.log.epochAt(copied.After)
 	if !held || epoch != copied.AfterEpoch {
-		s.tellHave(partition, from, true, effects)
+		s.tellHave(partition, from, effects)
 		return
 	}
 	for position, record := range copied.Records {
 		present, known := partition.log.epochAt(record.Offset)
 		if known && record.Offset > partition.log.Base {
 			if present != record.Epoch {
-				s.tellHave(partition, from, true, effects)
+				s.tellHave(partition, from, effects)
 				return
 			}
 			continue
@@ -205,7 +205,7 @@
 	}
 	if head, _ := partition.log.head(); len(copied.Records) == 0 && head > copied.After {
 		// More is here than the first knows of: its log and this one differ.
-		s.tellHave(partition, from, true, effects)
+		s.tellHave(partition, from, effects)
 		return
 	}
 	s.confirm(partition, from, copied.Epoch)
@@ -222,9 +222,9 @@
 	s.afters = append(s.afters, answer)
 }
 
-func (s *Store) tellHave(partition *held, to string, mismatch bool, effects *statemachine.Effects) {
+func (s *Store) tellHave(partition *held, to string, effects *statemachine.Effects) {
 	head, epoch := partition.log.head()
-	effects.Send(to, CopyResponse{Partition: partition.log.Name, Epoch: partition.place.Epoch, Have: head, HaveEpoch: epoch, Mismatch: mismatch, Holder: sumOf(s.holder())})
+	effects.Send(to, CopyResponse{Partition: partition.log.Name, Epoch: partition.place.Epoch, Have: head, HaveEpoch: epoch, Mismatch: true, Holder: sumOf(s.holder())})
 }
 
 func (s *Store) onCopyResponse(now time.Time, from string, returned CopyResponse, effects *statemachine.Effects) {
--- a/internal/partition/store.go
+++ b/internal/partition/store.go
@@ -444,7 +444,7 @@
 		s.takeCopies(partition)
 	} else if first, found := s.follower.Members[place.First]; changed && found && slices.Contains(place.Followers, s.settings.Self.Name) {
 		// The first may have asked before this news came.
-		s.tellHave(partition, first.Address, true, effects)
+		s.tellHave(partition, first.Address, effects)
 	}
 	if completed && place.First == s.settings.Self.Name {
 		s.settle(now, partition, effects)
--- a/internal/scaletest/fit.go
+++ b/internal/scaletest/fit.go
@@ -24,8 +24,8 @@
 	}
 	mean, rest, spread := stat.Mean(across, nil), 0.0, 0.0
 	for position, x := range across {
-		rest += math.Pow(up[position]-base-slope*x, 2)
-		spread += math.Pow(x-mean, 2)
+		rest += (up[position] - base - slope*x) * (up[position] - base - slope*x)
+		spread += (x - mean) * (x - mean)
 	}
 	line.Error = math.Sqrt(rest / float64(len(across)-2) / spread)
 	return line
--- a/internal/scaletest/rows.go
+++ b/internal/scaletest/rows.go
@@ -52,7 +52,6 @@
 	}
 	taken := follower.Take(now, message.(membership.News))
 	rows.Taking = clock.Clock() - began
-	message = nil
 	rows.Memory = heap() - before
 	if !taken.View || len(follower.Places) != count {
 		return rows, fmt.Errorf("%d of %d placements were taken", len(follower.Places), count)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -210,30 +210,7 @@
 		known = append(slices.Clone(keys), "trial")
 	}
 	members := walk.Object("$", value, known...)
-	var arena fastjson.Arena
-	for key, text := range s.flags {
-		switch key {
-		case "controllers", "origins_most", "seeds_port", "tolerance", "descriptors", "tolerance_zones":
-			members[key] = arena.NewNumberString(text)
-		case "bootstrap":
-			members[key] = flagTruth(&arena, text)
-		case "bounds":
-			table := arena.NewObject()
-			for _, item := range strings.Split(text, ",") {
-				name, length, _ := strings.Cut(item, "=")
-				table.Set(name, arena.NewString(length))
-			}
-			members[key] = table
-		case "seeds":
-			list := arena.NewArray()
-			for position, item := range strings.Split(text, ",") {
-				list.SetArrayItem(position, arena.NewString(item))
-			}
-			members[key] = list
-		default:
-			members[key] = arena.NewString(text)
-		}
-	}
+	s.overlayFlags(members)
 	wanted := func(name string) string {
 		if members[name] == nil {
 			walk.Report("$."+name, "missing", "%s is wanted", name)
@@ -315,6 +292,34 @@
 	settings.Trial = readTrial(walk, members["trial"])
 }
 
+// overlayFlags puts what flags gave over what the file says.
+func (s *Source) overlayFlags(members map[string]*fastjson.Value) {
+	var arena fastjson.Arena
+	for key, text := range s.flags {
+		switch key {
+		case "controllers", "origins_most", "seeds_port", "tolerance", "descriptors", "tolerance_zones":
+			members[key] = arena.NewNumberString(text)
+		case "bootstrap":
+			members[key] = flagTruth(&arena, text)
+		case "bounds":
+			table := arena.NewObject()
+			for _, item := range strings.Split(text, ",") {
+				name, length, _ := strings.Cut(item, "=")
+				table.Set(name, arena.NewString(length))
+			}
+			members[key] = table
+		case "seeds":
+			list := arena.NewArray()
+			for position, item := range strings.Split(text, ",") {
+				list.SetArrayItem(position, arena.NewString(item))
+			}
+			members[key] = list
+		default:
+			members[key] = arena.NewString(text)
+		}
+	}
+}
+
 func checkAddress(walk *config.Reader, path, text string) {
 	host, port, err := net.SplitHostPort(text)
 	if err != nil || net.ParseIP(host) == nil || port == "" || port == "0" {
--- a/internal/simulator/scenario.go
+++ b/internal/simulator/scenario.go
@@ -651,7 +651,7 @@
 			simulation.After(simulation.between(500*time.Millisecond, 8*time.Second), simulation.Heal)
 		})
 	},
-	"lose-place": func(simulation *Simulation, length time.Duration) {
+	"lose-place": func(simulation *Simulation, _ time.Duration) {
 		simulation.After(3*time.Second, func() {
 			place := simulation.Random.IntN(simulation.Size.Places)
 			for _, node := range simulation.Nodes("") {
@@ -663,7 +663,7 @@
 			simulation.ServiceBack("a zone lost")
 		})
 	},
-	"lose-primary": func(simulation *Simulation, length time.Duration) {
+	"lose-primary": func(simulation *Simulation, _ time.Duration) {
 		simulation.After(3*time.Second, func() {
 			if node := simulation.controllerIn("primary"); node != nil {
 				simulation.killFor(node, 20*time.Second, false)
@@ -671,7 +671,7 @@
 			}
 		})
 	},
-	"lose-two": func(simulation *Simulation, length time.Duration) {
+	"lose-two": func(simulation *Simulation, _ time.Duration) {
 		simulation.After(3*time.Second, func() {
 			kinds := [][2]string{{membership.KindGateway, membership.KindStore}, {membership.KindController, membership.KindStore}, {membership.KindGateway, membership.KindController}}
 			pair := kinds[simulation.Random.IntN(len(kinds))]
@@ -744,7 +744,7 @@
 		simulation.every(length, 80*time.Millisecond, 150*time.Millisecond, simulation.operator.read)
 		killPrimary(simulation, length)
 	},
-	"drain": func(simulation *Simulation, length time.Duration) {
+	"drain": func(simulation *Simulation, _ time.Duration) {
 		// An operator empties a gateway; ten seconds later nobody is on it.
 		simulation.After(2*time.Second, func() {
 			node := simulation.pickUp(membership.KindGateway)
@@ -776,7 +776,7 @@
 			client.Reset(simulation.between(0, 50*time.Millisecond))
 		})
 	},
-	"retire": func(simulation *Simulation, length time.Duration) {
+	"retire": func(simulation *Simulation, _ time.Duration) {
 		simulation.After(2*time.Second, func() {
 			node := simulation.pickUp(membership.KindStore)
 			simulation.retire(node, func() {
@@ -847,7 +847,7 @@
 
 // briefSpace adds a space, lets it be used, and removes it, while a gateway is
 // cut off in one of several ways.
-func (s *Simulation) briefSpace(length time.Duration) {
+func (s *Simulation) briefSpace(_ time.Duration) {
 	operator := newOperator(s)
 	operator.version, operator.extra = 1000, true
 	s.Checker.Space("brief", false, false)
--- a/internal/simulator/stores_test.go
+++ b/internal/simulator/stores_test.go
@@ -4,7 +4,6 @@
 package simulator
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"testing"
@@ -90,12 +89,15 @@
 	}
 }
 
+// appendEvery is the pause between two messages of traffic.
+const appendEvery = 3 * time.Millisecond
+
 // traffic lets a gateway append to partitions, as the primary places them.
-func traffic(run *Simulation, every time.Duration) {
+func traffic(run *Simulation) {
 	seq := uint64(0)
 	var next func()
 	next = func() {
-		run.After(every, next)
+		run.After(appendEvery, next)
 		primary := run.Primary()
 		if primary == nil {
 			return
@@ -122,7 +124,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			run := routed(t, seed, Sizes["qureshi"])
-			traffic(run, 3*time.Millisecond)
+			traffic(run)
 			run.Run(5 * time.Second)
 			assert.Equal(t, served(run), config.SharedPartitions)
 			run.Nodes(membership.KindStore)[seed%3].Kill()
@@ -140,7 +142,7 @@
 			t.Run(fmt.Sprintf("%d-%d", times, seed), func(t *testing.T) {
 				t.Parallel()
 				run := routed(t, seed, Sizes["qureshi"])
-				traffic(run, 3*time.Millisecond)
+				traffic(run)
 				run.Run(5 * time.Second)
 				store := run.Nodes(membership.KindStore)[seed%3]
 				store.slowDisk = times
@@ -170,7 +172,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			run := routed(t, seed, Sizes["qureshi"])
-			traffic(run, 3*time.Millisecond)
+			traffic(run)
 			run.Run(3 * time.Second)
 			run.loss = 0.02
 			for range 200 {
@@ -189,7 +191,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			run := routed(t, seed, Sizes["qureshi"])
-			traffic(run, 3*time.Millisecond)
+			traffic(run)
 			run.Run(3 * time.Second)
 			store := run.Nodes(membership.KindStore)[seed%3]
 			store.Kill()
@@ -212,20 +214,18 @@
 			t.Parallel()
 			run := routed(t, seed, Sizes["qureshi"])
 			name := run.Nodes(membership.KindStore)[seed%3].Name
-			asked := func(method, path string) (int, map[string]any) {
+			asked := func(method, path string) int {
 				var status int
-				var body map[string]any
 				run.Control(run.Nodes(membership.KindGateway)[0], method, path, nil, func(returned membership.ControlResponse, _ bool) {
 					status = returned.Status
-					_ = json.Unmarshal(returned.Body, &body)
 				})
 				run.RunUntil(2*time.Second, func() bool { return status != 0 })
-				return status, body
+				return status
 			}
-			status, _ := asked(http.MethodPost, "/v1/stores/nobody/retire")
+			status := asked(http.MethodPost, "/v1/stores/nobody/retire")
 			assert.Equal(t, status, http.StatusNotFound)
 			began := run.Now
-			status, _ = asked(http.MethodPost, "/v1/stores/"+name+"/retire")
+			status = asked(http.MethodPost, "/v1/stores/"+name+"/retire")
 			assert.Equal(t, status, http.StatusAccepted)
 			done, unserved := false, time.Duration(0)
 			for !done && run.Now.Sub(began) < 10*time.Second {
@@ -238,7 +238,7 @@
 			t.Logf("retired after %s, not all served for %s", run.Now.Sub(began), unserved)
 			assert.Assert(t, done && run.Now.Sub(began) < 2*time.Second && unserved < 500*time.Millisecond)
 			other := run.Nodes(membership.KindStore)[(seed+1)%3].Name
-			status, _ = asked(http.MethodPost, "/v1/stores/"+other+"/retire")
+			status = asked(http.MethodPost, "/v1/stores/"+other+"/retire")
 			assert.Equal(t, status, http.StatusConflict, "two must be left")
 		})
 	}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -164,7 +164,7 @@
 	}
 	recovered := Recovered{Frame: newest.frame}
 	book.generation = newest.generation
-	err = book.replay(&recovered, even.present && odd.present && !(even.whole && odd.whole))
+	err = book.replay(&recovered, even.present && odd.present && (!even.whole || !odd.whole))
 	return book, recovered, err
 }
 
