--- a/internal/explore/explore.go
+++ b/internal/explore/explore.go
@@ -13,9 +13,10 @@
 	"strings"
 )
 
-// Choice is one thing that may happen next, and what it costs of the budget.
+// Choice is one thing that may happen next, and what it costs of the budget. Label
+// is asked for only where a path is told.
 type Choice struct {
-	Label string
+	Label func() string
 	Cost  int
 }
 
@@ -90,7 +91,6 @@
 	seen   map[Key][]left
 	result Result
 	path   []int
-	labels []string
 }
 
 // Run walks all states within the bounds. It stops at the first broken promise, and
@@ -132,14 +132,14 @@
 			world = w.again()
 		}
 		taken = true
-		w.path, w.labels = append(w.path, number), append(w.labels, choice.Label)
+		w.path = append(w.path, number)
 		w.result.Transitions++
 		world.Take(number)
 		w.visit(world, budget-choice.Cost)
 		if w.result.Broken != nil {
 			return
 		}
-		w.path, w.labels = w.path[:len(w.path)-1], w.labels[:len(w.labels)-1]
+		w.path = w.path[:len(w.path)-1]
 	}
 	if w.bounds.Finish == FinishAll || w.bounds.Finish == FinishLast && !taken {
 		if taken {
@@ -175,10 +175,21 @@
 		return false
 	}
 	w.result.Broken = broken
-	w.result.Path = append([]string(nil), w.labels...)
+	w.result.Path = w.labels()
 	return true
 }
 
+// labels takes the present path once more and tells what happens on it.
+func (w *walk) labels() []string {
+	var labels []string
+	world := w.begin()
+	for _, choice := range w.path {
+		labels = append(labels, world.Choices()[choice].Label())
+		world.Take(choice)
+	}
+	return labels
+}
+
 // again makes the state of the present path anew.
 func (w *walk) again() World {
 	world := w.begin()
--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,7 +16,9 @@
 }
 
 func (s *steps) Choices() []Choice {
-	return []Choice{{Label: "first"}, {Label: "second", Cost: 1}}
+	first := func() string { return "first" }
+	second := func() string { return "second" }
+	return []Choice{{Label: first}, {Label: second, Cost: 1}}
 }
 
 func (s *steps) Take(choice int) {
@@ -53,6 +56,7 @@
 	result := Run(begin, Bounds{Depth: 6, Budget: 2})
 	assert.Error(t, result.Broken, "forbidden")
 	assert.Equal(t, len(result.Path), 3)
+	assert.Equal(t, strings.Count(result.String(), "first"), 2)
 	result = Run(begin, Bounds{Depth: 6, Budget: 0})
 	assert.NilError(t, result.Broken)
 }
