Leases, confirmations, duties and recalls are asked for by life and number

Cause: the numbers of renewals, confirmations, duties and recalls began at 1 in each life of a controller, and links hold what they were given for up to 2 s. A grant for an earlier life's renewal 2 was counted for the present life's renewal 2, from the moment of that: two lease holders. A lease that an earlier life had given back was taken from the life after it, also from one that had renewed it since.

Every request is named by a life, drawn at random as the process starts, and a number in it; answers to other lives are dropped, and a lease given back must be the one granted last. What nobody sent (a duty given back) is gone.

--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -43,7 +43,7 @@
 // Settings are a controller's own settings. With a Count, so many controllers found; without,
 // the controllers at the addresses of the seeds do, where they are told Founding.
 // Tolerance is how many controllers may be lost at a time. NewDisk names the disk if
-// it is blank.
+// it is blank. Life names this run of the process.
 type Settings struct {
 	Self      Controller
 	Count     int
@@ -51,6 +51,7 @@
 	Founding  bool
 	Tolerance int
 	NewDisk   string
+	Life      statemachine.Life
 }
 
 // Outcome of a submitted command or a confirmation.
@@ -121,13 +122,15 @@
 	heardOf      map[string]bool
 	told         Record
 	turn         int
-	recallNonce  uint64
+	recalling    statemachine.RequestID
 	recalls      map[string]Durable
 	grantedUntil time.Time
 	grantedTo    string
-	actingSince  time.Time
+	// grantedFor is the renewal that the lease was granted for last.
+	grantedFor  statemachine.RequestID
+	actingSince time.Time
 
-	nonce        uint64
+	requests     statemachine.Requests
 	renewals     map[uint64]time.Time
 	grants       map[uint64]map[string]bool
 	leaseUntil   time.Time
@@ -156,7 +159,7 @@
 // New makes a watch from what its disk held.
 func New(settings Settings, ledger Ledger, frame []byte, entries [][]byte) (*Watch, error) {
 	watch := &Watch{
-		settings: settings, ledger: ledger, timers: statemachine.NewTimers(),
+		settings: settings, ledger: ledger, requests: statemachine.NewRequests(settings.Life), timers: statemachine.NewTimers(),
 		synced: map[uint64]continuation{}, met: map[string]meeting{}, heardOf: map[string]bool{}, recalls: map[string]Durable{},
 		renewals: map[uint64]time.Time{}, grants: map[uint64]map[string]bool{},
 		frames: map[string]*spareFrame{}, copies: map[string]*copied{}, spares: map[string]*asked{},
@@ -717,12 +720,12 @@
 			return
 		}
 		w.yielded = false
-		w.nonce++
-		w.renewals[w.nonce] = now
-		w.grants[w.nonce] = map[string]bool{}
-		delete(w.renewals, w.nonce-16)
-		delete(w.grants, w.nonce-16)
-		renew := Renew{Epoch: w.durable.Record.Epoch, Nonce: w.nonce}
+		renew := Renew{Epoch: w.durable.Record.Epoch, Request: w.requests.Next()}
+		number := renew.Request.Number
+		w.renewals[number] = now
+		w.grants[number] = map[string]bool{}
+		delete(w.renewals, number-16)
+		delete(w.grants, number-16)
 		if now.Sub(w.decidedAt) < tellFor {
 			renew.Record = w.durable.Record
 		}
@@ -731,7 +734,7 @@
 				effects.Send(controller.Address, renew)
 			}
 		}
-		w.grantOwn(now, effects)
+		w.grantOwn(now, number, effects)
 		w.follow(now, effects)
 		w.watchVoters(now, effects)
 		return
@@ -740,12 +743,12 @@
 }
 
 // grantOwn counts the primary's own vote, unless it has promised a ballot away.
-func (w *Watch) grantOwn(now time.Time, effects *statemachine.Effects) {
+func (w *Watch) grantOwn(now time.Time, number uint64, effects *statemachine.Effects) {
 	if !w.mayGrant(now) {
 		return
 	}
 	w.grantedUntil, w.grantedTo = now.Add(LeaseLength), w.durable.Record.Primary
-	w.countGrant(now, w.settings.Self.Name, w.nonce, effects)
+	w.countGrant(now, w.settings.Self.Name, number, effects)
 }
 
 func (w *Watch) promisedAway() bool {
@@ -753,13 +756,13 @@
 	return promised.Count > 0 && promised.Name != w.durable.Record.Primary
 }
 
-func (w *Watch) countGrant(now time.Time, name string, nonce uint64, effects *statemachine.Effects) {
-	asked, found := w.renewals[nonce]
+func (w *Watch) countGrant(now time.Time, name string, number uint64, effects *statemachine.Effects) {
+	asked, found := w.renewals[number]
 	if !found {
 		return
 	}
-	w.grants[nonce][name] = true
-	if len(w.grants[nonce]) < w.durable.Record.Majority() {
+	w.grants[number][name] = true
+	if len(w.grants[number]) < w.durable.Record.Majority() {
 		return
 	}
 	until := asked.Add(LeaseLength * 9 / 10)
@@ -817,8 +820,17 @@
 		return
 	}
 	w.primaryHeard = now
-	w.grantedUntil, w.grantedTo = now.Add(LeaseLength), record.Primary
-	effects.Send(from, Grant{Epoch: renew.Epoch, Nonce: renew.Nonce, Index: w.diskIndex, Complete: w.diskComplete})
+	w.grantedUntil, w.grantedTo, w.grantedFor = now.Add(LeaseLength), record.Primary, renew.Request
+	effects.Send(from, Grant{Epoch: renew.Epoch, Request: renew.Request, Index: w.diskIndex, Complete: w.diskComplete})
+}
+
+// gives tells whether it gives the lease back that was granted for a renewal: one
+// of the same life, and none that was asked for later.
+func (y Yield) gives(granted statemachine.RequestID) bool {
+	if statemachine.Mutated("lives-alike") {
+		return true
+	}
+	return y.Request.Life == granted.Life && y.Request.Number >= granted.Number
 }
 
 // Yield gives the lease back, so that a backup need not wait for its end.
@@ -832,7 +844,7 @@
 	effects.Note(logevent.LeaseYielded, "epoch", w.durable.Record.Epoch)
 	for _, controller := range w.durable.Record.Voters {
 		if !controller.At(w.settings.Self) {
-			effects.Send(controller.Address, Yield{Epoch: w.durable.Record.Epoch})
+			effects.Send(controller.Address, Yield{Epoch: w.durable.Record.Epoch, Request: w.requests.Last()})
 		}
 	}
 }
@@ -842,6 +854,9 @@
 	if yield.Epoch != record.Epoch || !w.member() || w.nameOf(from, record.Voters) != record.Primary || w.grantedTo != record.Primary {
 		return
 	}
+	if !yield.gives(w.grantedFor) {
+		return
+	}
 	w.grantedUntil = now
 	w.primaryHeard = now.Add(-lostAfter)
 	w.follow(now, effects)
@@ -856,9 +871,13 @@
 	if name == "" {
 		return
 	}
-	if grant.Nonce > 0 {
+	if grant.Request.Named() {
+		number, own := w.requests.Own(grant.Request)
+		if !own {
+			return
+		}
 		w.lastGrant[name] = now
-		w.countGrant(now, name, grant.Nonce, effects)
+		w.countGrant(now, name, number, effects)
 	}
 	if slices.Contains(record.Backups, name) {
 		w.onGrantOfBackup(now, from, name, grant, effects)
@@ -869,9 +888,9 @@
 // disk is unsettled, one that was never begun is refused.
 func (w *Watch) limits(now time.Time, effects *statemachine.Effects) {
 	var next time.Time
-	for nonce, waiting := range statemachine.Sorted(w.confirms) {
+	for number, waiting := range statemachine.Sorted(w.confirms) {
 		if !waiting.limit.After(now) {
-			delete(w.confirms, nonce)
+			delete(w.confirms, number)
 			waiting.done(now, effects, Unsettled)
 		} else if next.IsZero() || waiting.limit.Before(next) {
 			next = waiting.limit
@@ -910,20 +929,14 @@
 		return
 	}
 	held := w.duties[ask.Duty]
-	if ask.Leave {
-		if held.holder == name {
-			delete(w.duties, ask.Duty)
-		}
-		return
-	}
 	// A witness that was restarted has forgotten whom it granted a duty to, and
 	// one that came into the voters does not know whom others did.
 	if now.Before(w.forgetful) || held.holder != name && now.Before(held.until) {
-		w.reply(now, from, DutyResponse{Duty: ask.Duty, Nonce: ask.Nonce, Holder: held.holder}, effects)
+		w.reply(now, from, DutyResponse{Duty: ask.Duty, Request: ask.Request, Holder: held.holder}, effects)
 		return
 	}
 	w.duties[ask.Duty] = duty{holder: name, until: now.Add(LeaseLength)}
-	w.reply(now, from, DutyResponse{Duty: ask.Duty, Nonce: ask.Nonce, Given: true, Holder: name}, effects)
+	w.reply(now, from, DutyResponse{Duty: ask.Duty, Request: ask.Request, Given: true, Holder: name}, effects)
 }
 
 // AskDuty asks the voters for a duty's lease; the answers go to Lease.
@@ -931,7 +944,7 @@
 	if !w.member() {
 		return
 	}
-	ask := lease.ask(now, w.durable.Record.Majority())
+	ask := lease.ask(now, w.requests.Next(), w.durable.Record.Majority())
 	for _, controller := range w.durable.Record.Voters {
 		if controller.Name == w.settings.Self.Name {
 			w.onDutyAsk(now, controller.Address, ask, effects)
@@ -948,7 +961,7 @@
 		w.onHello(now, meta.From, body, effects)
 	case RecallAsk:
 		if !w.blank {
-			effects.Send(meta.From, RecallResponse{Nonce: body.Nonce, Durable: w.durable})
+			effects.Send(meta.From, RecallResponse{Request: body.Request, Durable: w.durable})
 		}
 	case RecallResponse:
 		w.onRecallResponse(now, meta.From, body, effects)
@@ -984,7 +997,7 @@
 		w.onDutyAsk(now, meta.From, body, effects)
 	case DutyResponse:
 		if lease, found := w.leases[body.Duty]; found && body.Given {
-			lease.given(w.nameOf(meta.From, w.durable.Record.Voters), body.Nonce)
+			lease.given(w.nameOf(meta.From, w.durable.Record.Voters), body.Request)
 		}
 	default:
 		return false
--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -100,7 +100,11 @@
 	count       int
 	tolerance   int
 	disks       int
+	lives       statemachine.Life
 	founded     map[string]bool
+	// held, if set, tells for how long the links hold a message, which then reaches
+	// whatever life is there, and whether it is lost instead.
+	held func(from, to *controller, message any) (hold time.Duration, lost bool)
 }
 
 var origin = time.Unix(1_700_000_000, 0)
@@ -138,6 +142,8 @@
 		c.bench.disks++
 		settings.NewDisk = fmt.Sprint("disk-", c.bench.disks)
 	}
+	c.bench.lives++
+	settings.Life = c.bench.lives
 	watch, err := New(settings, c.ledger, c.frame, c.entries)
 	assert.NilError(c.bench.t, err)
 	c.watch = watch
@@ -221,19 +227,36 @@
 		}
 		packed, err := transport.Encode(statemachine.Meta{From: from.self.Address}, send.Message)
 		assert.NilError(wb.t, err)
+		if wb.held != nil {
+			hold, lost := wb.held(from, to, send.Message)
+			if lost {
+				continue
+			}
+			if hold > 0 {
+				wb.after(hold, func() { to.take(packed) })
+				continue
+			}
+		}
 		for range 1 + wb.random.IntN(20)/19 {
 			life := to.life
 			wb.after(time.Duration(100+wb.random.IntN(3000))*time.Microsecond, func() {
-				to.enter(life, func() {
-					meta, message, err := transport.Decode(packed[4:])
-					assert.NilError(wb.t, err)
-					to.step(func(now time.Time, effects *statemachine.Effects) { to.watch.Message(now, meta, message, effects) })
-				})
+				if to.life == life {
+					to.take(packed)
+				}
 			})
 		}
 	}
 }
 
+// take hands a message to the life that is there now.
+func (c *controller) take(packed []byte) {
+	c.enter(c.life, func() {
+		meta, message, err := transport.Decode(packed[4:])
+		assert.NilError(c.bench.t, err)
+		c.step(func(now time.Time, effects *statemachine.Effects) { c.watch.Message(now, meta, message, effects) })
+	})
+}
+
 // note looks at what is logged: a fleet is founded once.
 func (wb *watchBench) note(controller *controller, note statemachine.Note) {
 	if note.Number != logevent.Founded {
--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -5,12 +5,14 @@
 
 import (
 	"time"
+
+	"dahlialock/internal/statemachine"
 )
 
 // Lease is the asker's side of a duty.
 type Lease struct {
 	duty    string
-	nonce   uint64
+	request statemachine.RequestID
 	askedAt time.Time
 	need    int
 	givers  map[string]bool
@@ -24,15 +26,14 @@
 	return lease
 }
 
-func (l *Lease) ask(now time.Time, need int) DutyAsk {
-	l.nonce++
-	l.askedAt, l.need = now, need
+func (l *Lease) ask(now time.Time, request statemachine.RequestID, need int) DutyAsk {
+	l.request, l.askedAt, l.need = request, now, need
 	l.givers = map[string]bool{}
-	return DutyAsk{Duty: l.duty, Nonce: l.nonce}
+	return DutyAsk{Duty: l.duty, Request: l.request}
 }
 
-func (l *Lease) given(name string, nonce uint64) {
-	if name == "" || nonce != l.nonce {
+func (l *Lease) given(name string, request statemachine.RequestID) {
+	if name == "" || request != l.request {
 		return
 	}
 	l.givers[name] = true
--- a/internal/consensus/messages.go
+++ b/internal/consensus/messages.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"dahlialock/internal/statemachine"
 	"dahlialock/internal/transport"
 )
 
@@ -96,12 +97,12 @@
 
 // RecallAsk comes from a controller whose disk is blank.
 type RecallAsk struct {
-	Nonce uint64
+	Request statemachine.RequestID
 }
 
 // RecallResponse tells it what one other controller remembers.
 type RecallResponse struct {
-	Nonce   uint64
+	Request statemachine.RequestID
 	Durable Durable
 }
 
@@ -144,24 +145,25 @@
 // Renew asks for more lease; soon after an epoch was decided it tells the record
 // too, in case the word of it was lost.
 type Renew struct {
-	Epoch  uint64
-	Nonce  uint64
-	Record Record
+	Epoch   uint64
+	Request statemachine.RequestID
+	Record  Record
 }
 
 // Grant gives lease and tells how far the granter's state reaches; without a
-// Nonce it only tells.
+// request it only tells.
 type Grant struct {
 	Epoch    uint64
-	Nonce    uint64
+	Request  statemachine.RequestID
 	Index    uint64
 	Complete uint64
 }
 
 // Yield gives the rest of the lease back: the primary is stopping, or its disk
-// hangs.
+// hangs. Request is the newest renewal that it asked for.
 type Yield struct {
-	Epoch uint64
+	Epoch   uint64
+	Request statemachine.RequestID
 }
 
 // Append carries one command from the primary to each backup.
@@ -195,29 +197,28 @@
 
 // Confirm asks the voters whether the epoch still stands.
 type Confirm struct {
-	Epoch uint64
-	Nonce uint64
+	Epoch   uint64
+	Request statemachine.RequestID
 }
 
 // ConfirmResponse answers for the present epoch only.
 type ConfirmResponse struct {
-	Epoch uint64
-	Nonce uint64
+	Epoch   uint64
+	Request statemachine.RequestID
 }
 
 // DutyAsk asks a majority for the lease of a single duty.
 type DutyAsk struct {
-	Duty  string
-	Nonce uint64
-	Leave bool
+	Duty    string
+	Request statemachine.RequestID
 }
 
 // DutyResponse grants it or names who holds it.
 type DutyResponse struct {
-	Duty   string
-	Nonce  uint64
-	Given  bool
-	Holder string
+	Duty    string
+	Request statemachine.RequestID
+	Given   bool
+	Holder  string
 }
 
 type spareFrame struct {
--- a/internal/consensus/mutation_test.go
+++ b/internal/consensus/mutation_test.go
@@ -43,6 +43,9 @@
 }{
 	{"trust-lost-disk", func(t trial, seed uint64) { allBefalls(t, seed) }},
 	{"no-hold-back", func(t trial, seed uint64) { allBefalls(t, seed) }},
+	{"lives-alike", lateGrants},
+	{"lives-alike", lateYield},
+	{"lives-alike", lateDuty},
 	{"fixed-voters", func(t trial, seed uint64) { replace(t, seed, "witness") }},
 	{"one-backup", func(t trial, seed uint64) { loseDisks(t, seed, 2) }},
 	{"patient-primary", func(t trial, seed uint64) {
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -574,16 +574,16 @@
 		done(now, effects, Committed)
 		return
 	}
-	w.nonce++
+	request := w.requests.Next()
 	waiting := confirmation{done: done, limit: now.Add(confirmLimit), givers: map[string]bool{w.settings.Self.Address: true}}
-	w.confirms[w.nonce] = waiting
+	w.confirms[request.Number] = waiting
 	w.timers.ArmSooner("limits", now.Add(confirmLimit))
 	for _, controller := range w.durable.Record.Voters {
 		if !controller.At(w.settings.Self) {
-			effects.Send(controller.Address, Confirm{Epoch: w.durable.Record.Epoch, Nonce: w.nonce})
+			effects.Send(controller.Address, Confirm{Epoch: w.durable.Record.Epoch, Request: request})
 		}
 	}
-	w.confirmed(now, w.nonce, effects)
+	w.confirmed(now, request.Number, effects)
 }
 
 // stands tells whether this controller has let nobody else have the next epoch.
@@ -595,24 +595,25 @@
 	if confirm.Epoch != w.durable.Record.Epoch || !w.stands() || w.unsure(now) {
 		return
 	}
-	effects.Send(from, ConfirmResponse{Epoch: confirm.Epoch, Nonce: confirm.Nonce})
+	effects.Send(from, ConfirmResponse{Epoch: confirm.Epoch, Request: confirm.Request})
 }
 
 func (w *Watch) onConfirmResponse(now time.Time, from string, returned ConfirmResponse, effects *statemachine.Effects) {
-	waiting, found := w.confirms[returned.Nonce]
-	if !found || returned.Epoch != w.durable.Record.Epoch {
+	number, own := w.requests.Own(returned.Request)
+	waiting, found := w.confirms[number]
+	if !own || !found || returned.Epoch != w.durable.Record.Epoch {
 		return
 	}
 	waiting.givers[from] = true
-	w.confirmed(now, returned.Nonce, effects)
+	w.confirmed(now, number, effects)
 }
 
-func (w *Watch) confirmed(now time.Time, nonce uint64, effects *statemachine.Effects) {
-	waiting := w.confirms[nonce]
+func (w *Watch) confirmed(now time.Time, number uint64, effects *statemachine.Effects) {
+	waiting := w.confirms[number]
 	if !enough(w.durable.Record.Epoch+1, w.durable.Record.Voters, waiting.givers) {
 		return
 	}
-	delete(w.confirms, nonce)
+	delete(w.confirms, number)
 	if !w.Speaking(now) || now.After(waiting.limit) {
 		waiting.done(now, effects, Unsettled)
 		return
--- a/internal/consensus/voters.go
+++ b/internal/consensus/voters.go
@@ -234,10 +234,10 @@
 	if _, listed := w.told.Entry(w.settings.Self); !listed {
 		return
 	}
-	w.recallNonce++
+	w.recalling = w.requests.Next()
 	for _, controller := range w.told.Voters {
 		if !controller.At(w.settings.Self) {
-			effects.Send(controller.Address, RecallAsk{Nonce: w.recallNonce})
+			effects.Send(controller.Address, RecallAsk{Request: w.recalling})
 		}
 	}
 }
@@ -246,7 +246,7 @@
 // before its disk was lost, a majority with it granted; those that answer must
 // hold one other of any such majority.
 func (w *Watch) onRecallResponse(now time.Time, from string, recalled RecallResponse, effects *statemachine.Effects) {
-	if !w.blank || recalled.Nonce != w.recallNonce || recalled.Durable.Record.Epoch == 0 {
+	if !w.blank || recalled.Request != w.recalling || recalled.Durable.Record.Epoch == 0 {
 		return
 	}
 	w.recalls[from] = recalled.Durable
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -44,6 +44,8 @@
 	Seeds    []string
 	Founding bool
 	NewDisk  string
+	// Life names this run of the process.
+	Life statemachine.Life
 	// Highest answers a configuration that is not above the one held as taken;
 	// otherwise it is a conflict, unless it is the same.
 	Highest bool
@@ -111,7 +113,7 @@
 		tolerance = *settings.Tolerance
 	}
 	watch, err := consensus.New(consensus.Settings{
-		Self: self, Count: settings.Count, Seeds: settings.Seeds, Founding: settings.Founding, Tolerance: tolerance, NewDisk: settings.NewDisk,
+		Self: self, Count: settings.Count, Seeds: settings.Seeds, Founding: settings.Founding, Tolerance: tolerance, NewDisk: settings.NewDisk, Life: settings.Life,
 	}, controller.state, frame, entries)
 	if err != nil {
 		return nil, err
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
@@ -100,11 +101,13 @@
 	Request(method, path string, body []byte) Reply
 }
 
-// Stored is what a daemon's disk held.
+// Stored is what a daemon's disk held, and what was drawn for this start: a name
+// for its disk, if that is blank, and the name of this life.
 type Stored struct {
 	Frame   []byte
 	Entries [][]byte
 	NewDisk string
+	Life    statemachine.Life
 }
 
 // Builder makes a daemon from its settings.
@@ -271,7 +274,7 @@
 // openDisk opens the data folder; a damaged one is put aside, so that the copy
 // is rebuilt from the other holder.
 func (p *process) openDisk() (*wal.Log, Stored, error) {
-	stored := Stored{NewDisk: mustRandom()}
+	stored := Stored{NewDisk: hex.EncodeToString(mustRandom()), Life: statemachine.Life(binary.BigEndian.Uint64(mustRandom()))}
 	path := p.current.Data
 	if path == "" {
 		return nil, stored, nil
@@ -352,12 +355,13 @@
 	return nil
 }
 
-func mustRandom() string {
+// mustRandom is the port for randomness: eight bytes, drawn as the process starts.
+func mustRandom() []byte {
 	var body [8]byte
 	if _, err := rand.Read(body[:]); err != nil {
 		panic(err)
 	}
-	return hex.EncodeToString(body[:])
+	return body[:]
 }
 
 // The ctl address.
--- a/internal/simulator/simulator.go
+++ b/internal/simulator/simulator.go
@@ -185,7 +185,7 @@
 
 func (s *Simulation) addController(number int) *Node {
 	return s.add(membership.KindController, number, func(node *Node, stored stored) hosted {
-		settings := controller.Settings{Self: node.member(), Count: s.Size.Controllers, Seeds: s.seeds, NewDisk: fmt.Sprintf("disk%d", node.life)}
+		settings := controller.Settings{Self: node.member(), Count: s.Size.Controllers, Seeds: s.seeds, NewDisk: fmt.Sprintf("disk%d", node.life), Life: statemachine.Life(node.life)}
 		if s.Size.Seeded {
 			settings.Count, settings.Tolerance = 0, &s.Size.Tolerance
 			settings.Founding = !node.founded
