Answers to operators, news and appends are told from those of an earlier life

Cause: the numbers of operators' requests (at the control client and at the agent), of questions for news, and of a gateway's appends, fetches and sender questions began at 1 in each life. A late answer to an earlier life's number 3 was given to the caller of this life's number 3; for an append that is an acknowledgement of a message that nobody keeps.

Operators' requests are named by life and number. Questions for news and a gateway's requests to stores, of which there are many, begin at a 32-bit place drawn from the life: 5 bytes in place of 1 to 5, and two lives of a gateway that sends a thousand a second meet about once in a million restarts.

--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -16,8 +16,8 @@
 	os.Exit(daemon.Main(membership.KindAgent, os.Args[1:], build))
 }
 
-func build(current settings.Settings, self membership.Member, _ daemon.Stored) (daemon.Build, error) {
-	machine := agent.New(agent.Settings{Self: self, Seeds: current.Seeds, Gateway: current.Gateway})
+func build(current settings.Settings, self membership.Member, stored daemon.Stored) (daemon.Build, error) {
+	machine := agent.New(agent.Settings{Self: self, Seeds: current.Seeds, Gateway: current.Gateway, Life: stored.Life})
 	return daemon.Build{
 		Machine: machine,
 		Ready:   func(time.Time) bool { return machine.Ready() },
--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -29,13 +29,13 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
-func build(current settings.Settings, self membership.Member, _ daemon.Stored) (daemon.Build, error) {
+func build(current settings.Settings, self membership.Member, stored daemon.Stored) (daemon.Build, error) {
 	key := []byte(current.Key)
 	callersKey := key
 	if current.Admission == settings.AdmissionOpen {
 		callersKey = nil
 	}
-	machine := gateway.New(gateway.Settings{Self: self, Agent: current.Agent, Key: key, OriginsMost: current.OriginsMost, Processor: processorTime,
+	machine := gateway.New(gateway.Settings{Self: self, Agent: current.Agent, Key: key, OriginsMost: current.OriginsMost, Processor: processorTime, Life: stored.Life,
 		// A sixth of the time in which a version is to be in force is left for news
 		// on its way, and two fifths of the grace for what comes after the callers.
 		ConfirmedFor: current.Bounds.Apply * 5 / 6, StopWithin: current.Bounds.Grace * 3 / 5,
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -26,6 +26,8 @@
 	Self    membership.Member
 	Seeds   []string
 	Gateway string
+	// Life names this run of the process.
+	Life statemachine.Life
 }
 
 // Request is an operator's request at this daemon's own ctl.
@@ -46,7 +48,7 @@
 }
 
 type carried struct {
-	request uint64
+	request statemachine.RequestID
 	from    string
 }
 
@@ -66,9 +68,9 @@
 // New makes an agent.
 func New(settings Settings) *Agent {
 	agent := &Agent{settings: settings, carrying: map[uint64]carried{}, timers: statemachine.NewTimers()}
-	agent.follower = membership.NewFollower(settings.Self, settings.Seeds, func() membership.Load { return membership.Load{Ready: true} })
+	agent.follower = membership.NewFollower(settings.Self, settings.Life, settings.Seeds, func() membership.Load { return membership.Load{Ready: true} })
 	agent.pulse = membership.NewPulse(settings.Self)
-	agent.controlClient = controlclient.New(agent.follower.Upstream, agent.follower.Other)
+	agent.controlClient = controlclient.New(settings.Life, agent.follower.Upstream, agent.follower.Other)
 	return agent
 }
 
--- a/internal/controlclient/controlclient.go
+++ b/internal/controlclient/controlclient.go
@@ -33,16 +33,16 @@
 
 // ControlClient is the state machine.
 type ControlClient struct {
-	next     uint64
+	requests statemachine.Requests
 	carrying map[uint64]*carried
 	upstream func() string
 	other    func() string
 	timers   *statemachine.Timers
 }
 
-// New makes a controlClient; upstream names the controller to ask, other the next to try.
-func New(upstream, other func() string) *ControlClient {
-	return &ControlClient{carrying: map[uint64]*carried{}, upstream: upstream, other: other, timers: statemachine.NewTimers()}
+// New makes a controlClient of one life; upstream names the controller to ask, other the next to try.
+func New(life statemachine.Life, upstream, other func() string) *ControlClient {
+	return &ControlClient{requests: statemachine.NewRequests(life), carrying: map[uint64]*carried{}, upstream: upstream, other: other, timers: statemachine.NewTimers()}
 }
 
 // Error makes the body of an answer that is not a success.
@@ -59,12 +59,12 @@
 
 // Carry begins to carry a request; its answer comes as a Return for local.
 func (cc *ControlClient) Carry(now time.Time, local uint64, method, path string, body []byte, effects *statemachine.Effects) {
-	cc.next++
+	request := cc.requests.Next()
 	item := &carried{
-		request: membership.ControlRequest{Request: cc.next, Method: method, Path: path, Body: body},
+		request: membership.ControlRequest{Request: request, Method: method, Path: path, Body: body},
 		local:   local, limit: now.Add(requestLimit),
 	}
-	cc.carrying[cc.next] = item
+	cc.carrying[request.Number] = item
 	cc.send(now, item, cc.upstream(), effects)
 }
 
@@ -82,14 +82,15 @@
 }
 
 func (cc *ControlClient) finish(item *carried, returned membership.ControlResponse, effects *statemachine.Effects) {
-	delete(cc.carrying, item.request.Request)
+	delete(cc.carrying, item.request.Request.Number)
 	effects.Return(item.local, returned)
 }
 
-// Take takes an answer, or a hint where to ask.
+// Take takes an answer to a request of this life, or a hint where to ask.
 func (cc *ControlClient) Take(now time.Time, from string, returned membership.ControlResponse, effects *statemachine.Effects) {
-	item, found := cc.carrying[returned.Request]
-	if !found || from != item.sentTo {
+	number, own := cc.requests.Own(returned.Request)
+	item, found := cc.carrying[number]
+	if !own || !found || from != item.sentTo {
 		return
 	}
 	if returned.Redirect != "" && item.redirects < 6 && returned.Redirect != from {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -122,8 +122,8 @@
 	controller.lease = watch.NewLease("economy")
 	controller.economist = consolidation.New()
 	controller.pulse = membership.NewPulse(settings.Self)
-	controller.follower = membership.NewFollower(settings.Self, append([]string{settings.Self.Address}, settings.Seeds...), func() membership.Load { return membership.Load{} })
-	controller.controlClient = controlclient.New(controller.upstream, controller.follower.Other)
+	controller.follower = membership.NewFollower(settings.Self, settings.Life, append([]string{settings.Self.Address}, settings.Seeds...), func() membership.Load { return membership.Load{} })
+	controller.controlClient = controlclient.New(settings.Life, controller.upstream, controller.follower.Other)
 	return controller, nil
 }
 
--- a/internal/controller/state_test.go
+++ b/internal/controller/state_test.go
@@ -22,7 +22,7 @@
 		now := time.Unix(1000, 0)
 		followers := make([]*membership.Follower, 4)
 		for number := range followers {
-			followers[number] = membership.NewFollower(membership.Member{Name: "gateway"}, []string{"controller"}, func() membership.Load { return membership.Load{} })
+			followers[number] = membership.NewFollower(membership.Member{Name: "gateway"}, 0, []string{"controller"}, func() membership.Load { return membership.Load{} })
 			followers[number].Start(now)
 			followers[number].Due(now, &statemachine.Effects{})
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,8 @@
 	StopWithin   time.Duration
 	// Processor tells the processor time used so far; it may be nil.
 	Processor func() time.Duration
+	// Life names this run of the process.
+	Life statemachine.Life
 }
 
 type lookout struct {
@@ -140,13 +142,13 @@
 		channels: map[uint64]*channel{}, moving: map[uint64]bool{}, spaces: map[string]*spaceState{},
 		senders: map[senderKey]*sender{}, trackers: map[string]*tracker{},
 		appends: map[uint64]*publication{}, sends: map[uint64]*publication{}, recalls: map[uint64]*recall{}, fetches: map[uint64]*fetch{},
-		routed: newRouted(), newest: map[string]uint64{},
+		nextRequest: settings.Life.FirstNumber(), routed: newRouted(), newest: map[string]uint64{},
 	}
 	gateway.policies = standardPolicies()
-	gateway.follower = membership.NewFollower(settings.Self, []string{settings.Agent}, gateway.load)
+	gateway.follower = membership.NewFollower(settings.Self, settings.Life, []string{settings.Agent}, gateway.load)
 	gateway.pulse = membership.NewPulse(settings.Self)
 	gateway.follower.Fix()
-	gateway.controlClient = controlclient.New(func() string {
+	gateway.controlClient = controlclient.New(settings.Life, func() string {
 		if primary := gateway.follower.Primary(); primary != "" {
 			return primary
 		}
--- a/internal/membership/follower.go
+++ b/internal/membership/follower.go
@@ -51,10 +51,11 @@
 	timers      *statemachine.Timers
 }
 
-// NewFollower makes a follower that asks the given seeds first.
-func NewFollower(self Member, seeds []string, load func() Load) *Follower {
+// NewFollower makes a follower that asks the given seeds first. Life names this run
+// of the process.
+func NewFollower(self Member, life statemachine.Life, seeds []string, load func() Load) *Follower {
 	return &Follower{
-		self: self, seeds: seeds, controllers: seeds, load: load, searching: true,
+		self: self, nonce: life.FirstNumber(), seeds: seeds, controllers: seeds, load: load, searching: true,
 		Members: map[string]Member{}, Places: map[string]Placement{}, timers: statemachine.NewTimers(),
 	}
 }
--- a/internal/membership/follower_test.go
+++ b/internal/membership/follower_test.go
@@ -13,7 +13,7 @@
 
 func TestASearchIsAnsweredThoughThereIsNoNews(t *testing.T) {
 	now := time.Unix(1000, 0)
-	follower := NewFollower(Member{Name: "gateway-1"}, []string{"controller"}, func() Load { return Load{} })
+	follower := NewFollower(Member{Name: "gateway-1"}, 0, []string{"controller"}, func() Load { return Load{} })
 	follower.Start(now)
 	answer := func(ask Ask) {
 		follower.Take(now, News{Nonce: ask.Nonce, Epoch: 1, Primary: "controller", Index: 1, Changed: true})
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -91,7 +91,7 @@
 }
 
 // Ask is a daemon's question with what it has, and from which epoch it has it; it
-// is answered on news.
+// is answered on news. Nonce numbers the questions of one life of the asker.
 type Ask struct {
 	_       struct{} `cbor:",toarray"`
 	Self    Member
@@ -212,7 +212,7 @@
 
 // ControlRequest carries an operator's request on to the primary.
 type ControlRequest struct {
-	Request uint64
+	Request statemachine.RequestID
 	Method  string
 	Path    string
 	Body    []byte
@@ -220,7 +220,7 @@
 
 // ControlResponse is its answer.
 type ControlResponse struct {
-	Request    uint64
+	Request    statemachine.RequestID
 	Status     int
 	Body       []byte
 	RetryAfter time.Duration
--- a/internal/partition/store.go
+++ b/internal/partition/store.go
@@ -49,6 +49,8 @@
 	NewDisk string
 	// Redeliver is how long a caller may send an accepted message again.
 	Redeliver time.Duration
+	// Life names this run of the process.
+	Life statemachine.Life
 }
 
 // Request is an operator's request at this daemon's own ctl.
@@ -215,9 +217,9 @@
 		partition.synced, _ = partition.log.head()
 	}
 	store.settings.Self.Disk = store.disk
-	store.follower = membership.NewFollower(store.settings.Self, settings.Seeds, store.load)
+	store.follower = membership.NewFollower(store.settings.Self, settings.Life, settings.Seeds, store.load)
 	store.pulse = membership.NewPulse(store.settings.Self)
-	store.controlClient = controlclient.New(store.follower.Upstream, store.follower.Other)
+	store.controlClient = controlclient.New(settings.Life, store.follower.Upstream, store.follower.Other)
 	return store, nil
 }
 
--- a/internal/scaletest/rows.go
+++ b/internal/scaletest/rows.go
@@ -36,7 +36,7 @@
 	}
 	news.Placements = nil
 	rows.Wire = int64(len(frame))
-	follower := membership.NewFollower(membership.Member{Name: "gateway-1"}, []string{"controller-1:1"}, func() membership.Load { return membership.Load{} })
+	follower := membership.NewFollower(membership.Member{Name: "gateway-1"}, 0, []string{"controller-1:1"}, func() membership.Load { return membership.Load{} })
 	now := time.Unix(1_700_000_000, 0)
 	follower.Start(now)
 	var effects statemachine.Effects
--- a/internal/simulator/simulator.go
+++ b/internal/simulator/simulator.go
@@ -192,7 +192,7 @@
 
 func (s *Simulation) addController(number int) *Node {
 	return s.add(membership.KindController, number, func(node *Node, stored stored) hosted {
-		settings := controller.Settings{Self: node.member(), Count: s.Size.Controllers, Seeds: s.seeds, NewDisk: fmt.Sprintf("disk%d", node.life), Life: statemachine.Life(node.life)}
+		settings := controller.Settings{Self: node.member(), Count: s.Size.Controllers, Seeds: s.seeds, NewDisk: fmt.Sprintf("disk%d", node.life), Life: node.named()}
 		if s.Size.Seeded {
 			settings.Count, settings.Tolerance = 0, &s.Size.Tolerance
 			settings.Founding = !node.founded
@@ -206,7 +206,7 @@
 
 func (s *Simulation) addStore(number int) *Node {
 	return s.add(membership.KindStore, number, func(node *Node, stored stored) hosted {
-		machine, err := partition.New(partition.Settings{Self: node.member(), Seeds: s.seeds, NewDisk: fmt.Sprintf("disk%d", node.life)}, stored.frame, stored.entries)
+		machine, err := partition.New(partition.Settings{Self: node.member(), Seeds: s.seeds, NewDisk: fmt.Sprintf("disk%d", node.life), Life: node.named()}, stored.frame, stored.entries)
 		must(err)
 		return machine
 	})
@@ -215,12 +215,12 @@
 // addGateway adds a gateway and the agent beside it.
 func (s *Simulation) addGateway(number int) (*Node, *Node) {
 	gateway := s.add(membership.KindGateway, number, func(node *Node, _ stored) hosted {
-		return gateway.New(gateway.Settings{Self: node.member(), Agent: address(membership.KindAgent, number), Key: []byte("simulated-key-0123"), Processor: func() time.Duration {
+		return gateway.New(gateway.Settings{Self: node.member(), Agent: address(membership.KindAgent, number), Key: []byte("simulated-key-0123"), Life: node.named(), Processor: func() time.Duration {
 			return time.Duration(node.Steps) * stepProcessor
 		}})
 	})
 	return gateway, s.add(membership.KindAgent, number, func(node *Node, _ stored) hosted {
-		return agent.New(agent.Settings{Self: node.member(), Seeds: s.seeds, Gateway: address(membership.KindGateway, number)})
+		return agent.New(agent.Settings{Self: node.member(), Seeds: s.seeds, Gateway: address(membership.KindGateway, number), Life: node.named()})
 	})
 }
 
@@ -314,6 +314,11 @@
 	}
 }
 
+// named is the name of this life of the daemon, as a real one would draw it.
+func (n *Node) named() statemachine.Life {
+	return statemachine.Life(rand.New(rand.NewPCG(n.simulation.Seed, n.life)).Uint64())
+}
+
 func (n *Node) local() time.Time {
 	return n.localStart.Add(time.Duration(float64(n.simulation.Now.Sub(n.simStart)) * n.rate))
 }
--- a/internal/statemachine/request.go
+++ b/internal/statemachine/request.go
@@ -15,6 +15,17 @@
 	Number uint64
 }
 
+// FirstNumber is where a life begins to number requests of which there are so many
+// that a whole RequestID in each would cost too much. The numbers of two lives that
+// follow one another lie apart but for once in about a million restarts at a
+// thousand requests a second, since links hold messages for two seconds at most.
+func (l Life) FirstNumber() uint64 {
+	if Mutated("lives-alike") {
+		return 0
+	}
+	return uint64(uint32(l>>32) ^ uint32(l))
+}
+
 // Named tells whether it names a request.
 func (r RequestID) Named() bool { return r.Number > 0 }
 
