A first that begins anew is given an epoch of its own

Cause: a first sends a message to its followers while its own disk still writes it. A process that ended in between and began anew at once stayed first in the same epoch, and gave the same offset to the next message. With the first's disk the accepted message was lost.

As a new life of a store joins, the partitions that it is first of get their next epoch, holders unchanged, and a store acts as first only once the view names its present life. Late copies and answers then are of an older epoch, which both ends refuse already, and the follower's records are compared by epoch. No message grows. Weighed: the life in each copy and answer (5 bytes each), with nothing accepted before all copies are level; more bytes in the hottest messages, and one more rule.

Each trial is red with the mechanism taken away and green with it.

--- a/internal/controller/partition_test.go
+++ b/internal/controller/partition_test.go
@@ -107,6 +107,9 @@
 	// inOrder is when the gateway's last message to a store arrives, on a link
 	// that doesn't reorder.
 	inOrder map[string]time.Duration
+	// held, if set, tells for how long a link holds a message, which then reaches
+	// whatever life is there, and whether it is lost instead.
+	held func(from, to string, message any) (hold time.Duration, lost bool)
 }
 
 func (y *yard) after(wait time.Duration, run func()) {
@@ -139,7 +142,7 @@
 	s.life++
 	s.up, s.frozen, s.waits = true, false, nil
 	s.offset = time.Duration(s.yard.random.Int64N(int64(4*time.Hour))) - 2*time.Hour
-	machine, err := partition.New(partition.Settings{Self: s.member(), Seeds: []string{"controller"}, NewDisk: fmt.Sprintf("%s-%d", s.name, s.life)}, s.frame, s.entries)
+	machine, err := partition.New(partition.Settings{Self: s.member(), Seeds: []string{"controller"}, NewDisk: fmt.Sprintf("%s-%d", s.name, s.life), Life: statemachine.Life(s.yard.random.Uint64())}, s.frame, s.entries)
 	assert.NilError(s.yard.t, err)
 	s.machine = machine
 	s.step(func(now time.Time, effects *statemachine.Effects) { machine.Start(now, effects) })
@@ -226,6 +229,16 @@
 	}
 	packed, err := transport.Encode(statemachine.Meta{From: from, Version: 1}, send.Message)
 	assert.NilError(y.t, err)
+	if y.held != nil {
+		hold, lost := y.held(from, send.To, send.Message)
+		if lost {
+			return
+		}
+		if hold > 0 {
+			y.after(hold, func() { y.deliver(from, send.To, packed) })
+			return
+		}
+	}
 	times := 1 + y.random.IntN(15)/14
 	if y.inOrder != nil && from == "gateway" {
 		times = 1
@@ -236,25 +249,28 @@
 			takes = max(takes, y.inOrder[send.To]-y.now)
 			y.inOrder[send.To] = y.now + takes
 		}
-		y.after(takes, func() {
-			meta, message, err := transport.Decode(packed[4:])
-			assert.NilError(y.t, err)
-			for _, store := range y.stores {
-				if store.name == send.To {
-					store.enter(store.life, func(now time.Time, effects *statemachine.Effects) { store.machine.Message(now, meta, message, effects) })
-				}
-			}
-			switch send.To {
-			case "controller":
-				y.controller(from, message)
-			case "gateway":
-				if y.told != nil {
-					y.told(from, message)
-					return
-				}
-				y.gateway(message)
-			}
-		})
+		y.after(takes, func() { y.deliver(from, send.To, packed) })
+	}
+}
+
+// deliver brings a message to whatever life is there now.
+func (y *yard) deliver(from, to string, packed []byte) {
+	meta, message, err := transport.Decode(packed[4:])
+	assert.NilError(y.t, err)
+	for _, store := range y.stores {
+		if store.name == to {
+			store.enter(store.life, func(now time.Time, effects *statemachine.Effects) { store.machine.Message(now, meta, message, effects) })
+		}
+	}
+	switch to {
+	case "controller":
+		y.controller(from, message)
+	case "gateway":
+		if y.told != nil {
+			y.told(from, message)
+			return
+		}
+		y.gateway(message)
 	}
 }
 
--- a/internal/controller/state.go
+++ b/internal/controller/state.go
@@ -85,6 +85,9 @@
 			member.Joined = s.Index
 		}
 		s.Members[member.Name], s.MemberAt[member.Name] = member, s.Index
+		if found && beginsAnew(earlier, member) {
+			s.renewEpochs(member.Name)
+		}
 	}
 	for _, place := range command.Places {
 		if earlier, found := s.Places[place.Partition]; found && earlier.Epoch >= place.Epoch {
--- a/internal/partition/store.go
+++ b/internal/partition/store.go
@@ -449,9 +449,16 @@
 
 // isFirst tells whether this store, with the disk that it has now, may act as
 // a partition's first: a store whose disk was wiped is named first by news that
-// does not know of it yet, and holds nothing.
+// does not know of it yet, and holds nothing. Nor does an epoch hold for a life
+// that is not a member yet: it was begun for an earlier one.
 func (s *Store) isFirst(partition *held) bool {
-	return partition.place.First == s.settings.Self.Name && slices.Contains(partition.place.Safe, s.holder())
+	return partition.place.First == s.settings.Self.Name && slices.Contains(partition.place.Safe, s.holder()) && s.joined()
+}
+
+// joined tells whether the view names this life of the store.
+func (s *Store) joined() bool {
+	return s.follower.Members[s.settings.Self.Name].Incarnation == s.settings.Self.Incarnation ||
+		statemachine.Mutated("one-epoch-for-all-lives")
 }
 
 func (s *Store) holder() string { return s.settings.Self.Holder() }
