A first's whole partition that comes late takes nothing away from its follower

Cause: a follower took every frame of its epoch, also one that came a second time or was held by the link.

Within an epoch, now always of one life of its first, the first's log only grows: a frame that reaches less far than the records of its epoch that lie here is an old one. Red with any frame taken, green with the check.

--- a/internal/controller/identity_mutation_test.go
+++ b/internal/controller/identity_mutation_test.go
@@ -1,6 +1,7 @@
 //go:build mutation
 
-// Without an epoch of its own for each life of a first, each trial is red.
+// Without an epoch of its own for each life of a first, or with any frame taken, each
+// trial is red.
 package controller
 
 import (
@@ -11,9 +12,16 @@
 	"dahlialock/internal/statemachine"
 )
 
-func TestAnEpochOfItsOwnIsNeeded(t *testing.T) {
+var ofEachTrial = map[string]string{
+	"late acknowledgement": "one-epoch-for-all-lives",
+	"late copy":            "one-epoch-for-all-lives",
+	"same offset":          "one-epoch-for-all-lives",
+	"doubled frame":        "any-frame",
+}
+
+func TestWhatTellsLivesOfAFirstApartIsNeeded(t *testing.T) {
 	for _, each := range restartedFirst {
-		restore := statemachine.Mutate("one-epoch-for-all-lives")
+		restore := statemachine.Mutate(ofEachTrial[each.name])
 		broken := ""
 		for seed := uint64(0); seed < 5 && broken == ""; seed++ {
 			broken = each.run(t, seed)
--- a/internal/controller/identity_test.go
+++ b/internal/controller/identity_test.go
@@ -14,6 +14,7 @@
 
 	"dahlialock/internal/partition"
 	"dahlialock/internal/statemachine"
+	"dahlialock/internal/transport"
 )
 
 // pair is a partition's first and its follower, with a gateway that hears answers.
@@ -173,6 +174,32 @@
 	return pair.loseFirst(1, 3)
 }
 
+// doubledFrame has the first's whole partition come to the follower a second time,
+// once more was accepted after it, and then loses the first with its disk.
+func doubledFrame(t *testing.T, seed uint64) (broken string) {
+	pair := newPair(t, seed)
+	frames := 0
+	pair.held = func(from, to string, message any) (time.Duration, bool) {
+		if _, whole := message.(partition.Frame); whole {
+			frames++
+			packed, err := transport.Encode(statemachine.Meta{From: from, Version: 1}, message)
+			assert.NilError(t, err)
+			pair.after(1500*time.Millisecond, func() { pair.deliver(from, to, packed) })
+		}
+		return 0, false
+	}
+	pair.loseUnsynced(1)
+	pair.run(time.Second)
+	for request := uint64(2); request < 10; request++ {
+		pair.publish(request)
+	}
+	pair.run(time.Second)
+	if frames == 0 {
+		return "no frame was sent"
+	}
+	return pair.loseFirst(1, 10)
+}
+
 var restartedFirst = []struct {
 	name string
 	run  func(t *testing.T, seed uint64) string
@@ -180,6 +207,7 @@
 	{"late acknowledgement", lateAcknowledgement},
 	{"late copy", lateCopy},
 	{"same offset", sameOffset},
+	{"doubled frame", doubledFrame},
 }
 
 func TestAFirstThatBeginsAnewCountsNothingOfItsEarlierLife(t *testing.T) {
--- a/internal/partition/copy.go
+++ b/internal/partition/copy.go
@@ -334,6 +334,9 @@
 		effects.Note(logevent.LinkGarbage, "remote", from, "partition", frame.Partition)
 		return
 	}
+	if partition.log.passed(log, frame.Epoch) && !statemachine.Mutated("any-frame") {
+		return
+	}
 	log.shift(now.Sub(frame.Now))
 	partition.log = log
 	partition.synced = 0
--- a/internal/partition/partition.go
+++ b/internal/partition/partition.go
@@ -166,6 +166,14 @@
 	return last.Offset, last.Epoch
 }
 
+// passed tells whether a frame of an epoch's first is an old one: within an epoch its
+// first's log only grows, and records of the epoch that lie here were in it.
+func (l *log) passed(frame *log, epoch uint64) bool {
+	here, newest := l.head()
+	there, _ := frame.head()
+	return newest == epoch && there < here
+}
+
 // epochAt is the epoch of the record at an offset, if it is still held.
 func (l *log) epochAt(offset uint64) (uint64, bool) {
 	if offset == l.Base {
