--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -411,9 +411,9 @@
 // disk is unsettled, one that was never begun is refused.
 func (w *Watch) limits(now time.Time, effects *statemachine.Effects) {
 	var next time.Time
-	for nonce, waiting := range statemachine.Sorted(w.confirms) {
+	for number, waiting := range statemachine.Sorted(w.confirms) {
 		if !waiting.limit.After(now) {
-			delete(w.confirms, nonce)
+			delete(w.confirms, number)
 			waiting.done(now, effects, Unsettled)
 		} else if next.IsZero() || waiting.limit.Before(next) {
 			next = waiting.limit
--- a/internal/partition/store.go
+++ b/internal/partition/store.go
@@ -55,6 +55,8 @@
 	NewDisk string
 	// Redeliver is how long a caller may send an accepted message again.
 	Redeliver time.Duration
+	// Life names this run of the process.
+	Life statemachine.Life
 }
 
 // Request is an operator's request at this daemon's own ctl.
@@ -221,9 +223,9 @@
 		partition.synced, _ = partition.log.head()
 	}
 	store.settings.Self.Disk = store.disk
-	store.follower = membership.NewFollower(store.settings.Self, settings.Seeds, store.load)
+	store.follower = membership.NewFollower(store.settings.Self, settings.Life, settings.Seeds, store.load)
 	store.pulse = membership.NewPulse(store.settings.Self)
-	store.controlClient = controlclient.New(store.follower.Upstream, store.follower.Other)
+	store.controlClient = controlclient.New(settings.Life, store.follower.Upstream, store.follower.Other)
 	return store, nil
 }
 
@@ -453,9 +455,16 @@
 
 // isFirst tells whether this store, with the disk that it has now, may act as
 // a partition's first: a store whose disk was wiped is named first by news that
-// does not know of it yet, and holds nothing.
+// does not know of it yet, and holds nothing. Nor does an epoch hold for a life
+// that is not a member yet: it was begun for an earlier one.
 func (s *Store) isFirst(partition *held) bool {
-	return partition.place.First == s.settings.Self.Name && slices.Contains(partition.place.Safe, s.holder())
+	return partition.place.First == s.settings.Self.Name && slices.Contains(partition.place.Safe, s.holder()) && s.joined()
+}
+
+// joined tells whether the view names this life of the store.
+func (s *Store) joined() bool {
+	return s.follower.Members[s.settings.Self.Name].Incarnation == s.settings.Self.Incarnation ||
+		statemachine.Mutated("one-epoch-for-all-lives")
 }
 
 func (s *Store) holder() string { return s.settings.Self.Holder() }
