Orders are judged where the log applies them, and change single fields only

Cause: retire and drains were checked when the order came, and the command that followed carried a whole member read at that moment. Of two retirements that waited together both were taken (202 and 202, too few left); drains whose last other gateway was lost while the configuration waited came into force; an order that waited brought a store's earlier life back, and a loss that waited took an order back. A wiped disk made the primary forget an acknowledged order to empty its store. With the highest version in force two contents under one number were both acknowledged, and otherwise a configuration that was taken was refused once a newer one was in force.

Excluded: checking again when the command leaves the queue (the copies may still apply it after a change of the primary), and refusing whatever finds another revision (a storm of orders would starve the placement).

Change: a command is a list of typed changes of single fields with the life, epoch or number that they were decided on; the application judges them and says what came of an operator's order.

--- a/internal/config/configuration.go
+++ b/internal/config/configuration.go
@@ -470,22 +470,3 @@
 	}
 	return links
 }
-
-// SameContent tells whether two documents say the same, whatever their white
-// space and the order of their keys.
-func SameContent(left, right []byte) bool {
-	leftBytes, leftWhole := canonical(left)
-	rightBytes, rightWhole := canonical(right)
-	return leftWhole && rightWhole && bytes.Equal(leftBytes, rightBytes)
-}
-
-func canonical(document []byte) ([]byte, bool) {
-	decoder := json.NewDecoder(bytes.NewReader(document))
-	decoder.UseNumber()
-	var value any
-	if err := decoder.Decode(&value); err != nil {
-		return nil, false
-	}
-	packed, err := json.Marshal(value)
-	return packed, err == nil
-}
--- a/internal/config/configuration_test.go
+++ b/internal/config/configuration_test.go
@@ -68,9 +68,15 @@
 	assert.Assert(t, len(faults) >= 5, "%v", faults)
 }
 
-func TestSameContentLooksPastWhiteSpaceAndOrder(t *testing.T) {
-	assert.Assert(t, SameContent([]byte(`{"a":1,"b":[2]}`), []byte("{ \"b\": [2],\n\"a\":1 }")))
-	assert.Assert(t, !SameContent([]byte(`{"a":9007199254740993}`), []byte(`{"a":9007199254740992}`)))
+func TestDigestsLookPastWhiteSpaceAndOrder(t *testing.T) {
+	same := func(left, right string) bool { return DigestOf([]byte(left)) == DigestOf([]byte(right)) }
+	assert.Assert(t, same(`{"a":1,"b":[2]}`, "{ \"b\": [2],\n\"a\":1 }"))
+	assert.Assert(t, !same(`{"a":9007199254740993}`, `{"a":9007199254740992}`))
+	assert.Assert(t, same(`{"a":1,"annex":"{\"b\":1,\"c\":2}"}`, `{"a":1,"annex":"{\"c\": 2, \"b\":1}"}`))
+	assert.Assert(t, !same(`{"a":1,"annex":"{\"b\":1}"}`, `{"a":1,"annex":"{\"b\":2}"}`))
+	assert.Assert(t, !same(`{"annex":"1"}`, `{"annex":1}`))
+	assert.Assert(t, same(`{"annex":"no JSON"}`, ` {"annex": "no JSON"}`))
+	assert.Assert(t, !same(`{"a":1} {}`, `{"a":1}`))
 }
 
 func FuzzRead(f *testing.F) {
@@ -85,6 +91,7 @@
 			return
 		}
 		assert.Assert(t, json.Valid(document) && configuration.Version > 0)
-		assert.Assert(t, SameContent(document, document))
+		_, whole := decode(document)
+		assert.Assert(t, whole, "a digest is of what the document says")
 	})
 }
--- /dev/null
+++ b/internal/controller/command.go
@@ -0,0 +1,112 @@
+// Commands of the control state. A command never carries a record that was read
+// when it was made: each of its parts changes single fields, names what it was
+// decided on, and is judged again where it is applied. What another command
+// changed meanwhile stays, and the order of the log decides between orders that
+// exclude each other.
+package controller
+
+import (
+	"time"
+
+	"dahlialock/internal/config"
+	"dahlialock/internal/membership"
+	"dahlialock/internal/transport"
+)
+
+// Command is one change of the control state. Parts are applied in the order of
+// the fields.
+type Command struct {
+	Configuration *ConfigurationChange
+	Retirement    *Retirement
+	// Tolerance, if given, is how many stores may be lost at once from now on.
+	Tolerance    *int
+	Departures   []Departure
+	Joins        []Join
+	Emptied      []string
+	Degradations []Degradation
+	Rests        []Rest
+	Places       []membership.Placement
+	Settled      []membership.PartitionComplete
+}
+
+// ConfigurationChange is an operator's configuration under its number. One that was
+// overtaken before it was submitted comes without its document.
+type ConfigurationChange struct {
+	Version  uint64
+	Document []byte
+	Digest   config.Digest
+	// At is when it came, by the clock of the primary, and Through the daemon that
+	// passed it on.
+	At      time.Time
+	Through string
+}
+
+// Retirement is an operator's order to empty a store, or to use it again.
+type Retirement struct {
+	Store    string
+	Retiring bool
+}
+
+// Join is what a daemon says of itself. It replaces an earlier life only if that is
+// not newer, or is the one that was known to be silent.
+type Join struct {
+	Self membership.Member
+	Over uint64
+}
+
+// Departure ends one life of a member.
+type Departure struct {
+	Name        string
+	Incarnation uint64
+}
+
+// Degradation says that a store's disk lags in one of its lives, or no longer does.
+type Degradation struct {
+	Name        string
+	Incarnation uint64
+	Degraded    bool
+}
+
+// Rest says that a gateway rests in one of its lives, or no longer does.
+type Rest struct {
+	Name        string
+	Incarnation uint64
+	Resting     bool
+}
+
+// Outcome says what came of an operator's order where it was applied.
+type Outcome int
+
+// The outcomes of orders.
+const (
+	// Taken orders are in force from here on.
+	Taken Outcome = iota
+	// Repeated orders were taken before.
+	Repeated
+	// Overtaken configurations have a number below the one in force, under which
+	// nothing else was confirmed.
+	Overtaken
+	// OtherContent is a configuration under a number that was confirmed with
+	// another content.
+	OtherContent
+	// Faulty configurations don't fit the cluster as it is.
+	Faulty
+	// UnknownStore is an order for a store that nobody knows.
+	UnknownStore
+	// TooFewStores would be left by a retirement.
+	TooFewStores
+)
+
+// result is what came of the order in the command that was applied last.
+type result struct {
+	outcome Outcome
+	faults  []config.Fault
+}
+
+// empty tells whether a command changes nothing.
+func (c Command) empty() bool {
+	return c.Configuration == nil && c.Retirement == nil && c.Tolerance == nil &&
+		len(c.Departures)+len(c.Joins)+len(c.Emptied)+len(c.Degradations)+len(c.Rests)+len(c.Places)+len(c.Settled) == 0
+}
+
+func mustPack(command Command) []byte { return transport.MustMarshal(command) }
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -57,7 +56,7 @@
 	path, _, _ := strings.Cut(request.Path, "?")
 	switch {
 	case request.Method == http.MethodPut && path == "/v1/configuration":
-		c.put(now, request.Body, give, effects)
+		c.put(now, from, request.Body, give, effects)
 	case request.Method == http.MethodGet && path == "/v1/configuration":
 		c.confirmed(now, give, effects, func() (int, any) {
 			if c.state.Version == 0 {
@@ -115,131 +114,122 @@
 	}, effects)
 }
 
-func (c *Controller) put(now time.Time, document []byte, give answer, effects *statemachine.Effects) {
+// put takes an operator's configuration. Whether it comes into force is decided where
+// it is applied, in the order of the log; what was decided before is told again.
+func (c *Controller) put(now time.Time, through string, document []byte, give answer, effects *statemachine.Effects) {
 	configuration, faults := config.Read(document)
-	if len(faults) == 0 {
-		faults = c.checkDrains(configuration)
-	}
 	if len(faults) > 0 && statemachine.Mutated("accept-broken") {
 		give(effects, http.StatusOK, map[string]any{"version": configuration.Version, "taken": true})
 		return
 	}
+	if statemachine.Mutated("check-then-act") && configuration.Version > c.state.Version {
+		faults = append(faults, c.state.drainFaults(configuration)...)
+	}
 	if len(faults) > 0 {
-		effects.Note(logevent.ConfigurationError, "faults", len(faults), "first", faults[0].String())
-		give(effects, http.StatusBadRequest, controlclient.Error("faulty-configuration", "the configuration is faulty", faults))
+		c.answerConfiguration(result{outcome: Faulty, faults: faults}, give, effects)
 		return
 	}
-	decide := func() (int, any, bool) {
-		switch {
-		case configuration.Version > c.state.Version:
-			return 0, nil, false
-		case c.settings.Highest:
-			// The highest version is the one; what is not above it is settled and
-			// changes nothing.
-			return http.StatusOK, map[string]any{"version": c.state.Version, "taken": true}, true
-		case configuration.Version == c.state.Version && config.SameContent(document, c.state.Document):
-			return http.StatusOK, map[string]any{"version": c.state.Version, "taken": true}, true
-		case configuration.Version == c.state.Version:
-			return http.StatusConflict, map[string]any{"code": "same-version", "text": "this version was taken with other content", "newest": c.state.Version}, true
-		}
-		return http.StatusConflict, map[string]any{"code": "older-version", "text": "a newer version was taken", "newest": c.state.Version}, true
+	change := ConfigurationChange{Version: configuration.Version, Digest: config.DigestOf(document), At: now, Through: through}
+	outcome, settled := c.state.decided(change)
+	if !settled && change.Version <= c.state.Version && !c.settings.Highest {
+		outcome, settled = Overtaken, true
 	}
-	if _, _, settled := decide(); settled {
-		c.confirmed(now, give, effects, func() (int, any) {
-			status, value, _ := decide()
-			return status, value
-		})
+	if settled {
+		c.confirmed(now, give, effects, func() (int, any) { return c.configurationAnswer(result{outcome: outcome}) })
 		return
 	}
-	command := Command{Version: configuration.Version, Document: document}
-	c.watch.Submit(now, mustPack(command), commandLimit, func(now time.Time, effects *statemachine.Effects, outcome consensus.Outcome) {
-		switch {
-		case outcome == consensus.Refused:
+	if change.Version > c.state.Version {
+		change.Document = document
+	}
+	c.watch.Submit(now, mustPack(Command{Configuration: &change}), commandLimit, func(now time.Time, effects *statemachine.Effects, outcome consensus.Outcome) {
+		switch outcome {
+		case consensus.Refused:
 			give(effects, http.StatusServiceUnavailable, controlclient.Error("refused", "the configuration was not taken", nil))
-		case outcome == consensus.Unsettled:
+		case consensus.Unsettled:
 			give(effects, http.StatusServiceUnavailable, controlclient.Error("unsettled", "the configuration may have been taken; send the same again", nil))
-		default:
-			// Another may have come in between while this one waited.
-			status, value, _ := decide()
-			if status == 0 {
-				panic("a committed configuration is not in the state")
+		case consensus.Committed:
+			decided := c.state.result
+			if decided.outcome == Taken {
+				effects.Note(logevent.ConfigurationTaken, "version", change.Version)
 			}
-			effects.Note(logevent.ConfigurationTaken, "version", configuration.Version)
 			c.answerNews(now, effects)
 			c.timers.ArmSooner("tend", now)
-			give(effects, status, value)
+			c.answerConfiguration(decided, give, effects)
 		}
 	}, effects)
 }
 
-// checkDrains looks at what only the cluster can tell: that the gateways to be
-// drained exist, and that one would be left.
-func (c *Controller) checkDrains(configuration config.Configuration) []config.Fault {
-	if configuration.Version <= c.state.Version || len(configuration.Drains) == 0 {
-		return nil
+func (c *Controller) answerConfiguration(decided result, give answer, effects *statemachine.Effects) {
+	if decided.outcome == Faulty {
+		effects.Note(logevent.ConfigurationError, "faults", len(decided.faults), "first", decided.faults[0].String())
 	}
-	var faults []config.Fault
-	for position, name := range configuration.Drains {
-		if member, found := c.state.Members[name]; !found || member.Kind != membership.KindGateway {
-			faults = append(faults, config.Fault{
-				Path: fmt.Sprintf("$.drains[%d]", position), Code: "dangling-name", Text: fmt.Sprintf("no gateway is named %q", name),
-			})
-		}
-	}
-	for _, member := range c.state.Members {
-		if member.Kind == membership.KindGateway && member.Alive && !slices.Contains(configuration.Drains, member.Name) {
-			return faults
-		}
+	status, value := c.configurationAnswer(decided)
+	give(effects, status, value)
+}
+
+// configurationAnswer is what an operator is told of a configuration that was decided.
+func (c *Controller) configurationAnswer(decided result) (int, any) {
+	switch {
+	case decided.outcome == Faulty:
+		return http.StatusBadRequest, controlclient.Error("faulty-configuration", "the configuration is faulty", decided.faults)
+	case decided.outcome == OtherContent:
+		return http.StatusConflict, map[string]any{"code": "same-version", "text": "this version was taken with other content", "newest": c.state.Version}
+	case decided.outcome == Overtaken && !c.settings.Highest:
+		return http.StatusConflict, map[string]any{"code": "older-version", "text": "a newer version was taken", "newest": c.state.Version}
 	}
-	return append(faults, config.Fault{Path: "$.drains", Code: "clash", Text: "no living gateway would be left"})
+	// Where the highest version is the one, what is not above it changes nothing and
+	// is settled.
+	return http.StatusOK, map[string]any{"version": c.state.Version, "taken": true}
 }
 
 func (c *Controller) store(now time.Time, method, rest string, give answer, effects *statemachine.Effects) {
 	name, verb, _ := strings.Cut(rest, "/")
-	member, found := c.state.Members[name]
-	if !found || member.Kind != membership.KindStore {
-		give(effects, http.StatusNotFound, controlclient.Error("no-such-store", "no store is named "+name, nil))
-		return
-	}
-	describe := func() any {
-		member := c.state.Members[name]
+	describe := func(status int) (int, any) {
+		member, found := c.state.Members[name]
+		if !found || member.Kind != membership.KindStore {
+			return http.StatusNotFound, controlclient.Error("no-such-store", "no store is named "+name, nil)
+		}
 		partitions := []string{}
 		for _, place := range statemachine.Sorted(c.state.Places) {
 			if place.Names(name) {
 				partitions = append(partitions, place.Partition)
 			}
 		}
-		return map[string]any{"name": name, "alive": member.Alive, "retiring": member.Retiring, "retired": member.Retired, "partitions": partitions}
+		return status, map[string]any{"name": name, "alive": member.Alive, "retiring": member.Retiring, "retired": member.Retired, "partitions": partitions}
 	}
 	switch {
 	case method == http.MethodGet && verb == "":
-		c.confirmed(now, give, effects, func() (int, any) { return http.StatusOK, describe() })
+		c.confirmed(now, give, effects, func() (int, any) { return describe(http.StatusOK) })
 	case method == http.MethodPost && (verb == "retire" || verb == "return"):
-		retiring := verb == "retire"
-		if member.Retiring == retiring {
-			c.confirmed(now, give, effects, func() (int, any) { return http.StatusAccepted, describe() })
-			return
-		}
-		others := 0
-		for _, other := range c.state.Members {
-			if other.Kind == membership.KindStore && other.Name != name && other.Alive && !other.Retiring {
-				others++
-			}
-		}
-		if retiring && others <= c.state.Tolerance {
-			give(effects, http.StatusConflict, controlclient.Error("too-few-stores", fmt.Sprintf("%d other stores must be alive to take the partitions", c.state.Tolerance+1), nil))
-			return
-		}
-		member.Retiring, member.Retired = retiring, false
-		c.watch.Submit(now, mustPack(Command{Members: []membership.Member{member}}), commandLimit, func(now time.Time, effects *statemachine.Effects, outcome consensus.Outcome) {
-			if outcome != consensus.Committed {
-				give(effects, http.StatusServiceUnavailable, controlclient.Error("unsettled", "send the same again", nil))
-				return
-			}
-			c.timers.ArmSooner("tend", now)
-			give(effects, http.StatusAccepted, describe())
-		}, effects)
+		c.retire(now, Retirement{Store: name, Retiring: verb == "retire"}, give, describe, effects)
 	default:
 		give(effects, http.StatusNotFound, controlclient.Error("no-such-path", method+" on a store knows retire and return", nil))
 	}
 }
+
+// retire takes an order to empty a store, or to use it again. Whether enough others
+// are left is decided where the order is applied.
+func (c *Controller) retire(now time.Time, order Retirement, give answer, describe func(status int) (int, any), effects *statemachine.Effects) {
+	tooFew := controlclient.Error("too-few-stores", fmt.Sprintf("%d other stores must be alive to take the partitions", c.state.Tolerance+1), nil)
+	member, found := c.state.Members[order.Store]
+	if !found || member.Kind != membership.KindStore || member.Retiring == order.Retiring {
+		c.confirmed(now, give, effects, func() (int, any) { return describe(http.StatusAccepted) })
+		return
+	}
+	if statemachine.Mutated("check-then-act") && order.Retiring && !c.state.maySpare(order.Store) {
+		give(effects, http.StatusConflict, tooFew)
+		return
+	}
+	c.watch.Submit(now, mustPack(Command{Retirement: &order}), commandLimit, func(now time.Time, effects *statemachine.Effects, outcome consensus.Outcome) {
+		switch {
+		case outcome != consensus.Committed:
+			give(effects, http.StatusServiceUnavailable, controlclient.Error("unsettled", "send the same again", nil))
+		case c.state.result.outcome == TooFewStores:
+			give(effects, http.StatusConflict, tooFew)
+		default:
+			c.timers.ArmSooner("tend", now)
+			status, value := describe(http.StatusAccepted)
+			give(effects, status, value)
+		}
+	}, effects)
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -83,7 +83,8 @@
 	heard         map[string]time.Time
 	loads         map[string]membership.Load
 	suspected     map[string]map[string]reported
-	joining       map[string]membership.Member
+	joining       map[string]Join
+	leaving       map[string]Departure
 	complete      map[string]membership.PartitionComplete
 	lags          map[string]lag
 	doubts        map[string]*doubt
@@ -102,7 +103,7 @@
 	controller := &Controller{
 		settings: settings, state: newState(), timers: statemachine.NewTimers(),
 		held: map[string]held{}, heard: map[string]time.Time{}, loads: map[string]membership.Load{},
-		suspected: map[string]map[string]reported{}, joining: map[string]membership.Member{}, complete: map[string]membership.PartitionComplete{}, lags: map[string]lag{}, doubts: map[string]*doubt{},
+		suspected: map[string]map[string]reported{}, joining: map[string]Join{}, leaving: map[string]Departure{}, complete: map[string]membership.PartitionComplete{}, lags: map[string]lag{}, doubts: map[string]*doubt{},
 		orders: map[string]membership.Orders{},
 	}
 	self := consensus.Controller{Name: settings.Self.Name, Address: settings.Self.Address, Zone: settings.Self.Zone}
@@ -252,14 +253,7 @@
 		return
 	}
 	c.beginActing(now, effects)
-	// Incarnations come from wall clocks, which may have been set back across a
-	// restart: a lower one counts once the higher has been silent for a while.
-	known, found := c.state.Members[ask.Self.Name]
-	if !found || ask.Self.Incarnation >= known.Incarnation || now.Sub(c.heard[known.Name]) > succeedsAfter {
-		c.heard[ask.Self.Name] = now
-		c.loads[ask.Self.Name] = ask.Load
-		c.noteMember(now, ask.Self, effects)
-	}
+	c.noteMember(now, ask)
 	hold := membership.HoldAsk
 	if ask.Patient {
 		hold = membership.PatientHold
@@ -317,21 +311,24 @@
 	}
 }
 
-func (c *Controller) noteMember(now time.Time, self membership.Member, effects *statemachine.Effects) {
+// noteMember notes what a member says of itself. Incarnations come from wall clocks,
+// which may have been set back across a restart: a lower one counts once the higher
+// has been silent for a while.
+func (c *Controller) noteMember(now time.Time, ask membership.Ask) {
+	self := ask.Self
 	known, found := c.state.Members[self.Name]
-	self.Alive = true
-	self.Joined, self.Retiring, self.Retired, self.Resting = known.Joined, known.Retiring, known.Retired, known.Resting
-	self.Degraded = known.Degraded && known.Incarnation == self.Incarnation
-	if found && known.Incarnation != self.Incarnation {
-		self.Resting = false
-		if known.Disk != self.Disk {
-			self.Retiring, self.Retired = false, false
-		}
+	if found && self.Incarnation < known.Incarnation && now.Sub(c.heard[known.Name]) <= succeedsAfter {
+		return
 	}
-	if found && self == known {
+	if waiting, joins := c.joining[self.Name]; joins && self.Incarnation < waiting.Self.Incarnation && now.Sub(c.heard[self.Name]) <= succeedsAfter {
 		return
 	}
-	c.joining[self.Name] = self
+	c.heard[self.Name] = now
+	c.loads[self.Name] = ask.Load
+	if found && c.state.joined(self) == known {
+		return
+	}
+	c.joining[self.Name] = Join{Self: self, Over: known.Incarnation}
 	delete(c.suspected, self.Name)
 	// Each change goes to everybody: while a fleet starts, many join in one.
 	pause := joinPause
@@ -360,8 +357,7 @@
 	if !c.watch.HoldsLease(now) || !found || !member.Alive || member.Incarnation != farewell.Incarnation {
 		return
 	}
-	member.Alive = false
-	c.joining[member.Name] = member
+	c.leaving[member.Name] = Departure{Name: member.Name, Incarnation: member.Incarnation}
 	c.timers.ArmSooner("tend", now)
 }
 
@@ -374,8 +370,7 @@
 	for _, member := range statemachine.Sorted(c.state.Members) {
 		_, joins := c.joining[member.Name]
 		if member.Address == address && member.Alive && !joins && member.Name != c.settings.Self.Name {
-			member.Alive, member.Resting = false, false
-			c.joining[member.Name] = member
+			c.leaving[member.Name] = Departure{Name: member.Name, Incarnation: member.Incarnation}
 			c.timers.ArmSooner("tend", now)
 		}
 	}
@@ -389,7 +384,7 @@
 	}
 	c.acting, c.began, c.busy = true, now, false
 	c.suspected = map[string]map[string]reported{}
-	c.joining = map[string]membership.Member{}
+	c.joining, c.leaving = map[string]Join{}, map[string]Departure{}
 	c.complete = map[string]membership.PartitionComplete{}
 	c.orders = map[string]membership.Orders{}
 	c.lags, c.doubts = map[string]lag{}, map[string]*doubt{}
@@ -459,15 +454,15 @@
 	}
 }
 
-// ailments lists the stores that begin or cease to be taken for degraded.
-func (c *Controller) ailments(now time.Time, effects *statemachine.Effects) []membership.Member {
+// degradations lists the stores that begin or cease to be taken for degraded.
+func (c *Controller) degradations(now time.Time, effects *statemachine.Effects) []Degradation {
 	c.settleDoubts(now)
-	changed := c.state.ailments(now, c.lags)
-	for _, member := range changed {
-		if member.Degraded {
-			effects.Note(logevent.StoreDegraded, "store", member.Name, "delay", c.lags[member.Name].delay.String())
+	changed := c.state.degradations(now, c.lags)
+	for _, change := range changed {
+		if change.Degraded {
+			effects.Note(logevent.StoreDegraded, "store", change.Name, "delay", c.lags[change.Name].delay.String())
 		} else {
-			effects.Note(logevent.StoreWell, "store", member.Name)
+			effects.Note(logevent.StoreWell, "store", change.Name)
 		}
 	}
 	return changed
@@ -504,19 +499,19 @@
 		return
 	}
 	command := Command{}
-	for _, member := range statemachine.Sorted(c.joining) {
-		command.Members = append(command.Members, member)
-		if member.Alive {
-			effects.Note(logevent.MemberJoined, "member", member.Name, "kind", member.Kind, "zone", member.Zone)
-		} else {
-			effects.Note(logevent.MemberLost, "member", member.Name, "why", "its process ended")
-		}
+	for _, departure := range statemachine.Sorted(c.leaving) {
+		command.Departures = append(command.Departures, departure)
+		effects.Note(logevent.MemberLost, "member", departure.Name, "why", "its process ended")
+	}
+	for _, join := range statemachine.Sorted(c.joining) {
+		command.Joins = append(command.Joins, join)
+		effects.Note(logevent.MemberJoined, "member", join.Self.Name, "kind", join.Self.Kind, "zone", join.Self.Zone)
 	}
-	c.joining = map[string]membership.Member{}
-	command.Members = append(command.Members, c.lost(now, effects)...)
-	command.Members = append(command.Members, c.retired(effects)...)
-	if len(command.Members) == 0 {
-		command.Members = c.ailments(now, effects)
+	c.joining, c.leaving = map[string]Join{}, map[string]Departure{}
+	command.Departures = append(command.Departures, c.lost(now, effects)...)
+	command.Emptied = c.emptied(effects)
+	if command.empty() {
+		command.Degradations = c.degradations(now, effects)
 	}
 	for partition, settled := range statemachine.Sorted(c.complete) {
 		place, found := c.state.Places[partition]
@@ -529,7 +524,7 @@
 	if wanted := c.settings.Tolerance; wanted != nil && *wanted != c.state.Tolerance {
 		command.Tolerance = wanted
 	}
-	if len(command.Members) == 0 && len(command.Settled) == 0 && command.Tolerance == nil {
+	if command.empty() {
 		command.Places = c.state.plan(c.configuration())
 		if now.Sub(c.began) <= settleFor/3 {
 			// New partitions wait until the stores that come back were heard; one
@@ -543,7 +538,7 @@
 			effects.Note(logevent.PlacementChanged, "partition", place.Partition, "epoch", place.Epoch, "first", place.First, "followers", strings.Join(place.Followers, " "))
 		}
 	}
-	if len(command.Members)+len(command.Settled)+len(command.Places) > 0 || command.Tolerance != nil {
+	if !command.empty() {
 		c.submit(now, command, effects)
 		return
 	}
@@ -562,8 +557,8 @@
 }
 
 // lost lists the members that enough watchers no longer hear.
-func (c *Controller) lost(now time.Time, effects *statemachine.Effects) []membership.Member {
-	var gone []membership.Member
+func (c *Controller) lost(now time.Time, effects *statemachine.Effects) []Departure {
+	var gone []Departure
 	for name, reporters := range statemachine.Sorted(c.suspected) {
 		member, found := c.state.Members[name]
 		if !found || !member.Alive {
@@ -590,8 +585,7 @@
 		// one that still asks the primary itself is not taken for lost on two
 		// reports, but on all of them.
 		if fresh >= 2 && unheard > unasked || fresh >= 1 && unheard > limit || fresh >= membership.Watchers {
-			member.Alive, member.Resting = false, false
-			gone = append(gone, member)
+			gone = append(gone, Departure{Name: name, Incarnation: member.Incarnation})
 			delete(c.suspected, name)
 			effects.Note(logevent.MemberLost, "member", name, "reporters", fresh, "unheard", unheard.String())
 		}
@@ -603,23 +597,21 @@
 		if member.Resting {
 			limit += membership.PatientHold
 		}
-		if unheard := now.Sub(c.heard[name]); member.Alive && unheard > limit && !slices.ContainsFunc(gone, func(other membership.Member) bool { return other.Name == name }) {
-			member.Alive, member.Resting = false, false
-			gone = append(gone, member)
+		if unheard := now.Sub(c.heard[name]); member.Alive && unheard > limit && !slices.ContainsFunc(gone, func(other Departure) bool { return other.Name == name }) {
+			gone = append(gone, Departure{Name: name, Incarnation: member.Incarnation})
 			effects.Note(logevent.MemberLost, "member", name, "why", "does not follow", "unheard", unheard.String())
 		}
 	}
 	return gone
 }
 
-// retired lists the stores that nothing refers to any more.
-func (c *Controller) retired(effects *statemachine.Effects) []membership.Member {
-	var done []membership.Member
-	for _, member := range statemachine.Sorted(c.state.Members) {
-		if member.Kind == membership.KindStore && member.Retiring && !member.Retired && !c.state.refers(member.Name) {
-			member.Retired = true
-			done = append(done, member)
-			effects.Note(logevent.StoreRetired, "store", member.Name)
+// emptied lists the stores to be retired that nothing refers to any more.
+func (c *Controller) emptied(effects *statemachine.Effects) []string {
+	var done []string
+	for name, member := range statemachine.Sorted(c.state.Members) {
+		if member.Kind == membership.KindStore && member.Retiring && !member.Retired && !c.state.refers(name) {
+			done = append(done, name)
+			effects.Note(logevent.StoreRetired, "store", name)
 		}
 	}
 	return done
@@ -646,8 +638,7 @@
 		}
 		member := c.state.Members[name]
 		if rests := orders.Rest && c.loads[name].Resting; member.Resting != rests && member.Alive {
-			member.Resting = rests
-			command.Members = append(command.Members, member)
+			command.Rests = append(command.Rests, Rest{Name: name, Incarnation: member.Incarnation, Resting: rests})
 			if rests {
 				effects.Note(logevent.GatewayRested, "gateway", name)
 			} else {
@@ -655,7 +646,7 @@
 			}
 		}
 	}
-	if len(command.Members) > 0 {
+	if !command.empty() {
 		c.submit(now, command, effects)
 	}
 }
--- a/internal/controller/partition_test.go
+++ b/internal/controller/partition_test.go
@@ -264,11 +264,7 @@
 	case membership.Ask:
 		known, found := y.state.Members[from]
 		if !found || known.Incarnation < body.Self.Incarnation || known.Incarnation == body.Self.Incarnation && !known.Alive {
-			next := body.Self
-			if found && known.Disk == next.Disk {
-				next.Retiring, next.Retired = known.Retiring, known.Retired
-			}
-			y.apply(Command{Members: []membership.Member{next}})
+			y.apply(Command{Joins: []Join{{Self: body.Self}}})
 		}
 		news := membership.News{
 			For: from, Nonce: body.Nonce, Epoch: 1, Primary: "controller", Index: y.state.Index, Version: y.state.Version,
@@ -292,16 +288,12 @@
 	for _, store := range y.stores {
 		member, found := y.state.Members[store.name]
 		if found && member.Alive && (!store.up || store.frozen) && y.random.IntN(6) == 0 {
-			member.Alive = false
-			y.apply(Command{Members: []membership.Member{member}})
-		}
-		if found && member.Retiring && !member.Retired && !y.state.refers(store.name) {
-			member.Retired = true
-			y.apply(Command{Members: []membership.Member{member}})
+			y.apply(Command{Departures: []Departure{{Name: store.name, Incarnation: member.Incarnation}}})
 		}
+		y.apply(Command{Emptied: []string{store.name}})
 	}
-	if ailments := y.state.ailments(time.Unix(0, 0).Add(y.now), y.lags); len(ailments) > 0 {
-		y.apply(Command{Members: ailments})
+	if changes := y.state.degradations(time.Unix(0, 0).Add(y.now), y.lags); len(changes) > 0 {
+		y.apply(Command{Degradations: changes})
 	}
 	if changes := y.state.plan(y.configuration()); len(changes) > 0 {
 		y.apply(Command{Places: changes})
@@ -420,15 +412,9 @@
 				retiring++
 			}
 		}
-		member := y.state.Members[store.name]
-		if retiring == 0 && member.Alive {
-			member.Retiring = true
-			y.apply(Command{Members: []membership.Member{member}})
-			y.after(4*time.Second, func() {
-				member := y.state.Members[store.name]
-				member.Retiring, member.Retired = false, false
-				y.apply(Command{Members: []membership.Member{member}})
-			})
+		if retiring == 0 && y.state.Members[store.name].Alive {
+			y.apply(Command{Retirement: &Retirement{Store: store.name, Retiring: true}})
+			y.after(4*time.Second, func() { y.apply(Command{Retirement: &Retirement{Store: store.name}}) })
 		}
 	}
 }
@@ -447,7 +433,7 @@
 				t: t, random: rand.New(rand.NewPCG(seed, 0x57a)), state: newState(), accepted: map[string]uint64{}, offsets: map[uint64]string{},
 				never: map[string]bool{}, wipedAt: -time.Minute, lags: map[string]lag{},
 			}
-			yard.apply(Command{Version: 1, Document: []byte(testConfig)})
+			yard.apply(Command{Configuration: configured(1, testConfig)})
 			for number := range 4 {
 				store := &store{yard: yard, name: fmt.Sprintf("store-%d", number)}
 				yard.stores = append(yard.stores, store)
--- a/internal/controller/placement.go
+++ b/internal/controller/placement.go
@@ -244,24 +244,22 @@
 	return best, best.Name != ""
 }
 
-// ailments lists the stores that begin or cease to be taken for degraded, by what
-// is told of their disks. There are always left as many as a partition has copies.
-func (s *State) ailments(now time.Time, lags map[string]lag) []membership.Member {
-	var changed []membership.Member
-	well := 0
-	for _, member := range s.Members {
-		if member.Kind == membership.KindStore && member.Alive && !member.Retiring && !member.Degraded {
-			well++
-		}
+// degradations lists the stores that begin or cease to be taken for degraded, by
+// what is told of their disks. There are always left as many as a partition has
+// copies.
+func (s *State) degradations(now time.Time, lags map[string]lag) []Degradation {
+	var changed []Degradation
+	change := func(member membership.Member, degraded bool) {
+		changed = append(changed, Degradation{Name: member.Name, Incarnation: member.Incarnation, Degraded: degraded})
 	}
+	well := s.well()
 	for _, member := range statemachine.Sorted(s.Members) {
 		told, known := lags[member.Name]
 		known = known && told.incarnation == member.Incarnation
 		switch {
 		case member.Kind != membership.KindStore || !member.Alive:
 		case member.Degraded && (!known || now.Sub(told.at) > degradedFor):
-			member.Degraded = false
-			changed = append(changed, member)
+			change(member, false)
 		case !member.Degraded && known && now.Sub(told.at) < laggingFresh:
 			if well <= s.Tolerance+1 {
 				// Another of whom nobody complains any more is needed again.
@@ -269,13 +267,9 @@
 				if !found {
 					continue
 				}
-				recovered.Degraded = false
-				changed = append(changed, recovered)
-				well++
+				change(recovered, false)
 			}
-			member.Degraded = true
-			changed = append(changed, member)
-			well--
+			change(member, true)
 			return changed
 		}
 	}
--- a/internal/controller/placement_test.go
+++ b/internal/controller/placement_test.go
@@ -12,13 +12,17 @@
 	"dahlialock/internal/membership"
 )
 
+func configured(version uint64, document string) *ConfigurationChange {
+	return &ConfigurationChange{Version: version, Document: []byte(document), Digest: config.DigestOf([]byte(document))}
+}
+
 func stateOf(stores, tolerance int) *State {
 	state := newState()
-	command := Command{Version: 1, Document: []byte(sharedConfig), Tolerance: &tolerance}
+	command := Command{Configuration: configured(1, sharedConfig), Tolerance: &tolerance}
 	for number := range stores {
-		command.Members = append(command.Members, membership.Member{
-			Name: fmt.Sprint("store-", number), Kind: membership.KindStore, Alive: true, Incarnation: 1, Disk: "disk", Zone: fmt.Sprint("zone-", number%3),
-		})
+		command.Joins = append(command.Joins, Join{Self: membership.Member{
+			Name: fmt.Sprint("store-", number), Kind: membership.KindStore, Incarnation: 1, Disk: "disk", Zone: fmt.Sprint("zone-", number%3),
+		}})
 	}
 	state.Apply(time.Time{}, mustPack(command))
 	return state
@@ -31,9 +35,13 @@
 	step := func(wait time.Duration) []string {
 		now = now.Add(wait)
 		var told []string
-		for _, member := range state.ailments(now, lags) {
-			told = append(told, fmt.Sprint(member.Name, " ", member.Degraded))
-			state.Members[member.Name] = member
+		changes := state.degradations(now, lags)
+		for _, change := range changes {
+			told = append(told, fmt.Sprint(change.Name, " ", change.Degraded))
+		}
+		state.Apply(now, mustPack(Command{Degradations: changes}))
+		for _, change := range changes {
+			assert.Equal(t, state.Members[change.Name].Degraded, change.Degraded)
 		}
 		return told
 	}
@@ -62,9 +70,7 @@
 			assert.Equal(t, len(place.Followers), tolerance)
 			assert.Equal(t, len(zones), min(3, tolerance+1), "%+v", place)
 		}
-		member := state.Members["store-4"]
-		member.Degraded = true
-		state.Apply(time.Time{}, mustPack(Command{Members: []membership.Member{member}}))
+		state.Apply(time.Time{}, mustPack(Command{Degradations: []Degradation{{Name: "store-4", Incarnation: 1, Degraded: true}}}))
 		for _, next := range state.plan(configuration) {
 			before := state.Places[next.Partition]
 			assert.Assert(t, before.Names("store-4"))
--- a/internal/controller/shared_test.go
+++ b/internal/controller/shared_test.go
@@ -17,7 +17,6 @@
 	"gotest.tools/v3/assert"
 
 	"dahlialock/internal/config"
-	"dahlialock/internal/membership"
 	"dahlialock/internal/partition"
 	"dahlialock/internal/statemachine"
 )
@@ -211,7 +210,7 @@
 		never: map[string]bool{}, fetches: map[uint64]partition.FetchResponse{}, heads: map[string]uint64{}, moved: map[uint64]uint64{},
 	}
 	yard.told, yard.single = yard.hear, tolerance == 0
-	yard.apply(Command{Version: 1, Document: []byte(sharedConfig), Tolerance: &tolerance})
+	yard.apply(Command{Configuration: configured(1, sharedConfig), Tolerance: &tolerance})
 	for number := range stores {
 		store := &store{yard: yard.yard, name: fmt.Sprintf("store-%d", number)}
 		yard.stores = append(yard.stores, store)
@@ -343,9 +342,8 @@
 			yard := newSharedYard(t, 100+seed, tolerance+3, tolerance)
 			yard.run(15 * time.Second)
 			retiring := yard.stores[seed%uint64(len(yard.stores))]
-			member := yard.state.Members[retiring.name]
-			member.Retiring = true
-			yard.apply(Command{Members: []membership.Member{member}})
+			yard.apply(Command{Retirement: &Retirement{Store: retiring.name, Retiring: true}})
+			assert.Equal(t, yard.state.result.outcome, Taken)
 			began := yard.now
 			for !yard.state.Members[retiring.name].Retired {
 				yard.run(10 * time.Millisecond)
--- a/internal/controller/state.go
+++ b/internal/controller/state.go
@@ -5,8 +5,7 @@
 
 import (
 	"fmt"
-	"slices"
-	"time"
+	"strings"
 
 	"dahlialock/internal/config"
 	"dahlialock/internal/membership"
@@ -17,17 +16,6 @@
 // DefaultTolerance is how many stores may be lost at once if nobody says.
 const DefaultTolerance = 1
 
-// Command is one change of the control state.
-type Command struct {
-	Version  uint64
-	Document []byte
-	Members  []membership.Member
-	Places   []membership.Placement
-	Settled  []membership.PartitionComplete
-	// Tolerance, if given, is how many stores may be lost at once from now on.
-	Tolerance *int
-}
-
 // State is the control state itself.
 type State struct {
 	Index    uint64
@@ -49,6 +37,10 @@
 	Shared bool
 	// Tolerance is how many stores may be lost at once: a partition has one copy more.
 	Tolerance int
+	// History are the newest numbers under which a configuration was confirmed, the
+	// lowest number first.
+	History []Decision
+	result  result
 }
 
 func newState() *State {
@@ -65,51 +57,6 @@
 	return fmt.Sprintf("%s~%d/%d", space, birth, number)
 }
 
-// Apply changes the state by one command.
-func (s *State) Apply(_ time.Time, packed []byte) {
-	var command Command
-	if err := transport.Unmarshal(packed, &command); err != nil {
-		panic(err)
-	}
-	s.Index++
-	if command.Version > s.Version {
-		s.takeConfiguration(command)
-	}
-	if command.Tolerance != nil {
-		s.Tolerance = *command.Tolerance
-	}
-	for _, member := range command.Members {
-		earlier, found := s.Members[member.Name]
-		member.Joined = earlier.Joined
-		if member.Alive && (!found || !earlier.Alive || earlier.Incarnation != member.Incarnation) {
-			member.Joined = s.Index
-		}
-		s.Members[member.Name], s.MemberAt[member.Name] = member, s.Index
-	}
-	for _, place := range command.Places {
-		if earlier, found := s.Places[place.Partition]; found && earlier.Epoch >= place.Epoch {
-			continue
-		}
-		s.Places[place.Partition], s.PlaceAt[place.Partition] = place, s.Index
-	}
-	for _, settled := range command.Settled {
-		place, found := s.Places[settled.Partition]
-		if !found || place.Epoch != settled.Epoch || place.Complete {
-			continue
-		}
-		// A store whose disk was lost meanwhile is no holder, whatever it said.
-		holders := []string{s.Members[place.First].Holder()}
-		for _, name := range place.Followers {
-			holders = append(holders, s.Members[name].Holder())
-		}
-		if !slices.Equal(holders, settled.Holders) {
-			continue
-		}
-		place.Complete, place.Safe = true, holders
-		s.Places[settled.Partition], s.PlaceAt[settled.Partition] = place, s.Index
-	}
-}
-
 // view puts into news what changed after an index, or everything for whoever
 // has nothing, or something that is gone.
 func (s *State) view(news *membership.News, since uint64) {
@@ -132,12 +79,8 @@
 	}
 }
 
-func (s *State) takeConfiguration(command Command) {
-	configuration, faults := config.Read(command.Document)
-	if len(faults) > 0 {
-		panic("a command with a faulty configuration")
-	}
-	s.Version, s.Document = command.Version, command.Document
+func (s *State) takeConfiguration(change ConfigurationChange, configuration config.Configuration) {
+	s.Version, s.Document = change.Version, change.Document
 	s.BirthsAt = s.Index
 	for name := range statemachine.Sorted(s.Births) {
 		space, found := configuration.Spaces[name]
@@ -153,7 +96,7 @@
 			continue
 		}
 		if _, found := s.Births[name]; !found {
-			s.Births[name] = command.Version
+			s.Births[name] = change.Version
 			s.Natures[name] = nature(space)
 		}
 	}
@@ -170,6 +113,16 @@
 	}
 }
 
+// wants tells whether a partition belongs to the configuration in force.
+func (s *State) wants(partition string) bool {
+	if config.IsShared(partition) {
+		return s.Shared
+	}
+	space, _, named := strings.Cut(partition, "~")
+	birth, found := s.Births[space]
+	return named && found && strings.HasPrefix(partition, fmt.Sprintf("%s~%d/", space, birth))
+}
+
 func nature(space config.Space) string { return string(space.Promise) + "/" + string(space.Order) }
 
 func (s *State) partitions(configuration config.Configuration) []string {
@@ -199,5 +152,3 @@
 	*s = *restored
 	return nil
 }
-
-func mustPack(command Command) []byte { return transport.MustMarshal(command) }
--- a/internal/controller/state_test.go
+++ b/internal/controller/state_test.go
@@ -32,9 +32,12 @@
 			var command Command
 			switch random.IntN(5) {
 			case 0, 1:
-				command.Members = append(command.Members, membership.Member{
-					Name: fmt.Sprint("store-", random.IntN(6)), Kind: membership.KindStore, Alive: random.IntN(4) > 0, Incarnation: uint64(step), Disk: "disk",
-				})
+				name := fmt.Sprint("store-", random.IntN(6))
+				if random.IntN(4) > 0 {
+					command.Joins = append(command.Joins, Join{Self: membership.Member{Name: name, Kind: membership.KindStore, Incarnation: uint64(step), Disk: "disk"}})
+				} else {
+					command.Departures = append(command.Departures, Departure{Name: name, Incarnation: state.Members[name].Incarnation})
+				}
 			case 2:
 				for name, place := range statemachine.Sorted(state.Places) {
 					settled := membership.PartitionComplete{Partition: name, Epoch: place.Epoch, Holders: []string{state.Members[place.First].Holder()}}
@@ -49,7 +52,7 @@
 				if step%7 == 0 {
 					version++
 					spaces := fmt.Sprintf(`{"name": "a", "promise": "kept", "order": "topic"}, {"name": "s%d", "promise": "kept", "order": "channel"}`, random.IntN(3))
-					command.Version, command.Document = version, fmt.Appendf(nil, `{"version": %d, "spaces": [%s]}`, version, spaces)
+					command.Configuration = configured(version, fmt.Sprintf(`{"version": %d, "spaces": [%s]}`, version, spaces))
 				}
 			case 4:
 				if version > 0 {
