--- a/internal/controller/history.go
+++ b/internal/controller/history.go
@@ -13,11 +13,12 @@
 )
 
 // historyLimit is how many numbers are remembered; the lowest are forgotten first.
-const historyLimit = 128
+const historyLimit = 512
 
 // Decision is what was confirmed under one number. One that was overtaken never
 // came into force.
 type Decision struct {
+	_         struct{} `cbor:",toarray"`
 	Version   uint64
 	Digest    config.Digest
 	At        time.Time
--- a/internal/controller/orders_test.go
+++ b/internal/controller/orders_test.go
@@ -16,6 +16,7 @@
 	"dahlialock/internal/config"
 	"dahlialock/internal/membership"
 	"dahlialock/internal/statemachine"
+	"dahlialock/internal/transport"
 )
 
 const operatorAddress = "operator"
@@ -275,22 +276,32 @@
 
 // The history is bounded, and the number in force is never forgotten.
 func TestTheHistoryIsBounded(t *testing.T) {
-	alone := newLone(t, true)
-	for version := 1; version <= 3*historyLimit; version++ {
-		assert.Equal(t, alone.ask(http.MethodPut, "/v1/configuration", configurationOf(version, "1s")), http.StatusOK)
+	state := newState()
+	at := time.Unix(1_700_000_000, 0)
+	put := func(version uint64, content string) Outcome {
+		change := configured(version, configurationOf(int(version), content))
+		change.At, change.Through = at, operatorAddress
+		state.Apply(time.Time{}, mustPack(Command{Configuration: change}))
+		return state.result.outcome
 	}
-	history := alone.controller.state.History
-	assert.Equal(t, len(history), historyLimit)
-	assert.Equal(t, history[historyLimit-1].Version, uint64(3*historyLimit))
-	assert.Equal(t, history[historyLimit-1].Through, operatorAddress)
-	for _, version := range []int{1, 2*historyLimit + 1, 3 * historyLimit} {
-		assert.Equal(t, alone.ask(http.MethodPut, "/v1/configuration", configurationOf(version, "1s")), http.StatusOK, "%d was taken", version)
+	for version := range uint64(3 * historyLimit) {
+		assert.Equal(t, put(version+1, "1s"), Taken)
 	}
-	assert.Equal(t, alone.ask(http.MethodPut, "/v1/configuration", configurationOf(2*historyLimit+1, "2s")), http.StatusConflict)
-	packed := alone.controller.state.Frame()
+	assert.Equal(t, len(state.History), historyLimit)
+	newest := state.History[historyLimit-1]
+	assert.Equal(t, newest.Version, uint64(3*historyLimit))
+	assert.Equal(t, newest.Through, operatorAddress)
+	assert.Assert(t, newest.At.Equal(at))
+	assert.Equal(t, put(1, "1s"), Overtaken, "what is forgotten is acknowledged where the highest number counts")
+	assert.Equal(t, put(2*historyLimit+1, "1s"), Repeated)
+	assert.Equal(t, put(2*historyLimit+1, "2s"), OtherContent)
+	assert.Equal(t, put(3*historyLimit, "2s"), OtherContent)
+	packed := state.Frame()
 	restored := newState()
 	assert.NilError(t, restored.Restore(packed))
-	assert.DeepEqual(t, restored.History, history)
+	assert.DeepEqual(t, transport.MustMarshal(restored.History), transport.MustMarshal(state.History))
+	state.Document = nil
+	assert.Assert(t, len(state.Frame()) < historyLimit*64, "%d bytes", len(state.Frame()))
 }
 
 // What is decided on one life of a member, or on one placement, changes nothing of
