--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -114,6 +114,8 @@
 	Codes       map[string]int
 	showed      map[string][]shown
 	Topics      *Topics
+	// Register is what operators saw of the configuration.
+	Register Register
 }
 
 // New makes an empty book.
@@ -142,6 +144,7 @@
 	NotBack      = "not-back"
 	Unready      = "unready"
 	RefusedCalm  = "refused-in-calm"
+	NotLinear    = "not-linearizable"
 )
 
 // TroubleFor is how long after the end of a fault daemons may still be unready
@@ -395,6 +398,9 @@
 		c.closeSubscriber(c.subscribers[name], at)
 	}
 	c.closeTopics(at)
+	for _, fault := range c.Register.Faults() {
+		c.Violate(NotLinear, "%s", fault)
+	}
 	for left, name := range names {
 		for _, other := range names[left+1:] {
 			c.compare(c.subscribers[name], c.subscribers[other])
--- a/internal/checker/register.go
+++ b/internal/checker/register.go
@@ -60,11 +60,11 @@
 
 // Register is the history of the configuration as a register with numbers.
 type Register struct {
-	// Rising says that a number below the highest one is refused if it was not
-	// decided before.
-	Rising bool
-	puts   []*Put
-	reads  []read
+	// Lax says that a number below the highest one is acknowledged, too, and decided
+	// without coming into force; otherwise it is refused if it was not decided.
+	Lax   bool
+	puts  []*Put
+	reads []read
 }
 
 // Put begins an order.
@@ -127,7 +127,7 @@
 				latest, latestRead = least, fmt.Sprintf("a read of %d", each.version)
 			}
 		}
-		if r.Rising && each.sure && each.least.After(latest) {
+		if !r.Lax && each.sure && each.least.After(latest) {
 			latest, latestRead = each.least, fmt.Sprintf("the decision of %d", each.version)
 		}
 	}
@@ -251,7 +251,7 @@
 		if put.answer != RefusedOlder {
 			continue
 		}
-		if !r.Rising {
+		if r.Lax {
 			complain("%d was refused as older where that is acknowledged", put.version)
 			continue
 		}
--- a/internal/checker/register_test.go
+++ b/internal/checker/register_test.go
@@ -35,7 +35,7 @@
 
 func registerOf(rising bool, operations []operation) *Register {
 	at := func(seconds int) time.Time { return time.Unix(int64(seconds), 0) }
-	register := &Register{Rising: rising}
+	register := &Register{Lax: !rising}
 	for _, each := range operations {
 		if each.read {
 			register.Read(each.version, each.content, at(each.began), at(each.ended))
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -7,6 +7,7 @@
 // it asks others to: from then on neither it nor any backup that took such a
 // record adds to the state of the present epoch, so that a spare's copy is never
 // older than what was answered.
+
 package consensus
 
 import (
@@ -166,7 +167,7 @@
 }
 
 // sendAppend sends the command under way to all backups that lack it.
-func (w *Watch) sendAppend(now time.Time, effects *statemachine.Effects) {
+func (w *Watch) sendAppend(_ time.Time, effects *statemachine.Effects) {
 	for _, name := range w.durable.Record.Backups {
 		w.sendAppendTo(name, effects)
 	}
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -2,6 +2,7 @@
 // placement, the epochs, and the retiring of stores. A controller that may not act
 // sends the request on or refuses it at once; it never answers from a state
 // that may be old.
+
 package controller
 
 import (
@@ -212,7 +213,16 @@
 func (c *Controller) retire(now time.Time, order Retirement, give answer, describe func(status int) (int, any), effects *statemachine.Effects) {
 	tooFew := controlclient.Error("too-few-stores", fmt.Sprintf("%d other stores must be alive to take the partitions", c.state.Tolerance+1), nil)
 	member, found := c.state.Members[order.Store]
-	if !found || member.Kind != membership.KindStore || member.Retiring == order.Retiring {
+	if !found || member.Kind != membership.KindStore {
+		c.confirmed(now, give, effects, func() (int, any) {
+			if status, value := describe(http.StatusOK); status == http.StatusNotFound {
+				return status, value
+			}
+			return http.StatusServiceUnavailable, controlclient.Error("refused", "the store has just joined; send the same again", nil)
+		})
+		return
+	}
+	if member.Retiring == order.Retiring {
 		c.confirmed(now, give, effects, func() (int, any) { return describe(http.StatusAccepted) })
 		return
 	}
--- a/internal/controller/shared_test.go
+++ b/internal/controller/shared_test.go
@@ -31,7 +31,6 @@
 
 type publication struct {
 	seq     uint64
-	request uint64
 	tries   int
 	refused int
 	busy    bool
