--- a/internal/controller/identity_test.go
+++ b/internal/controller/identity_test.go
@@ -65,7 +65,7 @@
 }
 
 func (p *pair) configure() {
-	p.apply(Command{Version: 1, Document: []byte(testConfig)})
+	p.apply(Command{Configuration: configured(1, testConfig)})
 }
 
 // publish sends a message of a sender of its own to the first.
