--- a/cmd/fleetlab/simulate.go
+++ b/cmd/fleetlab/simulate.go
@@ -33,7 +33,7 @@
 	parts    bool
 }
 
-func (*hunt) Name() string     { return "swell" }
+func (*hunt) Name() string     { return "simulate" }
 func (*hunt) Synopsis() string { return "run simulated scenarios over many seeds" }
 func (*hunt) Usage() string {
 	return "swell [-scenario NAME|all] [-from N] [-seeds N] [-trace]\n"
