--- a/cmd/fleetlab/simulate.go
+++ b/cmd/fleetlab/simulate.go
@@ -36,7 +36,7 @@
 func (*hunt) Name() string     { return "simulate" }
 func (*hunt) Synopsis() string { return "run simulated scenarios over many seeds" }
 func (*hunt) Usage() string {
-	return "swell [-scenario NAME|all] [-from N] [-seeds N] [-trace]\n"
+	return "simulate [-scenario NAME|all] [-from N] [-seeds N] [-trace]\n"
 }
 func (h *hunt) SetFlags(set *flag.FlagSet) {
 	set.StringVar(&h.scenario, "scenario", "all", "`name` of the scenario, or all")
@@ -136,7 +136,7 @@
 		if position == 8 {
 			break
 		}
-		fmt.Printf("  seed %d: fleetlab swell -scenario %s -from %d -seeds 1 -trace\n", result.seed, scenario.Name, result.seed)
+		fmt.Printf("  seed %d: fleetlab simulate -scenario %s -from %d -seeds 1 -trace\n", result.seed, scenario.Name, result.seed)
 		if h.shorten && scenario.Plot != nil {
 			h.shortest(scenario, result.seed)
 		}
