--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -57,6 +57,10 @@
 			checker.PutTaken(2, "two", at(6), at(6))
 			checker.ReadBack(1, "one", at(7), at(7))
 		},
+		NotLinear: func(checker *Checker) {
+			checker.Register.Put(1, "one", at(1)).End(Acknowledged, at(2))
+			checker.Register.Put(1, "other", at(1)).End(Acknowledged, at(2))
+		},
 		BrokenTaken: func(checker *Checker) { checker.BrokenWasTaken("a broken one") },
 		Lost: func(checker *Checker) {
 			try(checker, fresh, "accepted")
--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -1,47 +1,248 @@
-// A Lease is one controller's hold on a single duty that is not the primary's own,
-// such as the economy. It is granted by a majority of the voters, counted from
-// the moment of asking with a tenth off, and checked before every act.
+// The primary's lease: voters grant it against the asking moment, and an answer
+// that is read from the primary's state is confirmed by a majority first.
+
 package consensus
 
 import (
+	"slices"
 	"time"
+
+	"dahlialock/internal/logevent"
+	"dahlialock/internal/statemachine"
 )
 
-// Lease is the asker's side of a duty.
-type Lease struct {
-	duty    string
-	nonce   uint64
-	askedAt time.Time
-	need    int
-	givers  map[string]bool
-	until   time.Time
+func (w *Watch) renew(now time.Time, effects *statemachine.Effects) {
+	w.timers.Arm("renew", now.Add(renewEvery))
+	if w.blank {
+		return
+	}
+	if w.IsPrimary() && w.durable.Complete == w.durable.Record.Epoch {
+		w.watchLease(now, effects)
+		if len(w.queue) > 0 && w.queue[0].index > 0 && !w.queue[0].synced && now.Sub(w.queue[0].begun) > ownSlow && !statemachine.Mutated("patient-primary") {
+			if !w.yielded {
+				w.Yield(now, effects)
+			}
+			return
+		}
+		w.yielded = false
+		renew := Renew{Epoch: w.durable.Record.Epoch, Request: w.requests.Next()}
+		number := renew.Request.Number
+		w.renewals[number] = now
+		w.grants[number] = map[string]bool{}
+		delete(w.renewals, number-16)
+		delete(w.grants, number-16)
+		if now.Sub(w.decidedAt) < tellFor {
+			renew.Record = w.durable.Record
+		}
+		for _, controller := range w.durable.Record.Voters {
+			if !controller.At(w.settings.Self) {
+				effects.Send(controller.Address, renew)
+			}
+		}
+		w.grantOwn(now, number, effects)
+		w.follow(now, effects)
+		w.watchVoters(now, effects)
+		return
+	}
+	w.follow(now, effects)
 }
 
-// NewLease registers a duty that this controller may come to hold.
-func (w *Watch) NewLease(duty string) *Lease {
-	lease := &Lease{duty: duty, givers: map[string]bool{}}
-	w.leases[duty] = lease
-	return lease
+// grantOwn counts the primary's own vote, unless it has promised a ballot away.
+func (w *Watch) grantOwn(now time.Time, number uint64, effects *statemachine.Effects) {
+	if !w.mayGrant(now) {
+		return
+	}
+	w.grantedUntil, w.grantedTo = now.Add(LeaseLength), w.durable.Record.Primary
+	w.countGrant(now, w.settings.Self.Name, number, effects)
 }
 
-func (l *Lease) ask(now time.Time, need int) DutyAsk {
-	l.nonce++
-	l.askedAt, l.need = now, need
-	l.givers = map[string]bool{}
-	return DutyAsk{Duty: l.duty, Nonce: l.nonce}
+func (w *Watch) promisedAway() bool {
+	promised := w.durable.Promised
+	return promised.Count > 0 && promised.Name != w.durable.Record.Primary
 }
 
-func (l *Lease) given(name string, nonce uint64) {
-	if name == "" || nonce != l.nonce {
+func (w *Watch) countGrant(now time.Time, name string, number uint64, effects *statemachine.Effects) {
+	asked, found := w.renewals[number]
+	if !found {
+		return
+	}
+	w.grants[number][name] = true
+	if len(w.grants[number]) < w.durable.Record.Majority() {
 		return
 	}
-	l.givers[name] = true
-	if len(l.givers) >= l.need {
-		l.until = l.askedAt.Add(LeaseLength * 9 / 10)
+	until := asked.Add(LeaseLength * 9 / 10)
+	if until.After(w.leaseUntil) {
+		w.leaseUntil = until
+	}
+	if !w.leaseHeld && now.Before(w.leaseUntil) {
+		w.leaseHeld = true
+		effects.Note(logevent.LeaseGained, "epoch", w.durable.Record.Epoch)
 	}
 }
 
-// Held tells whether the duty may be done at this moment.
-func (l *Lease) Held(now time.Time) bool {
-	return now.Before(l.until)
+func (w *Watch) watchLease(now time.Time, effects *statemachine.Effects) {
+	if now.Before(w.leaseUntil) {
+		return
+	}
+	if w.leaseHeld {
+		w.leaseHeld = false
+		effects.Note(logevent.LeaseLost, "epoch", w.durable.Record.Epoch)
+	}
+	// Witnesses that promised a ballot away grant nothing more in this epoch;
+	// if that candidate is gone, the primary asks for the next epoch itself.
+	since := w.leaseUntil
+	if since.Before(w.actingSince) {
+		since = w.actingSince
+	}
+	if w.yielded || now.Sub(since) < lostAfter || w.trying != nil || w.gathered {
+		return
+	}
+	if lost, _ := w.failing(now); len(lost) == 0 {
+		record := w.durable.Record
+		record.Epoch++
+		w.replacing, w.gathered = true, true
+		w.begin(now, record, effects)
+	}
+}
+
+func (w *Watch) onRenew(now time.Time, from string, renew Renew, effects *statemachine.Effects) {
+	w.learn(now, renew.Record, effects)
+	record := w.durable.Record
+	if w.blank || renew.Epoch < record.Epoch {
+		if !w.blank {
+			effects.Send(from, Decided{Record: record})
+		}
+		return
+	}
+	if renew.Epoch > record.Epoch {
+		w.askRecord(from, effects)
+		return
+	}
+	if w.nameOf(from, record.Voters) != record.Primary || !w.mayGrant(now) {
+		return
+	}
+	if w.standDown(); w.takingOver {
+		return
+	}
+	w.primaryHeard = now
+	w.grantedUntil, w.grantedTo, w.grantedFor = now.Add(LeaseLength), record.Primary, renew.Request
+	effects.Send(from, Grant{Epoch: renew.Epoch, Request: renew.Request, Index: w.diskIndex, Complete: w.diskComplete})
+}
+
+// gives tells whether it gives the lease back that was granted for a renewal: one
+// of the same life, and none that was asked for later.
+func (y Yield) gives(granted statemachine.RequestID) bool {
+	if statemachine.Mutated("lives-alike") {
+		return true
+	}
+	return y.Request.Life == granted.Life && y.Request.Number >= granted.Number
+}
+
+// Yield gives the lease back, so that a backup need not wait for its end.
+func (w *Watch) Yield(now time.Time, effects *statemachine.Effects) {
+	if !w.IsPrimary() {
+		return
+	}
+	w.yielded = true
+	w.leaseUntil = time.Time{}
+	w.renewals, w.grants = map[uint64]time.Time{}, map[uint64]map[string]bool{}
+	effects.Note(logevent.LeaseYielded, "epoch", w.durable.Record.Epoch)
+	for _, controller := range w.durable.Record.Voters {
+		if !controller.At(w.settings.Self) {
+			effects.Send(controller.Address, Yield{Epoch: w.durable.Record.Epoch, Request: w.requests.Last()})
+		}
+	}
+}
+
+func (w *Watch) onYield(now time.Time, from string, yield Yield, effects *statemachine.Effects) {
+	record := w.durable.Record
+	if yield.Epoch != record.Epoch || !w.member() || w.nameOf(from, record.Voters) != record.Primary || w.grantedTo != record.Primary {
+		return
+	}
+	if !yield.gives(w.grantedFor) {
+		return
+	}
+	w.grantedUntil = now
+	w.primaryHeard = now.Add(-lostAfter)
+	w.follow(now, effects)
+}
+
+func (w *Watch) onGrant(now time.Time, from string, grant Grant, effects *statemachine.Effects) {
+	record := w.durable.Record
+	if !w.IsPrimary() || grant.Epoch != record.Epoch {
+		return
+	}
+	name := w.nameOf(from, record.Voters)
+	if name == "" {
+		return
+	}
+	if grant.Request.Named() {
+		number, own := w.requests.Own(grant.Request)
+		if !own {
+			return
+		}
+		w.lastGrant[name] = now
+		w.countGrant(now, name, number, effects)
+	}
+	if slices.Contains(record.Backups, name) {
+		w.onGrantOfBackup(now, from, name, grant, effects)
+	}
+}
+
+// Confirm asks a majority whether the present epoch still stands, so that an
+// answer read from the primary's state can't be an old one.
+func (w *Watch) Confirm(now time.Time, done Done, effects *statemachine.Effects) {
+	if !w.Speaking(now) || !w.stands() {
+		done(now, effects, Refused)
+		return
+	}
+	if statemachine.Mutated("lease-for-ever") {
+		done(now, effects, Committed)
+		return
+	}
+	request := w.requests.Next()
+	waiting := confirmation{done: done, limit: now.Add(confirmLimit), givers: map[string]bool{w.settings.Self.Address: true}}
+	w.confirms[request.Number] = waiting
+	w.timers.ArmSooner("limits", now.Add(confirmLimit))
+	for _, controller := range w.durable.Record.Voters {
+		if !controller.At(w.settings.Self) {
+			effects.Send(controller.Address, Confirm{Epoch: w.durable.Record.Epoch, Request: request})
+		}
+	}
+	w.confirmed(now, request.Number, effects)
+}
+
+// stands tells whether this controller has let nobody else have the next epoch.
+func (w *Watch) stands() bool {
+	return w.member() && !w.promisedAway() && !w.acceptedAway() && !w.takingOver
+}
+
+func (w *Watch) onConfirm(now time.Time, from string, confirm Confirm, effects *statemachine.Effects) {
+	if confirm.Epoch != w.durable.Record.Epoch || !w.stands() || w.unsure(now) {
+		return
+	}
+	effects.Send(from, ConfirmResponse(confirm))
+}
+
+func (w *Watch) onConfirmResponse(now time.Time, from string, returned ConfirmResponse, effects *statemachine.Effects) {
+	number, own := w.requests.Own(returned.Request)
+	waiting, found := w.confirms[number]
+	if !own || !found || returned.Epoch != w.durable.Record.Epoch {
+		return
+	}
+	waiting.givers[from] = true
+	w.confirmed(now, number, effects)
+}
+
+func (w *Watch) confirmed(now time.Time, number uint64, effects *statemachine.Effects) {
+	waiting := w.confirms[number]
+	if !enough(w.durable.Record.Epoch+1, w.durable.Record.Voters, waiting.givers) {
+		return
+	}
+	delete(w.confirms, number)
+	if !w.Speaking(now) || now.After(waiting.limit) {
+		waiting.done(now, effects, Unsettled)
+		return
+	}
+	waiting.done(now, effects, Committed)
 }
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -1,3 +1,9 @@
+// Package membership knows the members of the cluster and follows the control state.
+//
+// Package membership knows the members of the cluster and follows the control state.
+//
+// Package membership knows the members of the cluster and follows the control state.
+//
 // Members of the cluster, and the ring that names each member's watchers. Every
 // daemon computes the same ring from the same view, so that nobody has to be
 // told whom it watches.
@@ -91,7 +97,7 @@
 }
 
 // Ask is a daemon's question with what it has, and from which epoch it has it; it
-// is answered on news.
+// is answered on news. Nonce numbers the questions of one life of the asker.
 type Ask struct {
 	_       struct{} `cbor:",toarray"`
 	Self    Member
@@ -212,7 +218,7 @@
 
 // ControlRequest carries an operator's request on to the primary.
 type ControlRequest struct {
-	Request uint64
+	Request statemachine.RequestID
 	Method  string
 	Path    string
 	Body    []byte
@@ -220,7 +226,7 @@
 
 // ControlResponse is its answer.
 type ControlResponse struct {
-	Request    uint64
+	Request    statemachine.RequestID
 	Status     int
 	Body       []byte
 	RetryAfter time.Duration
--- a/internal/simulator/bandwidth.go
+++ b/internal/simulator/bandwidth.go
@@ -5,6 +5,7 @@
 // holds beyond that waits in internal/transport's own Order, held back by its Pace
 // and Window. Links have no bandwidth, and none of this acts, unless the Size names
 // one.
+
 package simulator
 
 import (
--- a/internal/simulator/bandwidth_test.go
+++ b/internal/simulator/bandwidth_test.go
@@ -1,5 +1,6 @@
 // Links with a bandwidth: what they take, whom they hold up, and that a run over
 // them is the same each time.
+
 package simulator
 
 import (
--- a/internal/simulator/grown.go
+++ b/internal/simulator/grown.go
@@ -1,6 +1,7 @@
 // The grown shape: many gateways on thin links, with callers whose messages take
 // the share of a link that they take on the users' grown deployment. What its
 // machines need after all of them lost power is seen here, by kind of message.
+
 package simulator
 
 import (
--- a/internal/transport/classes.go
+++ b/internal/transport/classes.go
@@ -1,5 +1,6 @@
 // Classes of messages: what goes first over a link that is full. Order holds
 // between two messages of one class to one peer, and between no others.
+
 package transport
 
 import (
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -1,4 +1,5 @@
 // The dialling loop: connections, and all that waits for them.
+
 package transport
 
 import (
--- a/internal/transport/order.go
+++ b/internal/transport/order.go
@@ -1,5 +1,6 @@
 // What waits for a machine's link, and which of it goes next. It holds no clock and
 // no socket, so that daemons and the simulator use the same.
+
 package transport
 
 const (
--- a/internal/transport/order_test.go
+++ b/internal/transport/order_test.go
@@ -1,5 +1,6 @@
 // What goes first over a link that is full, what is held back from it, and what is
 // lost: in virtual time, on a link that takes a few bytes a second.
+
 package transport
 
 import (
--- a/internal/transport/pace.go
+++ b/internal/transport/pace.go
@@ -1,6 +1,7 @@
 // How fast a daemon gives bytes to its machine's link, and how many of a connection
 // may be on their way. What a link can't take yet then waits here, where its order
 // can still be changed, and not in queues below.
+
 package transport
 
 import (
--- a/internal/transport/receive.go
+++ b/internal/transport/receive.go
@@ -1,4 +1,5 @@
 // The accepting side of the links: connections that came in, and their messages.
+
 package transport
 
 import (
--- a/internal/transport/send.go
+++ b/internal/transport/send.go
@@ -1,4 +1,5 @@
 // The owner's side of the links: a turn's frames, and its writes.
+
 package transport
 
 import (
