Daemons are told what their machine's link takes, and callers' bytes count toward it

The setting link, filled from the platform's limits, is the rate at which the transport gives bytes to the link. What the line server writes is counted and not held back.

--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -178,6 +178,7 @@
 		return p.failed(err)
 	}
 	p.impairment(current)
+	p.host.Transport().SetRate(current.Link)
 	if current.Compression == settings.CompressionFar {
 		p.host.Transport().Compress()
 	}
@@ -260,6 +261,7 @@
 	}
 	p.current = after
 	p.impairment(after)
+	p.host.Transport().SetRate(after.Link)
 	debug.SetMemoryLimit(after.MemoryLimit())
 	p.logger.SetLevel(after.LogLevel)
 	if p.built.Reload != nil {
@@ -502,7 +504,7 @@
 		"messages_out": counters.MessagesOut.Load(), "bytes_out": counters.BytesOut.Load(),
 		"messages_in": counters.MessagesIn.Load(), "bytes_in": counters.BytesIn.Load(),
 		"messages_away": counters.MessagesAway.Load(), "bytes_away": counters.BytesAway.Load(),
-		"dropped": counters.Dropped.Load(), "garbage": counters.Garbage.Load(), "writes": counters.Writes.Load(), "dials": counters.Dials.Load(), "shed": counters.Shed.Load(),
+		"dropped": counters.Dropped.Load(), "garbage": counters.Garbage.Load(), "writes": counters.Writes.Load(), "dials": counters.Dials.Load(), "shed": counters.Shed.Load(), "held": counters.Held.Load(),
 	}
 }
 
--- a/internal/lineserver/owner.go
+++ b/internal/lineserver/owner.go
@@ -38,6 +38,7 @@
 		}
 		s.Counters.Writes.Add(1)
 		s.Counters.BytesOut.Add(int64(to.sent))
+		s.settings.Host.Transport().Spent(to.sent)
 		if to.stuck.Load() {
 			rest := to.output[to.sent:]
 			to.output, to.owed = nil, len(rest)
@@ -61,6 +62,7 @@
 	sent, err := to.socket.Write(rest)
 	_ = to.socket.SetWriteDeadline(time.Time{})
 	s.Counters.BytesOut.Add(int64(sent))
+	s.settings.Host.Transport().Spent(sent)
 	s.settings.Host.Within(func(daemon.Owner) {
 		if err != nil {
 			if to.why == "" {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,6 +72,8 @@
 	Compression string
 	// Memory is how many bytes the process may use, 0 for no bound.
 	Memory int64
+	// Link is how many bytes a second the machine's link takes, 0 if nobody says.
+	Link int
 }
 
 // Bounds are the times that daemons hold each other and their callers to.
@@ -134,6 +136,7 @@
 var keys = []string{
 	"name", "address", "ctl", "caller", "zone", "seeds", "data", "agent", "gateway", "controllers", "key", "origins_most", "log_level",
 	"seeds_port", "bootstrap", "tolerance", "bounds", "callers", "admission", "versions", "memory", "operators", "compression", "descriptors", "tolerance_zones",
+	"link",
 }
 
 // Source is where settings come from.
@@ -273,6 +276,7 @@
 	settings.Operators = walk.Choice("$.operators", members["operators"], OperatorsJSON, operatorForms...)
 	settings.Compression = walk.Choice("$.compression", members["compression"], CompressionNone, CompressionNone, CompressionFar)
 	settings.Memory = readMemory(walk, "$.memory", members["memory"])
+	settings.Link = readLink(walk, "$.link", members["link"])
 	settings.Key = walk.Text("$.key", members["key"], "")
 	if s.kind == "gateway" && settings.Admission == AdmissionToken && len(settings.Key) < 16 {
 		walk.Report("$.key", "missing", "a key of 16 characters or more is wanted, the same on all gateways")
@@ -403,6 +407,45 @@
 	return count * unit
 }
 
+// linkUnits are the bits a second of a unit.
+var linkUnits = []struct {
+	name string
+	bits float64
+}{
+	{"kbit/s", 1e3}, {"Mbit/s", 1e6}, {"Gbit/s", 1e9},
+}
+
+const (
+	linkLeast = 10_000
+	linkMost  = 1 << 40
+)
+
+// readLink reads a text such as "2.6Mbit/s", and gives bytes a second.
+func readLink(walk *config.Reader, path string, value *fastjson.Value) int {
+	text := walk.Text(path, value, "")
+	if text == "" {
+		return 0
+	}
+	for _, each := range linkUnits {
+		number, found := strings.CutSuffix(text, each.name)
+		if !found {
+			continue
+		}
+		count, err := strconv.ParseFloat(number, 64)
+		bytes := count * each.bits / 8
+		switch {
+		case err != nil:
+		case bytes >= linkLeast && bytes <= linkMost:
+			return int(bytes)
+		default:
+			walk.Report(path, "out-of-range", "%s is not between 80kbit/s and 8796Gbit/s", text)
+			return 0
+		}
+	}
+	walk.Report(path, "wrong-type", "%q is not a rate such as \"2.6Mbit/s\"", text)
+	return 0
+}
+
 // MemoryLimit is the bound to give Go's collector: four fifths of what the
 // process may use, as the rest goes to what the collector does not count, or
 // no bound.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -51,7 +51,7 @@
 func TestSettingsThatSayAll(t *testing.T) {
 	made, _ := source(t, "store", `{`+storeBase+`,"seeds":["10.1.0.9:8264","10.2.0.9:8264"],"seeds_port":7120,"controllers":0,"bootstrap":true,
 		"tolerance":2,"bounds":{"contact":"4000ms","catch_up":"4.1s","presence":"5000ms"},"callers":"lines","admission":"open",
-		"versions":"highest","memory":"200MB"}`)
+		"versions":"highest","memory":"200MB","link":"2.6Mbit/s"}`)
 	current, err := made.Read()
 	assert.NilError(t, err)
 	assert.DeepEqual(t, current.Seeds, []string{"10.1.0.9:7120", "10.2.0.9:7120"})
@@ -65,6 +65,7 @@
 	assert.Equal(t, current.Versions, settings.VersionsHighest)
 	assert.Equal(t, current.Memory, int64(200e6))
 	assert.Equal(t, current.MemoryLimit(), int64(160e6))
+	assert.Equal(t, current.Link, 325_000)
 }
 
 func TestFlagsGoBeforeTheFile(t *testing.T) {
@@ -83,6 +84,10 @@
 func TestEveryFaultIsToldWithItsPath(t *testing.T) {
 	for text, path := range map[string]string{
 		`"seeds_port":70000`:           "$.seeds_port",
+		`"link":"2.6MB"`:               "$.link",
+		`"link":"1kbit/s"`:             "$.link",
+		`"link":"NaNMbit/s"`:           "$.link",
+		`"link":2.6`:                   "$.link",
 		`"seeds_port":"7120"`:          "$.seeds_port",
 		`"bootstrap":1`:                "$.bootstrap",
 		`"controllers":1`:              "$.controllers",
@@ -139,7 +144,7 @@
 func TestWhatOnlyAStartReadsMayChange(t *testing.T) {
 	before := settings.Settings{Name: "a", Seeds: []string{"10.1.0.9:1"}, Bootstrap: true, Tolerance: 1}
 	after := before
-	after.Seeds, after.Bootstrap, after.Tolerance, after.Memory = nil, false, 2, 1<<30
+	after.Seeds, after.Bootstrap, after.Tolerance, after.Memory, after.Link = nil, false, 2, 1<<30, 325_000
 	assert.Equal(t, len(settings.Fixed(before, after)), 0)
 	after.Callers, after.Name = settings.CallersLines, "b"
 	assert.DeepEqual(t, settings.Fixed(before, after), []string{"callers", "name"})
--- a/internal/transport/send.go
+++ b/internal/transport/send.go
@@ -148,7 +148,11 @@
 }
 
 // Spent tells of bytes that others gave to the machine's link.
-func (t *Transport) Spent(size int) { t.pace.Spend(time.Now(), size) }
+func (t *Transport) Spent(size int) {
+	if t.pace.rate.Load() != 0 {
+		t.pace.Spend(time.Now(), size)
+	}
+}
 
 // SetRate sets the bytes a second that the machine's link takes, 0 for no limit.
 func (t *Transport) SetRate(rate int) { t.pace.SetRate(rate) }
