Every run with operators is judged as a history; orders that meet across take-overs

Red with the mutations two-contents (pairs, seed 0), check-then-act (retire, seed 0), answer-before-backup (eight, seed 0) and lease-for-ever (eight, seed 1).

--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -145,6 +145,8 @@
 	Unready      = "unready"
 	RefusedCalm  = "refused-in-calm"
 	NotLinear    = "not-linearizable"
+	TooFewLeft   = "too-few-left"
+	RefusedAgain = "refused-again"
 )
 
 // TroubleFor is how long after the end of a fault daemons may still be unready
--- a/internal/controller/apply.go
+++ b/internal/controller/apply.go
@@ -67,7 +67,9 @@
 		return result{outcome: outcome}
 	}
 	if change.Version <= s.Version {
-		s.remember(change, true)
+		if change.Highest {
+			s.remember(change, true)
+		}
 		return result{outcome: Overtaken}
 	}
 	configuration, faults := config.Read(change.Document)
--- a/internal/controller/command.go
+++ b/internal/controller/command.go
@@ -35,6 +35,9 @@
 	Version  uint64
 	Document []byte
 	Digest   config.Digest
+	// Highest says that a number below the one in force is confirmed without coming
+	// into force; otherwise it is refused.
+	Highest bool
 	// At is when it came, by the clock of the primary, and Through the daemon that
 	// passed it on.
 	At      time.Time
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -130,9 +130,9 @@
 		c.answerConfiguration(result{outcome: Faulty, faults: faults}, give, effects)
 		return
 	}
-	change := ConfigurationChange{Version: configuration.Version, Digest: config.DigestOf(document), At: now, Through: through}
+	change := ConfigurationChange{Version: configuration.Version, Digest: config.DigestOf(document), Highest: c.settings.Highest, At: now, Through: through}
 	outcome, settled := c.state.decided(change)
-	if !settled && change.Version <= c.state.Version && !c.settings.Highest {
+	if !settled && change.Version <= c.state.Version && !change.Highest {
 		outcome, settled = Overtaken, true
 	}
 	if settled {
--- a/internal/simulator/mutation_test.go
+++ b/internal/simulator/mutation_test.go
@@ -42,6 +42,10 @@
 	{"no-notice-checks", "topics-steady", 10, []string{checker.Presence, checker.LateInCalm}},
 	{"place-skips-one", "topics-resets", 0, []string{checker.Lost, checker.Skipped}},
 	{"no-passing-offsets", "topics-relink", 0, []string{checker.Twice, checker.OutOfOrder}},
+	{"two-contents", "orders-pairs", 0, []string{checker.NotLinear}},
+	{"check-then-act", "orders-retire", 0, []string{checker.TooFewLeft}},
+	{"answer-before-backup", "orders-eight", 0, []string{checker.NotLinear}},
+	{"lease-for-ever", "orders-eight", 1, []string{checker.NotLinear}},
 	{"first-route-wins", "topics-resets", 0, []string{checker.Lost, checker.Skipped}},
 }
 
--- a/internal/simulator/operator.go
+++ b/internal/simulator/operator.go
@@ -89,7 +89,7 @@
 		return
 	}
 	began := simulation.Now
-	simulation.Control(node, http.MethodPut, "/v1/configuration", body, func(returned membership.ControlResponse, alive bool) {
+	o.order(node, version, body, func(_ checker.OrderAnswer, returned membership.ControlResponse, alive bool) {
 		switch {
 		case alive && returned.Status == http.StatusOK:
 			simulation.trace("configuration %d taken through %s", version, node.Name)
@@ -107,6 +107,36 @@
 	})
 }
 
+// order sends one order through one daemon, and tells the checker how it ended.
+func (o *Operator) order(node *Node, version uint64, body []byte, done func(answer checker.OrderAnswer, returned membership.ControlResponse, alive bool)) {
+	simulation := o.simulation
+	put := simulation.Checker.Register.Put(version, string(body), simulation.Now)
+	simulation.Control(node, http.MethodPut, "/v1/configuration", body, func(returned membership.ControlResponse, alive bool) {
+		answer := checker.Unclear
+		if alive {
+			answer = answerOf(returned)
+		}
+		put.End(answer, simulation.Now)
+		done(answer, returned, alive)
+	})
+}
+
+func answerOf(returned membership.ControlResponse) checker.OrderAnswer {
+	var body struct {
+		Code string `json:"code"`
+	}
+	must(json.Unmarshal(returned.Body, &body))
+	switch {
+	case returned.Status == http.StatusOK:
+		return checker.Acknowledged
+	case returned.Status == http.StatusConflict && body.Code == "same-version":
+		return checker.RefusedOther
+	case returned.Status == http.StatusConflict && body.Code == "older-version":
+		return checker.RefusedOlder
+	}
+	return checker.Unclear
+}
+
 // read reads the configuration back.
 func (o *Operator) read() {
 	simulation := o.simulation
@@ -126,6 +156,7 @@
 		must(json.Unmarshal(returned.Body, &got))
 		o.reads++
 		simulation.Checker.ReadBack(got.Version, string(got.Configuration), began, simulation.Now)
+		simulation.Checker.Register.Read(got.Version, string(got.Configuration), began, simulation.Now)
 	})
 }
 
--- /dev/null
+++ b/internal/simulator/orders.go
@@ -0,0 +1,251 @@
+// Orders that meet: two or eight operators at once under the same numbers, each
+// order sent again through other daemons after lost answers and long after it was
+// taken, stores ordered away two at a time, and all of it across take-overs.
+package simulator
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"dahlialock/internal/checker"
+	"dahlialock/internal/membership"
+)
+
+// Habits of operators who send the same order again.
+const (
+	orderPatience  = time.Second
+	orderPause     = 100 * time.Millisecond
+	orderTries     = 40
+	answersLostOne = 3 // of so many answers one is lost
+	resentWithin   = 12 * time.Second
+)
+
+// desk is where several operators work at once.
+type desk struct {
+	simulation *Simulation
+	operator   *Operator
+	highest    uint64
+	taken      int
+	refused    int
+}
+
+func newDesk(simulation *Simulation) *desk {
+	return &desk{simulation: simulation, operator: simulation.operator, highest: simulation.operator.version}
+}
+
+// content is what one operator puts under a number.
+func (d *desk) content(version uint64, who int) []byte {
+	body, err := json.Marshal(map[string]any{
+		"version": version,
+		"spaces": []any{
+			spaceDocument{Name: "boards", Promise: "kept"}, spaceDocument{Name: "decisions", Promise: "kept", Order: "channel"},
+			map[string]string{"name": "cursors", "promise": "passing", "answer_within": fmt.Sprintf("%dms", 2000+who)},
+		},
+	})
+	must(err)
+	return body
+}
+
+// tryElsewhere does something at any daemon but the one that was tried before.
+func (d *desk) tryElsewhere(before string, try func(node *Node)) {
+	node := d.operator.anyNode()
+	if node == nil || node.Name == before && d.simulation.Random.IntN(4) > 0 {
+		d.simulation.After(orderPause, func() { d.tryElsewhere("", try) })
+		return
+	}
+	try(node)
+}
+
+// put sends an order until its fate is clear: after a lost answer, a long silence or
+// a refusal for now it goes to another daemon.
+func (d *desk) put(version uint64, body []byte, tries int, before string) {
+	simulation := d.simulation
+	if tries == 0 {
+		return
+	}
+	d.tryElsewhere(before, func(node *Node) {
+		settled := false
+		again := func() {
+			if settled {
+				return
+			}
+			settled = true
+			simulation.After(orderPause*time.Duration(1+simulation.Random.IntN(orderTries-tries+3)), func() { d.put(version, body, tries-1, node.Name) })
+		}
+		simulation.After(orderPatience, again)
+		d.order(node, version, body, func(answer checker.OrderAnswer) {
+			switch {
+			case answer == checker.Unclear:
+				again()
+			case settled:
+			case answer == checker.Acknowledged:
+				settled = true
+				d.taken++
+				if simulation.Random.IntN(2) == 0 {
+					simulation.After(simulation.between(0, resentWithin), func() { d.put(version, body, 3, "") })
+				}
+			default:
+				settled = true
+				d.refused++
+			}
+		})
+	})
+}
+
+// order sends an order whose answer may be lost.
+func (d *desk) order(node *Node, version uint64, body []byte, done func(answer checker.OrderAnswer)) {
+	simulation := d.simulation
+	put := simulation.Checker.Register.Put(version, string(body), simulation.Now)
+	simulation.Control(node, http.MethodPut, "/v1/configuration", body, func(returned membership.ControlResponse, alive bool) {
+		answer := checker.Unclear
+		if alive && simulation.Random.IntN(answersLostOne) > 0 {
+			answer = answerOf(returned)
+		}
+		if answer == checker.Unclear && alive && returned.Status == http.StatusBadRequest {
+			simulation.Checker.Violate(checker.BrokenTaken, "a valid configuration was refused: %s", returned.Body)
+		}
+		simulation.trace("order %d through %s: %d, heard as %d", version, node.Name, returned.Status, answer)
+		put.End(answer, simulation.Now)
+		done(answer)
+	})
+}
+
+// race has several operators put their contents at once, under so many numbers.
+func (d *desk) race(operators, numbers int) {
+	first := d.highest + 1
+	d.highest += uint64(numbers)
+	for who := range operators {
+		version := first + uint64(who%numbers)
+		d.simulation.After(d.simulation.between(0, 30*time.Millisecond), func() {
+			d.put(version, d.content(version, who), orderTries, "")
+		})
+	}
+}
+
+// retireTwo has two operators order two stores away at once, where only one may
+// go, sends what was taken again, and takes it back.
+func (d *desk) retireTwo(done func()) {
+	stores := d.simulation.Nodes(membership.KindStore)
+	first := d.simulation.Random.IntN(len(stores))
+	pair := []*Node{stores[first], stores[(first+1)%len(stores)]}
+	var away []*Node
+	left := len(pair)
+	for _, store := range pair {
+		d.retire(store, "retire", orderTries, func(status int) {
+			if status == http.StatusAccepted {
+				away = append(away, store)
+			}
+			if left--; left > 0 {
+				return
+			}
+			if len(away) == len(pair) {
+				d.simulation.Checker.Violate(checker.TooFewLeft, "%s and %s were both ordered away", pair[0].Name, pair[1].Name)
+			}
+			d.repeat(away, done)
+		})
+	}
+}
+
+// repeat sends orders that were taken again after a while, and takes them back.
+func (d *desk) repeat(away []*Node, done func()) {
+	if len(away) == 0 {
+		done()
+		return
+	}
+	store, rest := away[0], away[1:]
+	d.simulation.After(d.simulation.between(0, 4*time.Second), func() {
+		d.retire(store, "retire", orderTries, func(status int) {
+			if status != http.StatusAccepted {
+				d.simulation.Checker.Violate(checker.RefusedAgain, "the order to retire %s was taken and then refused with %d", store.Name, status)
+			}
+			d.retire(store, "return", orderTries, func(int) { d.repeat(rest, done) })
+		})
+	})
+}
+
+// retire sends an order about a store until its fate is clear.
+func (d *desk) retire(store *Node, verb string, tries int, done func(status int)) {
+	simulation := d.simulation
+	if tries == 0 {
+		done(0)
+		return
+	}
+	d.tryElsewhere("", func(node *Node) {
+		settled := false
+		end := func(status int) {
+			if settled {
+				return
+			}
+			settled = true
+			if slices.Contains([]int{http.StatusAccepted, http.StatusConflict, http.StatusNotFound}, status) {
+				done(status)
+				return
+			}
+			simulation.After(simulation.between(orderPause, 5*orderPause), func() { d.retire(store, verb, tries-1, done) })
+		}
+		simulation.After(orderPatience, func() { end(0) })
+		simulation.Control(node, http.MethodPost, "/v1/stores/"+store.Name+"/"+verb, nil, func(returned membership.ControlResponse, alive bool) {
+			simulation.trace("%s %s through %s: %d", verb, store.Name, node.Name, returned.Status)
+			if !alive || simulation.Random.IntN(answersLostOne) == 0 {
+				returned.Status = 0
+			}
+			end(returned.Status)
+		})
+	})
+}
+
+// takeOvers has the primary lost in one way after another.
+func takeOvers(simulation *Simulation, length time.Duration) {
+	turn := simulation.Random.IntN(3)
+	simulation.every(length, 6*time.Second, 9*time.Second, func() {
+		primary := simulation.controllerIn("primary")
+		if primary == nil {
+			return
+		}
+		turn++
+		wait := simulation.between(500*time.Millisecond, 5*time.Second)
+		switch turn % 3 {
+		case 0:
+			simulation.killFor(primary, wait, false)
+		case 1:
+			simulation.freezeFor(primary, wait)
+		case 2:
+			simulation.trace("%s is cut off", primary.Name)
+			simulation.CutAway(func(node *Node) bool { return node == primary })
+			simulation.After(wait, simulation.Heal)
+		}
+	})
+}
+
+func ordersOfPairs(simulation *Simulation, length time.Duration) {
+	desk := newDesk(simulation)
+	simulation.every(length, 200*time.Millisecond, 700*time.Millisecond, func() { desk.race(2, 1) })
+	simulation.every(length, 100*time.Millisecond, 300*time.Millisecond, simulation.operator.read)
+	simulation.After(length+12*time.Second, simulation.operator.read)
+	takeOvers(simulation, length)
+}
+
+func ordersOfEight(simulation *Simulation, length time.Duration) {
+	desk := newDesk(simulation)
+	simulation.every(length, 600*time.Millisecond, 1500*time.Millisecond, func() { desk.race(8, 1+simulation.Random.IntN(4)) })
+	simulation.every(length, 100*time.Millisecond, 300*time.Millisecond, simulation.operator.read)
+	simulation.After(length+12*time.Second, simulation.operator.read)
+	takeOvers(simulation, length)
+}
+
+func ordersToRetire(simulation *Simulation, length time.Duration) {
+	desk := newDesk(simulation)
+	until := simulation.Now.Add(length)
+	var next func()
+	next = func() {
+		if simulation.Now.Before(until) {
+			desk.retireTwo(func() { simulation.After(simulation.between(200*time.Millisecond, 2*time.Second), next) })
+		}
+	}
+	next()
+	simulation.every(length, time.Second, 2*time.Second, func() { desk.race(2, 1) })
+	takeOvers(simulation, length)
+}
--- /dev/null
+++ b/internal/simulator/orders_test.go
@@ -0,0 +1,52 @@
+// Orders that meet, judged as histories: in both modes of numbers, and hundreds over
+// a long day.
+package simulator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestOrdersThatMeetWhereTheHighestNumberCounts(t *testing.T) {
+	for _, name := range []string{"orders-pairs", "orders-eight", "orders-retire"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			scenario, found := Find(name)
+			assert.Assert(t, found)
+			run := Run(scenario, 1, Sizes["highest"], nil)
+			for _, line := range run.Checker.Violations() {
+				t.Errorf("fleetlab swell -scenario %s -size highest -from 1 -seeds 1 -trace: %s", name, line)
+			}
+			t.Logf("%d operations", run.Checker.Register.Operations())
+			assert.Assert(t, run.Checker.Register.Operations() > 60)
+		})
+	}
+}
+
+// Several hundred orders over a long day, with few daemons so that it is quick.
+func TestHundredsOfOrdersOverALongDay(t *testing.T) {
+	for _, highest := range []bool{true, false} {
+		t.Run(fmt.Sprint("highest ", highest), func(t *testing.T) {
+			t.Parallel()
+			size := Size{Gateways: 1, Stores: 2, Controllers: 5, Places: 3, Delay: time.Millisecond, Highest: highest}
+			run, operator := Prepare(7, size, nil)
+			const day = 3 * time.Minute
+			desk := newDesk(run)
+			run.every(day, time.Second, 2*time.Second, func() { desk.race(1+run.Random.IntN(8), 1+run.Random.IntN(3)) })
+			run.every(day, 200*time.Millisecond, 500*time.Millisecond, operator.read)
+			takeOvers(run, day)
+			run.Run(day)
+			run.Heal()
+			run.Run(20 * time.Second)
+			operator.read()
+			run.Run(5 * time.Second)
+			faults := run.Checker.Register.Faults()
+			assert.Equal(t, len(faults), 0, "%v", faults)
+			t.Logf("%d operations, %d taken, %d refused", run.Checker.Register.Operations(), desk.taken, desk.refused)
+			assert.Assert(t, desk.taken > 200 && desk.refused > 30)
+		})
+	}
+}
--- a/internal/simulator/scenario.go
+++ b/internal/simulator/scenario.go
@@ -604,6 +604,9 @@
 			}, func() {})
 		})
 	},
+	"orders-pairs":  ordersOfPairs,
+	"orders-eight":  ordersOfEight,
+	"orders-retire": ordersToRetire,
 	"remove-space": func(simulation *Simulation, length time.Duration) {
 		simulation.briefSpace(length)
 	},
