--- a/internal/controller/apply.go
+++ b/internal/controller/apply.go
@@ -135,8 +135,8 @@
 // Members.
 
 // joined is a member's record once a life of it has joined. An order to empty a
-// store holds whatever becomes of its processes and disks; it ends with another
-// machine that takes the name of one that was done.
+// store holds whatever becomes of its processes and disk, until it is done: then the
+// machine is taken away, and one of its name with another disk is a new one.
 func (s *State) joined(self membership.Member) membership.Member {
 	known, found := s.Members[self.Name]
 	anew := !found || known.Incarnation != self.Incarnation
@@ -144,7 +144,7 @@
 	next.Alive = true
 	next.Joined, next.Retiring, next.Retired = known.Joined, known.Retiring, known.Retired
 	next.Resting, next.Degraded = known.Resting && !anew, known.Degraded && !anew
-	if known.Retired && known.Disk != self.Disk && known.Address != self.Address {
+	if known.Retired && known.Disk != self.Disk {
 		next.Retiring, next.Retired = false, false
 	}
 	return next
--- a/internal/controller/orders_test.go
+++ b/internal/controller/orders_test.go
@@ -216,18 +216,21 @@
 	assert.Assert(t, !member.Alive)
 }
 
-// An order to empty a store holds for whatever disk it comes back with; only a
-// store that was done and taken away begins anew.
+// An order to empty a store holds for whatever disk it comes back with, until it is
+// done.
 func TestARetirementOutlastsADisk(t *testing.T) {
 	alone := newLone(t, true)
 	alone.joins(membership.KindStore, "store-1", "store-2", "store-3")
 	alone.order(http.MethodPut, "/v1/configuration", `{"version": 1, "spaces": [{"name": "a", "promise": "kept"}]}`)
 	alone.pass(4 * time.Second)
 	alone.joins(membership.KindStore, "store-1", "store-2", "store-3")
-	assert.Equal(t, alone.ask(http.MethodPost, retirePath("store-1"), ""), http.StatusAccepted)
-	alone.hears(memberNamed(membership.KindStore, "store-1", 2, "another disk"))
+	leaving := alone.controller.state.Places[PartitionName("a", 1, 0)].First
+	assert.Equal(t, alone.ask(http.MethodPost, retirePath(leaving), ""), http.StatusAccepted)
+	assert.Assert(t, !alone.member(leaving).Retired, "its partitions lie nowhere else")
+	alone.hears(memberNamed(membership.KindStore, leaving, 2, "another disk"))
 	alone.pass(200 * time.Millisecond)
-	assert.Assert(t, alone.member("store-1").Retiring, "an order that was acknowledged is forgotten")
+	assert.Equal(t, alone.member(leaving).Incarnation, uint64(2))
+	assert.Assert(t, alone.member(leaving).Retiring, "an order that was acknowledged is forgotten")
 }
 
 func configurationOf(version int, answerWithin string) string {
