--- a/internal/consensus/duty.go
+++ b/internal/consensus/duty.go
@@ -18,7 +18,7 @@
 // Lease is the asker's side of a duty.
 type Lease struct {
 	duty    string
-	nonce   uint64
+	request statemachine.RequestID
 	askedAt time.Time
 	need    int
 	givers  map[string]bool
@@ -32,15 +32,14 @@
 	return lease
 }
 
-func (l *Lease) ask(now time.Time, need int) DutyAsk {
-	l.nonce++
-	l.askedAt, l.need = now, need
+func (l *Lease) ask(now time.Time, request statemachine.RequestID, need int) DutyAsk {
+	l.request, l.askedAt, l.need = request, now, need
 	l.givers = map[string]bool{}
-	return DutyAsk{Duty: l.duty, Nonce: l.nonce}
+	return DutyAsk{Duty: l.duty, Request: l.request}
 }
 
-func (l *Lease) given(name string, nonce uint64) {
-	if name == "" || nonce != l.nonce {
+func (l *Lease) given(name string, request statemachine.RequestID) {
+	if name == "" || request != l.request {
 		return
 	}
 	l.givers[name] = true
@@ -60,20 +59,14 @@
 		return
 	}
 	held := w.duties[ask.Duty]
-	if ask.Leave {
-		if held.holder == name {
-			delete(w.duties, ask.Duty)
-		}
-		return
-	}
 	// A witness that was restarted has forgotten whom it granted a duty to, and
 	// one that came into the voters does not know whom others did.
 	if now.Before(w.forgetful) || held.holder != name && now.Before(held.until) {
-		w.reply(now, from, DutyResponse{Duty: ask.Duty, Nonce: ask.Nonce, Holder: held.holder}, effects)
+		w.reply(now, from, DutyResponse{Duty: ask.Duty, Request: ask.Request, Holder: held.holder}, effects)
 		return
 	}
 	w.duties[ask.Duty] = duty{holder: name, until: now.Add(LeaseLength)}
-	w.reply(now, from, DutyResponse{Duty: ask.Duty, Nonce: ask.Nonce, Given: true, Holder: name}, effects)
+	w.reply(now, from, DutyResponse{Duty: ask.Duty, Request: ask.Request, Given: true, Holder: name}, effects)
 }
 
 // AskDuty asks the voters for a duty's lease; the answers go to Lease.
@@ -81,7 +74,7 @@
 	if !w.member() {
 		return
 	}
-	ask := lease.ask(now, w.durable.Record.Majority())
+	ask := lease.ask(now, w.requests.Next(), w.durable.Record.Majority())
 	for _, controller := range w.durable.Record.Voters {
 		if controller.Name == w.settings.Self.Name {
 			w.onDutyAsk(now, controller.Address, ask, effects)
--- a/internal/controller/apply.go
+++ b/internal/controller/apply.go
@@ -160,6 +160,9 @@
 		next.Joined = s.Index
 	}
 	s.setMember(next)
+	if found && beginsAnew(known, next) {
+		s.renewEpochs(next.Name)
+	}
 }
 
 func (s *State) applyDeparture(departure Departure) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -50,6 +50,8 @@
 	Seeds    []string
 	Founding bool
 	NewDisk  string
+	// Life names this run of the process.
+	Life statemachine.Life
 	// Highest answers a configuration that is not above the one held as taken;
 	// otherwise it is a conflict, unless it is the same.
 	Highest bool
@@ -118,7 +120,7 @@
 		tolerance = *settings.Tolerance
 	}
 	watch, err := consensus.New(consensus.Settings{
-		Self: self, Count: settings.Count, Seeds: settings.Seeds, Founding: settings.Founding, Tolerance: tolerance, NewDisk: settings.NewDisk,
+		Self: self, Count: settings.Count, Seeds: settings.Seeds, Founding: settings.Founding, Tolerance: tolerance, NewDisk: settings.NewDisk, Life: settings.Life,
 	}, controller.state, frame, entries)
 	if err != nil {
 		return nil, err
@@ -127,8 +129,8 @@
 	controller.lease = watch.NewLease("economy")
 	controller.economist = consolidation.New()
 	controller.pulse = membership.NewPulse(settings.Self)
-	controller.follower = membership.NewFollower(settings.Self, append([]string{settings.Self.Address}, settings.Seeds...), func() membership.Load { return membership.Load{} })
-	controller.controlClient = controlclient.New(controller.upstream, controller.follower.Other)
+	controller.follower = membership.NewFollower(settings.Self, settings.Life, append([]string{settings.Self.Address}, settings.Seeds...), func() membership.Load { return membership.Load{} })
+	controller.controlClient = controlclient.New(settings.Life, controller.upstream, controller.follower.Other)
 	return controller, nil
 }
 
--- a/internal/controller/orders_test.go
+++ b/internal/controller/orders_test.go
@@ -54,7 +54,7 @@
 	l.unsynced = append(l.unsynced, effects.Writes...)
 	for _, send := range effects.Sends {
 		if response, answers := send.Message.(membership.ControlResponse); answers && send.To == operatorAddress {
-			l.answers[response.Request] = response
+			l.answers[response.Request.Number] = response
 		}
 		if send.To == "controller" {
 			l.tell("controller", send.Message)
@@ -108,7 +108,7 @@
 func (l *lone) order(method, path, body string) uint64 {
 	l.requests++
 	request := l.requests
-	l.tell(operatorAddress, membership.ControlRequest{Request: request, Method: method, Path: path, Body: []byte(body)})
+	l.tell(operatorAddress, membership.ControlRequest{Request: statemachine.RequestID{Life: 1, Number: request}, Method: method, Path: path, Body: []byte(body)})
 	return request
 }
 
