--- a/internal/checker/register.go
+++ b/internal/checker/register.go
@@ -15,6 +15,7 @@
 // before that of each higher number. Such an order has moments in given intervals
 // just if the least moments that it allows, taken from the lowest number upwards,
 // all lie in their intervals. So a run's history is judged in one pass.
+
 package checker
 
 import (
--- a/internal/config/digest.go
+++ b/internal/config/digest.go
@@ -1,4 +1,5 @@
 // Digests tell whether two documents say the same.
+
 package config
 
 import (
--- a/internal/controller/apply.go
+++ b/internal/controller/apply.go
@@ -1,5 +1,6 @@
 // The application of commands: each part is judged by the state that the log's
 // order has led to, and changes only the fields that it is about.
+
 package controller
 
 import (
--- a/internal/controller/command.go
+++ b/internal/controller/command.go
@@ -3,6 +3,7 @@
 // decided on, and is judged again where it is applied. What another command
 // changed meanwhile stays, and the order of the log decides between orders that
 // exclude each other.
+
 package controller
 
 import (
--- a/internal/controller/history.go
+++ b/internal/controller/history.go
@@ -1,6 +1,7 @@
 // The history of configurations: which content was confirmed under which number.
 // By it an order that was taken is known again whenever and through whichever
 // daemon it comes, and no number is confirmed with a second content.
+
 package controller
 
 import (
--- a/internal/simulator/operator.go
+++ b/internal/simulator/operator.go
@@ -1,5 +1,6 @@
 // Operators: they put configurations through whichever daemon, race, repeat, read
 // back, and tell the checker what they saw.
+
 package simulator
 
 import (
--- a/internal/simulator/orders.go
+++ b/internal/simulator/orders.go
@@ -1,6 +1,7 @@
 // Orders that meet: two or eight operators at once under the same numbers, each
 // order sent again through other daemons after lost answers and long after it was
 // taken, stores ordered away two at a time, and all of it across take-overs.
+
 package simulator
 
 import (
