--- a/internal/controller/apply.go
+++ b/internal/controller/apply.go
@@ -232,16 +232,16 @@
 // unless its partition changed since or is no longer wanted, or a store that it
 // gives a copy to has been lost or ordered away.
 func (s *State) applyPlace(place membership.Placement) {
-	if earlier, found := s.Places[place.Partition]; found && (earlier.Epoch >= place.Epoch || s.PlaceAt[place.Partition] >= place.Epoch) {
+	earlier, found := s.Places[place.Partition]
+	if found && (earlier.Epoch >= place.Epoch || s.PlaceAt[place.Partition] >= place.Epoch) || !s.wants(place.Partition) {
 		return
 	}
-	if !s.wants(place.Partition) {
-		return
+	given := place.Followers
+	if !found {
+		given = append([]string{place.First}, given...)
 	}
-	for _, name := range place.Followers {
-		if member := s.Members[name]; !member.Alive || member.Retiring {
-			return
-		}
+	if slices.ContainsFunc(given, func(name string) bool { return !s.Members[name].Alive || s.Members[name].Retiring }) {
+		return
 	}
 	s.setPlace(place)
 }
