The log outlasts every loss of power, with names kept or lost one by one

The disk in memory now loses what a machine's disk may lose: after a loss of power each later write is there, missing or torn anywhere, and each name that was made, renamed or removed without a sync of its folder is kept or lost by itself; power can be lost between any two operations.

Now the entries of a batch after its first carry another checksum, a damaged beginning is reported, opening syncs what it read before anybody relies on it, and files are put aside under a mark that lasts.

--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -286,10 +286,7 @@
 	book, recovered, err := p.openBook(folder)
 	if errorx.IsOfType(err, wal.ErrorDamage) {
 		p.logger.Report(logevent.DiskDamaged, "error", err.Error())
-		if err := putAside(path); err != nil {
-			return nil, stored, err
-		}
-		if folder, err = wal.OpenFileFolder(path); err != nil {
+		if err := wal.PutAside(folder); err != nil {
 			return nil, stored, err
 		}
 		book, recovered, err = p.openBook(folder)
@@ -333,25 +330,6 @@
 // heldLocks keeps the files open for as long as the process lives.
 var heldLocks []*os.File
 
-func putAside(path string) error {
-	aside := filepath.Join(path, "damaged-"+strconv.FormatInt(time.Now().UnixNano(), 10))
-	if err := os.MkdirAll(aside, 0o755); err != nil {
-		return err
-	}
-	entries, err := os.ReadDir(path)
-	if err != nil {
-		return err
-	}
-	for _, entry := range entries {
-		if strings.HasPrefix(entry.Name(), "slot-") || strings.HasPrefix(entry.Name(), "log-") {
-			if err := os.Rename(filepath.Join(path, entry.Name()), filepath.Join(aside, entry.Name())); err != nil {
-				return err
-			}
-		}
-	}
-	return nil
-}
-
 func mustRandom() string {
 	var body [8]byte
 	if _, err := rand.Read(body[:]); err != nil {
--- a/internal/simulator/simulator.go
+++ b/internal/simulator/simulator.go
@@ -38,6 +38,10 @@
 // stepProcessor stands for the processor time of one step of a machine.
 const stepProcessor = 50 * time.Microsecond
 
+// powerCutOperations is how many more operations a disk does at most when the power is
+// lost: a snapshot with a new log takes five to nine.
+const powerCutOperations = 12
+
 // Small is a fleet that is quick to run and has every kind of daemon.
 var Small = Size{Gateways: 5, Stores: 3, Controllers: 5, Places: 3, Delay: time.Millisecond, Callers: 12}
 
@@ -357,18 +361,23 @@
 	simulation := n.simulation
 	simulation.trace("%s is killed", n.Name)
 	if n.disk != nil {
-		// What waits for the disk may have reached it in part, unsynced.
-		for _, write := range n.writes {
-			if write.Frame != nil || write.Pack != nil {
-				break
-			}
-			n.book.Scribble(write.Entries)
-		}
-		n.disk.PowerCut(simulation.Random.IntN(200))
+		n.losePower()
 	}
 	n.end()
 }
 
+// losePower stops the disk in the midst of what waits for it, between any two of its
+// operations; of what was not synced each write and each name lasts or not by itself.
+func (n *Node) losePower() {
+	n.disk.Limit(n.simulation.Random.IntN(powerCutOperations))
+	for _, write := range n.writes {
+		if n.tryWrite(write) != nil {
+			break
+		}
+	}
+	n.disk.PowerCut(n.simulation.Random.IntN)
+}
+
 // Crash ends a daemon's process as a bug does, while its machine stays up: what
 // was written lasts, its links are reset, and whoever dials it is refused.
 func (n *Node) Crash() {
@@ -585,14 +594,19 @@
 	}
 }
 
-func (n *Node) perform(write statemachine.Write) {
+func (n *Node) perform(write statemachine.Write) { must(n.tryWrite(write)) }
+
+func (n *Node) tryWrite(write statemachine.Write) error {
 	n.Syncs++
 	if frame, whole := write.Whole(); whole {
-		must(n.book.Checkpoint(frame))
+		if err := n.book.Checkpoint(frame); err != nil {
+			return err
+		}
 	}
 	if len(write.Entries) > 0 {
-		must(n.book.Append(write.Entries))
+		return n.book.Append(write.Entries)
 	}
+	return nil
 }
 
 // writeDisk does one batch at a time, and takes a while for it.
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -1,10 +1,13 @@
 // Package wal keeps a daemon's own state on a small disk: two slots that
 // are written in turn, with a short log between. A slot holds a whole frame
 // with a generation; the log of a generation holds the entries after it. A
-// write lasts only once it is synced, file and folder both. On opening, the
-// newest whole slot wins and the logs after it are replayed; a torn tail is
-// cut, and damage anywhere else is an error that the owner must answer by
-// rebuilding its copy from another holder.
+// write lasts only once it is synced, and a name once its folder is: each name that
+// was made, renamed or removed since then may be kept or lost by itself. So names are
+// made once and used again, and no name is removed. On opening, the newest whole slot
+// wins and the logs after it are replayed, and what was read is synced before anybody
+// relies on it, since the process before may have ended between writing and syncing.
+// A torn tail is cut, and damage anywhere else is an error that the owner must answer
+// by putting the files aside and rebuilding its copy from another holder.
 package wal
 
 import (
@@ -13,6 +16,8 @@
 	"hash/crc32"
 
 	"github.com/joomcode/errorx"
+
+	"dahlialock/internal/statemachine"
 )
 
 var (
@@ -31,6 +36,7 @@
 	logMagic    = "dllog001"
 	prefixSize  = 16
 	entryHeader = 8
+	logNames    = 3
 )
 
 var table = crc32.MakeTable(crc32.Castagnoli)
@@ -43,6 +49,7 @@
 	Append(name string, body []byte) error
 	Truncate(name string, size int64) error
 	Sync(name string) error
+	Rename(from, to string) error
 	Remove(name string) error
 	SyncFolder() error
 }
@@ -61,7 +68,9 @@
 	generation uint64
 	logSize    int64
 	uncut      bool
-	Syncs      int64
+	// lasting are the names that a sync of the folder covered.
+	lasting map[string]bool
+	Syncs   int64
 }
 
 func slotName(generation uint64) string {
@@ -72,7 +81,7 @@
 }
 
 func logName(generation uint64) string {
-	return fmt.Sprintf("log-%d", generation%3)
+	return fmt.Sprintf("log-%d", generation%logNames)
 }
 
 func seal(magic string, generation uint64) []byte {
@@ -82,6 +91,21 @@
 	return prefix
 }
 
+// continues marks, in the checksum, the entries of a batch after its first. A batch is
+// written at once and may be torn anywhere: one of its later entries may be whole where
+// its first is not.
+const continues = 1 << 63
+
+func appendBatch(body []byte, generation uint64, entries [][]byte) []byte {
+	for position, entry := range entries {
+		if position > 0 && !statemachine.Mutated("one-checksum") {
+			generation |= continues
+		}
+		body = appendEntry(body, generation, entry)
+	}
+	return body
+}
+
 func appendEntry(body []byte, generation uint64, entry []byte) []byte {
 	var header [entryHeader]byte
 	binary.BigEndian.PutUint32(header[:], uint32(len(entry)))
@@ -144,8 +168,11 @@
 	return slot{present: true, whole: true, generation: generation, frame: frame}, nil
 }
 
-// Open reads a folder, making it if it is blank.
+// Open reads a folder, making it if it is blank. What it gives lasts.
 func Open(folder Folder) (*Log, Recovered, error) {
+	if err := finishPuttingAside(folder); err != nil {
+		return nil, Recovered{}, err
+	}
 	even, err := readSlot(folder, "slot-even")
 	if err != nil {
 		return nil, Recovered{}, err
@@ -158,84 +185,126 @@
 	if odd.whole && (!even.whole || odd.generation > even.generation) {
 		newest = odd
 	}
-	book := &Log{folder: folder}
+	book := &Log{folder: folder, lasting: map[string]bool{}}
 	if !newest.whole {
 		return book, Recovered{Blank: true}, book.found(even.present && odd.present)
 	}
 	recovered := Recovered{Frame: newest.frame}
 	book.generation = newest.generation
+	if err := book.lastAgain(even, odd); err != nil {
+		return nil, Recovered{}, err
+	}
 	err = book.replay(&recovered, even.present && odd.present && !(even.whole && odd.whole))
 	return book, recovered, err
 }
 
+// lastAgain syncs what the process before may have written and not synced: the slot
+// that counts, and all names.
+func (l *Log) lastAgain(even, odd slot) error {
+	if statemachine.Mutated("unsynced-opening") {
+		return nil
+	}
+	if err := l.sync(slotName(l.generation)); err != nil {
+		return err
+	}
+	if err := l.syncFolder(); err != nil {
+		return err
+	}
+	l.lasting["slot-even"], l.lasting["slot-odd"] = even.present, odd.present
+	return nil
+}
+
+// found begins a blank folder. Where a log was begun, a slot was whole and synced
+// before, so that one is missing or damaged.
 func (l *Log) found(bothDamaged bool) error {
 	if bothDamaged {
 		return ErrorDamage.New("neither slot is whole")
 	}
-	for generation := range uint64(3) {
-		if _, found, err := l.folder.Read(logName(generation)); err != nil || found {
-			if err != nil {
-				return ErrorDisk.Wrap(err, "reading a log")
-			}
-			if _, slotFound, _ := l.folder.Read("slot-odd"); !slotFound {
-				return ErrorDamage.New("a log without any slot")
-			}
+	for number := range uint64(logNames) {
+		body, _, err := l.folder.Read(logName(number))
+		if err != nil {
+			return ErrorDisk.Wrap(err, "reading a log")
+		}
+		if _, _, whole := readPrefix(body, logMagic); whole {
+			return ErrorDamage.New("a log without any slot")
 		}
 	}
 	return l.Checkpoint(nil)
 }
 
+// replay reads the logs from the newest whole slot on.
 func (l *Log) replay(recovered *Recovered, otherTorn bool) error {
 	for {
-		name := logName(l.generation)
-		body, found, err := l.folder.Read(name)
+		ended, err := l.replayLog(recovered)
+		if ended || err != nil {
+			return err
+		}
+		next, _, err := l.folder.Read(logName(l.generation + 1))
 		if err != nil {
-			return ErrorDisk.Wrap(err, "reading %s", name)
+			return ErrorDisk.Wrap(err, "reading a log")
 		}
-		generation, rest, whole := uint64(0), []byte(nil), false
-		if found {
-			generation, rest, whole = readPrefix(body, logMagic)
+		followed, _, whole := readPrefix(next, logMagic)
+		if !whole || followed != l.generation+1 {
+			return nil
 		}
-		if !whole || generation != l.generation {
-			// The slot was synced but its log was not begun yet.
-			return l.beginLog()
+		if !otherTorn {
+			return ErrorDamage.New("log %d follows without its slot", followed)
 		}
-		kept := len(body) - len(rest)
-		for len(rest) > 0 {
-			entry, after, whole := readEntry(rest, generation)
-			if !whole {
-				break
-			}
-			recovered.Entries = append(recovered.Entries, entry)
-			kept = len(body) - len(after)
-			rest = after
+		l.generation++
+	}
+}
+
+// replayLog reads the log of the present generation; it tells whether no other can
+// follow.
+func (l *Log) replayLog(recovered *Recovered) (ended bool, err error) {
+	name := logName(l.generation)
+	body, found, err := l.folder.Read(name)
+	if err != nil {
+		return true, ErrorDisk.Wrap(err, "reading %s", name)
+	}
+	// The names that were there when the folder was opened were synced then.
+	l.lasting[name] = found && !statemachine.Mutated("unsynced-opening")
+	generation, rest, whole := readPrefix(body, logMagic)
+	if !whole || generation != l.generation {
+		if laterEntry(body, l.generation) {
+			return true, ErrorDamage.New("%s is damaged at its beginning", name)
 		}
-		if len(rest) == 0 {
-			l.logSize = int64(kept)
-			next, _, _ := l.folder.Read(logName(l.generation + 1))
-			if followed, _, whole := readPrefix(next, logMagic); whole && followed == l.generation+1 {
-				if !otherTorn {
-					return ErrorDamage.New("log %d follows without its slot", followed)
-				}
-				l.generation++
-				continue
-			}
-			return nil
+		// The slot was synced but its log was not begun yet.
+		return true, l.beginLog()
+	}
+	kept := len(body) - len(rest)
+	continued := uint64(0)
+	for len(rest) > 0 {
+		entry, after, whole := readEntry(rest, generation)
+		if !whole && continued > 0 {
+			entry, after, whole = readEntry(rest, generation|continued)
+		}
+		if !whole {
+			break
 		}
+		recovered.Entries = append(recovered.Entries, entry)
+		kept = len(body) - len(after)
+		rest, continued = after, continues
+	}
+	l.logSize = int64(kept)
+	if len(rest) > 0 {
 		if laterEntry(rest, generation) {
-			return ErrorDamage.New("%s is damaged at byte %d", name, kept)
+			return true, ErrorDamage.New("%s is damaged at byte %d", name, kept)
 		}
 		recovered.Torn = len(rest)
-		l.logSize = int64(kept)
 		if err := l.folder.Truncate(name, int64(kept)); err != nil {
-			return ErrorDisk.Wrap(err, "cutting %s", name)
+			return true, ErrorDisk.Wrap(err, "cutting %s", name)
 		}
-		return l.sync(name)
 	}
+	if statemachine.Mutated("unsynced-opening") {
+		return len(rest) > 0, nil
+	}
+	return len(rest) > 0, l.sync(name)
 }
 
 // laterEntry tells a torn tail from damage: after a tail that a power cut tore
-// no whole entry can follow, as each batch is synced before the next begins.
+// no whole first entry of a batch can follow, as each batch is synced before the next
+// begins.
 func laterEntry(rest []byte, generation uint64) bool {
 	for offset := 1; offset+entryHeader <= len(rest); offset++ {
 		length := int64(binary.BigEndian.Uint32(rest[offset:]))
@@ -260,10 +329,7 @@
 // Append puts entries on the disk; they last when it returns without error.
 // After an error it may be asked for again: what was written in part is cut first.
 func (l *Log) Append(entries [][]byte) error {
-	var body []byte
-	for _, entry := range entries {
-		body = appendEntry(body, l.generation, entry)
-	}
+	body := appendBatch(nil, l.generation, entries)
 	name := logName(l.generation)
 	if l.uncut {
 		if err := l.folder.Truncate(name, l.logSize); err != nil {
@@ -300,16 +366,21 @@
 	if err := l.sync(name); err != nil {
 		return err
 	}
-	if err := l.folder.SyncFolder(); err != nil {
-		return ErrorDisk.Wrap(err, "syncing the folder")
+	if err := l.nameLasts(name); err != nil {
+		return err
 	}
 	l.generation, l.uncut = generation, false
 	if err := l.beginLog(); err != nil {
 		return err
 	}
-	// The log before the one that led here stands on a slot that is gone.
-	if err := l.folder.Remove(logName(generation + 1)); err != nil {
-		return ErrorDisk.Wrap(err, "removing %s", logName(generation+1))
+	// The log before the one that led here stands on a slot that is gone. Its name is
+	// used again.
+	earlier := logName(generation + 1)
+	if !l.lasting[earlier] {
+		return nil
+	}
+	if err := l.folder.Truncate(earlier, 0); err != nil {
+		return ErrorDisk.Wrap(err, "emptying %s", earlier)
 	}
 	return nil
 }
@@ -324,18 +395,25 @@
 	if err := l.sync(name); err != nil {
 		return err
 	}
-	if err := l.folder.SyncFolder(); err != nil {
-		return ErrorDisk.Wrap(err, "syncing the folder")
+	return l.nameLasts(name)
+}
+
+// nameLasts makes a name last that may not yet.
+func (l *Log) nameLasts(name string) error {
+	if l.lasting[name] || statemachine.Mutated("unsynced-names") {
+		return nil
 	}
+	if err := l.syncFolder(); err != nil {
+		return err
+	}
+	l.lasting[name] = true
 	return nil
 }
 
-// Scribble writes entries without syncing them, as a process does that is
-// killed in the middle; it serves the simulator.
-func (l *Log) Scribble(entries [][]byte) {
-	var body []byte
-	for _, entry := range entries {
-		body = appendEntry(body, l.generation, entry)
+func (l *Log) syncFolder() error {
+	l.Syncs++
+	if err := l.folder.SyncFolder(); err != nil {
+		return ErrorDisk.Wrap(err, "syncing the folder")
 	}
-	_ = l.folder.Append(logName(l.generation), body)
+	return nil
 }
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -49,8 +49,8 @@
 			}
 			if random.IntN(2) == 0 {
 				torn := appendEntry(nil, book.generation, []byte("never synced"))
-				assert.NilError(t, disk.Append(logName(book.generation), torn))
-				disk.PowerCut(random.IntN(len(torn)))
+				assert.NilError(t, disk.Append(logName(book.generation), torn[:random.IntN(len(torn))]))
+				disk.PowerCut(random.IntN)
 			} else if random.IntN(3) == 0 {
 				generation := book.generation + 1
 				body := appendEntry(seal(slotMagic, generation), generation, []byte("frame that was cut"))
@@ -126,7 +126,7 @@
 	folder.hoarse = false
 	assert.NilError(t, book.Append([][]byte{[]byte("second entry")}))
 	assert.NilError(t, book.Append([][]byte{[]byte("third")}))
-	folder.PowerCut(0)
+	folder.PowerCut(nil)
 	_, recovered, err = Open(folder)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, replayed(recovered), []string{"a", "second entry", "third"})
