The controllers' log is bounded by the size of the state; a lone primary gives way

A primary that is asked for changes has one under way whenever its disk answers, so it never wrote one: 1,000 changes of 300 routes left 99 MB of log, all of it read again, document by document, at the next start (1,006 entries, 1.98 s of this machine's processor; 20 changes of 12 routes read 14 entries). The count of bytes also began anew with each start.

The model's controllers now keep their state in real logs on disks that lose power in the midst of a write.

--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -13,21 +13,19 @@
 	"time"
 
 	"dahlialock/internal/statemachine"
-	"dahlialock/internal/transport"
 )
 
 // Spans of the watch bill. The lease is the longest wait in a takeover.
 const (
-	LeaseLength   = 1800 * time.Millisecond
-	renewEvery    = 300 * time.Millisecond
-	lostAfter     = 1200 * time.Millisecond
-	helloEvery    = 300 * time.Millisecond
-	retryEvery    = 400 * time.Millisecond
-	waitMargin    = 5 * time.Millisecond
-	confirmLimit  = time.Second
-	partAfter     = 2 * time.Second
-	tellFor       = time.Second
-	frameLogLimit = 4 << 20
+	LeaseLength  = 1800 * time.Millisecond
+	renewEvery   = 300 * time.Millisecond
+	lostAfter    = 1200 * time.Millisecond
+	helloEvery   = 300 * time.Millisecond
+	retryEvery   = 400 * time.Millisecond
+	waitMargin   = 5 * time.Millisecond
+	confirmLimit = time.Second
+	partAfter    = 2 * time.Second
+	tellFor      = time.Second
 )
 
 // Ledger is the control state that is copied. Apply and Restore are
@@ -101,11 +99,12 @@
 	blank    bool
 	timers   *statemachine.Timers
 
-	token     uint64
-	synced    map[uint64]continuation
-	logBytes  int
-	diskIndex uint64
-	restoring int
+	token  uint64
+	synced map[uint64]continuation
+	// logBytes is how much follows the newest snapshot, whose size is snapshotBytes.
+	logBytes, snapshotBytes int
+	diskIndex               uint64
+	restoring               int
 
 	diskComplete uint64
 	passedOver   []string
@@ -155,40 +154,8 @@
 		frames: map[string]*spareFrame{}, copies: map[string]*copied{}, spares: map[string]*asked{},
 		lastGrant: map[string]time.Time{}, confirms: map[uint64]confirmation{}, duties: map[string]duty{}, leases: map[string]*Lease{},
 	}
-	if len(frame) > 0 {
-		var held diskFrame
-		if err := transport.Unmarshal(frame, &held); err != nil {
-			return nil, err
-		}
-		watch.durable, watch.index = held.Durable, held.Index
-		for _, spare := range held.Spares {
-			watch.frames[spare.From] = &spare
-		}
-		if len(held.State) > 0 {
-			if err := ledger.Restore(held.State); err != nil {
-				return nil, err
-			}
-		}
-	}
-	for _, packed := range entries {
-		var entry diskEntry
-		if err := transport.Unmarshal(packed, &entry); err != nil {
-			return nil, err
-		}
-		switch {
-		case entry.Durable != nil:
-			watch.durable = *entry.Durable
-		case entry.Spare != nil:
-			watch.frames[entry.Spare.From] = entry.Spare
-		case entry.State != nil:
-			if err := ledger.Restore(entry.State); err != nil {
-				return nil, err
-			}
-			watch.index = entry.Index
-		case entry.Index == watch.index+1:
-			ledger.Apply(time.Time{}, entry.Command)
-			watch.index = entry.Index
-		}
+	if err := watch.readDisk(frame, entries); err != nil {
+		return nil, err
 	}
 	watch.diskIndex, watch.diskComplete = watch.index, watch.durable.Complete
 	watch.blank = watch.durable.Record.Epoch == 0
--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -18,8 +18,14 @@
 	"dahlialock/internal/logevent"
 	"dahlialock/internal/statemachine"
 	"dahlialock/internal/transport"
+	"dahlialock/internal/wal"
 )
 
+// said is the command of a number, long enough for snapshots to come now and then.
+func said(number uint64) []byte {
+	return append(binary.BigEndian.AppendUint64(nil, number), make([]byte, 3000)...)
+}
+
 // words is a ledger that holds the commands themselves.
 type words struct{ said []uint64 }
 
@@ -54,23 +60,29 @@
 }
 
 type controller struct {
-	bench   *watchBench
-	self    Controller
-	watch   *Watch
-	ledger  *words
-	duty    *Lease
-	life    int
-	up      bool
-	frozen  bool
-	waits   []func()
-	frame   []byte
-	entries [][]byte
-	offset  time.Duration
-	rate    float64
-	timer   int
-	cut     bool
-	gone    bool
-	hung    time.Duration
+	bench  *watchBench
+	self   Controller
+	watch  *Watch
+	ledger *words
+	duty   *Lease
+	life   int
+	up     bool
+	frozen bool
+	waits  []func()
+	disk   *wal.MemoryFolder
+	book   *wal.Log
+	// waiting is what was handed to the disk, in order, and landing when the last of it
+	// lands.
+	waiting []statemachine.Write
+	landing time.Duration
+	// snapshots counts those that were handed to the disk.
+	snapshots int
+	offset    time.Duration
+	rate      float64
+	timer     int
+	cut       bool
+	gone      bool
+	hung      time.Duration
 	// founding is what the platform tells at this start.
 	founding bool
 }
@@ -100,6 +112,7 @@
 	count       int
 	tolerance   int
 	disks       int
+	snapshots   int
 	founded     map[string]bool
 }
 
@@ -138,15 +151,43 @@
 		c.bench.disks++
 		settings.NewDisk = fmt.Sprint("disk-", c.bench.disks)
 	}
-	watch, err := New(settings, c.ledger, c.frame, c.entries)
+	book, recovered, err := wal.Open(c.disk)
+	assert.NilError(c.bench.t, err)
+	c.book = book
+	watch, err := New(settings, c.ledger, recovered.Frame, recovered.Entries)
 	assert.NilError(c.bench.t, err)
 	c.watch = watch
 	c.duty = watch.NewLease("duty")
 	c.step(func(now time.Time, effects *statemachine.Effects) { watch.Start(now, effects) })
 }
 
+// kill takes the power: the disk stops in the midst of what waits for it, between any
+// two of its operations.
 func (c *controller) kill() {
-	c.up, c.life, c.watch = false, c.life+1, nil
+	if c.up {
+		c.disk.Limit(c.bench.random.IntN(12))
+		for _, write := range c.waiting {
+			if c.perform(write) != nil {
+				break
+			}
+		}
+		c.disk.PowerCut(c.bench.random.IntN)
+	}
+	c.up, c.life, c.watch, c.waiting, c.landing = false, c.life+1, nil, nil, 0
+}
+
+func (c *controller) perform(write statemachine.Write) error {
+	if write.Frame != nil {
+		c.bench.snapshots++
+		c.snapshots++
+		if err := c.book.Checkpoint(write.Frame); err != nil {
+			return err
+		}
+	}
+	if len(write.Entries) > 0 {
+		return c.book.Append(write.Entries)
+	}
+	return nil
 }
 
 func (c *controller) thaw() {
@@ -184,17 +225,16 @@
 		bench.send(c, send)
 	}
 	for _, write := range effects.Writes {
-		// Only what is synced is on the disk; a process that ends first has
-		// written nothing.
-		wait := max(0, c.hung-bench.now)
-		bench.after(wait+time.Duration(1+bench.random.IntN(8))*time.Millisecond, func() {
+		// The disk does one after the other.
+		c.waiting = append(c.waiting, write)
+		wait := max(0, c.hung-bench.now) + time.Duration(1+bench.random.IntN(8))*time.Millisecond
+		c.landing = max(c.landing, bench.now+wait)
+		bench.after(c.landing-bench.now, func() {
 			if !c.up || c.life != life {
 				return
 			}
-			if write.Frame != nil {
-				c.frame, c.entries = write.Frame, nil
-			}
-			c.entries = append(c.entries, write.Entries...)
+			c.waiting = c.waiting[1:]
+			assert.NilError(bench.t, c.perform(write))
 			c.enter(life, func() {
 				c.step(func(now time.Time, effects *statemachine.Effects) { c.watch.Synced(now, write.Token, effects) })
 			})
@@ -287,7 +327,7 @@
 	wb.next++
 	number := wb.next
 	controller.step(func(now time.Time, effects *statemachine.Effects) {
-		controller.watch.Submit(now, binary.BigEndian.AppendUint64(nil, number), 2*time.Second, func(_ time.Time, _ *statemachine.Effects, outcome Outcome) {
+		controller.watch.Submit(now, said(number), 2*time.Second, func(_ time.Time, _ *statemachine.Effects, outcome Outcome) {
 			if outcome == Committed {
 				// Those that were unsettled before it and yet lie before it in
 				// the state are committed with it.
@@ -361,6 +401,7 @@
 			for number := range 5 {
 				name := fmt.Sprintf("controller-%d", number)
 				bench.controllers = append(bench.controllers, &controller{
+					disk:  wal.NewMemoryFolder(),
 					bench: bench, self: Controller{Name: name, Address: name, Zone: fmt.Sprint(number % 3)},
 					rate: 1 + (bench.random.Float64()-0.5)*0.08,
 				})
@@ -371,7 +412,7 @@
 			bench.after(time.Second, bench.busy)
 			bench.after(4*time.Second, bench.trouble)
 			bench.run(3 * time.Minute)
-			assert.Assert(t, len(bench.committed) > 200 && bench.leases > 1000, "little happened: %d committed", len(bench.committed))
+			assert.Assert(t, len(bench.committed) > 200 && bench.leases > 1000 && bench.snapshots > 20, "little happened: %d committed, %d snapshots", len(bench.committed), bench.snapshots)
 			// With all trouble over, somebody serves again within twelve seconds.
 			bench.calm = true
 			for _, controller := range bench.controllers {
--- a/internal/consensus/disk.go
+++ b/internal/consensus/disk.go
@@ -48,20 +48,5 @@
 	if then != nil {
 		then(now, effects)
 	}
-	if w.logBytes > frameLogLimit && len(w.synced) == 0 && len(w.queue) == 0 {
-		w.logBytes = 0
-		w.token++
-		w.synced[w.token] = nil
-		effects.Writes = append(effects.Writes, statemachine.Write{Token: w.token, Frame: transport.MustMarshal(diskFrame{
-			Durable: w.durable, Index: w.index, State: w.ledger.Frame(), Spares: w.heldFrames(),
-		})})
-	}
-}
-
-func (w *Watch) heldFrames() []spareFrame {
-	var held []spareFrame
-	for _, frame := range statemachine.Sorted(w.frames) {
-		held = append(held, *frame)
-	}
-	return held
+	w.keepLogShort(effects)
 }
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -75,6 +75,7 @@
 		w.reply(now, from, refusal, effects)
 		return
 	}
+	w.giveWay(now, prepare)
 	if prepare.Epoch > 1 && prepare.Ballot.Name != w.durable.Record.Primary && now.Before(w.grantedUntil) {
 		refusal.Wait = w.grantedUntil.Sub(now)
 		w.reply(now, from, refusal, effects)
@@ -90,6 +91,25 @@
 	})
 }
 
+// giveWay takes back what a primary granted itself, once it has had no lease for as long
+// as one lasts: its own vote serves nobody but itself, and the others may wait for it as
+// it does for theirs. What it still asks for can become no lease any more, and what it
+// granted somebody in an earlier life has run out.
+func (w *Watch) giveWay(now time.Time, prepare Prepare) {
+	if !w.IsPrimary() || prepare.Ballot.Name == w.settings.Self.Name || statemachine.Mutated("no-way-given") {
+		return
+	}
+	since := w.leaseUntil
+	if since.Before(w.actingSince) {
+		since = w.actingSince
+	}
+	if now.Sub(since) < LeaseLength {
+		return
+	}
+	w.grantedUntil = now
+	w.renewals, w.grants = map[uint64]time.Time{}, map[uint64]map[string]bool{}
+}
+
 // reply sends an answer, or takes it at once where a controller asked itself.
 func (w *Watch) reply(now time.Time, to string, message any, effects *statemachine.Effects) {
 	if to != w.settings.Self.Address {
--- a/internal/consensus/messages.go
+++ b/internal/consensus/messages.go
@@ -240,6 +240,8 @@
 	Index   uint64
 	State   []byte
 	Spares  []spareFrame
+	// Pending is the command that was under way when the snapshot was taken.
+	Pending *diskEntry
 }
 
 func init() {
--- a/internal/consensus/mutation_test.go
+++ b/internal/consensus/mutation_test.go
@@ -43,6 +43,8 @@
 }{
 	{"trust-lost-disk", func(t trial, seed uint64) { allBefalls(t, seed) }},
 	{"no-hold-back", func(t trial, seed uint64) { allBefalls(t, seed) }},
+	{"no-way-given", func(t trial, seed uint64) { allBefalls(t, seed) }},
+	{"snapshot-without-pending", func(t trial, seed uint64) { loseDisksAfterSnapshots(t, seed) }},
 	{"fixed-voters", func(t trial, seed uint64) { replace(t, seed, "witness") }},
 	{"one-backup", func(t trial, seed uint64) { loseDisks(t, seed, 2) }},
 	{"patient-primary", func(t trial, seed uint64) {
--- a/internal/consensus/replication_test.go
+++ b/internal/consensus/replication_test.go
@@ -4,7 +4,6 @@
 package consensus
 
 import (
-	"encoding/binary"
 	"fmt"
 	"slices"
 	"testing"
@@ -31,7 +30,7 @@
 				wb.next++
 				number := wb.next
 				controller.step(func(now time.Time, effects *statemachine.Effects) {
-					controller.watch.Submit(now, binary.BigEndian.AppendUint64(nil, number), 2*time.Second, func(_ time.Time, _ *statemachine.Effects, outcome Outcome) {
+					controller.watch.Submit(now, said(number), 2*time.Second, func(_ time.Time, _ *statemachine.Effects, outcome Outcome) {
 						if outcome == Committed {
 							committed = true
 							wb.committed = append([]uint64(nil), controller.ledger.said...)
@@ -124,6 +123,58 @@
 	assert.Equal(t, len(bench.founded), 1)
 }
 
+// What was answered outlasts a lost disk and all power, also where it was under way
+// while a snapshot was written.
+func TestWhatWasUnderWayDuringASnapshotOutlastsALostDisk(t *testing.T) {
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			loseDisksAfterSnapshots(t, seed)
+		})
+	}
+}
+
+// loseDisksAfterSnapshots has commands come without a pause, and takes all power and the
+// disk of one holder right after the primary's disk took a snapshot.
+func loseDisksAfterSnapshots(t trial, seed uint64) {
+	t.Helper()
+	bench := settledFleet(t, seed, 1)
+	record := bench.serving().watch.Record()
+	primary, backup := bench.named(record.Primary), bench.named(record.Backups[0])
+	var more func()
+	more = func() {
+		if !primary.up {
+			return
+		}
+		bench.next++
+		number := bench.next
+		primary.step(func(now time.Time, effects *statemachine.Effects) {
+			primary.watch.Submit(now, said(number), 2*time.Second, func(_ time.Time, _ *statemachine.Effects, outcome Outcome) {
+				if outcome == Committed {
+					bench.committed = append([]uint64(nil), primary.ledger.said...)
+				}
+			}, effects)
+		})
+		bench.after(2*time.Millisecond, more)
+	}
+	more()
+	bench.run(time.Duration(bench.random.IntN(300)) * time.Millisecond)
+	before := primary.snapshots
+	bench.until(4*time.Second, "the primary writes a snapshot", func() bool { return primary.snapshots > before })
+	bench.run(time.Duration(bench.random.IntN(6)) * time.Millisecond)
+	for _, controller := range bench.controllers {
+		controller.kill()
+	}
+	backup.wipe()
+	for _, controller := range bench.controllers {
+		controller.founding = false
+		bench.after(time.Duration(bench.random.IntN(1000))*time.Millisecond, controller.start)
+	}
+	least := len(bench.committed)
+	bench.until(12*time.Second, "somebody serves", func() bool { return bench.serving() != nil })
+	assert.Assert(t, len(bench.serving().ledger.said) >= least)
+}
+
 // Whatever befalls the backups or the primary, a command is committed within two
 // seconds, and after a primary that stops in good order within half a second.
 func TestNobodyHoldsACommandUpForLong(t *testing.T) {
--- a/internal/consensus/voters_test.go
+++ b/internal/consensus/voters_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"dahlialock/internal/wal"
 )
 
 // newFleet lays out controllers of which the first ones are the seeds; at the first
@@ -30,6 +32,7 @@
 
 func (wb *watchBench) add(name, address, zone string) *controller {
 	added := &controller{
+		disk:  wal.NewMemoryFolder(),
 		bench: wb, self: Controller{Name: name, Address: address, Zone: zone}, rate: 1 + (wb.random.Float64()-0.5)*0.08,
 	}
 	wb.controllers = append(wb.controllers, added)
@@ -77,7 +80,7 @@
 // wipe takes a controller's disk.
 func (c *controller) wipe() {
 	c.kill()
-	c.frame, c.entries = nil, nil
+	c.disk.Wipe()
 }
 
 // votersed tells whether the voters has so many members, all of them up and
