--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -1,3 +1,9 @@
+// Package consensus decides who is primary of the control state, and replicates it.
+//
+// Package consensus decides who is primary of the control state, and replicates it.
+//
+// Package consensus decides who is primary of the control state, and replicates it.
+//
 // A Watch is one controller's part in the control state: epochs, lease, and what it
 // keeps on its disk. Each epoch's record is decided once by a majority of the
 // voters, by ballots, so that two controllers that ask at the same time can't both
@@ -39,7 +45,7 @@
 // Settings are a controller's own settings. With a Count, so many controllers found; without,
 // the controllers at the addresses of the seeds do, where they are told Founding.
 // Tolerance is how many controllers may be lost at a time. NewDisk names the disk if
-// it is blank.
+// it is blank. Life names this run of the process.
 type Settings struct {
 	Self      Controller
 	Count     int
@@ -47,6 +53,7 @@
 	Founding  bool
 	Tolerance int
 	NewDisk   string
+	Life      statemachine.Life
 }
 
 // Outcome of a submitted command or a confirmation.
@@ -113,13 +120,15 @@
 	heardOf      map[string]bool
 	told         Record
 	turn         int
-	recallNonce  uint64
+	recalling    statemachine.RequestID
 	recalls      map[string]Durable
 	grantedUntil time.Time
 	grantedTo    string
-	actingSince  time.Time
+	// grantedFor is the renewal that the lease was granted for last.
+	grantedFor  statemachine.RequestID
+	actingSince time.Time
 
-	nonce        uint64
+	requests     statemachine.Requests
 	renewals     map[uint64]time.Time
 	grants       map[uint64]map[string]bool
 	leaseUntil   time.Time
@@ -148,7 +157,7 @@
 // New makes a watch from what its disk held.
 func New(settings Settings, ledger Ledger, frame []byte, entries [][]byte) (*Watch, error) {
 	watch := &Watch{
-		settings: settings, ledger: ledger, timers: statemachine.NewTimers(),
+		settings: settings, ledger: ledger, requests: statemachine.NewRequests(settings.Life), timers: statemachine.NewTimers(),
 		synced: map[uint64]continuation{}, met: map[string]meeting{}, heardOf: map[string]bool{}, recalls: map[string]Durable{},
 		renewals: map[uint64]time.Time{}, grants: map[uint64]map[string]bool{},
 		frames: map[string]*spareFrame{}, copies: map[string]*copied{}, spares: map[string]*asked{},
@@ -276,7 +285,7 @@
 		w.onHello(now, meta.From, body, effects)
 	case RecallAsk:
 		if !w.blank {
-			effects.Send(meta.From, RecallResponse{Nonce: body.Nonce, Durable: w.durable})
+			effects.Send(meta.From, RecallResponse{Request: body.Request, Durable: w.durable})
 		}
 	case RecallResponse:
 		w.onRecallResponse(now, meta.From, body, effects)
@@ -312,7 +321,7 @@
 		w.onDutyAsk(now, meta.From, body, effects)
 	case DutyResponse:
 		if lease, found := w.leases[body.Duty]; found && body.Given {
-			lease.given(w.nameOf(meta.From, w.durable.Record.Voters), body.Nonce)
+			lease.given(w.nameOf(meta.From, w.durable.Record.Voters), body.Request)
 		}
 	default:
 		return false
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -1,6 +1,7 @@
 // The log on a controller's disk, and the snapshots that cut it: the log between two of
 // them is bounded by the size of the state, so that what a restart reads does not grow
 // with the number of changes.
+
 package consensus
 
 import (
--- a/internal/consensus/mutation_test.go
+++ b/internal/consensus/mutation_test.go
@@ -45,6 +45,9 @@
 	{"no-hold-back", func(t trial, seed uint64) { allBefalls(t, seed) }},
 	{"no-way-given", func(t trial, seed uint64) { allBefalls(t, seed) }},
 	{"snapshot-without-pending", func(t trial, seed uint64) { loseDisksAfterSnapshots(t, seed) }},
+	{"lives-alike", lateGrants},
+	{"lives-alike", lateYield},
+	{"lives-alike", lateDuty},
 	{"fixed-voters", func(t trial, seed uint64) { replace(t, seed, "witness") }},
 	{"one-backup", func(t trial, seed uint64) { loseDisks(t, seed, 2) }},
 	{"patient-primary", func(t trial, seed uint64) {
--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -1,6 +1,7 @@
 // Restarts after many changes: what a controller reads from its disk and what a
 // newcomer is sent follow the size of the control state, not the number of changes
 // that led to it.
+
 package controller
 
 import (
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,3 +1,9 @@
+// Package gateway is the state machine of the daemons that hold client connections.
+//
+// Package gateway is the state machine of the daemons that hold client connections.
+//
+// Package gateway is the state machine of the daemons that hold client connections.
+//
 // A Gateway is the proxy daemon's state machine: it holds client connections,
 // hosts the overlay's peers, passes every request through the policies, and fans
 // messages out. It follows the control state through the agent beside it. It
@@ -57,6 +63,8 @@
 	StopWithin   time.Duration
 	// Processor tells the processor time used so far; it may be nil.
 	Processor func() time.Duration
+	// Life names this run of the process.
+	Life statemachine.Life
 }
 
 type lookout struct {
@@ -113,11 +121,8 @@
 	stopping   bool
 	stopUntil  time.Time
 	wasReady   bool
-	// turnsAway is set once a caller on lines came here: such callers can be told
-	// where to go before they are served.
-	turnsAway bool
-	turn      int
-	Counts    Counts
+	turn       int
+	Counts     Counts
 }
 
 type spaceState struct {
@@ -140,13 +145,13 @@
 		channels: map[uint64]*channel{}, moving: map[uint64]bool{}, spaces: map[string]*spaceState{},
 		senders: map[senderKey]*sender{}, trackers: map[string]*tracker{},
 		appends: map[uint64]*publication{}, sends: map[uint64]*publication{}, recalls: map[uint64]*recall{}, fetches: map[uint64]*fetch{},
-		routed: newRouted(), newest: map[string]uint64{},
+		nextRequest: settings.Life.FirstNumber(), routed: newRouted(), newest: map[string]uint64{},
 	}
 	gateway.policies = standardPolicies()
-	gateway.follower = membership.NewFollower(settings.Self, []string{settings.Agent}, gateway.load)
+	gateway.follower = membership.NewFollower(settings.Self, settings.Life, []string{settings.Agent}, gateway.load)
 	gateway.pulse = membership.NewPulse(settings.Self)
 	gateway.follower.Fix()
-	gateway.controlClient = controlclient.New(func() string {
+	gateway.controlClient = controlclient.New(settings.Life, func() string {
 		if primary := gateway.follower.Primary(); primary != "" {
 			return primary
 		}
@@ -381,7 +386,7 @@
 	if taken.View {
 		g.viewed(now, effects)
 	}
-	if taken.Document && !(statemachine.Mutated("deaf-gateway") && g.settings.Self.Name == "gateway-1" && g.config.Version > 0) {
+	if taken.Document && (!statemachine.Mutated("deaf-gateway") || g.settings.Self.Name != "gateway-1" || g.config.Version <= 0) {
 		g.enforce(now, effects)
 	}
 	if resting := g.Resting(); resting != wasResting {
@@ -665,7 +670,7 @@
 	g.emit(id, event, effects)
 }
 
-func (g *Gateway) beginStop(now time.Time, effects *statemachine.Effects) {
+func (g *Gateway) beginStop(now time.Time, _ *statemachine.Effects) {
 	if g.stopping {
 		return
 	}
--- a/internal/wal/aside.go
+++ b/internal/wal/aside.go
@@ -1,5 +1,6 @@
 // A damaged folder is put aside as a whole or not at all, whenever the power is lost
 // meanwhile: a part of the old files must never be taken for the new ones.
+
 package wal
 
 import "dahlialock/internal/statemachine"
--- a/internal/wal/folder.go
+++ b/internal/wal/folder.go
@@ -1,4 +1,5 @@
 // The real folder that a log can live in.
+
 package wal
 
 import (
--- a/internal/wal/memory.go
+++ b/internal/wal/memory.go
@@ -1,4 +1,5 @@
 // A folder in memory that loses what was not synced, for the simulator and the tests.
+
 package wal
 
 import (
--- a/internal/wal/model_test.go
+++ b/internal/wal/model_test.go
@@ -1,6 +1,7 @@
 // The log against a model of what must be there: power is lost, or the process alone
 // ends, between any two operations on the disk, again and again; names, writes and
 // parts of writes that were not synced are kept or lost one by one.
+
 package wal
 
 import (
--- a/internal/wal/mutation_test.go
+++ b/internal/wal/mutation_test.go
@@ -2,6 +2,7 @@
 
 // Each mechanism of the log is taken away once, and a run that is green with it must
 // then fail.
+
 package wal
 
 import (
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -194,7 +194,7 @@
 	if err := book.lastAgain(even, odd); err != nil {
 		return nil, Recovered{}, err
 	}
-	err = book.replay(&recovered, even.present && odd.present && !(even.whole && odd.whole))
+	err = book.replay(&recovered, even.present && odd.present && (!even.whole || !odd.whole))
 	return book, recovered, err
 }
 
