One answer of each store counts for a sender's trail, and one part of each fetch

Cause: answers to the question for a sender's newest messages were counted, not told apart, so that one that a link brought twice stood for another store's; and the first part of a long fetch that came twice was handed over twice.

Each is red with any answer taken, and green with the check of who answers and of what was had already. A late acknowledgement and a late fetch of an earlier life of the gateway are red with the lives alike.

--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -601,6 +601,20 @@
 	g.answerSubscribe(now, round.request, refused(503, code, "the place could not be found in time; nothing is subscribed", comeBackSoon), effects)
 }
 
+// had tells whether an answer is one that came before, to an earlier part of what is
+// asked.
+func (f *fetched) had(returned partition.FetchResponse) bool {
+	return f.after != everything && returned.Until <= f.after && f.after < returned.Head && !statemachine.Mutated("any-answer")
+}
+
+// lacked are the records beyond what was had before.
+func (f *fetched) lacked(records []partition.Record) []partition.Record {
+	if statemachine.Mutated("any-answer") {
+		return records
+	}
+	return slices.DeleteFunc(records, func(record partition.Record) bool { return record.Offset <= f.after })
+}
+
 func (g *Gateway) onFetchResponse(now time.Time, returned partition.FetchResponse, effects *statemachine.Effects) {
 	if asked, routed := g.routed.fetches[returned.Request]; routed {
 		g.onTopicFetched(now, asked, returned, effects)
@@ -626,12 +640,15 @@
 		g.lostPlace(now, returned.Request, round, effects)
 		return
 	}
+	if asked.had(returned) {
+		return
+	}
 	asked.waiting = false
 	if asked.after == everything {
 		asked.until = returned.Head
 	} else {
 		asked.until = max(returned.Until, min(asked.after, returned.Head))
-		round.records[returned.Partition] = append(round.records[returned.Partition], returned.Records...)
+		round.records[returned.Partition] = append(round.records[returned.Partition], asked.lacked(returned.Records)...)
 		if asked.until < returned.Head {
 			asked.after = asked.until
 			g.ask(now, returned.Request, returned.Partition, asked, effects)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -352,7 +352,7 @@
 	case partition.FetchResponse:
 		g.onFetchResponse(now, body, effects)
 	case partition.SenderResponse:
-		g.onSenderResponse(now, body, effects)
+		g.onSenderResponse(now, meta.From, body, effects)
 	case partition.Heads:
 		g.onHeads(now, body, effects)
 	}
--- /dev/null
+++ b/internal/gateway/identity_test.go
@@ -0,0 +1,150 @@
+// What a store answers to an earlier life of a gateway says nothing about what the
+// present one asked, and one answer of each store counts.
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dahlialock/internal/config"
+	"dahlialock/internal/membership"
+	"dahlialock/internal/partition"
+	"dahlialock/internal/statemachine"
+)
+
+const (
+	earlierLife statemachine.Life = 0x5851_f42d_4c95_7f2d
+	presentLife statemachine.Life = 0x1405_7b7e_f767_814f
+)
+
+// asker is a gateway with one space, of which a sender's message waits.
+type asker struct {
+	gateway *Gateway
+	item    *publication
+	sends   []statemachine.Send
+}
+
+func newAsker(life statemachine.Life, now time.Time, partitions ...string) *asker {
+	gateway := New(Settings{Self: membership.Member{Name: "gateway-1", Kind: membership.KindGateway, Address: "a:1"}, Agent: "a:2", Life: life})
+	for number, name := range partitions {
+		store := string(rune('k' + number))
+		gateway.follower.Members[store] = membership.Member{Name: store, Kind: membership.KindStore, Address: store, Alive: true}
+		gateway.follower.Places[name] = membership.Placement{Partition: name, Epoch: 1, First: store}
+	}
+	gateway.spaces["boards"] = &spaceState{space: config.Space{Name: "boards", Promise: config.Kept}, name: "boards~1"}
+	item := &publication{
+		request: Publish{Request: 9, Sender: "u", Origin: "u", Space: "boards", Topic: "t", Seq: 1}, key: senderKey{space: "boards", sender: "u"},
+		id: 77, partition: partitions[0], limit: now.Add(500 * time.Millisecond),
+	}
+	gateway.senders[item.key] = &sender{recent: map[uint64]sentMemory{}, queue: []*publication{item}}
+	gateway.appends[item.id] = item
+	return &asker{gateway: gateway, item: item}
+}
+
+// ask lets the gateway ask, and gives what it sends.
+func (a *asker) ask(run func(effects *statemachine.Effects)) []statemachine.Send {
+	var effects statemachine.Effects
+	run(&effects)
+	return effects.Sends
+}
+
+func (a *asker) append(now time.Time) partition.Append {
+	return a.ask(func(effects *statemachine.Effects) {
+		a.gateway.sendAppend(now, a.gateway.senders[a.item.key], a.item, effects)
+	})[0].Message.(partition.Append)
+}
+
+func (a *asker) fetch(now time.Time) partition.Fetch {
+	followed := &topic{name: "t", partition: a.item.partition}
+	return a.ask(func(effects *statemachine.Effects) { a.gateway.fetchTopic(now, followed, effects) })[0].Message.(partition.Fetch)
+}
+
+func (a *asker) recall(now time.Time) []statemachine.Send {
+	return a.ask(func(effects *statemachine.Effects) {
+		a.gateway.recallSender(now, a.gateway.spaces["boards"], a.item, effects)
+	})
+}
+
+// take hands a store's answer to the gateway, and gives what it tells callers.
+func (a *asker) take(now time.Time, from string, answer any) []statemachine.Return {
+	var effects statemachine.Effects
+	a.gateway.take(now, statemachine.Meta{From: from}, answer, &effects)
+	return effects.Returns
+}
+
+// lateAppend is what a caller of the present life is told upon the acknowledgement
+// of another's message in the earlier one.
+func lateAppend() []statemachine.Return {
+	now := time.Unix(1000, 0)
+	earlier := newAsker(earlierLife, now, "boards~1/0").append(now)
+	present := newAsker(presentLife, now, "boards~1/0")
+	present.append(now.Add(time.Second))
+	return present.take(now.Add(1100*time.Millisecond), "k", partition.AppendResponse{
+		Partition: earlier.Partition, Request: earlier.Request, Outcome: partition.Accepted, Epoch: 1, Record: partition.Record{Offset: 5},
+	})
+}
+
+// lateFetch tells whether an answer to the earlier life's fetch ends one of the present.
+func lateFetch() bool {
+	now := time.Unix(1000, 0)
+	earlier := newAsker(earlierLife, now, "boards~1/0").fetch(now)
+	present := newAsker(presentLife, now, "boards~1/0")
+	asked := present.fetch(now.Add(time.Second))
+	present.take(now.Add(1100*time.Millisecond), "k", partition.FetchResponse{
+		Partition: earlier.Partition, Request: earlier.Request, Epoch: 1, Head: 5, Until: 5, Ready: true,
+	})
+	_, waits := present.gateway.routed.fetches[asked.Request]
+	return !waits
+}
+
+func TestNoAnswerToAnEarlierLifeIsTaken(t *testing.T) {
+	assert.Equal(t, len(lateAppend()), 0)
+	assert.Assert(t, !lateFetch())
+}
+
+// doubledRecall tells whether a sender's trail counts as known after the same store
+// answered twice, and another not at all.
+func doubledRecall() bool {
+	now := time.Unix(1000, 0)
+	asker := newAsker(presentLife, now, partitionName("boards~1", 0), partitionName("boards~1", 1))
+	asker.gateway.spaces["boards"].space.Order = config.OrderSender
+	for number := 2; number < asker.gateway.spaces["boards"].space.Partitions(); number++ {
+		asker.gateway.follower.Places[partitionName("boards~1", number)] = membership.Placement{First: "k", Epoch: 1}
+	}
+	sends := asker.recall(now)
+	for range len(sends) {
+		asker.take(now, "k", partition.SenderResponse{Request: sends[0].Message.(partition.SenderAsk).Request, Ready: true})
+	}
+	return asker.gateway.senders[asker.item.key].recalled
+}
+
+// doubledPage gives how many records a fetch has after its first part came twice.
+func doubledPage() int {
+	now := time.Unix(1000, 0)
+	asker := newAsker(presentLife, now, "boards~1/0")
+	round := &fetch{
+		channel: 5, partitions: map[string]*fetched{"boards~1/0": {}}, records: map[string][]partition.Record{}, limit: now.Add(time.Second),
+	}
+	asker.gateway.fetches[3] = round
+	page := func(from, until uint64) partition.FetchResponse {
+		answer := partition.FetchResponse{Partition: "boards~1/0", Request: 3, Epoch: 1, Head: 10, Until: until, Ready: true}
+		for offset := from; offset <= until; offset++ {
+			answer.Records = append(answer.Records, partition.Record{Offset: offset, Epoch: 1, Sender: "u", Seq: offset})
+		}
+		return answer
+	}
+	for _, answer := range []partition.FetchResponse{page(1, 5), page(1, 5), page(6, 10), page(6, 10)} {
+		asker.take(now, "k", answer)
+	}
+	return len(round.records["boards~1/0"])
+}
+
+func TestAPartThatComesTwiceCountsOnce(t *testing.T) {
+	assert.Equal(t, doubledPage(), 10)
+}
+
+func TestOneAnswerOfEachStoreCounts(t *testing.T) {
+	assert.Assert(t, !doubledRecall())
+}
--- a/internal/gateway/publish.go
+++ b/internal/gateway/publish.go
@@ -88,13 +88,16 @@
 	answered bool
 }
 
+// recall asks the stores where a sender's newest messages are; waiting is how many
+// have not answered, and answered tells of each address that was asked whether it has.
 type recall struct {
-	key     senderKey
-	waiting int
-	ready   bool
-	lastSeq uint64
-	recent  []partition.Recent
-	limit   time.Time
+	key      senderKey
+	waiting  int
+	answered map[string]bool
+	ready    bool
+	lastSeq  uint64
+	recent   []partition.Recent
+	limit    time.Time
 }
 
 func (g *Gateway) messageOf(request *Judged) string {
@@ -361,17 +364,24 @@
 		byStore[address] = append(byStore[address], name)
 	}
 	g.nextRequest++
-	g.recalls[g.nextRequest] = &recall{key: item.key, waiting: len(byStore), ready: true, limit: item.limit}
+	asked := &recall{key: item.key, waiting: len(byStore), answered: map[string]bool{}, ready: true, limit: item.limit}
+	g.recalls[g.nextRequest] = asked
 	for address, names := range statemachine.Sorted(byStore) {
+		asked.answered[address] = false
 		effects.Send(address, partition.SenderAsk{Request: g.nextRequest, Partitions: names, Sender: item.request.Sender})
 	}
 }
 
-func (g *Gateway) onSenderResponse(now time.Time, returned partition.SenderResponse, effects *statemachine.Effects) {
+// onSenderResponse counts one answer of each store that was asked.
+func (g *Gateway) onSenderResponse(now time.Time, store string, returned partition.SenderResponse, effects *statemachine.Effects) {
 	asked, found := g.recalls[returned.Request]
 	if !found {
 		return
 	}
+	if answered, wasAsked := asked.answered[store]; (!wasAsked || answered) && !statemachine.Mutated("any-answer") {
+		return
+	}
+	asked.answered[store] = true
 	asked.waiting--
 	asked.ready = asked.ready && returned.Ready
 	asked.lastSeq = max(asked.lastSeq, returned.LastSeq)
