--- a/internal/config/configuration.go
+++ b/internal/config/configuration.go
@@ -1,3 +1,9 @@
+// Package config reads and checks the operators' configuration.
+//
+// Package config reads and checks the operators' configuration.
+//
+// Package config reads and checks the operators' configuration.
+//
 // The operators' configuration: one whole JSON document with a rising version.
 // It is read through fastjson values and checked strictly, and every fault is
 // told with its path: unknown and duplicate keys, wrong types, trailing bytes,
@@ -110,7 +116,7 @@
 	QuietFor        time.Duration
 }
 
-// Zone is a place with its distances, for closeness.
+// Link is the delay of the way between two zones, for closeness.
 type Link struct {
 	From, To string
 	Delay    time.Duration
@@ -308,8 +314,8 @@
 		return false
 	}
 	for _, letter := range name {
-		if !(letter >= 'a' && letter <= 'z' || letter >= 'A' && letter <= 'Z' || letter >= '0' && letter <= '9' ||
-			letter == '-' || letter == '_' || letter == '.') {
+		if (letter < 'a' || letter > 'z') && (letter < 'A' || letter > 'Z') && (letter < '0' || letter > '9') &&
+			letter != '-' && letter != '_' && letter != '.' {
 			return false
 		}
 	}
--- a/internal/consensus/disk.go
+++ b/internal/consensus/disk.go
@@ -1,5 +1,6 @@
 // What a controller keeps on its disk: entries that last before anything that
 // follows from them is said, and from time to time the whole.
+
 package consensus
 
 import (
--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -1,5 +1,6 @@
 // The primary's lease: voters grant it against the asking moment, and an answer
 // that is read from the primary's state is confirmed by a majority first.
+
 package consensus
 
 import (
@@ -220,7 +221,7 @@
 	if confirm.Epoch != w.durable.Record.Epoch || !w.stands() || w.unsure(now) {
 		return
 	}
-	effects.Send(from, ConfirmResponse{Epoch: confirm.Epoch, Request: confirm.Request})
+	effects.Send(from, ConfirmResponse(confirm))
 }
 
 func (w *Watch) onConfirmResponse(now time.Time, from string, returned ConfirmResponse, effects *statemachine.Effects) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -1,3 +1,9 @@
+// Package controller is the state machine of the daemons that coordinate the cluster.
+//
+// Package controller is the state machine of the daemons that coordinate the cluster.
+//
+// Package controller is the state machine of the daemons that coordinate the cluster.
+//
 // A Controller is the coordinator daemon's state machine. It lives on a watch bill
 // (who is primary, what two disks hold) and, while it is primary, it takes
 // configurations, keeps the cluster's view, places partitions and answers the
@@ -286,7 +292,7 @@
 	return redirect
 }
 
-func (c *Controller) give(now time.Time, item held, effects *statemachine.Effects) {
+func (c *Controller) give(_ time.Time, item held, effects *statemachine.Effects) {
 	delete(c.held, item.ask.Self.Name)
 	news := membership.News{
 		For: item.ask.Self.Name, Nonce: item.ask.Nonce, Epoch: c.watch.Record().Epoch,
@@ -319,7 +325,7 @@
 	}
 }
 
-func (c *Controller) noteMember(now time.Time, self membership.Member, effects *statemachine.Effects) {
+func (c *Controller) noteMember(now time.Time, self membership.Member, _ *statemachine.Effects) {
 	known, found := c.state.Members[self.Name]
 	self.Alive = true
 	self.Joined, self.Retiring, self.Retired, self.Resting = known.Joined, known.Retiring, known.Retired, known.Resting
@@ -357,7 +363,7 @@
 	}
 }
 
-func (c *Controller) onFarewell(now time.Time, farewell membership.Farewell, effects *statemachine.Effects) {
+func (c *Controller) onFarewell(now time.Time, farewell membership.Farewell, _ *statemachine.Effects) {
 	member, found := c.state.Members[farewell.Name]
 	if !c.watch.HoldsLease(now) || !found || !member.Alive || member.Incarnation != farewell.Incarnation {
 		return
@@ -385,7 +391,7 @@
 
 // Tending.
 
-func (c *Controller) beginActing(now time.Time, effects *statemachine.Effects) {
+func (c *Controller) beginActing(now time.Time, _ *statemachine.Effects) {
 	if c.acting {
 		return
 	}
@@ -475,7 +481,7 @@
 	return changed
 }
 
-func (c *Controller) stopActing(now time.Time, effects *statemachine.Effects) {
+func (c *Controller) stopActing(_ time.Time, effects *statemachine.Effects) {
 	c.acting, c.busy = false, false
 	for name, item := range statemachine.Sorted(c.held) {
 		delete(c.held, name)
--- a/internal/controller/placement.go
+++ b/internal/controller/placement.go
@@ -5,6 +5,7 @@
 // as there are enough without it. A store counts as a holder only
 // together with the disk on which the accepted messages lie; a partition whose
 // holders are all away waits for one of them rather than begin empty.
+
 package controller
 
 import (
@@ -271,11 +272,9 @@
 				}
 				recovered.Degraded = false
 				changed = append(changed, recovered)
-				well++
 			}
 			member.Degraded = true
 			changed = append(changed, member)
-			well--
 			return changed
 		}
 	}
--- a/internal/simulator/bandwidth.go
+++ b/internal/simulator/bandwidth.go
@@ -4,6 +4,7 @@
 // held up by a link that is full and by a peer that does not read. What a sender
 // holds beyond that waits in its own queue, as in internal/transport. Links have no
 // bandwidth, and none of this acts, unless the Size names one.
+
 package simulator
 
 import (
