A follower is sent the whole of a partition once, and few at a time

Cause: a follower that has nothing answers each question with its need, each append of the first asked again until the follower was known, and each such answer was met with the whole partition, whatever was under way. So the load fed the copies, and they the queue.

A lost answer is asked for first. Excluded: the disk that was full (emptied within 9 ms) and the processor.

TestAPartitionThatWasLostOnItsWayIsSentAgain holds the other side.

--- a/internal/partition/bench_test.go
+++ b/internal/partition/bench_test.go
@@ -25,6 +25,9 @@
 	bytes    int
 	written  int
 	spent    map[string]time.Duration
+	// thin holds what goes to some machines until their links let it through.
+	thin    map[string]*thinLink
+	arrived bool
 }
 
 type carried struct {
@@ -99,6 +102,11 @@
 	for len(b.frames) > 0 {
 		item := b.frames[0][1].(carried)
 		b.frames = b.frames[1:]
+		if link, thin := b.thin[item.to]; thin && item.frame != nil && !b.arrived {
+			link.hold(item)
+			continue
+		}
+		b.arrived = false
 		machine := b.machines[item.to]
 		b.step(item.to, func(effects *statemachine.Effects) {
 			if item.frame == nil {
--- a/internal/partition/copy.go
+++ b/internal/partition/copy.go
@@ -71,6 +71,15 @@
 	if !follower.Alive || copied.known && copied.sent >= head {
 		return
 	}
+	if copied.whole.size > 0 && copied.whole.expired(now) {
+		// Where the answer was lost and not the snapshot, asking is enough.
+		copied.whole = snapshot{wait: copied.whole.wait}
+	}
+	if copied.whole.needed {
+		// Records after a snapshot go when that has arrived.
+		s.sendSnapshot(now, partition, copied, effects)
+		return
+	}
 	after := max(copied.sent, copied.acked)
 	if !copied.known {
 		// The follower of a new epoch is asked first what it has.
@@ -125,7 +134,7 @@
 				continue
 			}
 			waits = true
-			if now.Sub(copied.sentAt) >= copyEvery*time.Duration(min(1<<copied.tries, copyWaitMost)) {
+			if copied.whole.needed || now.Sub(copied.sentAt) >= copyEvery*time.Duration(min(1<<copied.tries, copyWaitMost)) {
 				copied.tries = min(copied.tries+1, copyWaitMost)
 				copied.sent = copied.acked
 				s.copyTo(now, partition, copied, effects)
@@ -248,7 +257,7 @@
 		if held && epoch == returned.HaveEpoch && returned.Have >= partition.log.Base {
 			// What it has may not be synced yet, so it does not count as
 			// acknowledged; the next copy goes on from there.
-			copied.known = true
+			copied.known, copied.whole = true, snapshot{}
 			copied.sent = returned.Have
 			if returned.Have == head {
 				// An empty copy asks for the word that all of it is synced.
@@ -257,12 +266,10 @@
 			s.dirty[returned.Partition] = true
 			return
 		}
-		s.Counts.Frames++
-		effects.Note(logevent.PartitionFrameSent, "partition", returned.Partition, "epoch", partition.place.Epoch, "have", returned.Have)
-		effects.Send(from, Frame{Now: now, Partition: returned.Partition, Epoch: partition.place.Epoch, State: transport.MustMarshal(partition.log)})
-		copied.sentAt = now
+		s.needSnapshot(now, partition, copied, effects)
 		return
 	}
+	s.snapshotTaken(now, copied, effects)
 	copied.known = true
 	copied.acked = max(copied.acked, returned.Have)
 	copied.sent = max(copied.sent, copied.acked)
--- a/internal/partition/store.go
+++ b/internal/partition/store.go
@@ -95,6 +95,7 @@
 	sentAt      time.Time
 	tries       int
 	flights     []flight
+	whole       snapshot
 }
 
 // flight is a copy that was not acknowledged yet.
