--- a/internal/consensus/world_test.go
+++ b/internal/consensus/world_test.go
@@ -61,7 +61,6 @@
 	items     []*pending
 	left      troubles
 	tolerance int
-	count     int
 	committed []uint64
 	next      uint64
 	decided   map[uint64]Record
--- a/internal/controller/identity_test.go
+++ b/internal/controller/identity_test.go
@@ -77,9 +77,9 @@
 
 // loseUnsynced publishes while the first's disk takes nothing, then ends the first's
 // process and begins it anew at once.
-func (p *pair) loseUnsynced(request uint64) {
+func (p *pair) loseUnsynced() {
 	p.first.hung = p.now + time.Hour
-	p.publish(request)
+	p.publish(1)
 	p.run(20 * time.Millisecond)
 	p.first.kill()
 	p.run(30 * time.Millisecond)
@@ -97,7 +97,7 @@
 // Then the first is lost with its disk.
 func sameOffset(t *testing.T, seed uint64) (broken string) {
 	pair := newPair(t, seed)
-	pair.loseUnsynced(1)
+	pair.loseUnsynced()
 	for request := uint64(2); request < 250; request++ {
 		pair.after(time.Duration(request)*3*time.Millisecond, func() { pair.publish(request) })
 	}
@@ -141,7 +141,7 @@
 		return 0, false
 	}
 	began := pair.now
-	pair.loseUnsynced(1)
+	pair.loseUnsynced()
 	pair.held = nil
 	pair.run(1400*time.Millisecond - (pair.now - began))
 	pair.held = func(from, _ string, message any) (time.Duration, bool) {
@@ -166,7 +166,7 @@
 		}
 		return 0, false
 	}
-	pair.loseUnsynced(1)
+	pair.loseUnsynced()
 	pair.held = nil
 	pair.run(1500 * time.Millisecond)
 	pair.publish(2)
@@ -188,7 +188,7 @@
 		}
 		return 0, false
 	}
-	pair.loseUnsynced(1)
+	pair.loseUnsynced()
 	pair.run(time.Second)
 	for request := uint64(2); request < 10; request++ {
 		pair.publish(request)
--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -293,7 +293,7 @@
 func TestARestartReadsByTheSizeOfTheStateAndNotByTheChanges(t *testing.T) {
 	for _, routes := range []int{12, 100} {
 		c, version := newCouncil(t, 3), 0
-			for _, changes := range []int{10, 100, 500} {
+		for _, changes := range []int{10, 100, 500} {
 			c.change(version+1, changes-version, routes)
 			version = changes
 			for name, each := range statemachine.Sorted(c.seats) {
--- a/internal/gateway/identity_test.go
+++ b/internal/gateway/identity_test.go
@@ -23,7 +23,6 @@
 type asker struct {
 	gateway *Gateway
 	item    *publication
-	sends   []statemachine.Send
 }
 
 func newAsker(life statemachine.Life, now time.Time, partitions ...string) *asker {
@@ -68,9 +67,9 @@
 }
 
 // take hands a store's answer to the gateway, and gives what it tells callers.
-func (a *asker) take(now time.Time, from string, answer any) []statemachine.Return {
+func (a *asker) take(now time.Time, answer any) []statemachine.Return {
 	var effects statemachine.Effects
-	a.gateway.take(now, statemachine.Meta{From: from}, answer, &effects)
+	a.gateway.take(now, statemachine.Meta{From: "k"}, answer, &effects)
 	return effects.Returns
 }
 
@@ -81,7 +80,7 @@
 	earlier := newAsker(earlierLife, now, "boards~1/0").append(now)
 	present := newAsker(presentLife, now, "boards~1/0")
 	present.append(now.Add(time.Second))
-	return present.take(now.Add(1100*time.Millisecond), "k", partition.AppendResponse{
+	return present.take(now.Add(1100*time.Millisecond), partition.AppendResponse{
 		Partition: earlier.Partition, Request: earlier.Request, Outcome: partition.Accepted, Epoch: 1, Record: partition.Record{Offset: 5},
 	})
 }
@@ -92,7 +91,7 @@
 	earlier := newAsker(earlierLife, now, "boards~1/0").fetch(now)
 	present := newAsker(presentLife, now, "boards~1/0")
 	asked := present.fetch(now.Add(time.Second))
-	present.take(now.Add(1100*time.Millisecond), "k", partition.FetchResponse{
+	present.take(now.Add(1100*time.Millisecond), partition.FetchResponse{
 		Partition: earlier.Partition, Request: earlier.Request, Epoch: 1, Head: 5, Until: 5, Ready: true,
 	})
 	_, waits := present.gateway.routed.fetches[asked.Request]
@@ -115,7 +114,7 @@
 	}
 	sends := asker.recall(now)
 	for range len(sends) {
-		asker.take(now, "k", partition.SenderResponse{Request: sends[0].Message.(partition.SenderAsk).Request, Ready: true})
+		asker.take(now, partition.SenderResponse{Request: sends[0].Message.(partition.SenderAsk).Request, Ready: true})
 	}
 	return asker.gateway.senders[asker.item.key].recalled
 }
@@ -136,7 +135,7 @@
 		return answer
 	}
 	for _, answer := range []partition.FetchResponse{page(1, 5), page(1, 5), page(6, 10), page(6, 10)} {
-		asker.take(now, "k", answer)
+		asker.take(now, answer)
 	}
 	return len(round.records["boards~1/0"])
 }
--- a/internal/statemachine/request.go
+++ b/internal/statemachine/request.go
@@ -2,6 +2,7 @@
 // seconds and dial anew, and a process that is started again counts from the
 // beginning, so that a number alone may name a request of an earlier life of the
 // same process. A request is named by the life that asks and a number in it.
+
 package statemachine
 
 // Life names one run of a process. It is drawn at random when the process starts.
