--- a/internal/controller/apply.go
+++ b/internal/controller/apply.go
@@ -1,5 +1,6 @@
 // The application of commands: each part is judged by the state that the log's
 // order has led to, and changes only the fields that it is about.
+
 package controller
 
 import (
@@ -67,7 +68,9 @@
 		return result{outcome: outcome}
 	}
 	if change.Version <= s.Version {
-		s.remember(change, true)
+		if change.Highest {
+			s.remember(change, true)
+		}
 		return result{outcome: Overtaken}
 	}
 	configuration, faults := config.Read(change.Document)
@@ -133,8 +136,8 @@
 // Members.
 
 // joined is a member's record once a life of it has joined. An order to empty a
-// store holds whatever becomes of its processes and disks; it ends with another
-// machine that takes the name of one that was done.
+// store holds whatever becomes of its processes and disk, until it is done: then the
+// machine is taken away, and one of its name with another disk is a new one.
 func (s *State) joined(self membership.Member) membership.Member {
 	known, found := s.Members[self.Name]
 	anew := !found || known.Incarnation != self.Incarnation
@@ -142,7 +145,7 @@
 	next.Alive = true
 	next.Joined, next.Retiring, next.Retired = known.Joined, known.Retiring, known.Retired
 	next.Resting, next.Degraded = known.Resting && !anew, known.Degraded && !anew
-	if known.Retired && known.Disk != self.Disk && known.Address != self.Address {
+	if known.Retired && known.Disk != self.Disk {
 		next.Retiring, next.Retired = false, false
 	}
 	return next
@@ -229,16 +232,16 @@
 // unless its partition changed since or is no longer wanted, or a store that it
 // gives a copy to has been lost or ordered away.
 func (s *State) applyPlace(place membership.Placement) {
-	if earlier, found := s.Places[place.Partition]; found && (earlier.Epoch >= place.Epoch || s.PlaceAt[place.Partition] >= place.Epoch) {
+	earlier, found := s.Places[place.Partition]
+	if found && (earlier.Epoch >= place.Epoch || s.PlaceAt[place.Partition] >= place.Epoch) || !s.wants(place.Partition) {
 		return
 	}
-	if !s.wants(place.Partition) {
-		return
+	given := place.Followers
+	if !found {
+		given = append([]string{place.First}, given...)
 	}
-	for _, name := range place.Followers {
-		if member := s.Members[name]; !member.Alive || member.Retiring {
-			return
-		}
+	if slices.ContainsFunc(given, func(name string) bool { return !s.Members[name].Alive || s.Members[name].Retiring }) {
+		return
 	}
 	s.setPlace(place)
 }
--- a/internal/controller/orders_test.go
+++ b/internal/controller/orders_test.go
@@ -216,18 +216,21 @@
 	assert.Assert(t, !member.Alive)
 }
 
-// An order to empty a store holds for whatever disk it comes back with; only a
-// store that was done and taken away begins anew.
+// An order to empty a store holds for whatever disk it comes back with, until it is
+// done.
 func TestARetirementOutlastsADisk(t *testing.T) {
 	alone := newLone(t, true)
 	alone.joins(membership.KindStore, "store-1", "store-2", "store-3")
 	alone.order(http.MethodPut, "/v1/configuration", `{"version": 1, "spaces": [{"name": "a", "promise": "kept"}]}`)
 	alone.pass(4 * time.Second)
 	alone.joins(membership.KindStore, "store-1", "store-2", "store-3")
-	assert.Equal(t, alone.ask(http.MethodPost, retirePath("store-1"), ""), http.StatusAccepted)
-	alone.hears(memberNamed(membership.KindStore, "store-1", 2, "another disk"))
+	leaving := alone.controller.state.Places[PartitionName("a", 1, 0)].First
+	assert.Equal(t, alone.ask(http.MethodPost, retirePath(leaving), ""), http.StatusAccepted)
+	assert.Assert(t, !alone.member(leaving).Retired, "its partitions lie nowhere else")
+	alone.hears(memberNamed(membership.KindStore, leaving, 2, "another disk"))
 	alone.pass(200 * time.Millisecond)
-	assert.Assert(t, alone.member("store-1").Retiring, "an order that was acknowledged is forgotten")
+	assert.Equal(t, alone.member(leaving).Incarnation, uint64(2))
+	assert.Assert(t, alone.member(leaving).Retiring, "an order that was acknowledged is forgotten")
 }
 
 func configurationOf(version int, answerWithin string) string {
@@ -280,7 +283,7 @@
 	at := time.Unix(1_700_000_000, 0)
 	put := func(version uint64, content string) Outcome {
 		change := configured(version, configurationOf(int(version), content))
-		change.At, change.Through = at, operatorAddress
+		change.At, change.Through, change.Highest = at, operatorAddress, true
 		state.Apply(time.Time{}, mustPack(Command{Configuration: change}))
 		return state.result.outcome
 	}
@@ -304,6 +307,31 @@
 	assert.Assert(t, len(state.Frame()) < historyLimit*64, "%d bytes", len(state.Frame()))
 }
 
+// A number that was overtaken while it waited is not confirmed where it is refused,
+// and nothing is refused later as if it had been.
+func TestAnOvertakenOrderThatWasRefusedDecidesNothing(t *testing.T) {
+	alone := newLone(t, false)
+	var higher, lower uint64
+	alone.held(func() {
+		higher = alone.order(http.MethodPut, "/v1/configuration", configurationOf(9, "1s"))
+		lower = alone.order(http.MethodPut, "/v1/configuration", configurationOf(8, "1s"))
+	})
+	assert.Equal(t, alone.status(higher), http.StatusOK)
+	older := func(request uint64) {
+		var refused struct {
+			Code string `json:"code"`
+		}
+		assert.NilError(t, json.Unmarshal(alone.answers[request].Body, &refused))
+		assert.Equal(t, refused.Code, "older-version")
+	}
+	older(lower)
+	for _, content := range []string{"1s", "2s"} {
+		lower = alone.order(http.MethodPut, "/v1/configuration", configurationOf(8, content))
+		alone.pass(300 * time.Millisecond)
+		older(lower)
+	}
+}
+
 // What is decided on one life of a member, or on one placement, changes nothing of
 // another.
 func TestCommandsHoldForWhatTheyWereDecidedOn(t *testing.T) {
