A view is on its way to an asker once, and an answer to an earlier question counts

Cause, found by reading: a follower without a view asks anew after 0.3 s, and took a first view only as the answer to its newest question; the primary answered each question with the whole view. Where a view takes longer than 0.3 s over a full link it was sent again for each question and never taken. Now the primary lets the questions of an asker wait that has not confirmed the view it was sent, for 0.6 s at most, unless the asker was started anew; and an answer to any of the last eight questions counts, as of the moment when that was asked. Test: an answer that takes 450 ms; without the first mechanism more views are sent, without the second none is taken. Excluded: a view left out of an answer (its epoch would be taken for that of the older view).

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -71,6 +71,8 @@
 	from  string
 	ask   membership.Ask
 	limit time.Time
+	// after is when it may be answered with a view, if not yet.
+	after time.Time
 }
 
 type reported struct {
@@ -88,6 +90,7 @@
 	controlClient *controlclient.ControlClient
 	timers        *statemachine.Timers
 	held          map[string]held
+	views         map[string]sentView
 	heard         map[string]time.Time
 	loads         map[string]membership.Load
 	suspected     map[string]map[string]reported
@@ -110,7 +113,7 @@
 func New(settings Settings, frame []byte, entries [][]byte) (*Controller, error) {
 	controller := &Controller{
 		settings: settings, state: newState(), timers: statemachine.NewTimers(),
-		held: map[string]held{}, heard: map[string]time.Time{}, loads: map[string]membership.Load{},
+		held: map[string]held{}, views: map[string]sentView{}, heard: map[string]time.Time{}, loads: map[string]membership.Load{},
 		suspected: map[string]map[string]reported{}, joining: map[string]Join{}, leaving: map[string]Departure{}, complete: map[string]membership.PartitionComplete{}, lags: map[string]lag{}, doubts: map[string]*doubt{},
 		orders: map[string]membership.Orders{},
 	}
@@ -266,7 +269,12 @@
 	if ask.Patient {
 		hold = membership.PatientHold
 	}
-	item := held{from: from, ask: ask, limit: now.Add(hold)}
+	item := held{from: from, ask: ask, limit: now.Add(hold), after: c.viewDue(ask)}
+	if item.after.After(now) {
+		c.held[ask.Self.Name] = item
+		c.timers.ArmSooner("tend", item.after)
+		return
+	}
 	if ask.Index != c.state.Index || ask.Version != c.state.Version || ask.Urgent {
 		c.give(now, item, effects)
 		return
@@ -286,7 +294,7 @@
 	return redirect
 }
 
-func (c *Controller) give(_ time.Time, item held, effects *statemachine.Effects) {
+func (c *Controller) give(now time.Time, item held, effects *statemachine.Effects) {
 	delete(c.held, item.ask.Self.Name)
 	news := membership.News{
 		For: item.ask.Self.Name, Nonce: item.ask.Nonce, Epoch: c.watch.Record().Epoch,
@@ -303,6 +311,7 @@
 			since = 0
 		}
 		c.state.view(&news, since)
+		c.noteView(now, item.ask)
 	}
 	effects.Send(item.from, news)
 }
@@ -313,6 +322,9 @@
 		return
 	}
 	for _, item := range statemachine.Sorted(c.held) {
+		if item.after.After(now) {
+			continue
+		}
 		if item.ask.Index != c.state.Index || !item.limit.After(now) {
 			c.give(now, item, effects)
 		}
@@ -478,6 +490,7 @@
 
 func (c *Controller) stopActing(_ time.Time, effects *statemachine.Effects) {
 	c.acting, c.busy = false, false
+	clear(c.views)
 	for name, item := range statemachine.Sorted(c.held) {
 		delete(c.held, name)
 		effects.Send(item.from, c.redirect(item.ask))
--- a/internal/membership/follower.go
+++ b/internal/membership/follower.go
@@ -25,6 +25,15 @@
 	ConfirmedFor = 2500 * time.Millisecond
 )
 
+// questionsKept is how many questions a follower knows that may still be answered.
+const questionsKept = 8
+
+// question is one that was asked, and when.
+type question struct {
+	nonce uint64
+	at    time.Time
+}
+
 // Follower is the state machine.
 type Follower struct {
 	self        Member
@@ -34,6 +43,7 @@
 	primary     string
 	nonce       uint64
 	askedAt     time.Time
+	asked       []question
 	waiting     bool
 	patient     bool
 	fixed       bool
@@ -122,6 +132,10 @@
 func (f *Follower) ask(now time.Time, effects *statemachine.Effects) {
 	f.nonce++
 	f.askedAt, f.waiting = now, true
+	f.asked = append(f.asked, question{nonce: f.nonce, at: now})
+	if len(f.asked) > questionsKept {
+		f.asked = slices.Delete(f.asked, 0, 1)
+	}
 	limit := askLimit
 	if f.patient {
 		limit = patientLimit
@@ -203,18 +217,19 @@
 		return Taken{}
 	}
 	var taken Taken
-	if news.Nonce == f.nonce {
+	askedAt, answers := f.answered(news.Nonce)
+	if answers {
 		f.waiting, f.searching, f.hurried = false, false, false
 		f.timers.Disarm("limit")
 		f.timers.Arm("ask", now)
 		taken.Answered = true
 	}
-	if f.Index == 0 && (!taken.Answered || now.Sub(f.askedAt) > FreshFor) {
+	if f.Index == 0 && (!taken.Answered || now.Sub(askedAt) > FreshFor) {
 		return taken
 	}
 	if taken.Answered {
-		if f.askedAt.After(f.Confirmed) {
-			f.Confirmed = f.askedAt
+		if askedAt.After(f.Confirmed) {
+			f.Confirmed = askedAt
 		}
 	}
 	f.primary = news.Primary
@@ -231,6 +246,19 @@
 	return taken
 }
 
+// answered tells when a question was asked that is answered now, and forgets it with
+// those before it. It need not be the newest: on a thin link an answer may take longer
+// than it takes to ask again, and is as good as it was when its question was asked.
+func (f *Follower) answered(nonce uint64) (time.Time, bool) {
+	for position, each := range f.asked {
+		if each.nonce == nonce && (position == len(f.asked)-1 || !statemachine.Mutated("newest-answer")) {
+			f.asked = slices.Delete(f.asked, 0, position+1)
+			return each.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // takeView replaces the view, or what changed of it.
 func (f *Follower) takeView(news News) {
 	f.Index = news.Index
