Controllers leave by agreement, and a lost candidate no longer holds everybody up

Cause, found by walking all states of real watches with one loss at each step: - A controller that was asked to stop gave the lease back and ended at once. If its machine went with it, a second loss left no majority of the voters for good, also when a successor already stood by; a primary took the only copy along if its backup was lost right then. - A candidate whose disk was lost after the voters had promised it the next epoch left nobody who could go on: the primary got no lease, and asked for no epoch because its backup, the candidate, was lost. - A primary that got no lease in a new epoch asked for the next one at once, and so on without pause. Excluded: the order of writes and messages at a decision (walked in all orders). Now a controller leaves: it gives the lease back once its backups are level and heard, takes it back if nobody takes over, and goes once a majority of the voters without it have that on their disks, within three quarters of the grace; nobody to take its place lets it go at once. An even number of voters may lose one without a successor. The primary without a lease readies other copies as who takes over does, and a new epoch is given time before the next. Each mechanism is taken away once in TestTheWalksFindWhatIsTakenAway, and a walk then finds the broken promise; with all of them the walks are whole.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -77,7 +77,7 @@
 		return
 	}
 	w.giveWay(now, prepare)
-	if prepare.Epoch > 1 && prepare.Ballot.Name != w.durable.Record.Primary && now.Before(w.grantedUntil) {
+	if prepare.Epoch > 1 && prepare.Ballot.Name != w.durable.Record.Primary && now.Before(w.grantedUntil) && !statemachine.Mutated("grant-at-once") {
 		refusal.Wait = w.grantedUntil.Sub(now)
 		w.reply(now, from, refusal, effects)
 		return
@@ -219,7 +219,10 @@
 	}
 	trying.accepts[from] = true
 	record := trying.value
-	if !enough(trying.epoch, w.deciders(record), trying.accepts) || !enough(trying.epoch, record.Voters, trying.accepts) {
+	if !enough(trying.epoch, w.deciders(record), trying.accepts) {
+		return
+	}
+	if !enough(trying.epoch, record.Voters, trying.accepts) && !statemachine.Mutated("old-majority-alone") {
 		return
 	}
 	w.trying = nil
@@ -321,6 +324,8 @@
 			w.writeState(spare.State, effects)
 			return record.Epoch
 		}
+	case statemachine.Mutated("copy-counts-at-once"):
+		return record.Epoch
 	case record.Epoch == earlier.Record.Epoch+1 && earlier.Complete == earlier.Record.Epoch && earlier.Record.Epoch > 0 &&
 		(earlier.Record.Primary == self || slices.Contains(earlier.Record.Backups, self)):
 		return record.Epoch
--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -167,7 +167,7 @@
 	}
 	w.yielded, w.yieldedAt = true, now
 	w.leaseUntil = time.Time{}
-	if w.grantedTo == w.settings.Self.Name && !statemachine.Mutated("own-vote-kept") {
+	if w.grantedTo == w.settings.Self.Name {
 		w.grantedUntil = now
 	}
 	w.renewals, w.grants = map[uint64]time.Time{}, map[uint64]map[string]bool{}
--- a/internal/consensus/leave.go
+++ b/internal/consensus/leave.go
@@ -35,7 +35,9 @@
 
 // Left tells whether nothing that this controller holds is needed any more, or
 // nobody can take it over.
-func (w *Watch) Left() bool { return w.left }
+func (w *Watch) Left() bool {
+	return w.left || statemachine.Mutated("leave-when-out") && w.leaving && !w.blank && !w.member()
+}
 
 // leaveOn asks, again and again, to be let go.
 func (w *Watch) leaveOn(now time.Time, effects *statemachine.Effects) {
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -57,7 +57,7 @@
 			w.passedOver = nil
 			break
 		}
-		w.spares[chosen.Name] = &asked{at: now}
+		w.spares[chosen.Name] = &asked{at: now, ready: statemachine.Mutated("copy-counts-at-once")}
 		effects.Send(chosen.Address, Frame{
 			Epoch: w.durable.Record.Epoch, For: w.durable.Record.Epoch + 1, Index: w.index, State: w.ledger.Frame(),
 		})
--- a/internal/consensus/voters.go
+++ b/internal/consensus/voters.go
@@ -307,7 +307,7 @@
 	if !w.member() || w.promisedAway() || w.acceptedAway() {
 		return false
 	}
-	return !now.Before(w.grantedUntil) || w.grantedTo == w.durable.Record.Primary
+	return !now.Before(w.grantedUntil) || w.grantedTo == w.durable.Record.Primary || statemachine.Mutated("grant-at-once")
 }
 
 // wantedVoters is how many controllers the voters should have.
--- a/internal/consensus/world_test.go
+++ b/internal/consensus/world_test.go
@@ -55,6 +55,7 @@
 	disk  explore.Key
 	up    bool
 	gone  bool
+	cut   bool
 	lives int
 }
 
@@ -145,6 +146,7 @@
 		settings.NewDisk = fmt.Sprintf("%s-%d", n.self.Disk, n.lives)
 	}
 	n.lives++
+	settings.Life = statemachine.Life(n.number<<8 + n.lives)
 	n.ledger = &words{}
 	watch, err := New(settings, n.ledger, n.frame, n.entries)
 	if err != nil {
@@ -167,7 +169,7 @@
 	run(w.now, &effects)
 	for _, send := range effects.Sends {
 		for _, to := range w.nodes {
-			if to.self.Address != send.To || !to.up {
+			if to.self.Address != send.To || !to.up || to.cut != n.cut {
 				continue
 			}
 			packed, err := transport.Encode(statemachine.Meta{From: n.self.Address}, send.Message)
@@ -489,7 +491,7 @@
 func (w *world) Key() explore.Key {
 	parts := []any{w.left, w.committed, w.next, w.now.Sub(w.begun) > catchUp}
 	for _, each := range w.nodes {
-		parts = append(parts, each.up, each.gone, each.disk)
+		parts = append(parts, each.up, each.gone, each.cut, each.disk)
 		if each.up {
 			parts = append(parts, each.watch)
 		}
@@ -514,6 +516,9 @@
 	for _, item := range w.items {
 		item.held = false
 	}
+	for _, each := range w.nodes {
+		each.cut = false
+	}
 	calm := w.now
 	for steps := 0; w.now.Sub(calm) < 12*time.Second; steps++ {
 		if steps > mostSteps {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -57,6 +57,8 @@
 	Highest bool
 	// Tolerance, if given, is how many machines with a disk may be lost at once.
 	Tolerance *int
+	// Grace is for how long a daemon that was asked to end is let run.
+	Grace time.Duration
 }
 
 // Request is an operator's request at this daemon's own ctl.
@@ -97,6 +99,7 @@
 	lags          map[string]lag
 	doubts        map[string]*doubt
 	busy          bool
+	stopBy        time.Time
 	began         time.Time
 	acting        bool
 	parsed        config.Configuration
@@ -186,6 +189,7 @@
 			c.tend(now, effects)
 		}
 	}
+	c.endStop(now, effects)
 }
 
 // Command takes what the adapters bring: synced writes and ctl requests.
@@ -197,19 +201,11 @@
 	case Request:
 		c.controlClient.Carry(now, body.Local, body.Method, body.Path, body.Body, effects)
 	case Stop:
-		c.watch.Yield(now, effects)
-		for _, other := range statemachine.Sorted(c.follower.Members) {
-			if other.Kind == membership.KindController && other.Name != c.settings.Self.Name {
-				effects.Send(other.Address, membership.Farewell{Name: c.settings.Self.Name, Incarnation: c.settings.Self.Incarnation})
-			}
-		}
-		effects.Stop = true
+		c.beginStop(now, effects)
 	}
+	c.endStop(now, effects)
 }
 
-// Stop asks a daemon to end in good order.
-type Stop struct{}
-
 // Message takes what other daemons say.
 func (c *Controller) Message(now time.Time, meta statemachine.Meta, message any, effects *statemachine.Effects) {
 	if meta.From != c.settings.Self.Address {
@@ -217,6 +213,7 @@
 	}
 	if c.watch.Message(now, meta, message, effects) {
 		c.answerNews(now, effects)
+		c.endStop(now, effects)
 		return
 	}
 	switch body := message.(type) {
