Members that are gone for good are forgotten; a late redirection begins no new search

A member that the primary has seen dead for a minute is now forgotten, by a command that is judged where it is applied: never a store that any placement names, or whose disk, whichever it was, any placement lists as a holder; never one whose emptying is under way; never a gateway that the configuration names as drained. A tombstone stays: by it a repeated order for a store that was emptied is answered as done, and followers are told who went. Who is older than a tombstone that went is told everything anew.

An old life that comes back after its tombstone went is a newcomer: nothing lists its disk, and no epoch of its time names it.

The test's controllers showed another fault on links of equal delay: where the primary's answer and a redirection to it came in one turn, the redirection began the search anew, and all controllers were asked a thousand times a second, for ever. A redirection now counts only while its question is open (seen red: two questions in place of one).

--- a/internal/controller/apply.go
+++ b/internal/controller/apply.go
@@ -51,10 +51,14 @@
 	for _, settled := range command.Settled {
 		s.applySettled(settled)
 	}
+	for _, departure := range command.Forgotten {
+		s.applyForget(departure)
+	}
 }
 
 func (s *State) setMember(member membership.Member) {
 	s.Members[member.Name], s.MemberAt[member.Name] = member, s.Index
+	s.unbury(member.Name)
 }
 
 func (s *State) setPlace(place membership.Placement) {
@@ -108,7 +112,7 @@
 }
 
 func (s *State) applyRetirement(order Retirement) Outcome {
-	member, found := s.Members[order.Store]
+	member, found := s.member(order.Store)
 	switch {
 	case !found || member.Kind != membership.KindStore:
 		return UnknownStore
@@ -139,7 +143,7 @@
 // store holds whatever becomes of its processes and disk, until it is done: then the
 // machine is taken away, and one of its name with another disk is a new one.
 func (s *State) joined(self membership.Member) membership.Member {
-	known, found := s.Members[self.Name]
+	known, found := s.member(self.Name)
 	anew := !found || known.Incarnation != self.Incarnation
 	next := self
 	next.Alive = true
@@ -152,7 +156,7 @@
 }
 
 func (s *State) applyJoin(join Join) {
-	known, found := s.Members[join.Self.Name]
+	known, found := s.member(join.Self.Name)
 	if found && join.Self.Incarnation < known.Incarnation && join.Over != known.Incarnation {
 		return
 	}
--- a/internal/controller/command.go
+++ b/internal/controller/command.go
@@ -28,6 +28,7 @@
 	Rests        []Rest
 	Places       []membership.Placement
 	Settled      []membership.PartitionComplete
+	Forgotten    []Departure
 }
 
 // ConfigurationChange is an operator's configuration under its number. One that was
@@ -110,7 +111,7 @@
 // empty tells whether a command changes nothing.
 func (c Command) empty() bool {
 	return c.Configuration == nil && c.Retirement == nil && c.Tolerance == nil &&
-		len(c.Departures)+len(c.Joins)+len(c.Emptied)+len(c.Degradations)+len(c.Rests)+len(c.Places)+len(c.Settled) == 0
+		len(c.Departures)+len(c.Joins)+len(c.Emptied)+len(c.Degradations)+len(c.Rests)+len(c.Places)+len(c.Settled)+len(c.Forgotten) == 0
 }
 
 func mustPack(command Command) []byte { return transport.MustMarshal(command) }
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -186,7 +186,7 @@
 func (c *Controller) store(now time.Time, method, rest string, give answer, effects *statemachine.Effects) {
 	name, verb, _ := strings.Cut(rest, "/")
 	describe := func(status int) (int, any) {
-		member, found := c.state.Members[name]
+		member, found := c.state.member(name)
 		if !found || member.Kind != membership.KindStore {
 			return http.StatusNotFound, controlclient.Error("no-such-store", "no store is named "+name, nil)
 		}
@@ -212,7 +212,7 @@
 // are left is decided where the order is applied.
 func (c *Controller) retire(now time.Time, order Retirement, give answer, describe func(status int) (int, any), effects *statemachine.Effects) {
 	tooFew := controlclient.Error("too-few-stores", fmt.Sprintf("%d other stores must be alive to take the partitions", c.state.Tolerance+1), nil)
-	member, found := c.state.Members[order.Store]
+	member, found := c.state.member(order.Store)
 	if !found || member.Kind != membership.KindStore {
 		c.confirmed(now, give, effects, func() (int, any) {
 			if status, value := describe(http.StatusOK); status == http.StatusNotFound {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -95,6 +95,7 @@
 	leaving       map[string]Departure
 	complete      map[string]membership.PartitionComplete
 	lags          map[string]lag
+	dead          map[string]reported
 	doubts        map[string]*doubt
 	busy          bool
 	began         time.Time
@@ -324,7 +325,7 @@
 // has been silent for a while.
 func (c *Controller) noteMember(now time.Time, ask membership.Ask) {
 	self := ask.Self
-	known, found := c.state.Members[self.Name]
+	known, found := c.state.member(self.Name)
 	if found && self.Incarnation < known.Incarnation && now.Sub(c.heard[known.Name]) <= succeedsAfter {
 		return
 	}
@@ -395,6 +396,7 @@
 	c.joining, c.leaving = map[string]Join{}, map[string]Departure{}
 	c.complete = map[string]membership.PartitionComplete{}
 	c.orders = map[string]membership.Orders{}
+	c.dead = map[string]reported{}
 	c.lags, c.doubts = map[string]lag{}, map[string]*doubt{}
 	for name, member := range c.state.Members {
 		c.heard[name] = now
@@ -532,6 +534,13 @@
 	if wanted := c.settings.Tolerance; wanted != nil && *wanted != c.state.Tolerance {
 		command.Tolerance = wanted
 	}
+	if command.empty() {
+		c.forgetStrangers(now)
+		command.Forgotten = c.forgettable(now)
+		for _, departure := range command.Forgotten {
+			effects.Note(logevent.MemberForgotten, "member", departure.Name)
+		}
+	}
 	if command.empty() {
 		command.Places = c.state.plan(c.configuration())
 		if now.Sub(c.began) <= settleFor/3 {
--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -73,6 +73,7 @@
 	up      bool
 	queue   []statemachine.Write
 	busy    bool
+	timer   int
 	// replayed is what the last start read.
 	replayed wal.Recovered
 }
@@ -174,10 +175,11 @@
 	}
 	s.queue = append(s.queue, effects.Writes...)
 	s.write()
+	s.timer++
 	if due := s.machine.NextDue(); !due.IsZero() {
-		life := s.life
+		life, timer := s.life, s.timer
 		s.council.after(max(0, due.Sub(s.council.now)), func() {
-			if next := s.machine.NextDue(); s.life == life && !next.IsZero() && !next.After(s.council.now) {
+			if s.timer == timer {
 				s.enter(life, func(now time.Time, effects *statemachine.Effects) { s.machine.Due(now, effects) })
 			}
 		})
@@ -293,7 +295,7 @@
 func TestARestartReadsByTheSizeOfTheStateAndNotByTheChanges(t *testing.T) {
 	for _, routes := range []int{12, 100} {
 		c, version := newCouncil(t, 3), 0
-			for _, changes := range []int{10, 100, 500} {
+		for _, changes := range []int{10, 100, 500} {
 			c.change(version+1, changes-version, routes)
 			version = changes
 			for name, each := range statemachine.Sorted(c.seats) {
--- a/internal/controller/state.go
+++ b/internal/controller/state.go
@@ -28,7 +28,8 @@
 	Places   map[string]membership.Placement
 	// MemberAt and PlaceAt are the indexes at which each changed last, BirthsAt the
 	// one at which the births did, and WholeAt the one at which a place was taken
-	// away: who is older than that is told everything anew.
+	// away, or a member whose tombstone is gone: who is older than that is told
+	// everything anew.
 	MemberAt map[string]uint64
 	PlaceAt  map[string]uint64
 	BirthsAt uint64
@@ -41,7 +42,11 @@
 	// History are the newest numbers under which a configuration was confirmed, the
 	// lowest number first.
 	History []Decision
-	result  result
+	// Tombstones are what is left of the members that were forgotten, the oldest first,
+	// and Drained the gateways that the configuration in force names as drained.
+	Tombstones []Tombstone
+	Drained    []string
+	result     result
 }
 
 func newState() *State {
@@ -73,6 +78,11 @@
 			news.Members = append(news.Members, member)
 		}
 	}
+	for _, gone := range s.Tombstones {
+		if since > 0 && gone.At > since {
+			news.Gone = append(news.Gone, gone.Name)
+		}
+	}
 	for name, place := range statemachine.Sorted(s.Places) {
 		if at, known := s.PlaceAt[name]; !known || at > since {
 			news.Placements = append(news.Placements, place)
@@ -82,7 +92,7 @@
 
 func (s *State) takeConfiguration(change ConfigurationChange, configuration config.Configuration) {
 	s.Version, s.Document = change.Version, change.Document
-	s.BirthsAt = s.Index
+	s.BirthsAt, s.Drained = s.Index, configuration.Drains
 	for name := range statemachine.Sorted(s.Births) {
 		space, found := configuration.Spaces[name]
 		if !found || s.Natures[name] != nature(space) {
--- a/internal/controller/state_test.go
+++ b/internal/controller/state_test.go
@@ -16,6 +16,7 @@
 )
 
 func TestNewsOfWhatChangedGiveTheWholeView(t *testing.T) {
+	forgotten := 0
 	for seed := range uint64(20) {
 		random := rand.New(rand.NewPCG(seed, 0xde17a))
 		state := newState()
@@ -30,7 +31,7 @@
 		partial := 0
 		for step := range 300 {
 			var command Command
-			switch random.IntN(5) {
+			switch random.IntN(6) {
 			case 0, 1:
 				name := fmt.Sprint("store-", random.IntN(6))
 				if random.IntN(4) > 0 {
@@ -54,6 +55,10 @@
 					spaces := fmt.Sprintf(`{"name": "a", "promise": "kept", "order": "topic"}, {"name": "s%d", "promise": "kept", "order": "channel"}`, random.IntN(3))
 					command.Configuration = configured(version, fmt.Sprintf(`{"version": %d, "spaces": [%s]}`, version, spaces))
 				}
+			case 5:
+				for name, member := range statemachine.Sorted(state.Members) {
+					command.Forgotten = append(command.Forgotten, Departure{Name: name, Incarnation: member.Incarnation})
+				}
 			case 4:
 				if version > 0 {
 					configuration, _ := config.Read(state.Document)
@@ -67,6 +72,7 @@
 			if news.Since > 0 {
 				partial++
 			}
+			forgotten += len(news.Gone)
 			follower.Take(now.Add(time.Millisecond), news)
 			assert.Equal(t, follower.Index, state.Index)
 			assert.DeepEqual(t, follower.Members, state.Members)
@@ -75,4 +81,5 @@
 		}
 		assert.Assert(t, partial > 200, "only %d of 300 were told what changed alone", partial)
 	}
+	assert.Assert(t, forgotten > 100, "only %d were told to be gone", forgotten)
 }
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -47,6 +47,7 @@
 	MemberJoined        = 2030
 	MemberSuspected     = 2031
 	MemberLost          = 2032
+	MemberForgotten     = 2033
 	PlacementChanged    = 2040
 	PlacementComplete   = 2041
 	StoreRetired        = 2042
@@ -100,6 +101,7 @@
 	MemberJoined:        {logrus.InfoLevel, "member joined"},
 	MemberSuspected:     {logrus.WarnLevel, "watcher hears nothing from a member"},
 	MemberLost:          {logrus.WarnLevel, "member taken for lost"},
+	MemberForgotten:     {logrus.InfoLevel, "member that was lost for long is forgotten"},
 	PlacementChanged:    {logrus.InfoLevel, "partition placed anew"},
 	PlacementComplete:   {logrus.InfoLevel, "partition has all its synced copies"},
 	StoreRetired:        {logrus.InfoLevel, "store retired"},
--- a/internal/membership/follower.go
+++ b/internal/membership/follower.go
@@ -163,9 +163,10 @@
 }
 
 // Redirected learns from a controller that is not primary. A primary that it names
-// and that was not asked yet is asked at once.
+// and that was not asked yet is asked at once. Once the primary has answered the same
+// question, what the others say of it is of no use.
 func (f *Follower) Redirected(now time.Time, redirect Redirect, effects *statemachine.Effects) {
-	if redirect.Nonce != f.nonce {
+	if redirect.Nonce != f.nonce || !f.waiting {
 		return
 	}
 	asked := f.Upstreams()
@@ -241,6 +242,9 @@
 	if news.Since > 0 {
 		members, places = maps.Clone(f.Members), maps.Clone(f.Places)
 	}
+	for _, name := range news.Gone {
+		delete(members, name)
+	}
 	for _, member := range news.Members {
 		members[member.Name] = member
 	}
--- a/internal/membership/follower_test.go
+++ b/internal/membership/follower_test.go
@@ -52,3 +52,22 @@
 	}
 	assert.Assert(t, now.Sub(follower.Confirmed) < 2*HoldAsk, "confirmed %s ago", now.Sub(follower.Confirmed))
 }
+
+// The answers to one search may come together, the primary's first: then the search is
+// over, and the next question goes to the primary alone.
+func TestALateRedirectionBeginsNoNewSearch(t *testing.T) {
+	now := time.Unix(1000, 0)
+	follower := NewFollower(Member{Name: "gateway-1"}, 0, []string{"controller-1", "controller-2"}, func() Load { return Load{} })
+	follower.Start(now)
+	var effects statemachine.Effects
+	follower.Due(now, &effects)
+	assert.Equal(t, len(effects.Sends), 2)
+	nonce := effects.Sends[0].Message.(Ask).Nonce
+	now = now.Add(time.Millisecond)
+	follower.Take(now, News{Nonce: nonce, Epoch: 1, Primary: "controller-1", Index: 1, Changed: true})
+	follower.Redirected(now, Redirect{Nonce: nonce, Epoch: 1, Primary: "controller-1"}, &effects)
+	effects = statemachine.Effects{}
+	follower.Due(now, &effects)
+	assert.Equal(t, len(effects.Sends), 1)
+	assert.Assert(t, !effects.Sends[0].Message.(Ask).Urgent)
+}
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -129,6 +129,8 @@
 	Placements []Placement
 	Births     map[string]uint64
 	Orders     Orders
+	// Gone are the members that were forgotten.
+	Gone []string
 }
 
 // Orders are what the economy asks of one gateway.
