--- a/internal/config/configuration_test.go
+++ b/internal/config/configuration_test.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"bytes"
 	"encoding/json"
 	"strings"
 	"testing"
@@ -77,6 +78,9 @@
 	assert.Assert(t, !same(`{"annex":"1"}`, `{"annex":1}`))
 	assert.Assert(t, same(`{"annex":"no JSON"}`, ` {"annex": "no JSON"}`))
 	assert.Assert(t, !same(`{"a":1} {}`, `{"a":1}`))
+	assert.Assert(t, !same(`{"a":{"b":1},"c":2}`, `{"a":{"b":1,"c":2}}`))
+	assert.Assert(t, !same(`{"a":["b","c"]}`, `{"a":["b\",\"c"]}`))
+	assert.Assert(t, same(`{"a":"\u00e9"}`, `{"a":"é"}`))
 }
 
 func FuzzRead(f *testing.F) {
@@ -91,7 +95,8 @@
 			return
 		}
 		assert.Assert(t, json.Valid(document) && configuration.Version > 0)
-		_, whole := decode(document)
-		assert.Assert(t, whole, "a digest is of what the document says")
+		var spaced bytes.Buffer
+		assert.NilError(t, json.Indent(&spaced, document, " ", "\t"))
+		assert.Equal(t, DigestOf(document), DigestOf(spaced.Bytes()), "a digest is of what the document says")
 	})
 }
