A store that is named again after the next loss needs only what came meanwhile

A store keeps a log that nobody counts on for 30 s as a spare. It counts as no copy (holders stand in the placement), and matches the first's log by offset and epoch before anything is added. Excluded: keeping it for good (memory and disk), and fewer moves of partitions (they were needed both times).

--- a/internal/partition/store.go
+++ b/internal/partition/store.go
@@ -114,6 +114,8 @@
 	accepted   uint64
 	firstSince uint64
 	floor      uint64
+	// spare is since when nobody counts on this log; zero while somebody does.
+	spare time.Time
 }
 
 type headWatcher struct {
@@ -306,6 +308,7 @@
 		switch {
 		case key == "trim":
 			s.trim(now)
+			s.dropSpares(now, effects)
 		case key == "copy":
 			s.recopy(now, effects)
 		case key == "probe":
@@ -384,15 +387,7 @@
 		}
 		s.place(now, partition, place, effects)
 	}
-	for name, partition := range statemachine.Sorted(s.partitions) {
-		place, placed := s.follower.Places[name]
-		needed := placed && (place.Names(s.settings.Self.Name) || slices.Contains(place.Safe, s.holder()))
-		if !needed {
-			s.giveUp(partition, "removed", effects)
-			delete(s.partitions, name)
-			s.log(diskEntry{Partition: name, Drop: true}, nil)
-		}
-	}
+	s.release(now, effects)
 	s.forgetDelays()
 	if s.follower.Members[s.settings.Self.Name].Degraded {
 		s.timers.ArmSooner("probe", now.Add(probeEvery))
