--- a/internal/controller/command.go
+++ b/internal/controller/command.go
@@ -3,6 +3,7 @@
 // decided on, and is judged again where it is applied. What another command
 // changed meanwhile stays, and the order of the log decides between orders that
 // exclude each other.
+
 package controller
 
 import (
@@ -35,6 +36,9 @@
 	Version  uint64
 	Document []byte
 	Digest   config.Digest
+	// Highest says that a number below the one in force is confirmed without coming
+	// into force; otherwise it is refused.
+	Highest bool
 	// At is when it came, by the clock of the primary, and Through the daemon that
 	// passed it on.
 	At      time.Time
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -178,6 +178,7 @@
 		return p.failed(err)
 	}
 	p.impairment(current)
+	p.host.Transport().SetRate(current.Link)
 	if current.Compression == settings.CompressionFar {
 		p.host.Transport().Compress()
 	}
@@ -260,6 +261,7 @@
 	}
 	p.current = after
 	p.impairment(after)
+	p.host.Transport().SetRate(after.Link)
 	debug.SetMemoryLimit(after.MemoryLimit())
 	p.logger.SetLevel(after.LogLevel)
 	if p.built.Reload != nil {
@@ -295,10 +297,7 @@
 	book, recovered, err := p.openBook(folder)
 	if errorx.IsOfType(err, wal.ErrorDamage) {
 		p.logger.Report(logevent.DiskDamaged, "error", err.Error())
-		if err := putAside(path); err != nil {
-			return nil, stored, err
-		}
-		if folder, err = wal.OpenFileFolder(path); err != nil {
+		if err := wal.PutAside(folder); err != nil {
 			return nil, stored, err
 		}
 		book, recovered, err = p.openBook(folder)
@@ -342,25 +341,6 @@
 // heldLocks keeps the files open for as long as the process lives.
 var heldLocks []*os.File
 
-func putAside(path string) error {
-	aside := filepath.Join(path, "damaged-"+strconv.FormatInt(time.Now().UnixNano(), 10))
-	if err := os.MkdirAll(aside, 0o755); err != nil {
-		return err
-	}
-	entries, err := os.ReadDir(path)
-	if err != nil {
-		return err
-	}
-	for _, entry := range entries {
-		if strings.HasPrefix(entry.Name(), "slot-") || strings.HasPrefix(entry.Name(), "log-") {
-			if err := os.Rename(filepath.Join(path, entry.Name()), filepath.Join(aside, entry.Name())); err != nil {
-				return err
-			}
-		}
-	}
-	return nil
-}
-
 // mustRandom is the port for randomness: eight bytes, drawn as the process starts.
 func mustRandom() []byte {
 	var body [8]byte
@@ -502,7 +482,7 @@
 		"messages_out": counters.MessagesOut.Load(), "bytes_out": counters.BytesOut.Load(),
 		"messages_in": counters.MessagesIn.Load(), "bytes_in": counters.BytesIn.Load(),
 		"messages_away": counters.MessagesAway.Load(), "bytes_away": counters.BytesAway.Load(),
-		"dropped": counters.Dropped.Load(), "garbage": counters.Garbage.Load(), "writes": counters.Writes.Load(), "dials": counters.Dials.Load(), "shed": counters.Shed.Load(),
+		"dropped": counters.Dropped.Load(), "garbage": counters.Garbage.Load(), "writes": counters.Writes.Load(), "dials": counters.Dials.Load(), "shed": counters.Shed.Load(), "held": counters.Held.Load(),
 	}
 }
 
