A dial to a machine that was only starting is given up soon, and made anew when it speaks

After each loss of power the service came back a second later than its machines.

The same dial made a store that had come back be taken for lost again, 0.8 s after it had joined: the primary's dial to it had begun while it was away, so that it got no view, knew no watchers and sent no heartbeats, while it was asking the primary five times a second.

The first dial may now take 0.2 s, each further one twice as long up to a second, and whoever names itself on a connection of its own is dialled at once. Excluded: the lease's wait (the former primary is granted at once), processor time, the disks.

--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"hash/fnv"
 	"net"
@@ -207,8 +208,12 @@
 		return
 	}
 	present.dialling = true
+	present.patience = min(max(2*present.patience, t.firstDial), max(t.firstDial, dialLimit))
+	limit, hangUp := context.WithTimeout(context.Background(), present.patience)
+	present.hangUp = hangUp
 	go func() {
-		plain, err := t.dial(present.to)
+		defer hangUp()
+		plain, err := t.dial(limit, present.to)
 		if err == nil {
 			_, err = t.client.EnrollContext(plain, present)
 		}
@@ -218,20 +223,40 @@
 	}()
 }
 
-func (t *Transport) dial(to string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialLimit, KeepAlive: -1, LocalAddr: &net.TCPAddr{IP: net.ParseIP(hostOf(t.address))}}
+// present tells the dialling loop that a peer has just named itself on a connection of
+// its own: it is there, so that a dial begun before it was is given up and made anew.
+func (t *Transport) present(address string) {
+	t.onLoop(func() {
+		known, found := t.tended[address]
+		if !found || known.wire != nil || t.stopped || t.cutTo(address) {
+			return
+		}
+		known.patience, known.pause, known.retryAt = 0, 0, time.Time{}
+		if known.dialling {
+			known.answers = true
+			known.hangUp()
+			return
+		}
+		if t.order.Waits(address) {
+			t.call(known)
+		}
+	})
+}
+
+func (t *Transport) dialPlain(limit context.Context, to string) (net.Conn, error) {
+	dialer := net.Dialer{KeepAlive: -1, LocalAddr: &net.TCPAddr{IP: net.ParseIP(hostOf(t.address))}}
 	dialer.Control = func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(descriptor uintptr) {
 			// Where a system does not know it, a dead peer is found later.
 			_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(deafLimit.Milliseconds()))
 		})
 	}
-	return dialer.Dial("tcp", to)
+	return dialer.DialContext(limit, "tcp", to)
 }
 
 // opened takes a connection that was made: who we are goes first.
 func (t *Transport) opened(present *link, wire gnet.Conn) gnet.Action {
-	present.dialling = false
+	present.dialling, present.answers, present.patience = false, false, 0
 	descriptor, err := wire.Dup()
 	if err != nil {
 		t.pauseLink(present)
@@ -266,7 +291,10 @@
 		default:
 		}
 	}
-	t.pauseLink(present)
+	if !present.answers {
+		t.pauseLink(present)
+	}
+	present.answers = false
 	t.dropStale(present)
 	if t.order.Waits(present.to) {
 		t.call(present)
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -45,6 +45,10 @@
 	// anybody is there, if somebody wants to know.
 	probeAfter  = 5 * time.Millisecond
 	probeSlowly = 200 * time.Millisecond
+	// dialFirst is how long the first dial may take, and dialLimit any other: what goes
+	// to a machine that is just starting is lost, and asked again by the system after a
+	// second only.
+	dialFirst   = 200 * time.Millisecond
 	dialLimit   = time.Second
 	pauseLeast  = 50 * time.Millisecond
 	pauseMost   = 500 * time.Millisecond
@@ -131,6 +135,10 @@
 	reader reader
 	inward map[string]gnet.Conn
 
+	// dial makes a connection, and firstDial is how long the first may take.
+	dial      func(limit context.Context, to string) (net.Conn, error)
+	firstDial time.Duration
+
 	// Of the dialling loop.
 	loop     gnet.EventLoop
 	tended   map[string]*link
@@ -172,6 +180,11 @@
 	wire     gnet.Conn
 	socket   *socket
 	dialling bool
+	// patience is how long the next dial may take, and hangUp ends the present one.
+	patience time.Duration
+	hangUp   context.CancelFunc
+	// answers is set while the peer is known to be there, by what it said itself.
+	answers  bool
 	pause    time.Duration
 	retryAt  time.Time
 	armed    time.Time
@@ -256,6 +269,7 @@
 		inward:  map[string]gnet.Conn{},
 		tended:  map[string]*link{},
 	}
+	opened.dial, opened.firstDial = opened.dialPlain, dialFirst
 	opened.impairment.Store(&Impairment{})
 	// gnet's pool of tasks, which nothing here uses, would wake up twice a second.
 	goroutine.DefaultWorkerPool.Release()
@@ -295,7 +309,9 @@
 		return err
 	}
 	t.client = client
-	plain, err := t.dial(t.address)
+	limit, hangUp := context.WithTimeout(context.Background(), dialLimit)
+	defer hangUp()
+	plain, err := t.dial(limit, t.address)
 	if err != nil {
 		return err
 	}
