What crosses the links and what callers are told is counted by kind

Counters by type of message in the transport and by kind of answer and event at callers, told at ctl and, with the setting traffic, by event 1021.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -76,7 +76,7 @@
 		admit = func(origin, token string) bool { return httpapi.Origin(key, token) == origin }
 	}
 	own := built.Counters
-	built.Counters = func() any { return map[string]any{"machine": own(), "callers": served.Sums()} }
+	built.Counters = func() any { return map[string]any{"machine": own(), "callers": served.Sums(), "told": served.Told()} }
 	built.Callers = func(at *daemon.Host, address string) (daemon.Server, error) {
 		var err error
 		served, err = lineserver.Start(lineserver.Settings{
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -218,6 +218,7 @@
 func (p *process) wait() {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	told := p.trafficTicks()
 	changed, err := p.source.Watch()
 	if err != nil {
 		p.logger.Report(logevent.SettingsRefused, "error", err.Error())
@@ -233,12 +234,33 @@
 			p.host.Post(p.built.Stop)
 		case <-changed:
 			p.reload("file")
+		case <-told:
+			p.logger.Report(logevent.TrafficTold, p.traffic()...)
 		case <-p.host.Ended():
 			return
 		}
 	}
 }
 
+// trafficTicks tells when the traffic is to be logged; nil never does.
+func (p *process) trafficTicks() <-chan time.Time {
+	if p.current.Traffic <= 0 {
+		return nil
+	}
+	return time.NewTicker(p.current.Traffic).C
+}
+
+// traffic is what crossed the links since the daemon started, by kind.
+func (p *process) traffic() []any {
+	links := p.host.Transport()
+	fields := []any{"links", linkCounts(&links.Counters), "sent", links.Sent(), "received", links.Received()}
+	if p.built.Callers != nil {
+		callers, _ := p.inspect(func(time.Time) any { return p.built.Counters() })
+		fields = append(fields, "counters", callers)
+	}
+	return fields
+}
+
 func (p *process) reload(why string) {
 	after, err := p.source.Read()
 	if err != nil {
@@ -476,7 +498,7 @@
 		return map[string]any{
 			"name": p.self.Name, "kind": p.kind, "zone": p.self.Zone, "ready": p.built.Ready(now),
 			"version": p.built.Machine.Version(), "index": follower.Index, "epoch": follower.Epoch, "primary": follower.Primary(),
-			"counters": p.built.Counters(), "links": linkCounts(&p.host.Transport().Counters),
+			"counters": p.built.Counters(), "links": linkCounts(&p.host.Transport().Counters), "sent": p.host.Transport().Sent(), "received": p.host.Transport().Received(),
 			"steps": p.host.Steps.Load(), "syncs": p.host.Syncs.Load(),
 		}
 	})
--- a/internal/lineserver/command.go
+++ b/internal/lineserver/command.go
@@ -23,6 +23,11 @@
 	Ping
 )
 
+// kindNames are the kinds' names where they are counted.
+var kindNames = [...]string{
+	Unreadable: "unreadable", Open: "open", Subscribe: "subscribe", Unsubscribe: "unsubscribe", Publish: "publish", Count: "count", Ping: "ping",
+}
+
 // Codes of what the server itself refuses.
 const (
 	CodeMalformed = "malformed"
--- a/internal/lineserver/connection.go
+++ b/internal/lineserver/connection.go
@@ -154,6 +154,7 @@
 // arrived takes what came; false if the connection is of no more use.
 func (s *Server) arrived(from *connection, bytes []byte) bool {
 	s.Counters.Reads.Add(1)
+	s.Counters.BytesIn.Add(int64(len(bytes)))
 	from.heard.Store(s.ticks.Load())
 	if from.lost {
 		return true
--- a/internal/lineserver/lineserver.go
+++ b/internal/lineserver/lineserver.go
@@ -13,6 +13,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"net"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -53,7 +54,7 @@
 
 // Counters are running sums, read by anyone.
 type Counters struct {
-	Connections, Refused, Reads, Commands, Writes, BytesOut, Slow, Silent, Unreadable atomic.Int64
+	Connections, Refused, Reads, Commands, Writes, BytesOut, BytesIn, Slow, Silent, Unreadable atomic.Int64
 }
 
 // Server serves the connections of callers.
@@ -72,6 +73,16 @@
 	connections map[uint64]*connection
 	dirty       []*connection
 	names       map[string]string
+	said        map[saidKind]Said
+}
+
+// saidKind is what callers are told: an event, or an answer and its outcome.
+type saidKind struct{ what, outcome string }
+
+// Said is how often callers were told something, and its bytes.
+type Said struct {
+	Times int64 `json:"times"`
+	Bytes int64 `json:"bytes"`
 }
 
 // Sums gives the counters by name; it may be asked before there is a server.
@@ -82,11 +93,23 @@
 	counters := &s.Counters
 	return map[string]int64{
 		"held": s.held.Load(), "connections": counters.Connections.Load(), "refused": counters.Refused.Load(), "reads": counters.Reads.Load(),
-		"commands": counters.Commands.Load(), "writes": counters.Writes.Load(), "bytes_out": counters.BytesOut.Load(),
+		"commands": counters.Commands.Load(), "writes": counters.Writes.Load(), "bytes_out": counters.BytesOut.Load(), "bytes_in": counters.BytesIn.Load(),
 		"slow": counters.Slow.Load(), "silent": counters.Silent.Load(), "unreadable": counters.Unreadable.Load(),
 	}
 }
 
+// Told gives what callers were told, by kind; for the owner alone.
+func (s *Server) Told() map[string]Said {
+	if s == nil {
+		return nil
+	}
+	told := make(map[string]Said, len(s.said))
+	for kind, said := range s.said {
+		told[strings.TrimSuffix(kind.what+"-"+kind.outcome, "-")] = said
+	}
+	return told
+}
+
 // Start listens and serves until Close.
 func Start(settings Settings) (*Server, error) {
 	if settings.UnsentMost == 0 {
@@ -94,7 +117,7 @@
 	}
 	server := &Server{
 		settings: settings, closing: make(chan struct{}), spare: make(chan []byte, spareBuffers),
-		connections: map[uint64]*connection{}, names: map[string]string{},
+		connections: map[uint64]*connection{}, names: map[string]string{}, said: map[saidKind]Said{},
 	}
 	// The server watches silence itself and needs no probes.
 	listening := net.ListenConfig{KeepAlive: -1}
--- a/internal/lineserver/owner.go
+++ b/internal/lineserver/owner.go
@@ -86,7 +86,9 @@
 }
 
 // gather keeps what was appended until the end of the turn.
-func (s *Server) gather(to *connection, output []byte) {
+func (s *Server) gather(to *connection, kind saidKind, output []byte) {
+	told := s.said[kind]
+	s.said[kind] = Said{Times: told.Times + 1, Bytes: told.Bytes + int64(len(output)-len(to.output))}
 	to.output = output
 	if len(output) > 0 {
 		s.mark(to)
@@ -106,7 +108,7 @@
 	if to.state == ended {
 		return
 	}
-	s.gather(to, s.settings.Protocol.AppendAnswer(to.output, about, answer))
+	s.gather(to, saidKind{kindNames[about.Kind], answer.Outcome}, s.settings.Protocol.AppendAnswer(to.output, about, answer))
 }
 
 func refused(code string, back time.Duration) gateway.Answer {
@@ -137,7 +139,7 @@
 		case about.Kind == Ping:
 			// It came before the channel was open, or while bytes wait.
 			from.waiting.Add(-1)
-			s.gather(from, s.settings.Protocol.AppendPong(from.output))
+			s.gather(from, saidKind{what: "pong"}, s.settings.Protocol.AppendPong(from.output))
 		default:
 			s.carry(owner, from, command)
 		}
@@ -202,7 +204,7 @@
 		return
 	}
 	if event, matches := deliver.Event.(gateway.Event); matches {
-		s.gather(to, s.settings.Protocol.AppendEvent(to.output, event))
+		s.gather(to, saidKind{what: event.Event}, s.settings.Protocol.AppendEvent(to.output, event))
 	}
 	if deliver.Close {
 		s.end(to)
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -25,6 +25,7 @@
 	SettingsTaken       = 1010
 	SettingsRefused     = 1011
 	LinkGarbage         = 1020
+	TrafficTold         = 1021
 	InvariantBroken     = 1030
 	DiskTorn            = 1040
 	DiskDamaged         = 1041
@@ -78,6 +79,7 @@
 	SettingsTaken:       {logrus.InfoLevel, "changed settings taken"},
 	SettingsRefused:     {logrus.ErrorLevel, "changed settings refused, the old ones stay"},
 	LinkGarbage:         {logrus.WarnLevel, "unreadable frame, link closed"},
+	TrafficTold:         {logrus.InfoLevel, "what crossed the links, by kind"},
 	InvariantBroken:     {logrus.FatalLevel, "invariant broken, stopping"},
 	DiskTorn:            {logrus.WarnLevel, "torn tail cut from the log on disk"},
 	DiskDamaged:         {logrus.ErrorLevel, "disk damaged, copy will be rebuilt"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -70,6 +70,9 @@
 	Operators string
 	// Compression tells which turns between daemons are packed.
 	Compression string
+	// Traffic is how often what crossed the daemon's links is logged by kind, 0 for
+	// never.
+	Traffic time.Duration
 	// Memory is how many bytes the process may use, 0 for no bound.
 	Memory int64
 }
@@ -133,7 +136,7 @@
 
 var keys = []string{
 	"name", "address", "ctl", "caller", "zone", "seeds", "data", "agent", "gateway", "controllers", "key", "origins_most", "log_level",
-	"seeds_port", "bootstrap", "tolerance", "bounds", "callers", "admission", "versions", "memory", "operators", "compression", "descriptors", "tolerance_zones",
+	"seeds_port", "bootstrap", "tolerance", "bounds", "callers", "admission", "versions", "memory", "operators", "compression", "descriptors", "tolerance_zones", "traffic",
 }
 
 // Source is where settings come from.
@@ -295,6 +298,7 @@
 	settings.Versions = walk.Choice("$.versions", members["versions"], VersionsStrict, VersionsStrict, VersionsHighest)
 	settings.Operators = walk.Choice("$.operators", members["operators"], OperatorsJSON, operatorForms...)
 	settings.Compression = walk.Choice("$.compression", members["compression"], CompressionNone, CompressionNone, CompressionFar)
+	settings.Traffic = walk.Duration("$.traffic", members["traffic"], 0, 0, trafficMost)
 	settings.Memory = readMemory(walk, "$.memory", members["memory"])
 	settings.Key = walk.Text("$.key", members["key"], "")
 	if s.kind == "gateway" && settings.Admission == AdmissionToken && len(settings.Key) < 16 {
@@ -344,6 +348,7 @@
 const (
 	boundLeast  = time.Millisecond
 	boundMost   = 10 * time.Minute
+	trafficMost = time.Hour
 	memoryLeast = 16 << 20
 	memoryMost  = 1 << 44
 )
--- /dev/null
+++ b/internal/transport/kinds_test.go
@@ -0,0 +1,14 @@
+package transport
+
+import "testing"
+
+func TestKindsAreCountedByTheirNames(t *testing.T) {
+	sums := newKindSums()
+	sums.add(preamble{}, 12)
+	sums.add(preamble{}, 30)
+	sums.add("no message", 99)
+	counts := sums.counts()
+	if len(counts) != 1 || counts["transport.preamble"] != (KindCount{Messages: 2, Bytes: 42}) {
+		t.Fatalf("counted %v", counts)
+	}
+}
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -102,6 +102,8 @@
 	impairment atomic.Pointer[Impairment]
 	garbage    func(remote string, err error)
 	Counters   Counters
+	// What was sent and received, by kind of message.
+	sent, received kindSums
 
 	// Of the owner: links by destination, those with frames of this turn, and
 	// whether the owner ends its turns with Flush.
@@ -213,14 +215,16 @@
 // frames that could not be read.
 func Open(address string, inbox, urgent chan<- Inbound, garbage func(remote string, err error)) (*Transport, error) {
 	opened := &Transport{
-		address: address,
-		home:    homeOf(address),
-		inbox:   inbox,
-		urgent:  urgent,
-		booted:  make(chan struct{}),
-		garbage: garbage,
-		links:   map[string]*link{},
-		inward:  map[string]gnet.Conn{},
+		address:  address,
+		home:     homeOf(address),
+		inbox:    inbox,
+		urgent:   urgent,
+		booted:   make(chan struct{}),
+		garbage:  garbage,
+		sent:     newKindSums(),
+		received: newKindSums(),
+		links:    map[string]*link{},
+		inward:   map[string]gnet.Conn{},
 	}
 	opened.impairment.Store(&Impairment{})
 	// gnet's pool of tasks, which nothing here uses, would wake up twice a second.
@@ -392,6 +396,7 @@
 		return nil
 	}
 	t.Counters.MessagesIn.Add(1)
+	t.received.add(message, headerSize+len(frame))
 	if impairment := t.impairment.Load(); !anyPrefix(meta.From, impairment.Cuts, impairment.Deaf) {
 		t.take(Inbound{Meta: meta, Message: message})
 	}
@@ -474,9 +479,11 @@
 		present = &link{to: to, away: homeOf(to) != t.home}
 		t.links[to] = present
 	}
+	before := present.pending.Len()
 	if err := appendFrame(&present.pending, "", version, message); err != nil {
 		return err
 	}
+	t.sent.add(message, present.pending.Len()-before)
 	present.frames++
 	if present.frames == 1 {
 		t.dirty = append(t.dirty, present)
