Retries pause ever longer, cells tell levels, and late answers of the control side count

A gateway whose control answers took longer than the pause between its questions was never confirmed.

Now a join, greeting, question, fetch or append that stays without an answer is sent again after pauses that double; cells are compared once whom they know has stayed the same; daemons tell each other one sum of their cells and the numbers only if that differs; changes to all are told less often while there is always one; heads of a partition are asked for from the first topic on that is fetched there; and an answer to an earlier question of a follower counts from when that was asked.

--- a/internal/gateway/routed.go
+++ b/internal/gateway/routed.go
@@ -28,7 +28,10 @@
 	recentRecords   = 32
 	recentBytes     = 32 << 10
 	topicFetchRetry = 200 * time.Millisecond
-	topicHeldMost   = 4096
+	// retryDoubles is how often the wait for a store's answer doubles: one that is
+	// late because a link is full must not be asked for again and again.
+	retryDoubles  = 3
+	topicHeldMost = 4096
 )
 
 // topic is a routed topic as this gateway follows it for its channels. Once it
@@ -69,6 +72,18 @@
 	topic  *topic
 	after  uint64
 	sentAt time.Time
+	tries  int
+}
+
+// due is when it is asked for again.
+func (tf *topicFetch) due() time.Time { return tf.sentAt.Add(longer(topicFetchRetry, tf.tries)) }
+
+// longer is how long to wait for the answer to a try.
+func longer(first time.Duration, tries int) time.Duration {
+	if statemachine.Mutated("no-retry-pauses") {
+		return first
+	}
+	return first << min(max(0, tries-1), retryDoubles)
 }
 
 // routed is all that a gateway holds of routed topics.
@@ -76,7 +91,9 @@
 	topics     map[string]*topic
 	numbers    map[uint64]*topic
 	partitions map[string]int
-	// told is how far each partition's first told this gateway what moved.
+	// told is how far each partition's first told this gateway what moved. It begins
+	// with the first topic that is fetched from there: what moved before that is of
+	// no use here, and is not asked for.
 	told    map[string]uint64
 	fetches map[uint64]*topicFetch
 	appends map[uint64]*routedPublication
@@ -215,9 +232,7 @@
 		g.routed.topics[name] = followed
 		g.routed.numbers[followed.number] = followed
 		if followed.kept {
-			if g.routed.partitions[followed.partition]++; g.routed.partitions[followed.partition] == 1 {
-				g.timers.ArmSooner("follow", now.Add(holeAfter))
-			}
+			g.routed.partitions[followed.partition]++
 		}
 	}
 	taken.topic, taken.index = followed, len(followed.places)
@@ -505,12 +520,14 @@
 
 func (g *Gateway) sendFetch(now time.Time, id uint64, asked *topicFetch, effects *statemachine.Effects) {
 	asked.sentAt = now
-	g.mind(asked.topic, now.Add(topicFetchRetry))
 	address, _, found := g.firstOf(asked.topic.partition)
 	if !found {
+		g.mind(asked.topic, asked.due())
 		g.follower.Hurry(now)
 		return
 	}
+	asked.tries++
+	g.mind(asked.topic, asked.due())
 	g.Counts.Fetches++
 	effects.Send(address, partition.Fetch{Partition: asked.topic.partition, Request: id, After: asked.after, Topics: []string{asked.topic.name}})
 }
@@ -519,6 +536,9 @@
 	followed := asked.topic
 	placement, placed := g.follower.Places[returned.Partition]
 	if !returned.Ready || !placed || returned.Epoch < placement.Epoch {
+		// An answer came, so that the way is free.
+		asked.tries = 0
+		g.mind(followed, asked.due())
 		g.follower.Hurry(now)
 		return
 	}
@@ -542,6 +562,7 @@
 		if asked.after != everything {
 			followed.last, followed.recentFrom = asked.after, asked.after
 		}
+		g.beginTold(now, followed.partition, until)
 	}
 	if asked.after != everything && asked.after <= followed.last {
 		for _, record := range returned.Records {
@@ -572,6 +593,19 @@
 	g.tendTopic(now, followed, effects)
 }
 
+// beginTold lets a partition's first tell what moved after an offset up to which
+// one of its topics is known here.
+func (g *Gateway) beginTold(now time.Time, name string, until uint64) {
+	told, begun := g.routed.told[name]
+	if begun && told <= until {
+		return
+	}
+	g.routed.told[name] = until
+	if !begun {
+		g.timers.ArmSooner("follow", now.Add(holeAfter))
+	}
+}
+
 // beginPlace answers a subscription whose missed messages are about to come.
 func (g *Gateway) beginPlace(now time.Time, taken *place, effects *statemachine.Effects) {
 	if taken.request.Request == 0 {
@@ -658,10 +692,10 @@
 		}
 		due := !followed.checkAt.IsZero() && !followed.checkAt.After(now)
 		if asked, running := g.routed.fetches[followed.fetch]; running {
-			if !asked.sentAt.Add(topicFetchRetry).After(now) {
+			if !asked.due().After(now) {
 				g.sendFetch(now, followed.fetch, asked, effects)
 			}
-			next = statemachine.Earliest(next, asked.sentAt.Add(topicFetchRetry))
+			next = statemachine.Earliest(next, asked.due())
 		} else if filling || due {
 			followed.checkAt = time.Time{}
 			g.fetchTopic(now, followed, effects)
--- a/internal/gateway/routed_publish.go
+++ b/internal/gateway/routed_publish.go
@@ -40,6 +40,9 @@
 	open map[uint64]bool
 }
 
+// due is when it is sent again: the later, the more of its sends have no answer.
+func (rp *routedPublication) due() time.Time { return rp.sentAt.Add(longer(routedRetry, len(rp.open))) }
+
 func (g *Gateway) publishRouted(now time.Time, request Publish, looked bool, effects *statemachine.Effects) {
 	space := g.routeOf(request.Space, request.Topic)
 	judged := &Judged{
@@ -81,7 +84,7 @@
 
 func (g *Gateway) sendRouted(now time.Time, item *routedPublication, effects *statemachine.Effects) {
 	item.sentAt = now
-	g.timers.ArmSooner("routed", now.Add(routedRetry))
+	g.timers.ArmSooner("routed", item.due())
 	address, _, found := g.firstOf(item.partition)
 	if !found {
 		g.follower.Hurry(now)
@@ -166,10 +169,10 @@
 			}
 			continue
 		}
-		if !item.sentAt.Add(routedRetry).After(now) {
+		if !item.due().After(now) {
 			g.sendRouted(now, item, effects)
 		}
-		next = statemachine.Earliest(next, item.sentAt.Add(routedRetry), item.limit)
+		next = statemachine.Earliest(next, item.due(), item.limit)
 	}
 	if !next.IsZero() {
 		g.timers.ArmSooner("routed", next)
--- a/internal/gateway/tracker.go
+++ b/internal/gateway/tracker.go
@@ -542,7 +542,9 @@
 		add(name, 0)
 	}
 	for name := range statemachine.Sorted(g.routed.partitions) {
-		add(name, g.routed.told[name])
+		if from, begun := g.routed.told[name]; begun {
+			add(name, from)
+		}
 	}
 	for address, follow := range statemachine.Sorted(byStore) {
 		effects.Send(address, follow)
--- a/internal/membership/follower.go
+++ b/internal/membership/follower.go
@@ -15,13 +15,19 @@
 
 // Spans of following.
 const (
-	HoldAsk      = 600 * time.Millisecond
-	PatientHold  = 1500 * time.Millisecond
-	askLimit     = HoldAsk + 300*time.Millisecond
-	searchEvery  = 300 * time.Millisecond
-	patientLimit = PatientHold + 300*time.Millisecond
-	FreshFor     = time.Second
-	ConfirmedFor = 2500 * time.Millisecond
+	HoldAsk     = 600 * time.Millisecond
+	PatientHold = 1500 * time.Millisecond
+	askLimit    = HoldAsk + 300*time.Millisecond
+	searchEvery = 300 * time.Millisecond
+	// searchesQuick are the searches with that pause; later ones pause for longer,
+	// since each answer takes a part of a link that may be why none came.
+	searchesQuick = 6
+	searchSlow    = 900 * time.Millisecond
+	// asksRemembered bounds the questions whose answers still count.
+	asksRemembered = 16
+	patientLimit   = PatientHold + 300*time.Millisecond
+	FreshFor       = time.Second
+	ConfirmedFor   = 2500 * time.Millisecond
 )
 
 // Follower is the state machine.
@@ -33,6 +39,8 @@
 	primary     string
 	nonce       uint64
 	askedAt     time.Time
+	asked       []question
+	searches    int
 	waiting     bool
 	patient     bool
 	fixed       bool
@@ -51,6 +59,12 @@
 	timers      *statemachine.Timers
 }
 
+// question is one that was asked, and when.
+type question struct {
+	nonce uint64
+	at    time.Time
+}
+
 // NewFollower makes a follower that asks the given seeds first.
 func NewFollower(self Member, seeds []string, load func() Load) *Follower {
 	return &Follower{
@@ -120,13 +134,8 @@
 func (f *Follower) ask(now time.Time, effects *statemachine.Effects) {
 	f.nonce++
 	f.askedAt, f.waiting = now, true
-	limit := askLimit
-	if f.patient {
-		limit = patientLimit
-	}
-	if f.searching {
-		limit = searchEvery
-	}
+	f.remember(question{nonce: f.nonce, at: now})
+	limit := f.limit()
 	f.timers.Disarm("ask")
 	f.timers.Arm("limit", now.Add(limit))
 	for _, address := range f.Upstreams() {
@@ -134,6 +143,61 @@
 	}
 }
 
+// limit is how long the question that is asked now may stay without an answer
+// before it is asked anew.
+func (f *Follower) limit() time.Duration {
+	if f.searching {
+		f.searches++
+		if f.searches > searchesQuick {
+			return searchSlow
+		}
+		return searchEvery
+	}
+	return f.answerLimit()
+}
+
+// answerLimit is how long an answer may take while the primary is known.
+func (f *Follower) answerLimit() time.Duration {
+	if f.patient {
+		return patientLimit
+	}
+	return askLimit
+}
+
+// remember keeps a question, so that its answer counts also if another was asked
+// meanwhile: on a full link answers take longer than the pause between questions,
+// and a follower that only heard the newest one's would never hear any.
+func (f *Follower) remember(asked question) {
+	if len(f.asked) == asksRemembered {
+		f.asked = slices.Delete(f.asked, 0, 1)
+	}
+	f.asked = append(f.asked, asked)
+}
+
+// answers tells when the question was asked that news answer.
+func (f *Follower) answers(news News) (time.Time, bool) {
+	for _, asked := range f.asked {
+		if asked.nonce == news.Nonce && (asked.nonce == f.nonce || !statemachine.Mutated("late-answers-unheard")) {
+			return asked.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// answered notes an answer. One to an earlier question tells that answers take
+// long, and lets the newest question wait for its own.
+func (f *Follower) answered(now time.Time, nonce uint64) {
+	searched := f.searching
+	f.searching, f.searches = false, 0
+	if nonce == f.nonce {
+		f.waiting, f.hurried = false, false
+		f.timers.Disarm("limit")
+		f.timers.Arm("ask", now)
+	} else if searched && f.waiting {
+		f.timers.Arm("limit", f.askedAt.Add(f.answerLimit()))
+	}
+}
+
 func (f *Follower) askAt(address string, effects *statemachine.Effects) {
 	effects.Send(address, Ask{
 		Self: f.self, Nonce: f.nonce, Index: f.Index, Version: f.Version,
@@ -201,19 +265,16 @@
 		return Taken{}
 	}
 	var taken Taken
-	if news.Nonce == f.nonce {
-		f.waiting, f.searching, f.hurried = false, false, false
-		f.timers.Disarm("limit")
-		f.timers.Arm("ask", now)
+	askedAt, mine := f.answers(news)
+	if mine {
+		f.answered(now, news.Nonce)
 		taken.Answered = true
 	}
-	if f.Index == 0 && (!taken.Answered || now.Sub(f.askedAt) > FreshFor) {
+	if f.Index == 0 && (!taken.Answered || now.Sub(askedAt) > FreshFor) {
 		return taken
 	}
-	if taken.Answered {
-		if f.askedAt.After(f.Confirmed) {
-			f.Confirmed = f.askedAt
-		}
+	if taken.Answered && askedAt.After(f.Confirmed) {
+		f.Confirmed = askedAt
 	}
 	f.primary = news.Primary
 	f.Epoch = news.Epoch
--- a/internal/overlay/notices.go
+++ b/internal/overlay/notices.go
@@ -45,10 +45,16 @@
 	checkAfter = 10 * time.Millisecond
 	checkAgain = 250 * time.Millisecond
 	askAgain   = 300 * time.Millisecond
+	// asksDouble bounds how long a question waits for another.
+	asksDouble = 3
 	// membersWait lets joins settle before peers compare whom they know.
 	membersWait = 100 * time.Millisecond
-	reachLimit  = time.Second
-	keepFor     = 10 * time.Minute
+	// membersQuiet is for how long whom a cell knows must have stayed the same
+	// before it is compared: while many join, all differ from all, and the checks
+	// that each sends to all others make them level by themselves.
+	membersQuiet = 400 * time.Millisecond
+	reachLimit   = time.Second
+	keepFor      = 10 * time.Minute
 	// strangersEach is how many daemons of which no peer is known are told in
 	// one comparison, in turn.
 	strangersEach = 16
@@ -94,11 +100,14 @@
 // Notices is what the peers of one daemon, in one of its lives, tell those of
 // another.
 type Notices struct {
-	_       struct{} `cbor:",toarray"`
-	Daemon  string
-	Life    uint64
-	Plane   string
-	Answer  bool
+	_      struct{} `cbor:",toarray"`
+	Daemon string
+	Life   uint64
+	Plane  string
+	Answer bool
+	// Level sums up the cells there, for whoever can tell from it that it knows
+	// them; who does not asks for the numbers.
+	Level   uint64
 	Notices []Notice
 }
 
@@ -142,6 +151,8 @@
 	// digest sums up the members' keys.
 	digest  uint64
 	waiting []Settled
+	// changedAt is when whom it knows last changed.
+	changedAt time.Time
 	// reached is set once it was settled, or somebody waited long enough.
 	reached bool
 	until   time.Time
@@ -156,7 +167,12 @@
 	sequence uint64
 	digest   uint64
 	counts   map[uint64]uint32
-	asked    time.Time
+	// asked is when it was last asked for the whole, and asks how often since it
+	// last told it.
+	asked time.Time
+	asks  int
+	// wanted is set where it is to be asked again.
+	wanted bool
 	// compared sums up the difference that was last looked into.
 	compared   uint64
 	comparedAt time.Time
@@ -335,8 +351,11 @@
 		position, _ := slices.BinarySearch(here.order, key.Daemon)
 		here.order = slices.Insert(here.order, position, key.Daemon)
 	}
-	here.members[key.Daemon] = &member{key: key}
+	// It tells the whole by itself once it has met this peer, so that it is asked
+	// only if that does not come.
+	here.members[key.Daemon] = &member{key: key, asked: now}
 	here.digest ^= keyHash(key)
+	here.changedAt = now
 	o.owe(now, here, key.Daemon)
 }
 
@@ -465,7 +484,7 @@
 		}
 		return
 	}
-	o.paceUntil = now.Add(paceEach * time.Duration(len(o.gateways)))
+	o.pace(now)
 	for _, where := range statemachine.Sorted(o.planes) {
 		for _, here := range where.cells {
 			if here == nil || here.due.IsZero() {
@@ -491,9 +510,24 @@
 	}
 }
 
+// pace sets when the next changes may go out to all. While there is always
+// something to tell it is told less and less often, which makes fewer and fuller
+// frames of it.
+func (o *Overlay) pace(now time.Time) {
+	if now.Sub(o.paceUntil) < gatherFor {
+		o.paced++
+	} else {
+		o.paced = 0
+	}
+	o.paceUntil = now.Add(min(longer(paceEach*time.Duration(len(o.gateways)), o.paced), max(countsWait, paceEach*time.Duration(len(o.gateways)))))
+}
+
 // check tells others the numbers of the newest notices here: all those that
 // share a cell, and some of the rest in turn.
 func (o *Overlay) check(now time.Time) {
+	if o.checks++; now.Sub(o.checked) >= checkEvery {
+		o.checks = 0
+	}
 	o.checked = now
 	if statemachine.Mutated("no-notice-checks") {
 		return
@@ -513,7 +547,7 @@
 		var strangers []string
 		for daemon := range statemachine.Sorted(o.gateways) {
 			if sharing[daemon] {
-				o.checkWith(daemon, where, false)
+				o.levelWith(daemon, where)
 			} else {
 				strangers = append(strangers, daemon)
 			}
@@ -528,10 +562,63 @@
 	}
 }
 
+// levelWith tells one daemon a sum of the numbers of the newest notices here: it
+// asks for the numbers themselves unless it knows them all.
+func (o *Overlay) levelWith(daemon string, where *plane) {
+	gateway, alive := o.gateways[daemon]
+	if !alive {
+		return
+	}
+	frame := o.frame(gateway.Address)
+	level := where.level(func(here *cell) (levelPart, bool) {
+		return levelPart{number: here.peer.self.Key.Number, sequence: here.sequence}, true
+	})
+	frame.Notices = append(frame.Notices, Notices{Daemon: o.daemon, Life: o.life, Plane: where.name, Level: level})
+}
+
+// levelPart is what a daemon's level says of one cell.
+type levelPart struct{ number, sequence uint64 }
+
+// level sums up cells: who is in each, and a daemon's number and newest notice
+// there. It is 0 if nothing is told of any.
+func (p *plane) level(told func(here *cell) (levelPart, bool)) uint64 {
+	sum := uint64(0)
+	for _, here := range p.cells {
+		if here == nil {
+			continue
+		}
+		if part, known := told(here); known {
+			sum = mix(sum ^ mix(uint64(here.number)^mix(part.number^mix(part.sequence^here.digestHere()))))
+		}
+	}
+	return sum
+}
+
+// levelOf is the level of another daemon's life as far as it is known here.
+func (p *plane) levelOf(daemon string, life uint64) uint64 {
+	return p.level(func(here *cell) (levelPart, bool) {
+		known, found := here.members[daemon]
+		if !found || !known.heard || known.key.Life != life {
+			return levelPart{}, false
+		}
+		return levelPart{number: known.key.Number, sequence: known.sequence}, true
+	})
+}
+
+// takeLevel asks for the numbers of the newest notices unless all are known.
+func (o *Overlay) takeLevel(where *plane, told Notices) {
+	gateway := o.gateways[told.Daemon]
+	if where != nil && where.levelOf(told.Daemon, told.Life) == told.Level {
+		return
+	}
+	frame := o.frame(gateway.Address)
+	frame.Notices = append(frame.Notices, Notices{Daemon: o.daemon, Life: o.life, Plane: told.Plane, Answer: true})
+}
+
 // checkSoon lets a comparison follow a change in whom this daemon knows, so
 // that joins at the same time find each other.
 func (o *Overlay) checkSoon(now time.Time) {
-	at := o.checked.Add(checkAgain)
+	at := o.checked.Add(longer(checkAgain, o.checks))
 	if soon := now.Add(checkAfter); at.Before(soon) {
 		at = soon
 	}
@@ -558,6 +645,9 @@
 		return
 	}
 	where, found := o.planes[told.Plane]
+	if told.Level != 0 {
+		o.takeLevel(where, told)
+	}
 	for _, notice := range told.Notices {
 		if notice.Cell >= CellCount || len(notice.Topics) != len(notice.Counts) {
 			continue
@@ -615,7 +705,7 @@
 		if known.heard && notice.Sequence < known.sequence {
 			return
 		}
-		known.heard, known.sequence = true, notice.Sequence
+		known.heard, known.sequence, known.asks, known.wanted = true, notice.Sequence, 0, false
 		known.counts = make(map[uint64]uint32, len(notice.Topics))
 		known.take(notice)
 	case NoticeChanges:
@@ -696,6 +786,10 @@
 			if here == nil {
 				continue
 			}
+			if quiet := here.changedAt.Add(membersQuiet); quiet.After(now) && !statemachine.Mutated("no-retry-pauses") {
+				o.timers.ArmSooner("members", quiet)
+				continue
+			}
 			digest := here.digestHere()
 			var differing []*member
 			for _, name := range here.order {
@@ -725,15 +819,43 @@
 	}
 }
 
-// ask asks a peer for the whole, unless it was asked a moment ago.
+// ask asks a peer for the whole, at once or when the answer to an earlier question
+// is overdue.
 func (o *Overlay) ask(now time.Time, here *cell, known *member) {
-	if !known.asked.IsZero() && now.Sub(known.asked) < askAgain {
+	if due := known.askAgainAt(); due.After(now) {
+		known.wanted = true
+		o.timers.ArmSooner("asks", due)
 		return
 	}
-	known.asked = now
+	known.asked, known.wanted = now, false
+	known.asks++
 	o.notify(known.key.Daemon, here.plane.name, here.notice(NoticeAsk))
 }
 
+// askAgainAt is when it may be asked for the whole.
+func (m *member) askAgainAt() time.Time {
+	if m.asked.IsZero() {
+		return m.asked
+	}
+	return m.asked.Add(longer(askAgain, min(m.asks, asksDouble)))
+}
+
+// askOverdue asks those again whose answers are overdue.
+func (o *Overlay) askOverdue(now time.Time) {
+	for _, where := range statemachine.Sorted(o.planes) {
+		for _, here := range where.cells {
+			if here == nil {
+				continue
+			}
+			for _, name := range here.order {
+				if known := here.members[name]; known.wanted {
+					o.ask(now, here, known)
+				}
+			}
+		}
+	}
+}
+
 // releaseCells lets the peers of cells go that nobody used for long.
 func (o *Overlay) releaseCells(now time.Time) {
 	for _, where := range statemachine.Sorted(o.planes) {
--- a/internal/overlay/overlay.go
+++ b/internal/overlay/overlay.go
@@ -23,9 +23,13 @@
 
 // Spans and bounds of the overlay.
 const (
-	greetLimit   = 300 * time.Millisecond
-	greetTries   = 4
-	joinLimit    = 400 * time.Millisecond
+	greetLimit = 300 * time.Millisecond
+	greetTries = 4
+	joinLimit  = 400 * time.Millisecond
+	// retryDoubles is how often the wait of a join, a greeting or a question to a
+	// peer doubles. An answer that is late because links are full must not be asked
+	// for again and again, which keeps them full.
+	retryDoubles = 3
 	hopLimit     = 48
 	askedFirst   = 3
 	healing      = 1
@@ -181,15 +185,19 @@
 	planes   map[string]*plane
 	timers   *statemachine.Timers
 	out      map[string]*Signals
-	// paceUntil is when the next changes may go out to all.
+	// paceUntil is when the next changes may go out to all, and paced counts those
+	// that waited for that.
 	paceUntil time.Time
+	paced     int
 	// parted is set once all peers have left.
 	parted bool
 	// checked is when this daemon last compared its cells with others.
 	checked time.Time
-	ways    map[string]time.Duration
-	found   []Found
-	Counts  Counts
+	// checks counts the comparisons that followed another within checkEvery.
+	checks int
+	ways   map[string]time.Duration
+	found  []Found
+	Counts Counts
 }
 
 // New makes the overlay part of one daemon; Live and View come before any peer.
@@ -492,7 +500,7 @@
 		peer.joining = &outstanding{}
 	}
 	peer.joining.tries++
-	peer.joining.until = now.Add(joinLimit)
+	peer.joining.until = now.Add(longer(joinLimit, peer.joining.tries))
 	o.timers.ArmSooner("limits", peer.joining.until)
 	clear(peer.joinAsked)
 	peer.queued = false
@@ -522,6 +530,14 @@
 	o.askAll(now, peer)
 }
 
+// longer is how long to wait for the answer to a try.
+func longer(first time.Duration, tries int) time.Duration {
+	if statemachine.Mutated("no-retry-pauses") {
+		return first
+	}
+	return first << min(max(0, tries-1), retryDoubles)
+}
+
 // askAll asks all daemons for the way to an acceptor. That a few know of nobody
 // does not yet make a peer the first.
 func (o *Overlay) askAll(now time.Time, peer *hosted) {
@@ -928,7 +944,7 @@
 		peer.pending[other.Key] = waiting
 	}
 	waiting.tries++
-	waiting.sent, waiting.until = now, now.Add(greetLimit)
+	waiting.sent, waiting.until = now, now.Add(longer(greetLimit, waiting.tries))
 	o.timers.ArmSooner("limits", waiting.until)
 	o.signal(other.Key.Daemon, greeting)
 }
@@ -1267,6 +1283,8 @@
 			o.releaseCells(now)
 		case "owed":
 			o.giveOwed()
+		case "asks":
+			o.askOverdue(now)
 		case "members":
 			o.compareMembers(now)
 		case "notices":
