News send again only what has another way to its partition now

Each view change sent every fetch, append and question for heads again; after a loss of all power views change all the time (222 fetches a second at a gateway with 30 subscriptions a second). Counters tell records that came too late, and notices by kind.

--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -603,11 +603,13 @@
 
 func (g *Gateway) onFetchResponse(now time.Time, returned partition.FetchResponse, effects *statemachine.Effects) {
 	if asked, routed := g.routed.fetches[returned.Request]; routed {
+		g.Counts.Fetched += uint64(len(returned.Records))
 		g.onTopicFetched(now, asked, returned, effects)
 		return
 	}
 	round, found := g.fetches[returned.Request]
 	if !found {
+		g.Counts.Late += uint64(len(returned.Records))
 		return
 	}
 	asked, wanted := round.partitions[returned.Partition]
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,6 +74,9 @@
 	Requests, Accepted, RefusedRequests, UnsettledRequests uint64
 	CopiesOut, CopiesIn, CopiesStray, Delivered            uint64
 	Holes, Fetches, Verifies, Moves, Looks, Offered        uint64
+	// Fetched counts the records of routed topics that came for fetches, and Late
+	// those for which nobody waited any more.
+	Fetched, Late uint64
 }
 
 // Gateway is the state machine.
--- a/internal/gateway/routed.go
+++ b/internal/gateway/routed.go
@@ -72,6 +72,7 @@
 	topic  *topic
 	after  uint64
 	sentAt time.Time
+	sentBy way
 	tries  int
 }
 
@@ -94,10 +95,12 @@
 	// told is how far each partition's first told this gateway what moved. It begins
 	// with the first topic that is fetched from there: what moved before that is of
 	// no use here, and is not asked for.
-	told    map[string]uint64
-	fetches map[uint64]*topicFetch
-	appends map[uint64]*routedPublication
-	sends   map[uint64]*routedPublication
+	told map[string]uint64
+	// followed is how heads were last asked for.
+	followed map[string]way
+	fetches  map[uint64]*topicFetch
+	appends  map[uint64]*routedPublication
+	sends    map[uint64]*routedPublication
 	// accepted is when a publication of this gateway's callers was accepted.
 	accepted map[routedKey]time.Time
 	// busy are the topics with something that waits for a moment to come.
@@ -106,7 +109,7 @@
 
 func newRouted() *routed {
 	return &routed{
-		topics: map[string]*topic{}, numbers: map[uint64]*topic{}, partitions: map[string]int{}, told: map[string]uint64{},
+		topics: map[string]*topic{}, numbers: map[uint64]*topic{}, partitions: map[string]int{}, told: map[string]uint64{}, followed: map[string]way{},
 		fetches: map[uint64]*topicFetch{}, appends: map[uint64]*routedPublication{}, sends: map[uint64]*routedPublication{}, accepted: map[routedKey]time.Time{}, busy: map[string]*topic{},
 	}
 }
@@ -272,6 +275,7 @@
 		if g.routed.partitions[followed.partition]--; g.routed.partitions[followed.partition] == 0 {
 			delete(g.routed.partitions, followed.partition)
 			delete(g.routed.told, followed.partition)
+			delete(g.routed.followed, followed.partition)
 		}
 	}
 }
@@ -527,6 +531,7 @@
 		return
 	}
 	asked.tries++
+	asked.sentBy = g.wayTo(asked.topic.partition)
 	g.mind(asked.topic, asked.due())
 	g.Counts.Fetches++
 	effects.Send(address, partition.Fetch{Partition: asked.topic.partition, Request: id, After: asked.after, Topics: []string{asked.topic.name}})
--- a/internal/gateway/routed_publish.go
+++ b/internal/gateway/routed_publish.go
@@ -33,6 +33,7 @@
 	partition string
 	bare      bool
 	sentAt    time.Time
+	sentBy    way
 	limit     time.Time
 	sends     int
 	// open are the numbers of the sends without an answer. An answer settles the
@@ -95,6 +96,7 @@
 		data = nil
 	}
 	item.sends++
+	item.sentBy = g.wayTo(item.partition)
 	g.nextRequest++
 	item.open[g.nextRequest] = true
 	g.routed.sends[g.nextRequest] = item
@@ -179,18 +181,6 @@
 	}
 }
 
-// resendRouted sends what waits for a store to the partition's new first.
-func (g *Gateway) resendRouted(now time.Time, effects *statemachine.Effects) {
-	for _, item := range statemachine.Sorted(g.routed.appends) {
-		if now.Sub(item.sentAt) > 20*time.Millisecond {
-			g.sendRouted(now, item, effects)
-		}
-	}
-	for id, asked := range statemachine.Sorted(g.routed.fetches) {
-		g.sendFetch(now, id, asked, effects)
-	}
-}
-
 // forgetRouted lets old memories go.
 func (g *Gateway) forgetRouted(now time.Time) {
 	for key, at := range g.routed.accepted {
--- a/internal/gateway/tracker.go
+++ b/internal/gateway/tracker.go
@@ -543,6 +543,7 @@
 	}
 	for name := range statemachine.Sorted(g.routed.partitions) {
 		if from, begun := g.routed.told[name]; begun {
+			g.routed.followed[name] = g.wayTo(name)
 			add(name, from)
 		}
 	}
@@ -562,7 +563,7 @@
 		}
 	}
 	g.resendRouted(now, effects)
-	if len(g.trackers)+len(g.routed.partitions) > 0 {
+	if g.waysChanged() {
 		g.timers.ArmSooner("follow", now)
 	}
 }
--- a/internal/overlay/notices.go
+++ b/internal/overlay/notices.go
@@ -391,6 +391,8 @@
 	if !alive {
 		return nil
 	}
+	o.Counts.Notices[notice.Kind]++
+	o.Counts.Told[notice.Kind] += uint64(len(notice.Topics) + len(notice.Members))
 	frame := o.frame(gateway.Address)
 	for position := range frame.Notices {
 		if frame.Notices[position].Plane == planeName {
@@ -570,6 +572,7 @@
 		return
 	}
 	frame := o.frame(gateway.Address)
+	o.Counts.Levels++
 	level := where.level(func(here *cell) (levelPart, bool) {
 		return levelPart{number: here.peer.self.Key.Number, sequence: here.sequence}, true
 	})
--- a/internal/overlay/overlay.go
+++ b/internal/overlay/overlay.go
@@ -172,6 +172,10 @@
 	Joins, Hops, Greets, SignalsOut, BatchesOut, Leaves, Probes uint64
 	// ByKind counts the signals that went out, by their kind.
 	ByKind [SignalTell + 1]uint64
+	// Notices counts the notices that went out by their kind, Told the topics and
+	// members that they told, and Levels the sums.
+	Notices, Told [NoticeMembers + 1]uint64
+	Levels        uint64
 }
 
 // Overlay is one daemon's part of the overlay.
