--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -1,3 +1,9 @@
+// Package consensus decides who is primary of the control state, and replicates it.
+//
+// Package consensus decides who is primary of the control state, and replicates it.
+//
+// Package consensus decides who is primary of the control state, and replicates it.
+//
 // A Watch is one controller's part in the control state: epochs, lease, and what it
 // keeps on its disk. Each epoch's record is decided once by a majority of the
 // voters, by ballots, so that two controllers that ask at the same time can't both
@@ -13,21 +19,19 @@
 	"time"
 
 	"dahlialock/internal/statemachine"
-	"dahlialock/internal/transport"
 )
 
 // Spans of the watch bill. The lease is the longest wait in a takeover.
 const (
-	LeaseLength   = 1800 * time.Millisecond
-	renewEvery    = 300 * time.Millisecond
-	lostAfter     = 1200 * time.Millisecond
-	helloEvery    = 300 * time.Millisecond
-	retryEvery    = 400 * time.Millisecond
-	waitMargin    = 5 * time.Millisecond
-	confirmLimit  = time.Second
-	partAfter     = 2 * time.Second
-	tellFor       = time.Second
-	frameLogLimit = 4 << 20
+	LeaseLength  = 1800 * time.Millisecond
+	renewEvery   = 300 * time.Millisecond
+	lostAfter    = 1200 * time.Millisecond
+	helloEvery   = 300 * time.Millisecond
+	retryEvery   = 400 * time.Millisecond
+	waitMargin   = 5 * time.Millisecond
+	confirmLimit = time.Second
+	partAfter    = 2 * time.Second
+	tellFor      = time.Second
 )
 
 // Ledger is the control state that is copied. Apply and Restore are
@@ -41,7 +45,7 @@
 // Settings are a controller's own settings. With a Count, so many controllers found; without,
 // the controllers at the addresses of the seeds do, where they are told Founding.
 // Tolerance is how many controllers may be lost at a time. NewDisk names the disk if
-// it is blank.
+// it is blank. Life names this run of the process.
 type Settings struct {
 	Self      Controller
 	Count     int
@@ -49,6 +53,7 @@
 	Founding  bool
 	Tolerance int
 	NewDisk   string
+	Life      statemachine.Life
 }
 
 // Outcome of a submitted command or a confirmation.
@@ -101,11 +106,12 @@
 	blank    bool
 	timers   *statemachine.Timers
 
-	token     uint64
-	synced    map[uint64]continuation
-	logBytes  int
-	diskIndex uint64
-	restoring int
+	token  uint64
+	synced map[uint64]continuation
+	// logBytes is how much follows the newest snapshot, whose size is snapshotBytes.
+	logBytes, snapshotBytes int
+	diskIndex               uint64
+	restoring               int
 
 	diskComplete uint64
 	passedOver   []string
@@ -114,13 +120,15 @@
 	heardOf      map[string]bool
 	told         Record
 	turn         int
-	recallNonce  uint64
+	recalling    statemachine.RequestID
 	recalls      map[string]Durable
 	grantedUntil time.Time
 	grantedTo    string
-	actingSince  time.Time
+	// grantedFor is the renewal that the lease was granted for last.
+	grantedFor  statemachine.RequestID
+	actingSince time.Time
 
-	nonce        uint64
+	requests     statemachine.Requests
 	renewals     map[uint64]time.Time
 	grants       map[uint64]map[string]bool
 	leaseUntil   time.Time
@@ -149,46 +157,14 @@
 // New makes a watch from what its disk held.
 func New(settings Settings, ledger Ledger, frame []byte, entries [][]byte) (*Watch, error) {
 	watch := &Watch{
-		settings: settings, ledger: ledger, timers: statemachine.NewTimers(),
+		settings: settings, ledger: ledger, requests: statemachine.NewRequests(settings.Life), timers: statemachine.NewTimers(),
 		synced: map[uint64]continuation{}, met: map[string]meeting{}, heardOf: map[string]bool{}, recalls: map[string]Durable{},
 		renewals: map[uint64]time.Time{}, grants: map[uint64]map[string]bool{},
 		frames: map[string]*spareFrame{}, copies: map[string]*copied{}, spares: map[string]*asked{},
 		lastGrant: map[string]time.Time{}, confirms: map[uint64]confirmation{}, duties: map[string]duty{}, leases: map[string]*Lease{},
 	}
-	if len(frame) > 0 {
-		var held diskFrame
-		if err := transport.Unmarshal(frame, &held); err != nil {
-			return nil, err
-		}
-		watch.durable, watch.index = held.Durable, held.Index
-		for _, spare := range held.Spares {
-			watch.frames[spare.From] = &spare
-		}
-		if len(held.State) > 0 {
-			if err := ledger.Restore(held.State); err != nil {
-				return nil, err
-			}
-		}
-	}
-	for _, packed := range entries {
-		var entry diskEntry
-		if err := transport.Unmarshal(packed, &entry); err != nil {
-			return nil, err
-		}
-		switch {
-		case entry.Durable != nil:
-			watch.durable = *entry.Durable
-		case entry.Spare != nil:
-			watch.frames[entry.Spare.From] = entry.Spare
-		case entry.State != nil:
-			if err := ledger.Restore(entry.State); err != nil {
-				return nil, err
-			}
-			watch.index = entry.Index
-		case entry.Index == watch.index+1:
-			ledger.Apply(time.Time{}, entry.Command)
-			watch.index = entry.Index
-		}
+	if err := watch.readDisk(frame, entries); err != nil {
+		return nil, err
 	}
 	watch.diskIndex, watch.diskComplete = watch.index, watch.durable.Complete
 	watch.blank = watch.durable.Record.Epoch == 0
@@ -309,7 +285,7 @@
 		w.onHello(now, meta.From, body, effects)
 	case RecallAsk:
 		if !w.blank {
-			effects.Send(meta.From, RecallResponse{Nonce: body.Nonce, Durable: w.durable})
+			effects.Send(meta.From, RecallResponse{Request: body.Request, Durable: w.durable})
 		}
 	case RecallResponse:
 		w.onRecallResponse(now, meta.From, body, effects)
@@ -345,7 +321,7 @@
 		w.onDutyAsk(now, meta.From, body, effects)
 	case DutyResponse:
 		if lease, found := w.leases[body.Duty]; found && body.Given {
-			lease.given(w.nameOf(meta.From, w.durable.Record.Voters), body.Nonce)
+			lease.given(w.nameOf(meta.From, w.durable.Record.Voters), body.Request)
 		}
 	default:
 		return false
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -1,5 +1,6 @@
 // Deciding an epoch: a record is promised and accepted by ballots of a majority
 // of the voters, on their disks, and learned by all that it concerns.
+
 package consensus
 
 import (
@@ -75,6 +76,7 @@
 		w.reply(now, from, refusal, effects)
 		return
 	}
+	w.giveWay(now, prepare)
 	if prepare.Epoch > 1 && prepare.Ballot.Name != w.durable.Record.Primary && now.Before(w.grantedUntil) {
 		refusal.Wait = w.grantedUntil.Sub(now)
 		w.reply(now, from, refusal, effects)
@@ -90,6 +92,25 @@
 	})
 }
 
+// giveWay takes back what a primary granted itself, once it has had no lease for as long
+// as one lasts: its own vote serves nobody but itself, and the others may wait for it as
+// it does for theirs. What it still asks for can become no lease any more, and what it
+// granted somebody in an earlier life has run out.
+func (w *Watch) giveWay(now time.Time, prepare Prepare) {
+	if !w.IsPrimary() || prepare.Ballot.Name == w.settings.Self.Name || statemachine.Mutated("no-way-given") {
+		return
+	}
+	since := w.leaseUntil
+	if since.Before(w.actingSince) {
+		since = w.actingSince
+	}
+	if now.Sub(since) < LeaseLength {
+		return
+	}
+	w.grantedUntil = now
+	w.renewals, w.grants = map[uint64]time.Time{}, map[uint64]map[string]bool{}
+}
+
 // reply sends an answer, or takes it at once where a controller asked itself.
 func (w *Watch) reply(now time.Time, to string, message any, effects *statemachine.Effects) {
 	if to != w.settings.Self.Address {
@@ -228,28 +249,8 @@
 		}
 		return
 	}
-	earlier := w.durable
-	self := w.settings.Self.Name
-	complete := uint64(0)
-	switch {
-	case !listed:
-		if w.blank || w.member() {
-			effects.Note(logevent.StandsBy, "epoch", record.Epoch, "primary", record.Primary)
-		}
-	case record.Epoch == 1:
-		complete = 1
-	case record.Primary != self && !slices.Contains(record.Backups, self):
-	case record.Primary != self && w.frames[record.Primary] != nil && w.frames[record.Primary].For == record.Epoch:
-		spare := w.frames[record.Primary]
-		if err := w.ledger.Restore(spare.State); err == nil {
-			w.index = spare.Index
-			complete = record.Epoch
-			w.writeState(spare.State, effects)
-		}
-	case record.Epoch == earlier.Record.Epoch+1 && earlier.Complete == earlier.Record.Epoch && earlier.Record.Epoch > 0 &&
-		(earlier.Record.Primary == self || slices.Contains(earlier.Record.Backups, self)):
-		complete = record.Epoch
-	}
+	earlier, self := w.durable, w.settings.Self.Name
+	complete := w.completeUnder(record, listed, effects)
 	if record.Epoch > 1 && !slices.Equal(earlier.Record.Voters, record.Voters) {
 		w.noteVoters(earlier.Record, record, effects)
 	}
@@ -294,6 +295,34 @@
 	}
 }
 
+// completeUnder gives the epoch for which the state here is whole once a record is
+// learnt, 0 if it is whole for none: whoever was level with the epoch before stays
+// level, and a spare takes the snapshot that it got for this record.
+func (w *Watch) completeUnder(record Record, listed bool, effects *statemachine.Effects) uint64 {
+	earlier := w.durable
+	self := w.settings.Self.Name
+	switch {
+	case !listed:
+		if w.blank || w.member() {
+			effects.Note(logevent.StandsBy, "epoch", record.Epoch, "primary", record.Primary)
+		}
+	case record.Epoch == 1:
+		return 1
+	case record.Primary != self && !slices.Contains(record.Backups, self):
+	case record.Primary != self && w.frames[record.Primary] != nil && w.frames[record.Primary].For == record.Epoch:
+		spare := w.frames[record.Primary]
+		if err := w.ledger.Restore(spare.State); err == nil {
+			w.index = spare.Index
+			w.writeState(spare.State, effects)
+			return record.Epoch
+		}
+	case record.Epoch == earlier.Record.Epoch+1 && earlier.Complete == earlier.Record.Epoch && earlier.Record.Epoch > 0 &&
+		(earlier.Record.Primary == self || slices.Contains(earlier.Record.Backups, self)):
+		return record.Epoch
+	}
+	return 0
+}
+
 // holdBack sees to it that this controller lets nobody but the primary have the next
 // epoch while lease that others granted may still run: a new voters's members
 // have not granted it themselves.
--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -1,5 +1,6 @@
 // The primary's lease: voters grant it against the asking moment, and an answer
 // that is read from the primary's state is confirmed by a majority first.
+
 package consensus
 
 import (
@@ -24,12 +25,12 @@
 			return
 		}
 		w.yielded = false
-		w.nonce++
-		w.renewals[w.nonce] = now
-		w.grants[w.nonce] = map[string]bool{}
-		delete(w.renewals, w.nonce-16)
-		delete(w.grants, w.nonce-16)
-		renew := Renew{Epoch: w.durable.Record.Epoch, Nonce: w.nonce}
+		renew := Renew{Epoch: w.durable.Record.Epoch, Request: w.requests.Next()}
+		number := renew.Request.Number
+		w.renewals[number] = now
+		w.grants[number] = map[string]bool{}
+		delete(w.renewals, number-16)
+		delete(w.grants, number-16)
 		if now.Sub(w.decidedAt) < tellFor {
 			renew.Record = w.durable.Record
 		}
@@ -38,7 +39,7 @@
 				effects.Send(controller.Address, renew)
 			}
 		}
-		w.grantOwn(now, effects)
+		w.grantOwn(now, number, effects)
 		w.follow(now, effects)
 		w.watchVoters(now, effects)
 		return
@@ -47,12 +48,12 @@
 }
 
 // grantOwn counts the primary's own vote, unless it has promised a ballot away.
-func (w *Watch) grantOwn(now time.Time, effects *statemachine.Effects) {
+func (w *Watch) grantOwn(now time.Time, number uint64, effects *statemachine.Effects) {
 	if !w.mayGrant(now) {
 		return
 	}
 	w.grantedUntil, w.grantedTo = now.Add(LeaseLength), w.durable.Record.Primary
-	w.countGrant(now, w.settings.Self.Name, w.nonce, effects)
+	w.countGrant(now, w.settings.Self.Name, number, effects)
 }
 
 func (w *Watch) promisedAway() bool {
@@ -60,13 +61,13 @@
 	return promised.Count > 0 && promised.Name != w.durable.Record.Primary
 }
 
-func (w *Watch) countGrant(now time.Time, name string, nonce uint64, effects *statemachine.Effects) {
-	asked, found := w.renewals[nonce]
+func (w *Watch) countGrant(now time.Time, name string, number uint64, effects *statemachine.Effects) {
+	asked, found := w.renewals[number]
 	if !found {
 		return
 	}
-	w.grants[nonce][name] = true
-	if len(w.grants[nonce]) < w.durable.Record.Majority() {
+	w.grants[number][name] = true
+	if len(w.grants[number]) < w.durable.Record.Majority() {
 		return
 	}
 	until := asked.Add(LeaseLength * 9 / 10)
@@ -124,8 +125,17 @@
 		return
 	}
 	w.primaryHeard = now
-	w.grantedUntil, w.grantedTo = now.Add(LeaseLength), record.Primary
-	effects.Send(from, Grant{Epoch: renew.Epoch, Nonce: renew.Nonce, Index: w.diskIndex, Complete: w.diskComplete})
+	w.grantedUntil, w.grantedTo, w.grantedFor = now.Add(LeaseLength), record.Primary, renew.Request
+	effects.Send(from, Grant{Epoch: renew.Epoch, Request: renew.Request, Index: w.diskIndex, Complete: w.diskComplete})
+}
+
+// gives tells whether it gives the lease back that was granted for a renewal: one
+// of the same life, and none that was asked for later.
+func (y Yield) gives(granted statemachine.RequestID) bool {
+	if statemachine.Mutated("lives-alike") {
+		return true
+	}
+	return y.Request.Life == granted.Life && y.Request.Number >= granted.Number
 }
 
 // Yield gives the lease back, so that a backup need not wait for its end.
@@ -139,7 +149,7 @@
 	effects.Note(logevent.LeaseYielded, "epoch", w.durable.Record.Epoch)
 	for _, controller := range w.durable.Record.Voters {
 		if !controller.At(w.settings.Self) {
-			effects.Send(controller.Address, Yield{Epoch: w.durable.Record.Epoch})
+			effects.Send(controller.Address, Yield{Epoch: w.durable.Record.Epoch, Request: w.requests.Last()})
 		}
 	}
 }
@@ -149,6 +159,9 @@
 	if yield.Epoch != record.Epoch || !w.member() || w.nameOf(from, record.Voters) != record.Primary || w.grantedTo != record.Primary {
 		return
 	}
+	if !yield.gives(w.grantedFor) {
+		return
+	}
 	w.grantedUntil = now
 	w.primaryHeard = now.Add(-lostAfter)
 	w.follow(now, effects)
@@ -163,9 +176,13 @@
 	if name == "" {
 		return
 	}
-	if grant.Nonce > 0 {
+	if grant.Request.Named() {
+		number, own := w.requests.Own(grant.Request)
+		if !own {
+			return
+		}
 		w.lastGrant[name] = now
-		w.countGrant(now, name, grant.Nonce, effects)
+		w.countGrant(now, name, number, effects)
 	}
 	if slices.Contains(record.Backups, name) {
 		w.onGrantOfBackup(now, from, name, grant, effects)
@@ -183,16 +200,16 @@
 		done(now, effects, Committed)
 		return
 	}
-	w.nonce++
+	request := w.requests.Next()
 	waiting := confirmation{done: done, limit: now.Add(confirmLimit), givers: map[string]bool{w.settings.Self.Address: true}}
-	w.confirms[w.nonce] = waiting
+	w.confirms[request.Number] = waiting
 	w.timers.ArmSooner("limits", now.Add(confirmLimit))
 	for _, controller := range w.durable.Record.Voters {
 		if !controller.At(w.settings.Self) {
-			effects.Send(controller.Address, Confirm{Epoch: w.durable.Record.Epoch, Nonce: w.nonce})
+			effects.Send(controller.Address, Confirm{Epoch: w.durable.Record.Epoch, Request: request})
 		}
 	}
-	w.confirmed(now, w.nonce, effects)
+	w.confirmed(now, request.Number, effects)
 }
 
 // stands tells whether this controller has let nobody else have the next epoch.
@@ -204,24 +221,25 @@
 	if confirm.Epoch != w.durable.Record.Epoch || !w.stands() || w.unsure(now) {
 		return
 	}
-	effects.Send(from, ConfirmResponse{Epoch: confirm.Epoch, Nonce: confirm.Nonce})
+	effects.Send(from, ConfirmResponse(confirm))
 }
 
 func (w *Watch) onConfirmResponse(now time.Time, from string, returned ConfirmResponse, effects *statemachine.Effects) {
-	waiting, found := w.confirms[returned.Nonce]
-	if !found || returned.Epoch != w.durable.Record.Epoch {
+	number, own := w.requests.Own(returned.Request)
+	waiting, found := w.confirms[number]
+	if !own || !found || returned.Epoch != w.durable.Record.Epoch {
 		return
 	}
 	waiting.givers[from] = true
-	w.confirmed(now, returned.Nonce, effects)
+	w.confirmed(now, number, effects)
 }
 
-func (w *Watch) confirmed(now time.Time, nonce uint64, effects *statemachine.Effects) {
-	waiting := w.confirms[nonce]
+func (w *Watch) confirmed(now time.Time, number uint64, effects *statemachine.Effects) {
+	waiting := w.confirms[number]
 	if !enough(w.durable.Record.Epoch+1, w.durable.Record.Voters, waiting.givers) {
 		return
 	}
-	delete(w.confirms, nonce)
+	delete(w.confirms, number)
 	if !w.Speaking(now) || now.After(waiting.limit) {
 		waiting.done(now, effects, Unsettled)
 		return
--- a/internal/controller/partition_test.go
+++ b/internal/controller/partition_test.go
@@ -107,6 +107,9 @@
 	// inOrder is when the gateway's last message to a store arrives, on a link
 	// that doesn't reorder.
 	inOrder map[string]time.Duration
+	// held, if set, tells for how long a link holds a message, which then reaches
+	// whatever life is there, and whether it is lost instead.
+	held func(from, to string, message any) (hold time.Duration, lost bool)
 }
 
 func (y *yard) after(wait time.Duration, run func()) {
@@ -139,7 +142,7 @@
 	s.life++
 	s.up, s.frozen, s.waits = true, false, nil
 	s.offset = time.Duration(s.yard.random.Int64N(int64(4*time.Hour))) - 2*time.Hour
-	machine, err := partition.New(partition.Settings{Self: s.member(), Seeds: []string{"controller"}, NewDisk: fmt.Sprintf("%s-%d", s.name, s.life)}, s.frame, s.entries)
+	machine, err := partition.New(partition.Settings{Self: s.member(), Seeds: []string{"controller"}, NewDisk: fmt.Sprintf("%s-%d", s.name, s.life), Life: statemachine.Life(s.yard.random.Uint64())}, s.frame, s.entries)
 	assert.NilError(s.yard.t, err)
 	s.machine = machine
 	s.step(func(now time.Time, effects *statemachine.Effects) { machine.Start(now, effects) })
@@ -226,6 +229,16 @@
 	}
 	packed, err := transport.Encode(statemachine.Meta{From: from, Version: 1}, send.Message)
 	assert.NilError(y.t, err)
+	if y.held != nil {
+		hold, lost := y.held(from, send.To, send.Message)
+		if lost {
+			return
+		}
+		if hold > 0 {
+			y.after(hold, func() { y.deliver(from, send.To, packed) })
+			return
+		}
+	}
 	times := 1 + y.random.IntN(15)/14
 	if y.inOrder != nil && from == "gateway" {
 		times = 1
@@ -236,25 +249,28 @@
 			takes = max(takes, y.inOrder[send.To]-y.now)
 			y.inOrder[send.To] = y.now + takes
 		}
-		y.after(takes, func() {
-			meta, message, err := transport.Decode(packed[4:])
-			assert.NilError(y.t, err)
-			for _, store := range y.stores {
-				if store.name == send.To {
-					store.enter(store.life, func(now time.Time, effects *statemachine.Effects) { store.machine.Message(now, meta, message, effects) })
-				}
-			}
-			switch send.To {
-			case "controller":
-				y.controller(from, message)
-			case "gateway":
-				if y.told != nil {
-					y.told(from, message)
-					return
-				}
-				y.gateway(message)
-			}
-		})
+		y.after(takes, func() { y.deliver(from, send.To, packed) })
+	}
+}
+
+// deliver brings a message to whatever life is there now.
+func (y *yard) deliver(from, to string, packed []byte) {
+	meta, message, err := transport.Decode(packed[4:])
+	assert.NilError(y.t, err)
+	for _, store := range y.stores {
+		if store.name == to {
+			store.enter(store.life, func(now time.Time, effects *statemachine.Effects) { store.machine.Message(now, meta, message, effects) })
+		}
+	}
+	switch to {
+	case "controller":
+		y.controller(from, message)
+	case "gateway":
+		if y.told != nil {
+			y.told(from, message)
+			return
+		}
+		y.gateway(message)
 	}
 }
 
@@ -264,11 +280,7 @@
 	case membership.Ask:
 		known, found := y.state.Members[from]
 		if !found || known.Incarnation < body.Self.Incarnation || known.Incarnation == body.Self.Incarnation && !known.Alive {
-			next := body.Self
-			if found && known.Disk == next.Disk {
-				next.Retiring, next.Retired = known.Retiring, known.Retired
-			}
-			y.apply(Command{Members: []membership.Member{next}})
+			y.apply(Command{Joins: []Join{{Self: body.Self}}})
 		}
 		news := membership.News{
 			For: from, Nonce: body.Nonce, Epoch: 1, Primary: "controller", Index: y.state.Index, Version: y.state.Version,
@@ -292,16 +304,12 @@
 	for _, store := range y.stores {
 		member, found := y.state.Members[store.name]
 		if found && member.Alive && (!store.up || store.frozen) && y.random.IntN(6) == 0 {
-			member.Alive = false
-			y.apply(Command{Members: []membership.Member{member}})
-		}
-		if found && member.Retiring && !member.Retired && !y.state.refers(store.name) {
-			member.Retired = true
-			y.apply(Command{Members: []membership.Member{member}})
+			y.apply(Command{Departures: []Departure{{Name: store.name, Incarnation: member.Incarnation}}})
 		}
+		y.apply(Command{Emptied: []string{store.name}})
 	}
-	if ailments := y.state.ailments(time.Unix(0, 0).Add(y.now), y.lags); len(ailments) > 0 {
-		y.apply(Command{Members: ailments})
+	if changes := y.state.degradations(time.Unix(0, 0).Add(y.now), y.lags); len(changes) > 0 {
+		y.apply(Command{Degradations: changes})
 	}
 	if changes := y.state.plan(y.configuration()); len(changes) > 0 {
 		y.apply(Command{Places: changes})
@@ -420,15 +428,9 @@
 				retiring++
 			}
 		}
-		member := y.state.Members[store.name]
-		if retiring == 0 && member.Alive {
-			member.Retiring = true
-			y.apply(Command{Members: []membership.Member{member}})
-			y.after(4*time.Second, func() {
-				member := y.state.Members[store.name]
-				member.Retiring, member.Retired = false, false
-				y.apply(Command{Members: []membership.Member{member}})
-			})
+		if retiring == 0 && y.state.Members[store.name].Alive {
+			y.apply(Command{Retirement: &Retirement{Store: store.name, Retiring: true}})
+			y.after(4*time.Second, func() { y.apply(Command{Retirement: &Retirement{Store: store.name}}) })
 		}
 	}
 }
@@ -447,7 +449,7 @@
 				t: t, random: rand.New(rand.NewPCG(seed, 0x57a)), state: newState(), accepted: map[string]uint64{}, offsets: map[uint64]string{},
 				never: map[string]bool{}, wipedAt: -time.Minute, lags: map[string]lag{},
 			}
-			yard.apply(Command{Version: 1, Document: []byte(testConfig)})
+			yard.apply(Command{Configuration: configured(1, testConfig)})
 			for number := range 4 {
 				store := &store{yard: yard, name: fmt.Sprintf("store-%d", number)}
 				yard.stores = append(yard.stores, store)
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -1,3 +1,9 @@
+// Package daemon runs a state machine as a process.
+//
+// Package daemon runs a state machine as a process.
+//
+// Package daemon runs a state machine as a process.
+//
 // What all daemons have in common as processes: settings that are checked and
 // reloaded, a data folder that one process holds at a time, signals, readiness,
 // and the ctl address at which every daemon gives operators the same answers.
@@ -6,6 +12,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
@@ -100,11 +107,13 @@
 	Request(method, path string, body []byte) Reply
 }
 
-// Stored is what a daemon's disk held.
+// Stored is what a daemon's disk held, and what was drawn for this start: a name
+// for its disk, if that is blank, and the name of this life.
 type Stored struct {
 	Frame   []byte
 	Entries [][]byte
 	NewDisk string
+	Life    statemachine.Life
 }
 
 // Builder makes a daemon from its settings.
@@ -169,6 +178,7 @@
 		return p.failed(err)
 	}
 	p.impairment(current)
+	p.host.Transport().SetRate(current.Link)
 	if current.Compression == settings.CompressionFar {
 		p.host.Transport().Compress()
 	}
@@ -273,6 +283,7 @@
 	}
 	p.current = after
 	p.impairment(after)
+	p.host.Transport().SetRate(after.Link)
 	debug.SetMemoryLimit(after.MemoryLimit())
 	p.logger.SetLevel(after.LogLevel)
 	if p.built.Reload != nil {
@@ -293,7 +304,7 @@
 // openDisk opens the data folder; a damaged one is put aside, so that the copy
 // is rebuilt from the other holder.
 func (p *process) openDisk() (*wal.Log, Stored, error) {
-	stored := Stored{NewDisk: mustRandom()}
+	stored := Stored{NewDisk: hex.EncodeToString(mustRandom()), Life: statemachine.Life(binary.BigEndian.Uint64(mustRandom()))}
 	path := p.current.Data
 	if path == "" {
 		return nil, stored, nil
@@ -308,10 +319,7 @@
 	book, recovered, err := p.openBook(folder)
 	if errorx.IsOfType(err, wal.ErrorDamage) {
 		p.logger.Report(logevent.DiskDamaged, "error", err.Error())
-		if err := putAside(path); err != nil {
-			return nil, stored, err
-		}
-		if folder, err = wal.OpenFileFolder(path); err != nil {
+		if err := wal.PutAside(folder); err != nil {
 			return nil, stored, err
 		}
 		book, recovered, err = p.openBook(folder)
@@ -355,31 +363,13 @@
 // heldLocks keeps the files open for as long as the process lives.
 var heldLocks []*os.File
 
-func putAside(path string) error {
-	aside := filepath.Join(path, "damaged-"+strconv.FormatInt(time.Now().UnixNano(), 10))
-	if err := os.MkdirAll(aside, 0o755); err != nil {
-		return err
-	}
-	entries, err := os.ReadDir(path)
-	if err != nil {
-		return err
-	}
-	for _, entry := range entries {
-		if strings.HasPrefix(entry.Name(), "slot-") || strings.HasPrefix(entry.Name(), "log-") {
-			if err := os.Rename(filepath.Join(path, entry.Name()), filepath.Join(aside, entry.Name())); err != nil {
-				return err
-			}
-		}
-	}
-	return nil
-}
-
-func mustRandom() string {
+// mustRandom is the port for randomness: eight bytes, drawn as the process starts.
+func mustRandom() []byte {
 	var body [8]byte
 	if _, err := rand.Read(body[:]); err != nil {
 		panic(err)
 	}
-	return hex.EncodeToString(body[:])
+	return body[:]
 }
 
 // The ctl address.
@@ -514,7 +504,7 @@
 		"messages_out": counters.MessagesOut.Load(), "bytes_out": counters.BytesOut.Load(),
 		"messages_in": counters.MessagesIn.Load(), "bytes_in": counters.BytesIn.Load(),
 		"messages_away": counters.MessagesAway.Load(), "bytes_away": counters.BytesAway.Load(),
-		"dropped": counters.Dropped.Load(), "garbage": counters.Garbage.Load(), "writes": counters.Writes.Load(), "dials": counters.Dials.Load(), "shed": counters.Shed.Load(),
+		"dropped": counters.Dropped.Load(), "garbage": counters.Garbage.Load(), "writes": counters.Writes.Load(), "dials": counters.Dials.Load(), "shed": counters.Shed.Load(), "held": counters.Held.Load(),
 	}
 }
 
--- a/internal/partition/copy.go
+++ b/internal/partition/copy.go
@@ -1,5 +1,6 @@
 // Copying: a first sends each follower what it does not have yet, and knows of
 // each how far its disk reaches.
+
 package partition
 
 import (
@@ -70,6 +71,15 @@
 	if !follower.Alive || copied.known && copied.sent >= head {
 		return
 	}
+	if copied.whole.size > 0 && copied.whole.expired(now) {
+		// Where the answer was lost and not the snapshot, asking is enough.
+		copied.whole = snapshot{wait: copied.whole.wait}
+	}
+	if copied.whole.needed {
+		// Records after a snapshot go when that has arrived.
+		s.sendSnapshot(now, partition, copied, effects)
+		return
+	}
 	after := max(copied.sent, copied.acked)
 	if !copied.known {
 		// The follower of a new epoch is asked first what it has.
@@ -124,7 +134,7 @@
 				continue
 			}
 			waits = true
-			if now.Sub(copied.sentAt) >= copyEvery*time.Duration(min(1<<copied.tries, copyWaitMost)) {
+			if copied.whole.needed || now.Sub(copied.sentAt) >= copyEvery*time.Duration(min(1<<copied.tries, copyWaitMost)) {
 				copied.tries = min(copied.tries+1, copyWaitMost)
 				copied.sent = copied.acked
 				s.copyTo(now, partition, copied, effects)
@@ -183,14 +193,14 @@
 	}
 	epoch, held := partition.log.epochAt(copied.After)
 	if !held || epoch != copied.AfterEpoch {
-		s.tellHave(partition, from, true, effects)
+		s.tellHave(partition, from, effects)
 		return
 	}
 	for position, record := range copied.Records {
 		present, known := partition.log.epochAt(record.Offset)
 		if known && record.Offset > partition.log.Base {
 			if present != record.Epoch {
-				s.tellHave(partition, from, true, effects)
+				s.tellHave(partition, from, effects)
 				return
 			}
 			continue
@@ -204,7 +214,7 @@
 	}
 	if head, _ := partition.log.head(); len(copied.Records) == 0 && head > copied.After {
 		// More is here than the first knows of: its log and this one differ.
-		s.tellHave(partition, from, true, effects)
+		s.tellHave(partition, from, effects)
 		return
 	}
 	s.confirm(partition, from, copied.Epoch)
@@ -221,9 +231,9 @@
 	s.afters = append(s.afters, answer)
 }
 
-func (s *Store) tellHave(partition *held, to string, mismatch bool, effects *statemachine.Effects) {
+func (s *Store) tellHave(partition *held, to string, effects *statemachine.Effects) {
 	head, epoch := partition.log.head()
-	effects.Send(to, CopyResponse{Partition: partition.log.Name, Epoch: partition.place.Epoch, Have: head, HaveEpoch: epoch, Mismatch: mismatch, Holder: sumOf(s.holder())})
+	effects.Send(to, CopyResponse{Partition: partition.log.Name, Epoch: partition.place.Epoch, Have: head, HaveEpoch: epoch, Mismatch: true, Holder: sumOf(s.holder())})
 }
 
 func (s *Store) onCopyResponse(now time.Time, from string, returned CopyResponse, effects *statemachine.Effects) {
@@ -247,7 +257,7 @@
 		if held && epoch == returned.HaveEpoch && returned.Have >= partition.log.Base {
 			// What it has may not be synced yet, so it does not count as
 			// acknowledged; the next copy goes on from there.
-			copied.known = true
+			copied.known, copied.whole = true, snapshot{}
 			copied.sent = returned.Have
 			if returned.Have == head {
 				// An empty copy asks for the word that all of it is synced.
@@ -256,12 +266,10 @@
 			s.dirty[returned.Partition] = true
 			return
 		}
-		s.Counts.Frames++
-		effects.Note(logevent.PartitionFrameSent, "partition", returned.Partition, "epoch", partition.place.Epoch, "have", returned.Have)
-		effects.Send(from, Frame{Now: now, Partition: returned.Partition, Epoch: partition.place.Epoch, State: transport.MustMarshal(partition.log)})
-		copied.sentAt = now
+		s.needSnapshot(now, partition, copied, effects)
 		return
 	}
+	s.snapshotTaken(now, copied, effects)
 	copied.known = true
 	copied.acked = max(copied.acked, returned.Have)
 	copied.sent = max(copied.sent, copied.acked)
@@ -334,6 +342,9 @@
 		effects.Note(logevent.LinkGarbage, "remote", from, "partition", frame.Partition)
 		return
 	}
+	if partition.log.passed(log, frame.Epoch) && !statemachine.Mutated("any-frame") {
+		return
+	}
 	log.shift(now.Sub(frame.Now))
 	partition.log = log
 	partition.synced = 0
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -75,6 +75,8 @@
 	Traffic time.Duration
 	// Memory is how many bytes the process may use, 0 for no bound.
 	Memory int64
+	// Link is how many bytes a second the machine's link takes, 0 if nobody says.
+	Link int
 }
 
 // Bounds are the times that daemons hold each other and their callers to.
@@ -136,7 +138,8 @@
 
 var keys = []string{
 	"name", "address", "ctl", "caller", "zone", "seeds", "data", "agent", "gateway", "controllers", "key", "origins_most", "log_level",
-	"seeds_port", "bootstrap", "tolerance", "bounds", "callers", "admission", "versions", "memory", "operators", "compression", "descriptors", "tolerance_zones", "traffic",
+	"seeds_port", "bootstrap", "tolerance", "bounds", "callers", "admission", "versions", "memory", "operators", "compression", "descriptors", "tolerance_zones",
+	"link", "traffic",
 }
 
 // Source is where settings come from.
@@ -213,30 +216,7 @@
 		known = append(slices.Clone(keys), "trial")
 	}
 	members := walk.Object("$", value, known...)
-	var arena fastjson.Arena
-	for key, text := range s.flags {
-		switch key {
-		case "controllers", "origins_most", "seeds_port", "tolerance", "descriptors", "tolerance_zones":
-			members[key] = arena.NewNumberString(text)
-		case "bootstrap":
-			members[key] = flagTruth(&arena, text)
-		case "bounds":
-			table := arena.NewObject()
-			for _, item := range strings.Split(text, ",") {
-				name, length, _ := strings.Cut(item, "=")
-				table.Set(name, arena.NewString(length))
-			}
-			members[key] = table
-		case "seeds":
-			list := arena.NewArray()
-			for position, item := range strings.Split(text, ",") {
-				list.SetArrayItem(position, arena.NewString(item))
-			}
-			members[key] = list
-		default:
-			members[key] = arena.NewString(text)
-		}
-	}
+	s.overlayFlags(members)
 	wanted := func(name string) string {
 		if members[name] == nil {
 			walk.Report("$."+name, "missing", "%s is wanted", name)
@@ -300,6 +280,7 @@
 	settings.Compression = walk.Choice("$.compression", members["compression"], CompressionNone, CompressionNone, CompressionFar)
 	settings.Traffic = walk.Duration("$.traffic", members["traffic"], 0, 0, trafficMost)
 	settings.Memory = readMemory(walk, "$.memory", members["memory"])
+	settings.Link = readLink(walk, "$.link", members["link"])
 	settings.Key = walk.Text("$.key", members["key"], "")
 	if s.kind == "gateway" && settings.Admission == AdmissionToken && len(settings.Key) < 16 {
 		walk.Report("$.key", "missing", "a key of 16 characters or more is wanted, the same on all gateways")
@@ -319,6 +300,34 @@
 	settings.Trial = readTrial(walk, members["trial"])
 }
 
+// overlayFlags puts what flags gave over what the file says.
+func (s *Source) overlayFlags(members map[string]*fastjson.Value) {
+	var arena fastjson.Arena
+	for key, text := range s.flags {
+		switch key {
+		case "controllers", "origins_most", "seeds_port", "tolerance", "descriptors", "tolerance_zones":
+			members[key] = arena.NewNumberString(text)
+		case "bootstrap":
+			members[key] = flagTruth(&arena, text)
+		case "bounds":
+			table := arena.NewObject()
+			for _, item := range strings.Split(text, ",") {
+				name, length, _ := strings.Cut(item, "=")
+				table.Set(name, arena.NewString(length))
+			}
+			members[key] = table
+		case "seeds":
+			list := arena.NewArray()
+			for position, item := range strings.Split(text, ",") {
+				list.SetArrayItem(position, arena.NewString(item))
+			}
+			members[key] = list
+		default:
+			members[key] = arena.NewString(text)
+		}
+	}
+}
+
 func checkAddress(walk *config.Reader, path, text string) {
 	host, port, err := net.SplitHostPort(text)
 	if err != nil || net.ParseIP(host) == nil || port == "" || port == "0" {
@@ -403,6 +412,45 @@
 	return count * unit
 }
 
+// linkUnits are the bits a second of a unit.
+var linkUnits = []struct {
+	name string
+	bits float64
+}{
+	{"kbit/s", 1e3}, {"Mbit/s", 1e6}, {"Gbit/s", 1e9},
+}
+
+const (
+	linkLeast = 10_000
+	linkMost  = 1 << 40
+)
+
+// readLink reads a text such as "2.6Mbit/s", and gives bytes a second.
+func readLink(walk *config.Reader, path string, value *fastjson.Value) int {
+	text := walk.Text(path, value, "")
+	if text == "" {
+		return 0
+	}
+	for _, each := range linkUnits {
+		number, found := strings.CutSuffix(text, each.name)
+		if !found {
+			continue
+		}
+		count, err := strconv.ParseFloat(number, 64)
+		bytes := count * each.bits / 8
+		switch {
+		case err != nil:
+		case bytes >= linkLeast && bytes <= linkMost:
+			return int(bytes)
+		default:
+			walk.Report(path, "out-of-range", "%s is not between 80kbit/s and 8796Gbit/s", text)
+			return 0
+		}
+	}
+	walk.Report(path, "wrong-type", "%q is not a rate such as \"2.6Mbit/s\"", text)
+	return 0
+}
+
 // MemoryLimit is the bound to give Go's collector: four fifths of what the
 // process may use, as the rest goes to what the collector does not count, or
 // no bound.
--- a/internal/simulator/network.go
+++ b/internal/simulator/network.go
@@ -1,5 +1,6 @@
 // The simulated network: messages that are delayed, lost or cut, in order on each
 // link unless a link is dialled anew, and daemons that refuse to be dialled.
+
 package simulator
 
 import (
--- a/internal/transport/socket.go
+++ b/internal/transport/socket.go
@@ -1,6 +1,7 @@
 // The owner's descriptor of a connection. The owner writes without waiting; the
 // dialling loop ends the connection, maybe in the same moment. Neither waits for
 // the other: if a write is under way, the writer closes the descriptor after it.
+
 package transport
 
 import (
@@ -22,6 +23,8 @@
 	state      atomic.Int32
 	// packer is set where turns are packed. Whoever may write may pack.
 	packer *packer
+	// window bounds what the peer has not confirmed.
+	window Window
 }
 
 // wrap gives the bytes that go out for a turn, and the scratch for the next one.
