--- a/internal/gateway/routed_publish.go
+++ b/internal/gateway/routed_publish.go
@@ -34,6 +34,7 @@
 	partition string
 	bare      bool
 	sentAt    time.Time
+	sentBy    way
 	limit     time.Time
 	sends     int
 	// open are the numbers of the sends without an answer. An answer settles the
@@ -41,6 +42,9 @@
 	open map[uint64]bool
 }
 
+// due is when it is sent again: the later, the more of its sends have no answer.
+func (rp *routedPublication) due() time.Time { return rp.sentAt.Add(longer(routedRetry, len(rp.open))) }
+
 func (g *Gateway) publishRouted(now time.Time, request Publish, looked bool, effects *statemachine.Effects) {
 	space := g.routeOf(request.Space, request.Topic)
 	judged := &Judged{
@@ -82,7 +86,7 @@
 
 func (g *Gateway) sendRouted(now time.Time, item *routedPublication, effects *statemachine.Effects) {
 	item.sentAt = now
-	g.timers.ArmSooner("routed", now.Add(routedRetry))
+	g.timers.ArmSooner("routed", item.due())
 	address, _, found := g.firstOf(item.partition)
 	if !found {
 		g.follower.Hurry(now)
@@ -93,6 +97,7 @@
 		data = nil
 	}
 	item.sends++
+	item.sentBy = g.wayTo(item.partition)
 	g.nextRequest++
 	item.open[g.nextRequest] = true
 	g.routed.sends[g.nextRequest] = item
@@ -167,28 +172,16 @@
 			}
 			continue
 		}
-		if !item.sentAt.Add(routedRetry).After(now) {
+		if !item.due().After(now) {
 			g.sendRouted(now, item, effects)
 		}
-		next = statemachine.Earliest(next, item.sentAt.Add(routedRetry), item.limit)
+		next = statemachine.Earliest(next, item.due(), item.limit)
 	}
 	if !next.IsZero() {
 		g.timers.ArmSooner("routed", next)
 	}
 }
 
-// resendRouted sends what waits for a store to the partition's new first.
-func (g *Gateway) resendRouted(now time.Time, effects *statemachine.Effects) {
-	for _, item := range statemachine.Sorted(g.routed.appends) {
-		if now.Sub(item.sentAt) > 20*time.Millisecond {
-			g.sendRouted(now, item, effects)
-		}
-	}
-	for id, asked := range statemachine.Sorted(g.routed.fetches) {
-		g.sendFetch(now, id, asked, effects)
-	}
-}
-
 // forgetRouted lets old memories go.
 func (g *Gateway) forgetRouted(now time.Time) {
 	for key, at := range g.routed.accepted {
--- a/internal/transport/receive.go
+++ b/internal/transport/receive.go
@@ -122,6 +122,7 @@
 		return nil
 	}
 	t.Counters.MessagesIn.Add(1)
+	t.received.add(message, headerSize+len(frame))
 	if impairment := t.impairment.Load(); !anyPrefix(meta.From, impairment.Cuts, impairment.Deaf) {
 		t.take(Inbound{Meta: meta, Message: message})
 	}
