--- a/internal/consensus/world_test.go
+++ b/internal/consensus/world_test.go
@@ -35,7 +35,9 @@
 	message any
 	packed  []byte
 	held    bool
-	write   *statemachine.Write
+	// ticks is for how many of them it is still held back.
+	ticks int
+	write *statemachine.Write
 	// cause is the message that led to the write: what is done once it lasts
 	// follows from both.
 	cause []byte
@@ -49,9 +51,12 @@
 	ledger  *words
 	frame   []byte
 	entries [][]byte
-	up      bool
-	gone    bool
-	lives   int
+	// disk is the fingerprint of what lies on the disk.
+	disk  explore.Key
+	up    bool
+	gone  bool
+	cut   bool
+	lives int
 }
 
 type world struct {
@@ -67,8 +72,10 @@
 	broken    error
 	cause     []byte
 	moves     []move
-	// mayLose tells whether a disk may be lost in the present state.
-	mayLose func(w *world, node *node) bool
+	// lost is how many were lost with their disks, at most as many as are tolerated;
+	// mayLose, if given, tells whether one may be lost in the present state.
+	lost    int
+	mayLose func(w *world) bool
 }
 
 // move is what a choice does.
@@ -140,6 +147,7 @@
 		settings.NewDisk = fmt.Sprintf("%s-%d", n.self.Disk, n.lives)
 	}
 	n.lives++
+	settings.Life = statemachine.Life(n.number<<8 + n.lives)
 	n.ledger = &words{}
 	watch, err := New(settings, n.ledger, n.frame, n.entries)
 	if err != nil {
@@ -162,7 +170,7 @@
 	run(w.now, &effects)
 	for _, send := range effects.Sends {
 		for _, to := range w.nodes {
-			if to.self.Address != send.To || !to.up {
+			if to.self.Address != send.To || !to.up || to.cut != n.cut {
 				continue
 			}
 			packed, err := transport.Encode(statemachine.Meta{From: n.self.Address}, send.Message)
@@ -172,6 +180,11 @@
 			w.items = append(w.items, &pending{to: to.number, from: n.self.Address, message: decoded(packed), packed: packed})
 		}
 	}
+	if n.watch.Left() {
+		n.end()
+		n.gone = true
+		return
+	}
 	for _, write := range effects.Writes {
 		w.items = append(w.items, &pending{to: n.number, write: &write, cause: w.cause})
 	}
@@ -211,6 +224,7 @@
 		to.frame, to.entries = item.write.Frame, nil
 	}
 	to.entries = append(to.entries, item.write.Entries...)
+	to.disk = explore.KeyOf(time.Time{}, nil, to.disk, item.write.Entries, item.write.Frame)
 	w.cause = item.cause
 	to.step(func(now time.Time, effects *statemachine.Effects) { to.watch.Synced(now, item.write.Token, effects) })
 }
@@ -223,6 +237,15 @@
 			next = each
 		}
 	}
+	if next == nil {
+		panic("nobody is left")
+	}
+	for _, item := range w.items {
+		if item.held {
+			item.ticks--
+			item.held = item.ticks > 0
+		}
+	}
 	if due := next.watch.NextDue(); due.After(w.now) {
 		w.now = due
 	}
@@ -308,6 +331,9 @@
 		}
 		cost := 1
 		if item.held {
+			if first != nil {
+				continue
+			}
 			cost = 0
 		}
 		w.offer(cost, func() string { return item.label(w) }, func() { w.arrive(item) })
@@ -317,12 +343,16 @@
 	}
 }
 
-// hold keeps one thing back; later writes of the same disk wait for it.
+// holdTicks is for how many timers something may be held back.
+const holdTicks = 4
+
+// hold keeps one thing back, until some timers have run or, at a choice, until
+// nothing else is under way; later writes of the same disk wait for it.
 func (w *world) hold(item *pending) {
-	item.held = true
+	item.held, item.ticks = true, holdTicks
 	for _, other := range w.items {
 		if item.write != nil && other.write != nil && other.to == item.to {
-			other.held = true
+			other.held, other.ticks = true, holdTicks
 		}
 	}
 }
@@ -345,12 +375,13 @@
 			w.offer(1, func() string { return "twice: " + first.label(w) }, func() {
 				w.left.repeats--
 				again := *first
-				again.held = true
+				again.held, again.ticks = true, holdTicks
 				w.items = append(w.items, &again)
 				w.arrive(first)
 			})
 		}
 	}
+	mayLose := w.lost < w.tolerance && (w.mayLose == nil || w.mayLose(w))
 	for _, each := range w.nodes {
 		if !each.up {
 			continue
@@ -362,7 +393,7 @@
 				each.start()
 			})
 		}
-		if w.left.wipes > 0 && (w.mayLose == nil || w.mayLose(w, each)) {
+		if w.left.wipes > 0 && mayLose {
 			w.offer(1, func() string { return each.self.Name + " loses its disk" }, func() {
 				w.left.wipes--
 				each.wipe()
@@ -376,9 +407,10 @@
 				})
 			}
 		}
-		if w.left.kills > 0 && (w.mayLose == nil || w.mayLose(w, each)) {
+		if w.left.kills > 0 && mayLose {
 			w.offer(1, func() string { return each.self.Name + " is gone" }, func() {
 				w.left.kills--
+				w.lost++
 				each.end()
 				each.gone = true
 			})
@@ -386,9 +418,16 @@
 	}
 }
 
+// leave asks a process to stop; its machine goes with it, disk and all.
+func (n *node) leave() {
+	n.world.cause = []byte("leave")
+	n.step(func(now time.Time, effects *statemachine.Effects) { n.watch.Leave(now, effects) })
+}
+
 func (n *node) wipe() {
+	n.world.lost++
 	n.end()
-	n.frame, n.entries = nil, nil
+	n.frame, n.entries, n.disk = nil, nil, explore.Key{}
 	n.start()
 }
 
@@ -454,15 +493,15 @@
 
 // Key names the state.
 func (w *world) Key() explore.Key {
-	parts := []any{w.left, w.committed, w.next, w.now.Sub(w.begun) > catchUp}
+	parts := []any{w.left, w.lost, w.committed, w.next, w.now.Sub(w.begun) > catchUp}
 	for _, each := range w.nodes {
-		parts = append(parts, each.up, each.gone, each.entries, each.frame)
+		parts = append(parts, each.up, each.gone, each.cut, each.disk)
 		if each.up {
 			parts = append(parts, each.watch)
 		}
 	}
 	for _, item := range w.items {
-		parts = append(parts, item.to, item.from, item.packed, item.held, item.cause)
+		parts = append(parts, item.to, item.from, item.packed, item.held, item.ticks, item.cause)
 		if item.write != nil {
 			parts = append(parts, item.write.Entries, item.write.Frame)
 		}
@@ -473,13 +512,22 @@
 // catchUp is how long a machine that is new counts as lost.
 const catchUp = 4100 * time.Millisecond
 
+// mostSteps is far above what twelve seconds take.
+const mostSteps = 10000
+
 // Finish lets all that is under way arrive, and then waits for somebody to serve.
 func (w *world) Finish() error {
 	for _, item := range w.items {
 		item.held = false
 	}
+	for _, each := range w.nodes {
+		each.cut = false
+	}
 	calm := w.now
-	for w.now.Sub(calm) < 12*time.Second {
+	for steps := 0; w.now.Sub(calm) < 12*time.Second; steps++ {
+		if steps > mostSteps {
+			return fmt.Errorf("something goes on without end: %s", w.Choices()[0].Label())
+		}
 		w.ordinary()
 		w.judge()
 		if w.broken != nil {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -57,6 +57,8 @@
 	Highest bool
 	// Tolerance, if given, is how many machines with a disk may be lost at once.
 	Tolerance *int
+	// Grace is for how long a daemon that was asked to end is let run.
+	Grace time.Duration
 }
 
 // Request is an operator's request at this daemon's own ctl.
@@ -98,8 +100,10 @@
 	leaving       map[string]Departure
 	complete      map[string]membership.PartitionComplete
 	lags          map[string]lag
+	dead          map[string]reported
 	doubts        map[string]*doubt
 	busy          bool
+	stopBy        time.Time
 	began         time.Time
 	acting        bool
 	parsed        config.Configuration
@@ -189,6 +193,7 @@
 			c.tend(now, effects)
 		}
 	}
+	c.endStop(now, effects)
 }
 
 // Command takes what the adapters bring: synced writes and ctl requests.
@@ -200,19 +205,11 @@
 	case Request:
 		c.controlClient.Carry(now, body.Local, body.Method, body.Path, body.Body, effects)
 	case Stop:
-		c.watch.Yield(now, effects)
-		for _, other := range statemachine.Sorted(c.follower.Members) {
-			if other.Kind == membership.KindController && other.Name != c.settings.Self.Name {
-				effects.Send(other.Address, membership.Farewell{Name: c.settings.Self.Name, Incarnation: c.settings.Self.Incarnation})
-			}
-		}
-		effects.Stop = true
+		c.beginStop(now, effects)
 	}
+	c.endStop(now, effects)
 }
 
-// Stop asks a daemon to end in good order.
-type Stop struct{}
-
 // Message takes what other daemons say.
 func (c *Controller) Message(now time.Time, meta statemachine.Meta, message any, effects *statemachine.Effects) {
 	if meta.From != c.settings.Self.Address {
@@ -220,6 +217,7 @@
 	}
 	if c.watch.Message(now, meta, message, effects) {
 		c.answerNews(now, effects)
+		c.endStop(now, effects)
 		return
 	}
 	switch body := message.(type) {
@@ -336,7 +334,7 @@
 // has been silent for a while.
 func (c *Controller) noteMember(now time.Time, ask membership.Ask) {
 	self := ask.Self
-	known, found := c.state.Members[self.Name]
+	known, found := c.state.member(self.Name)
 	if found && self.Incarnation < known.Incarnation && now.Sub(c.heard[known.Name]) <= succeedsAfter {
 		return
 	}
@@ -407,6 +405,7 @@
 	c.joining, c.leaving = map[string]Join{}, map[string]Departure{}
 	c.complete = map[string]membership.PartitionComplete{}
 	c.orders = map[string]membership.Orders{}
+	c.dead = map[string]reported{}
 	c.lags, c.doubts = map[string]lag{}, map[string]*doubt{}
 	for name, member := range c.state.Members {
 		c.heard[name] = now
@@ -545,6 +544,13 @@
 	if wanted := c.settings.Tolerance; wanted != nil && *wanted != c.state.Tolerance {
 		command.Tolerance = wanted
 	}
+	if command.empty() {
+		c.forgetStrangers(now)
+		command.Forgotten = c.forgettable(now)
+		for _, departure := range command.Forgotten {
+			effects.Note(logevent.MemberForgotten, "member", departure.Name)
+		}
+	}
 	if command.empty() {
 		command.Places = c.state.plan(c.configuration())
 		if now.Sub(c.began) <= settleFor/3 {
--- a/internal/controller/views_mutation_test.go
+++ b/internal/controller/views_mutation_test.go
@@ -16,7 +16,7 @@
 	views, _ := slowView(t)
 	restore()
 	assert.Assert(t, views > bounded, "%d views for each question, %d bounded", views, bounded)
-	restore = statemachine.Mutate("newest-answer")
+	restore = statemachine.Mutate("late-answers-unheard")
 	_, taken := slowView(t)
 	restore()
 	assert.Equal(t, int64(taken), int64(0), "a late answer was taken")
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -25,6 +25,7 @@
 	SettingsTaken       = 1010
 	SettingsRefused     = 1011
 	LinkGarbage         = 1020
+	TrafficTold         = 1021
 	InvariantBroken     = 1030
 	DiskTorn            = 1040
 	DiskDamaged         = 1041
@@ -47,6 +48,7 @@
 	MemberJoined        = 2030
 	MemberSuspected     = 2031
 	MemberLost          = 2032
+	MemberForgotten     = 2033
 	PlacementChanged    = 2040
 	PlacementComplete   = 2041
 	StoreRetired        = 2042
@@ -78,6 +80,7 @@
 	SettingsTaken:       {logrus.InfoLevel, "changed settings taken"},
 	SettingsRefused:     {logrus.ErrorLevel, "changed settings refused, the old ones stay"},
 	LinkGarbage:         {logrus.WarnLevel, "unreadable frame, link closed"},
+	TrafficTold:         {logrus.InfoLevel, "what crossed the links, by kind"},
 	InvariantBroken:     {logrus.FatalLevel, "invariant broken, stopping"},
 	DiskTorn:            {logrus.WarnLevel, "torn tail cut from the log on disk"},
 	DiskDamaged:         {logrus.ErrorLevel, "disk damaged, copy will be rebuilt"},
@@ -100,6 +103,7 @@
 	MemberJoined:        {logrus.InfoLevel, "member joined"},
 	MemberSuspected:     {logrus.WarnLevel, "watcher hears nothing from a member"},
 	MemberLost:          {logrus.WarnLevel, "member taken for lost"},
+	MemberForgotten:     {logrus.InfoLevel, "member that was lost for long is forgotten"},
 	PlacementChanged:    {logrus.InfoLevel, "partition placed anew"},
 	PlacementComplete:   {logrus.InfoLevel, "partition has all its synced copies"},
 	StoreRetired:        {logrus.InfoLevel, "store retired"},
