--- a/internal/simulator/grown_test.go
+++ b/internal/simulator/grown_test.go
@@ -7,12 +7,30 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"dahlialock/internal/membership"
 )
 
 // shareWanted is what is served of each second after the machines' return; the
 // users' half within 5 s is less.
 const shareWanted = 0.8
 
+// thin is the grown shape with links of half the bandwidth, where also what the
+// fleet needs to say fills them for some seconds.
+func thin() Size {
+	size := Grown
+	half := Bandwidth{Up: grownLink / 2, Down: grownLink / 2}
+	size.Links = map[string]Bandwidth{membership.KindGateway: half}
+	return size
+}
+
+// On those this share is served of each second from the fifth after the return on; the
+// users' half is less.
+const (
+	thinShareWanted = 0.7
+	thinAfter       = 5
+)
+
 // worst is the least share served in a second.
 func worst(seconds []Service) float64 {
 	least := 1.0
@@ -31,3 +49,12 @@
 		assert.Check(t, len(result.Simulation.Checker.Violations()) == 0, "seed %d: %v", seed, result.Simulation.Checker.Violations())
 	}
 }
+
+func TestServiceIsBackThoughLinksAreFull(t *testing.T) {
+	for _, seed := range []uint64{1, 2} {
+		result := RunGrown(seed, thin(), nil)
+		t.Logf("seed %d: before %s; after %s", seed, Shares(result.Before), Shares(result.After))
+		assert.Check(t, worst(result.After[thinAfter:]) > thinShareWanted, "after: %s\n%s", Shares(result.After), TrafficTable(result.Recovery, Grown.Gateways, result.RecoverySpan))
+		assert.Check(t, len(result.Simulation.Checker.Violations()) == 0, "%v", result.Simulation.Checker.Violations())
+	}
+}
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -156,6 +156,7 @@
 	unpacker *unpacker
 	// took are the bytes that came, told those that were confirmed.
 	took, told int64
+	confirms   bool
 }
 
 // link is one destination.
--- a/internal/transport/order_test.go
+++ b/internal/transport/order_test.go
@@ -144,6 +144,14 @@
 	assert.Assert(t, late < 2*paceAhead+30*time.Millisecond, "the lease was through after %v", late)
 }
 
+func TestReceiversOnWideLinksConfirmNothing(t *testing.T) {
+	for rate, confirms := range map[int]bool{0: false, 325_000: true, 600_000_000 / 8: false, 125_000_000: false} {
+		var pace Pace
+		pace.SetRate(rate)
+		assert.Equal(t, pace.Confirms(), confirms, "%d", rate)
+	}
+}
+
 func TestWithoutARateNothingIsHeldBack(t *testing.T) {
 	var pace Pace
 	now := time.Unix(1_700_000_000, 0)
@@ -237,4 +245,8 @@
 	// It came at once, so that the window is larger by half now.
 	assert.Assert(t, window.Open(ClassCatchUp) && window.Open(ClassLive))
 	assert.Equal(t, window.bound(), outstandingFirst*3/2)
+	// Who wants no window says so once.
+	window.Confirmed(now, Unbounded)
+	window.Sent(now, 1<<30)
+	assert.Assert(t, window.Open(ClassCatchUp))
 }
--- a/internal/transport/pace.go
+++ b/internal/transport/pace.go
@@ -146,6 +146,17 @@
 	return outstanding < w.bound()
 }
 
+// Unbounded is the confirmation, given once, of a receiver that wants no window.
+const Unbounded int64 = 1 << 62
+
+// Confirms tells whether a receiver on the link confirms what it takes. On one that
+// takes the largest window in the time that is given ahead, no window would ever hold
+// anything back.
+func (p *Pace) Confirms() bool {
+	rate := p.rate.Load()
+	return rate > 0 && rate < outstandingMost*int64(time.Second/paceAhead)
+}
+
 // ToConfirm tells a receiver whether it has taken enough since its last confirmation.
 func ToConfirm(told, took int64) bool { return took/ConfirmEach > told/ConfirmEach }
 
--- a/internal/transport/receive.go
+++ b/internal/transport/receive.go
@@ -64,7 +64,7 @@
 
 // confirm tells the sender how many bytes were taken, now and then.
 func (p *peer) confirm(connection gnet.Conn) gnet.Action {
-	if !ToConfirm(p.told, p.took) {
+	if !p.confirms || !ToConfirm(p.told, p.took) {
 		return gnet.None
 	}
 	p.told = p.took
@@ -140,6 +140,9 @@
 		_ = older.Close()
 	}
 	t.inward[address] = connection
+	if from.confirms = t.pace.Confirms(); !from.confirms {
+		_, _ = connection.Write(binary.BigEndian.AppendUint64(nil, uint64(Unbounded)))
+	}
 	t.present(address)
 }
 
