--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -84,7 +84,11 @@
 	for {
 		now := time.Now()
 		if wait := t.pace.Wait(now); wait > 0 {
-			t.held.Store(!t.order.Empty())
+			waits := !t.order.Empty()
+			t.held.Store(waits)
+			if waits {
+				t.Counters.Held.Add(1)
+			}
 			t.sendLater(now, wait)
 			return
 		}
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -93,7 +93,8 @@
 	MessagesAway, BytesAway                                            atomic.Int64
 	// Writes are system calls that wrote to links, Dials connections made.
 	Writes, Dials atomic.Int64
-	// Held counts turns that waited for the machine's link or a peer's window.
+	// Held counts how often something had to wait for the machine's link, or a turn
+	// for a peer's window.
 	Held atomic.Int64
 }
 
