--- a/internal/simulator/network.go
+++ b/internal/simulator/network.go
@@ -85,6 +85,10 @@
 	if from.Place != to.Place {
 		s.Away += int64(len(frame))
 	}
+	if release, holds := s.heldUntil(from, to); holds {
+		s.land(from, to, frame, release)
+		return
+	}
 	if s.limited() && from != to {
 		s.dispatch(from, to, send.Message, frame)
 		return
--- a/internal/simulator/simulator.go
+++ b/internal/simulator/simulator.go
@@ -93,6 +93,7 @@
 	loss         float64
 	lag          time.Duration
 	relinks      int
+	held         heldLinks
 	nics         map[string]*nic
 	connections  map[string]connection
 	apart        time.Duration
--- a/internal/simulator/storm.go
+++ b/internal/simulator/storm.go
@@ -391,6 +391,10 @@
 		simulation.relinks++
 		over(fault, simulation, end, func() { simulation.relinks = max(0, simulation.relinks-1) })
 	},
+	"held-links": func(simulation *Simulation, fault faults.Fault, end func()) {
+		restartsOverHeldLinks(simulation, fault.Length+2*time.Second)
+		simulation.After(fault.Length+heldMost, end)
+	},
 	"resets": func(simulation *Simulation, fault faults.Fault, end func()) { simulation.resetMost(fault, end) },
 	"vanish": func(simulation *Simulation, fault faults.Fault, end func()) {
 		simulation.someClient(fault.Pick).Reset(fault.Length * 4)
--- a/internal/simulator/topics.go
+++ b/internal/simulator/topics.go
@@ -566,6 +566,9 @@
 		plot.Last, plot.Hot = "", "board.hot"
 		return plot
 	}})
+	found = append(found, Scenario{Name: "topics-held-links", Topics: func(uint64) TopicPlot {
+		return TopicPlot{Storm: []faults.Fault{{Name: "held-links", Start: 2 * time.Second, Length: 10 * time.Second}}}
+	}})
 	for _, name := range faults.Names {
 		found = append(found, Scenario{Name: "topics-" + name, Topics: func(seed uint64) TopicPlot { return drawTopicPlot(seed, []string{name}, 3) }})
 	}
