The overlay takes in no peers of an earlier life

Cause: what a link held of an earlier life of a gateway (its joins, and what others told of its peers) was taken as if that life were there, as long as the view named the gateway.

A peer whose life is below the one in the view has ended. Red with any life of a peer taken, green with the check.

--- a/internal/overlay/overlay.go
+++ b/internal/overlay/overlay.go
@@ -612,7 +612,7 @@
 			at = next
 			continue
 		}
-		if _, alive := o.gateways[best.Key.Daemon]; !alive {
+		if o.ended(best.Key) {
 			o.drop(now, at, best.Key)
 			continue
 		}
@@ -643,6 +643,13 @@
 	o.tell(now, request.From.Key, answer)
 }
 
+// ended tells whether a peer is of a daemon that is gone, or of an earlier life of one
+// that began anew. Lives rise, and one that the view does not have yet may be there.
+func (o *Overlay) ended(key PeerKey) bool {
+	gateway, alive := o.gateways[key.Daemon]
+	return !alive || key.Life > 0 && key.Life < gateway.Joined && !statemachine.Mutated("any-life-of-a-peer")
+}
+
 // tell hands a signal to a peer, here or away.
 func (o *Overlay) tell(now time.Time, key PeerKey, signal Signal) {
 	signal.To = key
@@ -830,7 +837,7 @@
 		} else if _, left := peer.space.gone[other.Key]; left {
 			o.correct(peer, teller, other.Key)
 			continue
-		} else if _, alive := o.gateways[other.Key.Daemon]; !alive {
+		} else if o.ended(other.Key) {
 			continue
 		}
 		earlier, known := peer.known[other.Key]
@@ -1050,8 +1057,9 @@
 // Take handles what another daemon's peers say.
 func (o *Overlay) Take(now time.Time, signals Signals, effects *statemachine.Effects) {
 	for _, signal := range signals.Signals {
-		// What a daemon says that is gone from the view rests on an old one.
-		if _, alive := o.gateways[signal.From.Key.Daemon]; alive {
+		// What a daemon says that is gone from the view rests on an old one, and so
+		// does what an earlier life of it said.
+		if !o.ended(signal.From.Key) {
 			o.handle(now, signal, effects)
 		}
 	}
