An order to empty a store is known again when a daemon sends it a second time

Cause: a daemon that had no answer from one controller sends the order to another one. Where it had been taken, and an order to use the store again was taken after it, the second sending emptied the store once more.

An order has a name from the daemon that the operator asked on, kept on its way through an agent, and the state remembers the newest 64 retirements that were taken. Configurations are known by number and digest already. Red without the names.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -170,7 +170,7 @@
 	case membership.ControlRequest:
 		a.local++
 		a.carrying[a.local] = carried{request: body.Request, from: meta.From}
-		a.controlClient.Carry(now, a.local<<32, body.Method, body.Path, body.Body, effects)
+		a.controlClient.Forward(now, a.local<<32, body, effects)
 	case membership.ControlResponse:
 		a.controlClient.Take(now, meta.From, body, effects)
 	case membership.ConfigAsk:
--- a/internal/controlclient/controlclient.go
+++ b/internal/controlclient/controlclient.go
@@ -63,14 +63,21 @@
 // NextDue is when the controlClient wants to run again.
 func (cc *ControlClient) NextDue() time.Time { return cc.timers.Next() }
 
-// Carry begins to carry a request; its answer comes as a Return for local.
+// Carry begins to carry an operator's request; its answer comes as a Return for local.
 func (cc *ControlClient) Carry(now time.Time, local uint64, method, path string, body []byte, effects *statemachine.Effects) {
-	request := cc.requests.Next()
+	cc.Forward(now, local, membership.ControlRequest{Method: method, Path: path, Body: body}, effects)
+}
+
+// Forward begins to carry a request that another daemon may have given a name.
+func (cc *ControlClient) Forward(now time.Time, local uint64, request membership.ControlRequest, effects *statemachine.Effects) {
+	request.Request = cc.requests.Next()
+	if !request.Order.Named() {
+		request.Order = request.Request
+	}
 	item := &carried{
-		request: membership.ControlRequest{Request: request, Method: method, Path: path, Body: body},
-		local:   local, limit: now.Add(requestLimit),
+		request: request, local: local, limit: now.Add(requestLimit),
 	}
-	cc.carrying[request.Number] = item
+	cc.carrying[request.Request.Number] = item
 	cc.send(now, item, cc.upstream(), effects)
 }
 
--- a/internal/controlclient/controlclient_test.go
+++ b/internal/controlclient/controlclient_test.go
@@ -83,3 +83,16 @@
 	assert.Equal(t, len(returned), 1)
 	assert.Equal(t, len(take(client, now, primary, membership.ControlResponse{Request: asked.Request, Status: 409})), 0)
 }
+
+// An order keeps its name on its way through another daemon, and each daemon that
+// carries it has a name of its own for its request.
+func TestAnOrderKeepsItsName(t *testing.T) {
+	now := time.Unix(1000, 0)
+	first := carry(t, life(1), now, 7, "POST")
+	assert.Equal(t, first.Order, first.Request)
+	var effects statemachine.Effects
+	life(2).Forward(now, 9, first, &effects)
+	second := effects.Sends[0].Message.(membership.ControlRequest)
+	assert.Equal(t, second.Order, first.Order)
+	assert.Assert(t, second.Request != first.Request)
+}
--- a/internal/controller/apply.go
+++ b/internal/controller/apply.go
@@ -112,13 +112,14 @@
 	switch {
 	case !found || member.Kind != membership.KindStore:
 		return UnknownStore
-	case member.Retiring == order.Retiring:
+	case member.Retiring == order.Retiring || s.tookOrder(order.Order):
 		return Repeated
 	case order.Retiring && !s.maySpare(order.Store) && !statemachine.Mutated("check-then-act"):
 		return TooFewStores
 	}
 	member.Retiring, member.Retired = order.Retiring, false
 	s.setMember(member)
+	s.rememberOrder(order.Order)
 	return Taken
 }
 
--- a/internal/controller/command.go
+++ b/internal/controller/command.go
@@ -11,6 +11,7 @@
 
 	"dahlialock/internal/config"
 	"dahlialock/internal/membership"
+	"dahlialock/internal/statemachine"
 	"dahlialock/internal/transport"
 )
 
@@ -45,8 +46,10 @@
 	Through string
 }
 
-// Retirement is an operator's order to empty a store, or to use it again.
+// Retirement is an operator's order to empty a store, or to use it again. Order is
+// its name, by which it is known if it comes again.
 type Retirement struct {
+	Order    statemachine.RequestID
 	Store    string
 	Retiring bool
 }
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -97,7 +97,7 @@
 			}
 		})
 	case strings.HasPrefix(path, "/v1/stores/"):
-		c.store(now, request.Method, strings.TrimPrefix(path, "/v1/stores/"), give, effects)
+		c.store(now, request, strings.TrimPrefix(path, "/v1/stores/"), give, effects)
 	default:
 		give(effects, http.StatusNotFound, controlclient.Error("no-such-path", request.Method+" "+path+" is not known", nil))
 	}
@@ -183,7 +183,8 @@
 	return http.StatusOK, map[string]any{"version": c.state.Version, "taken": true}
 }
 
-func (c *Controller) store(now time.Time, method, rest string, give answer, effects *statemachine.Effects) {
+func (c *Controller) store(now time.Time, request membership.ControlRequest, rest string, give answer, effects *statemachine.Effects) {
+	method := request.Method
 	name, verb, _ := strings.Cut(rest, "/")
 	describe := func(status int) (int, any) {
 		member, found := c.state.Members[name]
@@ -202,7 +203,7 @@
 	case method == http.MethodGet && verb == "":
 		c.confirmed(now, give, effects, func() (int, any) { return describe(http.StatusOK) })
 	case method == http.MethodPost && (verb == "retire" || verb == "return"):
-		c.retire(now, Retirement{Store: name, Retiring: verb == "retire"}, give, describe, effects)
+		c.retire(now, Retirement{Order: request.Order, Store: name, Retiring: verb == "retire"}, give, describe, effects)
 	default:
 		give(effects, http.StatusNotFound, controlclient.Error("no-such-path", method+" on a store knows retire and return", nil))
 	}
@@ -222,7 +223,7 @@
 		})
 		return
 	}
-	if member.Retiring == order.Retiring {
+	if member.Retiring == order.Retiring || c.state.tookOrder(order.Order) {
 		c.confirmed(now, give, effects, func() (int, any) { return describe(http.StatusAccepted) })
 		return
 	}
--- a/internal/controller/history.go
+++ b/internal/controller/history.go
@@ -13,6 +13,24 @@
 	"dahlialock/internal/statemachine"
 )
 
+// ordersLimit is how many retirements are remembered: a daemon carries an order for a
+// few seconds at most.
+const ordersLimit = 64
+
+// tookOrder tells whether an order of this name was taken before: it comes again from a
+// daemon that had no answer, and another may have been taken since.
+func (s *State) tookOrder(order statemachine.RequestID) bool {
+	return order.Named() && slices.Contains(s.Orders, order) && !statemachine.Mutated("orders-unnamed")
+}
+
+func (s *State) rememberOrder(order statemachine.RequestID) {
+	if !order.Named() {
+		return
+	}
+	s.Orders = append(s.Orders, order)
+	s.Orders = s.Orders[max(0, len(s.Orders)-ordersLimit):]
+}
+
 // historyLimit is how many numbers are remembered; the lowest are forgotten first.
 const historyLimit = 512
 
--- a/internal/controller/identity_mutation_test.go
+++ b/internal/controller/identity_mutation_test.go
@@ -12,6 +12,11 @@
 	"dahlialock/internal/statemachine"
 )
 
+func TestTheNameOfAnOrderIsNeeded(t *testing.T) {
+	defer statemachine.Mutate("orders-unnamed")()
+	assert.Assert(t, orderAgain())
+}
+
 var ofEachTrial = map[string]string{
 	"late acknowledgement": "one-epoch-for-all-lives",
 	"late copy":            "one-epoch-for-all-lives",
--- a/internal/controller/identity_test.go
+++ b/internal/controller/identity_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dahlialock/internal/membership"
 	"dahlialock/internal/partition"
 	"dahlialock/internal/statemachine"
 	"dahlialock/internal/transport"
@@ -200,6 +201,26 @@
 	return pair.loseFirst(1, 10)
 }
 
+// orderAgain tells whether a store is being emptied after an order to empty it was
+// taken, another to use it again was taken, and the first comes once more from a daemon
+// that had no answer to it.
+func orderAgain() bool {
+	state := newState()
+	apply := func(command Command) { state.Apply(time.Time{}, mustPack(command)) }
+	for _, name := range []string{"store-0", "store-1", "store-2"} {
+		apply(Command{Joins: []Join{{Self: membership.Member{Name: name, Kind: membership.KindStore, Alive: true, Incarnation: 1}}}})
+	}
+	empty := Retirement{Order: statemachine.RequestID{Life: 7, Number: 3}, Store: "store-0", Retiring: true}
+	apply(Command{Retirement: &empty})
+	apply(Command{Retirement: &Retirement{Order: statemachine.RequestID{Life: 9, Number: 3}, Store: "store-0"}})
+	apply(Command{Retirement: &empty})
+	return state.Members["store-0"].Retiring
+}
+
+func TestAnOrderThatComesAgainIsKnown(t *testing.T) {
+	assert.Assert(t, !orderAgain())
+}
+
 var restartedFirst = []struct {
 	name string
 	run  func(t *testing.T, seed uint64) string
--- a/internal/controller/state.go
+++ b/internal/controller/state.go
@@ -41,7 +41,9 @@
 	// History are the newest numbers under which a configuration was confirmed, the
 	// lowest number first.
 	History []Decision
-	result  result
+	// Orders are the newest retirements that were taken, the oldest first.
+	Orders []statemachine.RequestID
+	result result
 }
 
 func newState() *State {
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -216,9 +216,12 @@
 	Sure bool
 }
 
-// ControlRequest carries an operator's request on to the primary.
+// ControlRequest carries an operator's request on to the primary. Request names it
+// between two daemons; Order names it from the daemon that the operator asked on, so
+// that it is known again whichever way it comes.
 type ControlRequest struct {
 	Request statemachine.RequestID
+	Order   statemachine.RequestID
 	Method  string
 	Path    string
 	Body    []byte
