--- a/internal/simulator/simulator_test.go
+++ b/internal/simulator/simulator_test.go
@@ -57,6 +57,7 @@
 	{"storm-cut-place", 1000, "primary and backup stayed in one zone after a cut, and were lost with it"},
 	{"storm-wipe-controller", 3, "the same, until no lost store was replaced"},
 	{"topics-hot", 5, "the end of one page of missed messages was taken for the topic's end"},
+	{"held-links", 143, "a late join of an earlier life of a gateway, and a topic that could not be published to for 15 s"},
 	{"topics-steady", 4006, "an answer that came twice settled another send, and a kept message was refused"},
 }
 
