--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -73,6 +73,8 @@
 	from  string
 	ask   membership.Ask
 	limit time.Time
+	// after is when it may be answered with a view, if not yet.
+	after time.Time
 }
 
 type reported struct {
@@ -90,6 +92,7 @@
 	controlClient *controlclient.ControlClient
 	timers        *statemachine.Timers
 	held          map[string]held
+	views         map[string]sentView
 	heard         map[string]time.Time
 	loads         map[string]membership.Load
 	suspected     map[string]map[string]reported
@@ -114,7 +117,7 @@
 func New(settings Settings, frame []byte, entries [][]byte) (*Controller, error) {
 	controller := &Controller{
 		settings: settings, state: newState(), timers: statemachine.NewTimers(),
-		held: map[string]held{}, heard: map[string]time.Time{}, loads: map[string]membership.Load{},
+		held: map[string]held{}, views: map[string]sentView{}, heard: map[string]time.Time{}, loads: map[string]membership.Load{},
 		suspected: map[string]map[string]reported{}, joining: map[string]Join{}, leaving: map[string]Departure{}, complete: map[string]membership.PartitionComplete{}, lags: map[string]lag{}, doubts: map[string]*doubt{},
 		orders: map[string]membership.Orders{},
 	}
@@ -264,7 +267,12 @@
 	if ask.Patient {
 		hold = membership.PatientHold
 	}
-	item := held{from: from, ask: ask, limit: now.Add(hold)}
+	item := held{from: from, ask: ask, limit: now.Add(hold), after: c.viewDue(ask)}
+	if item.after.After(now) {
+		c.held[ask.Self.Name] = item
+		c.timers.ArmSooner("tend", item.after)
+		return
+	}
 	if ask.Index != c.state.Index || ask.Version != c.state.Version || ask.Urgent {
 		c.give(now, item, effects)
 		return
@@ -284,7 +292,7 @@
 	return redirect
 }
 
-func (c *Controller) give(_ time.Time, item held, effects *statemachine.Effects) {
+func (c *Controller) give(now time.Time, item held, effects *statemachine.Effects) {
 	delete(c.held, item.ask.Self.Name)
 	news := membership.News{
 		For: item.ask.Self.Name, Nonce: item.ask.Nonce, Epoch: c.watch.Record().Epoch,
@@ -301,6 +309,7 @@
 			since = 0
 		}
 		c.state.view(&news, since)
+		c.noteView(now, item.ask)
 	}
 	effects.Send(item.from, news)
 }
@@ -311,6 +320,9 @@
 		return
 	}
 	for _, item := range statemachine.Sorted(c.held) {
+		if item.after.After(now) {
+			continue
+		}
 		if item.ask.Index != c.state.Index || !item.limit.After(now) {
 			c.give(now, item, effects)
 		}
@@ -477,6 +489,7 @@
 
 func (c *Controller) stopActing(_ time.Time, effects *statemachine.Effects) {
 	c.acting, c.busy = false, false
+	clear(c.views)
 	for name, item := range statemachine.Sorted(c.held) {
 		delete(c.held, name)
 		effects.Send(item.from, c.redirect(item.ask))
