--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -45,6 +45,10 @@
 	// anybody is there, if somebody wants to know.
 	probeAfter  = 5 * time.Millisecond
 	probeSlowly = 200 * time.Millisecond
+	// dialFirst is how long the first dial may take, and dialLimit any other: what goes
+	// to a machine that is just starting is lost, and asked again by the system after a
+	// second only.
+	dialFirst   = 200 * time.Millisecond
 	dialLimit   = time.Second
 	pauseLeast  = 50 * time.Millisecond
 	pauseMost   = 500 * time.Millisecond
@@ -107,6 +111,8 @@
 	impairment atomic.Pointer[Impairment]
 	garbage    func(remote string, err error)
 	Counters   Counters
+	// What was sent and received, by kind of message.
+	sent, received kindSums
 
 	// Of the owner: links by destination, those with frames of this turn, and
 	// whether the owner ends its turns with Flush.
@@ -131,6 +137,10 @@
 	reader reader
 	inward map[string]gnet.Conn
 
+	// dial makes a connection, and firstDial is how long the first may take.
+	dial      func(limit context.Context, to string) (net.Conn, error)
+	firstDial time.Duration
+
 	// Of the dialling loop.
 	loop     gnet.EventLoop
 	tended   map[string]*link
@@ -172,6 +182,11 @@
 	wire     gnet.Conn
 	socket   *socket
 	dialling bool
+	// patience is how long the next dial may take, and hangUp ends the present one.
+	patience time.Duration
+	hangUp   context.CancelFunc
+	// answers is set while the peer is known to be there, by what it said itself.
+	answers  bool
 	pause    time.Duration
 	retryAt  time.Time
 	armed    time.Time
@@ -246,16 +261,19 @@
 // frames that could not be read.
 func Open(address string, inbox, urgent chan<- Inbound, garbage func(remote string, err error)) (*Transport, error) {
 	opened := &Transport{
-		address: address,
-		home:    homeOf(address),
-		inbox:   inbox,
-		urgent:  urgent,
-		booted:  make(chan struct{}),
-		garbage: garbage,
-		links:   map[string]*link{},
-		inward:  map[string]gnet.Conn{},
-		tended:  map[string]*link{},
+		address:  address,
+		home:     homeOf(address),
+		inbox:    inbox,
+		urgent:   urgent,
+		booted:   make(chan struct{}),
+		garbage:  garbage,
+		sent:     newKindSums(),
+		received: newKindSums(),
+		links:    map[string]*link{},
+		inward:   map[string]gnet.Conn{},
+		tended:   map[string]*link{},
 	}
+	opened.dial, opened.firstDial = opened.dialPlain, dialFirst
 	opened.impairment.Store(&Impairment{})
 	// gnet's pool of tasks, which nothing here uses, would wake up twice a second.
 	goroutine.DefaultWorkerPool.Release()
@@ -295,7 +313,9 @@
 		return err
 	}
 	t.client = client
-	plain, err := t.dial(t.address)
+	limit, hangUp := context.WithTimeout(context.Background(), dialLimit)
+	defer hangUp()
+	plain, err := t.dial(limit, t.address)
 	if err != nil {
 		return err
 	}
--- a/internal/transport/receive.go
+++ b/internal/transport/receive.go
@@ -122,6 +122,7 @@
 		return nil
 	}
 	t.Counters.MessagesIn.Add(1)
+	t.received.add(message, headerSize+len(frame))
 	if impairment := t.impairment.Load(); !anyPrefix(meta.From, impairment.Cuts, impairment.Deaf) {
 		t.take(Inbound{Meta: meta, Message: message})
 	}
@@ -139,6 +140,7 @@
 		_ = older.Close()
 	}
 	t.inward[address] = connection
+	t.present(address)
 }
 
 // take queues what came in. What is of the control state has a queue of its own
