--- a/internal/transport/dial_test.go
+++ b/internal/transport/dial_test.go
@@ -87,3 +87,9 @@
 	came := awaited(t, peerInbox, "nothing came over a dial of its own")
 	assert.Equal(t, came.Message.(word).Number, uint64(7))
 }
+
+// A daemon listens before it dials, so that peers may name themselves in between.
+func TestAPeerMayNameItselfBeforeThereIsADiallingLoop(_ *testing.T) {
+	opening := &Transport{links: map[string]*link{}, tended: map[string]*link{}}
+	opening.present("10.0.0.1:1")
+}
