What rests on a lease is checked against it at the moment it leaves

A process that stands still between a step and the write of what follows from it sent News, answers and refusals 20 s later, long after its successor had begun. Effects now may carry a moment after which they may not leave: the host looks at the clock again for a controller's words to itself and for answers to its own operators (who are told to come back), the links when a turn is written or what waited for a connection goes out. Also each step of a turn has its own moment: up to sixteen steps shared one reading of the clock, so that a process that was stopped in the midst of a turn took the rest of it by the clock of before.

Excluded: Renew (its moment of asking is the sender's, so that a late one grants less), ballots (they last), Append (fenced by its epoch at the backups).

The simulator can stop a daemon between a step and its effects.

--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -269,6 +269,15 @@
 	return w.leaseUntil.Sub(now)
 }
 
+// LeaseEnd is the moment after which nothing that rests on the lease may leave;
+// it is in the past where the lease is not held.
+func (w *Watch) LeaseEnd() time.Time {
+	if statemachine.Mutated("lease-for-ever") {
+		return time.Time{}
+	}
+	return w.leaseUntil
+}
+
 // NextDue is when the watch wants to run again.
 func (w *Watch) NextDue() time.Time { return w.timers.Next() }
 
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -38,8 +38,10 @@
 		}
 		if status == http.StatusServiceUnavailable {
 			returned.RetryAfter = comeBack
+			effects.Send(from, returned)
+			return
 		}
-		effects.Send(from, returned)
+		effects.SendBefore(from, returned, c.watch.LeaseEnd())
 	}
 	if !c.watch.HoldsLease(now) {
 		primary, found := c.watch.Primary()
@@ -103,6 +105,23 @@
 	}
 }
 
+// takeAnswer hands an answer to the operator that asked here. One of this
+// controller's own is bound by its lease, as on its way to another daemon.
+func (c *Controller) takeAnswer(now time.Time, from string, returned membership.ControlResponse, effects *statemachine.Effects) {
+	earlier := len(effects.Returns)
+	c.controlClient.Take(now, from, returned, effects)
+	if from != c.settings.Self.Address || returned.Status == http.StatusServiceUnavailable {
+		return
+	}
+	for position := earlier; position < len(effects.Returns); position++ {
+		effects.Returns[position].NotAfter = c.watch.LeaseEnd()
+		effects.Returns[position].Late = membership.ControlResponse{
+			Status: http.StatusServiceUnavailable, RetryAfter: comeBack,
+			Body: controlclient.Error("unsettled", "this controller may not answer any more; send the same again", nil),
+		}
+	}
+}
+
 // confirmed answers a question only after a majority said that the epoch stands.
 func (c *Controller) confirmed(now time.Time, give answer, effects *statemachine.Effects, read func() (int, any)) {
 	c.watch.Confirm(now, func(_ time.Time, effects *statemachine.Effects, outcome consensus.Outcome) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -235,7 +235,7 @@
 	case membership.ControlRequest:
 		c.onControl(now, meta.From, body, effects)
 	case membership.ControlResponse:
-		c.controlClient.Take(now, meta.From, body, effects)
+		c.takeAnswer(now, meta.From, body, effects)
 	case membership.ConfigAsk:
 		c.follower.AnswerConfig(meta.From, body, effects)
 	}
@@ -302,7 +302,7 @@
 		}
 		c.state.view(&news, since)
 	}
-	effects.Send(item.from, news)
+	effects.SendBefore(item.from, news, c.watch.LeaseEnd())
 }
 
 // answerNews answers those that wait, once there is news or their time is up.
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -65,6 +65,7 @@
 	disk      chan []statemachine.Write
 	synced    chan []uint64
 	slow      func(channel uint64) any
+	clock     func() time.Time
 	ended     chan struct{}
 	slowDisk  atomic.Int64
 	Steps     atomic.Int64
@@ -77,15 +78,20 @@
 	Logger  *logevent.Logger
 	Book    *wal.Log
 	Slow    func(channel uint64) any
+	// Clock is the steady clock; the process's own if it is left out.
+	Clock func() time.Time
 }
 
 // Open starts the links of a host; Run then runs the machine.
 func Open(settings Settings) (*Host, error) {
 	opened := &Host{
-		logger: settings.Logger, book: settings.Book, address: settings.Address, slow: settings.Slow,
+		logger: settings.Logger, book: settings.Book, address: settings.Address, slow: settings.Slow, clock: settings.Clock,
 		inbox: make(chan transport.Inbound, inboxSize), urgent: make(chan transport.Inbound, inboxSize), tasks: make(chan task, requestSize),
 		disk: make(chan []statemachine.Write), synced: make(chan []uint64, 1), ended: make(chan struct{}),
 	}
+	if opened.clock == nil {
+		opened.clock = time.Now
+	}
 	links, err := transport.Open(settings.Address, opened.inbox, opened.urgent, func(remote string, err error) {
 		settings.Logger.Report(logevent.LinkGarbage, "remote", remote, "error", err.Error())
 	})
@@ -93,6 +99,7 @@
 		return nil, err
 	}
 	opened.transport = links
+	links.SetClock(opened.clock)
 	if gathers, does := any(links).(flusher); does {
 		opened.flush = append(opened.flush, gathers.Flush)
 	}
@@ -169,12 +176,18 @@
 	}
 }
 
+// local is a message of the machine to itself.
+type local struct {
+	inbound  transport.Inbound
+	notAfter time.Time
+}
+
 type running struct {
 	request uint64
 	returns map[uint64]func(value any)
 	sinks   map[uint64]sink
 	writes  []statemachine.Write
-	local   []transport.Inbound
+	local   []local
 	now     time.Time
 	writing bool
 	stop    bool
@@ -188,7 +201,7 @@
 			os.Exit(2)
 		}
 	}()
-	state := &running{returns: map[uint64]func(value any){}, sinks: map[uint64]sink{}, now: time.Now()}
+	state := &running{returns: map[uint64]func(value any){}, sinks: map[uint64]sink{}, now: h.clock()}
 	timer := time.NewTimer(time.Hour)
 	var armed time.Time
 	h.step(state, func(now time.Time, effects *statemachine.Effects) { h.machine.Start(now, effects) })
@@ -208,29 +221,29 @@
 			if due.IsZero() {
 				timer.Reset(time.Hour)
 			} else {
-				timer.Reset(max(0, time.Until(due)))
+				timer.Reset(max(0, due.Sub(h.clock())))
 			}
 		}
 		select {
 		case inbound := <-h.urgent:
-			state.now = time.Now()
+			state.now = h.clock()
 			h.message(state, inbound)
 		case inbound := <-h.inbox:
-			state.now = time.Now()
+			state.now = h.clock()
 			h.first(state)
 			h.message(state, inbound)
 		case asked := <-h.tasks:
-			state.now = time.Now()
+			state.now = h.clock()
 			h.first(state)
 			h.run(state, asked)
 		case disk <- state.writes:
 			state.writes, state.writing = nil, true
 			continue
 		case tokens := <-h.synced:
-			state.now = time.Now()
+			state.now = h.clock()
 			h.lasts(state, tokens)
 		case <-timer.C:
-			state.now, armed = time.Now(), time.Time{}
+			state.now, armed = h.clock(), time.Time{}
 			h.due(state)
 			continue
 		}
@@ -332,7 +345,7 @@
 			return
 		}
 		if count%lookEvery == lookEvery-1 {
-			state.now = time.Now()
+			state.now = h.clock()
 			if due := h.machine.NextDue(); !due.IsZero() && !state.now.Before(due) {
 				return
 			}
@@ -406,14 +419,21 @@
 // step runs the machine once and carries out what it asks.
 func (h *Host) step(state *running, run func(now time.Time, effects *statemachine.Effects)) {
 	h.Steps.Add(1)
+	// The process may have stood still since the step before, also in the midst
+	// of a turn.
+	state.now = h.clock()
 	var effects statemachine.Effects
 	run(state.now, &effects)
 	h.carryOut(state, &effects)
 	for len(state.local) > 0 {
-		inbound := state.local[0]
+		next := state.local[0]
 		state.local = state.local[1:]
+		state.now = h.clock()
+		if !statemachine.Departs(next.notAfter, state.now) {
+			continue
+		}
 		var more statemachine.Effects
-		h.machine.Message(state.now, inbound.Meta, inbound.Message, &more)
+		h.machine.Message(state.now, next.inbound.Meta, next.inbound.Message, &more)
 		h.carryOut(state, &more)
 	}
 }
@@ -425,10 +445,11 @@
 	}
 	for _, send := range effects.Sends {
 		if send.To == h.address {
-			state.local = append(state.local, transport.Inbound{Meta: statemachine.Meta{From: h.address, Version: version}, Message: send.Message})
+			inbound := transport.Inbound{Meta: statemachine.Meta{From: h.address, Version: version}, Message: send.Message}
+			state.local = append(state.local, local{inbound: inbound, notAfter: send.NotAfter})
 			continue
 		}
-		if err := h.transport.Send(send.To, version, send.Message); err != nil {
+		if err := h.transport.SendBefore(send.To, version, send.Message, send.NotAfter); err != nil {
 			panic(err)
 		}
 	}
@@ -436,7 +457,7 @@
 	for _, returned := range effects.Returns {
 		if waiting, found := state.returns[returned.Request]; found {
 			delete(state.returns, returned.Request)
-			waiting(returned.Value)
+			waiting(h.given(returned))
 		}
 	}
 	var slow []uint64
@@ -464,6 +485,14 @@
 	}
 }
 
+// given is what an asker is told, by the clock as it is when the answer leaves.
+func (h *Host) given(returned statemachine.Return) any {
+	if returned.NotAfter.IsZero() {
+		return returned.Value
+	}
+	return returned.Given(h.clock())
+}
+
 // give hands an event over; false if the sink is full.
 func (s sink) give(deliver statemachine.Deliver) bool {
 	if s.take != nil {
--- a/internal/simulator/simulator.go
+++ b/internal/simulator/simulator.go
@@ -79,6 +79,8 @@
 	Checker *checker.Checker
 	Size    Size
 	Trace   func(line string)
+	// Departs, if there is one, is told what leaves a daemon as it leaves.
+	Departs func(from *Node, message any)
 	// Meter, if there is one, is told what each daemon works and says.
 	Meter        Meter
 	started      time.Time
@@ -126,6 +128,9 @@
 	Frozen       bool
 	Stopping     bool
 	backlog      []func()
+	midway       func(effects *statemachine.Effects) bool
+	midwayFor    time.Duration
+	held         *statemachine.Effects
 	rate         float64
 	simStart     time.Time
 	localStart   time.Time
@@ -328,6 +333,7 @@
 	}
 	n.returns, n.sinks = map[uint64]func(any, bool){}, map[uint64]func(statemachine.Deliver){}
 	n.writes, n.writing, n.backlog = nil, false, nil
+	n.midway, n.held = nil, nil
 	n.HealthySince = simulation.Now
 	var held stored
 	if n.disk != nil {
@@ -456,6 +462,28 @@
 	}
 }
 
+// FreezeMidway stops the process for a while after a step whose effects match,
+// and before any of them leaves.
+func (n *Node) FreezeMidway(length time.Duration, matches func(effects *statemachine.Effects) bool) {
+	n.midway, n.midwayFor = matches, length
+}
+
+// standsStill tells whether the process is stopped before these effects leave.
+func (n *Node) standsStill(effects *statemachine.Effects) bool {
+	if n.midway == nil || !n.midway(effects) {
+		return false
+	}
+	n.midway, n.held = nil, effects
+	n.Freeze()
+	life := n.life
+	n.simulation.After(n.midwayFor, func() {
+		if n.life == life {
+			n.Thaw()
+		}
+	})
+	return true
+}
+
 // Thaw lets it go on.
 func (n *Node) Thaw() {
 	if !n.Up || !n.Frozen {
@@ -466,6 +494,14 @@
 	n.HealthySince = n.simulation.Now
 	backlog := n.backlog
 	n.backlog = nil
+	if held := n.held; held != nil {
+		// It goes on where it stood: between a step and what leaves.
+		n.held = nil
+		n.carryOut(held)
+		if !n.Up {
+			return
+		}
+	}
 	// What waited in the process's own clock goes first, as timers do.
 	n.step(func(now time.Time, effects *statemachine.Effects) { n.Machine.Due(now, effects) })
 	for _, run := range backlog {
@@ -491,6 +527,9 @@
 	n.Steps++
 	var effects statemachine.Effects
 	n.metered(func() { run(n.local(), &effects) })
+	if n.standsStill(&effects) {
+		return
+	}
 	n.carryOut(&effects)
 	if n.Up {
 		n.judgeForce()
@@ -547,7 +586,10 @@
 	}
 	version := n.Machine.Version()
 	for _, send := range effects.Sends {
-		simulation.send(n, send, version)
+		if statemachine.Departs(send.NotAfter, n.local()) {
+			n.departs(send.Message)
+			simulation.send(n, send, version)
+		}
 	}
 	if len(effects.Writes) > 0 {
 		n.writes = append(n.writes, effects.Writes...)
@@ -556,7 +598,9 @@
 	for _, returned := range effects.Returns {
 		if done, found := n.returns[returned.Request]; found {
 			delete(n.returns, returned.Request)
-			done(returned.Value, true)
+			value := returned.Given(n.local())
+			n.departs(value)
+			done(value, true)
 		}
 	}
 	for _, deliver := range effects.Delivers {
@@ -578,6 +622,12 @@
 	}
 }
 
+func (n *Node) departs(message any) {
+	if n.simulation.Departs != nil {
+		n.simulation.Departs(n, message)
+	}
+}
+
 func (n *Node) perform(write statemachine.Write) {
 	n.Syncs++
 	if frame, whole := write.Whole(); whole {
--- a/internal/statemachine/statemachine.go
+++ b/internal/statemachine/statemachine.go
@@ -16,10 +16,14 @@
 	Version uint64
 }
 
-// Send asks the adapter to send a message on to a daemon's address.
+// Send asks the adapter to send a message on to a daemon's address. One with a
+// NotAfter says what its sender may say only until then, by the sender's own
+// clock: the adapter looks at the clock once more when the message leaves, and
+// drops it where the moment has passed, as a link might.
 type Send struct {
-	To      string
-	Message any
+	To       string
+	Message  any
+	NotAfter time.Time
 }
 
 // Write asks the adapter to put entries, or a whole frame that replaces all
@@ -41,10 +45,27 @@
 	return w.Frame, w.Frame != nil
 }
 
-// Return is the final answer to a request that an adapter brought in.
+// Return is the final answer to a request that an adapter brought in. One with a
+// NotAfter may be given only until then; whoever asked is given Late after.
 type Return struct {
-	Request uint64
-	Value   any
+	Request  uint64
+	Value    any
+	NotAfter time.Time
+	Late     any
+}
+
+// Given is what the asker is told at a moment.
+func (r Return) Given(now time.Time) any {
+	if Departs(r.NotAfter, now) {
+		return r.Value
+	}
+	return r.Late
+}
+
+// Departs tells whether what may be said until a moment may leave now; a zero
+// moment is no bound.
+func Departs(notAfter, now time.Time) bool {
+	return notAfter.IsZero() || now.Before(notAfter) || Mutated("leave-late")
 }
 
 // Deliver hands an event to the writer of one channel; Close ends it after.
@@ -78,6 +99,14 @@
 	e.Sends = append(e.Sends, Send{To: to, Message: message})
 }
 
+// SendBefore appends a message that may leave only before a moment.
+func (e *Effects) SendBefore(to string, message any, notAfter time.Time) {
+	if to == "" {
+		return
+	}
+	e.Sends = append(e.Sends, Send{To: to, Message: message, NotAfter: notAfter})
+}
+
 // Append adds what another step asked of the world.
 func (e *Effects) Append(later Effects) {
 	e.Sends = append(e.Sends, later.Sends...)
--- /dev/null
+++ b/internal/transport/departure.go
@@ -0,0 +1,67 @@
+// Messages that may leave only before a moment: the clock is looked at once more
+// when the bytes go to the socket, since the process may have stood still after
+// the machine asked for them, or they waited for a connection.
+package transport
+
+import (
+	"bytes"
+	"time"
+
+	"dahlialock/internal/statemachine"
+)
+
+// bound tells until when one frame of a turn may leave.
+type bound struct {
+	start, end int
+	notAfter   time.Time
+}
+
+// SetClock has the transport look at the owner's clock when bounded messages leave;
+// it is called before the first message is sent.
+func (t *Transport) SetClock(clock func() time.Time) { t.clock = clock }
+
+// departing gives what of a turn may leave now. The bounds of what is left are
+// kept, since it may have to wait again.
+func (t *Transport) departing(turn chunk) chunk {
+	if len(turn.bounds) == 0 {
+		return turn
+	}
+	now := t.clock()
+	late := 0
+	for _, each := range turn.bounds {
+		if !statemachine.Departs(each.notAfter, now) {
+			late++
+		}
+	}
+	if late == 0 {
+		return turn
+	}
+	t.Counters.Late.Add(int64(late))
+	var kept bytes.Buffer
+	left := turn
+	left.bounds, left.frames = nil, turn.frames-late
+	from := 0
+	for _, each := range turn.bounds {
+		kept.Write(turn.body[from:each.start])
+		from = each.end
+		if !statemachine.Departs(each.notAfter, now) {
+			continue
+		}
+		start := kept.Len()
+		kept.Write(turn.body[each.start:each.end])
+		left.bounds = append(left.bounds, bound{start: start, end: kept.Len(), notAfter: each.notAfter})
+	}
+	kept.Write(turn.body[from:])
+	left.body = kept.Bytes()
+	return left
+}
+
+// boundsOf gives the bound of the one frame that begins at an offset of a turn.
+func boundsOf(bounds []bound, start, length int) []bound {
+	for _, each := range bounds {
+		if each.start == start {
+			return []bound{{start: 0, end: length, notAfter: each.notAfter}}
+		}
+	}
+	return nil
+}
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -84,6 +84,8 @@
 type Counters struct {
 	MessagesOut, BytesOut, MessagesIn, BytesIn, Dropped, Garbage, Shed atomic.Int64
 	MessagesAway, BytesAway                                            atomic.Int64
+	// Late are messages that may not leave any more when their turn came.
+	Late atomic.Int64
 	// Writes are system calls that wrote to links, Dials connections made.
 	Writes, Dials atomic.Int64
 }
@@ -101,6 +103,7 @@
 	ended      <-chan error
 	impairment atomic.Pointer[Impairment]
 	garbage    func(remote string, err error)
+	clock      func() time.Time
 	Counters   Counters
 
 	// Of the owner: links by destination, those with frames of this turn, and
@@ -142,6 +145,7 @@
 	// dialling loop.
 	pending bytes.Buffer
 	frames  int
+	bounds  []bound
 	handed  uint64
 
 	// way is where the owner may write, if it handed over no more since.
@@ -177,6 +181,7 @@
 type chunk struct {
 	body   []byte
 	frames int
+	bounds []bound
 	at     time.Time
 	due    time.Time
 	rest   *socket
@@ -219,6 +224,7 @@
 		urgent:  urgent,
 		booted:  make(chan struct{}),
 		garbage: garbage,
+		clock:   time.Now,
 		links:   map[string]*link{},
 		inward:  map[string]gnet.Conn{},
 	}
@@ -465,6 +471,12 @@
 // never fails loudly. It is for the owner alone. Until the owner has called
 // Flush for the first time, each message goes out at once.
 func (t *Transport) Send(to string, version uint64, message any) error {
+	return t.SendBefore(to, version, message, time.Time{})
+}
+
+// SendBefore is Send for a message that may leave only before a moment, unless
+// that is zero: the clock is looked at when its turn is written.
+func (t *Transport) SendBefore(to string, version uint64, message any, notAfter time.Time) error {
 	if to == t.address {
 		t.inbox <- Inbound{Meta: statemachine.Meta{From: t.address, Version: version}, Message: message}
 		return nil
@@ -474,10 +486,14 @@
 		present = &link{to: to, away: homeOf(to) != t.home}
 		t.links[to] = present
 	}
+	start := present.pending.Len()
 	if err := appendFrame(&present.pending, "", version, message); err != nil {
 		return err
 	}
 	present.frames++
+	if !notAfter.IsZero() {
+		present.bounds = append(present.bounds, bound{start: start, end: present.pending.Len(), notAfter: notAfter})
+	}
 	if present.frames == 1 {
 		t.dirty = append(t.dirty, present)
 	}
@@ -496,7 +512,7 @@
 func (t *Transport) flush() {
 	for position, present := range t.dirty {
 		t.put(present)
-		present.frames = 0
+		present.frames, present.bounds = 0, nil
 		if present.pending.Cap() > spareMost {
 			present.pending = bytes.Buffer{}
 		} else {
@@ -510,22 +526,28 @@
 // put writes a turn's frames, or hands them to the dialling loop.
 func (t *Transport) put(present *link) {
 	present.uses.Add(1)
-	body := present.pending.Bytes()
+	turn := chunk{body: present.pending.Bytes(), frames: present.frames, bounds: present.bounds}
 	open := present.way.Load()
 	if open == nil || open.handed != present.handed || !t.impairment.Load().calm() {
-		t.handOver(present, chunk{body: bytes.Clone(body), frames: present.frames})
+		turn.body = bytes.Clone(turn.body)
+		t.handOver(present, turn)
 		return
 	}
+	if turn = t.departing(turn); turn.frames == 0 {
+		return
+	}
+	body := turn.body
 	var wrapped []byte
 	wrapped, t.scratch = open.socket.wrap(t.scratch, body)
 	t.Counters.Writes.Add(1)
 	sent, err := open.socket.write(wrapped)
 	if err != nil && !errors.Is(err, unix.EAGAIN) {
 		t.broken(present, open.socket)
-		t.handOver(present, chunk{body: bytes.Clone(body), frames: present.frames})
+		turn.body = bytes.Clone(body)
+		t.handOver(present, turn)
 		return
 	}
-	t.count(present, present.frames, sent)
+	t.count(present, turn.frames, sent)
 	if sent < len(wrapped) {
 		t.handOver(present, chunk{body: bytes.Clone(wrapped[sent:]), rest: open.socket})
 	}
@@ -584,7 +606,7 @@
 			}
 			frame := body[:headerSize+length]
 			body = body[headerSize+length:]
-			piece := chunk{body: frame, frames: 1, at: handed.at}
+			piece := chunk{body: frame, frames: 1, at: handed.at, bounds: boundsOf(handed.bounds, len(handed.body)-len(body)-len(frame), len(frame))}
 			if delay := t.delay(present.to, frame); delay > 0 {
 				piece.due = handed.at.Add(delay)
 			}
@@ -649,6 +671,9 @@
 			return
 		}
 		present.pop()
+		if first = t.departing(first); len(first.body) == 0 {
+			continue
+		}
 		wrapped := first.body
 		if first.rest == nil {
 			wrapped, t.wrapping = present.socket.wrap(t.wrapping, first.body)
