--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -1,3 +1,9 @@
+// Package agent is the state machine of the daemon beside each gateway.
+//
+// Package agent is the state machine of the daemon beside each gateway.
+//
+// Package agent is the state machine of the daemon beside each gateway.
+//
 // A Agent is the agent beside a gateway: it holds the link to the controllers and
 // feeds its gateway over loopback. It follows the control state for itself, and
 // passes its gateway's questions, heartbeats' news and operators' requests on
@@ -26,6 +32,8 @@
 	Self    membership.Member
 	Seeds   []string
 	Gateway string
+	// Life names this run of the process.
+	Life statemachine.Life
 }
 
 // Request is an operator's request at this daemon's own ctl.
@@ -46,7 +54,7 @@
 }
 
 type carried struct {
-	request uint64
+	request statemachine.RequestID
 	from    string
 }
 
@@ -66,9 +74,9 @@
 // New makes an agent.
 func New(settings Settings) *Agent {
 	agent := &Agent{settings: settings, carrying: map[uint64]carried{}, timers: statemachine.NewTimers()}
-	agent.follower = membership.NewFollower(settings.Self, settings.Seeds, func() membership.Load { return membership.Load{Ready: true} })
+	agent.follower = membership.NewFollower(settings.Self, settings.Life, settings.Seeds, func() membership.Load { return membership.Load{Ready: true} })
 	agent.pulse = membership.NewPulse(settings.Self)
-	agent.controlClient = controlclient.New(agent.follower.Upstream, agent.follower.Other)
+	agent.controlClient = controlclient.New(settings.Life, agent.follower.Upstream, agent.follower.Other)
 	return agent
 }
 
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -7,6 +7,7 @@
 // it asks others to: from then on neither it nor any backup that took such a
 // record adds to the state of the present epoch, so that a spare's copy is never
 // older than what was answered.
+
 package consensus
 
 import (
@@ -166,7 +167,7 @@
 }
 
 // sendAppend sends the command under way to all backups that lack it.
-func (w *Watch) sendAppend(now time.Time, effects *statemachine.Effects) {
+func (w *Watch) sendAppend(_ time.Time, effects *statemachine.Effects) {
 	for _, name := range w.durable.Record.Backups {
 		w.sendAppendTo(name, effects)
 	}
@@ -410,9 +411,9 @@
 // disk is unsettled, one that was never begun is refused.
 func (w *Watch) limits(now time.Time, effects *statemachine.Effects) {
 	var next time.Time
-	for nonce, waiting := range statemachine.Sorted(w.confirms) {
+	for number, waiting := range statemachine.Sorted(w.confirms) {
 		if !waiting.limit.After(now) {
-			delete(w.confirms, nonce)
+			delete(w.confirms, number)
 			waiting.done(now, effects, Unsettled)
 		} else if next.IsZero() || waiting.limit.Before(next) {
 			next = waiting.limit
--- a/internal/gateway/tracker.go
+++ b/internal/gateway/tracker.go
@@ -4,6 +4,7 @@
 // fetched from the partition's first. The first tells the head of the partition as it
 // moves, and the tracker then verifies that it missed nothing up to there, so
 // that a lost last message shows too.
+
 package gateway
 
 import (
@@ -245,13 +246,13 @@
 	}
 	for _, mark := range record.Before.Marks {
 		other, found := g.trackers[partitionName(tracker.full, int(mark.Partition))]
-		if found && !(other == tracker && mark.Offset >= record.Offset) && !other.settled(mark.Topic, mark.Offset) {
+		if found && (other != tracker || mark.Offset < record.Offset) && !other.settled(mark.Topic, mark.Offset) {
 			return false
 		}
 	}
 	for _, reach := range record.Before.Floor {
 		other, found := g.trackers[partitionName(tracker.full, int(reach.Partition))]
-		if found && !(other == tracker && reach.Offset >= record.Offset) && !other.reached(reach.Offset) {
+		if found && (other != tracker || reach.Offset < record.Offset) && !other.reached(reach.Offset) {
 			return false
 		}
 	}
--- a/internal/partition/store.go
+++ b/internal/partition/store.go
@@ -1,3 +1,9 @@
+// Package partition replicates logs of kept messages on stores.
+//
+// Package partition replicates logs of kept messages on stores.
+//
+// Package partition replicates logs of kept messages on stores.
+//
 // A Store is the store daemon's state machine. For each partition that the controllers
 // place on it, it is first or follower in one epoch. The first gives a
 // message its offset, syncs it, and sends it to the follower, which refuses
@@ -49,6 +55,8 @@
 	NewDisk string
 	// Redeliver is how long a caller may send an accepted message again.
 	Redeliver time.Duration
+	// Life names this run of the process.
+	Life statemachine.Life
 }
 
 // Request is an operator's request at this daemon's own ctl.
@@ -215,9 +223,9 @@
 		partition.synced, _ = partition.log.head()
 	}
 	store.settings.Self.Disk = store.disk
-	store.follower = membership.NewFollower(store.settings.Self, settings.Seeds, store.load)
+	store.follower = membership.NewFollower(store.settings.Self, settings.Life, settings.Seeds, store.load)
 	store.pulse = membership.NewPulse(store.settings.Self)
-	store.controlClient = controlclient.New(store.follower.Upstream, store.follower.Other)
+	store.controlClient = controlclient.New(settings.Life, store.follower.Upstream, store.follower.Other)
 	return store, nil
 }
 
@@ -438,7 +446,7 @@
 		s.takeCopies(partition)
 	} else if first, found := s.follower.Members[place.First]; changed && found && slices.Contains(place.Followers, s.settings.Self.Name) {
 		// The first may have asked before this news came.
-		s.tellHave(partition, first.Address, true, effects)
+		s.tellHave(partition, first.Address, effects)
 	}
 	if completed && place.First == s.settings.Self.Name {
 		s.settle(now, partition, effects)
@@ -447,9 +455,16 @@
 
 // isFirst tells whether this store, with the disk that it has now, may act as
 // a partition's first: a store whose disk was wiped is named first by news that
-// does not know of it yet, and holds nothing.
+// does not know of it yet, and holds nothing. Nor does an epoch hold for a life
+// that is not a member yet: it was begun for an earlier one.
 func (s *Store) isFirst(partition *held) bool {
-	return partition.place.First == s.settings.Self.Name && slices.Contains(partition.place.Safe, s.holder())
+	return partition.place.First == s.settings.Self.Name && slices.Contains(partition.place.Safe, s.holder()) && s.joined()
+}
+
+// joined tells whether the view names this life of the store.
+func (s *Store) joined() bool {
+	return s.follower.Members[s.settings.Self.Name].Incarnation == s.settings.Self.Incarnation ||
+		statemachine.Mutated("one-epoch-for-all-lives")
 }
 
 func (s *Store) holder() string { return s.settings.Self.Holder() }
--- a/internal/simulator/topics.go
+++ b/internal/simulator/topics.go
@@ -2,6 +2,7 @@
 // topics, publish, come and go, the faults that strike such callers, and the
 // faults of their users that close a run. At the end new callers take up places
 // that others were given before.
+
 package simulator
 
 import (
@@ -57,6 +58,10 @@
 	crowdAt time.Time
 	steady  bool
 	hot     string
+	// body is the least length of what callers send.
+	body int
+	// demands are what callers of the grown shape wanted.
+	demands []demand
 }
 
 func boards(count int) []string {
