A primary that hears nobody gives its lease back and keeps quiet

A primary without a lease that has heard no majority while it asked for lease and for the next epoch now gives the rest back and is quiet for 3.6 s, in which a backup takes over; then it asks again for 1.2 s, since all backups may be gone.

--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -24,13 +24,16 @@
 
 // Spans of the watch bill. The lease is the longest wait in a takeover.
 const (
-	LeaseLength   = 1800 * time.Millisecond
-	renewEvery    = 300 * time.Millisecond
-	lostAfter     = 1200 * time.Millisecond
-	helloEvery    = 300 * time.Millisecond
-	retryEvery    = 400 * time.Millisecond
-	waitMargin    = 5 * time.Millisecond
-	confirmLimit  = time.Second
+	LeaseLength  = 1800 * time.Millisecond
+	renewEvery   = 300 * time.Millisecond
+	lostAfter    = 1200 * time.Millisecond
+	helloEvery   = 300 * time.Millisecond
+	retryEvery   = 400 * time.Millisecond
+	waitMargin   = 5 * time.Millisecond
+	confirmLimit = time.Second
+	// quietFor is how long a primary that hears too few voters asks for no lease, so
+	// that another can take over; then it asks again for lostAfter.
+	quietFor      = 3 * lostAfter
 	partAfter     = 2 * time.Second
 	tellFor       = time.Second
 	frameLogLimit = 4 << 20
@@ -140,6 +143,8 @@
 	primaryHeard time.Time
 	decidedAt    time.Time
 	lastGrant    map[string]time.Time
+	heardFrom    map[string]time.Time
+	quietUntil   time.Time
 
 	queue       []*submitted
 	replacing   bool
@@ -162,7 +167,7 @@
 		synced: map[uint64]continuation{}, met: map[string]meeting{}, heardOf: map[string]bool{}, recalls: map[string]Durable{},
 		renewals: map[uint64]time.Time{}, grants: map[uint64]map[string]bool{},
 		frames: map[string]*spareFrame{}, copies: map[string]*copied{}, spares: map[string]*asked{},
-		lastGrant: map[string]time.Time{}, confirms: map[uint64]confirmation{}, duties: map[string]duty{}, leases: map[string]*Lease{},
+		lastGrant: map[string]time.Time{}, heardFrom: map[string]time.Time{}, confirms: map[uint64]confirmation{}, duties: map[string]duty{}, leases: map[string]*Lease{},
 	}
 	if len(frame) > 0 {
 		var held diskFrame
@@ -322,6 +327,9 @@
 
 // Message takes what other controllers say; it tells whether it was for the watch.
 func (w *Watch) Message(now time.Time, meta statemachine.Meta, message any, effects *statemachine.Effects) bool {
+	if w.nameOf(meta.From, w.durable.Record.Voters) != "" {
+		w.heardFrom[meta.From] = now
+	}
 	switch body := message.(type) {
 	case Hello:
 		w.onHello(now, meta.From, body, effects)
--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -69,6 +69,7 @@
 	rate    float64
 	timer   int
 	cut     bool
+	deaf    bool
 	gone    bool
 	hung    time.Duration
 	// founding is what the platform tells at this start.
@@ -222,7 +223,7 @@
 
 func (wb *watchBench) send(from *controller, send statemachine.Send) {
 	for _, to := range wb.controllers {
-		if to.self.Address != send.To || from.cut != to.cut || wb.random.Float64() < wb.loss {
+		if to.self.Address != send.To || from.cut != to.cut || to.deaf || wb.random.Float64() < wb.loss {
 			continue
 		}
 		packed, err := transport.Encode(statemachine.Meta{From: from.self.Address}, send.Message)
--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -24,6 +24,9 @@
 			}
 			return
 		}
+		if w.keepsQuiet(now, effects) {
+			return
+		}
 		w.yielded = false
 		renew := Renew{Epoch: w.durable.Record.Epoch, Request: w.requests.Next()}
 		number := renew.Request.Number
@@ -47,6 +50,41 @@
 	w.follow(now, effects)
 }
 
+// keepsQuiet gives the lease back where this primary is deaf, and asks for none for a
+// while. The voters may hear it all the same: if it went on, they would grant what
+// never arrives, and nobody would take over. Since nobody may be able to, it asks
+// again now and then.
+func (w *Watch) keepsQuiet(now time.Time, effects *statemachine.Effects) bool {
+	if !w.deaf(now) || statemachine.Mutated("deaf-primary") {
+		w.quietUntil = time.Time{}
+		return false
+	}
+	if now.Sub(w.quietUntil) >= lostAfter {
+		w.quietUntil = now.Add(quietFor)
+		w.Yield(now, effects)
+	}
+	return now.Before(w.quietUntil)
+}
+
+// deaf tells whether this primary lost its lease and hears too few of the voters: it
+// has asked them for lease and for the next epoch, which some would have answered.
+func (w *Watch) deaf(now time.Time) bool {
+	since := w.leaseUntil
+	if since.Before(w.actingSince) {
+		since = w.actingSince
+	}
+	if now.Sub(since) < lostAfter+renewEvery {
+		return false
+	}
+	heard := 0
+	for _, controller := range w.durable.Record.Voters {
+		if at, found := w.heardFrom[controller.Address]; controller.At(w.settings.Self) || found && now.Sub(at) < lostAfter {
+			heard++
+		}
+	}
+	return heard < w.durable.Record.Majority()
+}
+
 // grantOwn counts the primary's own vote, unless it has promised a ballot away.
 func (w *Watch) grantOwn(now time.Time, number uint64, effects *statemachine.Effects) {
 	if !w.mayGrant(now) {
--- a/internal/consensus/mutation_test.go
+++ b/internal/consensus/mutation_test.go
@@ -46,6 +46,7 @@
 	{"lives-alike", lateGrants},
 	{"lives-alike", lateYield},
 	{"lives-alike", lateDuty},
+	{"deaf-primary", func(t trial, seed uint64) { deafPrimary(t, seed, 1) }},
 	{"fixed-voters", func(t trial, seed uint64) { replace(t, seed, "witness") }},
 	{"one-backup", func(t trial, seed uint64) { loseDisks(t, seed, 2) }},
 	{"patient-primary", func(t trial, seed uint64) {
