Orders at a machine that is cut off go on by relays, and end before the operator does

An operator that asked a controller cut off from the other controllers was held for 2.1 s and then told 503, in all 28 cuts tried, though agents of the edges reached both sides; the operator bears a second of silence. A request that is not answered within a twentieth of acknowledge (250 ms), or is refused by one that reaches nobody, now goes on beside to one more controller and one agent each time; what an agent was asked to relay goes to controllers only. The first answer counts. After 0.18 of acknowledge (0.9 s; 1 ms more for each 100 bytes of the order) the operator is told 503 with when to come back. One that may act and can't tell has the last word, and the order is not sent on.

A table of cuts of 20 s (leader, backup, witness, standby, seed, minority, edge; from the core or from all; both ways, out, in), with races and reads all along: no refusal but of races, no answer from the old side, every 503 within a second, orders passed on wherever a way exists, gateways outside ready within 6 s and inside not, and all served 4 s after the cut. Red before (no order passed on, 2.1 s), with the mutation no-relays, and with lease-for-ever (stale reads).

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -38,7 +38,7 @@
 	machine := gateway.New(gateway.Settings{Self: self, Agent: current.Agent, Key: key, OriginsMost: current.OriginsMost, Processor: processorTime, Life: stored.Life,
 		// A sixth of the time in which a version is to be in force is left for news
 		// on its way, and two fifths of the grace for what comes after the callers.
-		ConfirmedFor: current.Bounds.Apply * 5 / 6, StopWithin: current.Bounds.Grace * 3 / 5,
+		ConfirmedFor: current.Bounds.Apply * 5 / 6, StopWithin: current.Bounds.Grace * 3 / 5, Acknowledge: current.Bounds.Acknowledge,
 	})
 	built := daemon.Build{
 		Machine: machine,
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -32,6 +32,8 @@
 	Self    membership.Member
 	Seeds   []string
 	Gateway string
+	// Acknowledge is within what time a proper order is to be acknowledged.
+	Acknowledge time.Duration
 	// Life names this run of the process.
 	Life statemachine.Life
 }
@@ -76,7 +78,9 @@
 	agent := &Agent{settings: settings, carrying: map[uint64]carried{}, timers: statemachine.NewTimers()}
 	agent.follower = membership.NewFollower(settings.Self, settings.Life, settings.Seeds, func() membership.Load { return membership.Load{Ready: true} })
 	agent.pulse = membership.NewPulse(settings.Self)
-	agent.controlClient = controlclient.New(settings.Life, agent.follower.Upstream, agent.follower.Other)
+	agent.controlClient = controlclient.New(controlclient.Settings{
+		Life: settings.Life, Acknowledge: settings.Acknowledge, Upstream: agent.follower.Upstream, Other: agent.follower.Other, Relays: agent.follower.Relays,
+	})
 	return agent
 }
 
@@ -170,7 +174,7 @@
 	case membership.ControlRequest:
 		a.local++
 		a.carrying[a.local] = carried{request: body.Request, from: meta.From}
-		a.controlClient.Carry(now, a.local<<32, body.Method, body.Path, body.Body, effects)
+		a.controlClient.Relay(now, a.local<<32, body, effects)
 	case membership.ControlResponse:
 		a.controlClient.Take(now, meta.From, body, effects)
 	case membership.ConfigAsk:
--- a/internal/controlclient/controlclient.go
+++ b/internal/controlclient/controlclient.go
@@ -1,54 +1,86 @@
-// Package controlclient forwards operators' requests to the primary controller.
-//
-// Package controlclient forwards operators' requests to the primary controller.
-//
-// Package controlclient forwards operators' requests to the primary controller.
+// Package controlclient forwards operators\' requests to the primary controller.
 //
 // A ControlClient carries operators' requests from whichever daemon they reached to
 // the primary controller, so that every daemon gives the same answer. It follows
-// redirections, tries another controller when one stays silent, and gives up early:
-// a request that no controller can serve is refused at once with when to come back,
-// and one whose fate nobody can tell is said to be unsettled.
+// redirections and, where an answer is long in coming, asks other controllers and
+// relays beside: daemons that may reach a controller that this one has lost. The
+// first answer counts; whoever is asked twice knows the order again. It gives up
+// before the operator does: a request that nobody can serve is refused with when to
+// come back, and one whose fate nobody can tell is said to be unsettled.
 package controlclient
 
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"time"
 
 	"dahlialock/internal/membership"
 	"dahlialock/internal/statemachine"
 )
 
-// Spans of carrying.
+// Spans of carrying, as shares of the time within which a proper order is to be
+// acknowledged.
+const (
+	// DefaultAcknowledge is that time where settings say nothing.
+	DefaultAcknowledge = 5 * time.Second
+	// widenShare of it passes before others are asked beside those that are silent.
+	widenShare = 20
+	// limitShares in a hundred of it pass before the operator is told to come back:
+	// less than the second of silence that operators bear.
+	limitShares = 18
+	// bytesPerMillisecond is how much larger an order may be for each millisecond
+	// that more is waited: it is read, synced and copied first.
+	bytesPerMillisecond = 100
+	comeBack            = time.Second
+	redirectsMost       = 6
+)
+
+// Codes of refusals by those that reached no controller that may act.
 const (
-	tryLimit     = 700 * time.Millisecond
-	requestLimit = 2200 * time.Millisecond
-	comeBack     = time.Second
+	codeNoPrimary = "no-primary"
+	codeNoAnswer  = "no-answer"
 )
 
 type carried struct {
 	request   membership.ControlRequest
 	local     uint64
-	sentTo    string
 	limit     time.Time
-	tryUntil  time.Time
+	widenAt   time.Time
+	asked     map[string]bool
+	waiting   int
 	redirects int
 	uncertain bool
+	refusal   *membership.ControlResponse
+}
+
+// Settings are a control client's own settings.
+type Settings struct {
+	Life statemachine.Life
+	// Acknowledge is within what time a proper order is to be acknowledged.
+	Acknowledge time.Duration
+	// Upstream names the controller to ask, Other the next to try.
+	Upstream, Other func() string
+	// Relays names daemons that carry requests, too; nil where there are none.
+	Relays func() []string
 }
 
 // ControlClient is the state machine.
 type ControlClient struct {
+	settings Settings
 	requests statemachine.Requests
 	carrying map[uint64]*carried
-	upstream func() string
-	other    func() string
 	timers   *statemachine.Timers
 }
 
-// New makes a controlClient of one life; upstream names the controller to ask, other the next to try.
-func New(life statemachine.Life, upstream, other func() string) *ControlClient {
-	return &ControlClient{requests: statemachine.NewRequests(life), carrying: map[uint64]*carried{}, upstream: upstream, other: other, timers: statemachine.NewTimers()}
+// New makes a control client of one life.
+func New(settings Settings) *ControlClient {
+	if settings.Acknowledge <= 0 {
+		settings.Acknowledge = DefaultAcknowledge
+	}
+	return &ControlClient{
+		settings: settings, requests: statemachine.NewRequests(settings.Life), carrying: map[uint64]*carried{}, timers: statemachine.NewTimers(),
+	}
 }
 
 // Error makes the body of an answer that is not a success.
@@ -60,35 +92,77 @@
 	return body
 }
 
-// NextDue is when the controlClient wants to run again.
+// NextDue is when the control client wants to run again.
 func (cc *ControlClient) NextDue() time.Time { return cc.timers.Next() }
 
 // Carry begins to carry a request; its answer comes as a Return for local.
 func (cc *ControlClient) Carry(now time.Time, local uint64, method, path string, body []byte, effects *statemachine.Effects) {
-	request := cc.requests.Next()
+	cc.carry(now, local, membership.ControlRequest{Method: method, Path: path, Body: body}, effects)
+}
+
+// Relay carries a request for another daemon; one that was relayed before goes to
+// controllers only, so that none goes in a circle.
+func (cc *ControlClient) Relay(now time.Time, local uint64, request membership.ControlRequest, effects *statemachine.Effects) {
+	cc.carry(now, local, membership.ControlRequest{Method: request.Method, Path: request.Path, Body: request.Body, Relayed: request.Relayed}, effects)
+}
+
+func (cc *ControlClient) carry(now time.Time, local uint64, request membership.ControlRequest, effects *statemachine.Effects) {
+	request.Request = cc.requests.Next()
+	larger := time.Duration(len(request.Body)/bytesPerMillisecond) * time.Millisecond
 	item := &carried{
-		request: membership.ControlRequest{Request: request, Method: method, Path: path, Body: body},
-		local:   local, limit: now.Add(requestLimit),
+		request: request, local: local, asked: map[string]bool{},
+		limit: now.Add(cc.settings.Acknowledge*limitShares/100 + larger), widenAt: now.Add(cc.settings.Acknowledge / widenShare),
+	}
+	cc.carrying[request.Request.Number] = item
+	if !cc.ask(item, cc.settings.Upstream(), effects) && !cc.widen(item, effects) {
+		cc.giveUp(item, effects)
+		return
 	}
-	cc.carrying[request.Number] = item
-	cc.send(now, item, cc.upstream(), effects)
+	cc.timers.ArmSooner("tries", item.widenAt)
 }
 
-func (cc *ControlClient) send(now time.Time, item *carried, to string, effects *statemachine.Effects) {
-	if to == "" {
-		cc.finish(item, membership.ControlResponse{
-			Status: 503, Body: Error("no-primary", "no controller is known yet", nil), RetryAfter: comeBack,
-		}, effects)
-		return
+// ask sends a request to a controller, once.
+func (cc *ControlClient) ask(item *carried, to string, effects *statemachine.Effects) bool {
+	if _, already := item.asked[to]; already || to == "" {
+		return false
 	}
-	item.sentTo = to
-	item.tryUntil = now.Add(tryLimit)
-	cc.timers.ArmSooner("tries", item.tryUntil)
+	item.asked[to] = true
+	item.waiting++
 	effects.Send(to, item.request)
+	return true
+}
+
+// widen asks one more controller and one more relay; false if there is none.
+func (cc *ControlClient) widen(item *carried, effects *statemachine.Effects) bool {
+	widened := false
+	for range len(item.asked) + 1 {
+		if cc.ask(item, cc.settings.Other(), effects) {
+			widened = true
+			break
+		}
+	}
+	if cc.settings.Relays == nil || item.request.Relayed || statemachine.Mutated("no-relays") {
+		return widened
+	}
+	relays := cc.settings.Relays()
+	for position := range relays {
+		// Not all go by the same relay.
+		relay := relays[(uint64(position)+item.request.Request.Number)%uint64(len(relays))]
+		if _, already := item.asked[relay]; !already {
+			item.asked[relay] = true
+			item.waiting++
+			relayed := item.request
+			relayed.Relayed = true
+			effects.Send(relay, relayed)
+			return true
+		}
+	}
+	return widened
 }
 
 func (cc *ControlClient) finish(item *carried, returned membership.ControlResponse, effects *statemachine.Effects) {
 	delete(cc.carrying, item.request.Request.Number)
+	returned.Redirect = ""
 	effects.Return(item.local, returned)
 }
 
@@ -96,45 +170,75 @@
 func (cc *ControlClient) Take(now time.Time, from string, returned membership.ControlResponse, effects *statemachine.Effects) {
 	number, own := cc.requests.Own(returned.Request)
 	item, found := cc.carrying[number]
-	if !own || !found || from != item.sentTo {
+	if !own || !found || !item.asked[from] {
 		return
 	}
-	if returned.Redirect != "" && item.redirects < 6 && returned.Redirect != from {
-		item.redirects++
-		cc.send(now, item, returned.Redirect, effects)
+	item.asked[from] = false
+	item.waiting--
+	if returned.Status != http.StatusServiceUnavailable {
+		cc.finish(item, returned, effects)
+		return
+	}
+	if !reachesNobody(returned.Body) {
+		item.uncertain = item.uncertain || item.request.Method != http.MethodGet
+		cc.refuse(item, returned, effects)
 		return
 	}
-	if item.uncertain && returned.Status == 503 {
-		returned.Body = Error("unsettled", "an earlier try may have been taken; send the same again", nil)
+	item.refusal = &returned
+	if returned.Redirect != "" && item.redirects < redirectsMost {
+		item.redirects++
+		cc.ask(item, returned.Redirect, effects)
+	}
+	if item.waiting == 0 && !cc.widen(item, effects) {
+		cc.refuse(item, returned, effects)
+	}
+}
+
+// reachesNobody tells whether whoever gave a refusal did not reach a controller that
+// may act: others might.
+func reachesNobody(body []byte) bool {
+	var told struct {
+		Code string `json:"code"`
+	}
+	if json.Unmarshal(body, &told) != nil {
+		return false
+	}
+	return told.Code == codeNoPrimary || told.Code == codeNoAnswer
+}
+
+// refuse ends a request that was not served. A try that nobody answered for may yet
+// be taken.
+func (cc *ControlClient) refuse(item *carried, returned membership.ControlResponse, effects *statemachine.Effects) {
+	returned.RetryAfter = max(returned.RetryAfter, comeBack)
+	if item.uncertain || item.waiting > 0 && item.request.Method != http.MethodGet {
+		returned.Body = Error("unsettled", fmt.Sprintf("nobody can tell yet whether this was taken; send the same %s again", item.request.Method), nil)
 	}
 	cc.finish(item, returned, effects)
 }
 
-// Due tries elsewhere, or gives up.
+// giveUp ends a request that nobody answered in time.
+func (cc *ControlClient) giveUp(item *carried, effects *statemachine.Effects) {
+	refusal := membership.ControlResponse{Status: http.StatusServiceUnavailable, Body: Error(codeNoAnswer, "no controller answered", nil)}
+	if item.refusal != nil {
+		refusal = *item.refusal
+	}
+	cc.refuse(item, refusal, effects)
+}
+
+// Due asks more, or gives up.
 func (cc *ControlClient) Due(now time.Time, effects *statemachine.Effects) {
 	if len(cc.timers.Expired(now)) == 0 {
 		return
 	}
-	var next time.Time
 	for _, item := range statemachine.Sorted(cc.carrying) {
-		if item.tryUntil.After(now) {
-			if next.IsZero() || item.tryUntil.Before(next) {
-				next = item.tryUntil
-			}
+		if !item.limit.After(now) {
+			cc.giveUp(item, effects)
 			continue
 		}
-		item.uncertain = item.uncertain || item.request.Method != "GET"
-		if !item.limit.After(now.Add(tryLimit)) {
-			code, text := "no-answer", "no controller answered"
-			if item.uncertain {
-				code, text = "unsettled", fmt.Sprintf("no controller answered; send the same %s again", item.request.Method)
-			}
-			cc.finish(item, membership.ControlResponse{Status: 503, Body: Error(code, text, nil), RetryAfter: comeBack}, effects)
-			continue
+		if !item.widenAt.After(now) {
+			cc.widen(item, effects)
+			item.widenAt = now.Add(cc.settings.Acknowledge / widenShare)
 		}
-		cc.send(now, item, cc.other(), effects)
-	}
-	if !next.IsZero() {
-		cc.timers.ArmSooner("tries", next)
+		cc.timers.ArmSooner("tries", statemachine.Earliest(item.widenAt, item.limit))
 	}
 }
--- a/internal/controlclient/controlclient_test.go
+++ b/internal/controlclient/controlclient_test.go
@@ -18,7 +18,7 @@
 )
 
 func life(named statemachine.Life) *ControlClient {
-	return New(named, func() string { return primary }, func() string { return other })
+	return New(Settings{Life: named, Upstream: func() string { return primary }, Other: func() string { return other }})
 }
 
 // carry begins to carry a question and gives the request that goes out.
@@ -73,7 +73,7 @@
 	now := time.Unix(1000, 0)
 	client := life(1)
 	asked := carry(t, client, now, 7, "PUT")
-	now = now.Add(tryLimit)
+	now = now.Add(DefaultAcknowledge / widenShare)
 	var effects statemachine.Effects
 	client.Due(now, &effects)
 	assert.Equal(t, effects.Sends[0].To, other)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -55,6 +55,8 @@
 	// Highest answers a configuration that is not above the one held as taken;
 	// otherwise it is a conflict, unless it is the same.
 	Highest bool
+	// Acknowledge is within what time a proper order is to be acknowledged.
+	Acknowledge time.Duration
 	// Tolerance, if given, is how many machines with a disk may be lost at once.
 	Tolerance *int
 }
@@ -130,7 +132,9 @@
 	controller.economist = consolidation.New()
 	controller.pulse = membership.NewPulse(settings.Self)
 	controller.follower = membership.NewFollower(settings.Self, settings.Life, append([]string{settings.Self.Address}, settings.Seeds...), func() membership.Load { return membership.Load{} })
-	controller.controlClient = controlclient.New(settings.Life, controller.upstream, controller.follower.Other)
+	controller.controlClient = controlclient.New(controlclient.Settings{
+		Life: settings.Life, Acknowledge: settings.Acknowledge, Upstream: controller.upstream, Other: controller.follower.Other, Relays: controller.follower.Relays,
+	})
 	return controller, nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,8 @@
 	// have a longest value, which holds if nothing is given.
 	ConfirmedFor time.Duration
 	StopWithin   time.Duration
+	// Acknowledge is within what time a proper order is to be acknowledged.
+	Acknowledge time.Duration
 	// Processor tells the processor time used so far; it may be nil.
 	Processor func() time.Duration
 	// Life names this run of the process.
@@ -151,12 +153,15 @@
 	gateway.follower = membership.NewFollower(settings.Self, settings.Life, []string{settings.Agent}, gateway.load)
 	gateway.pulse = membership.NewPulse(settings.Self)
 	gateway.follower.Fix()
-	gateway.controlClient = controlclient.New(settings.Life, func() string {
+	upstream := func() string {
 		if primary := gateway.follower.Primary(); primary != "" {
 			return primary
 		}
 		return settings.Agent
-	}, gateway.follower.Other)
+	}
+	gateway.controlClient = controlclient.New(controlclient.Settings{
+		Life: settings.Life, Acknowledge: settings.Acknowledge, Upstream: upstream, Other: gateway.follower.Other, Relays: gateway.follower.Relays,
+	})
 	return gateway
 }
 
--- a/internal/membership/follower.go
+++ b/internal/membership/follower.go
@@ -276,6 +276,18 @@
 	return f.controllers[f.guess%len(f.controllers)]
 }
 
+// Relays are the addresses of living agents, which carry requests to controllers:
+// they may reach one that this daemon has lost.
+func (f *Follower) Relays() []string {
+	var addresses []string
+	for _, member := range statemachine.Sorted(f.Members) {
+		if member.Kind == KindAgent && member.Alive && member.Name != f.self.Name {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	return addresses
+}
+
 // AnswerConfig gives a daemon that asks a configuration newer than its own.
 func (f *Follower) AnswerConfig(to string, ask ConfigAsk, effects *statemachine.Effects) {
 	if f.Version > ask.Version {
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -222,6 +222,8 @@
 	Method  string
 	Path    string
 	Body    []byte
+	// Relayed is set on what a daemon that is not a controller is to carry.
+	Relayed bool
 }
 
 // ControlResponse is its answer.
--- a/internal/partition/store.go
+++ b/internal/partition/store.go
@@ -55,6 +55,8 @@
 	NewDisk string
 	// Redeliver is how long a caller may send an accepted message again.
 	Redeliver time.Duration
+	// Acknowledge is within what time a proper order is to be acknowledged.
+	Acknowledge time.Duration
 	// Life names this run of the process.
 	Life statemachine.Life
 }
@@ -225,7 +227,9 @@
 	store.settings.Self.Disk = store.disk
 	store.follower = membership.NewFollower(store.settings.Self, settings.Life, settings.Seeds, store.load)
 	store.pulse = membership.NewPulse(store.settings.Self)
-	store.controlClient = controlclient.New(settings.Life, store.follower.Upstream, store.follower.Other)
+	store.controlClient = controlclient.New(controlclient.Settings{
+		Life: settings.Life, Acknowledge: settings.Acknowledge, Upstream: store.follower.Upstream, Other: store.follower.Other, Relays: store.follower.Relays,
+	})
 	return store, nil
 }
 
--- /dev/null
+++ b/internal/simulator/cutoff_mutation_test.go
@@ -0,0 +1,46 @@
+//go:build mutation
+
+package simulator
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dahlialock/internal/statemachine"
+)
+
+// doomed is a trial that is expected to fail.
+type doomed struct{ lines []string }
+
+func (*doomed) Helper()  {}
+func (*doomed) Fail()    {}
+func (*doomed) FailNow() { panic("a trial could not go on") }
+func (d *doomed) Log(values ...any) {
+	d.lines = append(d.lines, fmt.Sprint(values...))
+}
+
+// What is taken away, where, and what the trial then says.
+var cutOffProofs = []struct {
+	mutation string
+	from     severance
+	says     string
+}{
+	{"no-relays", severance{"leader", "core", "both"}, "were passed on"},
+	{"no-relays", severance{"witness", "core", "both"}, "were passed on"},
+	{"lease-for-ever", severance{"minority", "core", "both"}, "stale"},
+}
+
+func TestACutOffMachineNeedsItsMechanisms(t *testing.T) {
+	for _, each := range cutOffProofs {
+		restore := statemachine.Mutate(each.mutation)
+		trial := &doomed{}
+		judgeAnswers(trial, each.from, 0, cutOff(trial, each.from, 0))
+		restore()
+		said := strings.Join(trial.lines, "\n")
+		t.Logf("%s, %s: %.300s", each.mutation, each.from, said)
+		assert.Check(t, strings.Contains(said, each.says), "%s, %s: %s", each.mutation, each.from, said)
+	}
+}
--- a/internal/simulator/departure_test.go
+++ b/internal/simulator/departure_test.go
@@ -30,10 +30,17 @@
 // controller passes on to an operator, of another's answer, is not its own.
 func (s *Simulation) watchDepartures() *[]string {
 	old := &[]string{}
-	s.Departs = func(from *Node, message any) {
+	own := map[statemachine.RequestID]bool{}
+	s.Departs = func(from *Node, to string, message any) {
 		if from.Kind != membership.KindController || !restsOnLease(message) {
 			return
 		}
+		if answer, matches := message.(membership.ControlResponse); matches {
+			own[answer.Request] = own[answer.Request] || to == from.Address
+			if to == "" && !own[answer.Request] {
+				return
+			}
+		}
 		if from.watch().IsPrimary() && !from.watch().HoldsLease(from.local()) {
 			*old = append(*old, fmt.Sprintf("%s said %T at %s, without the lease", from.Name, message, s.Now.Sub(s.started)))
 		}
--- a/internal/simulator/simulator.go
+++ b/internal/simulator/simulator.go
@@ -81,8 +81,9 @@
 	Checker *checker.Checker
 	Size    Size
 	Trace   func(line string)
-	// Departs, if there is one, is told what leaves a daemon as it leaves.
-	Departs func(from *Node, message any)
+	// Departs, if there is one, is told what leaves a daemon as it leaves, and for
+	// whom: an address, or nothing where it is the answer to whoever asked there.
+	Departs func(from *Node, to string, message any)
 	// Meter, if there is one, is told what each daemon works and says.
 	Meter        Meter
 	started      time.Time
@@ -599,7 +600,7 @@
 	version := n.Machine.Version()
 	for _, send := range effects.Sends {
 		if statemachine.Departs(send.NotAfter, n.local()) {
-			n.departs(send.Message)
+			n.departs(send.To, send.Message)
 			simulation.send(n, send, version)
 		}
 	}
@@ -611,7 +612,7 @@
 		if done, found := n.returns[returned.Request]; found {
 			delete(n.returns, returned.Request)
 			value := returned.Given(n.local())
-			n.departs(value)
+			n.departs("", value)
 			done(value, true)
 		}
 	}
@@ -634,9 +635,9 @@
 	}
 }
 
-func (n *Node) departs(message any) {
+func (n *Node) departs(to string, message any) {
 	if n.simulation.Departs != nil {
-		n.simulation.Departs(n, message)
+		n.simulation.Departs(n, to, message)
 	}
 }
 
