--- a/internal/simulator/cutoff_test.go
+++ b/internal/simulator/cutoff_test.go
@@ -15,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dahlialock/internal/checker"
 	"dahlialock/internal/membership"
 )
 
@@ -141,16 +142,14 @@
 	answers    []asked
 }
 
-func (q *questioner) control(method string, body []byte, races bool, done func(answer asked)) {
-	at := q.simulation.Now
-	q.simulation.Control(q.node, method, "/v1/configuration", body, func(returned membership.ControlResponse, _ bool) {
-		answer := asked{
-			at: at.Sub(q.began), took: q.simulation.Now.Sub(at), method: method, races: races,
-			status: returned.Status, retry: returned.RetryAfter, body: string(returned.Body),
-		}
-		q.answers = append(q.answers, answer)
-		done(answer)
-	})
+// heard keeps what the operator was told.
+func (q *questioner) heard(method string, began time.Time, races bool, returned membership.ControlResponse) asked {
+	answer := asked{
+		at: began.Sub(q.began), took: q.simulation.Now.Sub(began), method: method, races: races,
+		status: returned.Status, retry: returned.RetryAfter, body: string(returned.Body),
+	}
+	q.answers = append(q.answers, answer)
+	return answer
 }
 
 func (q *questioner) ask() {
@@ -162,17 +161,7 @@
 	next := func() { simulation.After(max(0, askEvery-simulation.Now.Sub(began)), q.ask) }
 	q.count++
 	if q.count%2 == 0 {
-		q.control(http.MethodGet, nil, false, func(answer asked) {
-			if answer.status == http.StatusOK {
-				var got struct {
-					Version       uint64          `json:"version"`
-					Configuration json.RawMessage `json:"configuration"`
-				}
-				must(json.Unmarshal([]byte(answer.body), &got))
-				simulation.Checker.ReadBack(got.Version, string(got.Configuration), began, simulation.Now)
-			}
-			next()
-		})
+		q.read(next)
 		return
 	}
 	q.operator.version++
@@ -182,8 +171,8 @@
 		other := bytes.Replace(body, []byte(`"promise":"passing"`), []byte(`"promise":"passing","answer_within":"2s"`), 1)
 		q.operator.put(version, other, nil)
 	}
-	q.control(http.MethodPut, body, races, func(answer asked) {
-		switch {
+	q.operator.order(q.node, version, body, func(_ checker.OrderAnswer, returned membership.ControlResponse, _ bool) {
+		switch answer := q.heard(http.MethodPut, began, races, returned); {
 		case answer.status == http.StatusOK:
 			simulation.Checker.PutTaken(version, string(body), began, simulation.Now)
 			next()
@@ -196,6 +185,22 @@
 	})
 }
 
+func (q *questioner) read(next func()) {
+	simulation, began := q.simulation, q.simulation.Now
+	simulation.Control(q.node, http.MethodGet, "/v1/configuration", nil, func(returned membership.ControlResponse, _ bool) {
+		if q.heard(http.MethodGet, began, false, returned).status == http.StatusOK {
+			var got struct {
+				Version       uint64          `json:"version"`
+				Configuration json.RawMessage `json:"configuration"`
+			}
+			must(json.Unmarshal(returned.Body, &got))
+			simulation.Checker.ReadBack(got.Version, string(got.Configuration), began, simulation.Now)
+			simulation.Checker.Register.Read(got.Version, string(got.Configuration), began, simulation.Now)
+		}
+		next()
+	})
+}
+
 // cutOff plays one severance and gives what the operator saw.
 func cutOff(t trial, each severance, seed uint64) []asked {
 	t.Helper()
--- a/internal/transport/departure.go
+++ b/internal/transport/departure.go
@@ -56,12 +56,28 @@
 	return left
 }
 
-// boundsOf gives the bound of the one frame that begins at an offset of a turn.
-func boundsOf(bounds []bound, start, length int) []bound {
+// leaveOutLate takes out of a link's turn what may not leave any more.
+func (t *Transport) leaveOutLate(present *link) {
+	for class := range present.pending {
+		if len(present.bounds[class]) == 0 {
+			continue
+		}
+		left := t.departing(chunk{body: present.pending[class].Bytes(), frames: present.frames[class], bounds: present.bounds[class]})
+		if left.frames == present.frames[class] {
+			continue
+		}
+		present.pending[class] = *bytes.NewBuffer(left.body)
+		present.frames[class], present.bounds[class] = left.frames, left.bounds
+	}
+}
+
+// boundsWithin gives the bounds of the frames in a part of a turn.
+func boundsWithin(bounds []bound, begin, end int) []bound {
+	var within []bound
 	for _, each := range bounds {
-		if each.start == start {
-			return []bound{{start: 0, end: length, notAfter: each.notAfter}}
+		if begin <= each.start && each.end <= end {
+			within = append(within, bound{start: each.start - begin, end: each.end - begin, notAfter: each.notAfter})
 		}
 	}
-	return nil
+	return within
 }
--- a/internal/transport/departure_test.go
+++ b/internal/transport/departure_test.go
@@ -20,8 +20,8 @@
 	assert.Equal(t, left.frames, 3)
 	assert.Equal(t, links.Counters.Late.Load(), int64(2))
 	assert.DeepEqual(t, []int{left.bounds[0].start, left.bounds[0].end, left.bounds[1].start, left.bounds[1].end}, []int{0, 2, 4, 6})
-	assert.Equal(t, len(boundsOf(left.bounds, 2, 2)), 0)
-	assert.Equal(t, boundsOf(left.bounds, 4, 2)[0].notAfter, later)
+	assert.Equal(t, len(boundsWithin(left.bounds, 2, 4)), 0)
+	assert.Equal(t, boundsWithin(left.bounds, 2, 6)[0].start, 2)
 	whole := links.departing(chunk{body: []byte("xx"), frames: 1})
 	assert.Equal(t, string(whole.body), "xx")
 }
