A store that hears no answer of the controllers is taken for lost

Cut off one way, so that it hears nobody and all hear it, a store looked alive by its questions and its beats: what it was first for stood still for as long as the cut lasted (incomplete partitions 8 s after the cut, and to its end). A daemon now says in each question to which of its questions it has heard an answer; a store that has not heard one for two seconds is lost, and comes back with the first that it hears. Stores only: a gateway that hears nobody is not ready of itself, and on slow links to many gateways an answer may take long.

--- a/internal/controlclient/controlclient.go
+++ b/internal/controlclient/controlclient.go
@@ -1,4 +1,4 @@
-// Package controlclient forwards operators\' requests to the primary controller.
+// Package controlclient forwards operators' requests to the primary controller.
 //
 // A ControlClient carries operators' requests from whichever daemon they reached to
 // the primary controller, so that every daemon gives the same answer. It follows
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -98,6 +98,7 @@
 	complete      map[string]membership.PartitionComplete
 	lags          map[string]lag
 	doubts        map[string]*doubt
+	answers       map[string]answered
 	busy          bool
 	began         time.Time
 	acting        bool
@@ -113,7 +114,7 @@
 	controller := &Controller{
 		settings: settings, state: newState(), timers: statemachine.NewTimers(),
 		held: map[string]held{}, heard: map[string]time.Time{}, loads: map[string]membership.Load{},
-		suspected: map[string]map[string]reported{}, joining: map[string]Join{}, leaving: map[string]Departure{}, complete: map[string]membership.PartitionComplete{}, lags: map[string]lag{}, doubts: map[string]*doubt{},
+		suspected: map[string]map[string]reported{}, joining: map[string]Join{}, leaving: map[string]Departure{}, complete: map[string]membership.PartitionComplete{}, lags: map[string]lag{}, doubts: map[string]*doubt{}, answers: map[string]answered{},
 		orders: map[string]membership.Orders{},
 	}
 	self := consensus.Controller{Name: settings.Self.Name, Address: settings.Self.Address, Zone: settings.Self.Zone}
@@ -290,7 +291,8 @@
 	return redirect
 }
 
-func (c *Controller) give(_ time.Time, item held, effects *statemachine.Effects) {
+func (c *Controller) give(now time.Time, item held, effects *statemachine.Effects) {
+	c.noteAnswer(now, item.ask)
 	delete(c.held, item.ask.Self.Name)
 	news := membership.News{
 		For: item.ask.Self.Name, Nonce: item.ask.Nonce, Epoch: c.watch.Record().Epoch,
@@ -328,6 +330,10 @@
 // has been silent for a while.
 func (c *Controller) noteMember(now time.Time, ask membership.Ask) {
 	self := ask.Self
+	c.noteHeard(ask)
+	if c.deaf(now, self.Name) {
+		return
+	}
 	known, found := c.state.Members[self.Name]
 	if found && self.Incarnation < known.Incarnation && now.Sub(c.heard[known.Name]) <= succeedsAfter {
 		return
@@ -400,6 +406,7 @@
 	c.complete = map[string]membership.PartitionComplete{}
 	c.orders = map[string]membership.Orders{}
 	c.lags, c.doubts = map[string]lag{}, map[string]*doubt{}
+	c.answers = map[string]answered{}
 	for name, member := range c.state.Members {
 		c.heard[name] = now
 		if member.Degraded {
@@ -609,9 +616,13 @@
 		if member.Resting {
 			limit += membership.PatientHold
 		}
-		if unheard := now.Sub(c.heard[name]); member.Alive && unheard > limit && !slices.ContainsFunc(gone, func(other Departure) bool { return other.Name == name }) {
+		if unheard := now.Sub(c.heard[name]); member.Alive && (unheard > limit || c.deaf(now, name)) && !slices.ContainsFunc(gone, func(other Departure) bool { return other.Name == name }) {
 			gone = append(gone, Departure{Name: name, Incarnation: member.Incarnation})
-			effects.Note(logevent.MemberLost, "member", name, "why", "does not follow", "unheard", unheard.String())
+			why := "does not follow"
+			if c.deaf(now, name) {
+				why = "hears no answer"
+			}
+			effects.Note(logevent.MemberLost, "member", name, "why", why, "unheard", unheard.String())
 		}
 	}
 	return gone
--- a/internal/membership/follower.go
+++ b/internal/membership/follower.go
@@ -33,6 +33,7 @@
 	guess       int
 	primary     string
 	nonce       uint64
+	heard       uint64
 	askedAt     time.Time
 	waiting     bool
 	patient     bool
@@ -140,7 +141,7 @@
 	effects.Send(address, Ask{
 		Self: f.self, Nonce: f.nonce, Index: f.Index, Version: f.Version,
 		Load: f.load(), Patient: f.patient, Urgent: f.searching || f.hurried,
-		Epoch: f.Epoch,
+		Epoch: f.Epoch, Heard: f.heard,
 	})
 }
 
@@ -199,6 +200,9 @@
 
 // Take takes news that is not older than what is held.
 func (f *Follower) Take(now time.Time, news News) Taken {
+	if news.Nonce <= f.nonce {
+		f.heard = max(f.heard, news.Nonce)
+	}
 	if news.Epoch < f.Epoch || news.Index < f.Index || news.Version < f.Version {
 		return Taken{}
 	}
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -110,6 +110,8 @@
 	// primary, or a request waits for what there is.
 	Urgent bool
 	Epoch  uint64
+	// Heard is the newest of the asker's nonces to which it has heard an answer.
+	Heard uint64
 }
 
 // News answers an Ask. What changed after Since is told, and the rest is as the
--- a/internal/simulator/controllers_test.go
+++ b/internal/simulator/controllers_test.go
@@ -24,6 +24,8 @@
 
 func (n *Node) watch() *consensus.Watch { return n.Machine.(*controller.Controller).Watch() }
 
+func (n *Node) watchedState() *controller.State { return n.Machine.(*controller.Controller).State() }
+
 // voters gives the names in the serving primary's voters.
 func (s *Simulation) voters() []string {
 	primary := s.Primary()
--- a/internal/transport/departure.go
+++ b/internal/transport/departure.go
@@ -1,6 +1,7 @@
 // Messages that may leave only before a moment: the clock is looked at once more
 // when the bytes go to the socket, since the process may have stood still after
 // the machine asked for them, or they waited for a connection.
+
 package transport
 
 import (
