--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -114,6 +114,8 @@
 	garbage    func(remote string, err error)
 	clock      func() time.Time
 	Counters   Counters
+	// What was sent and received, by kind of message.
+	sent, received kindSums
 
 	// Of the owner: links by destination, those with frames of this turn, and
 	// whether the owner ends its turns with Flush.
@@ -264,16 +266,18 @@
 // frames that could not be read.
 func Open(address string, inbox, urgent chan<- Inbound, garbage func(remote string, err error)) (*Transport, error) {
 	opened := &Transport{
-		address: address,
-		home:    homeOf(address),
-		inbox:   inbox,
-		urgent:  urgent,
-		booted:  make(chan struct{}),
-		garbage: garbage,
-		clock:   time.Now,
-		links:   map[string]*link{},
-		inward:  map[string]gnet.Conn{},
-		tended:  map[string]*link{},
+		address:  address,
+		home:     homeOf(address),
+		inbox:    inbox,
+		urgent:   urgent,
+		booted:   make(chan struct{}),
+		garbage:  garbage,
+		clock:    time.Now,
+		sent:     newKindSums(),
+		received: newKindSums(),
+		links:    map[string]*link{},
+		inward:   map[string]gnet.Conn{},
+		tended:   map[string]*link{},
 	}
 	opened.dial, opened.firstDial = opened.dialPlain, dialFirst
 	opened.impairment.Store(&Impairment{})
--- a/internal/transport/send.go
+++ b/internal/transport/send.go
@@ -52,13 +52,14 @@
 		t.links[to] = present
 	}
 	class := ClassOf(message)
-	begin := present.pending[class].Len()
+	before := present.pending[class].Len()
 	if err := appendFrame(&present.pending[class], "", version, message); err != nil {
 		return err
 	}
+	t.sent.add(message, present.pending[class].Len()-before)
 	present.frames[class]++
 	if !notAfter.IsZero() {
-		present.bounds[class] = append(present.bounds[class], bound{start: begin, end: present.pending[class].Len(), notAfter: notAfter})
+		present.bounds[class] = append(present.bounds[class], bound{start: before, end: present.pending[class].Len(), notAfter: notAfter})
 	}
 	if !present.dirty {
 		present.dirty = true
