How long orders wait and who counts as lost follow from the bounds of the settings

An order's wait for its copies was 2 s, silence before a loss 2 s and 5 s, whatever acknowledge and contact said.

--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -19,7 +19,7 @@
 func build(current settings.Settings, self membership.Member, stored daemon.Stored) (daemon.Build, error) {
 	machine, err := controller.New(controller.Settings{
 		Self: self, Count: current.Controllers, Seeds: current.Seeds, Founding: current.Bootstrap, Tolerance: &current.Tolerance,
-		NewDisk: stored.NewDisk, Life: stored.Life, Acknowledge: current.Bounds.Acknowledge, Highest: current.Versions == settings.VersionsHighest, Grace: current.Bounds.Grace,
+		NewDisk: stored.NewDisk, Life: stored.Life, Acknowledge: current.Bounds.Acknowledge, Contact: current.Bounds.Contact, Highest: current.Versions == settings.VersionsHighest, Grace: current.Bounds.Grace,
 	}, stored.Frame, stored.Entries)
 	if err != nil {
 		return daemon.Build{}, err
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -161,7 +161,7 @@
 	if change.Version > c.state.Version {
 		change.Document = document
 	}
-	c.watch.Submit(now, mustPack(Command{Configuration: &change}), commandLimit, func(now time.Time, effects *statemachine.Effects, outcome consensus.Outcome) {
+	c.watch.Submit(now, mustPack(Command{Configuration: &change}), c.spans.command, func(now time.Time, effects *statemachine.Effects, outcome consensus.Outcome) {
 		switch outcome {
 		case consensus.Refused:
 			give(effects, http.StatusServiceUnavailable, controlclient.Error("refused", "the configuration was not taken", nil))
@@ -249,7 +249,7 @@
 		give(effects, http.StatusConflict, tooFew)
 		return
 	}
-	c.watch.Submit(now, mustPack(Command{Retirement: &order}), commandLimit, func(now time.Time, effects *statemachine.Effects, outcome consensus.Outcome) {
+	c.watch.Submit(now, mustPack(Command{Retirement: &order}), c.spans.command, func(now time.Time, effects *statemachine.Effects, outcome consensus.Outcome) {
 		switch {
 		case outcome != consensus.Committed:
 			give(effects, http.StatusServiceUnavailable, controlclient.Error("unsettled", "send the same again", nil))
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -29,14 +29,11 @@
 // Spans of the primary's work.
 const (
 	suspicionFresh = 1200 * time.Millisecond
-	unheardFrom    = 2 * time.Second
 	storeUnheard   = 700 * time.Millisecond
 	tendEvery      = 200 * time.Millisecond
 	idleEvery      = 500 * time.Millisecond
-	commandLimit   = 2 * time.Second
 	settleFor      = 3 * time.Second
 	succeedsAfter  = 1200 * time.Millisecond
-	followingFor   = 5 * time.Second
 	doubtFor       = 300 * time.Millisecond
 	doubtLong      = time.Second
 	joinPause      = 20 * time.Millisecond
@@ -57,6 +54,8 @@
 	Highest bool
 	// Acknowledge is within what time a proper order is to be acknowledged.
 	Acknowledge time.Duration
+	// Contact is within what time a daemon is in touch again.
+	Contact time.Duration
 	// Tolerance, if given, is how many machines with a disk may be lost at once.
 	Tolerance *int
 	// Grace is for how long a daemon that was asked to end is let run.
@@ -85,6 +84,7 @@
 // Controller is the state machine.
 type Controller struct {
 	settings      Settings
+	spans         spans
 	state         *State
 	watch         *consensus.Watch
 	pulse         *membership.Pulse
@@ -116,7 +116,7 @@
 // New makes a controller from what its disk held.
 func New(settings Settings, frame []byte, entries [][]byte) (*Controller, error) {
 	controller := &Controller{
-		settings: settings, state: newState(), timers: statemachine.NewTimers(),
+		settings: settings, spans: spansOf(settings), state: newState(), timers: statemachine.NewTimers(),
 		held: map[string]held{}, heard: map[string]time.Time{}, loads: map[string]membership.Load{},
 		suspected: map[string]map[string]reported{}, joining: map[string]Join{}, leaving: map[string]Departure{}, complete: map[string]membership.PartitionComplete{}, lags: map[string]lag{}, doubts: map[string]*doubt{}, answers: map[string]answered{},
 		orders: map[string]membership.Orders{},
@@ -572,7 +572,7 @@
 
 func (c *Controller) submit(now time.Time, command Command, effects *statemachine.Effects) {
 	c.busy = true
-	c.watch.Submit(now, mustPack(command), commandLimit, func(now time.Time, effects *statemachine.Effects, outcome consensus.Outcome) {
+	c.watch.Submit(now, mustPack(command), c.spans.command, func(now time.Time, effects *statemachine.Effects, outcome consensus.Outcome) {
 		c.busy = false
 		if outcome == consensus.Committed {
 			c.answerNews(now, effects)
@@ -599,7 +599,7 @@
 			fresh++
 		}
 		unheard := now.Sub(c.heard[name])
-		limit, unasked := unheardFrom, unheardFrom/2
+		limit, unasked := c.spans.unheard, c.spans.unheard/2
 		if member.Resting {
 			limit += membership.PatientHold
 		}
@@ -618,7 +618,7 @@
 	for name, member := range statemachine.Sorted(c.state.Members) {
 		// A daemon that is heard by its watchers and yet follows nothing acts on
 		// an old view: to the others it is as good as lost.
-		limit := followingFor
+		limit := c.spans.following
 		if member.Resting {
 			limit += membership.PatientHold
 		}
--- a/internal/controller/deaf.go
+++ b/internal/controller/deaf.go
@@ -11,9 +11,6 @@
 	"dahlialock/internal/statemachine"
 )
 
-// deafAfter is how long a store may hear no answer.
-const deafAfter = unheardFrom
-
 // answered is the first answer to a member that it is not yet known to have heard.
 type answered struct {
 	nonce       uint64
@@ -42,5 +39,5 @@
 // deaf tells whether a member has not heard its answers for too long.
 func (c *Controller) deaf(now time.Time, name string) bool {
 	earlier, found := c.answers[name]
-	return found && now.Sub(earlier.at) >= deafAfter && !statemachine.Mutated("deaf-store")
+	return found && now.Sub(earlier.at) >= c.spans.unheard && !statemachine.Mutated("deaf-store")
 }
