--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -49,7 +49,7 @@
 		if frames == 0 {
 			return
 		}
-		piece := chunk{body: whole.body[begin:end], class: whole.class, frames: frames, at: now}
+		piece := chunk{body: whole.body[begin:end], class: whole.class, frames: frames, at: now, bounds: boundsWithin(whole.bounds, begin, end)}
 		if delay := t.delay(present.to, piece.body); delay > 0 {
 			piece.due = now.Add(delay)
 		}
@@ -150,6 +150,9 @@
 		}
 		return
 	}
+	if next = t.departing(next); next.frames == 0 {
+		return
+	}
 	var wrapped []byte
 	wrapped, t.wrapping = present.socket.wrap(t.wrapping, next.body)
 	present.socket.window.Sent(now, len(wrapped))
--- a/internal/transport/send.go
+++ b/internal/transport/send.go
@@ -36,6 +36,12 @@
 // never fails loudly. It is for the owner alone. Until the owner has called
 // Flush for the first time, each message goes out at once.
 func (t *Transport) Send(to string, version uint64, message any) error {
+	return t.SendBefore(to, version, message, time.Time{})
+}
+
+// SendBefore is Send for a message that may leave only before a moment, unless
+// that is zero: the clock is looked at when its turn is written.
+func (t *Transport) SendBefore(to string, version uint64, message any, notAfter time.Time) error {
 	if to == t.address {
 		t.inbox <- Inbound{Meta: statemachine.Meta{From: t.address, Version: version}, Message: message}
 		return nil
@@ -52,6 +58,9 @@
 	}
 	t.sent.add(message, present.pending[class].Len()-before)
 	present.frames[class]++
+	if !notAfter.IsZero() {
+		present.bounds[class] = append(present.bounds[class], bound{start: before, end: present.pending[class].Len(), notAfter: notAfter})
+	}
 	if !present.dirty {
 		present.dirty = true
 		t.dirty = append(t.dirty, present)
@@ -85,7 +94,7 @@
 func (l *link) clean() {
 	l.dirty = false
 	for class := range l.pending {
-		l.frames[class] = 0
+		l.frames[class], l.bounds[class] = 0, nil
 		if l.pending[class].Cap() > spareMost {
 			l.pending[class] = bytes.Buffer{}
 		} else {
@@ -142,7 +151,11 @@
 		t.handOverTurn(present)
 		return
 	}
+	t.leaveOutLate(present)
 	body, frames := t.whole(present)
+	if frames == 0 {
+		return
+	}
 	var wrapped []byte
 	wrapped, t.scratch = open.socket.wrap(t.scratch, body)
 	t.Counters.Writes.Add(1)
@@ -184,7 +197,7 @@
 	var handed []chunk
 	for class := range present.pending {
 		if present.frames[class] > 0 {
-			handed = append(handed, chunk{body: bytes.Clone(present.pending[class].Bytes()), class: Class(class), frames: present.frames[class]})
+			handed = append(handed, chunk{body: bytes.Clone(present.pending[class].Bytes()), class: Class(class), frames: present.frames[class], bounds: present.bounds[class]})
 		}
 	}
 	t.handOver(present, handed...)
