--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -32,6 +32,9 @@
 	confirmLimit = time.Second
 	partAfter    = 2 * time.Second
 	tellFor      = time.Second
+	// quietFor is how long a primary that hears too few voters asks for no lease, so
+	// that another can take over; then it asks again for lostAfter.
+	quietFor = 3 * lostAfter
 )
 
 // Ledger is the control state that is copied. Apply and Restore are
@@ -140,6 +143,8 @@
 	primaryHeard time.Time
 	decidedAt    time.Time
 	lastGrant    map[string]time.Time
+	heardFrom    map[string]time.Time
+	quietUntil   time.Time
 
 	queue       []*submitted
 	replacing   bool
@@ -167,7 +172,7 @@
 		synced: map[uint64]continuation{}, met: map[string]meeting{}, heardOf: map[string]bool{}, recalls: map[string]Durable{},
 		renewals: map[uint64]time.Time{}, grants: map[uint64]map[string]bool{},
 		frames: map[string]*spareFrame{}, copies: map[string]*copied{}, spares: map[string]*asked{},
-		lastGrant: map[string]time.Time{}, releases: map[string]bool{}, departs: map[string]time.Time{}, confirms: map[uint64]confirmation{}, duties: map[string]duty{}, leases: map[string]*Lease{},
+		lastGrant: map[string]time.Time{}, heardFrom: map[string]time.Time{}, releases: map[string]bool{}, departs: map[string]time.Time{}, confirms: map[uint64]confirmation{}, duties: map[string]duty{}, leases: map[string]*Lease{},
 	}
 	if err := watch.readDisk(frame, entries); err != nil {
 		return nil, err
@@ -251,6 +256,15 @@
 	return w.leaseUntil.Sub(now)
 }
 
+// LeaseEnd is the moment after which nothing that rests on the lease may leave;
+// it is in the past where the lease is not held.
+func (w *Watch) LeaseEnd() time.Time {
+	if statemachine.Mutated("lease-for-ever") {
+		return time.Time{}
+	}
+	return w.leaseUntil
+}
+
 // NextDue is when the watch wants to run again.
 func (w *Watch) NextDue() time.Time { return w.timers.Next() }
 
@@ -288,6 +302,9 @@
 
 // Message takes what other controllers say; it tells whether it was for the watch.
 func (w *Watch) Message(now time.Time, meta statemachine.Meta, message any, effects *statemachine.Effects) bool {
+	if w.nameOf(meta.From, w.durable.Record.Voters) != "" {
+		w.heardFrom[meta.From] = now
+	}
 	switch body := message.(type) {
 	case Hello:
 		w.onHello(now, meta.From, body, effects)
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -38,8 +38,10 @@
 		}
 		if status == http.StatusServiceUnavailable {
 			returned.RetryAfter = comeBack
+			effects.Send(from, returned)
+			return
 		}
-		effects.Send(from, returned)
+		effects.SendBefore(from, returned, c.watch.LeaseEnd())
 	}
 	if !c.watch.HoldsLease(now) {
 		primary, found := c.watch.Primary()
@@ -97,12 +99,29 @@
 			}
 		})
 	case strings.HasPrefix(path, "/v1/stores/"):
-		c.store(now, request.Method, strings.TrimPrefix(path, "/v1/stores/"), give, effects)
+		c.store(now, request, strings.TrimPrefix(path, "/v1/stores/"), give, effects)
 	default:
 		give(effects, http.StatusNotFound, controlclient.Error("no-such-path", request.Method+" "+path+" is not known", nil))
 	}
 }
 
+// takeAnswer hands an answer to the operator that asked here. One of this
+// controller's own is bound by its lease, as on its way to another daemon.
+func (c *Controller) takeAnswer(now time.Time, from string, returned membership.ControlResponse, effects *statemachine.Effects) {
+	earlier := len(effects.Returns)
+	c.controlClient.Take(now, from, returned, effects)
+	if from != c.settings.Self.Address || returned.Status == http.StatusServiceUnavailable {
+		return
+	}
+	for position := earlier; position < len(effects.Returns); position++ {
+		effects.Returns[position].NotAfter = c.watch.LeaseEnd()
+		effects.Returns[position].Late = membership.ControlResponse{
+			Status: http.StatusServiceUnavailable, RetryAfter: comeBack,
+			Body: controlclient.Error("unsettled", "this controller may not answer any more; send the same again", nil),
+		}
+	}
+}
+
 // confirmed answers a question only after a majority said that the epoch stands.
 func (c *Controller) confirmed(now time.Time, give answer, effects *statemachine.Effects, read func() (int, any)) {
 	c.watch.Confirm(now, func(_ time.Time, effects *statemachine.Effects, outcome consensus.Outcome) {
@@ -142,7 +161,7 @@
 	if change.Version > c.state.Version {
 		change.Document = document
 	}
-	c.watch.Submit(now, mustPack(Command{Configuration: &change}), commandLimit, func(now time.Time, effects *statemachine.Effects, outcome consensus.Outcome) {
+	c.watch.Submit(now, mustPack(Command{Configuration: &change}), c.spans.command, func(now time.Time, effects *statemachine.Effects, outcome consensus.Outcome) {
 		switch outcome {
 		case consensus.Refused:
 			give(effects, http.StatusServiceUnavailable, controlclient.Error("refused", "the configuration was not taken", nil))
@@ -183,7 +202,8 @@
 	return http.StatusOK, map[string]any{"version": c.state.Version, "taken": true}
 }
 
-func (c *Controller) store(now time.Time, method, rest string, give answer, effects *statemachine.Effects) {
+func (c *Controller) store(now time.Time, request membership.ControlRequest, rest string, give answer, effects *statemachine.Effects) {
+	method := request.Method
 	name, verb, _ := strings.Cut(rest, "/")
 	describe := func(status int) (int, any) {
 		member, found := c.state.member(name)
@@ -202,7 +222,7 @@
 	case method == http.MethodGet && verb == "":
 		c.confirmed(now, give, effects, func() (int, any) { return describe(http.StatusOK) })
 	case method == http.MethodPost && (verb == "retire" || verb == "return"):
-		c.retire(now, Retirement{Store: name, Retiring: verb == "retire"}, give, describe, effects)
+		c.retire(now, Retirement{Order: request.Order, Store: name, Retiring: verb == "retire"}, give, describe, effects)
 	default:
 		give(effects, http.StatusNotFound, controlclient.Error("no-such-path", method+" on a store knows retire and return", nil))
 	}
@@ -222,7 +242,7 @@
 		})
 		return
 	}
-	if member.Retiring == order.Retiring {
+	if member.Retiring == order.Retiring || c.state.tookOrder(order.Order) {
 		c.confirmed(now, give, effects, func() (int, any) { return describe(http.StatusAccepted) })
 		return
 	}
@@ -230,7 +250,7 @@
 		give(effects, http.StatusConflict, tooFew)
 		return
 	}
-	c.watch.Submit(now, mustPack(Command{Retirement: &order}), commandLimit, func(now time.Time, effects *statemachine.Effects, outcome consensus.Outcome) {
+	c.watch.Submit(now, mustPack(Command{Retirement: &order}), c.spans.command, func(now time.Time, effects *statemachine.Effects, outcome consensus.Outcome) {
 		switch {
 		case outcome != consensus.Committed:
 			give(effects, http.StatusServiceUnavailable, controlclient.Error("unsettled", "send the same again", nil))
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -49,7 +49,7 @@
 		if frames == 0 {
 			return
 		}
-		piece := chunk{body: whole.body[begin:end], class: whole.class, frames: frames, at: now}
+		piece := chunk{body: whole.body[begin:end], class: whole.class, frames: frames, at: now, bounds: boundsWithin(whole.bounds, begin, end)}
 		if delay := t.delay(present.to, piece.body); delay > 0 {
 			piece.due = now.Add(delay)
 		}
@@ -154,6 +154,9 @@
 		}
 		return
 	}
+	if next = t.departing(next); next.frames == 0 {
+		return
+	}
 	var wrapped []byte
 	wrapped, t.wrapping = present.socket.wrap(t.wrapping, next.body)
 	present.socket.window.Sent(now, len(wrapped))
@@ -236,7 +239,11 @@
 
 // present tells the dialling loop that a peer has just named itself on a connection of
 // its own: it is there, so that a dial begun before it was is given up and made anew.
+// While links are still being opened there is none to give up.
 func (t *Transport) present(address string) {
+	if !t.looping.Load() {
+		return
+	}
 	t.onLoop(func() {
 		known, found := t.tended[address]
 		if !found || known.wire != nil || t.stopped || t.cutTo(address) {
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -91,6 +91,8 @@
 type Counters struct {
 	MessagesOut, BytesOut, MessagesIn, BytesIn, Dropped, Garbage, Shed atomic.Int64
 	MessagesAway, BytesAway                                            atomic.Int64
+	// Late are messages that may not leave any more when their turn came.
+	Late atomic.Int64
 	// Writes are system calls that wrote to links, Dials connections made.
 	Writes, Dials atomic.Int64
 	// Held counts how often something had to wait for the machine's link, or a turn
@@ -111,6 +113,7 @@
 	ended      <-chan error
 	impairment atomic.Pointer[Impairment]
 	garbage    func(remote string, err error)
+	clock      func() time.Time
 	Counters   Counters
 	// What was sent and received, by kind of message.
 	sent, received kindSums
@@ -133,6 +136,8 @@
 	// watches is set where the owner wants to know of addresses that refuse.
 	watches atomic.Bool
 	closing atomic.Bool
+	// looping is set once there is a dialling loop: peers may name themselves before.
+	looping atomic.Bool
 
 	// Of the accepting loop.
 	reader reader
@@ -169,6 +174,7 @@
 	// the dialling loop.
 	pending [classCount]bytes.Buffer
 	frames  [classCount]int
+	bounds  [classCount][]bound
 	dirty   bool
 	handed  uint64
 
@@ -210,6 +216,7 @@
 	body   []byte
 	class  Class
 	frames int
+	bounds []bound
 	at     time.Time
 	due    time.Time
 	rest   *socket
@@ -269,6 +276,7 @@
 		urgent:   urgent,
 		booted:   make(chan struct{}),
 		garbage:  garbage,
+		clock:    time.Now,
 		sent:     newKindSums(),
 		received: newKindSums(),
 		links:    map[string]*link{},
@@ -326,6 +334,7 @@
 		return err
 	}
 	t.loop = first.EventLoop()
+	t.looping.Store(true)
 	_ = first.Close()
 	time.AfterFunc(idleLimit, t.sweepLater)
 	return nil
