Copies of passing messages between gateways are urgent, as their appends are

The class travels in the copy, a byte more, since its topic's space is known where it is sent. Order holds among the copies of one topic, which are all of one class.

--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -41,6 +41,16 @@
 	// Behind is how far the topic's record before it lies below Offset.
 	Behind uint64
 	Data   []byte
+	// Passing tells that nothing of it is kept.
+	Passing bool
+}
+
+// LinkClass tells that a passing message is of use now or never.
+func (rc RoutedCopy) LinkClass() transport.Class {
+	if rc.Passing {
+		return transport.ClassUrgent
+	}
+	return transport.ClassLive
 }
 
 func (rc RoutedCopy) record() partition.Record {
--- a/internal/gateway/routed_publish.go
+++ b/internal/gateway/routed_publish.go
@@ -144,6 +144,7 @@
 	g.onRouted(now, record, effects)
 	copied := RoutedCopy{
 		Topic: record.Topic, Sender: record.Sender, Seq: record.Seq, Offset: record.Offset, Behind: record.Offset - record.Prior, Data: record.Data,
+		Passing: item.bare,
 	}
 	g.overlay.Reach(now, routedPlane, item.request.Topic, func(now time.Time, effects *statemachine.Effects, settled bool) {
 		destinations := g.overlay.Listeners(routedPlane, item.request.Topic)
--- a/internal/transport/classes_test.go
+++ b/internal/transport/classes_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dahlialock/internal/gateway"
 	"dahlialock/internal/partition"
 	"dahlialock/internal/transport"
 )
@@ -31,4 +32,6 @@
 		assert.Equal(t, transport.ClassOf(message), transport.ClassLive, "%T", message)
 	}
 	assert.Equal(t, transport.ClassOf(partition.Append{Bare: true}), transport.ClassUrgent)
+	assert.Equal(t, transport.ClassOf(gateway.RoutedCopy{}), transport.ClassLive)
+	assert.Equal(t, transport.ClassOf(gateway.RoutedCopy{Passing: true}), transport.ClassUrgent)
 }
