--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -7,7 +7,10 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -60,6 +63,9 @@
 	returns map[uint64]membership.ControlResponse
 	// sent counts the bytes of messages by receiver and type.
 	sent map[string]int
+	// random, if set, draws what a loss of power leaves, and judge looks at each moment.
+	random *rand.Rand
+	judge  func()
 }
 
 // seat is one controller's machine.
@@ -71,9 +77,12 @@
 	machine *Controller
 	life    int
 	up      bool
-	queue   []statemachine.Write
-	busy    bool
-	timer   int
+	// queue waits for the disk, and writing is what it does.
+	queue     []statemachine.Write
+	writing   []statemachine.Write
+	busy      bool
+	snapshots int
+	timer     int
 	// replayed is what the last start read.
 	replayed wal.Recovered
 }
@@ -107,6 +116,9 @@
 		next := heap.Pop(&c.queue).(happening)
 		c.now = next.at
 		next.run()
+		if c.judge != nil {
+			c.judge()
+		}
 	}
 	c.now = until
 }
@@ -145,7 +157,7 @@
 func (s *seat) start(founding bool) {
 	var err error
 	s.life++
-	s.up, s.queue, s.busy = true, nil, false
+	s.up, s.queue, s.writing, s.busy = true, nil, nil, false
 	s.book, s.replayed, err = wal.Open(s.disk)
 	assert.NilError(s.council.t, err)
 	s.machine, err = New(s.settings(founding), s.replayed.Frame, s.replayed.Entries)
@@ -153,11 +165,40 @@
 	s.step(func(now time.Time, effects *statemachine.Effects) { s.machine.Start(now, effects) })
 }
 
+// kill takes the power: the disk stops in the midst of what waits for it, between any two
+// of its operations, and what was not synced is lost, or by a draw kept in part.
 func (s *seat) kill() {
+	if !s.up {
+		return
+	}
+	if random := s.council.random; random != nil {
+		s.disk.Limit(random.IntN(12))
+		for _, each := range append(s.writing, s.queue...) {
+			if s.perform(each) != nil {
+				break
+			}
+		}
+		s.disk.PowerCut(random.IntN)
+	} else {
+		s.disk.PowerCut(nil)
+	}
 	s.up = false
 	s.life++
 }
 
+func (s *seat) perform(write statemachine.Write) error {
+	if frame, whole := write.Whole(); whole {
+		s.snapshots++
+		if err := s.book.Checkpoint(frame); err != nil {
+			return err
+		}
+	}
+	if len(write.Entries) == 0 {
+		return nil
+	}
+	return s.book.Append(write.Entries)
+}
+
 func (s *seat) enter(life int, run func(now time.Time, effects *statemachine.Effects)) {
 	if s.up && s.life == life {
 		s.step(run)
@@ -192,20 +233,15 @@
 		return
 	}
 	batch, life := s.queue, s.life
-	s.queue, s.busy = nil, true
+	s.queue, s.writing, s.busy = nil, s.queue, true
 	s.council.after(diskDelay, func() {
 		if !s.up || s.life != life {
 			return
 		}
 		for _, each := range batch {
-			if frame, whole := each.Whole(); whole {
-				assert.NilError(s.council.t, s.book.Checkpoint(frame))
-			}
-			if len(each.Entries) > 0 {
-				assert.NilError(s.council.t, s.book.Append(each.Entries))
-			}
+			assert.NilError(s.council.t, s.perform(each))
 		}
-		s.busy = false
+		s.busy, s.writing = false, nil
 		for _, each := range batch {
 			s.enter(life, func(now time.Time, effects *statemachine.Effects) {
 				s.machine.Command(now, statemachine.Synced{Token: each.Token}, effects)
@@ -345,6 +381,93 @@
 	}
 }
 
+// restartAtAnyPoint brings many changes in while members lose their power at any moment,
+// one at a time or all together, and now and then one its disk too. Whoever serves has
+// what was acknowledged.
+func restartAtAnyPoint(t testing.TB, seed uint64) (snapshots int) {
+	const changes, routes = 60, 12
+	c := newCouncil(t, 4)
+	c.random = rand.New(rand.NewPCG(seed, 0x5afe))
+	acknowledged, wiped, documents := uint64(0), c.now, map[uint64][]byte{}
+	c.judge = func() {
+		for name, each := range statemachine.Sorted(c.seats) {
+			if !each.up || !each.machine.watch.Serving(c.now) {
+				continue
+			}
+			held := each.machine.state
+			if held.Version < acknowledged || held.Version > 0 && !slices.Equal(held.Document, documents[held.Version]) {
+				t.Fatalf("seed %d: %s serves with number %d, acknowledged was %d", seed, name, held.Version, acknowledged)
+			}
+		}
+	}
+	strike := func() {
+		names := slices.Collect(maps.Keys(c.seats))
+		slices.Sort(names)
+		if slices.ContainsFunc(names, func(name string) bool { return !c.seats[name].up }) {
+			return
+		}
+		one := c.random.IntN(len(names))
+		wipe := c.now.Sub(wiped) > 12*time.Second && c.primary() != nil && c.random.IntN(2) == 0
+		all := c.random.IntN(4) == 0
+		for position, name := range names {
+			if position != one && !all {
+				continue
+			}
+			struck := c.seats[name]
+			struck.kill()
+			if position == one && wipe {
+				struck.disk.Wipe()
+				wiped = c.now
+			}
+			c.after(time.Duration(c.random.IntN(1500))*time.Millisecond, func() { struck.start(false) })
+		}
+	}
+	for number := range uint64(changes) {
+		if c.random.IntN(4) == 0 {
+			c.after(time.Duration(c.random.IntN(20_000))*time.Microsecond, strike)
+		}
+		documents[number+1] = sizedDocument(number+1, routes)
+		c.put(documents[number+1])
+		acknowledged = number + 1
+	}
+	for _, each := range c.seats {
+		snapshots += each.snapshots
+	}
+	return snapshots
+}
+
+func TestRestartsAtAnyPointOfLogAndSnapshotLoseNothing(t *testing.T) {
+	snapshots := 0
+	for seed := range uint64(25) {
+		snapshots += restartAtAnyPoint(t, seed)
+	}
+	assert.Assert(t, snapshots > 100, "only %d snapshots were written", snapshots)
+}
+
+// A gateway, agent or store that missed so many changes is told one document and what
+// changed of the view.
+func TestWhoFollowsIsToldOneDocument(t *testing.T) {
+	var blank, behind []int
+	for _, changes := range []int{10, 100, 1000} {
+		run := newChurn(t, 1)
+		index := run.state.Index
+		for number := range changes {
+			run.apply(Command{Configuration: configured(uint64(number+2), string(sizedDocument(uint64(number+2), 12)))})
+		}
+		for _, since := range []uint64{0, index} {
+			news := membership.News{Index: run.state.Index, Version: run.state.Version, Document: run.state.Document}
+			run.state.view(&news, since)
+			if bytes := len(transport.MustMarshal(news)); since == 0 {
+				blank = append(blank, bytes)
+			} else {
+				behind = append(behind, bytes)
+			}
+		}
+	}
+	t.Logf("after 10, 100 and 1,000 changes: %v bytes to a newcomer, %v to one who missed them", blank, behind)
+	assert.Assert(t, slices.Max(blank) < slices.Min(blank)+64 && slices.Max(behind) < slices.Min(behind)+64)
+}
+
 // BenchmarkRestart tells what a restart of the primary takes after so many changes of
 // a configuration with so many routes.
 func BenchmarkRestart(b *testing.B) {
