--- a/internal/controller/forget_mutation_test.go
+++ b/internal/controller/forget_mutation_test.go
@@ -3,6 +3,7 @@
 package controller
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
@@ -11,6 +12,13 @@
 	"dahlialock/internal/statemachine"
 )
 
+func (e *expectation) Helper() {}
+
+func (e *expectation) Fatalf(format string, values ...any) {
+	e.Log(fmt.Sprintf(format, values...))
+	e.FailNow()
+}
+
 // Without the bound on tombstones the state grows, and without the question whether
 // anything refers to a member what counts is forgotten; a log without a bound grows with
 // the changes.
@@ -32,6 +40,17 @@
 		assert.Check(t, red.failed, "nothing is seen of %s", mutation)
 		t.Log(mutation, red.lines)
 	}
+	for _, mutation := range []string{"snapshot-without-pending", "unsynced-names"} {
+		restore := statemachine.Mutate(mutation)
+		red := tried(func(t assert.TestingT) {
+			for seed := range uint64(200) {
+				restartAtAnyPoint(t.(reporter), seed)
+			}
+		})
+		restore()
+		assert.Check(t, red.failed, "nothing is seen of %s", mutation)
+		t.Log(mutation, red.lines)
+	}
 	restore := statemachine.Mutate("log-without-end")
 	defer restore()
 	c := newCouncil(t, 3)
--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -28,6 +28,13 @@
 	diskDelay = 2 * time.Millisecond
 )
 
+// reporter is what a run reports to: a test, a benchmark, or a proof that a run fails.
+type reporter interface {
+	assert.TestingT
+	Helper()
+	Fatalf(format string, values ...any)
+}
+
 type happening struct {
 	at    time.Time
 	order int
@@ -54,7 +61,7 @@
 // council is a few controllers with real logs on disks in memory, on links and in a
 // time of the test's own.
 type council struct {
-	t       testing.TB
+	t       reporter
 	now     time.Time
 	order   int
 	queue   happenings
@@ -87,7 +94,7 @@
 	replayed wal.Recovered
 }
 
-func newCouncil(t testing.TB, seats int) *council {
+func newCouncil(t reporter, seats int) *council {
 	made := &council{t: t, now: time.Unix(1_700_000_000, 0), seats: map[string]*seat{}, returns: map[uint64]membership.ControlResponse{}, sent: map[string]int{}}
 	for number := range seats {
 		made.add(number)
@@ -384,7 +391,7 @@
 // restartAtAnyPoint brings many changes in while members lose their power at any moment,
 // one at a time or all together, and now and then one its disk too. Whoever serves has
 // what was acknowledged.
-func restartAtAnyPoint(t testing.TB, seed uint64) (snapshots int) {
+func restartAtAnyPoint(t reporter, seed uint64) (snapshots int) {
 	const changes, routes = 60, 12
 	c := newCouncil(t, 4)
 	c.random = rand.New(rand.NewPCG(seed, 0x5afe))
