--- a/internal/gateway/tracker.go
+++ b/internal/gateway/tracker.go
@@ -543,7 +543,10 @@
 		add(name, 0)
 	}
 	for name := range statemachine.Sorted(g.routed.partitions) {
-		add(name, g.routed.told[name])
+		if from, begun := g.routed.told[name]; begun {
+			g.routed.followed[name] = g.wayTo(name)
+			add(name, from)
+		}
 	}
 	for address, follow := range statemachine.Sorted(byStore) {
 		effects.Send(address, follow)
@@ -561,7 +564,7 @@
 		}
 	}
 	g.resendRouted(now, effects)
-	if len(g.trackers)+len(g.routed.partitions) > 0 {
+	if g.waysChanged() {
 		g.timers.ArmSooner("follow", now)
 	}
 }
