Controllers that went are not remembered for ever by those that met them

Each controller that was ever heard stayed in the others' memory; 500 that were replaced left 504. Whoever was not heard for a minute is dropped once the founding is over (seen red without it).

--- a/internal/consensus/voters.go
+++ b/internal/consensus/voters.go
@@ -22,6 +22,8 @@
 // Spans of the voters.
 const (
 	standbyEvery = time.Second
+	// metFor is for how long a controller that was met is remembered.
+	metFor       = time.Minute
 	memberEvery  = 5 * time.Second
 	standbyFresh = 2500 * time.Millisecond
 	// replaceAfter lets the copies be replaced first; with a takeover before it, a lost
@@ -149,11 +151,26 @@
 	return addresses[w.turn%len(addresses)]
 }
 
+// forgetMet drops the controllers that were not heard for long, once the founding is
+// over: each that was ever replaced would stay otherwise.
+func (w *Watch) forgetMet(now time.Time) {
+	if w.blank {
+		return
+	}
+	for address, met := range w.met {
+		if now.Sub(met.heard) > metFor {
+			delete(w.met, address)
+		}
+	}
+	w.heardOf = map[string]bool{}
+}
+
 func (w *Watch) onHello(now time.Time, from string, hello Hello, effects *statemachine.Effects) {
 	if hello.Self.At(w.settings.Self) {
 		return
 	}
 	w.met[hello.Self.Address] = meeting{hello: hello, heard: now}
+	w.forgetMet(now)
 	if w.blank {
 		for _, controller := range hello.Known {
 			if _, met := w.met[controller.Address]; !met && !w.heardOf[controller.Address] && !controller.At(w.settings.Self) {
--- a/internal/consensus/voters_test.go
+++ b/internal/consensus/voters_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dahlialock/internal/statemachine"
 	"dahlialock/internal/wal"
 )
 
@@ -325,3 +326,18 @@
 	fresh := wb.add(name, fmt.Sprint("address-", len(wb.controllers)), lost.self.Zone)
 	wb.after(time.Duration(wb.random.IntN(6000))*time.Millisecond, fresh.start)
 }
+
+// Controllers that were replaced are not remembered for ever by those that met them.
+func TestControllersThatWentAreNotRemembered(t *testing.T) {
+	bench := settledFleet(t, 1, 1)
+	primary := bench.serving()
+	before := len(primary.watch.met)
+	for number := range 500 {
+		gone := Controller{Name: fmt.Sprint("gone-", number), Address: fmt.Sprint("gone-", number), Zone: "0"}
+		primary.step(func(now time.Time, effects *statemachine.Effects) {
+			primary.watch.Message(now, statemachine.Meta{From: gone.Address}, Hello{Self: gone, Blank: true}, effects)
+		})
+		bench.run(time.Second)
+	}
+	assert.Assert(t, len(primary.watch.met) <= before+int(metFor/time.Second)+2, "%d are remembered", len(primary.watch.met))
+}
