--- a/internal/controller/state.go
+++ b/internal/controller/state.go
@@ -42,6 +42,8 @@
 	// History are the newest numbers under which a configuration was confirmed, the
 	// lowest number first.
 	History []Decision
+	// Orders are the newest retirements that were taken, the oldest first.
+	Orders []statemachine.RequestID
 	// Tombstones are what is left of the members that were forgotten, the oldest first,
 	// and Drained the gateways that the configuration in force names as drained.
 	Tombstones []Tombstone
--- a/internal/membership/follower.go
+++ b/internal/membership/follower.go
@@ -39,6 +39,7 @@
 	guess       int
 	primary     string
 	nonce       uint64
+	heard       uint64
 	askedAt     time.Time
 	asked       []question
 	searches    int
@@ -204,7 +205,7 @@
 	effects.Send(address, Ask{
 		Self: f.self, Nonce: f.nonce, Index: f.Index, Version: f.Version,
 		Load: f.load(), Patient: f.patient, Urgent: f.searching || f.hurried,
-		Epoch: f.Epoch,
+		Epoch: f.Epoch, Heard: f.heard,
 	})
 }
 
@@ -264,6 +265,9 @@
 
 // Take takes news that is not older than what is held.
 func (f *Follower) Take(now time.Time, news News) Taken {
+	if news.Nonce <= f.nonce {
+		f.heard = max(f.heard, news.Nonce)
+	}
 	if news.Epoch < f.Epoch || news.Index < f.Index || news.Version < f.Version {
 		return Taken{}
 	}
@@ -341,6 +345,18 @@
 	return f.controllers[f.guess%len(f.controllers)]
 }
 
+// Relays are the addresses of living agents, which carry requests to controllers:
+// they may reach one that this daemon has lost.
+func (f *Follower) Relays() []string {
+	var addresses []string
+	for _, member := range statemachine.Sorted(f.Members) {
+		if member.Kind == KindAgent && member.Alive && member.Name != f.self.Name {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	return addresses
+}
+
 // AnswerConfig gives a daemon that asks a configuration newer than its own.
 func (f *Follower) AnswerConfig(to string, ask ConfigAsk, effects *statemachine.Effects) {
 	if f.Version > ask.Version {
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -49,7 +49,7 @@
 		if frames == 0 {
 			return
 		}
-		piece := chunk{body: whole.body[begin:end], class: whole.class, frames: frames, at: now}
+		piece := chunk{body: whole.body[begin:end], class: whole.class, frames: frames, at: now, bounds: boundsWithin(whole.bounds, begin, end)}
 		if delay := t.delay(present.to, piece.body); delay > 0 {
 			piece.due = now.Add(delay)
 		}
@@ -93,6 +93,11 @@
 			t.held.Store(false)
 			return
 		}
+		if next.class.Stale(now.Sub(next.at)) {
+			t.dropped([]chunk{next})
+			t.settle(t.tended[peer])
+			continue
+		}
 		t.give(now, t.tended[peer], next)
 		t.settle(t.tended[peer])
 	}
@@ -123,6 +128,8 @@
 	case present.wire == nil:
 		t.call(present)
 		return false
+	case next.class.Stale(time.Since(next.at)):
+		return true
 	case !next.due.IsZero() && time.Until(next.due) > 0:
 		t.arm(present, time.Until(next.due))
 		return false
@@ -130,7 +137,7 @@
 		t.arm(present, lookAgain)
 		return false
 	}
-	return present.socket.window.Open()
+	return present.socket.window.Open(next.class)
 }
 
 // give puts a chunk on a connection.
@@ -143,6 +150,9 @@
 		}
 		return
 	}
+	if next = t.departing(next); next.frames == 0 {
+		return
+	}
 	var wrapped []byte
 	wrapped, t.wrapping = present.socket.wrap(t.wrapping, next.body)
 	present.socket.window.Sent(now, len(wrapped))
@@ -225,7 +235,11 @@
 
 // present tells the dialling loop that a peer has just named itself on a connection of
 // its own: it is there, so that a dial begun before it was is given up and made anew.
+// While links are still being opened there is none to give up.
 func (t *Transport) present(address string) {
+	if !t.looping.Load() {
+		return
+	}
 	t.onLoop(func() {
 		known, found := t.tended[address]
 		if !found || known.wire != nil || t.stopped || t.cutTo(address) {
@@ -295,6 +309,10 @@
 		t.pauseLink(present)
 	}
 	present.answers = false
+	if errors.Is(err, unix.ECONNRESET) {
+		// Somebody was there, and may be gone by the next time.
+		t.probe(present, probeSlowly)
+	}
 	t.dropStale(present)
 	if t.order.Waits(present.to) {
 		t.call(present)
@@ -322,20 +340,13 @@
 	present.socket.end()
 	present.wire, present.socket = nil, nil
 	t.pauseLink(present)
-	if t.watches.Load() && !present.idle && !t.stopped {
+	if !present.idle {
 		wait := probeAfter
 		if time.Since(present.openAt) < probeSlowly {
 			// Somebody answers and hangs up again and again.
 			wait = probeSlowly
 		}
-		time.AfterFunc(wait, func() {
-			t.onLoop(func() {
-				if present.wire == nil && !t.cutTo(present.to) {
-					present.retryAt = time.Time{}
-					t.call(present)
-				}
-			})
-		})
+		t.probe(present, wait)
 	}
 	present.rest = chunk{}
 	// Whoever asked for what it had missed asks again, on a connection of its own.
@@ -346,6 +357,22 @@
 	}
 }
 
+// probe dials again after a while, where the owner wants to know whether anybody is
+// there.
+func (t *Transport) probe(present *link, wait time.Duration) {
+	if !t.watches.Load() || t.stopped {
+		return
+	}
+	time.AfterFunc(wait, func() {
+		t.onLoop(func() {
+			if present.wire == nil && !t.cutTo(present.to) {
+				present.retryAt = time.Time{}
+				t.call(present)
+			}
+		})
+	})
+}
+
 func (t *Transport) pauseLink(present *link) {
 	present.pause = min(max(2*present.pause, pauseLeast), pauseMost)
 	present.retryAt = time.Now().Add(present.pause)
