The word of a store that was cut off takes no partitions from others

A store that came back after a cut of 20 s went by its old view for a moment: first for its partitions, with copies unanswered since the cut, it said that the others' disks had lagged for 19.9 s, and was believed. Such a word now counts only of one that is alive and, by the state, first for a partition that the other follows, or of its own disk.

Red before and with the mutation any-reporter, green with it.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -415,7 +415,7 @@
 }
 
 func (c *Controller) onLagging(now time.Time, told membership.Lagging, effects *statemachine.Effects) {
-	if !c.watch.HoldsLease(now) {
+	if !c.watch.HoldsLease(now) || !c.copiesTo(told.Reporter, told.Name) && !statemachine.Mutated("any-reporter") {
 		return
 	}
 	if told.Sure {
@@ -445,6 +445,25 @@
 	c.timers.ArmSooner("tend", now.Add(doubtFor))
 }
 
+// copiesTo tells whether a store may speak of another's disk: it is alive, and first
+// for a partition that the other follows; or it speaks of its own. One that was cut
+// off goes by an old view until it has heard the news, and what it waits for from
+// there is no fault of the other.
+func (c *Controller) copiesTo(reporter, name string) bool {
+	if reporter == name {
+		return true
+	}
+	if !c.state.Members[reporter].Alive {
+		return false
+	}
+	for _, place := range c.state.Places {
+		if place.First == reporter && slices.Contains(place.Followers, name) {
+			return true
+		}
+	}
+	return false
+}
+
 // doubt is what one store said of another's disk.
 type doubt struct {
 	since     time.Time
--- a/internal/simulator/cutoff_mutation_test.go
+++ b/internal/simulator/cutoff_mutation_test.go
@@ -45,9 +45,12 @@
 	}
 }
 
-func TestTheWordOfWhatAStoreHearsIsNeeded(t *testing.T) {
-	defer statemachine.Mutate("deaf-store")()
-	trial := &doomed{}
-	cutStore(trial, severance{"store", "core", "in"}, 0)
-	assert.Check(t, strings.Contains(strings.Join(trial.lines, "\n"), "partitions false"), "%v", trial.lines)
+func TestEachMechanismOfACutOffStoreIsNeeded(t *testing.T) {
+	for mutation, says := range map[string]string{"deaf-store": "partitions false", "any-reporter": "took partitions"} {
+		restore := statemachine.Mutate(mutation)
+		trial := &doomed{}
+		cutStore(trial, severance{"store", "core", "in"}, 0)
+		restore()
+		assert.Check(t, strings.Contains(strings.Join(trial.lines, "\n"), says), "%s: %v", mutation, trial.lines)
+	}
 }
--- a/internal/simulator/cutoff_store_test.go
+++ b/internal/simulator/cutoff_store_test.go
@@ -36,7 +36,23 @@
 	_, partitions, callers := simulation.serving()
 	assert.Check(t, partitions && callers, "%s, seed %d: partitions %v callers %v after %s", each, seed, partitions, callers, storeServedWithin)
 	simulation.Run(cutLength - storeServedWithin)
+	degraded := map[string]bool{}
+	simulation.every(contactWithin, 100*time.Millisecond, 200*time.Millisecond, func() {
+		primary := simulation.Primary()
+		if primary == nil {
+			return
+		}
+		for name, member := range primary.watchedState().Members {
+			if member.Degraded && name != store.Name {
+				degraded[name] = true
+			}
+		}
+	})
 	mend()
+	simulation.Run(contactWithin)
+	assert.Check(t, len(degraded) == 0, "%s, seed %d: the word of one that was cut off took partitions from %v", each, seed, degraded)
+	_, partitions, callers = simulation.serving()
+	assert.Check(t, partitions && callers, "%s, seed %d: partitions %v callers %v, in touch again", each, seed, partitions, callers)
 	simulation.Settle(20 * time.Second)
 	for _, line := range simulation.Checker.Violations() {
 		assert.Check(t, false, "%s, seed %d: %s", each, seed, line)
