--- a/internal/simulator/orders_test.go
+++ b/internal/simulator/orders_test.go
@@ -4,10 +4,14 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"dahlialock/internal/controller"
+	"dahlialock/internal/membership"
 )
 
 func TestOrdersThatMeetWhereTheHighestNumberCounts(t *testing.T) {
@@ -50,3 +54,30 @@
 		})
 	}
 }
+
+// A store that was emptied is taken away for good; the order that emptied it is sent
+// again for minutes, through all daemons and across take-overs, and is never refused.
+func TestAnOrderToRetireIsAcknowledgedWhenItsStoreIsGone(t *testing.T) {
+	size := Size{Gateways: 1, Stores: 3, Controllers: 5, Places: 3, Delay: time.Millisecond}
+	run, _ := Prepare(11, size, nil)
+	desk := newDesk(run)
+	store := run.Nodes(membership.KindStore)[1]
+	taken := 0
+	acknowledged := func(status int) {
+		taken++
+		assert.Check(t, status == http.StatusAccepted, "refused with %d at %s", status, run.Now)
+	}
+	desk.retire(store, "retire", orderTries, acknowledged)
+	assert.Assert(t, run.RunUntil(10*time.Second, func() bool {
+		primary := run.Primary()
+		return primary != nil && primary.Machine.(*controller.Controller).State().Members[store.Name].Retired
+	}))
+	store.Kill()
+	store.Wipe()
+	const gone = 3 * time.Minute
+	desk.takeOvers(gone)
+	run.every(gone, time.Second, 5*time.Second, func() { desk.retire(store, "retire", orderTries, acknowledged) })
+	run.Run(gone + 20*time.Second)
+	t.Logf("%d times acknowledged", taken)
+	assert.Assert(t, taken > 40)
+}
