--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -132,6 +132,8 @@
 	// watches is set where the owner wants to know of addresses that refuse.
 	watches atomic.Bool
 	closing atomic.Bool
+	// dials is set once the dialling loop stands, some time after the listener.
+	dials atomic.Bool
 
 	// Of the accepting loop.
 	reader reader
@@ -324,6 +326,7 @@
 		return err
 	}
 	t.loop = first.EventLoop()
+	t.dials.Store(true)
 	_ = first.Close()
 	time.AfterFunc(idleLimit, t.sweepLater)
 	return nil
