--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -29,14 +29,11 @@
 // Spans of the primary's work.
 const (
 	suspicionFresh = 1200 * time.Millisecond
-	unheardFrom    = 2 * time.Second
 	storeUnheard   = 700 * time.Millisecond
 	tendEvery      = 200 * time.Millisecond
 	idleEvery      = 500 * time.Millisecond
-	commandLimit   = 2 * time.Second
 	settleFor      = 3 * time.Second
 	succeedsAfter  = 1200 * time.Millisecond
-	followingFor   = 5 * time.Second
 	doubtFor       = 300 * time.Millisecond
 	doubtLong      = time.Second
 	joinPause      = 20 * time.Millisecond
@@ -55,6 +52,10 @@
 	// Highest answers a configuration that is not above the one held as taken;
 	// otherwise it is a conflict, unless it is the same.
 	Highest bool
+	// Acknowledge is within what time a proper order is to be acknowledged.
+	Acknowledge time.Duration
+	// Contact is within what time a daemon is in touch again.
+	Contact time.Duration
 	// Tolerance, if given, is how many machines with a disk may be lost at once.
 	Tolerance *int
 	// Grace is for how long a daemon that was asked to end is let run.
@@ -73,6 +74,8 @@
 	from  string
 	ask   membership.Ask
 	limit time.Time
+	// after is when it may be answered with a view, if not yet.
+	after time.Time
 }
 
 type reported struct {
@@ -83,6 +86,7 @@
 // Controller is the state machine.
 type Controller struct {
 	settings      Settings
+	spans         spans
 	state         *State
 	watch         *consensus.Watch
 	pulse         *membership.Pulse
@@ -90,6 +94,7 @@
 	controlClient *controlclient.ControlClient
 	timers        *statemachine.Timers
 	held          map[string]held
+	views         map[string]sentView
 	heard         map[string]time.Time
 	loads         map[string]membership.Load
 	suspected     map[string]map[string]reported
@@ -99,6 +104,7 @@
 	lags          map[string]lag
 	dead          map[string]reported
 	doubts        map[string]*doubt
+	answers       map[string]answered
 	busy          bool
 	stopBy        time.Time
 	began         time.Time
@@ -113,9 +119,9 @@
 // New makes a controller from what its disk held.
 func New(settings Settings, frame []byte, entries [][]byte) (*Controller, error) {
 	controller := &Controller{
-		settings: settings, state: newState(), timers: statemachine.NewTimers(),
-		held: map[string]held{}, heard: map[string]time.Time{}, loads: map[string]membership.Load{},
-		suspected: map[string]map[string]reported{}, joining: map[string]Join{}, leaving: map[string]Departure{}, complete: map[string]membership.PartitionComplete{}, lags: map[string]lag{}, doubts: map[string]*doubt{},
+		settings: settings, spans: spansOf(settings), state: newState(), timers: statemachine.NewTimers(),
+		held: map[string]held{}, views: map[string]sentView{}, heard: map[string]time.Time{}, loads: map[string]membership.Load{},
+		suspected: map[string]map[string]reported{}, joining: map[string]Join{}, leaving: map[string]Departure{}, complete: map[string]membership.PartitionComplete{}, lags: map[string]lag{}, doubts: map[string]*doubt{}, answers: map[string]answered{},
 		orders: map[string]membership.Orders{},
 	}
 	self := consensus.Controller{Name: settings.Self.Name, Address: settings.Self.Address, Zone: settings.Self.Zone}
@@ -134,7 +140,9 @@
 	controller.economist = consolidation.New()
 	controller.pulse = membership.NewPulse(settings.Self)
 	controller.follower = membership.NewFollower(settings.Self, settings.Life, append([]string{settings.Self.Address}, settings.Seeds...), func() membership.Load { return membership.Load{} })
-	controller.controlClient = controlclient.New(settings.Life, controller.upstream, controller.follower.Other)
+	controller.controlClient = controlclient.New(controlclient.Settings{
+		Life: settings.Life, Acknowledge: settings.Acknowledge, Upstream: controller.upstream, Other: controller.follower.Other, Relays: controller.follower.Relays,
+	})
 	return controller, nil
 }
 
@@ -242,7 +250,7 @@
 	case membership.ControlRequest:
 		c.onControl(now, meta.From, body, effects)
 	case membership.ControlResponse:
-		c.controlClient.Take(now, meta.From, body, effects)
+		c.takeAnswer(now, meta.From, body, effects)
 	case membership.ConfigAsk:
 		c.follower.AnswerConfig(meta.From, body, effects)
 	}
@@ -264,7 +272,12 @@
 	if ask.Patient {
 		hold = membership.PatientHold
 	}
-	item := held{from: from, ask: ask, limit: now.Add(hold)}
+	item := held{from: from, ask: ask, limit: now.Add(hold), after: c.viewDue(ask)}
+	if item.after.After(now) {
+		c.held[ask.Self.Name] = item
+		c.timers.ArmSooner("tend", item.after)
+		return
+	}
 	if ask.Index != c.state.Index || ask.Version != c.state.Version || ask.Urgent {
 		c.give(now, item, effects)
 		return
@@ -284,7 +297,8 @@
 	return redirect
 }
 
-func (c *Controller) give(_ time.Time, item held, effects *statemachine.Effects) {
+func (c *Controller) give(now time.Time, item held, effects *statemachine.Effects) {
+	c.noteAnswer(now, item.ask)
 	delete(c.held, item.ask.Self.Name)
 	news := membership.News{
 		For: item.ask.Self.Name, Nonce: item.ask.Nonce, Epoch: c.watch.Record().Epoch,
@@ -301,8 +315,9 @@
 			since = 0
 		}
 		c.state.view(&news, since)
+		c.noteView(now, item.ask)
 	}
-	effects.Send(item.from, news)
+	effects.SendBefore(item.from, news, c.watch.LeaseEnd())
 }
 
 // answerNews answers those that wait, once there is news or their time is up.
@@ -311,6 +326,9 @@
 		return
 	}
 	for _, item := range statemachine.Sorted(c.held) {
+		if item.after.After(now) {
+			continue
+		}
 		if item.ask.Index != c.state.Index || !item.limit.After(now) {
 			c.give(now, item, effects)
 		}
@@ -322,6 +340,10 @@
 // has been silent for a while.
 func (c *Controller) noteMember(now time.Time, ask membership.Ask) {
 	self := ask.Self
+	c.noteHeard(ask)
+	if c.deaf(now, self.Name) {
+		return
+	}
 	known, found := c.state.member(self.Name)
 	if found && self.Incarnation < known.Incarnation && now.Sub(c.heard[known.Name]) <= succeedsAfter {
 		return
@@ -395,6 +417,7 @@
 	c.orders = map[string]membership.Orders{}
 	c.dead = map[string]reported{}
 	c.lags, c.doubts = map[string]lag{}, map[string]*doubt{}
+	c.answers = map[string]answered{}
 	for name, member := range c.state.Members {
 		c.heard[name] = now
 		if member.Degraded {
@@ -477,6 +500,7 @@
 
 func (c *Controller) stopActing(_ time.Time, effects *statemachine.Effects) {
 	c.acting, c.busy = false, false
+	clear(c.views)
 	for name, item := range statemachine.Sorted(c.held) {
 		delete(c.held, name)
 		effects.Send(item.from, c.redirect(item.ask))
@@ -561,7 +585,7 @@
 
 func (c *Controller) submit(now time.Time, command Command, effects *statemachine.Effects) {
 	c.busy = true
-	c.watch.Submit(now, mustPack(command), commandLimit, func(now time.Time, effects *statemachine.Effects, outcome consensus.Outcome) {
+	c.watch.Submit(now, mustPack(command), c.spans.command, func(now time.Time, effects *statemachine.Effects, outcome consensus.Outcome) {
 		c.busy = false
 		if outcome == consensus.Committed {
 			c.answerNews(now, effects)
@@ -588,7 +612,7 @@
 			fresh++
 		}
 		unheard := now.Sub(c.heard[name])
-		limit, unasked := unheardFrom, unheardFrom/2
+		limit, unasked := c.spans.unheard, c.spans.unheard/2
 		if member.Resting {
 			limit += membership.PatientHold
 		}
@@ -607,13 +631,17 @@
 	for name, member := range statemachine.Sorted(c.state.Members) {
 		// A daemon that is heard by its watchers and yet follows nothing acts on
 		// an old view: to the others it is as good as lost.
-		limit := followingFor
+		limit := c.spans.following
 		if member.Resting {
 			limit += membership.PatientHold
 		}
-		if unheard := now.Sub(c.heard[name]); member.Alive && unheard > limit && !slices.ContainsFunc(gone, func(other Departure) bool { return other.Name == name }) {
+		if unheard := now.Sub(c.heard[name]); member.Alive && (unheard > limit || c.deaf(now, name)) && !slices.ContainsFunc(gone, func(other Departure) bool { return other.Name == name }) {
 			gone = append(gone, Departure{Name: name, Incarnation: member.Incarnation})
-			effects.Note(logevent.MemberLost, "member", name, "why", "does not follow", "unheard", unheard.String())
+			why := "does not follow"
+			if c.deaf(now, name) {
+				why = "hears no answer"
+			}
+			effects.Note(logevent.MemberLost, "member", name, "why", why, "unheard", unheard.String())
 		}
 	}
 	return gone
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -110,6 +110,8 @@
 	// primary, or a request waits for what there is.
 	Urgent bool
 	Epoch  uint64
+	// Heard is the newest of the asker's nonces to which it has heard an answer.
+	Heard uint64
 }
 
 // News answers an Ask. What changed after Since is told, and the rest is as the
@@ -218,12 +220,17 @@
 	Sure bool
 }
 
-// ControlRequest carries an operator's request on to the primary.
+// ControlRequest carries an operator's request on to the primary. Request names it
+// between two daemons; Order names it from the daemon that the operator asked on, so
+// that it is known again whichever way it comes.
 type ControlRequest struct {
 	Request statemachine.RequestID
+	Order   statemachine.RequestID
 	Method  string
 	Path    string
 	Body    []byte
+	// Relayed is set on what a daemon that is not a controller is to carry.
+	Relayed bool
 }
 
 // ControlResponse is its answer.
