All that can happen to a partition while a copy is replaced or a store retired

Real stores under the real placement rules, the primary modelled: every message late, lost or twice, and at each step a store that ends, loses its disk or is gone, with tolerance 1 and 2. Judged: an accepted message has one offset and is read there in the end.

--- a/internal/controller/placement.go
+++ b/internal/controller/placement.go
@@ -211,7 +211,7 @@
 		if place.Names(store) {
 			return true
 		}
-		if !place.Complete && slices.Contains(place.Safe, s.Members[store].Holder()) {
+		if !place.Complete && !statemachine.Mutated("done-before-copied") && slices.Contains(place.Safe, s.Members[store].Holder()) {
 			return true
 		}
 	}
