--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -47,6 +47,7 @@
 	MemberJoined        = 2030
 	MemberSuspected     = 2031
 	MemberLost          = 2032
+	MemberForgotten     = 2033
 	PlacementChanged    = 2040
 	PlacementComplete   = 2041
 	StoreRetired        = 2042
@@ -100,13 +101,14 @@
 	MemberJoined:        {logrus.InfoLevel, "member joined"},
 	MemberSuspected:     {logrus.WarnLevel, "watcher hears nothing from a member"},
 	MemberLost:          {logrus.WarnLevel, "member taken for lost"},
+	MemberForgotten:     {logrus.InfoLevel, "member that was lost for long is forgotten"},
 	PlacementChanged:    {logrus.InfoLevel, "partition placed anew"},
 	PlacementComplete:   {logrus.InfoLevel, "partition has all its synced copies"},
 	StoreRetired:        {logrus.InfoLevel, "store retired"},
 	StoreDegraded:       {logrus.WarnLevel, "store's disk lags, its partitions go to others"},
 	StoreWell:           {logrus.InfoLevel, "store may be given partitions again"},
 	NewsTaken:           {logrus.InfoLevel, "configuration in force"},
-	Isolated:            {logrus.WarnLevel, "no other daemon heard, refusing visits"},
+	Isolated:            {logrus.WarnLevel, "no other daemon heard, refusing requests"},
 	Ready:               {logrus.InfoLevel, "daemon ready"},
 	NotReady:            {logrus.InfoLevel, "daemon not ready"},
 	ChannelOpened:       {logrus.DebugLevel, "channel opened"},
@@ -116,8 +118,8 @@
 	HoleFound:           {logrus.DebugLevel, "hole in a partition found"},
 	HoleFilled:          {logrus.DebugLevel, "hole in a partition filled"},
 	PartitionFirst:      {logrus.InfoLevel, "store is first for partitions"},
-	PartitionFrameSent:  {logrus.InfoLevel, "partition frame sent to the follower"},
-	PartitionFrameTaken: {logrus.InfoLevel, "partition frame taken"},
+	PartitionFrameSent:  {logrus.InfoLevel, "partition snapshot sent to the follower"},
+	PartitionFrameTaken: {logrus.InfoLevel, "partition snapshot taken"},
 	PartitionOlderEpoch: {logrus.WarnLevel, "older epoch of a partition refused"},
 	GatewayRested:       {logrus.InfoLevel, "gateway rests"},
 	GatewayWoken:        {logrus.InfoLevel, "gateway woken"},
