--- a/internal/consensus/leave.go
+++ b/internal/consensus/leave.go
@@ -18,6 +18,8 @@
 	leaveEvery   = 100 * time.Millisecond
 	departsFresh = time.Second
 	departsKept  = 10 * time.Second
+	// hearsStandbys is how long a primary acts before it has heard all that stand by.
+	hearsStandbys = standbyEvery + 200*time.Millisecond
 	// takeBackAfter is when a primary that leaves takes the lease back: nobody took
 	// over, so it may hold the only copy.
 	takeBackAfter = lostAfter
@@ -66,12 +68,18 @@
 	})
 }
 
-// handOver gives the lease back once a backup can go on at once.
+// handOver gives the lease back once a backup that stays can go on at once.
 func (w *Watch) handOver(now time.Time, effects *statemachine.Effects) {
-	if !w.Serving(now) || w.trying != nil || len(w.durable.Record.Backups) == 0 {
+	if !w.Serving(now) || w.trying != nil {
 		return
 	}
-	w.Yield(now, effects)
+	record := w.durable.Record
+	if slices.ContainsFunc(record.Backups, func(name string) bool {
+		backup, _ := record.Find(name)
+		return !w.saidToGo(now, backup.Address)
+	}) {
+		w.Yield(now, effects)
+	}
 }
 
 // onLeave is told that a controller wants to go. Who is outside the voters may, as
@@ -167,6 +175,9 @@
 	if w.trying != nil || w.replacing || w.gathered || !w.level() || len(w.Standbys(now)) > 0 || mayShrink(record) {
 		return false
 	}
+	if now.Sub(w.actingSince) < hearsStandbys && !statemachine.Mutated("irreplaceable-unheard") {
+		return false
+	}
 	copies, found := w.departingBackup(now)
 	return !found || copies != name
 }
