A store that is asked to end is emptied first

Now it has its partitions given to others first, as one whose disk lags, and ends once no partition names it or holds it safe, or after three quarters of the grace.

--- a/cmd/store/main.go
+++ b/cmd/store/main.go
@@ -17,7 +17,7 @@
 }
 
 func build(current settings.Settings, self membership.Member, stored daemon.Stored) (daemon.Build, error) {
-	machine, err := partition.New(partition.Settings{Self: self, Seeds: current.Seeds, NewDisk: stored.NewDisk, Life: stored.Life, Redeliver: current.Bounds.Redeliver}, stored.Frame, stored.Entries)
+	machine, err := partition.New(partition.Settings{Self: self, Seeds: current.Seeds, NewDisk: stored.NewDisk, Life: stored.Life, Redeliver: current.Bounds.Redeliver, Grace: current.Bounds.Grace}, stored.Frame, stored.Entries)
 	if err != nil {
 		return daemon.Build{}, err
 	}
--- a/internal/controller/explore_test.go
+++ b/internal/controller/explore_test.go
@@ -75,6 +75,7 @@
 	left     storeTroubles
 	lost     int
 	asks     map[string]heldAsk
+	lags     map[string]lag
 	asked    uint64
 	accepted map[string]uint64
 	fetched  map[uint64]string
@@ -90,7 +91,7 @@
 
 func newStoreWorld(stores, tolerance int, left storeTroubles) *storeWorld {
 	w := &storeWorld{
-		now: exploreOrigin, tendAt: exploreOrigin, state: newState(), left: left, asks: map[string]heldAsk{}, accepted: map[string]uint64{}, fetched: map[uint64]string{},
+		now: exploreOrigin, tendAt: exploreOrigin, state: newState(), left: left, asks: map[string]heldAsk{}, lags: map[string]lag{}, accepted: map[string]uint64{}, fetched: map[uint64]string{},
 	}
 	w.apply(Command{Configuration: configured(1, testConfig), Tolerance: &tolerance})
 	w.config, _ = config.Read(w.state.Document)
@@ -146,6 +147,11 @@
 	for _, send := range effects.Sends {
 		w.send(s.name, send.To, send.Message)
 	}
+	if effects.Stop {
+		// Its machine is taken away with it.
+		s.remove()
+		return
+	}
 	for _, write := range effects.Writes {
 		w.items = append(w.items, &onTheWay{to: s.name, write: &write, cause: w.cause})
 	}
@@ -219,6 +225,8 @@
 		w.answerNews()
 	case membership.PartitionComplete:
 		w.apply(Command{Settled: []membership.PartitionComplete{body}})
+	case membership.Lagging:
+		w.lags[body.Name] = lag{at: w.now, incarnation: body.Incarnation, delay: body.Delay}
 	}
 }
 
@@ -260,6 +268,9 @@
 			store.remove()
 		}
 	}
+	if changes := w.state.degradations(w.now, w.lags); len(changes) > 0 {
+		w.apply(Command{Degradations: changes})
+	}
 	if changes := w.state.plan(w.config); len(changes) > 0 {
 		w.apply(Command{Places: changes})
 	}
@@ -473,7 +484,7 @@
 
 // Key names the state.
 func (w *storeWorld) Key() explore.Key {
-	parts := []any{w.left, w.lost, w.tendAt, w.state.Places, w.state.Members, w.state.Index, w.asks, w.accepted}
+	parts := []any{w.left, w.lost, w.tendAt, w.state.Places, w.state.Members, w.state.Index, w.asks, w.lags, w.accepted}
 	for _, store := range w.stores {
 		parts = append(parts, store.up, store.gone, store.disk, store.lives, store.endedAt)
 		if store.up {
@@ -553,7 +564,18 @@
 	w.apply(Command{Retirement: &Retirement{Store: store.name, Retiring: true}})
 }
 
+func (s *exploreStore) stop() {
+	s.world.cause = []byte("stop")
+	s.step(func(now time.Time, effects *statemachine.Effects) { s.machine.Command(now, partition.Stop{}, effects) })
+}
+
 var storeWalks = []storeWalk{
+	{
+		name:   "the leader is stopped and taken away, another loses its disk",
+		begin:  striking(3, 1, storeTroubles{appends: 1, losses: 1, repeats: 1, wipes: 1}, func(w *storeWorld) { w.leader().stop() }),
+		short:  explore.Bounds{Depth: 60, Budget: 1, Finish: explore.FinishLast},
+		longer: explore.Bounds{Depth: 40, Budget: 2, Finish: explore.FinishLast},
+	},
 	{
 		name:   "the leader is retired, another loses its disk",
 		begin:  striking(3, 1, storeTroubles{appends: 1, losses: 1, repeats: 1, wipes: 1}, func(w *storeWorld) { w.retire(w.leader()) }),
--- a/internal/controller/exploremutation_test.go
+++ b/internal/controller/exploremutation_test.go
@@ -19,9 +19,10 @@
 		walk     storeWalk
 		bounds   explore.Bounds
 	}{
-		{"done-before-copied", storeWalks[0], storeWalks[0].short},
+		{"store-ends-at-once", storeWalks[0], storeWalks[0].short},
+		{"done-before-copied", storeWalks[1], storeWalks[1].short},
 		// The copy must be late, and the disk lost: two troubles.
-		{"accept-on-one-disk", storeWalks[3], explore.Bounds{Depth: 6, Budget: 2, Finish: explore.FinishLast}},
+		{"accept-on-one-disk", storeWalks[4], explore.Bounds{Depth: 6, Budget: 2, Finish: explore.FinishLast}},
 	} {
 		t.Run(each.mutation+"/"+each.walk.name, func(t *testing.T) {
 			restore := statemachine.Mutate(each.mutation)
--- a/internal/partition/store.go
+++ b/internal/partition/store.go
@@ -55,6 +55,8 @@
 	NewDisk string
 	// Redeliver is how long a caller may send an accepted message again.
 	Redeliver time.Duration
+	// Grace is for how long a daemon that was asked to end is let run.
+	Grace time.Duration
 	// Life names this run of the process.
 	Life statemachine.Life
 }
@@ -73,9 +75,6 @@
 	Request, Message, Origin string
 }
 
-// Stop asks the store to end in good order.
-type Stop struct{}
-
 type waiter struct {
 	from    string
 	request uint64
@@ -181,6 +180,7 @@
 	holding       time.Duration
 	past          []pastHolding
 	stopping      bool
+	stopBy        time.Time
 
 	entries            [][]byte
 	afters             []afterSync
@@ -288,13 +288,7 @@
 	case FindDecisions:
 		effects.Return(body.Local, s.ring.Find(body.Request, body.Message, body.Origin))
 	case Stop:
-		s.stopping = true
-		for _, member := range statemachine.Sorted(s.follower.Members) {
-			if member.Kind == membership.KindController {
-				effects.Send(member.Address, membership.Farewell{Name: s.settings.Self.Name, Incarnation: s.settings.Self.Incarnation})
-			}
-		}
-		effects.Stop = true
+		s.beginStop(now, effects)
 	}
 	s.flush(now, effects)
 }
@@ -313,6 +307,8 @@
 			s.recopy(now, effects)
 		case key == "probe":
 			s.probe(now)
+		case key == "leave":
+			s.leave(now, effects)
 		case key == "tell":
 			s.tell(now, effects)
 		case strings.HasPrefix(key, "heads "):
--- a/internal/simulator/secondloss_test.go
+++ b/internal/simulator/secondloss_test.go
@@ -122,6 +122,17 @@
 	}
 }
 
+// stoppedStore asks a store to end, takes its machine away with it, and wipes others.
+func stoppedStore(t *testing.T, run *Simulation) {
+	leaver := run.Nodes(membership.KindStore)[run.Seed%2]
+	leaver.Terminate()
+	assert.Check(t, run.RunUntil(5*time.Second, func() bool { return !leaver.Up }))
+	run.remove(leaver)
+	for number, node := range run.Nodes(membership.KindStore) {
+		run.killFor(node, run.between(300*time.Millisecond, 900*time.Millisecond), number < run.Size.Tolerance)
+	}
+}
+
 // afterEachAck wipes the primary right after it has acknowledged something, twice.
 func afterEachAck(t *testing.T, run *Simulation) {
 	for range 2 {
@@ -157,6 +168,8 @@
 	{"a voter change is open, all lose power", 1, replaced("witness", 1400*time.Millisecond)},
 	{"a store is retired", 1, retiredStore},
 	{"a store is retired, two may be lost", 2, retiredStore},
+	{"a store leaves by plan", 1, stoppedStore},
+	{"a store leaves by plan, two may be lost", 2, stoppedStore},
 	{"right after acknowledgements", 1, afterEachAck},
 }
 
