--- a/internal/overlay/notices.go
+++ b/internal/overlay/notices.go
@@ -46,10 +46,16 @@
 	checkAfter = 10 * time.Millisecond
 	checkAgain = 250 * time.Millisecond
 	askAgain   = 300 * time.Millisecond
+	// asksDouble bounds how long a question waits for another.
+	asksDouble = 3
 	// membersWait lets joins settle before peers compare whom they know.
 	membersWait = 100 * time.Millisecond
-	reachLimit  = time.Second
-	keepFor     = 10 * time.Minute
+	// membersQuiet is for how long whom a cell knows must have stayed the same
+	// before it is compared: while many join, all differ from all, and the checks
+	// that each sends to all others make them level by themselves.
+	membersQuiet = 400 * time.Millisecond
+	reachLimit   = time.Second
+	keepFor      = 10 * time.Minute
 	// strangersEach is how many daemons of which no peer is known are told in
 	// one comparison, in turn.
 	strangersEach = 16
@@ -67,11 +73,14 @@
 	NoticeAsk
 	// NoticeGone tells that there is no peer in the cell.
 	NoticeGone
-	// NoticeDiffers names the others of the cell that a peer knows to one that
-	// seems to know others.
+	// NoticeDiffers sums up each of the others of the cell that a peer knows, in
+	// Counts, to one that seems to know others.
 	NoticeDiffers
-	// NoticeMembers names those that were not named there.
+	// NoticeMembers names those that were not summed up there.
 	NoticeMembers
+	// NoticeLacks is the answer of who found sums there that it does not know: its
+	// own.
+	NoticeLacks
 )
 
 // Notice is what one daemon's peer in a cell tells another's.
@@ -95,11 +104,14 @@
 // Notices is what the peers of one daemon, in one of its lives, tell those of
 // another.
 type Notices struct {
-	_       struct{} `cbor:",toarray"`
-	Daemon  string
-	Life    uint64
-	Plane   string
-	Answer  bool
+	_      struct{} `cbor:",toarray"`
+	Daemon string
+	Life   uint64
+	Plane  string
+	Answer bool
+	// Level sums up the cells there, for whoever can tell from it that it knows
+	// them; who does not asks for the numbers.
+	Level   uint64
 	Notices []Notice
 }
 
@@ -143,6 +155,8 @@
 	// digest sums up the members' keys.
 	digest  uint64
 	waiting []Settled
+	// changedAt is when whom it knows last changed.
+	changedAt time.Time
 	// reached is set once it was settled, or somebody waited long enough.
 	reached bool
 	until   time.Time
@@ -156,8 +170,14 @@
 	heard    bool
 	sequence uint64
 	digest   uint64
+	digestAt time.Time
 	counts   map[uint64]uint32
-	asked    time.Time
+	// asked is when it was last asked for the whole, and asks how often since it
+	// last told it.
+	asked time.Time
+	asks  int
+	// wanted is set where it is to be asked again.
+	wanted bool
 	// compared sums up the difference that was last looked into.
 	compared   uint64
 	comparedAt time.Time
@@ -336,8 +356,11 @@
 		position, _ := slices.BinarySearch(here.order, key.Daemon)
 		here.order = slices.Insert(here.order, position, key.Daemon)
 	}
-	here.members[key.Daemon] = &member{key: key}
+	// It tells the whole by itself once it has met this peer, so that it is asked
+	// only if that does not come.
+	here.members[key.Daemon] = &member{key: key, asked: now}
 	here.digest ^= keyHash(key)
+	here.changedAt = now
 	o.owe(now, here, key.Daemon)
 }
 
@@ -373,6 +396,8 @@
 	if !alive {
 		return nil
 	}
+	o.Counts.Notices[notice.Kind]++
+	o.Counts.Told[notice.Kind] += uint64(max(len(notice.Topics), len(notice.Counts)) + len(notice.Members))
 	frame := o.frame(gateway.Address)
 	for position := range frame.Notices {
 		if frame.Notices[position].Plane == planeName {
@@ -466,7 +491,7 @@
 		}
 		return
 	}
-	o.paceUntil = now.Add(paceEach * time.Duration(len(o.gateways)))
+	o.pace(now)
 	for _, where := range statemachine.Sorted(o.planes) {
 		for _, here := range where.cells {
 			if here == nil || here.due.IsZero() {
@@ -492,9 +517,24 @@
 	}
 }
 
+// pace sets when the next changes may go out to all. While there is always
+// something to tell it is told less and less often, which makes fewer and fuller
+// frames of it.
+func (o *Overlay) pace(now time.Time) {
+	if now.Sub(o.paceUntil) < gatherFor {
+		o.paced++
+	} else {
+		o.paced = 0
+	}
+	o.paceUntil = now.Add(min(longer(paceEach*time.Duration(len(o.gateways)), o.paced), max(countsWait, paceEach*time.Duration(len(o.gateways)))))
+}
+
 // check tells others the numbers of the newest notices here: all those that
 // share a cell, and some of the rest in turn.
 func (o *Overlay) check(now time.Time) {
+	if o.checks++; now.Sub(o.checked) >= checkEvery {
+		o.checks = 0
+	}
 	o.checked = now
 	if statemachine.Mutated("no-notice-checks") {
 		return
@@ -514,7 +554,7 @@
 		var strangers []string
 		for daemon := range statemachine.Sorted(o.gateways) {
 			if sharing[daemon] {
-				o.checkWith(daemon, where, false)
+				o.levelWith(daemon, where)
 			} else {
 				strangers = append(strangers, daemon)
 			}
@@ -529,10 +569,64 @@
 	}
 }
 
+// levelWith tells one daemon a sum of the numbers of the newest notices here: it
+// asks for the numbers themselves unless it knows them all.
+func (o *Overlay) levelWith(daemon string, where *plane) {
+	gateway, alive := o.gateways[daemon]
+	if !alive {
+		return
+	}
+	frame := o.frame(gateway.Address)
+	o.Counts.Levels++
+	level := where.level(func(here *cell) (levelPart, bool) {
+		return levelPart{number: here.peer.self.Key.Number, sequence: here.sequence}, true
+	})
+	frame.Notices = append(frame.Notices, Notices{Daemon: o.daemon, Life: o.life, Plane: where.name, Level: level})
+}
+
+// levelPart is what a daemon's level says of one cell.
+type levelPart struct{ number, sequence uint64 }
+
+// level sums up cells: who is in each, and a daemon's number and newest notice
+// there. It is 0 if nothing is told of any.
+func (p *plane) level(told func(here *cell) (levelPart, bool)) uint64 {
+	sum := uint64(0)
+	for _, here := range p.cells {
+		if here == nil {
+			continue
+		}
+		if part, known := told(here); known {
+			sum = mix(sum ^ mix(uint64(here.number)^mix(part.number^mix(part.sequence^here.digestHere()))))
+		}
+	}
+	return sum
+}
+
+// levelOf is the level of another daemon's life as far as it is known here.
+func (p *plane) levelOf(daemon string, life uint64) uint64 {
+	return p.level(func(here *cell) (levelPart, bool) {
+		known, found := here.members[daemon]
+		if !found || !known.heard || known.key.Life != life {
+			return levelPart{}, false
+		}
+		return levelPart{number: known.key.Number, sequence: known.sequence}, true
+	})
+}
+
+// takeLevel asks for the numbers of the newest notices unless all are known.
+func (o *Overlay) takeLevel(where *plane, told Notices) {
+	gateway := o.gateways[told.Daemon]
+	if where != nil && where.levelOf(told.Daemon, told.Life) == told.Level {
+		return
+	}
+	frame := o.frame(gateway.Address)
+	frame.Notices = append(frame.Notices, Notices{Daemon: o.daemon, Life: o.life, Plane: told.Plane, Answer: true})
+}
+
 // checkSoon lets a comparison follow a change in whom this daemon knows, so
 // that joins at the same time find each other.
 func (o *Overlay) checkSoon(now time.Time) {
-	at := o.checked.Add(checkAgain)
+	at := o.checked.Add(longer(checkAgain, o.checks))
 	if soon := now.Add(checkAfter); at.Before(soon) {
 		at = soon
 	}
@@ -559,8 +653,11 @@
 		return
 	}
 	where, found := o.planes[told.Plane]
+	if told.Level != 0 {
+		o.takeLevel(where, told)
+	}
 	for _, notice := range told.Notices {
-		if notice.Cell >= CellCount || len(notice.Topics) != len(notice.Counts) {
+		if notice.Cell >= CellCount || !notice.fits() {
 			continue
 		}
 		key := PeerKey{Daemon: told.Daemon, Life: told.Life, Number: notice.Number}
@@ -580,6 +677,11 @@
 	}
 }
 
+// fits tells whether a notice has as many counts as it should.
+func (n *Notice) fits() bool {
+	return n.Kind == NoticeDiffers || n.Kind == NoticeLacks || len(n.Topics) == len(n.Counts)
+}
+
 // border lets the peers here whose regions a peer of another cell would cut
 // learn of it.
 func (o *Overlay) border(now time.Time, where *plane, key PeerKey, notice Notice) {
@@ -616,7 +718,7 @@
 		if known.heard && notice.Sequence < known.sequence {
 			return
 		}
-		known.heard, known.sequence = true, notice.Sequence
+		known.heard, known.sequence, known.asks, known.wanted = true, notice.Sequence, 0, false
 		known.counts = make(map[uint64]uint32, len(notice.Topics))
 		known.take(notice)
 	case NoticeChanges:
@@ -637,12 +739,8 @@
 		}
 	case NoticeAsk:
 		o.owe(now, here, key.Daemon)
-	case NoticeDiffers:
-		if lacked := o.merge(now, here, key, notice.Members); len(lacked) > 0 {
-			answer := here.notice(NoticeMembers)
-			answer.Members = lacked
-			o.notify(key.Daemon, here.plane.name, answer)
-		}
+	case NoticeDiffers, NoticeLacks:
+		o.level(now, here, key, notice)
 		// It knows now, or soon, what is known here.
 		notice.Digest = here.digestHere()
 	case NoticeMembers:
@@ -651,6 +749,7 @@
 	if notice.Digest == 0 {
 		return
 	}
+	known.digestAt = now
 	if known.digest = notice.Digest; known.digest != here.digestHere() {
 		o.timers.ArmSooner("members", now.Add(membersWait))
 	}
@@ -669,24 +768,57 @@
 	}
 }
 
-// merge learns the peers of a cell that another one names, and lists those
-// that it did not name.
-func (o *Overlay) merge(now time.Time, here *cell, teller PeerKey, members []PeerKey) (lacked []PeerKey) {
-	named := map[PeerKey]bool{teller: true}
+// merge learns the peers of a cell that another one names.
+func (o *Overlay) merge(now time.Time, here *cell, teller PeerKey, members []PeerKey) {
 	var others []Peer
 	for _, each := range members {
-		named[each] = true
 		if known, met := here.members[each.Daemon]; !met || known.key != each {
 			others = append(others, cellPeer(each, here.number, 0))
 		}
 	}
 	o.learn(now, here.peer, teller, others, false)
+}
+
+// shortHash sums a peer's key up in a comparison.
+func shortHash(key PeerKey) uint32 { return uint32(keyHash(key) >> 32) }
+
+// level names to a peer those of the cell that it did not sum up, and asks it for
+// those whom nobody here knows.
+func (o *Overlay) level(now time.Time, here *cell, key PeerKey, notice Notice) {
+	summed := make(map[uint32]bool, len(notice.Counts))
+	for _, hash := range notice.Counts {
+		summed[hash] = true
+	}
+	var lacked []PeerKey
+	matched := 0
 	for _, name := range here.order {
-		if key := here.members[name].key; !named[key] {
-			lacked = append(lacked, key)
+		switch other := here.members[name].key; {
+		case other == key:
+		case summed[shortHash(other)]:
+			matched++
+		default:
+			lacked = append(lacked, other)
 		}
 	}
-	return lacked
+	if len(lacked) > 0 {
+		answer := here.notice(NoticeMembers)
+		answer.Members = lacked
+		o.notify(key.Daemon, here.plane.name, answer)
+	}
+	if matched < len(summed) && notice.Kind == NoticeDiffers {
+		o.notify(key.Daemon, here.plane.name, here.sums(NoticeLacks, key))
+	}
+}
+
+// sums sums up the others of a cell for one of them.
+func (c *cell) sums(kind uint8, to PeerKey) Notice {
+	notice := c.notice(kind)
+	for _, name := range c.order {
+		if key := c.members[name].key; key != to {
+			notice.Counts = append(notice.Counts, shortHash(key))
+		}
+	}
+	return notice
 }
 
 // compareMembers tells, in each cell, one of those that seem to know others
@@ -697,6 +829,10 @@
 			if here == nil {
 				continue
 			}
+			if quiet := here.changedAt.Add(membersQuiet); quiet.After(now) && !statemachine.Mutated("no-retry-pauses") {
+				o.timers.ArmSooner("members", quiet)
+				continue
+			}
 			digest := here.digestHere()
 			var differing []*member
 			for _, name := range here.order {
@@ -704,6 +840,11 @@
 				if known.digest == 0 || known.digest == digest {
 					continue
 				}
+				if !known.digestAt.After(here.changedAt) && !statemachine.Mutated("no-retry-pauses") {
+					// It was told before the last change here; the next check tells
+					// whether they still differ.
+					continue
+				}
 				if known.compared == digest^known.digest && now.Sub(known.comparedAt) < checkEvery {
 					continue
 				}
@@ -715,26 +856,48 @@
 			known := differing[here.turn%uint64(len(differing))]
 			here.turn++
 			known.compared, known.comparedAt = digest^known.digest, now
-			notice := here.notice(NoticeDiffers)
-			for _, name := range here.order {
-				if key := here.members[name].key; key != known.key {
-					notice.Members = append(notice.Members, key)
-				}
-			}
-			o.notify(known.key.Daemon, where.name, notice)
+			o.notify(known.key.Daemon, where.name, here.sums(NoticeDiffers, known.key))
 		}
 	}
 }
 
-// ask asks a peer for the whole, unless it was asked a moment ago.
+// ask asks a peer for the whole, at once or when the answer to an earlier question
+// is overdue.
 func (o *Overlay) ask(now time.Time, here *cell, known *member) {
-	if !known.asked.IsZero() && now.Sub(known.asked) < askAgain {
+	if due := known.askAgainAt(); due.After(now) {
+		known.wanted = true
+		o.timers.ArmSooner("asks", due)
 		return
 	}
-	known.asked = now
+	known.asked, known.wanted = now, false
+	known.asks++
 	o.notify(known.key.Daemon, here.plane.name, here.notice(NoticeAsk))
 }
 
+// askAgainAt is when it may be asked for the whole.
+func (m *member) askAgainAt() time.Time {
+	if m.asked.IsZero() {
+		return m.asked
+	}
+	return m.asked.Add(longer(askAgain, min(m.asks, asksDouble)))
+}
+
+// askOverdue asks those again whose answers are overdue.
+func (o *Overlay) askOverdue(now time.Time) {
+	for _, where := range statemachine.Sorted(o.planes) {
+		for _, here := range where.cells {
+			if here == nil {
+				continue
+			}
+			for _, name := range here.order {
+				if known := here.members[name]; known.wanted {
+					o.ask(now, here, known)
+				}
+			}
+		}
+	}
+}
+
 // releaseCells lets the peers of cells go that nobody used for long.
 func (o *Overlay) releaseCells(now time.Time) {
 	for _, where := range statemachine.Sorted(o.planes) {
