--- a/internal/consensus/leave.go
+++ b/internal/consensus/leave.go
@@ -18,6 +18,8 @@
 	leaveEvery   = 100 * time.Millisecond
 	departsFresh = time.Second
 	departsKept  = 10 * time.Second
+	// hearsStandbys is how long a primary acts before it has heard all that stand by.
+	hearsStandbys = standbyEvery + 200*time.Millisecond
 	// takeBackAfter is when a primary that leaves takes the lease back: nobody took
 	// over, so it may hold the only copy.
 	takeBackAfter = lostAfter
@@ -67,12 +69,18 @@
 	})
 }
 
-// handOver gives the lease back once a backup can go on at once.
+// handOver gives the lease back once a backup that stays can go on at once.
 func (w *Watch) handOver(now time.Time, effects *statemachine.Effects) {
-	if !w.Serving(now) || w.trying != nil || len(w.durable.Record.Backups) == 0 {
+	if !w.Serving(now) || w.trying != nil {
 		return
 	}
-	w.Yield(now, effects)
+	record := w.durable.Record
+	if slices.ContainsFunc(record.Backups, func(name string) bool {
+		backup, _ := record.Find(name)
+		return !w.saidToGo(now, backup.Address)
+	}) {
+		w.Yield(now, effects)
+	}
 }
 
 // onLeave is told that a controller wants to go. Who is outside the voters may, as
@@ -162,12 +170,25 @@
 	return "", false
 }
 
+// mayDrop tells whether a backup that goes need not be replaced: nobody else can have
+// its copy, and there are as many as are needed without it.
+func (w *Watch) mayDrop(now time.Time, backup Controller) bool {
+	if !w.departing(now, backup) || len(w.durable.Record.Backups) <= w.neededBackups() {
+		return false
+	}
+	_, found := w.departingBackup(now)
+	return !found
+}
+
 // irreplaceable tells whether nobody is there to take the place of a voter.
 func (w *Watch) irreplaceable(now time.Time, name string) bool {
 	record := w.durable.Record
 	if w.trying != nil || w.replacing || w.gathered || !w.level() || len(w.Standbys(now)) > 0 || mayShrink(record) {
 		return false
 	}
+	if now.Sub(w.actingSince) < hearsStandbys && !statemachine.Mutated("irreplaceable-unheard") {
+		return false
+	}
 	copies, found := w.departingBackup(now)
 	return !found || copies != name
 }
