--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -226,6 +226,10 @@
 // present tells the dialling loop that a peer has just named itself on a connection of
 // its own: it is there, so that a dial begun before it was is given up and made anew.
 func (t *Transport) present(address string) {
+	if !t.dials.Load() {
+		// Nothing was dialled yet.
+		return
+	}
 	t.onLoop(func() {
 		known, found := t.tended[address]
 		if !found || known.wire != nil || t.stopped || t.cutTo(address) {
--- a/internal/transport/dial_test.go
+++ b/internal/transport/dial_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/panjf2000/gnet/v2"
 	"gotest.tools/v3/assert"
 )
 
@@ -87,3 +88,10 @@
 	came := awaited(t, peerInbox, "nothing came over a dial of its own")
 	assert.Equal(t, came.Message.(word).Number, uint64(7))
 }
+
+// Peers are listened to before there is a loop that dials.
+func TestAPeerThatNamesItselfWhileTheLinksOpenIsNoHarm(t *testing.T) {
+	links := &Transport{tended: map[string]*link{}, inward: map[string]gnet.Conn{}}
+	links.named(nil, &peer{}, "127.0.0.1:9", preamble{})
+	assert.Equal(t, len(links.tended), 0)
+}
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -127,6 +127,8 @@
 
 	// compresses is set where turns to other zones are packed.
 	compresses atomic.Bool
+	// dials is set once there is a loop that dials.
+	dials atomic.Bool
 	// watches is set where the owner wants to know of addresses that refuse.
 	watches atomic.Bool
 	closing atomic.Bool
@@ -320,6 +322,7 @@
 		return err
 	}
 	t.loop = first.EventLoop()
+	t.dials.Store(true)
 	_ = first.Close()
 	time.AfterFunc(idleLimit, t.sweepLater)
 	return nil
