Dials that nobody answers are short for a second before they grow

The first eight dials now take 0.2 s each, with the shortest pause between them; later ones grow up to a second. TestADialThatIsNotAnsweredIsGivenUpSoon tells the sequence.

--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -208,8 +208,8 @@
 		return
 	}
 	present.dialling = true
-	present.patience = min(max(2*present.patience, t.firstDial), max(t.firstDial, dialLimit))
-	limit, hangUp := context.WithTimeout(context.Background(), present.patience)
+	limit, hangUp := context.WithTimeout(context.Background(), t.patience(present.tries))
+	present.tries++
 	present.hangUp = hangUp
 	go func() {
 		defer hangUp()
@@ -223,6 +223,11 @@
 	}()
 }
 
+// patience is how long a dial may take after some that were not answered.
+func (t *Transport) patience(tries int) time.Duration {
+	return max(t.firstDial, min(t.firstDial<<min(max(0, tries-dialsEager), dialsEager), dialLimit))
+}
+
 // present tells the dialling loop that a peer has just named itself on a connection of
 // its own: it is there, so that a dial begun before it was is given up and made anew.
 func (t *Transport) present(address string) {
@@ -235,7 +240,7 @@
 		if !found || known.wire != nil || t.stopped || t.cutTo(address) {
 			return
 		}
-		known.patience, known.pause, known.retryAt = 0, 0, time.Time{}
+		known.tries, known.pause, known.retryAt = 0, 0, time.Time{}
 		if known.dialling {
 			known.answers = true
 			known.hangUp()
@@ -260,7 +265,7 @@
 
 // opened takes a connection that was made: who we are goes first.
 func (t *Transport) opened(present *link, wire gnet.Conn) gnet.Action {
-	present.dialling, present.answers, present.patience = false, false, 0
+	present.dialling, present.answers, present.tries = false, false, 0
 	descriptor, err := wire.Dup()
 	if err != nil {
 		t.pauseLink(present)
@@ -295,6 +300,11 @@
 		default:
 		}
 	}
+	var silence net.Error
+	if errors.As(err, &silence) && silence.Timeout() && present.tries <= dialsEager {
+		// The dial itself was pause enough.
+		present.pause = 0
+	}
 	if !present.answers {
 		t.pauseLink(present)
 	}
--- a/internal/transport/dial_test.go
+++ b/internal/transport/dial_test.go
@@ -52,13 +52,18 @@
 		end, bounded := limit.Deadline()
 		assert.Check(t, bounded)
 		limits <- time.Until(end).Round(100 * time.Millisecond)
-		return nil, errors.New("no answer")
+		return nil, context.DeadlineExceeded
 	}
 	assert.NilError(t, links.Send("127.0.0.1:9", 0, word{}))
 	links.Flush()
-	for _, most := range []time.Duration{dialFirst, 2 * dialFirst, 4 * dialFirst, dialLimit} {
+	for number := range dialsEager + 4 {
+		most := dialFirst
+		if number > dialsEager {
+			most = min(dialFirst<<(number-dialsEager), dialLimit)
+		}
 		limit := awaited(t, limits, "it was not dialled again")
 		assert.Assert(t, limit <= most, "%s for a dial that may take %s", limit, most)
+		assert.Assert(t, limit > most/4, "%s for a dial that may take %s", limit, most)
 	}
 }
 
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -45,10 +45,11 @@
 	// anybody is there, if somebody wants to know.
 	probeAfter  = 5 * time.Millisecond
 	probeSlowly = 200 * time.Millisecond
-	// dialFirst is how long the first dial may take, and dialLimit any other: what goes
-	// to a machine that is just starting is lost, and asked again by the system after a
-	// second only.
+	// dialFirst is how long each of the first dialsEager dials may take; the others
+	// twice as long each, up to dialLimit. What goes to a machine that is just
+	// starting is lost, and asked again by the system after a second only.
 	dialFirst   = 200 * time.Millisecond
+	dialsEager  = 8
 	dialLimit   = time.Second
 	pauseLeast  = 50 * time.Millisecond
 	pauseMost   = 500 * time.Millisecond
@@ -182,9 +183,9 @@
 	wire     gnet.Conn
 	socket   *socket
 	dialling bool
-	// patience is how long the next dial may take, and hangUp ends the present one.
-	patience time.Duration
-	hangUp   context.CancelFunc
+	// tries counts the dials since the peer was there, and hangUp ends the present one.
+	tries  int
+	hangUp context.CancelFunc
 	// answers is set while the peer is known to be there, by what it said itself.
 	answers  bool
 	pause    time.Duration
