--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -112,6 +112,8 @@
 	impairment atomic.Pointer[Impairment]
 	garbage    func(remote string, err error)
 	Counters   Counters
+	// What was sent and received, by kind of message.
+	sent, received kindSums
 
 	// Of the owner: links by destination, those with frames of this turn, and
 	// whether the owner ends its turns with Flush.
@@ -262,15 +264,17 @@
 // frames that could not be read.
 func Open(address string, inbox, urgent chan<- Inbound, garbage func(remote string, err error)) (*Transport, error) {
 	opened := &Transport{
-		address: address,
-		home:    homeOf(address),
-		inbox:   inbox,
-		urgent:  urgent,
-		booted:  make(chan struct{}),
-		garbage: garbage,
-		links:   map[string]*link{},
-		inward:  map[string]gnet.Conn{},
-		tended:  map[string]*link{},
+		address:  address,
+		home:     homeOf(address),
+		inbox:    inbox,
+		urgent:   urgent,
+		booted:   make(chan struct{}),
+		garbage:  garbage,
+		sent:     newKindSums(),
+		received: newKindSums(),
+		links:    map[string]*link{},
+		inward:   map[string]gnet.Conn{},
+		tended:   map[string]*link{},
 	}
 	opened.dial, opened.firstDial = opened.dialPlain, dialFirst
 	opened.impairment.Store(&Impairment{})
--- a/internal/transport/send.go
+++ b/internal/transport/send.go
@@ -46,9 +46,11 @@
 		t.links[to] = present
 	}
 	class := ClassOf(message)
+	before := present.pending[class].Len()
 	if err := appendFrame(&present.pending[class], "", version, message); err != nil {
 		return err
 	}
+	t.sent.add(message, present.pending[class].Len()-before)
 	present.frames[class]++
 	if !present.dirty {
 		present.dirty = true
