A link that is reset before it can be used is dialled again, for whoever watches

TestADialThatIsNotAnsweredIsGivenUpSoon keeps something waiting: on a slow machine what waited was dropped after 2 s, and nobody dials for nothing.

--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -269,6 +269,7 @@
 	descriptor, err := wire.Dup()
 	if err != nil {
 		t.pauseLink(present)
+		t.probeLater(present, probeSlowly)
 		return gnet.Close
 	}
 	t.Counters.Dials.Add(1)
@@ -301,10 +302,15 @@
 		}
 	}
 	var silence net.Error
-	if errors.As(err, &silence) && silence.Timeout() && present.tries <= dialsEager {
+	silent := errors.As(err, &silence) && silence.Timeout()
+	if silent && present.tries <= dialsEager {
 		// The dial itself was pause enough.
 		present.pause = 0
 	}
+	if !silent && !errors.Is(err, unix.ECONNREFUSED) && !present.answers {
+		// It was made, and reset before it could be used.
+		t.probeLater(present, probeSlowly)
+	}
 	if !present.answers {
 		t.pauseLink(present)
 	}
@@ -336,20 +342,13 @@
 	present.socket.end()
 	present.wire, present.socket = nil, nil
 	t.pauseLink(present)
-	if t.watches.Load() && !present.idle && !t.stopped {
+	if !present.idle {
 		wait := probeAfter
 		if time.Since(present.openAt) < probeSlowly {
 			// Somebody answers and hangs up again and again.
 			wait = probeSlowly
 		}
-		time.AfterFunc(wait, func() {
-			t.onLoop(func() {
-				if present.wire == nil && !t.cutTo(present.to) {
-					present.retryAt = time.Time{}
-					t.call(present)
-				}
-			})
-		})
+		t.probeLater(present, wait)
 	}
 	present.rest = chunk{}
 	// Whoever asked for what it had missed asks again, on a connection of its own.
@@ -360,6 +359,22 @@
 	}
 }
 
+// probeLater dials a peer that hung up to see whether anybody is there, if somebody
+// wants to know.
+func (t *Transport) probeLater(present *link, wait time.Duration) {
+	if !t.watches.Load() || t.stopped {
+		return
+	}
+	time.AfterFunc(wait, func() {
+		t.onLoop(func() {
+			if present.wire == nil && !t.cutTo(present.to) {
+				present.retryAt = time.Time{}
+				t.call(present)
+			}
+		})
+	})
+}
+
 func (t *Transport) pauseLink(present *link) {
 	present.pause = min(max(2*present.pause, pauseLeast), pauseMost)
 	present.retryAt = time.Now().Add(present.pause)
--- a/internal/transport/dial_test.go
+++ b/internal/transport/dial_test.go
@@ -54,13 +54,14 @@
 		limits <- time.Until(end).Round(100 * time.Millisecond)
 		return nil, context.DeadlineExceeded
 	}
-	assert.NilError(t, links.Send("127.0.0.1:9", 0, word{}))
-	links.Flush()
 	for number := range dialsEager + 4 {
 		most := dialFirst
 		if number > dialsEager {
 			most = min(dialFirst<<(number-dialsEager), dialLimit)
 		}
+		// What waits for too long is dropped, and nobody dials for nothing.
+		assert.NilError(t, links.Send("127.0.0.1:9", 0, word{}))
+		links.Flush()
 		limit := awaited(t, limits, "it was not dialled again")
 		assert.Assert(t, limit <= most, "%s for a dial that may take %s", limit, most)
 		assert.Assert(t, limit > most/4, "%s for a dial that may take %s", limit, most)
