--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -228,9 +228,9 @@
 	return max(t.firstDial, min(t.firstDial<<min(max(0, tries-dialsEager), dialsEager), dialLimit))
 }
 
-// present tells the dialling loop that a peer has just named itself on a connection of
+// peerIsThere tells the dialling loop that a peer has just named itself on a connection of
 // its own: it is there, so that a dial begun before it was is given up and made anew.
-func (t *Transport) present(address string) {
+func (t *Transport) peerIsThere(address string) {
 	if !t.dials.Load() {
 		// Nothing was dialled yet.
 		return
--- a/internal/transport/receive.go
+++ b/internal/transport/receive.go
@@ -140,7 +140,7 @@
 		_ = older.Close()
 	}
 	t.inward[address] = connection
-	t.present(address)
+	t.peerIsThere(address)
 }
 
 // take queues what came in. What is of the control state has a queue of its own
