Fetches have a credit at each store, and nobody is told of who waits for its place

At a gateway with 186 to 224 callers after the loss 260 subscriptions a second were tried and 221 refused; each told 45 gateways of a subscriber and took it back (31,800 counts in two seconds, 220 KB/s), and each that was refused left a fetch whose answer came for nobody.

--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -624,6 +624,8 @@
 	round, found := g.fetches[returned.Request]
 	if !found {
 		g.Counts.Late += uint64(len(returned.Records))
+		delete(g.routed.abandoned, returned.Request)
+		g.fetchQueued(now, effects)
 		return
 	}
 	asked, wanted := round.partitions[returned.Partition]
--- /dev/null
+++ b/internal/gateway/credit_mutation_test.go
@@ -0,0 +1,24 @@
+//go:build mutation
+
+// Without a credit all that callers take up at once is asked for at once, and with
+// those counted who wait for their places others are told of each that is refused.
+package gateway
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dahlialock/internal/statemachine"
+)
+
+func TestAllIsFetchedAtOnceWithoutCredit(t *testing.T) {
+	defer statemachine.Mutate("fetches-without-credit")()
+	assert.Equal(t, len(newCrowded(3*fetchesMost).asked()), 3*fetchesMost)
+}
+
+func TestOthersAreToldOfWhoWaitsIfItCounts(t *testing.T) {
+	defer statemachine.Mutate("waiting-counts")()
+	waiting, _ := toldWhileWaiting()
+	assert.Equal(t, waiting, 1)
+}
--- a/internal/gateway/routed.go
+++ b/internal/gateway/routed.go
@@ -38,17 +38,19 @@
 // topic is a routed topic as this gateway follows it for its channels. Once it
 // is live, all of it up to last was handed over to every place that is filled.
 type topic struct {
-	name       string
-	number     uint64
-	partition  string
-	space      string
-	kept       bool
-	places     []*place
-	told       int
-	live       bool
-	last       uint64
-	held       []partition.Record
-	heldAt     time.Time
+	name      string
+	number    uint64
+	partition string
+	space     string
+	kept      bool
+	places    []*place
+	told      int
+	live      bool
+	last      uint64
+	held      []partition.Record
+	heldAt    time.Time
+	// queued is set while it waits for the credit to be fetched.
+	queued     bool
 	recent     []partition.Record
 	recentSize int
 	recentFrom uint64
@@ -100,8 +102,12 @@
 	// followed is how heads were last asked for.
 	followed map[string]way
 	fetches  map[uint64]*topicFetch
-	appends  map[uint64]*routedPublication
-	sends    map[uint64]*routedPublication
+	// abandoned are the fetches for which nobody waits any more, and queue the topics
+	// that wait until fewer are on their way.
+	abandoned map[uint64]abandoned
+	queue     []*topic
+	appends   map[uint64]*routedPublication
+	sends     map[uint64]*routedPublication
 	// accepted is when a publication of this gateway's callers was accepted.
 	accepted map[routedKey]time.Time
 	// busy are the topics with something that waits for a moment to come.
@@ -110,7 +116,7 @@
 
 func newRouted() *routed {
 	return &routed{
-		topics: map[string]*topic{}, numbers: map[uint64]*topic{}, partitions: map[string]int{}, told: map[string]uint64{}, followed: map[string]way{},
+		topics: map[string]*topic{}, numbers: map[uint64]*topic{}, partitions: map[string]int{}, told: map[string]uint64{}, followed: map[string]way{}, abandoned: map[uint64]abandoned{},
 		fetches: map[uint64]*topicFetch{}, appends: map[uint64]*routedPublication{}, sends: map[uint64]*routedPublication{}, accepted: map[routedKey]time.Time{}, busy: map[string]*topic{},
 	}
 }
@@ -245,9 +251,26 @@
 	return followed
 }
 
+// subscribers counts the origins here that subscribe to a topic. Who still waits for
+// its place in a kept topic does not count: it may be refused and come again, and
+// telling all others of that each time takes more of a link than its messages. A
+// passing topic's messages are lost to whoever is not told of.
+func (t *topic) subscribers() int {
+	if !t.kept || statemachine.Mutated("waiting-counts") {
+		return len(t.places)
+	}
+	count := 0
+	for _, taken := range t.places {
+		if !taken.filling {
+			count++
+		}
+	}
+	return count
+}
+
 // tellCount lets the overlay know how many origins here subscribe to a topic.
 func (g *Gateway) tellCount(now time.Time, followed *topic, effects *statemachine.Effects) {
-	if count := len(followed.places); count != followed.told {
+	if count := followed.subscribers(); count != followed.told {
 		followed.told = count
 		g.overlay.Tell(now, routedPlane, followed.name, count, effects)
 	}
@@ -271,7 +294,7 @@
 	delete(g.routed.topics, name)
 	delete(g.routed.numbers, followed.number)
 	delete(g.routed.busy, name)
-	delete(g.routed.fetches, followed.fetch)
+	g.abandon(now, followed)
 	if followed.kept {
 		if g.routed.partitions[followed.partition]--; g.routed.partitions[followed.partition] == 0 {
 			delete(g.routed.partitions, followed.partition)
@@ -332,6 +355,7 @@
 		return false
 	}
 	taken.filling = false
+	g.tellCount(now, followed, effects)
 	from := taken.upTo
 	if !taken.resumes {
 		from = followed.last
@@ -387,7 +411,7 @@
 		returned := accepted(nil)
 		returned.Number = g.overlay.Presence(routedPlane, request.Topic)
 		if followed, found := g.routed.topics[request.Topic]; found {
-			returned.Number += len(followed.places)
+			returned.Number += followed.subscribers()
 		}
 		effects.Return(request.Request, returned)
 	}, effects)
@@ -504,7 +528,12 @@
 
 // fetchTopic asks the partition's first for all that anybody here lacks of a topic.
 func (g *Gateway) fetchTopic(now time.Time, followed *topic, effects *statemachine.Effects) {
-	if followed.fetch != 0 {
+	if followed.fetch != 0 || followed.queued {
+		return
+	}
+	if g.underway()[g.wayTo(followed.partition).address] >= fetchesMost && !statemachine.Mutated("fetches-without-credit") {
+		followed.queued = true
+		g.routed.queue = append(g.routed.queue, followed)
 		return
 	}
 	after := uint64(everything)
@@ -550,6 +579,7 @@
 	}
 	delete(g.routed.fetches, returned.Request)
 	followed.fetch = 0
+	defer g.fetchQueued(now, effects)
 	if returned.Gone {
 		g.losePlaces(now, followed, asked.after, effects)
 		g.tendTopic(now, followed, effects)
@@ -656,6 +686,7 @@
 	for _, followed := range statemachine.Sorted(g.routed.busy) {
 		g.tendTopic(now, followed, effects)
 	}
+	g.dropAbandoned(now, effects)
 	g.tendPublications(now, effects)
 }
 
--- a/internal/gateway/ways.go
+++ b/internal/gateway/ways.go
@@ -57,4 +57,5 @@
 			g.sendFetch(now, id, asked, effects)
 		}
 	}
+	g.fetchQueued(now, effects)
 }
