--- a/internal/membership/follower.go
+++ b/internal/membership/follower.go
@@ -22,7 +22,7 @@
 	searchEvery = 300 * time.Millisecond
 	// searchesQuick are the searches with that pause; later ones pause for longer,
 	// since each answer takes a part of a link that may be why none came.
-	searchesQuick = 6
+	searchesQuick = 4
 	searchSlow    = 900 * time.Millisecond
 	// asksRemembered bounds the questions whose answers still count.
 	asksRemembered = 16
@@ -186,6 +186,16 @@
 	return time.Time{}, false
 }
 
+// freshFor is how old the question may be whose answer brings the first view. What a
+// gateway may do on a view follows from when it asked, and an agent does nothing on
+// it; both are many, behind thin links, and a whole view takes its time there.
+func (f *Follower) freshFor() time.Duration {
+	if (f.self.Kind == KindGateway || f.self.Kind == KindAgent) && !statemachine.Mutated("late-answers-unheard") {
+		return ConfirmedFor
+	}
+	return FreshFor
+}
+
 // answered notes an answer. One to an earlier question tells that answers take
 // long, and lets the newest question wait for its own.
 func (f *Follower) answered(now time.Time, nonce uint64) {
@@ -272,7 +282,7 @@
 		f.answered(now, news.Nonce)
 		taken.Answered = true
 	}
-	if f.Index == 0 && (!taken.Answered || now.Sub(askedAt) > FreshFor) {
+	if f.Index == 0 && (!taken.Answered || now.Sub(askedAt) > f.freshFor()) {
 		return taken
 	}
 	if taken.Answered && askedAt.After(f.Confirmed) {
--- a/internal/membership/follower_test.go
+++ b/internal/membership/follower_test.go
@@ -96,3 +96,17 @@
 	assert.Assert(t, longest < ConfirmedFor, "unconfirmed for %s", longest)
 	t.Logf("%d questions, unconfirmed for %s at the most", asks, longest)
 }
+
+func TestAFirstViewThatTakesLongIsTakenByWhoeverCountsFromItsQuestion(t *testing.T) {
+	for kind, wanted := range map[string]bool{KindGateway: true, KindAgent: true, KindStore: false, KindController: false} {
+		now := time.Unix(1000, 0)
+		follower := NewFollower(Member{Name: "a", Kind: kind}, 0, []string{"controller"}, func() Load { return Load{} })
+		follower.Start(now)
+		var effects statemachine.Effects
+		follower.Due(now, &effects)
+		nonce := effects.Sends[0].Message.(Ask).Nonce
+		taken := follower.Take(now.Add(1500*time.Millisecond), News{Nonce: nonce, Epoch: 1, Index: 1, Changed: true, Primary: "controller"})
+		assert.Equal(t, taken.View, wanted, kind)
+		assert.Equal(t, follower.Confirmed.Equal(now), wanted, kind)
+	}
+}
