A place of which all is surely held is confirmed before what it lacks is fetched

Subscriptions with a cursor waited for their fetch, up to 0.9 s, and were then refused while its answer was on its way over a full link; the answer was for nobody and the caller asked anew. A cursor that is not below the partition's beginning, as it last told it, is answered at once; if something should be gone after all the caller is cut off, as before where it was confirmed.

--- a/internal/gateway/credit_mutation_test.go
+++ b/internal/gateway/credit_mutation_test.go
@@ -22,3 +22,8 @@
 	waiting, _ := toldWhileWaiting()
 	assert.Equal(t, waiting, 1)
 }
+
+func TestAPlaceWaitsForWhatItLacksIfItIsConfirmedLate(t *testing.T) {
+	defer statemachine.Mutate("places-confirmed-late")()
+	assert.Assert(t, !confirmed(t, 5))
+}
--- a/internal/gateway/credit_test.go
+++ b/internal/gateway/credit_test.go
@@ -1,4 +1,4 @@
-// Fetches have a credit, and nobody is told of who still waits for its place.
+// Fetches have a credit, places are confirmed before what they lack is fetched, and nobody is told of who still waits for its place.
 package gateway
 
 import (
@@ -26,12 +26,12 @@
 	made := &crowded{now: time.Unix(1000, 0)}
 	made.gateway = New(Settings{Self: membership.Member{Name: "gateway-1", Kind: membership.KindGateway, Address: "a:1"}, Agent: "a:2"})
 	made.gateway.follower.Members["store-1"] = membership.Member{Name: "store-1", Kind: membership.KindStore, Address: "k:1", Alive: true}
-	made.gateway.spaces["boards"] = &spaceState{space: config.Space{Name: "boards", Promise: config.Kept, Order: config.OrderTopic}, name: "boards~0"}
+	made.gateway.spaces["boards"] = &spaceState{space: config.Space{Name: "boards", Promise: config.Kept, Order: config.OrderTopic, Subscribers: []string{"*"}}, name: "boards~0"}
 	for number := range count {
 		name := fmt.Sprintf("topic-%d", number)
 		partition := config.SharedPartition(name)
 		made.gateway.follower.Places[partition] = membership.Placement{Partition: partition, Epoch: 1, First: "store-1", Complete: true}
-		taken := &place{channel: uint64(number + 1), filling: true, limit: made.now.Add(time.Second)}
+		taken := &place{channel: uint64(number + 1), filling: true, request: Subscribe{Request: uint64(number + 1)}, limit: made.now.Add(time.Second)}
 		opened := &channel{origin: name, routed: map[string]*place{name: taken}}
 		made.gateway.channels[taken.channel] = opened
 		made.channels = append(made.channels, opened)
@@ -106,3 +106,41 @@
 	assert.Equal(t, waiting, 0)
 	assert.Equal(t, filled, 1)
 }
+
+// confirmed tells whether a caller who comes back with a cursor is answered before
+// what it missed was fetched.
+func confirmed(t *testing.T, cursor uint64) bool {
+	one := newCrowded(1)
+	one.answer(one.asked()[0])
+	gateway := one.gateway
+	partition := config.SharedPartition("topic-0")
+	gateway.routed.bases[partition] = 3
+	gateway.follower.Index, gateway.follower.Confirmed = 1, one.now
+	gateway.pulse.Heard(one.now)
+	gateway.config = configOf(t)
+	gateway.channels[9] = &channel{origin: "late", routed: map[string]*place{}}
+	gateway.routed.topics["topic-0"].recentFrom, gateway.routed.topics["topic-0"].last = 9, 9
+	one.effects = statemachine.Effects{}
+	gateway.subscribeRouted(one.now, Subscribe{Request: 77, Channel: 9, Origin: "late", Interests: []Interest{{Path: "topic-0"}}, Cursor: placeText(cursor)}, true, &one.effects)
+	for _, returned := range one.effects.Returns {
+		if returned.Request == 77 {
+			answer := returned.Value.(Answer)
+			assert.Equal(t, answer.Outcome, OutcomeAccepted, "%v", answer)
+			assert.Equal(t, answer.Cursor, placeText(cursor))
+			return true
+		}
+	}
+	assert.Equal(t, len(one.asked()), 1)
+	return false
+}
+
+func configOf(t *testing.T) config.Configuration {
+	read, faults := config.Read([]byte(`{"version":1,"spaces":[{"name":"boards","promise":"kept","order":"topic"}],"routes":[{"prefix":"topic-","space":"boards"}]}`))
+	assert.Equal(t, len(faults), 0, "%v", faults)
+	return read
+}
+
+func TestAPlaceOfWhichAllIsHeldIsConfirmedAtOnce(t *testing.T) {
+	assert.Assert(t, confirmed(t, 5))
+	assert.Assert(t, !confirmed(t, 2), "what lay there may be gone")
+}
--- a/internal/gateway/routed.go
+++ b/internal/gateway/routed.go
@@ -101,7 +101,9 @@
 	told map[string]uint64
 	// followed is how heads were last asked for.
 	followed map[string]way
-	fetches  map[uint64]*topicFetch
+	// bases are the offsets above which partitions held all when last heard of.
+	bases   map[string]uint64
+	fetches map[uint64]*topicFetch
 	// abandoned are the fetches for which nobody waits any more, and queue the topics
 	// that wait until fewer are on their way.
 	abandoned map[uint64]abandoned
@@ -116,7 +118,7 @@
 
 func newRouted() *routed {
 	return &routed{
-		topics: map[string]*topic{}, numbers: map[uint64]*topic{}, partitions: map[string]int{}, told: map[string]uint64{}, followed: map[string]way{}, abandoned: map[uint64]abandoned{},
+		topics: map[string]*topic{}, numbers: map[uint64]*topic{}, partitions: map[string]int{}, told: map[string]uint64{}, followed: map[string]way{}, bases: map[string]uint64{}, abandoned: map[uint64]abandoned{},
 		fetches: map[uint64]*topicFetch{}, appends: map[uint64]*routedPublication{}, sends: map[uint64]*routedPublication{}, accepted: map[routedKey]time.Time{}, busy: map[string]*topic{},
 	}
 }
@@ -217,11 +219,23 @@
 		return
 	}
 	if !g.fill(now, taken, effects) {
+		if g.surelyHeld(followed, taken) {
+			g.beginPlace(now, taken, effects)
+			g.tellCount(now, followed, effects)
+		}
 		g.mind(followed, taken.limit)
 		g.fetchTopic(now, followed, effects)
 	}
 }
 
+// surelyHeld tells whether all that a place may lack is still held: then it is
+// confirmed before that is fetched, which may take its time, and is not refused
+// while the answer is on its way.
+func (g *Gateway) surelyHeld(followed *topic, taken *place) bool {
+	base, known := g.routed.bases[followed.partition]
+	return known && taken.resumes && taken.upTo >= base && !statemachine.Mutated("places-confirmed-late")
+}
+
 // patienceOf is how long a subscription may look for its place under a
 // configuration.
 func patienceOf(config config.Configuration) time.Duration {
@@ -251,8 +265,8 @@
 	return followed
 }
 
-// subscribers counts the origins here that subscribe to a topic. Who still waits for
-// its place in a kept topic does not count: it may be refused and come again, and
+// subscribers counts the origins here that subscribe to a topic. Who was not yet
+// confirmed in a kept topic does not count: it may be refused and come again, and
 // telling all others of that each time takes more of a link than its messages. A
 // passing topic's messages are lost to whoever is not told of.
 func (t *topic) subscribers() int {
@@ -261,7 +275,7 @@
 	}
 	count := 0
 	for _, taken := range t.places {
-		if !taken.filling {
+		if !taken.filling || taken.request.Request == 0 {
 			count++
 		}
 	}
@@ -579,6 +593,7 @@
 	}
 	delete(g.routed.fetches, returned.Request)
 	followed.fetch = 0
+	g.routed.bases[followed.partition] = returned.Base
 	defer g.fetchQueued(now, effects)
 	if returned.Gone {
 		g.losePlaces(now, followed, asked.after, effects)
