--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -32,6 +32,9 @@
 	confirmLimit = time.Second
 	partAfter    = 2 * time.Second
 	tellFor      = time.Second
+	// quietFor is how long a primary that hears too few voters asks for no lease, so
+	// that another can take over; then it asks again for lostAfter.
+	quietFor = 3 * lostAfter
 )
 
 // Ledger is the control state that is copied. Apply and Restore are
@@ -114,6 +117,7 @@
 	restoring               int
 
 	diskComplete uint64
+	diskEpoch    uint64
 	passedOver   []string
 	forgetful    time.Time
 	met          map[string]meeting
@@ -139,6 +143,8 @@
 	primaryHeard time.Time
 	decidedAt    time.Time
 	lastGrant    map[string]time.Time
+	heardFrom    map[string]time.Time
+	quietUntil   time.Time
 
 	queue       []*submitted
 	replacing   bool
@@ -150,6 +156,11 @@
 	trying      *attempt
 	ballotCount uint64
 	confirms    map[uint64]confirmation
+	leaving     bool
+	left        bool
+	yieldedAt   time.Time
+	releases    map[string]bool
+	departs     map[string]time.Time
 	duties      map[string]duty
 	leases      map[string]*Lease
 }
@@ -161,12 +172,12 @@
 		synced: map[uint64]continuation{}, met: map[string]meeting{}, heardOf: map[string]bool{}, recalls: map[string]Durable{},
 		renewals: map[uint64]time.Time{}, grants: map[uint64]map[string]bool{},
 		frames: map[string]*spareFrame{}, copies: map[string]*copied{}, spares: map[string]*asked{},
-		lastGrant: map[string]time.Time{}, confirms: map[uint64]confirmation{}, duties: map[string]duty{}, leases: map[string]*Lease{},
+		lastGrant: map[string]time.Time{}, heardFrom: map[string]time.Time{}, releases: map[string]bool{}, departs: map[string]time.Time{}, confirms: map[uint64]confirmation{}, duties: map[string]duty{}, leases: map[string]*Lease{},
 	}
 	if err := watch.readDisk(frame, entries); err != nil {
 		return nil, err
 	}
-	watch.diskIndex, watch.diskComplete = watch.index, watch.durable.Complete
+	watch.diskIndex, watch.diskComplete, watch.diskEpoch = watch.index, watch.durable.Complete, watch.durable.Record.Epoch
 	watch.blank = watch.durable.Record.Epoch == 0
 	if watch.blank && watch.durable.Disk == "" {
 		watch.durable.Disk = settings.NewDisk
@@ -245,6 +256,15 @@
 	return w.leaseUntil.Sub(now)
 }
 
+// LeaseEnd is the moment after which nothing that rests on the lease may leave;
+// it is in the past where the lease is not held.
+func (w *Watch) LeaseEnd() time.Time {
+	if statemachine.Mutated("lease-for-ever") {
+		return time.Time{}
+	}
+	return w.leaseUntil
+}
+
 // NextDue is when the watch wants to run again.
 func (w *Watch) NextDue() time.Time { return w.timers.Next() }
 
@@ -272,6 +292,8 @@
 			w.retry(now, effects)
 		case "follow":
 			w.follow(now, effects)
+		case "leave":
+			w.leaveOn(now, effects)
 		case "limits":
 			w.limits(now, effects)
 		}
@@ -280,6 +302,9 @@
 
 // Message takes what other controllers say; it tells whether it was for the watch.
 func (w *Watch) Message(now time.Time, meta statemachine.Meta, message any, effects *statemachine.Effects) bool {
+	if w.nameOf(meta.From, w.durable.Record.Voters) != "" {
+		w.heardFrom[meta.From] = now
+	}
 	switch body := message.(type) {
 	case Hello:
 		w.onHello(now, meta.From, body, effects)
@@ -317,6 +342,10 @@
 		w.onConfirm(now, meta.From, body, effects)
 	case ConfirmResponse:
 		w.onConfirmResponse(now, meta.From, body, effects)
+	case Leave:
+		w.onLeave(now, meta.From, body, effects)
+	case LeaveResponse:
+		w.onLeaveResponse(meta.From, body)
 	case DutyAsk:
 		w.onDutyAsk(now, meta.From, body, effects)
 	case DutyResponse:
--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -24,6 +24,13 @@
 			}
 			return
 		}
+		if w.keepsQuiet(now, effects) {
+			return
+		}
+		if w.yielded && w.leaving && now.Sub(w.yieldedAt) < takeBackAfter {
+			w.follow(now, effects)
+			return
+		}
 		w.yielded = false
 		renew := Renew{Epoch: w.durable.Record.Epoch, Request: w.requests.Next()}
 		number := renew.Request.Number
@@ -47,6 +54,41 @@
 	w.follow(now, effects)
 }
 
+// keepsQuiet gives the lease back where this primary is deaf, and asks for none for a
+// while. The voters may hear it all the same: if it went on, they would grant what
+// never arrives, and nobody would take over. Since nobody may be able to, it asks
+// again now and then.
+func (w *Watch) keepsQuiet(now time.Time, effects *statemachine.Effects) bool {
+	if !w.deaf(now) || statemachine.Mutated("deaf-primary") {
+		w.quietUntil = time.Time{}
+		return false
+	}
+	if now.Sub(w.quietUntil) >= lostAfter {
+		w.quietUntil = now.Add(quietFor)
+		w.Yield(now, effects)
+	}
+	return now.Before(w.quietUntil)
+}
+
+// deaf tells whether this primary lost its lease and hears too few of the voters: it
+// has asked them for lease and for the next epoch, which some would have answered.
+func (w *Watch) deaf(now time.Time) bool {
+	since := w.leaseUntil
+	if since.Before(w.actingSince) {
+		since = w.actingSince
+	}
+	if now.Sub(since) < lostAfter+renewEvery {
+		return false
+	}
+	heard := 0
+	for _, controller := range w.durable.Record.Voters {
+		if at, found := w.heardFrom[controller.Address]; controller.At(w.settings.Self) || found && now.Sub(at) < lostAfter {
+			heard++
+		}
+	}
+	return heard < w.durable.Record.Majority()
+}
+
 // grantOwn counts the primary's own vote, unless it has promised a ballot away.
 func (w *Watch) grantOwn(now time.Time, number uint64, effects *statemachine.Effects) {
 	if !w.mayGrant(now) {
@@ -82,6 +124,7 @@
 
 func (w *Watch) watchLease(now time.Time, effects *statemachine.Effects) {
 	if now.Before(w.leaseUntil) {
+		w.standDown()
 		return
 	}
 	if w.leaseHeld {
@@ -90,19 +133,36 @@
 	}
 	// Witnesses that promised a ballot away grant nothing more in this epoch;
 	// if that candidate is gone, the primary asks for the next epoch itself.
+	// A new epoch frees what was promised, so it is given time first.
 	since := w.leaseUntil
+	if since.Before(w.decidedAt) && !statemachine.Mutated("epochs-without-pause") {
+		since = w.decidedAt
+	}
 	if since.Before(w.actingSince) {
 		since = w.actingSince
 	}
 	if w.yielded || now.Sub(since) < lostAfter || w.trying != nil || w.gathered {
 		return
 	}
-	if lost, _ := w.failing(now); len(lost) == 0 {
-		record := w.durable.Record
-		record.Epoch++
-		w.replacing, w.gathered = true, true
-		w.begin(now, record, effects)
+	if lost, _ := w.failing(now); len(lost) > 0 {
+		w.takeBack(now, effects)
+		return
+	}
+	record := w.durable.Record
+	record.Epoch++
+	w.replacing, w.gathered = true, true
+	w.begin(now, record, effects)
+}
+
+// takeBack goes for the next epoch as who takes over does. The candidate that the
+// voters promised may be the backup that is lost, and a backup that lost its disk does
+// not come back level as long as nobody may grant.
+func (w *Watch) takeBack(now time.Time, effects *statemachine.Effects) {
+	if statemachine.Mutated("primary-waits-for-backup") {
+		return
 	}
+	w.replacing, w.takingOver = true, true
+	w.gather(now, nil, nil, effects)
 }
 
 func (w *Watch) onRenew(now time.Time, from string, renew Renew, effects *statemachine.Effects) {
@@ -143,8 +203,11 @@
 	if !w.IsPrimary() {
 		return
 	}
-	w.yielded = true
+	w.yielded, w.yieldedAt = true, now
 	w.leaseUntil = time.Time{}
+	if w.grantedTo == w.settings.Self.Name {
+		w.grantedUntil = now
+	}
 	w.renewals, w.grants = map[uint64]time.Time{}, map[uint64]map[string]bool{}
 	effects.Note(logevent.LeaseYielded, "epoch", w.durable.Record.Epoch)
 	for _, controller := range w.durable.Record.Voters {
--- a/internal/controller/command.go
+++ b/internal/controller/command.go
@@ -11,6 +11,7 @@
 
 	"dahlialock/internal/config"
 	"dahlialock/internal/membership"
+	"dahlialock/internal/statemachine"
 	"dahlialock/internal/transport"
 )
 
@@ -28,6 +29,7 @@
 	Rests        []Rest
 	Places       []membership.Placement
 	Settled      []membership.PartitionComplete
+	Forgotten    []Departure
 }
 
 // ConfigurationChange is an operator's configuration under its number. One that was
@@ -45,8 +47,10 @@
 	Through string
 }
 
-// Retirement is an operator's order to empty a store, or to use it again.
+// Retirement is an operator's order to empty a store, or to use it again. Order is
+// its name, by which it is known if it comes again.
 type Retirement struct {
+	Order    statemachine.RequestID
 	Store    string
 	Retiring bool
 }
@@ -110,7 +114,7 @@
 // empty tells whether a command changes nothing.
 func (c Command) empty() bool {
 	return c.Configuration == nil && c.Retirement == nil && c.Tolerance == nil &&
-		len(c.Departures)+len(c.Joins)+len(c.Emptied)+len(c.Degradations)+len(c.Rests)+len(c.Places)+len(c.Settled) == 0
+		len(c.Departures)+len(c.Joins)+len(c.Emptied)+len(c.Degradations)+len(c.Rests)+len(c.Places)+len(c.Settled)+len(c.Forgotten) == 0
 }
 
 func mustPack(command Command) []byte { return transport.MustMarshal(command) }
--- a/internal/controller/identity_test.go
+++ b/internal/controller/identity_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dahlialock/internal/membership"
 	"dahlialock/internal/partition"
 	"dahlialock/internal/statemachine"
 	"dahlialock/internal/transport"
@@ -77,9 +78,9 @@
 
 // loseUnsynced publishes while the first's disk takes nothing, then ends the first's
 // process and begins it anew at once.
-func (p *pair) loseUnsynced(request uint64) {
+func (p *pair) loseUnsynced() {
 	p.first.hung = p.now + time.Hour
-	p.publish(request)
+	p.publish(1)
 	p.run(20 * time.Millisecond)
 	p.first.kill()
 	p.run(30 * time.Millisecond)
@@ -97,7 +98,7 @@
 // Then the first is lost with its disk.
 func sameOffset(t *testing.T, seed uint64) (broken string) {
 	pair := newPair(t, seed)
-	pair.loseUnsynced(1)
+	pair.loseUnsynced()
 	for request := uint64(2); request < 250; request++ {
 		pair.after(time.Duration(request)*3*time.Millisecond, func() { pair.publish(request) })
 	}
@@ -141,7 +142,7 @@
 		return 0, false
 	}
 	began := pair.now
-	pair.loseUnsynced(1)
+	pair.loseUnsynced()
 	pair.held = nil
 	pair.run(1400*time.Millisecond - (pair.now - began))
 	pair.held = func(from, _ string, message any) (time.Duration, bool) {
@@ -166,7 +167,7 @@
 		}
 		return 0, false
 	}
-	pair.loseUnsynced(1)
+	pair.loseUnsynced()
 	pair.held = nil
 	pair.run(1500 * time.Millisecond)
 	pair.publish(2)
@@ -188,7 +189,7 @@
 		}
 		return 0, false
 	}
-	pair.loseUnsynced(1)
+	pair.loseUnsynced()
 	pair.run(time.Second)
 	for request := uint64(2); request < 10; request++ {
 		pair.publish(request)
@@ -200,6 +201,26 @@
 	return pair.loseFirst(1, 10)
 }
 
+// orderAgain tells whether a store is being emptied after an order to empty it was
+// taken, another to use it again was taken, and the first comes once more from a daemon
+// that had no answer to it.
+func orderAgain() bool {
+	state := newState()
+	apply := func(command Command) { state.Apply(time.Time{}, mustPack(command)) }
+	for _, name := range []string{"store-0", "store-1", "store-2"} {
+		apply(Command{Joins: []Join{{Self: membership.Member{Name: name, Kind: membership.KindStore, Alive: true, Incarnation: 1}}}})
+	}
+	empty := Retirement{Order: statemachine.RequestID{Life: 7, Number: 3}, Store: "store-0", Retiring: true}
+	apply(Command{Retirement: &empty})
+	apply(Command{Retirement: &Retirement{Order: statemachine.RequestID{Life: 9, Number: 3}, Store: "store-0"}})
+	apply(Command{Retirement: &empty})
+	return state.Members["store-0"].Retiring
+}
+
+func TestAnOrderThatComesAgainIsKnown(t *testing.T) {
+	assert.Assert(t, !orderAgain())
+}
+
 var restartedFirst = []struct {
 	name string
 	run  func(t *testing.T, seed uint64) string
--- a/internal/membership/follower.go
+++ b/internal/membership/follower.go
@@ -39,6 +39,7 @@
 	guess       int
 	primary     string
 	nonce       uint64
+	heard       uint64
 	askedAt     time.Time
 	asked       []question
 	searches    int
@@ -214,7 +215,7 @@
 	effects.Send(address, Ask{
 		Self: f.self, Nonce: f.nonce, Index: f.Index, Version: f.Version,
 		Load: f.load(), Patient: f.patient, Urgent: f.searching || f.hurried,
-		Epoch: f.Epoch,
+		Epoch: f.Epoch, Heard: f.heard,
 	})
 }
 
@@ -237,9 +238,10 @@
 }
 
 // Redirected learns from a controller that is not primary. A primary that it names
-// and that was not asked yet is asked at once.
+// and that was not asked yet is asked at once. Once the primary has answered the same
+// question, what the others say of it is of no use.
 func (f *Follower) Redirected(now time.Time, redirect Redirect, effects *statemachine.Effects) {
-	if redirect.Nonce != f.nonce {
+	if redirect.Nonce != f.nonce || !f.waiting {
 		return
 	}
 	asked := f.Upstreams()
@@ -273,6 +275,9 @@
 
 // Take takes news that is not older than what is held.
 func (f *Follower) Take(now time.Time, news News) Taken {
+	if news.Nonce <= f.nonce {
+		f.heard = max(f.heard, news.Nonce)
+	}
 	if news.Epoch < f.Epoch || news.Index < f.Index || news.Version < f.Version {
 		return Taken{}
 	}
@@ -312,6 +317,9 @@
 	if news.Since > 0 {
 		members, places = maps.Clone(f.Members), maps.Clone(f.Places)
 	}
+	for _, name := range news.Gone {
+		delete(members, name)
+	}
 	for _, member := range news.Members {
 		members[member.Name] = member
 	}
@@ -347,6 +355,18 @@
 	return f.controllers[f.guess%len(f.controllers)]
 }
 
+// Relays are the addresses of living agents, which carry requests to controllers:
+// they may reach one that this daemon has lost.
+func (f *Follower) Relays() []string {
+	var addresses []string
+	for _, member := range statemachine.Sorted(f.Members) {
+		if member.Kind == KindAgent && member.Alive && member.Name != f.self.Name {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	return addresses
+}
+
 // AnswerConfig gives a daemon that asks a configuration newer than its own.
 func (f *Follower) AnswerConfig(to string, ask ConfigAsk, effects *statemachine.Effects) {
 	if f.Version > ask.Version {
--- a/internal/partition/store.go
+++ b/internal/partition/store.go
@@ -55,6 +55,8 @@
 	NewDisk string
 	// Redeliver is how long a caller may send an accepted message again.
 	Redeliver time.Duration
+	// Acknowledge is within what time a proper order is to be acknowledged.
+	Acknowledge time.Duration
 	// Life names this run of the process.
 	Life statemachine.Life
 }
@@ -114,6 +116,8 @@
 	accepted   uint64
 	firstSince uint64
 	floor      uint64
+	// spare is since when nobody counts on this log; zero while somebody does.
+	spare time.Time
 }
 
 type headWatcher struct {
@@ -226,7 +230,9 @@
 	store.settings.Self.Disk = store.disk
 	store.follower = membership.NewFollower(store.settings.Self, settings.Life, settings.Seeds, store.load)
 	store.pulse = membership.NewPulse(store.settings.Self)
-	store.controlClient = controlclient.New(settings.Life, store.follower.Upstream, store.follower.Other)
+	store.controlClient = controlclient.New(controlclient.Settings{
+		Life: settings.Life, Acknowledge: settings.Acknowledge, Upstream: store.follower.Upstream, Other: store.follower.Other, Relays: store.follower.Relays,
+	})
 	return store, nil
 }
 
@@ -306,6 +312,7 @@
 		switch {
 		case key == "trim":
 			s.trim(now)
+			s.dropSpares(now, effects)
 		case key == "copy":
 			s.recopy(now, effects)
 		case key == "probe":
@@ -384,15 +391,7 @@
 		}
 		s.place(now, partition, place, effects)
 	}
-	for name, partition := range statemachine.Sorted(s.partitions) {
-		place, placed := s.follower.Places[name]
-		needed := placed && (place.Names(s.settings.Self.Name) || slices.Contains(place.Safe, s.holder()))
-		if !needed {
-			s.giveUp(partition, "removed", effects)
-			delete(s.partitions, name)
-			s.log(diskEntry{Partition: name, Drop: true}, nil)
-		}
-	}
+	s.release(now, effects)
 	s.forgetDelays()
 	if s.follower.Members[s.settings.Self.Name].Degraded {
 		s.timers.ArmSooner("probe", now.Add(probeEvery))
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -45,6 +45,10 @@
 	// anybody is there, if somebody wants to know.
 	probeAfter  = 5 * time.Millisecond
 	probeSlowly = 200 * time.Millisecond
+	// dialFirst is how long the first dial may take, and dialLimit any other: what goes
+	// to a machine that is just starting is lost, and asked again by the system after a
+	// second only.
+	dialFirst   = 200 * time.Millisecond
 	dialLimit   = time.Second
 	pauseLeast  = 50 * time.Millisecond
 	pauseMost   = 500 * time.Millisecond
@@ -87,6 +91,8 @@
 type Counters struct {
 	MessagesOut, BytesOut, MessagesIn, BytesIn, Dropped, Garbage, Shed atomic.Int64
 	MessagesAway, BytesAway                                            atomic.Int64
+	// Late are messages that may not leave any more when their turn came.
+	Late atomic.Int64
 	// Writes are system calls that wrote to links, Dials connections made.
 	Writes, Dials atomic.Int64
 	// Held counts turns that waited for the machine's link or a peer's window.
@@ -106,6 +112,7 @@
 	ended      <-chan error
 	impairment atomic.Pointer[Impairment]
 	garbage    func(remote string, err error)
+	clock      func() time.Time
 	Counters   Counters
 	// What was sent and received, by kind of message.
 	sent, received kindSums
@@ -128,11 +135,17 @@
 	// watches is set where the owner wants to know of addresses that refuse.
 	watches atomic.Bool
 	closing atomic.Bool
+	// looping is set once there is a dialling loop: peers may name themselves before.
+	looping atomic.Bool
 
 	// Of the accepting loop.
 	reader reader
 	inward map[string]gnet.Conn
 
+	// dial makes a connection, and firstDial is how long the first may take.
+	dial      func(limit context.Context, to string) (net.Conn, error)
+	firstDial time.Duration
+
 	// Of the dialling loop.
 	loop     gnet.EventLoop
 	tended   map[string]*link
@@ -159,6 +172,7 @@
 	// the dialling loop.
 	pending [classCount]bytes.Buffer
 	frames  [classCount]int
+	bounds  [classCount][]bound
 	dirty   bool
 	handed  uint64
 
@@ -174,6 +188,11 @@
 	wire     gnet.Conn
 	socket   *socket
 	dialling bool
+	// patience is how long the next dial may take, and hangUp ends the present one.
+	patience time.Duration
+	hangUp   context.CancelFunc
+	// answers is set while the peer is known to be there, by what it said itself.
+	answers  bool
 	pause    time.Duration
 	retryAt  time.Time
 	armed    time.Time
@@ -195,6 +214,7 @@
 	body   []byte
 	class  Class
 	frames int
+	bounds []bound
 	at     time.Time
 	due    time.Time
 	rest   *socket
@@ -254,12 +274,14 @@
 		urgent:   urgent,
 		booted:   make(chan struct{}),
 		garbage:  garbage,
+		clock:    time.Now,
 		sent:     newKindSums(),
 		received: newKindSums(),
 		links:    map[string]*link{},
 		inward:   map[string]gnet.Conn{},
 		tended:   map[string]*link{},
 	}
+	opened.dial, opened.firstDial = opened.dialPlain, dialFirst
 	opened.impairment.Store(&Impairment{})
 	// gnet's pool of tasks, which nothing here uses, would wake up twice a second.
 	goroutine.DefaultWorkerPool.Release()
@@ -299,7 +321,9 @@
 		return err
 	}
 	t.client = client
-	plain, err := t.dial(t.address)
+	limit, hangUp := context.WithTimeout(context.Background(), dialLimit)
+	defer hangUp()
+	plain, err := t.dial(limit, t.address)
 	if err != nil {
 		return err
 	}
@@ -308,6 +332,7 @@
 		return err
 	}
 	t.loop = first.EventLoop()
+	t.looping.Store(true)
 	_ = first.Close()
 	time.AfterFunc(idleLimit, t.sweepLater)
 	return nil
