--- a/internal/transport/kinds.go
+++ b/internal/transport/kinds.go
@@ -1,5 +1,6 @@
 // Counting by kind of message: what crosses a daemon's links, so that whatever
 // fills a link has a name. Bytes are those of the frames, before a turn is packed.
+
 package transport
 
 import (
