--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -91,6 +91,8 @@
 type Counters struct {
 	MessagesOut, BytesOut, MessagesIn, BytesIn, Dropped, Garbage, Shed atomic.Int64
 	MessagesAway, BytesAway                                            atomic.Int64
+	// Late are messages that may not leave any more when their turn came.
+	Late atomic.Int64
 	// Writes are system calls that wrote to links, Dials connections made.
 	Writes, Dials atomic.Int64
 	// Held counts turns that waited for the machine's link or a peer's window.
@@ -110,6 +112,7 @@
 	ended      <-chan error
 	impairment atomic.Pointer[Impairment]
 	garbage    func(remote string, err error)
+	clock      func() time.Time
 	Counters   Counters
 	// What was sent and received, by kind of message.
 	sent, received kindSums
@@ -169,6 +172,7 @@
 	// the dialling loop.
 	pending [classCount]bytes.Buffer
 	frames  [classCount]int
+	bounds  [classCount][]bound
 	dirty   bool
 	handed  uint64
 
@@ -210,6 +214,7 @@
 	body   []byte
 	class  Class
 	frames int
+	bounds []bound
 	at     time.Time
 	due    time.Time
 	rest   *socket
@@ -269,6 +274,7 @@
 		urgent:   urgent,
 		booted:   make(chan struct{}),
 		garbage:  garbage,
+		clock:    time.Now,
 		sent:     newKindSums(),
 		received: newKindSums(),
 		links:    map[string]*link{},
