--- a/internal/transport/begin_test.go
+++ b/internal/transport/begin_test.go
@@ -1,4 +1,5 @@
 // What comes in before all of a transport stands.
+
 package transport
 
 import "testing"
