--- a/internal/consensus/identity_test.go
+++ b/internal/consensus/identity_test.go
@@ -171,7 +171,7 @@
 	seeds uint64
 	run   func(t trial, seed uint64)
 }{
-	{"late grants", 4, lateGrants},
+	{"late grants", 10, lateGrants},
 	{"late yield", 4, lateYield},
 	{"late duty", 4, lateDuty},
 	{"late release", 2, lateRelease},
