--- a/internal/transport/receive.go
+++ b/internal/transport/receive.go
@@ -143,7 +143,7 @@
 	if from.confirms = t.pace.Confirms(); !from.confirms {
 		_, _ = connection.Write(binary.BigEndian.AppendUint64(nil, uint64(Unbounded)))
 	}
-	t.present(address)
+	t.peerIsThere(address)
 }
 
 // take queues what came in. What is of the control state has a queue of its own
