--- a/internal/consensus/leave.go
+++ b/internal/consensus/leave.go
@@ -4,6 +4,7 @@
 // its place. It goes once a majority of the voters without it have that on their
 // disks, so that the loss of any others as are tolerated, and of all power, leaves
 // enough who know. Where nobody can take its place it goes at once.
+
 package consensus
 
 import (
--- a/internal/controller/stop.go
+++ b/internal/controller/stop.go
@@ -2,6 +2,7 @@
 // and the copies of the control state by agreement, in case its machine goes with
 // it. It ends once nothing that it holds is needed, and in any case before the platform
 // loses patience.
+
 package controller
 
 import (
--- a/internal/gateway/credit.go
+++ b/internal/gateway/credit.go
@@ -1,6 +1,7 @@
 // The credit of fetches. Only so many are on their way to a store at a time: answers
 // come no faster than the link takes them, and neither do the next questions. One
 // for which nobody waits any more keeps its credit until its answer has come.
+
 package gateway
 
 import (
--- a/internal/gateway/ways.go
+++ b/internal/gateway/ways.go
@@ -1,5 +1,6 @@
 // Ways to partitions: to which store, in which of its lives and in which epoch, what
 // waits for an answer was sent. News of other things send nothing again.
+
 package gateway
 
 import (
--- a/internal/overlay/notices.go
+++ b/internal/overlay/notices.go
@@ -748,7 +748,7 @@
 	case NoticeAsk:
 		o.owe(now, here, key.Daemon)
 	case NoticeDiffers, NoticeLacks:
-		o.level(now, here, key, notice)
+		o.level(here, key, notice)
 		// It knows now, or soon, what is known here.
 		notice.Digest = here.digestHere()
 	case NoticeMembers:
@@ -792,7 +792,7 @@
 
 // level names to a peer those of the cell that it did not sum up, and asks it for
 // those whom nobody here knows.
-func (o *Overlay) level(now time.Time, here *cell, key PeerKey, notice Notice) {
+func (o *Overlay) level(here *cell, key PeerKey, notice Notice) {
 	summed := make(map[uint32]bool, len(notice.Counts))
 	for _, hash := range notice.Counts {
 		summed[hash] = true
--- a/internal/partition/leave.go
+++ b/internal/partition/leave.go
@@ -1,6 +1,7 @@
 // Ending in good order: a store that is asked to end may lose its machine with it,
 // so it has its partitions given to others first, as one whose disk lags does, and ends
 // once nothing of its disk is needed, or when its time is up.
+
 package partition
 
 import (
--- a/internal/simulator/secondloss_test.go
+++ b/internal/simulator/secondloss_test.go
@@ -48,11 +48,10 @@
 }
 
 // addFresh starts an empty controller at another address.
-func (s *Simulation) addFresh(number int) *Node {
+func (s *Simulation) addFresh(number int) {
 	fresh := s.addController(number)
 	fresh.founded = true
 	fresh.Start()
-	return fresh
 }
 
 // strikeAgain wipes as many controllers as may be lost beside those lost already,
