--- a/internal/consensus/leave.go
+++ b/internal/consensus/leave.go
@@ -18,6 +18,8 @@
 	leaveEvery   = 100 * time.Millisecond
 	departsFresh = time.Second
 	departsKept  = 10 * time.Second
+	// hearsStandbys is how long a primary acts before it has heard all that stand by.
+	hearsStandbys = standbyEvery + 200*time.Millisecond
 	// takeBackAfter is when a primary that leaves takes the lease back: nobody took
 	// over, so it may hold the only copy.
 	takeBackAfter = lostAfter
@@ -54,8 +56,9 @@
 	}
 	w.timers.Arm("leave", now.Add(leaveEvery))
 	w.handOver(now, effects)
+	leave := Leave{Epoch: w.durable.Record.Epoch, Request: w.requests.Next()}
 	for _, controller := range others {
-		effects.Send(controller.Address, Leave{Epoch: w.durable.Record.Epoch})
+		effects.Send(controller.Address, leave)
 	}
 }
 
@@ -66,12 +69,18 @@
 	})
 }
 
-// handOver gives the lease back once a backup can go on at once.
+// handOver gives the lease back once a backup that stays can go on at once.
 func (w *Watch) handOver(now time.Time, effects *statemachine.Effects) {
-	if !w.Serving(now) || w.trying != nil || len(w.durable.Record.Backups) == 0 {
+	if !w.Serving(now) || w.trying != nil {
 		return
 	}
-	w.Yield(now, effects)
+	record := w.durable.Record
+	if slices.ContainsFunc(record.Backups, func(name string) bool {
+		backup, _ := record.Find(name)
+		return !w.saidToGo(now, backup.Address)
+	}) {
+		w.Yield(now, effects)
+	}
 }
 
 // onLeave is told that a controller wants to go. Who is outside the voters may, as
@@ -91,7 +100,7 @@
 	name := w.nameOf(from, record.Voters)
 	if name == "" {
 		if w.member() && w.diskEpoch == record.Epoch {
-			effects.Send(from, LeaveResponse{Epoch: record.Epoch})
+			effects.Send(from, LeaveResponse{Epoch: record.Epoch, Request: leave.Request})
 		}
 		return
 	}
@@ -101,7 +110,7 @@
 	w.follow(now, effects)
 	w.watchVoters(now, effects)
 	if w.irreplaceable(now, name) {
-		effects.Send(from, LeaveResponse{Epoch: record.Epoch, Irreplaceable: true})
+		effects.Send(from, LeaveResponse{Epoch: record.Epoch, Request: leave.Request, Irreplaceable: true})
 	}
 }
 
@@ -117,7 +126,7 @@
 
 func (w *Watch) onLeaveResponse(from string, returned LeaveResponse) {
 	record := w.durable.Record
-	if !w.leaving || returned.Epoch < record.Epoch || w.nameOf(from, record.Voters) == "" {
+	if _, own := w.requests.Own(returned.Request); !own || !w.leaving || returned.Epoch < record.Epoch || w.nameOf(from, record.Voters) == "" {
 		return
 	}
 	if returned.Irreplaceable {
@@ -161,12 +170,25 @@
 	return "", false
 }
 
+// mayDrop tells whether a backup that goes need not be replaced: nobody else can have
+// its copy, and there are as many as are needed without it.
+func (w *Watch) mayDrop(now time.Time, backup Controller) bool {
+	if !w.departing(now, backup) || len(w.durable.Record.Backups) <= w.neededBackups() {
+		return false
+	}
+	_, found := w.departingBackup(now)
+	return !found
+}
+
 // irreplaceable tells whether nobody is there to take the place of a voter.
 func (w *Watch) irreplaceable(now time.Time, name string) bool {
 	record := w.durable.Record
 	if w.trying != nil || w.replacing || w.gathered || !w.level() || len(w.Standbys(now)) > 0 || mayShrink(record) {
 		return false
 	}
+	if now.Sub(w.actingSince) < hearsStandbys && !statemachine.Mutated("irreplaceable-unheard") {
+		return false
+	}
 	copies, found := w.departingBackup(now)
 	return !found || copies != name
 }
--- a/internal/transport/dial_test.go
+++ b/internal/transport/dial_test.go
@@ -51,13 +51,19 @@
 		end, bounded := limit.Deadline()
 		assert.Check(t, bounded)
 		limits <- time.Until(end).Round(100 * time.Millisecond)
-		return nil, errors.New("no answer")
+		return nil, context.DeadlineExceeded
 	}
-	assert.NilError(t, links.Send("127.0.0.1:9", 0, word{}))
-	links.Flush()
-	for _, most := range []time.Duration{dialFirst, 2 * dialFirst, 4 * dialFirst, dialLimit} {
+	for number := range dialsEager + 4 {
+		most := dialFirst
+		if number > dialsEager {
+			most = min(dialFirst<<(number-dialsEager), dialLimit)
+		}
+		// What waits for too long is dropped, and nobody dials for nothing.
+		assert.NilError(t, links.Send("127.0.0.1:9", 0, word{}))
+		links.Flush()
 		limit := awaited(t, limits, "it was not dialled again")
 		assert.Assert(t, limit <= most, "%s for a dial that may take %s", limit, most)
+		assert.Assert(t, limit > most/4, "%s for a dial that may take %s", limit, most)
 	}
 }
 
@@ -91,5 +97,5 @@
 // A daemon listens before it dials, so that peers may name themselves in between.
 func TestAPeerMayNameItselfBeforeThereIsADiallingLoop(_ *testing.T) {
 	opening := &Transport{links: map[string]*link{}, tended: map[string]*link{}}
-	opening.present("10.0.0.1:1")
+	opening.peerIsThere("10.0.0.1:1")
 }
