--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -96,7 +96,8 @@
 	Late atomic.Int64
 	// Writes are system calls that wrote to links, Dials connections made.
 	Writes, Dials atomic.Int64
-	// Held counts turns that waited for the machine's link or a peer's window.
+	// Held counts how often something had to wait for the machine's link, or a turn
+	// for a peer's window.
 	Held atomic.Int64
 }
 
@@ -162,6 +163,7 @@
 	unpacker *unpacker
 	// took are the bytes that came, told those that were confirmed.
 	took, told int64
+	confirms   bool
 }
 
 // link is one destination.
