--- a/internal/consensus/mutation_test.go
+++ b/internal/consensus/mutation_test.go
@@ -5,38 +5,16 @@
 package consensus
 
 import (
-	"fmt"
-	"runtime"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"dahlialock/internal/mutationtest"
 	"dahlialock/internal/statemachine"
 )
 
-// expectation is a trial that may fail.
-type expectation struct {
-	failed bool
-	lines  []string
-}
-
-func (e *expectation) Helper() {}
-func (e *expectation) Fail()   { e.failed = true }
-func (e *expectation) Log(values ...any) {
-	e.lines = append(e.lines, fmt.Sprint(values...))
-}
-func (e *expectation) Logf(string, ...any) {}
-func (e *expectation) FailNow() {
-	e.failed = true
-	runtime.Goexit()
-}
-func (e *expectation) Fatalf(format string, values ...any) {
-	e.Log(fmt.Sprintf(format, values...))
-	e.FailNow()
-}
-
 var proofs = []struct {
 	mutation string
 	run      func(t trial, seed uint64)
@@ -63,14 +41,8 @@
 	}},
 }
 
-func tried(seed uint64, run func(t trial, seed uint64)) *expectation {
-	expectation, done := &expectation{}, make(chan struct{})
-	go func() {
-		defer close(done)
-		run(expectation, seed)
-	}()
-	<-done
-	return expectation
+func tried(seed uint64, run func(t trial, seed uint64)) *mutationtest.Trial {
+	return mutationtest.Run(func(t *mutationtest.Trial) { run(t, seed) })
 }
 
 func TestEachMechanismIsNeeded(t *testing.T) {
@@ -78,8 +50,8 @@
 		restore := statemachine.Mutate(proof.mutation)
 		found := false
 		for seed := range uint64(60) {
-			if got := tried(seed, proof.run); got.failed {
-				t.Logf("without %s, seed %d: %s", proof.mutation, seed, strings.Join(got.lines, "; "))
+			if got := tried(seed, proof.run); got.Failed {
+				t.Logf("without %s, seed %d: %s", proof.mutation, seed, strings.Join(got.Lines, "; "))
 				found = true
 				break
 			}
--- a/internal/controller/forget_mutation_test.go
+++ b/internal/controller/forget_mutation_test.go
@@ -3,7 +3,6 @@
 package controller
 
 import (
-	"fmt"
 	"slices"
 	"testing"
 
@@ -12,13 +11,6 @@
 	"dahlialock/internal/statemachine"
 )
 
-func (e *expectation) Helper() {}
-
-func (e *expectation) Fatalf(format string, values ...any) {
-	e.Log(fmt.Sprintf(format, values...))
-	e.FailNow()
-}
-
 // Without the bound on tombstones the state grows, and without the question whether
 // anything refers to a member what counts is forgotten; a log without a bound grows with
 // the changes.
@@ -37,8 +29,8 @@
 		restore := statemachine.Mutate(mutation)
 		red := tried(run)
 		restore()
-		assert.Check(t, red.failed, "nothing is seen of %s", mutation)
-		t.Log(mutation, red.lines)
+		assert.Check(t, red.Failed, "nothing is seen of %s", mutation)
+		t.Log(mutation, red.Lines)
 	}
 	for _, mutation := range []string{"snapshot-without-pending", "unsynced-names"} {
 		restore := statemachine.Mutate(mutation)
@@ -48,8 +40,8 @@
 			}
 		})
 		restore()
-		assert.Check(t, red.failed, "nothing is seen of %s", mutation)
-		t.Log(mutation, red.lines)
+		assert.Check(t, red.Failed, "nothing is seen of %s", mutation)
+		t.Log(mutation, red.Lines)
 	}
 	restore := statemachine.Mutate("log-without-end")
 	defer restore()
--- a/internal/controller/mutation_test.go
+++ b/internal/controller/mutation_test.go
@@ -4,38 +4,16 @@
 package controller
 
 import (
-	"fmt"
-	"runtime"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"dahlialock/internal/mutationtest"
 	"dahlialock/internal/statemachine"
 )
 
-// expectation is a trial that may fail.
-type expectation struct {
-	failed bool
-	lines  []string
-}
-
-func (e *expectation) Fail() { e.failed = true }
-
-func (e *expectation) FailNow() {
-	e.failed = true
-	runtime.Goexit()
-}
-
-func (e *expectation) Log(values ...any) { e.lines = append(e.lines, fmt.Sprint(values...)) }
-
-func tried(run func(t assert.TestingT)) *expectation {
-	expectation, done := &expectation{}, make(chan struct{})
-	go func() {
-		defer close(done)
-		run(expectation)
-	}()
-	<-done
-	return expectation
+func tried(run func(t assert.TestingT)) *mutationtest.Trial {
+	return mutationtest.Run(func(t *mutationtest.Trial) { run(t) })
 }
 
 func TestEachMechanismOfOrdersIsNeeded(t *testing.T) {
@@ -50,9 +28,9 @@
 		restore := statemachine.Mutate(proof.mutation)
 		red := tried(proof.run)
 		restore()
-		assert.Check(t, red.failed, "nothing is seen of %s", proof.mutation)
-		t.Log(proof.mutation, red.lines)
+		assert.Check(t, red.Failed, "nothing is seen of %s", proof.mutation)
+		t.Log(proof.mutation, red.Lines)
 		green := tried(proof.run)
-		assert.Check(t, !green.failed, "%v", green.lines)
+		assert.Check(t, !green.Failed, "%v", green.Lines)
 	}
 }
--- a/internal/wal/mutation_test.go
+++ b/internal/wal/mutation_test.go
@@ -6,38 +6,17 @@
 package wal
 
 import (
-	"fmt"
-	"runtime"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"dahlialock/internal/mutationtest"
 	"dahlialock/internal/statemachine"
 )
 
-// expectation is a trial that may fail.
-type expectation struct {
-	failed bool
-	lines  []string
-}
-
-func (e *expectation) Helper()           {}
-func (e *expectation) Fail()             { e.failed = true }
-func (e *expectation) Log(values ...any) { e.lines = append(e.lines, fmt.Sprint(values...)) }
-func (e *expectation) FailNow() {
-	e.failed = true
-	runtime.Goexit()
-}
-
-func tried(seed uint64, run func(t trial, seed uint64)) *expectation {
-	expectation, done := &expectation{}, make(chan struct{})
-	go func() {
-		defer close(done)
-		run(expectation, seed)
-	}()
-	<-done
-	return expectation
+func tried(seed uint64, run func(t trial, seed uint64)) *mutationtest.Trial {
+	return mutationtest.Run(func(t *mutationtest.Trial) { run(t, seed) })
 }
 
 func TestEachMechanismIsNeeded(t *testing.T) {
@@ -51,8 +30,8 @@
 		found := false
 		for seed := uint64(0); seed < 2000 && !found; seed++ {
 			got := tried(seed, run)
-			if found = got.failed; found {
-				t.Logf("without %s, seed %d: %.300s", mutation, seed, strings.Join(got.lines, "; "))
+			if found = got.Failed; found {
+				t.Logf("without %s, seed %d: %.300s", mutation, seed, strings.Join(got.Lines, "; "))
 			}
 		}
 		restore()
