Catch up by one batch to each store; a refused subscription keeps its turn

One fetch carried one topic, eight were on their way to a store, and a subscription was confirmed at its arrival or by its own answer only: 128 were refused though their partition's beginning was known by then. The refused one lost its turn, and its answer was for nobody. A partition's heads were also told again from the beginning each time a topic was first known up to an older offset: 128 Follow a second, 71 KB/s of heads, at the fullest gateway.

Change: topics that lack something wait in one queue; one batch is on its way to each store and asks for all of them; the answer confirms or refuses each place whatever room there is for records, which follow within a credit of bytes that follows from the link. A refused place is fetched all the same for its next try, for 3 s. What is told to have moved while a topic is being fetched is noted, so that heads are never asked for from an older offset.

Tests: TestOneBatchCarriesAllThatWaitsForAStore, TestARefusedSubscriptionKeepsItsTurn, TestASubscriptionIsConfirmedBeforeItsRecordsCome, TestWhatMovedWhileATopicWasFetchedIsFetchedToo; the tests of the credit in fetches are replaced by ones of the credit in batches, which allow one where eight were allowed. Red: TestAKeptTurnIsNeeded, TestAllIsFetchedAtOnceWithoutCredit (tag mutation).

--- a/internal/gateway/credit_mutation_test.go
+++ b/internal/gateway/catchup_mutation_test.go
@@ -14,7 +14,7 @@
 
 func TestAllIsFetchedAtOnceWithoutCredit(t *testing.T) {
 	defer statemachine.Mutate("fetches-without-credit")()
-	assert.Equal(t, len(newCrowded(3*fetchesMost).asked()), 3*fetchesMost)
+	assert.Equal(t, len(newCrowded(crowdedTopics).asked()), crowdedTopics)
 }
 
 func TestOthersAreToldOfWhoWaitsIfItCounts(t *testing.T) {
@@ -27,3 +27,9 @@
 	defer statemachine.Mutate("places-confirmed-late")()
 	assert.Assert(t, !confirmed(t, 5))
 }
+
+func TestAKeptTurnIsNeeded(t *testing.T) {
+	defer statemachine.Mutate("refused-loses-turn")()
+	topics, _ := refusedTurn(t)
+	assert.Equal(t, topics, 0)
+}
--- /dev/null
+++ b/internal/gateway/catchup_test.go
@@ -0,0 +1,269 @@
+// One batch is on its way to each store, refused subscriptions keep their turn, places are confirmed before what they lack is fetched, and nobody is told of who still waits for its place.
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dahlialock/internal/config"
+	"dahlialock/internal/membership"
+	"dahlialock/internal/partition"
+	"dahlialock/internal/statemachine"
+)
+
+// crowded is a gateway at which callers take up many kept topics at once.
+type crowded struct {
+	now      time.Time
+	gateway  *Gateway
+	effects  statemachine.Effects
+	channels []*channel
+}
+
+func newCrowded(count int) *crowded {
+	made := &crowded{now: time.Unix(1000, 0)}
+	made.gateway = New(Settings{Self: membership.Member{Name: "gateway-1", Kind: membership.KindGateway, Address: "a:1"}, Agent: "a:2"})
+	made.gateway.follower.Members["store-1"] = membership.Member{Name: "store-1", Kind: membership.KindStore, Address: "k:1", Alive: true}
+	made.gateway.spaces["boards"] = &spaceState{space: config.Space{Name: "boards", Promise: config.Kept, Order: config.OrderTopic, Subscribers: []string{"*"}}, name: "boards~0"}
+	for number := range count {
+		name := fmt.Sprintf("topic-%d", number)
+		partition := config.SharedPartition(name)
+		made.gateway.follower.Places[partition] = membership.Placement{Partition: partition, Epoch: 1, First: "store-1", Complete: true}
+		taken := &place{channel: uint64(number + 1), filling: true, request: Subscribe{Request: uint64(number + 1)}, limit: made.now.Add(time.Second)}
+		opened := &channel{origin: name, routed: map[string]*place{name: taken}}
+		made.gateway.channels[taken.channel] = opened
+		made.channels = append(made.channels, opened)
+		followed := made.gateway.addPlace(made.now, name, "boards", taken, &made.effects)
+		made.gateway.fetchTopic(made.now, followed, &made.effects)
+	}
+	return made
+}
+
+// asked gives the batches that were sent since it was last called.
+func (c *crowded) asked() []partition.FetchTopics {
+	var batches []partition.FetchTopics
+	for _, send := range c.effects.Sends {
+		if asked, is := send.Message.(partition.FetchTopics); is {
+			batches = append(batches, asked)
+		}
+	}
+	c.effects = statemachine.Effects{}
+	return batches
+}
+
+// answer answers a batch as a store does that holds all from Base on and nothing newer
+// than the cursors.
+func (c *crowded) answer(asked partition.FetchTopics) {
+	answer := partition.FetchTopicsResponse{Request: asked.Request}
+	told := map[string]bool{}
+	for _, each := range asked.Topics {
+		if name := config.SharedPartition(each.Topic); !told[name] {
+			told[name] = true
+			answer.Partitions = append(answer.Partitions, partition.PartitionState{Partition: name, Epoch: 1, Head: 5})
+		}
+		answer.Topics = append(answer.Topics, partition.TopicRecords{Until: 5})
+	}
+	c.gateway.onTopicsFetched(c.now, answer, &c.effects)
+}
+
+const crowdedTopics = 24
+
+func TestOneBatchCarriesAllThatWaitsForAStore(t *testing.T) {
+	many := newCrowded(crowdedTopics)
+	first := many.asked()
+	assert.Equal(t, len(first), 1)
+	assert.Equal(t, len(first[0].Topics), 1)
+	many.answer(first[0])
+	second := many.asked()
+	assert.Equal(t, len(second), 1)
+	assert.Equal(t, len(second[0].Topics), crowdedTopics-1)
+	many.answer(second[0])
+	assert.Equal(t, len(many.asked()), 0)
+	for _, opened := range many.channels {
+		assert.Assert(t, !opened.routed[opened.origin].filling, opened.origin)
+	}
+}
+
+func TestABatchForWhichNobodyWaitsKeepsItsCreditUntilItsAnswer(t *testing.T) {
+	many := newCrowded(2)
+	batches := many.asked()
+	many.gateway.dropPlace(many.now, many.channels[0], batches[0].Topics[0].Topic, &many.effects)
+	assert.Equal(t, len(many.asked()), 0)
+	many.answer(batches[0])
+	next := many.asked()
+	assert.Equal(t, len(next), 1)
+	// One whose answer never comes, and for which nobody waits, is not sent again.
+	many.gateway.dropPlace(many.now, many.channels[1], next[0].Topics[0].Topic, &many.effects)
+	many.now = many.now.Add(batchRetry)
+	many.gateway.tendBatches(many.now, &many.effects)
+	assert.Equal(t, len(many.asked()), 0)
+	assert.Equal(t, len(many.gateway.routed.underway), 0)
+}
+
+func TestATopicThatNobodyWantsAnyMoreIsNotFetched(t *testing.T) {
+	many := newCrowded(3)
+	batches := many.asked()
+	waiting := many.channels[1]
+	many.gateway.dropPlace(many.now, waiting, waiting.origin, &many.effects)
+	many.answer(batches[0])
+	next := many.asked()
+	assert.Equal(t, len(next), 1)
+	assert.Equal(t, len(next[0].Topics), 1)
+	assert.Equal(t, next[0].Topics[0].Topic, many.channels[2].origin)
+}
+
+// refusedTurn tells which topics the next batch asks for after a subscription behind a
+// slow batch was refused for want of an answer, and whether its next try is confirmed
+// at once when that batch has been answered.
+func refusedTurn(t *testing.T) (topics int, confirmed bool) {
+	many := newCrowded(2)
+	slow := many.asked()[0]
+	behind := many.channels[1].routed[many.channels[1].origin]
+	behind.resumes, behind.upTo = true, 3
+	many.now = behind.limit
+	many.gateway.tendTopic(many.now, behind.topic, &many.effects)
+	assert.Equal(t, len(many.effects.Returns), 1)
+	assert.Equal(t, many.effects.Returns[0].Value.(Answer).Code, "no-answer")
+	many.effects = statemachine.Effects{}
+	many.answer(slow)
+	next := many.asked()
+	if len(next) == 0 {
+		return 0, false
+	}
+	many.answer(next[0])
+	many.effects = statemachine.Effects{}
+	again := &place{channel: behind.channel, filling: true, resumes: true, upTo: 3, request: Subscribe{Request: 99}, limit: many.now.Add(time.Second)}
+	many.gateway.addPlace(many.now, many.channels[1].origin, "boards", again, &many.effects)
+	return len(next[0].Topics), many.gateway.fill(many.now, again, &many.effects)
+}
+
+func TestARefusedSubscriptionKeepsItsTurn(t *testing.T) {
+	topics, confirmed := refusedTurn(t)
+	assert.Equal(t, topics, 1)
+	assert.Assert(t, confirmed, "what was fetched is used by the next try")
+}
+
+func TestAReservedTurnEnds(t *testing.T) {
+	many := newCrowded(1)
+	taken := many.channels[0].routed[many.channels[0].origin]
+	taken.resumes, taken.upTo = true, 3
+	many.now = taken.limit
+	many.gateway.tendTopic(many.now, taken.topic, &many.effects)
+	assert.Equal(t, len(many.gateway.routed.topics), 1)
+	many.now = many.now.Add(reservedFor)
+	many.gateway.tendRouted(many.now, &many.effects)
+	assert.Equal(t, len(many.gateway.routed.topics), 0)
+	assert.Equal(t, len(many.gateway.routed.partitions), 0)
+}
+
+func TestTheCreditOfABatchFollowsFromTheLink(t *testing.T) {
+	many := newCrowded(1)
+	assert.Equal(t, many.asked()[0].Bytes, batchBytesMost)
+	many.gateway.storesAlive = 10
+	many.gateway.SetLink(3_250_000)
+	assert.Equal(t, many.gateway.batchBytes(), 48750)
+	many.gateway.SetLink(1000)
+	assert.Equal(t, many.gateway.batchBytes(), batchBytesLeast)
+}
+
+// A subscription is confirmed though the answer had no room for what it missed, which
+// follows with later batches.
+func TestASubscriptionIsConfirmedBeforeItsRecordsCome(t *testing.T) {
+	one := newCrowded(1)
+	taken := one.channels[0].routed["topic-0"]
+	taken.resumes, taken.upTo = true, 2
+	one.gateway.routed.topics["topic-0"].fetch.after = 2
+	asked := one.asked()[0]
+	name := config.SharedPartition("topic-0")
+	partitions := []partition.PartitionState{{Partition: name, Epoch: 1, Head: 9}}
+	one.gateway.onTopicsFetched(one.now, partition.FetchTopicsResponse{
+		Request: asked.Request, Partitions: partitions, Topics: []partition.TopicRecords{{Until: 2}},
+	}, &one.effects)
+	assert.Equal(t, len(one.effects.Returns), 1)
+	assert.Equal(t, one.effects.Returns[0].Value.(Answer).Outcome, OutcomeAccepted)
+	next := one.asked()
+	assert.Equal(t, len(next), 1)
+	assert.DeepEqual(t, next[0].Topics, []partition.TopicAfter{{Topic: "topic-0", After: 2}})
+	one.gateway.onTopicsFetched(one.now, partition.FetchTopicsResponse{
+		Request: next[0].Request, Partitions: partitions,
+		Topics: []partition.TopicRecords{{Until: 9, Records: []partition.Record{{Offset: 7, Topic: "topic-0", Sender: "u", Seq: 1}}}},
+	}, &one.effects)
+	assert.Equal(t, len(one.effects.Delivers), 1)
+	assert.Equal(t, len(one.effects.Returns), 0)
+	assert.Assert(t, !taken.filling)
+}
+
+// What is told to have moved while a topic is still being fetched is not to be told
+// again once it has been.
+func TestWhatMovedWhileATopicWasFetchedIsFetchedToo(t *testing.T) {
+	one := newCrowded(1)
+	asked := one.asked()[0]
+	followed := one.gateway.routed.topics["topic-0"]
+	one.gateway.routed.told[followed.partition] = 5
+	one.gateway.onTopicHeads(one.now, partition.Head{
+		Partition: followed.partition, Epoch: 1, From: 5, Offset: 8, Topics: []partition.TopicHead{{Topic: followed.number, Offset: 8}},
+	}, &one.effects)
+	one.answer(asked)
+	one.now = one.now.Add(headGrace)
+	one.gateway.tendRouted(one.now, &one.effects)
+	next := one.asked()
+	assert.Equal(t, len(next), 1)
+	assert.DeepEqual(t, next[0].Topics, []partition.TopicAfter{{Topic: "topic-0", After: 5}})
+	assert.Equal(t, one.gateway.routed.told[followed.partition], uint64(8))
+}
+
+// toldWhileWaiting is how many subscribers others are told of while one waits for
+// its place, and once it has it.
+func toldWhileWaiting() (waiting, filled int) {
+	one := newCrowded(1)
+	followed := one.gateway.routed.topics["topic-0"]
+	waiting = followed.told
+	one.answer(one.asked()[0])
+	return waiting, followed.told
+}
+
+func TestNobodyIsToldOfWhoWaitsForItsPlace(t *testing.T) {
+	waiting, filled := toldWhileWaiting()
+	assert.Equal(t, waiting, 0)
+	assert.Equal(t, filled, 1)
+}
+
+// confirmed tells whether a caller who comes back with a cursor is answered before
+// what it missed was fetched.
+func confirmed(t *testing.T, cursor uint64) bool {
+	one := newCrowded(1)
+	one.answer(one.asked()[0])
+	gateway := one.gateway
+	partition := config.SharedPartition("topic-0")
+	gateway.routed.bases[partition] = 3
+	gateway.follower.Index, gateway.follower.Confirmed = 1, one.now
+	gateway.pulse.Heard(one.now)
+	gateway.config = configOf(t)
+	gateway.channels[9] = &channel{origin: "late", routed: map[string]*place{}}
+	gateway.routed.topics["topic-0"].recentFrom, gateway.routed.topics["topic-0"].last = 9, 9
+	one.effects = statemachine.Effects{}
+	gateway.subscribeRouted(one.now, Subscribe{Request: 77, Channel: 9, Origin: "late", Interests: []Interest{{Path: "topic-0"}}, Cursor: placeText(cursor)}, true, &one.effects)
+	for _, returned := range one.effects.Returns {
+		if returned.Request == 77 {
+			answer := returned.Value.(Answer)
+			assert.Equal(t, answer.Outcome, OutcomeAccepted, "%v", answer)
+			assert.Equal(t, answer.Cursor, placeText(cursor))
+			return true
+		}
+	}
+	assert.Equal(t, len(one.asked()), 1)
+	return false
+}
+
+func configOf(t *testing.T) config.Configuration {
+	read, faults := config.Read([]byte(`{"version":1,"spaces":[{"name":"boards","promise":"kept","order":"topic"}],"routes":[{"prefix":"topic-","space":"boards"}]}`))
+	assert.Equal(t, len(faults), 0, "%v", faults)
+	return read
+}
+
+func TestAPlaceOfWhichAllIsHeldIsConfirmedAtOnce(t *testing.T) {
+	assert.Assert(t, confirmed(t, 5))
+	assert.Assert(t, !confirmed(t, 2), "what lay there may be gone")
+}
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -616,16 +616,9 @@
 }
 
 func (g *Gateway) onFetchResponse(now time.Time, returned partition.FetchResponse, effects *statemachine.Effects) {
-	if asked, routed := g.routed.fetches[returned.Request]; routed {
-		g.Counts.Fetched += uint64(len(returned.Records))
-		g.onTopicFetched(now, asked, returned, effects)
-		return
-	}
 	round, found := g.fetches[returned.Request]
 	if !found {
 		g.Counts.Late += uint64(len(returned.Records))
-		delete(g.routed.abandoned, returned.Request)
-		g.fetchQueued(now, effects)
 		return
 	}
 	asked, wanted := round.partitions[returned.Partition]
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,6 +63,8 @@
 	StopWithin   time.Duration
 	// Acknowledge is within what time a proper order is to be acknowledged.
 	Acknowledge time.Duration
+	// Link is how many bytes a second the machine's link takes, 0 if nobody says.
+	Link int
 	// Processor tells the processor time used so far; it may be nil.
 	Processor func() time.Duration
 	// Life names this run of the process.
@@ -117,6 +119,8 @@
 	// subscribePatience follows from the configuration in force.
 	subscribePatience time.Duration
 	newest            map[string]uint64
+	// storesAlive is how many stores the view names as alive.
+	storesAlive int
 
 	followedAt time.Time
 	behind     uint64
@@ -362,6 +366,8 @@
 		g.onAppendResponse(now, body, effects)
 	case partition.FetchResponse:
 		g.onFetchResponse(now, body, effects)
+	case partition.FetchTopicsResponse:
+		g.onTopicsFetched(now, body, effects)
 	case partition.SenderResponse:
 		g.onSenderResponse(now, meta.From, body, effects)
 	case partition.Heads:
@@ -446,6 +452,7 @@
 	if g.life > 0 {
 		g.overlay.Live(now, g.life, effects)
 	}
+	g.countStores()
 	g.placesChanged(now, effects)
 }
 
@@ -731,3 +738,6 @@
 
 // SetOriginsMost changes how many channels the gateway may hold.
 func (g *Gateway) SetOriginsMost(most int) { g.settings.OriginsMost = most }
+
+// SetLink changes how many bytes a second the machine's link takes.
+func (g *Gateway) SetLink(rate int) { g.settings.Link = rate }
--- a/internal/gateway/identity_test.go
+++ b/internal/gateway/identity_test.go
@@ -55,9 +55,11 @@
 	})[0].Message.(partition.Append)
 }
 
-func (a *asker) fetch(now time.Time) partition.Fetch {
-	followed := &topic{name: "t", partition: a.item.partition}
-	return a.ask(func(effects *statemachine.Effects) { a.gateway.fetchTopic(now, followed, effects) })[0].Message.(partition.Fetch)
+func (a *asker) fetch(now time.Time) partition.FetchTopics {
+	followed := &topic{name: "t", partition: a.item.partition, kept: true}
+	followed.places = []*place{{topic: followed, filling: true}}
+	a.gateway.routed.topics[followed.name] = followed
+	return a.ask(func(effects *statemachine.Effects) { a.gateway.fetchTopic(now, followed, effects) })[0].Message.(partition.FetchTopics)
 }
 
 func (a *asker) recall(now time.Time) []statemachine.Send {
@@ -91,10 +93,11 @@
 	earlier := newAsker(earlierLife, now, "boards~1/0").fetch(now)
 	present := newAsker(presentLife, now, "boards~1/0")
 	asked := present.fetch(now.Add(time.Second))
-	present.take(now.Add(1100*time.Millisecond), partition.FetchResponse{
-		Partition: earlier.Partition, Request: earlier.Request, Epoch: 1, Head: 5, Until: 5, Ready: true,
+	present.take(now.Add(1100*time.Millisecond), partition.FetchTopicsResponse{
+		Request: earlier.Request, Topics: []partition.TopicRecords{{Until: 5}},
+		Partitions: []partition.PartitionState{{Partition: "boards~1/0", Epoch: 1, Head: 5}},
 	})
-	_, waits := present.gateway.routed.fetches[asked.Request]
+	_, waits := present.gateway.routed.batches[asked.Request]
 	return !waits
 }
 
--- a/internal/gateway/routed.go
+++ b/internal/gateway/routed.go
@@ -21,13 +21,17 @@
 )
 
 const (
-	routedPlane     = config.SharedSpace
-	placeMark       = "t"
-	headGrace       = 120 * time.Millisecond
-	passingGap      = 50 * time.Millisecond
-	passingReach    = 300 * time.Millisecond
-	recentRecords   = 32
-	recentBytes     = 32 << 10
+	routedPlane   = config.SharedSpace
+	placeMark     = "t"
+	headGrace     = 120 * time.Millisecond
+	passingGap    = 50 * time.Millisecond
+	passingReach  = 300 * time.Millisecond
+	recentRecords = 32
+	recentBytes   = 32 << 10
+	// backlogBytes bounds the recent records of a topic that was just caught up.
+	backlogBytes = 256 << 10
+	// topicFetchRetry is how long to wait before a store is asked again that does not
+	// serve the topic's partition.
 	topicFetchRetry = 200 * time.Millisecond
 	// retryDoubles is how often the wait for a store's answer doubles: one that is
 	// late because a link is full must not be asked for again and again.
@@ -49,14 +53,21 @@
 	last      uint64
 	held      []partition.Record
 	heldAt    time.Time
-	// queued is set while it waits for the credit to be fetched.
-	queued     bool
-	recent     []partition.Record
-	recentSize int
-	recentFrom uint64
-	wanted     uint64
-	checkAt    time.Time
-	fetch      uint64
+	// queued is set while it waits for a batch to its store, fetch while it is in one.
+	queued bool
+	fetch  *topicFetch
+	// recent are the newest records, all after recentFrom; until recentUntil they
+	// are kept beyond the usual bounds.
+	recent      []partition.Record
+	recentSize  int
+	recentFrom  uint64
+	recentUntil time.Time
+	wanted      uint64
+	checkAt     time.Time
+	// reservedAfter is the lowest cursor of subscriptions that were refused without
+	// an answer of the store, and keep their turn until reservedUntil.
+	reservedAfter uint64
+	reservedUntil time.Time
 }
 
 // place is one channel's subscription to a topic, and how far it was handed over.
@@ -71,25 +82,6 @@
 	limit   time.Time
 }
 
-type topicFetch struct {
-	topic  *topic
-	after  uint64
-	sentAt time.Time
-	sentBy way
-	tries  int
-}
-
-// due is when it is asked for again.
-func (tf *topicFetch) due() time.Time { return tf.sentAt.Add(longer(topicFetchRetry, tf.tries)) }
-
-// longer is how long to wait for the answer to a try.
-func longer(first time.Duration, tries int) time.Duration {
-	if statemachine.Mutated("no-retry-pauses") {
-		return first
-	}
-	return first << min(max(0, tries-1), retryDoubles)
-}
-
 // routed is all that a gateway holds of routed topics.
 type routed struct {
 	topics     map[string]*topic
@@ -102,14 +94,14 @@
 	// followed is how heads were last asked for.
 	followed map[string]way
 	// bases are the offsets above which partitions held all when last heard of.
-	bases   map[string]uint64
-	fetches map[uint64]*topicFetch
-	// abandoned are the fetches for which nobody waits any more, and queue the topics
-	// that wait until fewer are on their way.
-	abandoned map[uint64]abandoned
-	queue     []*topic
-	appends   map[uint64]*routedPublication
-	sends     map[uint64]*routedPublication
+	bases map[string]uint64
+	// batches are what was asked of stores, underway names the one to each store, and
+	// queue holds the topics that wait for the next.
+	batches  map[uint64]*batch
+	underway map[string]uint64
+	queue    []*topic
+	appends  map[uint64]*routedPublication
+	sends    map[uint64]*routedPublication
 	// accepted is when a publication of this gateway's callers was accepted.
 	accepted map[routedKey]time.Time
 	// busy are the topics with something that waits for a moment to come.
@@ -118,8 +110,8 @@
 
 func newRouted() *routed {
 	return &routed{
-		topics: map[string]*topic{}, numbers: map[uint64]*topic{}, partitions: map[string]int{}, told: map[string]uint64{}, followed: map[string]way{}, bases: map[string]uint64{}, abandoned: map[uint64]abandoned{},
-		fetches: map[uint64]*topicFetch{}, appends: map[uint64]*routedPublication{}, sends: map[uint64]*routedPublication{}, accepted: map[routedKey]time.Time{}, busy: map[string]*topic{},
+		topics: map[string]*topic{}, numbers: map[uint64]*topic{}, partitions: map[string]int{}, told: map[string]uint64{}, followed: map[string]way{}, bases: map[string]uint64{},
+		batches: map[uint64]*batch{}, underway: map[string]uint64{}, appends: map[uint64]*routedPublication{}, sends: map[uint64]*routedPublication{}, accepted: map[routedKey]time.Time{}, busy: map[string]*topic{},
 	}
 }
 
@@ -259,6 +251,10 @@
 			g.routed.partitions[followed.partition]++
 		}
 	}
+	if found && len(followed.places) == 0 && followed.wanted > followed.last {
+		followed.checkAt = now
+		g.mind(followed, now)
+	}
 	taken.topic, taken.index = followed, len(followed.places)
 	followed.places = append(followed.places, taken)
 	g.tellCount(now, followed, effects)
@@ -302,13 +298,22 @@
 	followed.places[gone.index], last.index = last, gone.index
 	followed.places = followed.places[:len(followed.places)-1]
 	g.tellCount(now, followed, effects)
+	if followed.reserved(now) {
+		g.mind(followed, followed.reservedUntil)
+		return
+	}
+	g.dropTopic(followed)
+}
+
+// dropTopic forgets a topic that nobody holds.
+func (g *Gateway) dropTopic(followed *topic) {
 	if len(followed.places) > 0 {
 		return
 	}
-	delete(g.routed.topics, name)
+	followed.fetch = nil
+	delete(g.routed.topics, followed.name)
 	delete(g.routed.numbers, followed.number)
-	delete(g.routed.busy, name)
-	g.abandon(now, followed)
+	delete(g.routed.busy, followed.name)
 	if followed.kept {
 		if g.routed.partitions[followed.partition]--; g.routed.partitions[followed.partition] == 0 {
 			delete(g.routed.partitions, followed.partition)
@@ -358,7 +363,7 @@
 // place lacks, and tells whether it does.
 func (g *Gateway) fill(now time.Time, taken *place, effects *statemachine.Effects) bool {
 	followed := taken.topic
-	if told, known := g.routed.told[followed.partition]; known && !followed.live && !taken.resumes && followed.fetch == 0 {
+	if told, known := g.routed.told[followed.partition]; known && !followed.live && !taken.resumes && followed.fetch == nil {
 		// Who begins here may begin where the first last told that the partition
 		// was: what moves after that will be told.
 		followed.live = true
@@ -372,7 +377,9 @@
 	g.tellCount(now, followed, effects)
 	from := taken.upTo
 	if !taken.resumes {
-		from = followed.last
+		// What was told of as moved came before this subscription, though the topic
+		// may not have caught up with it.
+		from = max(followed.last, g.routed.told[followed.partition])
 		taken.upTo = from
 	}
 	if taken.request.Request != 0 {
@@ -455,7 +462,7 @@
 	followed.last = record.Offset
 	followed.recent = append(followed.recent, record)
 	followed.recentSize += len(record.Data)
-	for len(followed.recent) > 1 && (len(followed.recent) > recentRecords || followed.recentSize > recentBytes) {
+	for len(followed.recent) > 1 && followed.tooMuchRecent(now) {
 		followed.recentFrom = followed.recent[0].Offset
 		followed.recentSize -= len(followed.recent[0].Data)
 		followed.recent = followed.recent[1:]
@@ -465,6 +472,14 @@
 	}
 }
 
+// tooMuchRecent tells whether the oldest of the recent records is to be let go.
+func (t *topic) tooMuchRecent(now time.Time) bool {
+	if t.recentUntil.After(now) {
+		return t.recentSize > backlogBytes
+	}
+	return len(t.recent) > recentRecords || t.recentSize > recentBytes
+}
+
 // onRouted takes a message of a routed topic, and tells whether anybody here
 // wants it.
 func (g *Gateway) onRouted(now time.Time, record partition.Record, effects *statemachine.Effects) bool {
@@ -540,121 +555,15 @@
 
 // Fetching.
 
-// fetchTopic asks the partition's first for all that anybody here lacks of a topic.
-func (g *Gateway) fetchTopic(now time.Time, followed *topic, effects *statemachine.Effects) {
-	if followed.fetch != 0 || followed.queued {
-		return
-	}
-	if g.underway()[g.wayTo(followed.partition).address] >= fetchesMost && !statemachine.Mutated("fetches-without-credit") {
-		followed.queued = true
-		g.routed.queue = append(g.routed.queue, followed)
-		return
-	}
-	after := uint64(everything)
-	if followed.live && followed.wanted > followed.last {
-		after = followed.last
-	}
-	for _, taken := range followed.places {
-		if taken.filling && taken.resumes {
-			after = min(after, taken.upTo)
-		}
-	}
-	g.nextRequest++
-	followed.fetch = g.nextRequest
-	asked := &topicFetch{topic: followed, after: after}
-	g.routed.fetches[followed.fetch] = asked
-	g.sendFetch(now, followed.fetch, asked, effects)
-}
-
-func (g *Gateway) sendFetch(now time.Time, id uint64, asked *topicFetch, effects *statemachine.Effects) {
-	asked.sentAt = now
-	address, _, found := g.firstOf(asked.topic.partition)
-	if !found {
-		g.mind(asked.topic, asked.due())
-		g.follower.Hurry(now)
-		return
-	}
-	asked.tries++
-	asked.sentBy = g.wayTo(asked.topic.partition)
-	g.mind(asked.topic, asked.due())
-	g.Counts.Fetches++
-	effects.Send(address, partition.Fetch{Partition: asked.topic.partition, Request: id, After: asked.after, Topics: []string{asked.topic.name}})
-}
-
-func (g *Gateway) onTopicFetched(now time.Time, asked *topicFetch, returned partition.FetchResponse, effects *statemachine.Effects) {
-	followed := asked.topic
-	placement, placed := g.follower.Places[returned.Partition]
-	if !returned.Ready || !placed || returned.Epoch < placement.Epoch {
-		// An answer came, so that the way is free.
-		asked.tries = 0
-		g.mind(followed, asked.due())
-		g.follower.Hurry(now)
-		return
-	}
-	delete(g.routed.fetches, returned.Request)
-	followed.fetch = 0
-	g.routed.bases[followed.partition] = returned.Base
-	defer g.fetchQueued(now, effects)
-	if returned.Gone {
-		g.losePlaces(now, followed, asked.after, effects)
-		g.tendTopic(now, followed, effects)
-		return
-	}
-	until := returned.Until
-	if asked.after == everything {
-		until = returned.Head
-	}
-	if len(returned.Records) > 0 {
-		effects.Note(logevent.HoleFilled, "partition", followed.partition, "records", len(returned.Records), "until", until)
-	}
-	if !followed.live {
-		followed.live = true
-		followed.last, followed.recentFrom = until, until
-		if asked.after != everything {
-			followed.last, followed.recentFrom = asked.after, asked.after
-		}
-		g.beginTold(now, followed.partition, until)
-	}
-	if asked.after != everything && asked.after <= followed.last {
-		for _, record := range returned.Records {
-			if record.Offset > followed.last {
-				g.process(now, followed, record, effects)
-			}
-		}
-		followed.last = max(followed.last, until)
-	}
-	for _, taken := range slices.Clone(followed.places) {
-		if !taken.filling {
-			continue
-		}
-		if taken.resumes && asked.after <= taken.upTo && taken.upTo < until {
-			g.beginPlace(now, taken, effects)
-			for _, record := range returned.Records {
-				g.passTo(now, taken, record, effects)
-			}
-			taken.upTo = max(taken.upTo, until)
-		}
-		g.fill(now, taken, effects)
-	}
-	g.release(now, followed, effects)
-	if until < returned.Head {
-		// One answer did not hold all.
-		g.want(now, followed, returned.Head, 0)
-	}
-	g.tendTopic(now, followed, effects)
-}
-
 // beginTold lets a partition's first tell what moved after an offset up to which
-// one of its topics is known here.
+// one of its topics is known here. What is told while further topics are fetched is
+// noted for them too, so that nothing is to be told again for their sake.
 func (g *Gateway) beginTold(now time.Time, name string, until uint64) {
-	told, begun := g.routed.told[name]
-	if begun && told <= until {
+	if _, begun := g.routed.told[name]; begun {
 		return
 	}
 	g.routed.told[name] = until
-	if !begun {
-		g.timers.ArmSooner("follow", now.Add(holeAfter))
-	}
+	g.timers.ArmSooner("follow", now.Add(holeAfter))
 }
 
 // beginPlace answers a subscription whose missed messages are about to come.
@@ -701,7 +610,7 @@
 	for _, followed := range statemachine.Sorted(g.routed.busy) {
 		g.tendTopic(now, followed, effects)
 	}
-	g.dropAbandoned(now, effects)
+	g.tendBatches(now, effects)
 	g.tendPublications(now, effects)
 }
 
@@ -724,6 +633,7 @@
 			// fetched however long that takes.
 			filling = true
 		case !taken.limit.After(now):
+			followed.reserve(now, taken)
 			g.refusePlace(now, taken, refused(503, "no-answer", "the place could not be found in time; nothing is subscribed", comeBackSoon), effects)
 		default:
 			filling = filling || followed.kept
@@ -743,18 +653,21 @@
 			followed.checkAt = time.Time{}
 		}
 		due := !followed.checkAt.IsZero() && !followed.checkAt.After(now)
-		if asked, running := g.routed.fetches[followed.fetch]; running {
-			if !asked.due().After(now) {
-				g.sendFetch(now, followed.fetch, asked, effects)
-			}
-			next = statemachine.Earliest(next, asked.due())
-		} else if filling || due {
+		switch {
+		case followed.fetch != nil || followed.queued:
+		case filling || due || followed.reserved(now):
 			followed.checkAt = time.Time{}
 			g.fetchTopic(now, followed, effects)
-			next = statemachine.Earliest(next, now.Add(topicFetchRetry))
-		} else {
+		default:
 			next = statemachine.Earliest(next, followed.checkAt)
 		}
+		if len(followed.places) == 0 {
+			if !followed.reservedUntil.After(now) {
+				g.dropTopic(followed)
+				return
+			}
+			next = statemachine.Earliest(next, followed.reservedUntil)
+		}
 	}
 	if !next.IsZero() && g.routed.topics[followed.name] == followed {
 		g.mind(followed, next)
@@ -770,7 +683,7 @@
 	}
 	told := g.routed.told[head.Partition]
 	for _, each := range head.Topics {
-		if followed, found := g.routed.numbers[each.Topic]; found && followed.kept && followed.live && each.Offset > followed.last {
+		if followed, found := g.routed.numbers[each.Topic]; found && followed.kept && each.Offset > followed.last {
 			g.want(now, followed, each.Offset, headGrace)
 		}
 	}
@@ -792,6 +705,7 @@
 			followed.space = space
 			continue
 		}
+		followed.reservedUntil = time.Time{}
 		for _, taken := range slices.Clone(followed.places) {
 			if taken.filling {
 				g.refusePlace(now, taken, refused(404, "no-such-space", "the space was removed", 0), effects)
@@ -802,5 +716,8 @@
 				g.emit(taken.channel, Event{Event: "ended", Space: followed.space, Topic: name, Code: "space-removed"}, effects)
 			}
 		}
+		if g.routed.topics[name] == followed {
+			g.dropTopic(followed)
+		}
 	}
 }
--- a/internal/gateway/ways.go
+++ b/internal/gateway/ways.go
@@ -53,10 +53,5 @@
 			g.sendRouted(now, item, effects)
 		}
 	}
-	for id, asked := range statemachine.Sorted(g.routed.fetches) {
-		if asked.sentBy.changed(g.wayTo(asked.topic.partition)) {
-			g.sendFetch(now, id, asked, effects)
-		}
-	}
-	g.fetchQueued(now, effects)
+	g.rerouteFetches(now, effects)
 }
--- a/internal/gateway/ways_test.go
+++ b/internal/gateway/ways_test.go
@@ -45,13 +45,13 @@
 	assert.Equal(t, otherEpoch, 1)
 }
 
-func TestAFetchWithoutAnAnswerIsAskedForEverMoreSeldom(t *testing.T) {
-	asked := &topicFetch{}
+func TestABatchWithoutAnAnswerIsSentEverMoreSeldom(t *testing.T) {
+	sent := &batch{}
 	var waits []time.Duration
-	for asked.tries = 1; asked.tries < 7; asked.tries++ {
-		waits = append(waits, asked.due().Sub(asked.sentAt))
+	for sent.tries = 1; sent.tries < 7; sent.tries++ {
+		waits = append(waits, sent.due().Sub(sent.sentAt))
 	}
 	assert.DeepEqual(t, waits, []time.Duration{
-		topicFetchRetry, 2 * topicFetchRetry, 4 * topicFetchRetry, 8 * topicFetchRetry, 8 * topicFetchRetry, 8 * topicFetchRetry,
+		batchRetry, 2 * batchRetry, 4 * batchRetry, 8 * batchRetry, 8 * batchRetry, 8 * batchRetry,
 	})
 }
--- a/internal/partition/follow.go
+++ b/internal/partition/follow.go
@@ -14,9 +14,9 @@
 
 func (s *Store) onFetch(from string, fetch Fetch, effects *statemachine.Effects) {
 	s.Counts.Fetches++
-	partition, found := s.partitions[fetch.Partition]
 	answer := FetchResponse{Partition: fetch.Partition, Request: fetch.Request}
-	if !s.Ready() || !found || !s.isFirst(partition) || partition.firstSince != partition.place.Epoch {
+	partition, served := s.serves(fetch.Partition)
+	if !served {
 		effects.Send(from, answer)
 		return
 	}
--- a/internal/partition/messages.go
+++ b/internal/partition/messages.go
@@ -237,4 +237,6 @@
 	transport.MustRegister(506, FetchResponse{})
 	transport.MustRegister(507, Follow{})
 	transport.MustRegister(508, Heads{})
+	transport.MustRegister(511, FetchTopics{})
+	transport.MustRegister(512, FetchTopicsResponse{})
 }
--- a/internal/partition/store.go
+++ b/internal/partition/store.go
@@ -349,6 +349,8 @@
 		s.onFrame(now, meta.From, body, effects)
 	case Fetch:
 		s.onFetch(meta.From, body, effects)
+	case FetchTopics:
+		s.onFetchTopics(meta.From, body, effects)
 	case SenderAsk:
 		s.onSenderAsk(now, meta.From, body, effects)
 	case Follow:
--- /dev/null
+++ b/internal/partition/topics.go
@@ -0,0 +1,115 @@
+// Fetching many routed topics at once. A gateway asks one store for all the topics
+// that it lacks there; the answer says of every topic whether its place is still
+// held, and carries records for as many bytes as the gateway has room for.
+
+package partition
+
+import (
+	"dahlialock/internal/config"
+	"dahlialock/internal/statemachine"
+)
+
+// FetchTopics asks a store for the records of routed topics, each after an offset.
+// Bytes bounds the records of the answer; one record always fits.
+type FetchTopics struct {
+	_       struct{} `cbor:",toarray"`
+	Request uint64
+	Bytes   int
+	Topics  []TopicAfter
+}
+
+// TopicAfter is a topic and the offset after which its records are wanted.
+type TopicAfter struct {
+	_     struct{} `cbor:",toarray"`
+	Topic string
+	After uint64
+}
+
+// FetchTopicsResponse answers with one entry for each topic, in the order in which
+// they were asked for, and with the state of the partitions that serve here.
+type FetchTopicsResponse struct {
+	_          struct{} `cbor:",toarray"`
+	Request    uint64
+	Partitions []PartitionState
+	Topics     []TopicRecords
+}
+
+// PartitionState is what a store tells of a shared partition that it leads.
+type PartitionState struct {
+	_         struct{} `cbor:",toarray"`
+	Partition string
+	Epoch     uint64
+	Base      uint64
+	Head      uint64
+}
+
+// TopicRecords are all records of a topic up to Until. Gone tells that a record
+// after the asked offset is no longer held.
+type TopicRecords struct {
+	_       struct{} `cbor:",toarray"`
+	Until   uint64
+	Gone    bool
+	Records []Record
+}
+
+// State finds the state of a partition in the answer.
+func (r FetchTopicsResponse) State(partition string) (PartitionState, bool) {
+	for _, state := range r.Partitions {
+		if state.Partition == partition {
+			return state, true
+		}
+	}
+	return PartitionState{}, false
+}
+
+func (s *Store) onFetchTopics(from string, asked FetchTopics, effects *statemachine.Effects) {
+	s.Counts.Fetches++
+	answer := FetchTopicsResponse{Request: asked.Request, Topics: make([]TopicRecords, len(asked.Topics))}
+	told := map[string]bool{}
+	credit := asked.Bytes
+	for position, each := range asked.Topics {
+		name := config.SharedPartition(each.Topic)
+		partition, served := s.serves(name)
+		if !served {
+			continue
+		}
+		if !told[name] {
+			told[name] = true
+			answer.Partitions = append(answer.Partitions, PartitionState{
+				Partition: name, Epoch: partition.place.Epoch, Base: partition.log.Base, Head: partition.accepted,
+			})
+		}
+		answer.Topics[position] = partition.recordsOf(each, &credit, position == 0)
+		s.Counts.FetchRecords += uint64(len(answer.Topics[position].Records))
+	}
+	effects.Send(from, answer)
+}
+
+// serves gives a partition that this store leads and can read for others.
+func (s *Store) serves(name string) (*held, bool) {
+	partition, found := s.partitions[name]
+	if !found || !s.Ready() || !s.isFirst(partition) || partition.firstSince != partition.place.Epoch {
+		return nil, false
+	}
+	return partition, true
+}
+
+// recordsOf gives a topic's accepted records within a credit of bytes, which it uses
+// up. The first record of an answer is given whatever its size.
+func (h *held) recordsOf(asked TopicAfter, credit *int, first bool) TopicRecords {
+	found := TopicRecords{Until: h.accepted, Gone: h.log.gone(asked.After, []string{asked.Topic}, nil)}
+	if found.Gone {
+		return found
+	}
+	for _, record := range h.log.of([]string{asked.Topic}, asked.After, h.accepted) {
+		fits := len(record.Data) <= *credit && len(found.Records) < fetchLimit
+		if !fits && (!first || len(found.Records) > 0) {
+			found.Until = record.Offset - 1
+			*credit = 0
+			return found
+		}
+		*credit -= len(record.Data)
+		found.Records = append(found.Records, record)
+	}
+	return found
+}
--- a/internal/transport/classes_test.go
+++ b/internal/transport/classes_test.go
@@ -28,7 +28,7 @@
 	}
 	assert.DeepEqual(t, classes[transport.ClassUrgent], []string{"gateway.Pass"})
 	assert.DeepEqual(t, classes[transport.ClassCatchUp], []string{"partition.FetchResponse"})
-	for _, message := range []any{partition.Copy{}, partition.CopyResponse{}, partition.Frame{}, partition.Append{}, partition.AppendResponse{}, partition.Heads{}} {
+	for _, message := range []any{partition.Copy{}, partition.CopyResponse{}, partition.Frame{}, partition.Append{}, partition.AppendResponse{}, partition.Heads{}, partition.FetchTopicsResponse{}} {
 		assert.Equal(t, transport.ClassOf(message), transport.ClassLive, "%T", message)
 	}
 	assert.Equal(t, transport.ClassOf(partition.Append{Bare: true}), transport.ClassUrgent)
