Callers are evened out over the gateways of a zone, whether or not the fleet saves

Cause: the platform gives callers to whoever listens first; evening out was a part of the economy, which is off unless an operator turns it on, and one stale report of any gateway stopped it.

Sessions that still catch up are not moved; callers already told to go are not reported as held. The package comments that stood three times stand once.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -1,9 +1,5 @@
 // Package agent is the state machine of the daemon beside each gateway.
 //
-// Package agent is the state machine of the daemon beside each gateway.
-//
-// Package agent is the state machine of the daemon beside each gateway.
-//
 // A Agent is the agent beside a gateway: it holds the link to the controllers and
 // feeds its gateway over loopback. It follows the control state for itself, and
 // passes its gateway's questions, heartbeats' news and operators' requests on
--- a/internal/config/configuration.go
+++ b/internal/config/configuration.go
@@ -1,9 +1,5 @@
 // Package config reads and checks the operators' configuration.
 //
-// Package config reads and checks the operators' configuration.
-//
-// Package config reads and checks the operators' configuration.
-//
 // The operators' configuration: one whole JSON document with a rising version.
 // It is read through fastjson values and checked strictly, and every fault is
 // told with its path: unknown and duplicate keys, wrong types, trailing bytes,
--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -1,9 +1,5 @@
 // Package consensus decides who is primary of the control state, and replicates it.
 //
-// Package consensus decides who is primary of the control state, and replicates it.
-//
-// Package consensus decides who is primary of the control state, and replicates it.
-//
 // A Watch is one controller's part in the control state: epochs, lease, and what it
 // keeps on its disk. Each epoch's record is decided once by a majority of the
 // voters, by ballots, so that two controllers that ask at the same time can't both
--- a/internal/consolidation/consolidation.go
+++ b/internal/consolidation/consolidation.go
@@ -1,11 +1,7 @@
 // Package consolidation decides which gateways rest while there is little traffic.
 //
-// Package consolidation decides which gateways rest while there is little traffic.
-//
-// Package consolidation decides which gateways rest while there is little traffic.
-//
-// The economy duty: from what the gateways report it decides which of them rest,
-// where their origins go, and how the awake ones share what is left. A decision
+// The economy duty: from what the gateways report it decides which of them rest and
+// where their origins go; package balancing spreads what is left. A decision
 // compares one sum before and after: processor time, of a gateway that is awake
 // and of the copies that it takes, and bytes between zones, each with the
 // weight that the operators gave it. Loads are rates of what was observed, and
@@ -31,11 +27,6 @@
 	pace       = 40
 	fullShare  = 0.75
 	quietShare = 0.55
-	// Shares of the mean at which a gateway begins to hand origins on, and down
-	// to which it does.
-	unevenShare = 1.35
-	evenShare   = 1.1
-	unevenLeast = 8
 	// A gateway's owner is one thread; beyond this share of it more are woken.
 	busyShare = 0.6
 	// What nobody has observed yet: the processor time of a gateway that is
@@ -69,13 +60,12 @@
 type Economist struct {
 	quietSince time.Time
 	resting    map[string]bool
-	shedding   map[string]bool
 	rates      map[string]*rate
 }
 
 // New makes an economist that rests nobody yet.
 func New() *Economist {
-	return &Economist{resting: map[string]bool{}, shedding: map[string]bool{}, rates: map[string]*rate{}}
+	return &Economist{resting: map[string]bool{}, rates: map[string]*rate{}}
 }
 
 type candidate struct {
@@ -104,7 +94,6 @@
 	for name, member := range statemachine.Sorted(seen.Members) {
 		if member.Kind != membership.KindGateway || !member.Alive {
 			delete(e.resting, name)
-			delete(e.shedding, name)
 			delete(e.rates, name)
 			continue
 		}
@@ -123,7 +112,7 @@
 		here.gateways = append(here.gateways, gateway)
 	}
 	if !here.settings.Enabled {
-		e.resting, e.shedding = map[string]bool{}, map[string]bool{}
+		e.resting = map[string]bool{}
 		e.quietSince = time.Time{}
 	} else if fresh {
 		e.choose(now, here)
@@ -132,14 +121,8 @@
 	for _, gateway := range here.gateways {
 		name := gateway.member.Name
 		order := membership.Orders{Rest: here.asleep(name)}
-		switch {
-		case order.Rest && gateway.load.Origins > 0:
+		if order.Rest && gateway.load.Origins > 0 {
 			order.Empty, order.Pace, order.Targets = true, pace, here.targets(gateway)
-		case !order.Rest && here.settings.Enabled && fresh:
-			order.Keep, order.Targets = e.even(here, gateway)
-			if order.Keep > 0 {
-				order.Pace = pace
-			}
 		}
 		orders[name] = order
 	}
@@ -298,7 +281,6 @@
 	}
 	if best != "" {
 		e.resting[best] = true
-		delete(e.shedding, best)
 	}
 }
 
@@ -329,41 +311,6 @@
 	return -f.settings.ProcessorWeight*work*1000 + f.settings.TrafficWeight*bytes/1000
 }
 
-// even tells how many origins a gateway ought to keep, where it holds far more
-// than the mean of the awake ones near it, and who is to have the others.
-func (e *Economist) even(here *fleet, gateway candidate) (int, []string) {
-	name := gateway.member.Name
-	var near []candidate
-	sum := 0
-	for _, other := range here.awake("") {
-		if other.member.Zone == gateway.member.Zone || gateway.load.Origins > here.settings.OriginsEach {
-			near = append(near, other)
-			sum += other.load.Origins
-		}
-	}
-	mean := float64(sum) / float64(max(len(near), 1))
-	keep := int(math.Ceil(mean * evenShare))
-	limit := mean * unevenShare
-	if e.shedding[name] {
-		limit = mean * evenShare
-	}
-	e.shedding[name] = len(near) > 1 && float64(gateway.load.Origins) > limit && gateway.load.Origins > keep+unevenLeast
-	if !e.shedding[name] {
-		return 0, nil
-	}
-	var targets []string
-	slices.SortStableFunc(near, func(left, right candidate) int { return cmp.Compare(left.load.Origins, right.load.Origins) })
-	for _, other := range near {
-		if other.member.Name != name && float64(other.load.Origins) < mean && other.load.Ready {
-			targets = append(targets, other.member.Name)
-		}
-	}
-	if len(targets) == 0 {
-		return 0, nil
-	}
-	return max(keep, 1), targets
-}
-
 // wake wakes gateways, first where fewest of a zone are awake.
 func (e *Economist) wake(here *fleet, count int) {
 	places := map[string]int{}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -1,9 +1,5 @@
 // Package controller is the state machine of the daemons that coordinate the cluster.
 //
-// Package controller is the state machine of the daemons that coordinate the cluster.
-//
-// Package controller is the state machine of the daemons that coordinate the cluster.
-//
 // A Controller is the coordinator daemon's state machine. It lives on a watch bill
 // (who is primary, what two disks hold) and, while it is primary, it takes
 // configurations, keeps the cluster's view, places partitions and answers the
@@ -17,6 +13,7 @@
 	"strings"
 	"time"
 
+	"dahlialock/internal/balancing"
 	"dahlialock/internal/config"
 	"dahlialock/internal/consensus"
 	"dahlialock/internal/consolidation"
@@ -112,6 +109,7 @@
 	parsed        config.Configuration
 	parsedAt      uint64
 	economist     *consolidation.Economist
+	balancer      *balancing.Balancer
 	lease         *consensus.Lease
 	orders        map[string]membership.Orders
 }
@@ -137,7 +135,7 @@
 	}
 	controller.watch = watch
 	controller.lease = watch.NewLease("economy")
-	controller.economist = consolidation.New()
+	controller.economist, controller.balancer = consolidation.New(), balancing.New()
 	controller.pulse = membership.NewPulse(settings.Self)
 	controller.follower = membership.NewFollower(settings.Self, settings.Life, append([]string{settings.Self.Address}, settings.Seeds...), func() membership.Load { return membership.Load{} })
 	controller.controlClient = controlclient.New(controlclient.Settings{
@@ -415,6 +413,8 @@
 	c.joining, c.leaving = map[string]Join{}, map[string]Departure{}
 	c.complete = map[string]membership.PartitionComplete{}
 	c.orders = map[string]membership.Orders{}
+	// What was reported in an earlier term is of no use any more.
+	c.loads = map[string]membership.Load{}
 	c.dead = map[string]reported{}
 	c.lags, c.doubts = map[string]lag{}, map[string]*doubt{}
 	c.answers = map[string]answered{}
@@ -677,37 +677,3 @@
 	}
 	return done
 }
-
-// economize lets the economy duty act, under its own lease.
-func (c *Controller) economize(now time.Time, effects *statemachine.Effects) {
-	configuration := c.configuration()
-	c.watch.AskDuty(now, c.lease, effects)
-	if !c.lease.Held(now) || now.Sub(c.began) < settleFor {
-		return
-	}
-	decided := c.economist.Decide(now, consolidation.Observation{
-		Configuration: configuration, Members: c.state.Members, Loads: c.loads, Heard: c.heard,
-	})
-	command := Command{}
-	for name, orders := range statemachine.Sorted(decided) {
-		earlier := c.orders[name]
-		c.orders[name] = orders
-		if !earlier.Equal(orders) {
-			if waiting, found := c.held[name]; found {
-				c.give(now, waiting, effects)
-			}
-		}
-		member := c.state.Members[name]
-		if rests := orders.Rest && c.loads[name].Resting; member.Resting != rests && member.Alive {
-			command.Rests = append(command.Rests, Rest{Name: name, Incarnation: member.Incarnation, Resting: rests})
-			if rests {
-				effects.Note(logevent.GatewayRested, "gateway", name)
-			} else {
-				effects.Note(logevent.GatewayWoken, "gateway", name)
-			}
-		}
-	}
-	if !command.empty() {
-		c.submit(now, command, effects)
-	}
-}
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -1,9 +1,5 @@
 // Package daemon runs a state machine as a process.
 //
-// Package daemon runs a state machine as a process.
-//
-// Package daemon runs a state machine as a process.
-//
 // What all daemons have in common as processes: settings that are checked and
 // reloaded, a data folder that one process holds at a time, signals, readiness,
 // and the ctl address at which every daemon gives operators the same answers.
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -78,6 +78,16 @@
 	return false
 }
 
+// catchingUp tells whether a subscription to a routed topic still lacks something.
+func (c *channel) catchingUp() bool {
+	for _, taken := range c.routed {
+		if taken.filling {
+			return true
+		}
+	}
+	return false
+}
+
 // emit hands an event to a channel's writer.
 func (g *Gateway) emit(id uint64, event Event, effects *statemachine.Effects) {
 	effects.Delivers = append(effects.Delivers, statemachine.Deliver{Channel: id, Event: event})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,9 +1,5 @@
 // Package gateway is the state machine of the daemons that hold client connections.
 //
-// Package gateway is the state machine of the daemons that hold client connections.
-//
-// Package gateway is the state machine of the daemons that hold client connections.
-//
 // A Gateway is the proxy daemon's state machine: it holds client connections,
 // hosts the overlay's peers, passes every request through the policies, and fans
 // messages out. It follows the control state through the agent beside it. It
@@ -199,7 +195,7 @@
 	}
 	return membership.Load{
 		Copies: g.Counts.CopiesIn, Processor: processor, Delays: g.overlay.Ways(),
-		Origins: len(g.channels), Room: g.settings.OriginsMost - len(g.channels), Requests: g.Counts.Requests,
+		Origins: g.staying(), Room: g.settings.OriginsMost - len(g.channels), Requests: g.Counts.Requests,
 		Delivered: g.Counts.Delivered, Ready: g.wasReady, Resting: g.Resting(),
 	}
 }
@@ -652,7 +648,7 @@
 		return
 	}
 	for id, channel := range statemachine.Sorted(g.channels) {
-		if channel.movedAt.IsZero() && !channel.filling() {
+		if channel.movedAt.IsZero() && !channel.filling() && (g.leaving() || !channel.catchingUp()) {
 			g.turn++
 			g.move(now, id, channel, targets[g.turn%min(len(targets), 3)], effects)
 			if count--; count == 0 {
--- a/internal/lineserver/lineserver.go
+++ b/internal/lineserver/lineserver.go
@@ -1,9 +1,5 @@
 // Package lineserver serves clients that speak lines over TCP.
 //
-// Package lineserver serves clients that speak lines over TCP.
-//
-// Package lineserver serves clients that speak lines over TCP.
-//
 // The server proper. Each connection has a task that reads: it sleeps in the
 // runtime's own poller, and hands all that one arrival brought to the owner as
 // one piece of work, so that commands stay in order and cost one wake-up. Answers
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -1,9 +1,5 @@
 // Package membership knows the members of the cluster and follows the control state.
 //
-// Package membership knows the members of the cluster and follows the control state.
-//
-// Package membership knows the members of the cluster and follows the control state.
-//
 // Members of the cluster, and the ring that names each member's watchers. Every
 // daemon computes the same ring from the same view, so that nobody has to be
 // told whom it watches.
--- a/internal/overlay/overlay.go
+++ b/internal/overlay/overlay.go
@@ -1,9 +1,5 @@
 // Package overlay finds the daemons that a publication goes to, after VAST's Voronoi-based overlay network.
 //
-// Package overlay finds the daemons that a publication goes to, after VAST's Voronoi-based overlay network.
-//
-// Package overlay finds the daemons that a publication goes to, after VAST's Voronoi-based overlay network.
-//
 // The overlay, after VAST's Voronoi-based overlay network. Each area that this
 // daemon's origins subscribe to, or publish at, has one peer here. A peer keeps
 // its own Voronoi region, always knows the enclosing neighbours beyond its
--- a/internal/partition/store.go
+++ b/internal/partition/store.go
@@ -1,9 +1,5 @@
 // Package partition replicates logs of kept messages on stores.
 //
-// Package partition replicates logs of kept messages on stores.
-//
-// Package partition replicates logs of kept messages on stores.
-//
 // A Store is the store daemon's state machine. For each partition that the controllers
 // place on it, it is first or follower in one epoch. The first gives a
 // message its offset, syncs it, and sends it to the follower, which refuses
--- a/internal/simulator/topics.go
+++ b/internal/simulator/topics.go
@@ -398,7 +398,7 @@
 	}
 	s.Run(2 * time.Second)
 	s.Checker.AllBrought(s.Now)
-	s.takeSaved()
+	s.takeSaved("taker")
 	reads := s.operator.reads
 	for number := range 8 {
 		s.After(time.Duration(number)*500*time.Millisecond, s.operator.read)
@@ -416,8 +416,8 @@
 	s.Checker.Close(s.Now)
 }
 
-// takeSaved lets new callers take up the places that were saved.
-func (s *Simulation) takeSaved() {
+// takeSaved lets new callers, named after a prefix, take up the places that were saved.
+func (s *Simulation) takeSaved(prefix string) {
 	random := rand.New(rand.NewPCG(s.Seed, 0x7a4e))
 	saved := slices.Clone(s.world.saved)
 	random.Shuffle(len(saved), func(left, right int) { saved[left], saved[right] = saved[right], saved[left] })
@@ -434,7 +434,7 @@
 		})
 		if chosen < 0 {
 			chosen = len(takers)
-			takers = append(takers, s.AddTopicClient(fmt.Sprintf("taker-%d", chosen), chosen%s.Size.Places))
+			takers = append(takers, s.AddTopicClient(fmt.Sprintf("%s-%d", prefix, chosen), chosen%s.Size.Places))
 		}
 		taker := takers[chosen]
 		taker.stopped = true
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -1,9 +1,5 @@
 // Package transport carries messages between daemons.
 //
-// Package transport carries messages between daemons.
-//
-// Package transport carries messages between daemons.
-//
 // The gnet adapter. A daemon listens with one gnet engine and dials with one
 // gnet client; frames to a peer travel on the connection that the sender
 // dialled, so that the two directions are independent and each is in order.
