Newcomers are sent on in place of moving those who are here; thin links pack all turns

Newcomers: while a gateway is asked to hand callers on, it admitted new ones and then moved others. What an order gives to others counts once now, whether they are here or come.

Turns to daemons of the own zone are packed too where the machine's link is thin by the transport's own measure (Confirms).

--- /dev/null
+++ b/internal/gateway/admission_mutation_test.go
@@ -0,0 +1,17 @@
+//go:build mutation
+
+package gateway_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dahlialock/internal/statemachine"
+)
+
+func TestSendingNewcomersOnIsNeeded(t *testing.T) {
+	defer statemachine.Mutate("newcomers-stay")()
+	newcomers, _ := newcomersSentOn(t)
+	assert.Equal(t, newcomers, 0)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,9 +125,11 @@
 	lingering  []lingered
 	stopping   bool
 	stopUntil  time.Time
-	wasReady   bool
-	turn       int
-	Counts     Counts
+	// handOn is how many callers the newest order still asks to hand on.
+	handOn   int
+	wasReady bool
+	turn     int
+	Counts   Counts
 }
 
 type spaceState struct {
@@ -410,6 +412,7 @@
 			effects.Note(logevent.GatewayWoken, "gateway", g.settings.Self.Name)
 		}
 	}
+	g.countHandOn()
 	if orders := g.follower.Orders; (orders.Empty || orders.Keep > 0) && !g.timers.Armed("move") {
 		g.timers.Arm("move", now)
 	}
@@ -634,10 +637,11 @@
 	count := max(1, orders.Pace/int(time.Second/moveEvery))
 	if orders.Keep > 0 && !orders.Empty && !g.stopping {
 		// Those that were told to go and are still here are on their way.
-		count = min(count, g.staying()-orders.Keep)
+		count = min(count, g.handOn)
 		if count <= 0 {
 			return
 		}
+		g.handOn -= count
 	}
 	if g.stopping {
 		count = max(count, stopMoves, (len(g.channels)+9)/10)
@@ -661,6 +665,15 @@
 	}
 }
 
+// countHandOn takes the newest order's excess: what the order gives to others, once,
+// whether they are callers that are here or callers that come.
+func (g *Gateway) countHandOn() {
+	g.handOn = 0
+	if orders := g.follower.Orders; orders.Keep > 0 && !orders.Empty {
+		g.handOn = max(0, g.staying()-orders.Keep)
+	}
+}
+
 // staying counts the channels that were not told to move.
 func (g *Gateway) staying() int {
 	count := 0
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -277,6 +277,12 @@
 	return dialer.DialContext(limit, "tcp", to)
 }
 
+// packsTo tells whether turns to a peer are packed: those to other zones, and all where
+// the machine's own link is thin.
+func (t *Transport) packsTo(present *link) bool {
+	return t.compresses.Load() && (present.away || t.pace.Confirms())
+}
+
 // opened takes a connection that was made: who we are goes first.
 func (t *Transport) opened(present *link, wire gnet.Conn) gnet.Action {
 	present.dialling, present.answers, present.tries = false, false, 0
@@ -289,7 +295,7 @@
 	t.Counters.Dials.Add(1)
 	present.wire, present.socket, present.pause, present.idle = wire, &socket{descriptor: descriptor}, 0, false
 	present.openAt = time.Now()
-	packs := present.away && t.compresses.Load()
+	packs := t.packsTo(present)
 	if packs {
 		present.socket.packer = newPacker()
 	}
