--- a/internal/gateway/catchup_test.go
+++ b/internal/gateway/catchup_test.go
@@ -158,6 +158,24 @@
 	assert.Equal(t, len(many.gateway.routed.partitions), 0)
 }
 
+// A subscription without a cursor has no turn to keep: its topic goes, once.
+func TestAPartitionIsFollowedAsLongAsATopicOfItIsHeld(t *testing.T) {
+	many := newCrowded(1)
+	refused := many.channels[0].routed[many.channels[0].origin]
+	name := refused.topic.partition
+	kept := 0
+	for number := 1; kept == 0; number++ {
+		if topic := fmt.Sprintf("topic-%d", number); config.SharedPartition(topic) == name {
+			many.gateway.addPlace(many.now, topic, "boards", &place{channel: 9, limit: many.now.Add(time.Hour)}, &many.effects)
+			kept = number
+		}
+	}
+	assert.Equal(t, many.gateway.routed.partitions[name], 2)
+	many.now = refused.limit
+	many.gateway.tendTopic(many.now, refused.topic, &many.effects)
+	assert.Equal(t, many.gateway.routed.partitions[name], 1)
+}
+
 func TestTheCreditOfABatchFollowsFromTheLink(t *testing.T) {
 	many := newCrowded(1)
 	assert.Equal(t, many.asked()[0].Bytes, batchBytesMost)
--- a/internal/gateway/routed.go
+++ b/internal/gateway/routed.go
@@ -307,7 +307,7 @@
 
 // dropTopic forgets a topic that nobody holds.
 func (g *Gateway) dropTopic(followed *topic) {
-	if len(followed.places) > 0 {
+	if len(followed.places) > 0 || g.routed.topics[followed.name] != followed {
 		return
 	}
 	followed.fetch = nil
@@ -716,8 +716,6 @@
 				g.emit(taken.channel, Event{Event: "ended", Space: followed.space, Topic: name, Code: "space-removed"}, effects)
 			}
 		}
-		if g.routed.topics[name] == followed {
-			g.dropTopic(followed)
-		}
+		g.dropTopic(followed)
 	}
 }
