Gateways let callers in at the pace of their link; stores tell what is left

Change: a gateway lets in as many sessions a second as half of its link serves, 0.3 s of them saved up, and nobody while more than a second of the link is known to lack; others are refused at once with when to come back, and the platform brings them to other gateways. A store tells how many bytes of a topic found no room. Wide links never refuse.

Tests: TestACrowdIsLetInAtThePaceOfTheLink, TestABacklogClosesTheGate, the answers of stores in topics_test.go; red: TestAdmissionIsNeeded.

--- a/internal/gateway/admission_mutation_test.go
+++ b/internal/gateway/admission_mutation_test.go
@@ -15,3 +15,10 @@
 	newcomers, _ := newcomersSentOn(t)
 	assert.Equal(t, newcomers, 0)
 }
+
+func TestAdmissionIsNeeded(t *testing.T) {
+	defer statemachine.Mutate("all-admitted")()
+	fleetlab := open(t)
+	fleetlab.gateway.SetLink(thinLink)
+	assert.Equal(t, letIn(t, fleetlab, 300), 300)
+}
--- a/internal/gateway/catchup_test.go
+++ b/internal/gateway/catchup_test.go
@@ -285,3 +285,21 @@
 	assert.Assert(t, confirmed(t, 5))
 	assert.Assert(t, !confirmed(t, 2), "what lay there may be gone")
 }
+
+// While more is known to lack than the link takes in a second nobody else is let in.
+func TestABacklogClosesTheGate(t *testing.T) {
+	one := newCrowded(1)
+	followed := one.gateway.routed.topics["topic-0"]
+	one.gateway.SetLink(thinRate)
+	assert.Assert(t, one.gateway.admits(one.now))
+	asked := one.asked()[0]
+	one.gateway.onTopicsFetched(one.now, partition.FetchTopicsResponse{
+		Request: asked.Request, Partitions: []partition.PartitionState{{Partition: followed.partition, Epoch: 1, Head: 9}},
+		Topics: []partition.TopicRecords{{Until: 0, Left: thinRate + 1}},
+	}, &one.effects)
+	assert.Assert(t, !one.gateway.admits(one.now))
+	one.gateway.dropPlace(one.now, one.channels[0], "topic-0", &one.effects)
+	assert.Assert(t, one.gateway.admits(one.now), "nobody wants it any more")
+}
+
+const thinRate = 100_000
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -130,6 +130,9 @@
 	case !g.Confirmed(now):
 		effects.Return(request.Request, refused(503, "unconfirmed", "this daemon can't confirm its configuration", comeBackLater))
 		return
+	case request.Lines && !g.admits(now):
+		effects.Return(request.Request, refused(503, "busy", "this daemon's link can't serve more callers at once", comeBackSoon))
+		return
 	case len(g.channels) >= g.settings.OriginsMost:
 		effects.Return(request.Request, refused(503, "full", "this daemon holds all the channels it may", comeBackSoon))
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,6 +125,7 @@
 	lingering  []lingered
 	stopping   bool
 	stopUntil  time.Time
+	admission  admission
 	// handOn is how many callers the newest order still asks to hand on.
 	handOn   int
 	wasReady bool
--- a/internal/gateway/routed.go
+++ b/internal/gateway/routed.go
@@ -64,6 +64,8 @@
 	recentUntil time.Time
 	wanted      uint64
 	checkAt     time.Time
+	// left is how many bytes of its records are known to lack here.
+	left int
 	// reservedAfter is the lowest cursor of subscriptions that were refused without
 	// an answer of the store, and keep their turn until reservedUntil.
 	reservedAfter uint64
@@ -100,8 +102,10 @@
 	batches  map[uint64]*batch
 	underway map[string]uint64
 	queue    []*topic
-	appends  map[uint64]*routedPublication
-	sends    map[uint64]*routedPublication
+	// backlog is how many bytes of records all topics are known to lack.
+	backlog int
+	appends map[uint64]*routedPublication
+	sends   map[uint64]*routedPublication
 	// accepted is when a publication of this gateway's callers was accepted.
 	accepted map[routedKey]time.Time
 	// busy are the topics with something that waits for a moment to come.
@@ -311,6 +315,7 @@
 		return
 	}
 	followed.fetch = nil
+	g.lacksBytes(followed, 0)
 	delete(g.routed.topics, followed.name)
 	delete(g.routed.numbers, followed.number)
 	delete(g.routed.busy, followed.name)
--- a/internal/partition/topics.go
+++ b/internal/partition/topics.go
@@ -44,11 +44,13 @@
 }
 
 // TopicRecords are all records of a topic up to Until. Gone tells that a record
-// after the asked offset is no longer held.
+// after the asked offset is no longer held, and Left how many bytes of records there
+// are that found no room in the answer.
 type TopicRecords struct {
 	_       struct{} `cbor:",toarray"`
 	Until   uint64
 	Gone    bool
+	Left    int
 	Records []Record
 }
 
@@ -103,13 +105,18 @@
 	}
 	for _, record := range h.log.of([]string{asked.Topic}, asked.After, h.accepted) {
 		fits := len(record.Data) <= *credit && len(found.Records) < fetchLimit
-		if !fits && (!first || len(found.Records) > 0) {
+		switch {
+		case found.Left == 0 && (fits || first && len(found.Records) == 0):
+			*credit -= len(record.Data)
+			found.Records = append(found.Records, record)
+		case found.Left == 0:
 			found.Until = record.Offset - 1
 			*credit = 0
-			return found
+			fallthrough
+		default:
+			// Left is above zero from here on, also where a record has no data.
+			found.Left += max(1, len(record.Data))
 		}
-		*credit -= len(record.Data)
-		found.Records = append(found.Records, record)
 	}
 	return found
 }
