--- a/internal/gateway/catchup.go
+++ b/internal/gateway/catchup.go
@@ -89,7 +89,8 @@
 // reserved tells whether a refused subscription to the topic keeps its turn, and
 // what it lacks is not here.
 func (t *topic) reserved(now time.Time) bool {
-	return t.reservedUntil.After(now) && !(t.live && t.recentFrom <= t.reservedAfter)
+	here := t.live && t.recentFrom <= t.reservedAfter
+	return t.reservedUntil.After(now) && !here
 }
 
 // reserve keeps the turn of a subscription that is refused because its answer did
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,11 +126,9 @@
 	stopping   bool
 	stopUntil  time.Time
 	admission  admission
-	// handOn is how many callers the newest order still asks to hand on.
-	handOn   int
-	wasReady bool
-	turn     int
-	Counts   Counts
+	wasReady   bool
+	turn       int
+	Counts     Counts
 }
 
 type spaceState struct {
