A large checkpoint is not a slow disk: a store that writes one keeps its partitions

Change: a checkpoint, and what waits behind it, may take 2 s before it counts against the disk; the writes behind it are timed from its end. A disk that hangs in a checkpoint is told of after 2.4 s.

Not mended: appends wait while a checkpoint is written, and leaders and copies are not spread evenly again after stores came and went.

--- a/internal/partition/disk.go
+++ b/internal/partition/disk.go
@@ -85,7 +85,7 @@
 func (s *Store) write(now time.Time, afters []afterSync, write statemachine.Write, effects *statemachine.Effects) {
 	s.token++
 	s.Counts.Writes++
-	s.pending[s.token] = &batch{since: now, afters: afters}
+	s.pending[s.token] = &batch{since: now, checkpoint: write.Pack != nil, afters: afters}
 	write.Token = s.token
 	effects.Writes = append(effects.Writes, write)
 	s.timers.ArmSooner("copy", now.Add(copyEvery))
@@ -113,13 +113,29 @@
 	}
 	delete(s.pending, token)
 	s.refused = false
-	s.ownDelay = smooth(s.ownDelay, now.Sub(written.since))
-	s.since = written.since
+	if written.checkpoint && !statemachine.Mutated("checkpoints-lag") {
+		s.checkpointed(now, written)
+	} else {
+		s.ownDelay = smooth(s.ownDelay, now.Sub(written.since))
+		s.since = written.since
+	}
 	for _, after := range written.afters {
 		after(now, effects)
 	}
 }
 
+// checkpointed begins the time of the writes that waited behind a checkpoint anew: how
+// long that took says how much the store holds, and not that its disk is slow.
+func (s *Store) checkpointed(now time.Time, checkpoint *batch) {
+	if now.Sub(checkpoint.since) > checkpointMost {
+		return
+	}
+	s.since = now
+	for _, waited := range s.pending {
+		waited.since = now
+	}
+}
+
 // onDiskRefused is told again and again while the disk takes no write: nothing
 // is lost of what it has, but this store can accept nothing more.
 func (s *Store) onDiskRefused(now time.Time, effects *statemachine.Effects) {
@@ -144,11 +160,26 @@
 	}
 }
 
-// oldestWrite is for how long the disk has owed the oldest write.
+// oldestWrite is for how long the disk has owed the oldest write. A checkpoint, and what
+// waits behind it, may take checkpointMost before that counts.
 func (s *Store) oldestWrite(now time.Time) time.Duration {
 	var oldest time.Duration
-	for _, written := range s.pending {
-		oldest = max(oldest, now.Sub(written.since))
+	for token, written := range s.pending {
+		owed := now.Sub(written.since)
+		if s.behindCheckpoint(token) && !statemachine.Mutated("checkpoints-lag") {
+			owed -= checkpointMost
+		}
+		oldest = max(oldest, owed)
 	}
 	return oldest
 }
+
+// behindCheckpoint tells whether a write is a checkpoint or waits for one.
+func (s *Store) behindCheckpoint(token uint64) bool {
+	for earlier, written := range s.pending {
+		if written.checkpoint && earlier <= token {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/partition/lag.go
+++ b/internal/partition/lag.go
@@ -20,6 +20,8 @@
 	slowTimes    = 4
 	probeEvery   = time.Second
 	lagEvery     = 300 * time.Millisecond
+	// checkpointMost is how long a checkpoint may take before the disk counts as slow.
+	checkpointMost = 2 * time.Second
 )
 
 // smooth lets a new delay count an eighth.
--- /dev/null
+++ b/internal/partition/lag_mutation_test.go
@@ -0,0 +1,16 @@
+//go:build mutation
+
+package partition
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dahlialock/internal/statemachine"
+)
+
+func TestTheAllowanceOfCheckpointsIsNeeded(t *testing.T) {
+	defer statemachine.Mutate("checkpoints-lag")()
+	assert.Assert(t, largeCheckpoint(t))
+}
--- a/internal/partition/store.go
+++ b/internal/partition/store.go
@@ -151,10 +151,12 @@
 
 type afterSync func(now time.Time, effects *statemachine.Effects)
 
-// batch is a write that was not said to last yet, and what waits for it.
+// batch is a write that was not said to last yet, and what waits for it. A checkpoint
+// is as large as all that the store holds.
 type batch struct {
-	since  time.Time
-	afters []afterSync
+	since      time.Time
+	checkpoint bool
+	afters     []afterSync
 }
 
 // Counts are running sums for measurements.
