Short catch-ups go before long ones, and the credit follows the stores in use

The records of an answer went to the topics in the order of their batch, and topics that were not complete were queued again in that same order, so that one that lacked 78 KB took each answer's 4.9 KB until it had all.

Change: a batch is ordered by what its topics are known to lack, unknown first. The link's time is shared by the stores that are asked at present, not by all that live, and is 0.2 s.

Tests: TestShortTopicsAreNotHeldUpByLongOnes, seen red before the mend; red by mutation: TestTheOrderOfABatchIsNeeded.

--- a/internal/gateway/catchup.go
+++ b/internal/gateway/catchup.go
@@ -8,11 +8,11 @@
 package gateway
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"dahlialock/internal/logevent"
-	"dahlialock/internal/membership"
 	"dahlialock/internal/partition"
 	"dahlialock/internal/statemachine"
 )
@@ -25,7 +25,7 @@
 	batchRetry = 400 * time.Millisecond
 	// catchUpAhead is how much of the link's time the records may take that are
 	// asked for at once, from all stores together.
-	catchUpAhead = 150 * time.Millisecond
+	catchUpAhead = 200 * time.Millisecond
 	// Bounds of the bytes of records that one batch asks for.
 	batchBytesLeast = 4 << 10
 	batchBytesMost  = 256 << 10
@@ -45,6 +45,7 @@
 	request uint64
 	store   string
 	fetches []*topicFetch
+	bytes   int
 	sentAt  time.Time
 	tries   int
 }
@@ -150,9 +151,11 @@
 		chosen[present.address] = append(chosen[present.address], next.fetch)
 	}
 	g.routed.queue = waiting
+	bytes := g.batchBytes(len(g.routed.underway) + len(chosen))
 	for store, fetches := range statemachine.Sorted(chosen) {
 		g.nextRequest++
-		made := &batch{request: g.nextRequest, store: store, fetches: fetches}
+		shortestFirst(fetches)
+		made := &batch{request: g.nextRequest, store: store, fetches: fetches, bytes: bytes}
 		g.routed.batches[made.request] = made
 		g.routed.underway[store] = made.request
 		g.sendBatch(now, made, effects)
@@ -163,7 +166,7 @@
 	sent.sentAt = now
 	sent.tries++
 	g.timers.ArmSooner("routed", sent.due())
-	asked := partition.FetchTopics{Request: sent.request, Bytes: g.batchBytes()}
+	asked := partition.FetchTopics{Request: sent.request, Bytes: sent.bytes}
 	for _, each := range sent.fetches {
 		asked.Topics = append(asked.Topics, partition.TopicAfter{Topic: each.topic.name, After: each.after})
 	}
@@ -171,14 +174,24 @@
 	effects.Send(sent.store, asked)
 }
 
-// batchBytes is the credit of a batch: the stores' answers together take a short
-// time of the machine's link.
-func (g *Gateway) batchBytes() int {
+// shortestFirst orders topics by what they are known to lack, since the records of an
+// answer go to the first of them: one that lacks a single message must not wait for those
+// that lack hundreds. What is not known yet goes first.
+func shortestFirst(fetches []*topicFetch) {
+	if statemachine.Mutated("first-come-first") {
+		return
+	}
+	slices.SortStableFunc(fetches, func(left, right *topicFetch) int { return cmp.Compare(left.topic.left, right.topic.left) })
+}
+
+// batchBytes is the credit of a batch while so many stores are asked: their answers
+// together take a short time of the machine's link.
+func (g *Gateway) batchBytes(stores int) int {
 	if g.settings.Link == 0 {
 		return batchBytesMost
 	}
 	ahead := int(float64(g.settings.Link) * catchUpAhead.Seconds())
-	return min(max(ahead/max(1, g.storesAlive), batchBytesLeast), batchBytesMost)
+	return min(max(ahead/max(1, stores), batchBytesLeast), batchBytesMost)
 }
 
 // endBatch gives the store's credit back.
@@ -347,13 +360,3 @@
 	}
 	g.fill(now, taken, effects)
 }
-
-// countStores notes how many stores share the link's time.
-func (g *Gateway) countStores() {
-	g.storesAlive = 0
-	for _, member := range g.follower.Members {
-		if member.Kind == membership.KindStore && member.Alive {
-			g.storesAlive++
-		}
-	}
-}
--- a/internal/gateway/catchup_mutation_test.go
+++ b/internal/gateway/catchup_mutation_test.go
@@ -33,3 +33,8 @@
 	topics, _ := refusedTurn(t)
 	assert.Equal(t, topics, 0)
 }
+
+func TestTheOrderOfABatchIsNeeded(t *testing.T) {
+	defer statemachine.Mutate("first-come-first")()
+	assert.Equal(t, orderOfRest(t)[0], "topic-0")
+}
--- a/internal/gateway/catchup_test.go
+++ b/internal/gateway/catchup_test.go
@@ -179,11 +179,12 @@
 func TestTheCreditOfABatchFollowsFromTheLink(t *testing.T) {
 	many := newCrowded(1)
 	assert.Equal(t, many.asked()[0].Bytes, batchBytesMost)
-	many.gateway.storesAlive = 10
 	many.gateway.SetLink(3_250_000)
-	assert.Equal(t, many.gateway.batchBytes(), 48750)
+	assert.Equal(t, many.gateway.batchBytes(10), 65000)
+	assert.Equal(t, many.gateway.batchBytes(4), 162500)
+	assert.Equal(t, many.gateway.batchBytes(1), batchBytesMost)
 	many.gateway.SetLink(1000)
-	assert.Equal(t, many.gateway.batchBytes(), batchBytesLeast)
+	assert.Equal(t, many.gateway.batchBytes(1), batchBytesLeast)
 }
 
 // A subscription is confirmed though the answer had no room for what it missed, which
@@ -286,6 +287,57 @@
 	assert.Assert(t, !confirmed(t, 2), "what lay there may be gone")
 }
 
+// answerLeft answers a batch with no records but for topics of which nothing is left.
+func (c *crowded) answerLeft(asked partition.FetchTopics, left map[string]int) {
+	answer := partition.FetchTopicsResponse{Request: asked.Request}
+	for _, each := range asked.Topics {
+		answer.Partitions = append(answer.Partitions, partition.PartitionState{Partition: config.SharedPartition(each.Topic), Epoch: 1, Head: 9})
+		records := partition.TopicRecords{Until: 9}
+		if bytes := left[each.Topic]; bytes > 0 {
+			records = partition.TopicRecords{Until: each.After, Left: bytes}
+		}
+		answer.Topics = append(answer.Topics, records)
+	}
+	c.gateway.onTopicsFetched(c.now, answer, &c.effects)
+}
+
+// orderOfRest gives the topics of the batch that follows an answer without room, when
+// each lacks less than the one before it.
+func orderOfRest(t *testing.T) []string {
+	t.Helper()
+	many := newCrowded(4)
+	left := map[string]int{}
+	for number, opened := range many.channels {
+		taken := opened.routed[opened.origin]
+		taken.resumes, taken.upTo = true, 1
+		taken.topic.fetch, taken.topic.queued = nil, false
+		left[opened.origin] = 1000 * (len(many.channels) - number)
+	}
+	clear(many.gateway.routed.batches)
+	clear(many.gateway.routed.underway)
+	many.gateway.routed.queue = nil
+	many.asked()
+	for _, opened := range many.channels {
+		taken := opened.routed[opened.origin]
+		taken.topic.queued = true
+		many.gateway.routed.queue = append(many.gateway.routed.queue, taken.topic)
+	}
+	many.gateway.sendBatches(many.now, &many.effects)
+	many.answerLeft(many.asked()[0], left)
+	next := many.asked()
+	assert.Equal(t, len(next), 1)
+	var order []string
+	for _, each := range next[0].Topics {
+		order = append(order, each.Topic)
+	}
+	return order
+}
+
+// A topic that lacks one message must not wait for those that lack a hundred.
+func TestShortTopicsAreNotHeldUpByLongOnes(t *testing.T) {
+	assert.DeepEqual(t, orderOfRest(t), []string{"topic-3", "topic-2", "topic-1", "topic-0"})
+}
+
 // While more is known to lack than the link takes in a second nobody else is let in.
 func TestABacklogClosesTheGate(t *testing.T) {
 	one := newCrowded(1)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,8 +115,6 @@
 	// subscribePatience follows from the configuration in force.
 	subscribePatience time.Duration
 	newest            map[string]uint64
-	// storesAlive is how many stores the view names as alive.
-	storesAlive int
 
 	followedAt time.Time
 	behind     uint64
@@ -449,7 +447,6 @@
 	if g.life > 0 {
 		g.overlay.Live(now, g.life, effects)
 	}
-	g.countStores()
 	g.placesChanged(now, effects)
 }
 
