The backlog that closes the gate is derived from what waits, and can't be left over

The backlog is summed up from the topics that wait for a batch or are in one, and lack something; the counter and its upkeep are gone.

TestABacklogGoesWithWhoeverLackedIt was seen red before the mend.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -45,15 +45,31 @@
 	}
 	g.admission.left = min(most, g.admission.left+rate*now.Sub(g.admission.at).Seconds())
 	g.admission.at = now
-	if g.routed.backlog > int(float64(g.settings.Link)*backlogAhead.Seconds()) || g.admission.left < 1 {
+	if g.admission.left < 1 || g.backlog(now) > int(float64(g.settings.Link)*backlogAhead.Seconds()) {
 		return false
 	}
 	g.admission.left--
 	return true
 }
 
-// lacksBytes notes how many bytes of records a topic is known to lack.
-func (g *Gateway) lacksBytes(followed *topic, bytes int) {
-	g.routed.backlog += bytes - followed.left
-	followed.left = bytes
+// backlog is how many bytes of records are known to lack here, of the topics that wait
+// for a batch or are in one.
+func (g *Gateway) backlog(now time.Time) int {
+	sum := 0
+	count := func(waits *topic) {
+		if _, lacking := waits.lacks(now); lacking {
+			sum += waits.left
+		}
+	}
+	for _, queued := range g.routed.queue {
+		count(queued)
+	}
+	for _, sent := range g.routed.batches {
+		for _, asked := range sent.fetches {
+			if asked.topic.fetch == asked {
+				count(asked.topic)
+			}
+		}
+	}
+	return sum
 }
--- a/internal/gateway/catchup.go
+++ b/internal/gateway/catchup.go
@@ -278,7 +278,7 @@
 func (g *Gateway) takeRecords(now time.Time, asked *topicFetch, state partition.PartitionState, returned partition.TopicRecords, effects *statemachine.Effects) {
 	followed := asked.topic
 	g.routed.bases[followed.partition] = state.Base
-	g.lacksBytes(followed, returned.Left)
+	followed.left = returned.Left
 	if returned.Gone {
 		followed.reservedUntil = time.Time{}
 		g.losePlaces(now, followed, asked.after, effects)
--- a/internal/gateway/catchup_test.go
+++ b/internal/gateway/catchup_test.go
@@ -355,3 +355,28 @@
 }
 
 const thinRate = 100_000
+
+// What a place lacked counts no longer once it is gone, though others hold its topic and
+// the answer is still on its way.
+func TestABacklogGoesWithWhoeverLackedIt(t *testing.T) {
+	one := newCrowded(1)
+	gateway, followed := one.gateway, one.gateway.routed.topics["topic-0"]
+	one.answer(one.asked()[0])
+	gateway.SetLink(thinRate)
+	late := &place{channel: 9, filling: true, resumes: true, request: Subscribe{Request: 9}, limit: one.now.Add(time.Second)}
+	gateway.channels[9] = &channel{origin: "late", routed: map[string]*place{"topic-0": late}}
+	gateway.addPlace(one.now, "topic-0", "boards", late, &one.effects)
+	gateway.fetchTopic(one.now, followed, &one.effects)
+	for range 2 {
+		asked := one.asked()[0]
+		gateway.onTopicsFetched(one.now, partition.FetchTopicsResponse{
+			Request: asked.Request, Partitions: []partition.PartitionState{{Partition: followed.partition, Epoch: 1, Head: 5}},
+			Topics: []partition.TopicRecords{{Until: 1, Left: thinRate + 1}},
+		}, &one.effects)
+		if _, held := gateway.channels[9].routed["topic-0"]; held {
+			assert.Assert(t, !gateway.admits(one.now))
+			gateway.dropPlace(one.now, gateway.channels[9], "topic-0", &one.effects)
+		}
+	}
+	assert.Assert(t, gateway.admits(one.now))
+}
--- a/internal/gateway/routed.go
+++ b/internal/gateway/routed.go
@@ -102,10 +102,8 @@
 	batches  map[uint64]*batch
 	underway map[string]uint64
 	queue    []*topic
-	// backlog is how many bytes of records all topics are known to lack.
-	backlog int
-	appends map[uint64]*routedPublication
-	sends   map[uint64]*routedPublication
+	appends  map[uint64]*routedPublication
+	sends    map[uint64]*routedPublication
 	// accepted is when a publication of this gateway's callers was accepted.
 	accepted map[routedKey]time.Time
 	// busy are the topics with something that waits for a moment to come.
@@ -315,7 +313,6 @@
 		return
 	}
 	followed.fetch = nil
-	g.lacksBytes(followed, 0)
 	delete(g.routed.topics, followed.name)
 	delete(g.routed.numbers, followed.number)
 	delete(g.routed.busy, followed.name)
