A test that a crowded zone is evened out by itself, as the replaced one held

TestACrowdIsEvenedOut also held that gateways of other zones keep their callers and that two of the crowded zone end less than 60 apart; its replacement did not say so.

--- a/internal/balancing/balancing_test.go
+++ b/internal/balancing/balancing_test.go
@@ -153,3 +153,19 @@
 	}
 	assert.Assert(t, town.held[1].Origins > 20 && town.held[3].Origins > 20, "%v", town.held)
 }
+
+// A crowd in one zone is evened out there, and the other zones are not asked.
+func TestACrowdedZoneIsEvenedOutByItself(t *testing.T) {
+	town := newTown(8, 6, 3, 0)
+	for place := range town.held {
+		town.add(place, 20)
+	}
+	town.add(0, 200)
+	for range 30 {
+		town.second()
+	}
+	assert.Assert(t, town.held[0].Origins-town.held[3].Origins < 60, "%v", town.held)
+	for _, other := range []int{1, 2, 4, 5} {
+		assert.Equal(t, town.held[other].Origins, 20)
+	}
+}
