--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,7 +2,7 @@
 # Runs the case; see claim.txt. Exit 1: the rule was broken; 0: it held; 2: it couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/standin ] && [ -x target/gateway ] || exit 2
-timeout -k 1 118 target/standin place review/2
+timeout -k 1 118 target/standin place review/3
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
