Partition: log event 4006 for a fetch whose records have expired

A client that is refused with EXPIRED left no line anywhere: neither the record for whose sake it was refused nor its age could be told. The store that answers the fetch now logs the topic, the offset asked after, and the offset and age of the newest expired record.

--- a/internal/logevent/catalogue.go
+++ b/internal/logevent/catalogue.go
@@ -65,6 +65,7 @@
 	PartitionSnapshotSent      statemachine.EventNumber = 4003
 	PartitionSnapshotInstalled statemachine.EventNumber = 4004
 	PartitionStaleEpoch        statemachine.EventNumber = 4005
+	PartitionRecordsExpired    statemachine.EventNumber = 4006
 	GatewayRested              statemachine.EventNumber = 5001
 	GatewayWoken               statemachine.EventNumber = 5002
 )
@@ -120,6 +121,7 @@
 	PartitionSnapshotSent:      {logrus.InfoLevel, "partition snapshot sent to the follower"},
 	PartitionSnapshotInstalled: {logrus.InfoLevel, "partition snapshot installed"},
 	PartitionStaleEpoch:        {logrus.WarnLevel, "stale epoch of a partition rejected"},
+	PartitionRecordsExpired:    {logrus.InfoLevel, "fetch of a topic rejected, records after its offset have expired"},
 	GatewayRested:              {logrus.InfoLevel, "gateway rests"},
 	GatewayWoken:               {logrus.InfoLevel, "gateway woken"},
 }
--- a/internal/partition/fetch.go
+++ b/internal/partition/fetch.go
@@ -2,8 +2,10 @@
 
 import (
 	"slices"
+	"time"
 
 	"dahlialock/internal/config"
+	"dahlialock/internal/logevent"
 	"dahlialock/internal/statemachine"
 )
 
@@ -83,7 +85,9 @@
 
 // handleFetchTopics answers a gateway with the records of many topics, each after a separate
 // offset.
-func (s *Store) handleFetchTopics(from string, request FetchTopics, effects *statemachine.Effects) {
+func (s *Store) handleFetchTopics(
+	now time.Time, from string, request FetchTopics, effects *statemachine.Effects,
+) {
 	s.Counts.Fetches++
 	response := FetchTopicsResponse{
 		RequestID: request.RequestID,
@@ -102,11 +106,27 @@
 			response.Partitions = append(response.Partitions, partition.state())
 		}
 		response.Topics[position] = partition.fetchTopic(cursor, &remaining, position == 0)
+		if response.Topics[position].Expired {
+			partition.emitExpired(now, cursor, effects)
+		}
 		s.Counts.FetchRecords += uint64(len(response.Topics[position].Records))
 	}
 	effects.Send(from, response)
 }
 
+// emitExpired emits a log event about a fetch that was rejected because records have expired. The
+// event shows the newest of them.
+func (r *replica) emitExpired(now time.Time, cursor TopicCursor, effects *statemachine.Effects) {
+	expired, known := r.log.ExpiredTopics[cursor.Topic]
+	details := []any{"partition", r.log.Name, "topic", cursor.Topic, "after", cursor.After}
+	if known {
+		details = append(details, "offset", expired.LastOffset, "age", now.Sub(expired.AppendedAt).String())
+	} else {
+		details = append(details, "forgotten", r.log.ForgottenOffset)
+	}
+	effects.Emit(logevent.PartitionRecordsExpired, details...)
+}
+
 // state returns the state of the partition for a gateway.
 func (r *replica) state() PartitionState {
 	return PartitionState{
--- a/internal/partition/fetch_test.go
+++ b/internal/partition/fetch_test.go
@@ -6,6 +6,8 @@
 	"gotest.tools/v3/assert"
 
 	"dahlialock/internal/config"
+	"dahlialock/internal/logevent"
+	"dahlialock/internal/statemachine"
 )
 
 // fetchTopics returns the records of topics as in a response with a maximum number of bytes.
@@ -93,3 +95,25 @@
 	assert.Assert(t, found[0].Expired && len(found[0].Records) == 0)
 	assert.Assert(t, !found[1].Expired)
 }
+
+// An operator sees from the event which record was the reason why a place was refused.
+func TestStoreLogsFetchOfExpiredRecords(t *testing.T) {
+	cluster := newCluster(t, 1)
+	store := cluster.stores["store-0"]
+	partition := config.SharedPartition("topic")
+	store.replicas[partition].log = filledLog(partition,
+		Record{Topic: "topic", Sender: "s", Seq: 1, AppendedAt: at(-100)},
+		Record{Topic: "topic", Sender: "s", Seq: 2, AppendedAt: at(-70)},
+	)
+	store.replicas[partition].highWatermark = 2
+	store.replicas[partition].log.dropOldest(cluster.now, 2)
+	var effects statemachine.Effects
+	request := FetchTopics{RequestID: 1, Topics: []TopicCursor{{Topic: "topic", After: 0}, {Topic: "topic", After: 2}}}
+	store.HandleMessage(cluster.now, statemachine.Meta{From: "gateway"}, request, &effects)
+	assert.DeepEqual(t, effects.LogEvents, []statemachine.LogEvent{{
+		Number: logevent.PartitionRecordsExpired,
+		Fields: map[string]any{
+			"partition": partition, "topic": "topic", "after": uint64(0), "offset": uint64(2), "age": "1m10s",
+		},
+	}})
+}
--- a/internal/partition/store.go
+++ b/internal/partition/store.go
@@ -246,7 +246,7 @@
 	case Fetch:
 		s.handleFetch(meta.From, body, effects)
 	case FetchTopics:
-		s.handleFetchTopics(meta.From, body, effects)
+		s.handleFetchTopics(now, meta.From, body, effects)
 	case SenderStateRequest:
 		s.handleSenderStateRequest(now, meta.From, body, effects)
 	case SubscribeHighWatermarks:
