Stored forms: a sample for each optional key, so a key can be added to a recorded form

A key that is added to a stored struct changed the recorded sample of the whole struct. Keys with omitempty are now left out of the sample and recorded in a line of their own, so the lines recorded before stay as they are, byte for byte. No recorded form has such a key yet.

--- a/internal/storedforms/fields.go
+++ b/internal/storedforms/fields.go
@@ -22,6 +22,9 @@
 	Key string
 	// Explicit is set if the key is independent of the field's Go name.
 	Explicit bool
+	// Optional is set if cbor omits the key of an empty value. A key that is added to a recorded
+	// form must be, so that the form of earlier values stays the same.
+	Optional bool
 }
 
 var (
@@ -74,7 +77,13 @@
 		if strings.Contains(options, "keyasint") {
 			return nil, fmt.Errorf("%s.%s has a number as its key, which is not supported", kind, field.Name)
 		}
-		encoded := Field{Index: index, Name: field.Name, Key: key, Explicit: key != ""}
+		encoded := Field{
+			Index:    index,
+			Name:     field.Name,
+			Key:      key,
+			Explicit: key != "",
+			Optional: strings.Contains(field.Tag.Get("cbor"), "omitempty"),
+		}
 		if key == "" {
 			encoded.Key = field.Name
 		}
@@ -102,6 +111,19 @@
 	return implicit, err
 }
 
+// OptionalKeys returns the optional keys of a type and of all types that it contains, in
+// ascending order.
+func OptionalKeys(kind reflect.Type) ([]string, error) {
+	var keys []string
+	err := walk(kind, "", map[reflect.Type]bool{}, func(_ reflect.Type, _ string, field Field) {
+		if field.Optional {
+			keys = append(keys, field.Key)
+		}
+	})
+	slices.Sort(keys)
+	return slices.Compact(keys), err
+}
+
 // Layout describes the encoded fields of a type and of all types that it contains, one
 // line per field: the path of keys, the Go name and the kind.
 func Layout(kind reflect.Type, root string) ([]string, error) {
--- a/internal/storedforms/fill.go
+++ b/internal/storedforms/fill.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"reflect"
+	"slices"
 	"time"
 )
 
@@ -16,14 +17,20 @@
 var sampleStart = time.Date(2026, 1, 2, 3, 4, 5, 6000, time.UTC)
 
 // filler counts the generated values, so that the values of a sample differ.
-type filler struct{ count uint64 }
+type filler struct {
+	count uint64
+	// optional are the optional keys that are set.
+	optional []string
+}
 
 // Sample returns a value of a type in which every encoded field is set to a different
-// value. The values depend on the kinds and the order of the fields (the order of keys in
-// a struct that has keys), but not on Go names.
-func Sample(kind reflect.Type) (any, error) {
+// value, of optional fields only those with the given keys. The values depend on the kinds
+// and the order of the fields (the order of keys in a struct that has keys), but not on Go
+// names.
+func Sample(kind reflect.Type, optional ...string) (any, error) {
 	made := reflect.New(kind).Elem()
-	if err := new(filler).fill(made); err != nil {
+	filler := &filler{optional: optional}
+	if err := filler.fill(made); err != nil {
 		return nil, err
 	}
 	return made.Interface(), nil
@@ -114,6 +121,9 @@
 		return err
 	}
 	for _, field := range fields {
+		if field.Optional && !slices.Contains(f.optional, field.Key) {
+			continue
+		}
 		if err := f.fill(value.Field(field.Index)); err != nil {
 			return err
 		}
--- a/internal/storedforms/recorded.go
+++ b/internal/storedforms/recorded.go
@@ -105,28 +105,49 @@
 }
 
 // CheckBytes compares the encoded samples, in which every field is set, and the encoded
-// zero values of forms with the recorded bytes. It also checks that the recorded bytes
+// zero values of forms with the recorded bytes. For each optional key there is a further
+// sample in which it is set too. It also checks that the recorded bytes
 // stay the same when they are decoded and encoded again.
 func CheckBytes(t *testing.T, file string, forms []Form) {
 	t.Helper()
 	var lines []string
 	for _, form := range forms {
-		sample, err := Sample(form.Type)
+		lines = append(lines,
+			formLine(t, form, "set", sampleOf(t, form)),
+			formLine(t, form, "zero", reflect.Zero(form.Type).Interface()),
+		)
+		optional, err := OptionalKeys(form.Type)
 		if err != nil {
 			t.Fatalf("%s: %v", form.Name, err)
 		}
-		for kind, value := range []any{sample, reflect.Zero(form.Type).Interface()} {
-			packed, err := form.encode(value)
-			if err != nil {
-				t.Fatalf("%s: %v", form.Name, err)
-			}
-			lines = append(lines, strings.Join([]string{form.Name, [2]string{"set", "zero"}[kind], form.format(packed)}, " "))
+		for _, key := range optional {
+			lines = append(lines, formLine(t, form, "set-with-"+key, sampleOf(t, form, key)))
 		}
 	}
 	Compare(t, file, lines)
 	checkRecordedRoundTrip(t, file, lines, forms)
 }
 
+// sampleOf returns the sample of a form with the given optional keys.
+func sampleOf(t *testing.T, form Form, optional ...string) any {
+	t.Helper()
+	sample, err := Sample(form.Type, optional...)
+	if err != nil {
+		t.Fatalf("%s: %v", form.Name, err)
+	}
+	return sample
+}
+
+// formLine returns the line that is recorded of one value of a form.
+func formLine(t *testing.T, form Form, kind string, value any) string {
+	t.Helper()
+	packed, err := form.encode(value)
+	if err != nil {
+		t.Fatalf("%s: %v", form.Name, err)
+	}
+	return strings.Join([]string{form.Name, kind, form.format(packed)}, " ")
+}
+
 func checkRecordedRoundTrip(t *testing.T, file string, lines []string, forms []Form) {
 	t.Helper()
 	recorded, _ := Recorded(t, file, lines)
