Stores keep the newest expired records of a topic, so that no place is refused for them

Cause: a store refused a fetch when any record behind the cursor had been dropped. Which of them the subscription is owed depends on when they were first sent, which no store knows. Seen with log event 4006 on the code before, topic t0, cursor at offset 3 in both runs: refused for offset 4, 67.0 s old, appended 5 ms before the SUB (the cursor was older than the message), and for offset 4, 66.9 s old, appended 73 ms after the OK (the cursor was right). Where the older message was accepted 1 s before the SUB the cursor was at 11, behind it, and nothing was refused. A cursor that is always right would mend the first run and not the second.

Change: a record that expires stays readable in its topic's tail until another one of the topic expires that was appended a tail span later: 5 s for the age of a subscription's offset, 5 s between append and acceptance, twice the longest response timeout. A subscription that lacks the first is then certainly owed the second, so a refusal is right. The span follows the configuration; a longer one stays for five minutes, as the retention does. A topic that is forgotten (over 4,096 topics, ten minutes) loses its tail. Tails are part of the log's stored form under a key of their own, which earlier versions ignore.

Tests that fail without it: TestPlaceIsNotRefusedForMessageThatItIsNotOwed, TestPlaceIsRefusedOnlyForOwedMessages (400 drawn topics against the rule; also red with a span of 5 s) and two simulated runs, TestPlaceIsResumedThoughMessage{AcceptedBefore,SentBefore}HasExpired. Tests of the log that counted on a dropped record being gone now say so by a policy without tails; what they assert is the same.

--- a/internal/partition/cluster_test.go
+++ b/internal/partition/cluster_test.go
@@ -219,7 +219,7 @@
 	}
 	for _, partition := range statemachine.Sorted(c.stores["store-0"].replicas) {
 		if len(partition.log.Records) > 1 {
-			partition.log.dropOldest(c.now, 1)
+			partition.log.dropOldest(c.now, 1, noTail)
 		}
 	}
 }
--- a/internal/partition/fetch.go
+++ b/internal/partition/fetch.go
@@ -117,12 +117,12 @@
 // emitExpired emits a log event about a fetch that was rejected because records have expired. The
 // event shows the newest of them.
 func (r *replica) emitExpired(now time.Time, cursor TopicCursor, effects *statemachine.Effects) {
-	expired, known := r.log.ExpiredTopics[cursor.Topic]
+	discarded := r.log.discarded(cursor.Topic)
 	details := []any{"partition", r.log.Name, "topic", cursor.Topic, "after", cursor.After}
-	if known {
-		details = append(details, "offset", expired.LastOffset, "age", now.Sub(expired.AppendedAt).String())
+	if discarded.AppendedAt.IsZero() {
+		details = append(details, "forgotten", discarded.LastOffset)
 	} else {
-		details = append(details, "forgotten", r.log.ForgottenOffset)
+		details = append(details, "offset", discarded.LastOffset, "age", now.Sub(discarded.AppendedAt).String())
 	}
 	effects.Emit(logevent.PartitionRecordsExpired, details...)
 }
--- a/internal/partition/fetch_test.go
+++ b/internal/partition/fetch_test.go
@@ -106,7 +106,7 @@
 		Record{Topic: "topic", Sender: "s", Seq: 2, AppendedAt: at(-70)},
 	)
 	store.replicas[partition].highWatermark = 2
-	store.replicas[partition].log.dropOldest(cluster.now, 2)
+	store.replicas[partition].log.dropOldest(cluster.now, 2, noTail)
 	var effects statemachine.Effects
 	request := FetchTopics{RequestID: 1, Topics: []TopicCursor{{Topic: "topic", After: 0}, {Topic: "topic", After: 2}}}
 	store.HandleMessage(cluster.now, statemachine.Meta{From: "gateway"}, request, &effects)
--- a/internal/partition/log.go
+++ b/internal/partition/log.go
@@ -28,6 +28,9 @@
 	// that offset is unknown. Both are maintained for shared partitions only.
 	ExpiredTopics   map[string]expiredTopic `cbor:"Trimmed"`
 	ForgottenOffset uint64                  `cbor:"Forgotten"`
+	// Tails holds the expired records that are still readable, by topic. The last record of a tail
+	// is the topic's entry in ExpiredTopics. It is maintained for shared partitions only.
+	Tails map[string]topicTail `cbor:"Tails,omitempty"`
 }
 
 func newLog(name string) *log {
@@ -36,6 +39,7 @@
 		LastOffsets:   map[string]uint64{},
 		Senders:       map[string]*senderState{},
 		ExpiredTopics: map[string]expiredTopic{},
+		Tails:         map[string]topicTail{},
 	}
 }
 
@@ -118,6 +122,7 @@
 	cloned.Records = l.Records[:len(l.Records):len(l.Records)]
 	cloned.LastOffsets = maps.Clone(l.LastOffsets)
 	cloned.ExpiredTopics = maps.Clone(l.ExpiredTopics)
+	cloned.Tails = maps.Clone(l.Tails)
 	cloned.Senders = make(map[string]*senderState, len(l.Senders))
 	for key, sender := range l.Senders {
 		cloned.Senders[key] = &senderState{
@@ -144,6 +149,13 @@
 		expired.AppendedAt = change(expired.AppendedAt)
 		l.ExpiredTopics[topic] = expired
 	}
+	for topic, tail := range l.Tails {
+		tail.Discarded.AppendedAt = change(tail.Discarded.AppendedAt)
+		l.Tails[topic] = tail
+		for position := range tail.Records {
+			tail.Records[position].AppendedAt = change(tail.Records[position].AppendedAt)
+		}
+	}
 }
 
 // shiftTimes shifts all times of a log that were set by another machine's clock.
--- a/internal/partition/log_retention.go
+++ b/internal/partition/log_retention.go
@@ -16,22 +16,23 @@
 	maxExpiredTopics      = 4096
 )
 
-// expiredTopic is the position of the newest dropped record of a topic.
+// expiredTopic is the position of a topic's newest record that was dropped.
 type expiredTopic struct {
 	_          struct{} `cbor:",toarray"`
 	LastOffset uint64
 	AppendedAt time.Time
 }
 
-// expire drops the records that are older than the retention and its margin, and removes the
-// senders' sequence numbers that are older than the deduplication window.
-func (l *log) expire(now time.Time, retention, window time.Duration) {
-	limit := now.Add(-retention - retentionMargin)
+// expire drops the records that are older than the retention and its margin, except those in the
+// tails of their topics, and removes the senders' sequence numbers that are older than the
+// deduplication window.
+func (l *log) expire(now time.Time, retention retentionPolicy, window time.Duration) {
+	limit := now.Add(-retention.records - retentionMargin)
 	count := sort.Search(len(l.Records), func(position int) bool {
 		return l.Records[position].AppendedAt.After(limit)
 	})
 	if count > 0 {
-		l.dropOldest(now, count)
+		l.dropOldest(now, count, retention.tailSpan)
 	}
 	for key, sender := range l.Senders {
 		sender.expire(now, window, l.BaseOffset)
@@ -41,12 +42,14 @@
 	}
 }
 
-// dropOldest drops the given number of oldest records. The log must have at least as many.
-func (l *log) dropOldest(now time.Time, count int) {
+// dropOldest drops the given number of oldest records, of which those within tailSpan before the
+// newest dropped one of their topic stay in Tails. The log must have at least as many.
+func (l *log) dropOldest(now time.Time, count int, tailSpan time.Duration) {
 	if config.IsShared(l.Name) {
 		for _, record := range l.Records[:count] {
 			if !record.OffsetOnly {
-				l.ExpiredTopics[record.Topic] = expiredTopic{LastOffset: record.Offset, AppendedAt: record.AppendedAt}
+				l.retainInTail(record, tailSpan)
+				l.ExpiredTopics[record.Topic] = positionOf(record)
 			}
 		}
 		l.pruneExpiredTopics(now)
@@ -72,6 +75,7 @@
 		if now.Sub(expired.AppendedAt) > expiredTopicRetention {
 			l.ForgottenOffset = max(l.ForgottenOffset, expired.LastOffset)
 			delete(l.ExpiredTopics, topic)
+			delete(l.Tails, topic)
 		}
 	}
 }
--- a/internal/partition/log_test.go
+++ b/internal/partition/log_test.go
@@ -10,6 +10,9 @@
 	"dahlialock/internal/config"
 )
 
+// withoutTails is a policy under which a record can't be read any more once it is dropped.
+var withoutTails = retentionPolicy{records: 35 * time.Second, tailSpan: noTail}
+
 // filledLog returns a log with the given records, at offsets from 1 on.
 func filledLog(name string, records ...Record) *log {
 	log := newLog(name)
@@ -29,7 +32,7 @@
 		Record{Topic: "ephemeral", Sender: "s", Seq: 3, AppendedAt: at(2), OffsetOnly: true},
 		Record{Topic: "busy", Sender: "s", Seq: 4, AppendedAt: at(200)},
 	)
-	log.expire(at(201), 35*time.Second, dedupWindow)
+	log.expire(at(201), withoutTails, dedupWindow)
 	assert.Equal(t, log.BaseOffset, uint64(3))
 	for _, each := range []struct {
 		after   uint64
@@ -65,7 +68,7 @@
 			AppendedAt: at(number / 100),
 		})
 	}
-	log.expire(at(120), 35*time.Second, dedupWindow)
+	log.expire(at(120), withoutTails, dedupWindow)
 	assert.Equal(t, len(log.ExpiredTopics), maxExpiredTopics+2, "no topic is older than expiredTopicRetention")
 	log.append(Record{
 		Offset:     maxExpiredTopics + 3,
@@ -75,7 +78,7 @@
 		Seq:        2,
 		AppendedAt: at(120),
 	})
-	log.expire(at(720), 35*time.Second, dedupWindow)
+	log.expire(at(720), withoutTails, dedupWindow)
 	assert.Assert(t, len(log.ExpiredTopics) < 10, "%d expired topics are kept", len(log.ExpiredTopics))
 	assert.Equal(t, log.ForgottenOffset, uint64(maxExpiredTopics+2))
 	assert.Assert(t, log.hasExpired(5, []string{"t9"}, nil), "an offset below ForgottenOffset counts as expired")
@@ -89,11 +92,11 @@
 		Record{Topic: "a", Sender: "s", Seq: 7, AppendedAt: at(0)},
 		Record{Topic: "a", Sender: "s", Seq: 9, AppendedAt: at(1)},
 	)
-	log.expire(at(59), time.Second, dedupWindow)
+	log.expire(at(59), retentionPolicy{records: time.Second}, dedupWindow)
 	sender := log.Senders[log.senderKey("a", "s")]
 	entry, known := sender.find(7)
 	assert.Assert(t, known && entry.Offset == 1)
-	log.expire(at(70), time.Second, dedupWindow)
+	log.expire(at(70), retentionPolicy{records: time.Second}, dedupWindow)
 	_, known = sender.find(7)
 	assert.Assert(t, !known)
 	assert.Equal(t, sender.LastSeq, uint64(9), "lower sequence numbers are still rejected")
@@ -104,7 +107,7 @@
 		log := newLog("+~0/1")
 		log.append(Record{Offset: 1, Topic: "a", Sender: "u", Seq: 1, AppendedAt: at(0)})
 		log.append(Record{Offset: 2, Topic: "a", Sender: "v", Seq: 1, AppendedAt: at(200)})
-		log.expire(at(201), 35*time.Second, window)
+		log.expire(at(201), withoutTails, window)
 		found := false
 		for _, sender := range log.Senders {
 			for _, entry := range sender.Window {
--- a/internal/partition/log_topics.go
+++ b/internal/partition/log_topics.go
@@ -14,17 +14,17 @@
 	return l.ExpiredTopics[topic].LastOffset
 }
 
-// hasExpired reports whether a record after an offset that matches the topics or prefixes may
-// have been dropped. The result is exact for offsets from ForgottenOffset on; below that it may
-// be true although no matching record was dropped.
+// hasExpired reports whether a record after an offset that matches the topics or prefixes may no
+// longer be readable. The result is exact for offsets from ForgottenOffset on; below that it may
+// be true although all matching records are readable. With prefixes, records in Tails count as not
+// readable.
 func (l *log) hasExpired(after uint64, topics, prefixes []string) bool {
 	if after >= l.BaseOffset {
 		return false
 	}
 	if len(prefixes) == 0 {
 		return slices.ContainsFunc(topics, func(topic string) bool {
-			expired, found := l.ExpiredTopics[topic]
-			return found && expired.LastOffset > after || !found && after < l.ForgottenOffset
+			return l.discarded(topic).LastOffset > after
 		})
 	}
 	if after < l.ForgottenOffset {
@@ -38,14 +38,18 @@
 	return false
 }
 
-// recordsOf returns the retained records of topics after one offset and up to another, in order.
+// recordsOf returns the readable records of topics after one offset and up to another, in order.
 // It follows PreviousInTopic from each topic's newest record, so its cost depends on the number
 // of the topics' records and not on the length of the log.
 func (l *log) recordsOf(topics []string, after, until uint64) []Record {
-	after = max(after, l.BaseOffset)
 	var found []Record
 	for _, topic := range topics {
-		for offset := l.LastOffsets[topic]; offset > after; {
+		for _, record := range l.Tails[topic].Records {
+			if record.Offset > after && record.Offset <= until {
+				found = append(found, record)
+			}
+		}
+		for offset := l.LastOffsets[topic]; offset > max(after, l.BaseOffset); {
 			record := &l.Records[offset-l.BaseOffset-1]
 			if offset <= until && !record.OffsetOnly {
 				found = append(found, *record)
--- a/internal/partition/snapshot_test.go
+++ b/internal/partition/snapshot_test.go
@@ -88,7 +88,7 @@
 	}
 	for _, partition := range statemachine.Sorted(c.stores["store-0"].replicas) {
 		// The oldest record is dropped, so an empty store needs a snapshot.
-		partition.log.dropOldest(c.now, 1)
+		partition.log.dropOldest(c.now, 1, noTail)
 	}
 	c.replaceFollower(t, link)
 	started := c.now
--- a/internal/partition/store.go
+++ b/internal/partition/store.go
@@ -91,8 +91,8 @@
 	followerCount int
 
 	configuration config.Configuration
-	// retention is the longest that the configuration requires in shared partitions.
-	retention            time.Duration
+	// retention is the policy that the configuration requires in shared partitions.
+	retention            retentionPolicy
 	supersededRetentions []supersededRetention
 
 	writes    writeQueue
--- /dev/null
+++ b/internal/partition/topic_tail_test.go
@@ -0,0 +1,244 @@
+package partition
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dahlialock/internal/config"
+	"dahlialock/internal/transport"
+)
+
+// tailRetention is the policy of a space with a retention of 35 s and a response timeout of 1.5 s.
+var tailRetention = boardRetention()
+
+func boardRetention() retentionPolicy {
+	return retentionPolicy{records: 35 * time.Second, tailSpan: tailSpan(1500 * time.Millisecond)}
+}
+
+// readableAfter returns the offsets of the topic's records after an offset as a fetch returns them,
+// and whether the fetch is rejected because some have expired.
+func readableAfter(log *log, after uint64) (offsets []uint64, expired bool) {
+	found := fetchTopics(log, 1<<20, TopicCursor{Topic: "t", After: after})[0]
+	return offsetsOf(found), found.Expired
+}
+
+// silentTopic returns the log of a topic in which a second message follows the first after 57 s, 5 s
+// after the first has left the log.
+func silentTopic() *log {
+	log := filledLog(config.SharedPartitionName(3),
+		Record{Topic: "t", Sender: "s", Seq: 1, AppendedAt: at(0)},
+		Record{Topic: "t", Sender: "s", Seq: 2, AppendedAt: at(57)},
+		Record{Topic: "other", Sender: "s", Seq: 3, AppendedAt: at(58)},
+	)
+	log.expire(at(65), boardRetention(), dedupWindow)
+	return log
+}
+
+// A place must not be refused with EXPIRED for the sake of an older message that it isn't owed: one
+// that was accepted before the subscription, or first sent before its OK and accepted after it.
+func TestPlaceIsNotRefusedForMessageThatItIsNotOwed(t *testing.T) {
+	log := silentTopic()
+	assert.Equal(t, log.BaseOffset, uint64(1), "the first message has left the log")
+	for second := 65; second < 115; second += 5 {
+		log.expire(at(second), boardRetention(), dedupWindow)
+		offsets, expired := readableAfter(log, 0)
+		assert.Assert(t, !expired, "after %d s", second)
+		assert.DeepEqual(t, offsets, []uint64{1, 2})
+	}
+	log.expire(at(120), boardRetention(), dedupWindow)
+	assert.Equal(t, log.BaseOffset, uint64(3))
+	_, expired := readableAfter(log, 0)
+	assert.Assert(t, expired, "the second message is owed and has expired")
+	offsets, expired := readableAfter(log, 1)
+	assert.Assert(t, !expired)
+	assert.DeepEqual(t, offsets, []uint64{2})
+}
+
+// Messages that follow each other quickly may all have been sent before the subscription.
+func TestTailKeepsRecordsWithinSpanOfNewest(t *testing.T) {
+	log := filledLog(config.SharedPartitionName(3),
+		Record{Topic: "t", Sender: "s", Seq: 1, AppendedAt: at(0)},
+		Record{Topic: "t", Sender: "s", Seq: 2, AppendedAt: at(20)},
+		Record{Topic: "t", Sender: "s", Seq: 3, AppendedAt: at(25)},
+		Record{Topic: "t", Sender: "s", Seq: 4, AppendedAt: at(30), OffsetOnly: true},
+		Record{Topic: "t", Sender: "s", Seq: 5, AppendedAt: at(31)},
+	)
+	log.expire(at(200), tailRetention, dedupWindow)
+	assert.Equal(t, len(log.Records), 0)
+	offsets, expired := readableAfter(log, 1)
+	assert.Assert(t, !expired)
+	assert.DeepEqual(t, offsets, []uint64{2, 3, 5})
+	_, expired = readableAfter(log, 0)
+	assert.Assert(t, expired)
+	// A later record is found by its predecessor, which was dropped.
+	previous := log.lastOffsetOf("t")
+	log.append(Record{Offset: 6, Topic: "t", Sender: "s", Seq: 6, AppendedAt: at(201), PreviousInTopic: previous})
+	assert.Equal(t, log.Records[0].PreviousInTopic, uint64(5))
+	offsets, _ = readableAfter(log, 2)
+	assert.DeepEqual(t, offsets, []uint64{3, 5, 6})
+}
+
+// A log that was written before there were tails rejects what that version had dropped.
+func TestTailBeginsInLogOfEarlierVersion(t *testing.T) {
+	log := filledLog(config.SharedPartitionName(3),
+		Record{Topic: "t", Sender: "s", Seq: 1, AppendedAt: at(0)},
+		Record{Topic: "t", Sender: "s", Seq: 2, AppendedAt: at(100)},
+	)
+	log.dropOldest(at(70), 1, noTail)
+	read := newLog("")
+	read.Tails = nil
+	assert.NilError(t, transport.Unmarshal(transport.MustMarshal(log), read))
+	read.expire(at(170), tailRetention, dedupWindow)
+	_, expired := readableAfter(read, 0)
+	assert.Assert(t, expired)
+	offsets, expired := readableAfter(read, 1)
+	assert.Assert(t, !expired)
+	assert.DeepEqual(t, offsets, []uint64{2})
+}
+
+func TestTailIsPartOfSnapshotAndClone(t *testing.T) {
+	log := filledLog(config.SharedPartitionName(3),
+		Record{Topic: "t", Sender: "s", Seq: 1, AppendedAt: at(0)},
+		Record{Topic: "t", Sender: "s", Seq: 2, AppendedAt: at(5)},
+		Record{Topic: "t", Sender: "s", Seq: 3, AppendedAt: at(40)},
+	)
+	log.expire(at(70), tailRetention, dedupWindow)
+	clone := log.clone()
+	log.expire(at(200), tailRetention, dedupWindow)
+	offsets, expired := readableAfter(clone, 0)
+	assert.Assert(t, !expired)
+	assert.DeepEqual(t, offsets, []uint64{1, 2, 3})
+	_, expired = readableAfter(log, 1)
+	assert.Assert(t, expired)
+	installed := newLog("")
+	assert.NilError(t, transport.Unmarshal(transport.MustMarshal(clone), installed))
+	installed.shiftTimes(time.Hour)
+	offsets, _ = readableAfter(installed, 0)
+	assert.DeepEqual(t, offsets, []uint64{1, 2, 3})
+	assert.Assert(t, installed.Tails["t"].Records[1].AppendedAt.Equal(at(3605)))
+}
+
+// A topic whose entry is forgotten has no tail either, so tails don't grow without bound.
+func TestTailsAreForgottenWithTheirTopics(t *testing.T) {
+	log := newLog(config.SharedPartitionName(0))
+	for number := range maxExpiredTopics + 2 {
+		log.append(Record{
+			Offset: uint64(number) + 1, Topic: fmt.Sprint("t", number), Sender: "s", Seq: 1, AppendedAt: at(number / 100),
+		})
+	}
+	log.expire(at(120), tailRetention, dedupWindow)
+	assert.Equal(t, len(log.Tails), maxExpiredTopics+2)
+	last := uint64(maxExpiredTopics + 3)
+	log.append(Record{Offset: last, Topic: "t1", Sender: "s", Seq: 2, AppendedAt: at(120), PreviousInTopic: 2})
+	log.expire(at(720), tailRetention, dedupWindow)
+	assert.Equal(t, len(log.Tails), len(log.ExpiredTopics))
+	assert.Assert(t, len(log.Tails) < 10)
+	assert.Assert(t, log.hasExpired(1, []string{"t1"}, nil))
+	assert.Assert(t, !log.hasExpired(2, []string{"t1"}, nil))
+	assert.Equal(t, len(log.recordsOf([]string{"t1"}, 2, last)), 1)
+	assert.Equal(t, len(log.recordsOf([]string{"t9"}, 0, last)), 0)
+	assert.Assert(t, log.hasExpired(5, []string{"t9"}, nil))
+}
+
+// modelMessage is a message as its publisher saw it, and the record that the partition has of it.
+type modelMessage struct {
+	firstSent  time.Duration
+	appendedAt time.Duration
+	acceptedAt time.Duration
+	offset     uint64
+}
+
+// record returns the record of the message that follows those in a log.
+func (m modelMessage) record(log *log) Record {
+	return Record{
+		Offset:          m.offset,
+		Topic:           "t",
+		Sender:          "s",
+		Seq:             m.offset,
+		AppendedAt:      testStart.Add(m.appendedAt),
+		PreviousInTopic: log.lastOffsetOf("t"),
+	}
+}
+
+// modelPlace is a cursor and the subscription that it was given for.
+type modelPlace struct {
+	after   uint64
+	firstOK time.Duration
+}
+
+// modelTopic draws the messages of one topic, silent for long at times, and places of subscriptions
+// whose offset is as old as a gateway may use it and whose answer is as late as a client waits.
+func modelTopic(random *rand.Rand) (messages []modelMessage, places []modelPlace) {
+	const responseTimeout = 1500 * time.Millisecond
+	upTo := func(limit time.Duration) time.Duration { return time.Duration(random.Int64N(int64(limit) + 1)) }
+	pauses := []time.Duration{10 * time.Millisecond, time.Second, 12 * time.Second, 40 * time.Second, 90 * time.Second}
+	at, accepted := time.Duration(0), time.Duration(0)
+	for number := range 12 {
+		at += upTo(pauses[random.IntN(len(pauses))])
+		each := modelMessage{appendedAt: at, firstSent: at - upTo(responseTimeout), offset: uint64(number) + 1}
+		each.acceptedAt = max(accepted, at+upTo(maxAcceptLag))
+		accepted = each.acceptedAt
+		messages = append(messages, each)
+	}
+	for range 20 {
+		readAt := upTo(at)
+		place := modelPlace{firstOK: readAt + upTo(MaxOffsetAge) + upTo(responseTimeout)}
+		for _, each := range messages {
+			if each.acceptedAt <= readAt {
+				place.after = each.offset
+			}
+		}
+		places = append(places, place)
+	}
+	return messages, places
+}
+
+// owedAfter returns the offsets of the messages that a place is owed, and whether one of them is older
+// than the retention.
+func (p modelPlace) owedAfter(messages []modelMessage, now time.Duration) (owed []uint64, older bool) {
+	for _, each := range messages {
+		if each.firstSent > p.firstOK {
+			owed = append(owed, each.offset)
+			older = older || now-each.firstSent > tailRetention.records
+		}
+	}
+	return owed, older
+}
+
+// Whatever a topic's messages and the places in it, a refused place lacks a message that it is owed
+// and that is older than the retention, and a place that isn't refused is given all that it is owed.
+func TestPlaceIsRefusedOnlyForOwedMessages(t *testing.T) {
+	refused, served := 0, 0
+	for seed := range uint64(400) {
+		messages, places := modelTopic(rand.New(rand.NewPCG(seed, 1)))
+		log := newLog(config.SharedPartitionName(3))
+		end := messages[len(messages)-1].acceptedAt + 100*time.Second
+		appended := 0
+		for now := time.Duration(0); now < end; now += retentionInterval {
+			for ; appended < len(messages) && messages[appended].appendedAt <= now; appended++ {
+				log.append(messages[appended].record(log))
+			}
+			log.expire(testStart.Add(now), tailRetention, dedupWindow)
+			for _, place := range places {
+				owed, older := place.owedAfter(messages[:appended], now)
+				offsets, expired := readableAfter(log, place.after)
+				if expired {
+					refused++
+					assert.Assert(t, older, "seed %d: %+v is refused at %s, messages %+v", seed, place, now, messages)
+					continue
+				}
+				served++
+				for _, offset := range owed {
+					found := offset <= place.after || slices.Contains(offsets, offset)
+					assert.Assert(t, found, "seed %d: %+v lacks %d at %s", seed, place, offset, now)
+				}
+			}
+		}
+	}
+	assert.Assert(t, refused > 1000 && served > 1000, "%d places refused, %d served", refused, served)
+}
--- /dev/null
+++ b/internal/simulator/silent_topics_mutation_test.go
@@ -0,0 +1,23 @@
+//go:build mutation
+
+package simulator
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dahlialock/internal/checker"
+	"dahlialock/internal/statemachine"
+)
+
+// Without tails, places are refused for messages that they are not owed.
+func TestTopicTailIsNeededByPlaces(t *testing.T) {
+	defer statemachine.Mutate("no-topic-tails")()
+	for _, run := range []func(t trial, seed uint64) []string{acceptedBeforeSubscription, sentBeforeSubscription} {
+		violations := run(t, 0)
+		assert.Assert(t, len(violations) > 0)
+		assert.Assert(t, strings.HasPrefix(violations[0], checker.CursorRejected), violations[0])
+	}
+}
--- /dev/null
+++ b/internal/simulator/silent_topics_test.go
@@ -0,0 +1,132 @@
+package simulator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dahlialock/internal/membership"
+)
+
+// Times of a run in which topics fall silent and are resumed after their first messages have
+// expired.
+const (
+	silentTopicCount = 24
+	// secondMessageAfter is the time from the subscriptions to the second messages, and
+	// resumedAfter that from there to the resumption: the first messages have expired then, and
+	// the second ones are young.
+	secondMessageAfter = 65 * time.Second
+	resumedAfter       = 10 * time.Second
+)
+
+// silentTopics is a run of a publisher and a subscriber at different gateways.
+type silentTopics struct {
+	run               *Simulation
+	publisher, reader *TopicClient
+	publishingGateway *Node
+	topics            []string
+}
+
+// startSilentTopics starts a fleet in which the subscriber's gateway knows all partitions from
+// subscriptions to other topics.
+func startSilentTopics(seed uint64) *silentTopics {
+	run, _ := prepareTopics(seed, Small, 0, nil)
+	gateways := run.Nodes(membership.KindGateway)
+	silent := &silentTopics{run: run, publishingGateway: gateways[0]}
+	var others []string
+	for number := range 4 * silentTopicCount {
+		others = append(others, fmt.Sprintf("board.other.%d", number))
+	}
+	for number := range silentTopicCount {
+		silent.topics = append(silent.topics, fmt.Sprintf("board.silent.%d", number))
+	}
+	run.AddTopicClient("other", 0, others...).fixedGateway = gateways[1]
+	silent.publisher = run.AddTopicClient("publisher", 0)
+	silent.publisher.fixedGateway = gateways[0]
+	silent.reader = run.AddTopicClient("reader", 0)
+	silent.reader.fixedGateway = gateways[1]
+	run.Run(5 * time.Second)
+	return silent
+}
+
+func (st *silentTopics) publish() {
+	for _, topic := range st.topics {
+		st.publisher.publish(topic)
+	}
+}
+
+func (st *silentTopics) subscribe() {
+	for _, topic := range st.topics {
+		st.reader.addTopic(topic)
+	}
+}
+
+// resume ends the reader's connection. After the first messages have expired and second ones were
+// published, the reader and new clients resume from its cursors. It returns the violations of the run.
+func (st *silentTopics) resume(t trial) []string {
+	t.Helper()
+	run := st.run
+	for _, topic := range st.topics {
+		assert.Assert(t, st.reader.topics[topic].cursor != "", "%s has no cursor", topic)
+	}
+	st.reader.DisconnectFor(true, time.Hour)
+	run.Run(secondMessageAfter)
+	st.publish()
+	run.Run(resumedAfter)
+	st.reader.schedule(0)
+	run.resumeSavedCursors("taker")
+	run.Run(3 * time.Second)
+	run.Checker.CheckAllDelivered(run.Now)
+	return run.Checker.Violations()
+}
+
+// acceptedBeforeSubscription resumes cursors of subscriptions that began right after a message of
+// their topics was accepted.
+func acceptedBeforeSubscription(t trial, seed uint64) []string {
+	t.Helper()
+	silent := startSilentTopics(seed)
+	silent.publish()
+	accepted := func() bool { return len(silent.publisher.outbox) == 0 }
+	assert.Assert(t, silent.run.RunUntil(time.Second, accepted), "seed %d", seed)
+	silent.subscribe()
+	silent.run.Run(100 * time.Millisecond)
+	return silent.resume(t)
+}
+
+// sentBeforeSubscription resumes cursors of subscriptions that were confirmed while the gateway with
+// the publisher was suspended, which then passed on the messages that it had received before.
+func sentBeforeSubscription(t trial, seed uint64) []string {
+	t.Helper()
+	silent := startSilentTopics(seed)
+	silent.publishingGateway.Freeze()
+	silent.publish()
+	silent.run.Run(10 * time.Millisecond)
+	silent.subscribe()
+	silent.run.Run(200 * time.Millisecond)
+	for _, topic := range silent.topics {
+		assert.Assert(t, silent.reader.topics[topic].confirmed, "seed %d: %s is not confirmed", seed, topic)
+	}
+	silent.publishingGateway.Thaw()
+	silent.run.Run(100 * time.Millisecond)
+	assert.Equal(t, len(silent.publisher.outbox), 0)
+	return silent.resume(t)
+}
+
+const silentTopicSeeds = 4
+
+// A place must not be refused for the sake of a message that was accepted before the subscription.
+func TestPlaceIsResumedThoughMessageAcceptedBeforeHasExpired(t *testing.T) {
+	for seed := range uint64(silentTopicSeeds) {
+		assert.Equal(t, fmt.Sprint(acceptedBeforeSubscription(t, seed)), "[]", "seed %d", seed)
+	}
+}
+
+// A place must not be refused for the sake of a message that was sent before the subscription's OK
+// and accepted after it.
+func TestPlaceIsResumedThoughMessageSentBeforeHasExpired(t *testing.T) {
+	for seed := range uint64(silentTopicSeeds) {
+		assert.Equal(t, fmt.Sprint(sentBeforeSubscription(t, seed)), "[]", "seed %d", seed)
+	}
+}
