Gateway: a subscription without a cursor begins at an offset that is at most 5 s old

What callers would see: a place refused with EXPIRED for messages that were accepted well before its subscription.

Cause: such a subscription began at the offset up to which the leader had last reported, whose age nothing bounded: reports get lost, or wait while a gateway is suspended. The tails that stores keep reach back a fixed span only.

Change: it begins at a high watermark that the leader answered to a request first sent less than partition.MaxOffsetAge (5 s) before, and is fetched for otherwise, as the first one of a partition was before. Every answer to a batch renews the offset of its partitions.

Tests that fail without it (mutation starts-at-any-report): TestPlaceIsResumedThoughReportsWereMissing, TestSubscriptionBeginsAtRecentOffsetOfLeader, TestOffsetOfLateResponseIsNotRecent.

--- a/internal/gateway/catchup.go
+++ b/internal/gateway/catchup.go
@@ -48,9 +48,11 @@
 	fetches []*topicFetch
 	// bytes bounds the size of the records in the response.
 	bytes int
-	// sentAt is when the batch was last sent, attempts is how often it was sent.
-	sentAt   time.Time
-	attempts int
+	// createdAt is when the batch was first sent, sentAt when it was last sent, attempts is how often
+	// it was sent.
+	createdAt time.Time
+	sentAt    time.Time
+	attempts  int
 }
 
 // due returns when the batch is sent again. The timeout doubles with each attempt.
@@ -162,10 +164,11 @@
 		g.lastRequest++
 		sortByMissingBytes(fetches)
 		created := &batch{
-			request: g.lastRequest,
-			store:   store,
-			fetches: fetches,
-			bytes:   bytes,
+			request:   g.lastRequest,
+			store:     store,
+			fetches:   fetches,
+			bytes:     bytes,
+			createdAt: now,
 		}
 		g.routed.batches[created.request] = created
 		g.routed.batchInFlight[store] = created.request
@@ -269,6 +272,7 @@
 		}
 		return
 	}
+	g.applyLeaderOffsets(answered, response)
 	for position, fetch := range answered.fetches {
 		topic, records := fetch.topic, response.Topics[position]
 		g.Counts.Fetched += uint64(len(records.Records))
--- a/internal/gateway/catchup_test.go
+++ b/internal/gateway/catchup_test.go
@@ -441,3 +441,76 @@
 	}
 	assert.Assert(t, gateway.tryAdmit(fixture.now))
 }
+
+// answerAt answers the only batch that was sent like a store with a high watermark, and returns the
+// topics that it requested.
+func (f *topicFixture) answerAt(t *testing.T, highWatermark uint64) []partition.TopicCursor {
+	t.Helper()
+	batches := f.takeSentBatches()
+	assert.Equal(t, len(batches), 1)
+	response := partition.FetchTopicsResponse{RequestID: batches[0].RequestID}
+	for _, each := range batches[0].Topics {
+		response.Partitions = append(response.Partitions, partition.PartitionState{
+			Partition: config.SharedPartition(each.Topic), Epoch: 1, HighWatermark: highWatermark,
+		})
+		response.Topics = append(response.Topics, partition.TopicRecords{Until: highWatermark})
+	}
+	f.gateway.handleTopicsFetched(f.now, response, &f.effects)
+	return batches[0].Topics
+}
+
+// subscribeAgain subscribes a further client, without a cursor, to the first topic. It returns the
+// cursor that the client is given, empty if it is not answered at once.
+func (f *topicFixture) subscribeAgain(number uint64) string {
+	f.gateway.sessions[number] = &session{client: fmt.Sprint("client-", number), routed: map[string]*topicSubscription{}}
+	request := Subscribe{Request: number, Session: number, Client: fmt.Sprint("client-", number)}
+	interest := Interest{Space: "boards", Path: "topic-0"}
+	f.gateway.startRouted(f.now, f.gateway.sessions[number], request, interest, &f.effects)
+	return f.cursorOf(number)
+}
+
+// cursorOf returns the cursor in the response to a request, empty if there is none yet.
+func (f *topicFixture) cursorOf(request uint64) string {
+	for _, response := range f.effects.Responses {
+		if response.Request == request {
+			return response.Value.(Reply).Cursor
+		}
+	}
+	return ""
+}
+
+// A subscription without a cursor must begin behind all messages that were accepted long before it,
+// also if the leader's reports of them were lost.
+func TestSubscriptionBeginsAtRecentOffsetOfLeader(t *testing.T) {
+	fixture := newTopicFixture(1)
+	fixture.answerAt(t, 5)
+	assert.Equal(t, fixture.subscribeAgain(101), formatTopicCursor(5), "right after the leader answered")
+	fixture.now = fixture.now.Add(partition.MaxOffsetAge + time.Millisecond)
+	fixture.takeSentBatches()
+	assert.Equal(t, fixture.subscribeAgain(102), "", "the offset is too old")
+	asked := fixture.answerAt(t, 9)
+	assert.DeepEqual(t, asked, []partition.TopicCursor{{Topic: "topic-0", After: maxOffset}})
+	assert.Equal(t, fixture.cursorOf(102), formatTopicCursor(9))
+	assert.Equal(t, fixture.subscribeAgain(103), formatTopicCursor(9))
+}
+
+// The age of an offset counts from the first attempt: a response to it may have been under way since.
+func TestOffsetOfLateResponseIsNotRecent(t *testing.T) {
+	fixture := newTopicFixture(1)
+	fixture.gateway.subscribeTimeout = time.Minute
+	fixture.answerAt(t, 5)
+	fixture.now = fixture.now.Add(time.Minute)
+	assert.Equal(t, fixture.subscribeAgain(101), "")
+	sentAt := fixture.now
+	for _, sent := range fixture.gateway.routed.batches {
+		for range 4 {
+			fixture.now = sent.due()
+			fixture.gateway.retryBatches(fixture.now, &fixture.effects)
+		}
+	}
+	assert.Assert(t, fixture.now.Sub(sentAt) > partition.MaxOffsetAge)
+	fixture.respond(fixture.takeSentBatches()[0])
+	assert.Equal(t, fixture.cursorOf(101), "", "the response may be as old as the first attempt")
+	fixture.answerAt(t, 9)
+	assert.Equal(t, fixture.cursorOf(101), formatTopicCursor(9))
+}
--- a/internal/gateway/topic.go
+++ b/internal/gateway/topic.go
@@ -119,6 +119,8 @@
 	// which topics have new records. It starts at the high watermark of the first fetch from the
 	// partition, since reports of earlier records are not needed.
 	reportedUpTo map[string]uint64
+	// leaderOffsets are the high watermarks that the leaders of the partitions last answered.
+	leaderOffsets map[string]leaderOffset
 	// highWatermarkRoutes contains the route over which the high watermarks of each partition were last
 	// subscribed to.
 	highWatermarkRoutes map[string]route
@@ -148,6 +150,7 @@
 		topicsByHash:        map[uint64]*topicState{},
 		topicCounts:         map[string]int{},
 		reportedUpTo:        map[string]uint64{},
+		leaderOffsets:       map[string]leaderOffset{},
 		highWatermarkRoutes: map[string]route{},
 		baseOffsets:         map[string]uint64{},
 		batches:             map[uint64]*batch{},
--- a/internal/gateway/topic_subscription.go
+++ b/internal/gateway/topic_subscription.go
@@ -245,12 +245,16 @@
 // missed, if this gateway has all of them. It reports whether it has.
 func (g *Gateway) completeCatchUp(now time.Time, subscription *topicSubscription, effects *statemachine.Effects) bool {
 	topic := subscription.topic
-	reported, known := g.routed.reportedUpTo[topic.partition]
-	if known && !topic.started && !subscription.resumes && topic.fetch == nil {
-		// A subscription without a cursor may start at the offset up to which the leader
-		// has reported, since the leader reports all later records.
+	start, startKnown := g.startOffset(now, topic.partition)
+	if !subscription.resumes && !startKnown {
+		return false
+	}
+	_, reporting := g.routed.reportedUpTo[topic.partition]
+	if reporting && !topic.started && !subscription.resumes && topic.fetch == nil {
+		// A subscription without a cursor needs no fetch, since the leader reports all later
+		// records.
 		topic.started = true
-		topic.deliveredUpTo, topic.recentFrom = reported, reported
+		topic.deliveredUpTo, topic.recentFrom = start, start
 		g.deliverPending(now, topic, effects)
 	}
 	if !topic.started {
@@ -263,9 +267,9 @@
 	g.announceSubscriberCount(now, topic, effects)
 	from := subscription.deliveredUpTo
 	if !subscription.resumes {
-		// Records that were already reported precede this subscription, even if the
-		// topic has not caught up with them yet.
-		from = max(topic.deliveredUpTo, g.routed.reportedUpTo[topic.partition])
+		// Records up to there precede this subscription, even if the topic has not caught
+		// up with them yet.
+		from = max(topic.deliveredUpTo, start)
 		subscription.deliveredUpTo = from
 	}
 	if subscription.request.Request != 0 {
--- a/internal/simulator/silent_topics_mutation_test.go
+++ b/internal/simulator/silent_topics_mutation_test.go
@@ -21,3 +21,11 @@
 		assert.Assert(t, strings.HasPrefix(violations[0], checker.CursorRejected), violations[0])
 	}
 }
+
+// If a subscription begins at the offset of the newest report, whatever its age, its place is refused.
+func TestRecentOffsetIsNeededByPlaces(t *testing.T) {
+	defer statemachine.Mutate("starts-at-any-report")()
+	violations, confirmed := reportsMissing(t, 0)
+	assert.Assert(t, confirmed && len(violations) > 0)
+	assert.Assert(t, strings.HasPrefix(violations[0], checker.CursorRejected), violations[0])
+}
--- a/internal/simulator/silent_topics_test.go
+++ b/internal/simulator/silent_topics_test.go
@@ -114,7 +114,35 @@
 	return silent.resume(t)
 }
 
-const silentTopicSeeds = 4
+// reportsMissing resumes cursors of subscriptions that were requested while their gateway had been cut
+// off from the stores for longer than a tail spans. It returns also whether they were confirmed then.
+func reportsMissing(t trial, seed uint64) (violations []string, confirmed bool) {
+	t.Helper()
+	silent := startSilentTopics(seed)
+	run, reading := silent.run, silent.run.Nodes(membership.KindGateway)[1]
+	silent.reader.ignoreRejections = true
+	for _, store := range run.Nodes(membership.KindStore) {
+		run.CutLink(store, reading)
+		run.CutLink(reading, store)
+	}
+	silent.publish()
+	run.Run(longerThanTailSpan)
+	silent.publish()
+	run.Run(100 * time.Millisecond)
+	silent.subscribe()
+	run.Run(100 * time.Millisecond)
+	for _, topic := range silent.topics {
+		confirmed = confirmed || silent.reader.topics[topic].confirmed
+	}
+	run.Heal()
+	run.Run(3 * time.Second)
+	return silent.resume(t), confirmed
+}
+
+const (
+	silentTopicSeeds   = 4
+	longerThanTailSpan = 14 * time.Second
+)
 
 // A place must not be refused for the sake of a message that was accepted before the subscription.
 func TestPlaceIsResumedThoughMessageAcceptedBeforeHasExpired(t *testing.T) {
@@ -130,3 +158,13 @@
 		assert.Equal(t, fmt.Sprint(sentBeforeSubscription(t, seed)), "[]", "seed %d", seed)
 	}
 }
+
+// The cursor of a subscription must not lie far before messages that were accepted earlier because its
+// gateway missed the leaders' reports: their tails don't reach back that far.
+func TestPlaceIsResumedThoughReportsWereMissing(t *testing.T) {
+	for seed := range uint64(silentTopicSeeds) {
+		violations, confirmed := reportsMissing(t, seed)
+		assert.Assert(t, !confirmed, "seed %d", seed)
+		assert.Equal(t, fmt.Sprint(violations), "[]", "seed %d", seed)
+	}
+}
