--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -17,7 +17,13 @@
 }
 
 func build(current settings.Settings, self membership.Member, stored daemon.StoredState) (daemon.Service, error) {
-	machine := agent.New(agent.Settings{Self: self, Seeds: current.Seeds, Gateway: current.GatewayAddress, AcknowledgeTimeout: current.Timeouts.Acknowledge, Incarnation: stored.Incarnation})
+	machine := agent.New(agent.Settings{
+		Self:               self,
+		Seeds:              current.Seeds,
+		Gateway:            current.GatewayAddress,
+		AcknowledgeTimeout: current.Timeouts.Acknowledge,
+		Incarnation:        stored.Incarnation,
+	})
 	return daemon.Service{
 		Machine:     machine,
 		Ready:       func(time.Time) bool { return machine.Ready() },
--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -64,8 +64,12 @@
 		Counters: func() any {
 			subscribing, publishing := machine.Overlay().PeerCounts()
 			return map[string]any{
-				"gateway": machine.Counts, "overlay": machine.Overlay().Counts, "peers_subscribing": subscribing, "peers_publishing": publishing,
-				"load": machine.Load(), "orders": machine.ViewClient().Directives,
+				"gateway":           machine.Counts,
+				"overlay":           machine.Overlay().Counts,
+				"peers_subscribing": subscribing,
+				"peers_publishing":  publishing,
+				"load":              machine.Load(),
+				"orders":            machine.ViewClient().Directives,
 			}
 		},
 		ClientHandler: func(at *daemon.EventLoop) http.Handler { return httpapi.New(current.Name, clientKey, at) },
@@ -95,7 +99,11 @@
 	built.ListenClients = func(at *daemon.EventLoop, address string) (daemon.Server, error) {
 		var err error
 		served, err = lineserver.Start(lineserver.Settings{
-			Address: address, EventLoop: at, Protocol: platform.LineProtocol{}, Admit: admit, SilenceTimeout: 3 * current.Timeouts.Ping,
+			Address:        address,
+			EventLoop:      at,
+			Protocol:       platform.LineProtocol{},
+			Admit:          admit,
+			SilenceTimeout: 3 * current.Timeouts.Ping,
 			// Some connections beyond the session limit are accepted, so that their clients
 			// get an answer that refers them to another gateway.
 			MaxConnections: current.MaxSessions + current.MaxSessions/10 + 64,
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -125,7 +125,7 @@
 		return nil, err
 	}
 	request.Header.Set("Authorization", "Bearer "+c.Token)
-	// A frozen daemon accepts connections but never responds, so the opening has a timeout.
+	// A suspended daemon accepts connections but never responds, so the opening has a timeout.
 	opened := make(chan struct{})
 	stopOpening := time.AfterFunc(3*time.Second, func() {
 		select {
@@ -140,13 +140,8 @@
 		return nil, err
 	}
 	if response.StatusCode != http.StatusOK {
-		var answer Answer
-		body, _ := io.ReadAll(response.Body)
-		_ = response.Body.Close()
-		_ = json.Unmarshal(body, &answer)
-		answer.Status = response.StatusCode
-		cancel()
-		return nil, RejectedError{Answer: answer}
+		defer cancel()
+		return nil, rejectionOf(response)
 	}
 	reader := bufio.NewReaderSize(response.Body, 64<<10)
 	channel := &Channel{Address: address, Events: make(chan Event, 64), cancel: cancel}
@@ -165,30 +160,47 @@
 	go func() {
 		defer close(channel.Events)
 		defer func() { _ = response.Body.Close() }()
-		for {
-			line, err := reader.ReadBytes('\n')
-			if err != nil {
-				return
-			}
-			var event Event
-			if json.Unmarshal(line, &event) != nil {
-				return
-			}
-			select {
-			case channel.Events <- event:
-			case <-streamContext.Done():
-				return
-			}
-		}
+		channel.receive(streamContext, reader)
 	}()
 	return channel, nil
 }
 
+// rejectionOf reads and closes the response that rejects a channel.
+func rejectionOf(response *http.Response) RejectedError {
+	var answer Answer
+	body, _ := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	_ = json.Unmarshal(body, &answer)
+	answer.Status = response.StatusCode
+	return RejectedError{Answer: answer}
+}
+
+// receive passes the events of the stream on until it ends, or can't be decoded.
+func (c *Channel) receive(within context.Context, reader *bufio.Reader) {
+	for {
+		line, err := reader.ReadBytes('\n')
+		if err != nil {
+			return
+		}
+		var event Event
+		if json.Unmarshal(line, &event) != nil {
+			return
+		}
+		select {
+		case c.Events <- event:
+		case <-within.Done():
+			return
+		}
+	}
+}
+
 // Close closes a channel.
 func (c *Channel) Close() { c.cancel() }
 
 // Subscribe adds subscriptions to a channel, or resumes them from a cursor.
-func (c *Client) Subscribe(within context.Context, channel *Channel, subscriptions []Subscription, cursor string) (Answer, error) {
+func (c *Client) Subscribe(
+	within context.Context, channel *Channel, subscriptions []Subscription, cursor string,
+) (Answer, error) {
 	body := map[string]any{"channel": channel.Name}
 	if subscriptions != nil {
 		body["subscriptions"] = subscriptions
@@ -201,7 +213,8 @@
 
 // Publish publishes a message.
 func (c *Client) Publish(within context.Context, address, space, topic string, seq uint64, data any) (Answer, error) {
-	return c.Request(within, address, "/v1/publish", map[string]any{"space": space, "topic": topic, "seq": seq, "data": data})
+	body := map[string]any{"space": space, "topic": topic, "seq": seq, "data": data}
+	return c.Request(within, address, "/v1/publish", body)
 }
 
 // Pong answers a ping.
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -24,7 +24,8 @@
 	requests atomic.Int64
 }
 
-const answer = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 22\r\n\r\n{\"outcome\":\"accepted\"}"
+const answer = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 22\r\n\r\n" +
+	`{"outcome":"accepted"}`
 
 func serve(t *testing.T, second func(connection net.Conn)) *server {
 	t.Helper()
--- a/internal/explore/explore.go
+++ b/internal/explore/explore.go
@@ -69,7 +69,8 @@
 
 // String returns the counts and, if an invariant is violated, the path to the violation.
 func (r Result) String() string {
-	counts := fmt.Sprintf("%d states, %d transitions, depth %d, %d brought to their end", r.States, r.Transitions, r.Depth, r.Finished)
+	counts := fmt.Sprintf("%d states, %d transitions, depth %d, %d brought to their end",
+		r.States, r.Transitions, r.Depth, r.Finished)
 	if !r.Complete {
 		counts += ", cut short"
 	}
--- a/internal/explore/key.go
+++ b/internal/explore/key.go
@@ -57,6 +57,28 @@
 	if slices.Contains(e.without, value.Type()) {
 		return
 	}
+	if value.Type() == moment {
+		e.moment(value)
+		return
+	}
+	switch value.Kind() {
+	case reflect.Pointer, reflect.Interface:
+		e.reference(value)
+	case reflect.Slice, reflect.Array:
+		e.list(value)
+	case reflect.Map:
+		e.table(value)
+	case reflect.Struct:
+		for field := range value.NumField() {
+			e.put(value.Field(field))
+		}
+	default:
+		e.scalar(value)
+	}
+}
+
+// scalar adds a value without parts. Values of other kinds, such as functions, add nothing.
+func (e *encoder) scalar(value reflect.Value) {
 	switch value.Kind() {
 	case reflect.Bool:
 		if value.Bool() {
@@ -72,28 +94,20 @@
 		e.number(math.Float64bits(value.Float()))
 	case reflect.String:
 		e.text(value.String())
-	case reflect.Pointer, reflect.Interface:
-		if value.IsNil() {
-			e.number(0)
-			return
-		}
-		if value.Kind() == reflect.Interface {
-			e.text(value.Elem().Type().String())
-		}
-		e.put(value.Elem())
-	case reflect.Slice, reflect.Array:
-		e.list(value)
-	case reflect.Map:
-		e.table(value)
-	case reflect.Struct:
-		if value.Type() == moment {
-			e.moment(value)
-			return
-		}
-		for field := range value.NumField() {
-			e.put(value.Field(field))
-		}
+	default:
+	}
+}
+
+// reference adds what a pointer or an interface refers to.
+func (e *encoder) reference(value reflect.Value) {
+	if value.IsNil() {
+		e.number(0)
+		return
+	}
+	if value.Kind() == reflect.Interface {
+		e.text(value.Elem().Type().String())
 	}
+	e.put(value.Elem())
 }
 
 func (e *encoder) list(value reflect.Value) {
@@ -125,6 +139,7 @@
 		return cmp.Compare(left.Int(), right.Int())
 	case reflect.Uint, reflect.Uint64:
 		return cmp.Compare(left.Uint(), right.Uint())
+	default:
 	}
 	panic("a map with keys of the kind " + left.Kind().String())
 }
--- a/internal/faults/faults.go
+++ b/internal/faults/faults.go
@@ -30,22 +30,27 @@
 // Names lists every fault that may occur at any time of a run. The simulator and the trials
 // with real processes support all of them.
 var Names = []string{
-	"crowd", "cut-daemon", "cut-one-way", "cut-place", "cut-primary", "drain", "edit-settings", "freeze-store", "freeze-gateway",
-	"freeze-controller", "freeze-primary", "freeze-agent", "join-store", "join-gateway", "join-controller", "kill-backup", "kill-store",
-	"kill-gateway", "kill-controller", "kill-primary", "kill-agent", "loss", "lose-place", "operators", "power-loss", "relink", "resets",
-	"restart-beside", "restart-store", "restart-stores", "restart-gateway", "restart-controller", "retire", "rolling", "slow-daemon",
-	"slow-disk", "slow-links", "space", "vanish", "wander", "wipe-store", "wipe-controller",
+	"crowd", "cut-daemon", "cut-one-way", "cut-place", "cut-primary", "drain", "edit-settings", "freeze-store",
+	"freeze-gateway", "freeze-controller", "freeze-primary", "freeze-agent", "join-store", "join-gateway",
+	"join-controller", "kill-backup", "kill-store", "kill-gateway", "kill-controller", "kill-primary",
+	"kill-agent", "loss", "lose-place", "operators", "power-loss", "relink", "resets", "restart-beside",
+	"restart-store", "restart-stores", "restart-gateway", "restart-controller", "retire", "rolling",
+	"slow-daemon", "slow-disk", "slow-links", "space", "vanish", "wander", "wipe-store", "wipe-controller",
 }
 
 // Closing lists the faults with which a run may end. They are not undone.
-var Closing = []string{"kill-gateway", "kill-primary", "kill-backup", "kill-store", "kill-agent", "lose-place", "lose-two", "restart-all"}
+var Closing = []string{
+	"kill-gateway", "kill-primary", "kill-backup", "kill-store", "kill-agent", "lose-place", "lose-two",
+	"restart-all",
+}
 
 // lossOfRedundancy lists the faults that remove redundancy: a replica of durable data or a part of a
 // majority. A second such fault at the same time may exceed the tolerance.
 var lossOfRedundancy = map[string]bool{
-	"cut-daemon": true, "cut-place": true, "cut-primary": true, "freeze-store": true, "freeze-controller": true, "freeze-primary": true,
-	"join-store": true, "kill-backup": true, "kill-store": true, "kill-controller": true, "kill-primary": true, "lose-place": true,
-	"power-loss": true, "restart-store": true, "restart-stores": true, "restart-controller": true, "retire": true, "rolling": true,
+	"cut-daemon": true, "cut-place": true, "cut-primary": true, "freeze-store": true, "freeze-controller": true,
+	"freeze-primary": true, "join-store": true, "kill-backup": true, "kill-store": true,
+	"kill-controller": true, "kill-primary": true, "lose-place": true, "power-loss": true,
+	"restart-store": true, "restart-stores": true, "restart-controller": true, "retire": true, "rolling": true,
 	"slow-daemon": true, "cut-one-way": true, "loss": true, "wipe-store": true, "wipe-controller": true,
 }
 
@@ -75,7 +80,8 @@
 			Length: (200*time.Millisecond + time.Duration(random.Int64N(int64(5*time.Second)))).Round(time.Millisecond),
 			Pick:   uint64(random.IntN(1 << 16)),
 		}
-		if !slices.ContainsFunc(schedule, func(other Fault) bool { return Clashes(fault.Name, other.Name) && overlap(fault, other) }) {
+		clashes := func(other Fault) bool { return Clashes(fault.Name, other.Name) && overlap(fault, other) }
+		if !slices.ContainsFunc(schedule, clashes) {
 			schedule = append(schedule, fault)
 		}
 	}
