--- a/internal/partition/topic_tail_test.go
+++ b/internal/partition/topic_tail_test.go
@@ -101,6 +101,22 @@
 	assert.DeepEqual(t, offsets, []uint64{2})
 }
 
+// A store of an earlier version may be sent a snapshot with tails, or find one on its disk. It ignores
+// them.
+func TestLogWithTailsIsReadableWithoutThem(t *testing.T) {
+	log := silentTopic()
+	assert.Equal(t, len(log.Tails), 1)
+	var earlier struct {
+		BaseOffset    uint64                  `cbor:"Base"`
+		Records       []Record                `cbor:"Records"`
+		ExpiredTopics map[string]expiredTopic `cbor:"Trimmed"`
+	}
+	assert.NilError(t, transport.Unmarshal(transport.MustMarshal(log), &earlier))
+	assert.Equal(t, earlier.BaseOffset, uint64(1))
+	assert.Equal(t, len(earlier.Records), 2)
+	assert.Equal(t, earlier.ExpiredTopics["t"].LastOffset, uint64(1))
+}
+
 func TestTailIsPartOfSnapshotAndClone(t *testing.T) {
 	log := filledLog(config.SharedPartitionName(3),
 		Record{Topic: "t", Sender: "s", Seq: 1, AppendedAt: at(0)},
