Line server, HTTP interface: held to the strict lint rules

Reading commands, answering pings and submitting requests are functions of their own, as is the gateway's command of a request; long lines wrapped. No behaviour changes.

--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -125,14 +125,17 @@
 		client = ClientOf(s.key, token)
 	}
 	if client == "" {
-		s.writeReply(writer, name, rejection(http.StatusUnauthorized, "not-authentic", "a bearer token of this fleet is wanted"))
+		reply := rejection(http.StatusUnauthorized, "not-authentic", "a bearer token of this fleet is wanted")
+		s.writeReply(writer, name, reply)
 		return "", false
 	}
 	return client, true
 }
 
 // readBody parses a request body as an object with no other keys than the given ones.
-func (s *Server) readBody(writer http.ResponseWriter, request *http.Request, name string, reader *config.Reader, keys ...string) (map[string]*fastjson.Value, bool) {
+func (s *Server) readBody(
+	writer http.ResponseWriter, request *http.Request, name string, reader *config.Reader, keys ...string,
+) (map[string]*fastjson.Value, bool) {
 	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, maxBodyBytes))
 	if err != nil {
 		var large *http.MaxBytesError
@@ -152,7 +155,9 @@
 }
 
 // readRequest authenticates the client of a request and reads the body.
-func (s *Server) readRequest(writer http.ResponseWriter, request *http.Request, reader *config.Reader, keys ...string) (name, client string, members map[string]*fastjson.Value, valid bool) {
+func (s *Server) readRequest(
+	writer http.ResponseWriter, request *http.Request, reader *config.Reader, keys ...string,
+) (name, client string, members map[string]*fastjson.Value, valid bool) {
 	name = s.requestName()
 	if client, valid = s.authenticate(writer, request, name); !valid {
 		return name, "", nil, false
@@ -391,7 +396,12 @@
 	requireKey(&reader, members, "channel")
 	requireKey(&reader, members, "subscriptions")
 	channel, _ := parseSessionNumber(reader.Text("$.channel", members["channel"], ""))
-	command := gateway.Unsubscribe{RequestName: name, Session: channel, Client: client, Interests: interests(&reader, members["subscriptions"])}
+	command := gateway.Unsubscribe{
+		RequestName: name,
+		Session:     channel,
+		Client:      client,
+		Interests:   interests(&reader, members["subscriptions"]),
+	}
 	if len(reader.Faults) > 0 {
 		s.rejectFaults(writer, name, &reader)
 		return
@@ -404,7 +414,8 @@
 
 func (s *Server) publish(writer http.ResponseWriter, request *http.Request) {
 	var reader config.Reader
-	name, client, members, valid := s.readRequest(writer, request, &reader, "space", "topic", "sender", "seq", "data", "data_base64")
+	name, client, members, valid := s.readRequest(
+		writer, request, &reader, "space", "topic", "sender", "seq", "data", "data_base64")
 	if !valid {
 		return
 	}
@@ -448,7 +459,9 @@
 		s.rejectFaults(writer, name, &reader)
 		return
 	}
-	s.execute(writer, name, func(local uint64) any { return gateway.Pong{Request: local, Session: channel, Client: client} })
+	s.execute(writer, name, func(local uint64) any {
+		return gateway.Pong{Request: local, Session: channel, Client: client}
+	})
 }
 
 // count responds with the number of clients that subscribe to a routed topic.
@@ -461,7 +474,12 @@
 	requireKey(&reader, members, "channel")
 	requireKey(&reader, members, "topic")
 	channel, _ := parseSessionNumber(reader.Text("$.channel", members["channel"], ""))
-	command := gateway.CountSubscribers{RequestName: name, Session: channel, Client: client, Topic: reader.Text("$.topic", members["topic"], "")}
+	command := gateway.CountSubscribers{
+		RequestName: name,
+		Session:     channel,
+		Client:      client,
+		Topic:       reader.Text("$.topic", members["topic"], ""),
+	}
 	if len(reader.Faults) > 0 {
 		s.rejectFaults(writer, name, &reader)
 		return
--- a/internal/httpapi/httpapi_test.go
+++ b/internal/httpapi/httpapi_test.go
@@ -41,7 +41,10 @@
 	case gateway.OpenSession:
 		s.channels[body.Session] = true
 		effects.Respond(body.Request, done)
-		effects.Deliveries = append(effects.Deliveries, statemachine.Delivery{Session: body.Session, Event: gateway.Event{Event: "hello", Session: body.Name}})
+		effects.Deliveries = append(effects.Deliveries, statemachine.Delivery{
+			Session: body.Session,
+			Event:   gateway.Event{Event: "hello", Session: body.Name},
+		})
 	case gateway.CloseSession:
 		delete(s.channels, body.Session)
 	case gateway.Subscribe:
@@ -70,6 +73,7 @@
 }
 
 func open(t *testing.T) *fixture {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	address := listener.Addr().String()
@@ -147,11 +151,14 @@
 	for path, bodies := range map[string][]string{
 		"/v1/publish": {
 			`{"topic":"a","seq":1}`, `{"topic":"a","seq":1,"data":7}`, `{"topic":"a","seq":1,"data":"x","data_base64":"eA=="}`,
-			`{"topic":"a","seq":1,"data_base64":"?"}`, `{"topic":"a","data":"x"}`, `{"seq":1,"data":"x"}`, `{"space":"s","topic":"a","seq":1}`,
+			`{"topic":"a","seq":1,"data_base64":"?"}`, `{"topic":"a","data":"x"}`, `{"seq":1,"data":"x"}`,
+			`{"space":"s","topic":"a","seq":1}`,
 			`{"topic":"a","seq":0,"data":"x"}`, `{"topic":"a"`,
 		},
-		"/v1/subscribe": {`{"channel":"1","subscriptions":[{"prefix":"a"}]}`, `{"channel":"1","subscriptions":[{}]}`, `{"channel":"1"}`},
-		"/v1/count":     {`{"channel":"1"}`, `{"topic":"a"}`, `{}`},
+		"/v1/subscribe": {
+			`{"channel":"1","subscriptions":[{"prefix":"a"}]}`, `{"channel":"1","subscriptions":[{}]}`, `{"channel":"1"}`,
+		},
+		"/v1/count": {`{"channel":"1"}`, `{"topic":"a"}`, `{}`},
 	} {
 		for _, body := range bodies {
 			fixture.post(t, path, body, 400)
--- a/internal/lineserver/command.go
+++ b/internal/lineserver/command.go
@@ -27,7 +27,13 @@
 
 // kindNames holds the names under which responses are counted.
 var kindNames = [...]string{
-	Unreadable: "unreadable", Open: "open", Subscribe: "subscribe", Unsubscribe: "unsubscribe", Publish: "publish", Count: "count", Ping: "ping",
+	Unreadable:  "unreadable",
+	Open:        "open",
+	Subscribe:   "subscribe",
+	Unsubscribe: "unsubscribe",
+	Publish:     "publish",
+	Count:       "count",
+	Ping:        "ping",
 }
 
 // Error codes of commands that the server rejects itself, without the gateway.
--- a/internal/lineserver/connection.go
+++ b/internal/lineserver/connection.go
@@ -171,8 +171,27 @@
 		from.incomplete = append(from.incomplete, bytes...)
 		bytes = from.incomplete
 	}
-	var batch []pendingRequest
-	pongs := 0
+	batch, pongs, rest := s.readCommands(from, bytes)
+	if from.streamLost || len(rest) == 0 {
+		from.incomplete = nil
+	} else {
+		from.incomplete = append(from.incomplete[:0], rest...)
+	}
+	if pongs > 0 {
+		sent, whole := s.pong(from, pongs)
+		if !whole {
+			return false
+		}
+		if !sent {
+			batch = append(batch, pendingRequest{ref: CommandRef{Kind: Ping}})
+		}
+	}
+	return s.submit(from, batch)
+}
+
+// readCommands reads the complete commands at the start of bytes, and returns the bytes after them.
+// Pings that can be answered at once are only counted.
+func (s *Server) readCommands(from *connection, bytes []byte) (batch []pendingRequest, pongs int, rest []byte) {
 	for !from.streamLost {
 		if from.skip > 0 {
 			skipped := min(from.skip, len(bytes))
@@ -198,21 +217,12 @@
 		// connection closed.
 		from.streamLost = command.StreamLost
 	}
-	switch {
-	case from.streamLost || len(bytes) == 0:
-		from.incomplete = nil
-	default:
-		from.incomplete = append(from.incomplete[:0], bytes...)
-	}
-	if pongs > 0 {
-		sent, whole := s.pong(from, pongs)
-		if !whole {
-			return false
-		}
-		if !sent {
-			batch = append(batch, pendingRequest{ref: CommandRef{Kind: Ping}})
-		}
-	}
+	return batch, pongs, bytes
+}
+
+// submit passes requests of a connection to the event loop. It returns false if the connection has to
+// be closed, as it has too many unanswered ones.
+func (s *Server) submit(from *connection, batch []pendingRequest) bool {
 	if len(batch) == 0 {
 		return true
 	}
--- a/internal/lineserver/lineserver.go
+++ b/internal/lineserver/lineserver.go
@@ -95,9 +95,17 @@
 	}
 	counters := &s.Counters
 	return map[string]int64{
-		"held": s.openConnections.Load(), "connections": counters.Connections.Load(), "refused": counters.Refused.Load(), "reads": counters.Reads.Load(),
-		"commands": counters.Commands.Load(), "writes": counters.Writes.Load(), "bytes_out": counters.BytesOut.Load(), "bytes_in": counters.BytesIn.Load(),
-		"slow": counters.Slow.Load(), "silent": counters.Silent.Load(), "unreadable": counters.Unreadable.Load(),
+		"held":        s.openConnections.Load(),
+		"connections": counters.Connections.Load(),
+		"refused":     counters.Refused.Load(),
+		"reads":       counters.Reads.Load(),
+		"commands":    counters.Commands.Load(),
+		"writes":      counters.Writes.Load(),
+		"bytes_out":   counters.BytesOut.Load(),
+		"bytes_in":    counters.BytesIn.Load(),
+		"slow":        counters.Slow.Load(),
+		"silent":      counters.Silent.Load(),
+		"unreadable":  counters.Unreadable.Load(),
 	}
 }
 
--- a/internal/lineserver/owner.go
+++ b/internal/lineserver/owner.go
@@ -112,7 +112,8 @@
 	if to.state == ended {
 		return
 	}
-	s.setOutput(to, outputKind{kindNames[ref.Kind], string(answer.Outcome)}, s.settings.Protocol.AppendAnswer(to.output, ref, answer))
+	kind := outputKind{kindNames[ref.Kind], string(answer.Outcome)}
+	s.setOutput(to, kind, s.settings.Protocol.AppendAnswer(to.output, ref, answer))
 }
 
 // rejection returns a rejection with a code and the time after which to retry.
@@ -156,7 +157,13 @@
 	from.state, from.client = opening, command.client
 	owner.AttachSession(from.session, func(deliver statemachine.Delivery) { s.deliver(from, deliver) })
 	owner.Submit(func(request uint64) any {
-		return gateway.OpenSession{Request: request, Session: from.session, Name: strconv.FormatUint(from.session, 16), Client: command.client, AdapterPings: true}
+		return gateway.OpenSession{
+			Request:      request,
+			Session:      from.session,
+			Name:         strconv.FormatUint(from.session, 16),
+			Client:       command.client,
+			AdapterPings: true,
+		}
 	}, func(value any) {
 		answer := answerOf(value)
 		if from.state == opening {
@@ -187,20 +194,47 @@
 
 func (s *Server) execute(owner daemon.LoopContext, from *connection, command *pendingRequest) {
 	ref := command.ref
-	owner.Submit(func(request uint64) any {
-		switch ref.Kind {
-		case Subscribe:
-			return gateway.Subscribe{
-				Request: request, Session: from.session, Client: from.client, Interests: []gateway.Interest{{Path: ref.Topic}}, Cursor: command.cursor,
-			}
-		case Unsubscribe:
-			return gateway.Unsubscribe{Request: request, Session: from.session, Client: from.client, Interests: []gateway.Interest{{Path: ref.Topic}}}
-		case Publish:
-			return gateway.Publish{Request: request, Client: from.client, Sender: from.client, Topic: ref.Topic, Seq: ref.Seq, Data: command.body}
-		default:
-			return gateway.CountSubscribers{Request: request, Session: from.session, Client: from.client, Topic: ref.Topic}
+	owner.Submit(
+		func(request uint64) any { return command.forGateway(request, from) },
+		func(value any) { s.answer(from, ref, answerOf(value)) },
+	)
+}
+
+// forGateway returns the gateway's command for a request on an open session.
+func (p *pendingRequest) forGateway(request uint64, from *connection) any {
+	switch p.ref.Kind {
+	case Subscribe:
+		return gateway.Subscribe{
+			Request:   request,
+			Session:   from.session,
+			Client:    from.client,
+			Interests: []gateway.Interest{{Path: p.ref.Topic}},
+			Cursor:    p.cursor,
+		}
+	case Unsubscribe:
+		return gateway.Unsubscribe{
+			Request:   request,
+			Session:   from.session,
+			Client:    from.client,
+			Interests: []gateway.Interest{{Path: p.ref.Topic}},
+		}
+	case Publish:
+		return gateway.Publish{
+			Request: request,
+			Client:  from.client,
+			Sender:  from.client,
+			Topic:   p.ref.Topic,
+			Seq:     p.ref.Seq,
+			Data:    p.body,
 		}
-	}, func(value any) { s.answer(from, ref, answerOf(value)) })
+	default:
+		return gateway.CountSubscribers{
+			Request: request,
+			Session: from.session,
+			Client:  from.client,
+			Topic:   p.ref.Topic,
+		}
+	}
 }
 
 // deliver encodes an event of the gateway for a connection.
