--- a/internal/simulator/silent_topics_test.go
+++ b/internal/simulator/silent_topics_test.go
@@ -66,6 +66,12 @@
 // resume ends the reader's connection. After the first messages have expired and second ones were
 // published, the reader and new clients resume from its cursors. It returns the violations of the run.
 func (st *silentTopics) resume(t trial) []string {
+	t.Helper()
+	return st.resumeAfter(t, func() { st.run.Run(resumedAfter) })
+}
+
+// resumeAfter does the same, and calls meanwhile between the second messages and the resumption.
+func (st *silentTopics) resumeAfter(t trial, meanwhile func()) []string {
 	t.Helper()
 	run := st.run
 	for _, topic := range st.topics {
@@ -74,7 +80,7 @@
 	st.reader.DisconnectFor(true, time.Hour)
 	run.Run(secondMessageAfter)
 	st.publish()
-	run.Run(resumedAfter)
+	meanwhile()
 	st.reader.schedule(0)
 	run.resumeSavedCursors("taker")
 	run.Run(3 * time.Second)
@@ -114,6 +120,29 @@
 	return silent.resume(t)
 }
 
+// wipedAfterExpiry resumes cursors after each store in turn has lost its disk, so that the tails of the
+// topics have gone through snapshots to new replicas, and each leader has changed.
+func wipedAfterExpiry(t trial, seed uint64) []string {
+	t.Helper()
+	silent := startSilentTopics(seed)
+	run := silent.run
+	silent.publish()
+	accepted := func() bool { return len(silent.publisher.outbox) == 0 }
+	assert.Assert(t, run.RunUntil(time.Second, accepted), "seed %d", seed)
+	silent.subscribe()
+	run.Run(100 * time.Millisecond)
+	return silent.resumeAfter(t, func() {
+		run.Run(time.Second)
+		for _, store := range run.Nodes(membership.KindStore) {
+			store.Kill()
+			store.Wipe()
+			run.Run(time.Second)
+			store.Start()
+			run.Run(replacedWithin)
+		}
+	})
+}
+
 // reportsMissing resumes cursors of subscriptions that were requested while their gateway had been cut
 // off from the stores for longer than a tail spans. It returns also whether they were confirmed then.
 func reportsMissing(t trial, seed uint64) (violations []string, confirmed bool) {
@@ -142,6 +171,8 @@
 const (
 	silentTopicSeeds   = 4
 	longerThanTailSpan = 14 * time.Second
+	// replacedWithin is the time in which a store that lost its disk has all its replicas again.
+	replacedWithin = 8 * time.Second
 )
 
 // A place must not be refused for the sake of a message that was accepted before the subscription.
@@ -168,3 +199,10 @@
 		assert.Equal(t, fmt.Sprint(violations), "[]", "seed %d", seed)
 	}
 }
+
+// Tails survive the loss of every store's disk, one after the other.
+func TestPlaceIsResumedThoughStoresWereWiped(t *testing.T) {
+	for seed := range uint64(silentTopicSeeds) {
+		assert.Equal(t, fmt.Sprint(wipedAfterExpiry(t, seed)), "[]", "seed %d", seed)
+	}
+}
