Gateway: a request waits for a newer configuration for half of revert_slack at most

What callers saw: a request that was sent 262 ms after another one, to the same gateway, was handled by an older configuration (CONFIG; 250 ms are allowed).

Cause: a request for an unknown space waited for news for up to 600 ms, here 0.29 s until version 32 was in force, while the gateway was confirmed and handled other requests by version 28. Its log shows that the gateway never went back; the wait counts against the bound.

Change: while the gateway is confirmed the wait is at most half of bounds.revert_slack, which was read and used by nobody; the other half is for the way of the request. A gateway that is behind or not confirmed waits for 600 ms as before, since it handles nothing by an older version.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -46,8 +46,10 @@
 		// One sixth of the time within which a version must be in force is reserved for
 		// updates in flight, and two fifths of the grace period for the rest of the
 		// shutdown after the clients have moved.
-		ConfirmedFor:       current.Timeouts.Apply * 5 / 6,
-		StopWithin:         current.Timeouts.Grace * 3 / 5,
+		ConfirmedFor: current.Timeouts.Apply * 5 / 6,
+		StopWithin:   current.Timeouts.Grace * 3 / 5,
+		// The other half is for the way of the request to the gateway.
+		RefreshWithin:      current.Timeouts.RevertSlack / 2,
 		AcknowledgeTimeout: current.Timeouts.Acknowledge,
 	})
 	built := daemon.Service{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,6 +71,9 @@
 	// limit, which also applies if the value is 0.
 	ConfirmedFor time.Duration
 	StopWithin   time.Duration
+	// RefreshWithin is how long a request for an unknown space may wait for a newer configuration
+	// while others are handled by the present one. It has an upper limit like those above.
+	RefreshWithin time.Duration
 	// AcknowledgeTimeout is the time within which a well-formed control request must be acknowledged.
 	AcknowledgeTimeout time.Duration
 	// LinkBytesPerSecond is the rate of the machine's link in bytes per second, 0 if unknown.
@@ -180,6 +183,7 @@
 	}
 	settings.ConfirmedFor = bounded(settings.ConfirmedFor, membership.ConfirmationTimeout)
 	settings.StopWithin = bounded(settings.StopWithin, stopTimeout)
+	settings.RefreshWithin = bounded(settings.RefreshWithin, refreshTimeout)
 	gateway := &Gateway{
 		settings:      settings,
 		overlay:       overlay.New(settings.Self.Name),
