Partition: the tails of a partition are bounded by 1 MiB of data

A topic keeps its newest expired record for as long as it is silent: 4,096 topics of a partition with messages of 16 KiB would take 64 MiB of a store's memory in each of 32 partitions. Beyond the bound the topics that have been silent for longest lose their tails, and their places are judged as before (TestTailsAreBoundedInBytes).

--- a/internal/partition/topic_tail.go
+++ b/internal/partition/topic_tail.go
@@ -1,6 +1,9 @@
 package partition
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"dahlialock/internal/statemachine"
@@ -17,6 +20,8 @@
 	minResponseTimeout = time.Second
 	// noTail is the tail span with which all records are discarded when they expire.
 	noTail time.Duration = 0
+	// maxTailBytes bounds the data in the tails of a partition.
+	maxTailBytes = 1 << 20
 )
 
 // tailSpan returns the time that must lie between the appends of two records of a topic so that a
@@ -90,3 +95,35 @@
 func positionOf(record Record) expiredTopic {
 	return expiredTopic{LastOffset: record.Offset, AppendedAt: record.AppendedAt}
 }
+
+// bytes returns the size of the data in the tail.
+func (t topicTail) bytes() int {
+	total := 0
+	for _, record := range t.Records {
+		total += len(record.Data)
+	}
+	return total
+}
+
+// boundTails discards the tails of the topics that have been silent for longest, so that the data in
+// all tails stays within maxTailBytes.
+func (l *log) boundTails() {
+	total := 0
+	for _, tail := range l.Tails {
+		total += tail.bytes()
+	}
+	if total <= maxTailBytes {
+		return
+	}
+	topics := slices.Collect(maps.Keys(l.Tails))
+	slices.SortFunc(topics, func(left, right string) int {
+		return cmp.Compare(l.ExpiredTopics[left].LastOffset, l.ExpiredTopics[right].LastOffset)
+	})
+	for _, topic := range topics {
+		if total <= maxTailBytes {
+			return
+		}
+		total -= l.Tails[topic].bytes()
+		delete(l.Tails, topic)
+	}
+}
--- a/internal/partition/topic_tail_test.go
+++ b/internal/partition/topic_tail_test.go
@@ -161,6 +161,34 @@
 	assert.Assert(t, log.hasExpired(5, []string{"t9"}, nil))
 }
 
+// The tails of many topics with large messages don't grow without bound: the topics that have been silent
+// for longest lose theirs, and say so.
+func TestTailsAreBoundedInBytes(t *testing.T) {
+	const size, topics = 16 << 10, 100
+	log := newLog(config.SharedPartitionName(0))
+	for number := range uint64(topics) {
+		log.append(Record{
+			Offset: number + 1, Topic: fmt.Sprint("t", number), Sender: "s", Seq: 1, AppendedAt: at(int(number)),
+			Data: make([]byte, size),
+		})
+	}
+	log.expire(at(300), tailRetention, dedupWindow)
+	assert.Equal(t, len(log.Tails), maxTailBytes/size)
+	assert.Equal(t, len(log.ExpiredTopics), topics)
+	oldestKept := topics - maxTailBytes/size
+	for number := range topics {
+		expired := log.hasExpired(0, []string{fmt.Sprint("t", number)}, nil)
+		assert.Equal(t, expired, number < oldestKept, "topic %d", number)
+		assert.Assert(t, !log.hasExpired(uint64(number)+1, []string{fmt.Sprint("t", number)}, nil))
+	}
+	// A topic without a tail gets one again.
+	log.append(Record{Offset: topics + 1, Topic: "t0", Sender: "s", Seq: 2, AppendedAt: at(400), PreviousInTopic: 1})
+	log.expire(at(500), tailRetention, dedupWindow)
+	assert.Assert(t, log.hasExpired(0, []string{"t0"}, nil))
+	assert.Assert(t, !log.hasExpired(1, []string{"t0"}, nil))
+	assert.Equal(t, len(log.recordsOf([]string{"t0"}, 1, topics+1)), 1)
+}
+
 // modelMessage is a message as its publisher saw it, and the record that the partition has of it.
 type modelMessage struct {
 	firstSent  time.Duration
