--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -48,7 +48,7 @@
 		// shutdown after the clients have moved.
 		ConfirmedFor: current.Timeouts.Apply * 5 / 6,
 		StopWithin:   current.Timeouts.Grace * 3 / 5,
-		// The other half is for the way of the request to the gateway.
+		// The other half is for the transfer of the request to the gateway.
 		RefreshWithin:      current.Timeouts.RevertSlack / 2,
 		AcknowledgeTimeout: current.Timeouts.Acknowledge,
 	})
--- a/internal/partition/fetch_test.go
+++ b/internal/partition/fetch_test.go
@@ -96,7 +96,7 @@
 	assert.Assert(t, !found[1].Expired)
 }
 
-// An operator sees from the event which record was the reason why a place was refused.
+// An operator sees from the event which record was the reason why a cursor was rejected.
 func TestStoreLogsFetchOfExpiredRecords(t *testing.T) {
 	cluster := newCluster(t, 1)
 	store := cluster.stores["store-0"]
--- a/internal/partition/topic_tail.go
+++ b/internal/partition/topic_tail.go
@@ -24,11 +24,12 @@
 	maxTailBytes = 1 << 20
 )
 
-// tailSpan returns the time that must lie between the appends of two records of a topic so that a
-// subscription that lacks the first is owed the second. The subscription's offset is older than
-// the answer to the client by MaxOffsetAge and the time that the client waits for the answer; the
-// first record may have been appended maxAcceptLag before that offset was read; and the second
-// was appended within the response timeout after it was first sent, as a publisher waits no longer.
+// tailSpan returns the time that must lie between the appends of two records of a topic so that
+// every subscription that lacks the first must receive the second. The subscription's offset is
+// older than the response to the client by at most MaxOffsetAge and the time that the client waits
+// for the response; the first record may have been appended maxAcceptLag before that offset was
+// read; and the second was appended within the response timeout after it was first sent, since a
+// publisher waits no longer.
 func tailSpan(responseTimeout time.Duration) time.Duration {
 	if statemachine.Mutated("no-topic-tails") {
 		return noTail
@@ -38,12 +39,12 @@
 
 // topicTail holds the newest expired records of a topic, which stay readable after the retention.
 //
-// A subscription is owed the records that were first sent after it began, and a store knows only
-// when a record was appended. A record behind a subscription's offset may have been sent before
-// the subscription began, if its publisher or a gateway was slow. Such a record must not be a
-// reason to reject the subscription, so it is discarded only once a later record of the topic has
-// expired as well that every subscription before it is certainly owed: one that was appended a
-// tail span later (tailSpan).
+// A subscription must receive the records that were first sent after it was confirmed, and a store
+// knows only when a record was appended. A record after a subscription's offset may have been sent
+// before the subscription was confirmed, if its publisher or a gateway was slow. Such a record must
+// not be a reason to reject the subscription. A record is therefore discarded only once a later
+// record of the topic has expired that was appended a tail span after it (tailSpan): a subscription
+// that lacks the first must receive the second, and is rejected for that reason.
 type topicTail struct {
 	_ struct{} `cbor:",toarray"`
 	// Discarded is the topic's newest record that is no longer readable; zero if there is none.
--- a/internal/partition/topic_tail_mutation_test.go
+++ b/internal/partition/topic_tail_mutation_test.go
@@ -10,7 +10,7 @@
 	"dahlialock/internal/statemachine"
 )
 
-// Without tails a place is refused for an older message that it isn't owed.
+// Without tails a cursor is rejected for a message that was sent before its subscription.
 func TestTopicTailIsNeeded(t *testing.T) {
 	defer statemachine.Mutate("no-topic-tails")()
 	_, expired := readableAfter(silentTopic(), 0)
--- a/internal/partition/topic_tail_test.go
+++ b/internal/partition/topic_tail_test.go
@@ -39,9 +39,10 @@
 	return log
 }
 
-// A place must not be refused with EXPIRED for the sake of an older message that it isn't owed: one
-// that was accepted before the subscription, or first sent before its OK and accepted after it.
-func TestPlaceIsNotRefusedForMessageThatItIsNotOwed(t *testing.T) {
+// A cursor must not be rejected as expired because of an older message that its subscription need not
+// receive: one that was accepted before the subscription, or first sent before its OK and accepted
+// after it.
+func TestCursorIsNotRejectedForMessageSentBeforeSubscription(t *testing.T) {
 	log := silentTopic()
 	assert.Equal(t, log.BaseOffset, uint64(1), "the first message has left the log")
 	for second := 65; second < 115; second += 5 {
@@ -53,7 +54,7 @@
 	log.expire(at(120), boardRetention(), dedupWindow)
 	assert.Equal(t, log.BaseOffset, uint64(3))
 	_, expired := readableAfter(log, 0)
-	assert.Assert(t, expired, "the second message is owed and has expired")
+	assert.Assert(t, expired, "the second message was required and has expired")
 	offsets, expired := readableAfter(log, 1)
 	assert.Assert(t, !expired)
 	assert.DeepEqual(t, offsets, []uint64{2})
@@ -209,15 +210,15 @@
 	}
 }
 
-// modelPlace is a cursor and the subscription that it was given for.
-type modelPlace struct {
+// modelCursor is a cursor of a subscription, and when that was first confirmed.
+type modelCursor struct {
 	after   uint64
 	firstOK time.Duration
 }
 
-// modelTopic draws the messages of one topic, silent for long at times, and places of subscriptions
+// modelTopic draws the messages of one topic, silent for long at times, and cursors of subscriptions
 // whose offset is as old as a gateway may use it and whose answer is as late as a client waits.
-func modelTopic(random *rand.Rand) (messages []modelMessage, places []modelPlace) {
+func modelTopic(random *rand.Rand) (messages []modelMessage, cursors []modelCursor) {
 	const responseTimeout = 1500 * time.Millisecond
 	upTo := func(limit time.Duration) time.Duration { return time.Duration(random.Int64N(int64(limit) + 1)) }
 	pauses := []time.Duration{10 * time.Millisecond, time.Second, 12 * time.Second, 40 * time.Second, 90 * time.Second}
@@ -231,35 +232,36 @@
 	}
 	for range 20 {
 		readAt := upTo(at)
-		place := modelPlace{firstOK: readAt + upTo(MaxOffsetAge) + upTo(responseTimeout)}
+		cursor := modelCursor{firstOK: readAt + upTo(MaxOffsetAge) + upTo(responseTimeout)}
 		for _, each := range messages {
 			if each.acceptedAt <= readAt {
-				place.after = each.offset
+				cursor.after = each.offset
 			}
 		}
-		places = append(places, place)
+		cursors = append(cursors, cursor)
 	}
-	return messages, places
+	return messages, cursors
 }
 
-// owedAfter returns the offsets of the messages that a place is owed, and whether one of them is older
-// than the retention.
-func (p modelPlace) owedAfter(messages []modelMessage, now time.Duration) (owed []uint64, older bool) {
+// requiredOf returns the offsets of the messages that the cursor's subscription must receive, and
+// whether one of them is older than the retention.
+func (c modelCursor) requiredOf(messages []modelMessage, now time.Duration) (required []uint64, older bool) {
 	for _, each := range messages {
-		if each.firstSent > p.firstOK {
-			owed = append(owed, each.offset)
+		if each.firstSent > c.firstOK {
+			required = append(required, each.offset)
 			older = older || now-each.firstSent > tailRetention.records
 		}
 	}
-	return owed, older
+	return required, older
 }
 
-// Whatever a topic's messages and the places in it, a refused place lacks a message that it is owed
-// and that is older than the retention, and a place that isn't refused is given all that it is owed.
-func TestPlaceIsRefusedOnlyForOwedMessages(t *testing.T) {
-	refused, served := 0, 0
+// Whatever the messages of a topic and the cursors in it, a cursor that is rejected lacks a message that
+// its subscription must receive and that is older than the retention; one that isn't rejected is
+// returned all such messages.
+func TestCursorIsRejectedOnlyForRequiredMessages(t *testing.T) {
+	rejected, served := 0, 0
 	for seed := range uint64(400) {
-		messages, places := modelTopic(rand.New(rand.NewPCG(seed, 1)))
+		messages, cursors := modelTopic(rand.New(rand.NewPCG(seed, 1)))
 		log := newLog(config.SharedPartitionName(3))
 		end := messages[len(messages)-1].acceptedAt + 100*time.Second
 		appended := 0
@@ -268,21 +270,21 @@
 				log.append(messages[appended].record(log))
 			}
 			log.expire(testStart.Add(now), tailRetention, dedupWindow)
-			for _, place := range places {
-				owed, older := place.owedAfter(messages[:appended], now)
-				offsets, expired := readableAfter(log, place.after)
+			for _, cursor := range cursors {
+				required, older := cursor.requiredOf(messages[:appended], now)
+				offsets, expired := readableAfter(log, cursor.after)
 				if expired {
-					refused++
-					assert.Assert(t, older, "seed %d: %+v is refused at %s, messages %+v", seed, place, now, messages)
+					rejected++
+					assert.Assert(t, older, "seed %d: %+v is rejected at %s, messages %+v", seed, cursor, now, messages)
 					continue
 				}
 				served++
-				for _, offset := range owed {
-					found := offset <= place.after || slices.Contains(offsets, offset)
-					assert.Assert(t, found, "seed %d: %+v lacks %d at %s", seed, place, offset, now)
+				for _, offset := range required {
+					found := offset <= cursor.after || slices.Contains(offsets, offset)
+					assert.Assert(t, found, "seed %d: %+v lacks %d at %s", seed, cursor, offset, now)
 				}
 			}
 		}
 	}
-	assert.Assert(t, refused > 1000 && served > 1000, "%d places refused, %d served", refused, served)
+	assert.Assert(t, rejected > 1000 && served > 1000, "%d cursors rejected, %d served", rejected, served)
 }
--- a/internal/simulator/silent_topics_mutation_test.go
+++ b/internal/simulator/silent_topics_mutation_test.go
@@ -12,8 +12,8 @@
 	"dahlialock/internal/statemachine"
 )
 
-// Without tails, places are refused for messages that they are not owed.
-func TestTopicTailIsNeededByPlaces(t *testing.T) {
+// Without tails, cursors are rejected for messages that were sent before their subscriptions.
+func TestTopicTailIsNeededByCursors(t *testing.T) {
 	defer statemachine.Mutate("no-topic-tails")()
 	for _, run := range []func(t trial, seed uint64) []string{acceptedBeforeSubscription, sentBeforeSubscription} {
 		violations := run(t, 0)
@@ -22,8 +22,8 @@
 	}
 }
 
-// If a subscription begins at the offset of the newest report, whatever its age, its place is refused.
-func TestRecentOffsetIsNeededByPlaces(t *testing.T) {
+// If a subscription begins at the offset of the newest report, whatever its age, its cursor is rejected later.
+func TestRecentOffsetIsNeededByCursors(t *testing.T) {
 	defer statemachine.Mutate("starts-at-any-report")()
 	violations, confirmed := reportsMissing(t, 0)
 	assert.Assert(t, confirmed && len(violations) > 0)
--- a/internal/simulator/silent_topics_test.go
+++ b/internal/simulator/silent_topics_test.go
@@ -175,16 +175,16 @@
 	replacedWithin = 8 * time.Second
 )
 
-// A place must not be refused for the sake of a message that was accepted before the subscription.
-func TestPlaceIsResumedThoughMessageAcceptedBeforeHasExpired(t *testing.T) {
+// A cursor must not be rejected because of a message that was accepted before its subscription.
+func TestCursorIsResumedThoughMessageAcceptedBeforeHasExpired(t *testing.T) {
 	for seed := range uint64(silentTopicSeeds) {
 		assert.Equal(t, fmt.Sprint(acceptedBeforeSubscription(t, seed)), "[]", "seed %d", seed)
 	}
 }
 
-// A place must not be refused for the sake of a message that was sent before the subscription's OK
+// A cursor must not be rejected because of a message that was sent before its subscription's OK
 // and accepted after it.
-func TestPlaceIsResumedThoughMessageSentBeforeHasExpired(t *testing.T) {
+func TestCursorIsResumedThoughMessageSentBeforeHasExpired(t *testing.T) {
 	for seed := range uint64(silentTopicSeeds) {
 		assert.Equal(t, fmt.Sprint(sentBeforeSubscription(t, seed)), "[]", "seed %d", seed)
 	}
@@ -192,7 +192,7 @@
 
 // The cursor of a subscription must not lie far before messages that were accepted earlier because its
 // gateway missed the leaders' reports: their tails don't reach back that far.
-func TestPlaceIsResumedThoughReportsWereMissing(t *testing.T) {
+func TestCursorIsResumedThoughReportsWereMissing(t *testing.T) {
 	for seed := range uint64(silentTopicSeeds) {
 		violations, confirmed := reportsMissing(t, seed)
 		assert.Assert(t, !confirmed, "seed %d", seed)
@@ -201,7 +201,7 @@
 }
 
 // Tails survive the loss of every store's disk, one after the other.
-func TestPlaceIsResumedThoughStoresWereWiped(t *testing.T) {
+func TestCursorIsResumedThoughStoresWereWiped(t *testing.T) {
 	for seed := range uint64(silentTopicSeeds) {
 		assert.Equal(t, fmt.Sprint(wipedAfterExpiry(t, seed)), "[]", "seed %d", seed)
 	}
