--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -70,6 +70,12 @@
 		unable("out of time")
 	}()
 	switch scenario {
+	case "place":
+		place(root, folder, trouble)
+	case "bound":
+		bound(root, folder, trouble)
+	case "dead":
+		dead(root, folder, trouble)
 	case "twice":
 		twice(root, folder, trouble, 400*time.Millisecond, []time.Duration{1000 * time.Millisecond, 1100 * time.Millisecond, 1200 * time.Millisecond, 1300 * time.Millisecond})
 	default:
@@ -80,6 +86,12 @@
 // up starts a small deployment: three controllers, three stores and three gateways in three zones.
 func up(root, folder string) *fleet {
 	current = newFleet(root, folder, 3, 3, 3)
+	ready(current)
+	return current
+}
+
+// ready starts a fleet and waits until it serves.
+func ready(current *fleet) {
 	current.startAll()
 	status, answer := current.operate("PUT", "/v1/config", fmt.Sprintf(document, 7), 15*time.Second)
 	if status != 200 {
@@ -89,5 +101,4 @@
 		unable("gateways are not ready")
 	}
 	record("the fleet is up")
-	return current
 }
