--- a/review/cases-2/cases_test.go
+++ b/review/cases-2/cases_test.go
@@ -26,3 +26,7 @@
 func TestReviewRefusedNumberIsNotDelivered(t *testing.T) { runCase(t, "6") }
 
 func TestReviewPlaceIsNotRefusedForUnacknowledgedNotes(t *testing.T) { runCase(t, "7") }
+
+func TestReviewPlaceIsNotRefusedAfterLargeNotes(t *testing.T) { runCase(t, "8") }
+
+func TestReviewTopicLivesOnAfterDiscardedNote(t *testing.T) { runCase(t, "9") }
