--- a/review/standin-2/check.go
+++ b/review/standin-2/check.go
@@ -78,7 +78,7 @@
 					add("ORDER: %s got %s/%d after %d on %s", c.name, d.sender, d.seq, last[d.sender], sub.topic)
 				}
 				last[d.sender] = max(last[d.sender], d.seq)
-				order = append(order, m.id)
+				order = append(order, fmt.Sprintf("%s/%d", d.sender, d.seq))
 				if at, denied := m.denied[d.seq]; denied {
 					promises[fmt.Sprintf("%s/%d", d.sender, d.seq)] = fmt.Sprintf("denied %s, arrived %s: %v", stamp(at), stamp(d.at), m.story)
 				}
