Gateway: a number is denied only if its leader's log decides it

What callers saw: all stores and controllers are killed at once. A PUB that is under way gets MAYBE, the same number then RETRY (not done, and never will be), and is kept all the same. The client sends the message under a new number, and it arrives twice.

Cause: a gateway took a publication for "not kept" if its own sends of this try had been rejected or had not left. An earlier try may have come over another connection, another gateway or an earlier life of either, and lie in a log that has no leader yet or in a queue.

Change: whatever invites another try of a publication is unsettled (MAYBE), on every path: no leader, no answer, a store's rejection, a gateway that stops, is unconfirmed or behind, a rate or queue that is full, a PUB before HELLO. RETRY is left for old-seq: a later number of the sender is accepted, so that no log can take the lower one any more. A leader says old-seq only once it has established what is accepted in its epoch, in spaces without routes too (it said so of numbers below one that was only appended).

The checker takes each denial in a run with routed topics as a promise (BrokenPromise).

--- a/internal/checker/topics.go
+++ b/internal/checker/topics.go
@@ -27,6 +27,9 @@
 	WrongRoute = "wrong-route"
 	Presence   = "presence"
 	LateInCalm = "late-in-calm"
+	// BrokenPromise is a message that was delivered although its sender was told, about its
+	// sequence number, that it never would be.
+	BrokenPromise = "broken-promise"
 )
 
 // Post identifies a message of a routed topic. The sequence numbers of a sender increase over
@@ -46,6 +49,9 @@
 	refused      int
 	accepted     bool
 	acceptedAt   time.Time
+	// deniedAt is when the sender was first told that the message never will be delivered; zero if
+	// it was not told so.
+	deniedAt time.Time
 }
 
 type route struct {
@@ -213,6 +219,15 @@
 	}
 }
 
+// PostDenied records that the sender was told that the message is not appended and never will be. It
+// may then send the message under another sequence number, so the promise holds for all attempts:
+// those through any gateway, before and after it.
+func (c *Checker) PostDenied(name Post, at time.Time) {
+	if each := c.Topics.posts[name]; each.deniedAt.IsZero() {
+		each.deniedAt = at
+	}
+}
+
 // Subscribing.
 
 // Subscribing records that a client starts to subscribe to a topic. If saved is not nil, the
@@ -399,9 +414,14 @@
 	for topic, subscriptions := range statemachine.Sorted(c.Topics.subscriptions) {
 		for position, each := range subscriptions {
 			for name := range each.received {
-				if sent := c.Topics.posts[name]; sent.refused == sent.attempts {
+				sent := c.Topics.posts[name]
+				if sent.refused == sent.attempts {
 					c.Violate(AllRejected, "%s got %v on %s, though every attempt was rejected", each.name, name, each.topic)
 				}
+				if !sent.deniedAt.IsZero() {
+					c.Violate(BrokenPromise, "%s got %v on %s, though %s was told that it never would be delivered",
+						each.name, name, each.topic, name.Sender)
+				}
 			}
 			for _, other := range subscriptions[position+1:] {
 				c.compareOrders(topic, each, other)
--- a/internal/checker/topics_test.go
+++ b/internal/checker/topics_test.go
@@ -169,6 +169,11 @@
 			ada.Received(Post{"dan", 20}, passingTopic, bodyOf("dan", 20), moment(7), moment(7.1))
 		}},
 		{Unsolicited, "a message on a topic after unsubscribing", func(run *topicRun, _, _ *Subscription) { run.UnsolicitedPost("ada", Post{"cy", 10}, keptTopic) }},
+		{BrokenPromise, "a message that was denied for good after an attempt without an answer", func(run *topicRun, _, _ *Subscription) {
+			run.try("cy", 11, keptTopic, "unsettled", 8)
+			run.PostDenied(Post{"cy", 11}, moment(8.5))
+			run.deliver("cy", 11, keptTopic, 9)
+		}},
 		{AllRejected, "a message of which every attempt was rejected", func(run *topicRun, _, _ *Subscription) {
 			run.try("dan", 20, passingTopic, "refused", 7)
 			run.deliver("dan", 20, passingTopic, 7.1)
--- a/internal/gateway/append.go
+++ b/internal/gateway/append.go
@@ -152,16 +152,8 @@
 			effects,
 		)
 	default:
-		answer := rejectedReply(
-			503,
-			response.Code,
-			"the partition can't keep two copies at this moment",
-			response.RetryAfter,
-		)
-		if len(item.unanswered) > 0 {
-			// An earlier send has no response; its append may still succeed.
-			answer = unsettledReply(response.Code, "send the same seq again", response.RetryAfter)
-		}
+		// An earlier attempt with this seq may still be appended; see publicationReply.
+		answer := unsettledReply(response.Code, "send the same seq again", response.RetryAfter)
 		g.finishPublication(now, item, answer, effects)
 	}
 }
--- a/internal/gateway/publish.go
+++ b/internal/gateway/publish.go
@@ -134,6 +134,7 @@
 		return
 	}
 	item.answered = true
+	answer = publicationReply(answer)
 	g.countOutcome(answer)
 	g.ring.Record(now, item.request.RequestName, item.request.messageName(),
 		item.request.Client, "answered", "outcome", answer.Outcome, "code", answer.Code)
@@ -253,7 +254,7 @@
 	for _, senderState := range g.sortedSenders() {
 		for len(senderState.queue) > 0 && !senderState.queue[0].deadline.After(now) {
 			item := senderState.queue[0]
-			g.finishPublication(now, item, overdueReply(item), effects)
+			g.finishPublication(now, item, overdueReply(), effects)
 		}
 		if len(senderState.queue) > 0 {
 			next = statemachine.Earliest(next, senderState.queue[0].deadline)
@@ -263,14 +264,10 @@
 }
 
 // overdueReply returns the final answer to a publication that has passed its deadline. It
-// is unsettled if a store may still append the message.
-func overdueReply(item *publication) Reply {
-	switch {
-	case statemachine.Mutated("refuse-what-is-open"):
+// is unsettled, since this or an earlier attempt may still be appended.
+func overdueReply() Reply {
+	if statemachine.Mutated("refuse-what-is-open") {
 		return rejectedReply(503, "no-answer", "", 0)
-	case len(item.unanswered) > 0:
-		return unsettledReply("no-answer", "the store did not answer; send the same seq again", retryLongDelay)
-	default:
-		return rejectedReply(503, "no-answer", "the message was not kept", retryLongDelay)
 	}
+	return unsettledReply("no-answer", "the store did not answer; send the same seq again", retryLongDelay)
 }
--- a/internal/gateway/routed_publish.go
+++ b/internal/gateway/routed_publish.go
@@ -104,6 +104,7 @@
 	response Reply,
 	effects *statemachine.Effects,
 ) {
+	response = publicationReply(response)
 	g.countOutcome(response)
 	delete(g.routed.appends, item.id)
 	for send := range item.unanswered {
@@ -175,34 +176,22 @@
 		}
 		g.answerRoutedPublication(now, item, acceptedReply(nil), effects)
 	case partition.OutcomeRejected:
-		switch {
-		case response.Code == "not-first":
+		switch response.Code {
+		case partition.CodeNotLeader:
 			g.viewClient.PollNow(now)
-		case response.Code == "old-seq" || response.Code == "seq-reused":
+		case partition.CodeSequenceStale, partition.CodeSequenceReused:
 			g.answerRoutedPublication(
 				now,
 				item,
 				rejectedReply(409, response.Code, "this seq is not above the sender's newest of this topic", 0),
 				effects,
 			)
-		case len(item.unanswered) > 0:
-			// An earlier send has no response; its append may still succeed.
-			g.answerRoutedPublication(
-				now,
-				item,
-				unsettledReply(response.Code, "send the same seq again", retryShortDelay),
-				effects,
-			)
 		default:
+			// An earlier attempt with this seq may still be appended; see publicationReply.
 			g.answerRoutedPublication(
 				now,
 				item,
-				rejectedReply(
-					503,
-					response.Code,
-					"the partition can't keep all its copies at this moment",
-					max(response.RetryAfter, retryShortDelay),
-				),
+				unsettledReply(response.Code, "send the same seq again", max(response.RetryAfter, retryShortDelay)),
 				effects,
 			)
 		}
@@ -265,21 +254,12 @@
 	var next time.Time
 	for _, item := range statemachine.Sorted(g.routed.appends) {
 		if !item.deadline.After(now) {
-			if len(item.unanswered) > 0 {
-				g.answerRoutedPublication(
-					now,
-					item,
-					unsettledReply("no-answer", "the store did not answer; send the same seq again", retryShortDelay),
-					effects,
-				)
-			} else {
-				g.answerRoutedPublication(
-					now,
-					item,
-					rejectedReply(503, "no-answer", "the message was not kept", retryShortDelay),
-					effects,
-				)
-			}
+			g.answerRoutedPublication(
+				now,
+				item,
+				unsettledReply("no-answer", "the store did not answer; send the same seq again", retryShortDelay),
+				effects,
+			)
 			continue
 		}
 		if !item.due().After(now) {
--- a/internal/lineserver/owner.go
+++ b/internal/lineserver/owner.go
@@ -121,6 +121,16 @@
 	return gateway.Reply{Outcome: gateway.OutcomeRejected, Code: code, RetryAfter: retryAfter}
 }
 
+// notOpen returns the answer to a command on a connection without an open session. It promises nothing
+// about the number of a publication, which may have been sent on another connection before.
+func notOpen(kind Kind) gateway.Reply {
+	answer := rejection(CodeNotOpen, retryAfter)
+	if kind == Publish {
+		answer.Outcome = gateway.OutcomeUnsettled
+	}
+	return answer
+}
+
 // handleBatch executes the commands of one read of a connection.
 func (s *Server) handleBatch(owner daemon.LoopContext, from *connection, batch []pendingRequest) {
 	if from.state == unopened {
@@ -141,7 +151,7 @@
 		case ref.Kind == Open:
 			s.answer(from, ref, rejection(CodeAlreadyOpen, 0))
 		case from.state != open:
-			s.answer(from, ref, rejection(CodeNotOpen, retryAfter))
+			s.answer(from, ref, notOpen(ref.Kind))
 		case ref.Kind == Ping:
 			// The ping arrived before the session was open, or while output was unsent.
 			from.inFlight.Add(-1)
--- a/internal/partition/append.go
+++ b/internal/partition/append.go
@@ -102,7 +102,7 @@
 ) (reason rejection, rejected bool) {
 	stale := request.Seq <= sender.LastSeq || request.DuplicateOnly
 	if stale && !statemachine.Mutated("no-resend-memory") {
-		if config.IsShared(request.Partition) && !partition.newestAccepted(sender) {
+		if !partition.newestAccepted(sender) {
 			// The later message may still be lost, and then another leader may accept an earlier
 			// attempt of this one.
 			return rejection{code: CodeSequencePassed, retryAfter: notLeaderRetryAfter}, true
--- a/internal/partition/replica.go
+++ b/internal/partition/replica.go
@@ -86,10 +86,10 @@
 // newestAccepted reports whether the newest message of a sender was accepted, so that none of its
 // messages with a lower sequence number can be accepted any more.
 func (r *replica) newestAccepted(sender *senderState) bool {
-	if len(sender.Window) == 0 {
-		return true
+	if !r.established() {
+		return false
 	}
-	return r.established() && sender.Window[len(sender.Window)-1].Offset <= r.highWatermark
+	return len(sender.Window) == 0 || sender.Window[len(sender.Window)-1].Offset <= r.highWatermark
 }
 
 // retryAfter returns the retry delay of appends to a partition that can't accept records at the
--- a/internal/simulator/topic_client.go
+++ b/internal/simulator/topic_client.go
@@ -685,6 +685,7 @@
 			simulation.Checker.Handled("a publication", item.topic, false, sent, simulation.Now)
 			tc.finish(item)
 		case answer.RetryAfter > 0 || answer.Code == "old-seq":
+			simulation.Checker.PostDenied(name, simulation.Now)
 			if item.renewals++; item.renewals > maxRenewals || late() {
 				tc.finish(item)
 				break
