Stores: no place is refused because of messages that may not be acknowledged

What callers saw: a place is given. Two messages follow on the topic, 15 s apart, whose answers are lost as their publisher's connection is reset; a third one, 65 s later, is acknowledged. The place is refused with EXPIRED though all that it is owed is 7 s old.

Cause: an expired record was discarded once another one of the topic had expired that was appended a tail span (13 s) later, on the ground that who lacks the first is owed the second. That holds only if the second was acknowledged, and no daemon knows what a publisher has read.

Change: no expired record is discarded because of another one.

--- a/internal/partition/log_retention.go
+++ b/internal/partition/log_retention.go
@@ -23,8 +23,8 @@
 	AppendedAt time.Time
 }
 
-// expire drops the records that are older than the retention and its margin, except those in the
-// tails of their topics, and removes the senders' sequence numbers that are older than the
+// expire moves the records that are older than the retention and its margin to the tails of their
+// topics, and removes the senders' sequence numbers that are older than the
 // deduplication window.
 func (l *log) expire(now time.Time, retention retentionPolicy, window time.Duration) {
 	limit := now.Add(-retention.records - retentionMargin)
@@ -42,8 +42,8 @@
 	}
 }
 
-// dropOldest drops the given number of oldest records, of which those within tailSpan before the
-// newest dropped one of their topic stay in Tails. The log must have at least as many.
+// dropOldest drops the given number of oldest records, which stay in Tails unless tailSpan is noTail.
+// The log must have at least as many.
 func (l *log) dropOldest(now time.Time, count int, tailSpan time.Duration) {
 	if config.IsShared(l.Name) {
 		for _, record := range l.Records[:count] {
@@ -53,7 +53,7 @@
 			}
 		}
 		l.pruneExpiredTopics(now)
-		l.boundTails()
+		l.boundTails(tailSpan)
 	}
 	last := l.Records[count-1]
 	l.BaseOffset, l.BaseEpoch = last.Offset, last.Epoch
--- a/internal/partition/retention.go
+++ b/internal/partition/retention.go
@@ -22,8 +22,7 @@
 type retentionPolicy struct {
 	// records is the minimum age at which a record is dropped.
 	records time.Duration
-	// tailSpan is the time before a topic's newest dropped record within which its records stay
-	// readable (see topicTail).
+	// tailSpan distinguishes the superseded records of a tail (see boundTails).
 	tailSpan time.Duration
 }
 
--- a/internal/partition/topic_tail.go
+++ b/internal/partition/topic_tail.go
@@ -25,11 +25,11 @@
 )
 
 // tailSpan returns the time that must lie between the appends of two records of a topic so that
-// every subscription that lacks the first must receive the second. The subscription's offset is
-// older than the response to the client by at most MaxOffsetAge and the time that the client waits
-// for the response; the first record may have been appended maxAcceptLag before that offset was
-// read; and the second was appended within the response timeout after it was first sent, since a
-// publisher waits no longer.
+// every subscription that lacks the first must receive the second if that was acknowledged. The
+// subscription's offset is older than the response to the client by at most MaxOffsetAge and the time
+// that the client waits for the response; the first record may have been appended maxAcceptLag before
+// that offset was read; and the second was appended within the response timeout after it was first
+// sent, since a publisher waits no longer.
 func tailSpan(responseTimeout time.Duration) time.Duration {
 	if statemachine.Mutated("no-topic-tails") {
 		return noTail
@@ -39,12 +39,12 @@
 
 // topicTail holds the newest expired records of a topic, which stay readable after the retention.
 //
-// A subscription must receive the records that were first sent after it was confirmed, and a store
-// knows only when a record was appended. A record after a subscription's offset may have been sent
-// before the subscription was confirmed, if its publisher or a gateway was slow. Such a record must
-// not be a reason to reject the subscription. A record is therefore discarded only once a later
-// record of the topic has expired that was appended a tail span after it (tailSpan): a subscription
-// that lacks the first must receive the second, and is rejected for that reason.
+// A subscription must receive the records that were first sent after it was confirmed and that were
+// acknowledged to their publisher. A store knows neither: only when a record was appended and accepted.
+// A record after a subscription's offset may have been sent before the subscription was confirmed, if
+// its publisher or a gateway was slow, and an acknowledgement may never have reached its publisher. Such a
+// record must not be a reason to reject the subscription. Expired records are therefore kept as long as
+// maxTailBytes allows.
 type topicTail struct {
 	_ struct{} `cbor:",toarray"`
 	// Discarded is the topic's newest record that is no longer readable; zero if there is none.
@@ -53,8 +53,7 @@
 	Records []Record
 }
 
-// retainInTail adds a record that expires to the tail of its topic, and discards the records that
-// were appended more than a span before it.
+// retainInTail adds a record that expires to the tail of its topic.
 func (l *log) retainInTail(record Record, span time.Duration) {
 	if span == noTail {
 		return
@@ -63,15 +62,6 @@
 	if !found {
 		tail.Discarded = l.discarded(record.Topic)
 	}
-	count := 0
-	for count < len(tail.Records) && record.AppendedAt.Sub(tail.Records[count].AppendedAt) > span {
-		tail.Discarded = positionOf(tail.Records[count])
-		count++
-	}
-	if count > 0 {
-		// Copied into a new slice, as in dropOldest.
-		tail.Records = append([]Record(nil), tail.Records[count:]...)
-	}
 	tail.Records = append(tail.Records, record)
 	if l.Tails == nil {
 		// The log was encoded without tails.
@@ -106,16 +96,42 @@
 	return total
 }
 
-// boundTails discards the tails of the topics that have been silent for longest, so that the data in
-// all tails stays within maxTailBytes.
-func (l *log) boundTails() {
+// discardSuperseded discards the expired records that another expired record of their topic follows that
+// was appended more than a span later: a subscription that lacks the first is most likely rejected
+// rightly, for the second.
+func (l *log) discardSuperseded(span time.Duration) {
+	for topic, tail := range l.Tails {
+		newest := tail.Records[len(tail.Records)-1].AppendedAt
+		count := 0
+		for newest.Sub(tail.Records[count].AppendedAt) > span {
+			tail.Discarded = positionOf(tail.Records[count])
+			count++
+		}
+		if count > 0 {
+			// Copied into a new slice, as in dropOldest.
+			tail.Records = append([]Record(nil), tail.Records[count:]...)
+			l.Tails[topic] = tail
+		}
+	}
+}
+
+// tailBytes returns the size of the data in all tails.
+func (l *log) tailBytes() int {
 	total := 0
 	for _, tail := range l.Tails {
 		total += tail.bytes()
 	}
-	if total <= maxTailBytes {
+	return total
+}
+
+// boundTails keeps the data in all tails within maxTailBytes. It discards the superseded records first,
+// and then the tails of the topics that have been silent for longest.
+func (l *log) boundTails(span time.Duration) {
+	if l.tailBytes() <= maxTailBytes {
 		return
 	}
+	l.discardSuperseded(span)
+	total := l.tailBytes()
 	topics := slices.Collect(maps.Keys(l.Tails))
 	slices.SortFunc(topics, func(left, right string) int {
 		return cmp.Compare(l.ExpiredTopics[left].LastOffset, l.ExpiredTopics[right].LastOffset)
--- a/internal/simulator/silent_topics_test.go
+++ b/internal/simulator/silent_topics_test.go
@@ -168,8 +168,32 @@
 	return silent.resume(t), confirmed
 }
 
+// acknowledgementsLost resumes cursors before two messages on each topic that were appended, and whose
+// acknowledgements never reached the publisher, since its connection was reset.
+func acknowledgementsLost(t trial, seed uint64) []string {
+	t.Helper()
+	silent := startSilentTopics(seed)
+	run := silent.run
+	silent.subscribe()
+	run.Run(100 * time.Millisecond)
+	silent.reader.DisconnectFor(true, time.Hour)
+	for range 2 {
+		accepted := run.Checker.Accepted
+		silent.publish()
+		run.Run(cutAfter)
+		silent.publisher.DisconnectFor(true, awayAfterCut)
+		run.Run(longerThanTailSpan)
+		assert.Equal(t, run.Checker.Accepted, accepted, "seed %d", seed)
+	}
+	return silent.resume(t)
+}
+
 const (
-	silentTopicSeeds   = 4
+	silentTopicSeeds = 4
+	// cutAfter is the time in which a publication reaches its gateway, but no answer comes back, and
+	// awayAfterCut longer than a publisher tries to send a message.
+	cutAfter           = 3 * time.Millisecond
+	awayAfterCut       = 2 * time.Second
 	longerThanTailSpan = 14 * time.Second
 	// replacedWithin is the time in which a store that lost its disk has all its replicas again.
 	replacedWithin = 8 * time.Second
@@ -182,6 +206,14 @@
 	}
 }
 
+// A cursor must not be rejected because of messages that were never acknowledged to their publisher: it is
+// not known whether they are owed to anyone.
+func TestCursorIsResumedThoughUnacknowledgedMessagesHaveExpired(t *testing.T) {
+	for seed := range uint64(silentTopicSeeds) {
+		assert.Equal(t, fmt.Sprint(acknowledgementsLost(t, seed)), "[]", "seed %d", seed)
+	}
+}
+
 // A cursor must not be rejected because of a message that was sent before its subscription's OK
 // and accepted after it.
 func TestCursorIsResumedThoughMessageSentBeforeHasExpired(t *testing.T) {
