Gateway: a live topic that lacks an expired record is restarted, and its clients told

What callers saw: a gateway misses a message of a topic while stores are killed. A minute later a second one is acknowledged, and neither it nor any later one comes to a subscriber that stays on its connection. Nobody is told.

Cause: applyFetchedTopic, told by the store that records after the topic's offset have expired, ended the subscriptions that were catching up and nothing else. A live topic kept its offset, asked from there again at each message, and got the same answer.

Change: the topic is restarted. Live subscriptions that lack the record are told by the end of their connection (the lines have no other word), and their clients come back with their cursors. A subscription that began behind the record catches up from its own offset and stays. Log event 3022 names the topic and the offsets.

--- a/internal/gateway/catchup.go
+++ b/internal/gateway/catchup.go
@@ -310,9 +310,7 @@
 	g.routed.baseOffsets[topic.partition] = state.Base
 	topic.missingBytes = response.RemainingBytes
 	if response.Expired {
-		topic.reservedUntil = time.Time{}
-		g.expireSubscriptions(now, topic, fetch.after, effects)
-		g.tickTopic(now, topic, effects)
+		g.handleExpiredFetch(now, fetch, effects)
 		return
 	}
 	if len(response.Records) > 0 {
--- a/internal/gateway/cursor.go
+++ b/internal/gateway/cursor.go
@@ -22,6 +22,8 @@
 
 	// codeBadCursor is the error code of a cursor that is forged, damaged or of another layout.
 	codeBadCursor = "bad-cursor"
+	// codePlaceLost is the error code of a cursor after which records have expired.
+	codePlaceLost = "place-lost"
 )
 
 // position describes which records of one partition were delivered to a client: all records up to Floor
--- a/internal/gateway/fetch.go
+++ b/internal/gateway/fetch.go
@@ -257,7 +257,7 @@
 	g.answerSubscribe(
 		now,
 		operation.request,
-		rejectedReply(410, "place-lost", "what was missed is older than the space holds; subscribe without the cursor", 0),
+		rejectedReply(410, codePlaceLost, "what was missed is older than the space holds; subscribe without the cursor", 0),
 		effects,
 	)
 }
--- a/internal/gateway/topic_subscription.go
+++ b/internal/gateway/topic_subscription.go
@@ -348,7 +348,7 @@
 			g.rejectTopicSubscription(
 				now,
 				subscription,
-				rejectedReply(410, "place-lost", "what was missed is older than the space holds; subscribe without the cursor", 0),
+				rejectedReply(410, codePlaceLost, "what was missed is older than the space holds; subscribe without the cursor", 0),
 				effects,
 			)
 		}
@@ -364,9 +364,8 @@
 	effects *statemachine.Effects,
 ) {
 	session, open := g.sessions[subscription.session]
-	if open && subscription.request.Request == 0 && response.Code == "place-lost" {
-		g.emitFinalEvent(now, subscription.session, session, response.Code, effects)
-		g.closeSession(now, CloseSession{Session: subscription.session, Reason: response.Code}, effects)
+	if open && subscription.request.Request == 0 && response.Code == codePlaceLost {
+		g.closeExpiredSession(now, subscription.session, effects)
 	} else if open {
 		g.dropTopicSubscription(now, session, subscription.topic.name, effects)
 	}
--- a/internal/logevent/catalogue.go
+++ b/internal/logevent/catalogue.go
@@ -61,6 +61,7 @@
 	SessionMoved               statemachine.EventNumber = 3013
 	GapFound                   statemachine.EventNumber = 3020
 	GapFilled                  statemachine.EventNumber = 3021
+	TopicExpired               statemachine.EventNumber = 3022
 	PartitionLeader            statemachine.EventNumber = 4001
 	PartitionSnapshotSent      statemachine.EventNumber = 4003
 	PartitionSnapshotInstalled statemachine.EventNumber = 4004
@@ -117,6 +118,7 @@
 	SessionMoved:               {logrus.DebugLevel, "session asked to move"},
 	GapFound:                   {logrus.DebugLevel, "gap in a partition found"},
 	GapFilled:                  {logrus.DebugLevel, "gap in a partition filled"},
+	TopicExpired:               {logrus.WarnLevel, "subscriptions ended, records that the gateway lacks have expired"},
 	PartitionLeader:            {logrus.InfoLevel, "store leads partitions"},
 	PartitionSnapshotSent:      {logrus.InfoLevel, "partition snapshot sent to the follower"},
 	PartitionSnapshotInstalled: {logrus.InfoLevel, "partition snapshot installed"},
