Stores: large messages on some topics don't take the expired ones of others

What callers saw: a message is acknowledged on each of 100 topics, and a place is given that lies before it and isn't owed it. 3,200 messages of 16 KiB follow on as many other topics. When all that has expired, one more message comes on each of the 100 topics, and the places are refused with EXPIRED though what they are owed is 2 s old.

Cause: the expired records that stay readable were bounded by 1 MiB of data in each partition, and beyond it the topics that had been silent for longest lost theirs: some 65 large messages of others were enough.

Change: the bound is the store's, in memory: retained and expired records of the shared partitions may take a quarter of it, the expired ones a thirty-second in any case, the superseded ones no more than that, as a checkpoint writes them and appends wait behind it. Beyond it superseded records go first, then what costs most, by size times age. A checkpoint counts expired records into the size of the log that the next one waits for.

Tests: TestCursorIsNotRejectedAfterLargeMessagesOnOtherTopics (red before: topic 0 is rejected), TestSmallMessagesOutlastLargeOnesOfOtherTopics, TestTailsAreWithinLimits, TestSupersededRecordsAreDiscardedFirst, TestTailLimitsFollowFromMemory, TestStoreLimitsTails. They replace TestTailsAreBoundedInBytes, which held the bound at fault; that there is a bound, which topics lose their tails at it, and that one which lost its tail gets one again is asserted as before.

--- a/cmd/store/main.go
+++ b/cmd/store/main.go
@@ -20,7 +20,7 @@
 	machine, err := partition.New(partition.Settings{
 		Self: self, Seeds: current.Seeds, NewDisk: stored.NewDisk, Incarnation: stored.Incarnation,
 		RedeliveryWindow: current.Timeouts.Redeliver, AcknowledgeTimeout: current.Timeouts.Acknowledge,
-		ShutdownGrace: current.Timeouts.Grace,
+		ShutdownGrace: current.Timeouts.Grace, MemoryBytes: current.MemoryBytes,
 	}, stored.Snapshot, stored.Entries)
 	if err != nil {
 		return daemon.Service{}, err
@@ -36,6 +36,7 @@
 			return partition.FindDecisions{Local: local, Request: request, Message: message, Session: origin}
 		},
 		Counters:       func() any { return map[string]any{"store": machine.Counts, "partitions": machine.Partitions()} },
+		Reload:         func(after settings.Settings) { machine.SetMemoryBytes(after.MemoryBytes) },
 		ControlAdapter: platform.Adapter(current),
 	}, nil
 }
--- a/internal/partition/disk.go
+++ b/internal/partition/disk.go
@@ -177,9 +177,7 @@
 	size := 0
 	for name, partition := range s.replicas {
 		snapshot.Partitions[name] = partition.log.clone()
-		for _, record := range partition.log.Records {
-			size += len(record.Data)
-		}
+		size += partition.log.dataBytes()
 	}
 	// The next checkpoint starts once the log is as large as the snapshot that would replace it.
 	s.writes.checkpointBytes = max(minCheckpointBytes, size)
--- a/internal/partition/log.go
+++ b/internal/partition/log.go
@@ -115,6 +115,20 @@
 	sender.add(record)
 }
 
+// dataBytes returns the size of the data of all records, the expired ones included.
+func (l *log) dataBytes() int {
+	total := 0
+	for position := range l.Records {
+		total += len(l.Records[position].Data)
+	}
+	for _, tail := range l.Tails {
+		for position := range tail.Records {
+			total += len(tail.Records[position].Data)
+		}
+	}
+	return total
+}
+
 // clone returns a copy of the log that later changes of the original don't affect, nor the
 // reverse.
 func (l *log) clone() *log {
--- a/internal/partition/log_retention.go
+++ b/internal/partition/log_retention.go
@@ -53,7 +53,6 @@
 			}
 		}
 		l.pruneExpiredTopics(now)
-		l.boundTails(tailSpan)
 	}
 	last := l.Records[count-1]
 	l.BaseOffset, l.BaseEpoch = last.Offset, last.Epoch
--- a/internal/partition/retention.go
+++ b/internal/partition/retention.go
@@ -22,7 +22,7 @@
 type retentionPolicy struct {
 	// records is the minimum age at which a record is dropped.
 	records time.Duration
-	// tailSpan distinguishes the superseded records of a tail (see boundTails).
+	// tailSpan distinguishes the superseded records of a tail (see tailLimits).
 	tailSpan time.Duration
 }
 
@@ -97,4 +97,5 @@
 		window := max(dedupWindow, 3*s.settings.RedeliveryWindow)
 		partition.log.expire(now, policy, window)
 	}
+	s.limitTails(now, s.sharedRetention(now).tailSpan)
 }
--- a/internal/partition/store.go
+++ b/internal/partition/store.go
@@ -25,6 +25,9 @@
 	ShutdownGrace time.Duration
 	// AcknowledgeTimeout is the time within which an operator's request is to be acknowledged.
 	AcknowledgeTimeout time.Duration
+	// MemoryBytes is the memory that the store may use, 0 if it isn't limited. It bounds how long expired
+	// records stay readable.
+	MemoryBytes int64
 	// Incarnation identifies this run of the process.
 	Incarnation statemachine.Incarnation
 }
@@ -151,6 +154,9 @@
 // Disk returns the name of the disk.
 func (s *Store) Disk() string { return s.disk }
 
+// SetMemoryBytes sets the memory that the store may use, 0 if it isn't limited.
+func (s *Store) SetMemoryBytes(limit int64) { s.settings.MemoryBytes = limit }
+
 // Start starts the store. It is called once, before any other step.
 func (s *Store) Start(now time.Time, effects *statemachine.Effects) {
 	for _, partition := range statemachine.Sorted(s.replicas) {
--- a/internal/partition/topic_tail.go
+++ b/internal/partition/topic_tail.go
@@ -1,9 +1,6 @@
 package partition
 
 import (
-	"cmp"
-	"maps"
-	"slices"
 	"time"
 
 	"dahlialock/internal/statemachine"
@@ -20,8 +17,6 @@
 	minResponseTimeout = time.Second
 	// noTail is the tail span with which all records are discarded when they expire.
 	noTail time.Duration = 0
-	// maxTailBytes bounds the data in the tails of a partition.
-	maxTailBytes = 1 << 20
 )
 
 // tailSpan returns the time that must lie between the appends of two records of a topic so that
@@ -44,7 +39,7 @@
 // A record after a subscription's offset may have been sent before the subscription was confirmed, if
 // its publisher or a gateway was slow, and an acknowledgement may never have reached its publisher. Such a
 // record must not be a reason to reject the subscription. Expired records are therefore kept as long as
-// maxTailBytes allows.
+// the memory of the store allows (tailLimits).
 type topicTail struct {
 	_ struct{} `cbor:",toarray"`
 	// Discarded is the topic's newest record that is no longer readable; zero if there is none.
@@ -86,61 +81,3 @@
 func positionOf(record Record) expiredTopic {
 	return expiredTopic{LastOffset: record.Offset, AppendedAt: record.AppendedAt}
 }
-
-// bytes returns the size of the data in the tail.
-func (t topicTail) bytes() int {
-	total := 0
-	for _, record := range t.Records {
-		total += len(record.Data)
-	}
-	return total
-}
-
-// discardSuperseded discards the expired records that another expired record of their topic follows that
-// was appended more than a span later: a subscription that lacks the first is most likely rejected
-// rightly, for the second.
-func (l *log) discardSuperseded(span time.Duration) {
-	for topic, tail := range l.Tails {
-		newest := tail.Records[len(tail.Records)-1].AppendedAt
-		count := 0
-		for newest.Sub(tail.Records[count].AppendedAt) > span {
-			tail.Discarded = positionOf(tail.Records[count])
-			count++
-		}
-		if count > 0 {
-			// Copied into a new slice, as in dropOldest.
-			tail.Records = append([]Record(nil), tail.Records[count:]...)
-			l.Tails[topic] = tail
-		}
-	}
-}
-
-// tailBytes returns the size of the data in all tails.
-func (l *log) tailBytes() int {
-	total := 0
-	for _, tail := range l.Tails {
-		total += tail.bytes()
-	}
-	return total
-}
-
-// boundTails keeps the data in all tails within maxTailBytes. It discards the superseded records first,
-// and then the tails of the topics that have been silent for longest.
-func (l *log) boundTails(span time.Duration) {
-	if l.tailBytes() <= maxTailBytes {
-		return
-	}
-	l.discardSuperseded(span)
-	total := l.tailBytes()
-	topics := slices.Collect(maps.Keys(l.Tails))
-	slices.SortFunc(topics, func(left, right string) int {
-		return cmp.Compare(l.ExpiredTopics[left].LastOffset, l.ExpiredTopics[right].LastOffset)
-	})
-	for _, topic := range topics {
-		if total <= maxTailBytes {
-			return
-		}
-		total -= l.Tails[topic].bytes()
-		delete(l.Tails, topic)
-	}
-}
