Gateway: the codes of replies are constants, each with what it means

They were literals in some sixty places of gateway, line server, HTTP interface, platform and simulator. The text of an expired cursor stands once.

--- a/internal/gateway/append.go
+++ b/internal/gateway/append.go
@@ -139,12 +139,12 @@
 	effects *statemachine.Effects,
 ) {
 	switch response.Code {
-	case "not-first":
+	case partition.CodeNotLeader:
 		// The view of the store or of this gateway is stale; the append is retried until the deadline.
 		g.viewClient.PollNow(now)
 		item.sentAt = now
 		g.timers.ArmSooner(timerDeadlines, now.Add(appendRetry))
-	case "old-seq", "seq-reused":
+	case partition.CodeSequenceStale, partition.CodeSequenceReused:
 		g.finishPublication(
 			now,
 			item,
--- a/internal/gateway/commands.go
+++ b/internal/gateway/commands.go
@@ -147,6 +147,12 @@
 	}
 }
 
+// expiredCursorReply returns the answer to a subscription whose cursor is older than the retention.
+func expiredCursorReply() Reply {
+	text := "what was missed is older than the space holds; subscribe without the cursor"
+	return rejectedReply(410, CodeCursorExpired, text, 0)
+}
+
 // Event is an event of a session that an adapter sends to the client. The JSON keys are part of the
 // client protocol.
 type Event struct {
--- a/internal/gateway/cursor.go
+++ b/internal/gateway/cursor.go
@@ -19,11 +19,6 @@
 	// accepted cursor, both in bytes.
 	macSize       = 12
 	maxCursorSize = 256 << 10
-
-	// codeBadCursor is the error code of a cursor that is forged, damaged or of another layout.
-	codeBadCursor = "bad-cursor"
-	// codePlaceLost is the error code of a cursor after which records have expired.
-	codePlaceLost = "place-lost"
 )
 
 // position describes which records of one partition were delivered to a client: all records up to Floor
@@ -68,18 +63,18 @@
 // code.
 func openCursor(key []byte, client, text string) (cursor, string) {
 	if len(text) > maxCursorSize {
-		return cursor{}, codeBadCursor
+		return cursor{}, CodeBadCursor
 	}
 	packed, err := base64.RawURLEncoding.DecodeString(text)
 	if err != nil || len(packed) <= macSize || !hmac.Equal(packed[:macSize], sign(key, packed[macSize:])) {
-		return cursor{}, codeBadCursor
+		return cursor{}, CodeBadCursor
 	}
 	var contents cursor
 	if err := transport.Unmarshal(packed[macSize:], &contents); err != nil || contents.Layout != cursorLayout {
-		return cursor{}, codeBadCursor
+		return cursor{}, CodeBadCursor
 	}
 	if contents.Client != client {
-		return cursor{}, "other-origin"
+		return cursor{}, CodeOtherClient
 	}
 	return contents, ""
 }
--- a/internal/gateway/draining.go
+++ b/internal/gateway/draining.go
@@ -22,8 +22,8 @@
 		if count--; count < 0 {
 			return
 		}
-		g.emitFinalEvent(now, id, session, "unconfirmed", effects)
-		g.closeSession(now, CloseSession{Session: id, Reason: "unconfirmed"}, effects)
+		g.emitFinalEvent(now, id, session, CodeUnconfirmed, effects)
+		g.closeSession(now, CloseSession{Session: id, Reason: CodeUnconfirmed}, effects)
 	}
 }
 
@@ -166,7 +166,7 @@
 		return
 	}
 	for id, session := range statemachine.Sorted(g.sessions) {
-		g.emitFinalEvent(now, id, session, "stopping", effects)
+		g.emitFinalEvent(now, id, session, CodeStopping, effects)
 	}
 	g.overlay.LeaveAll(effects)
 	for _, member := range statemachine.Sorted(g.viewClient.Members) {
--- a/internal/gateway/ephemeral.go
+++ b/internal/gateway/ephemeral.go
@@ -18,14 +18,16 @@
 	request := item.request
 	if memory, known := from.recent[request.Seq]; known {
 		if memory.digest != partition.MessageDigest(request.Topic, request.Data) {
-			g.finishPublication(now, item, rejectedReply(409, "seq-reused", "this seq was used for another message", 0), effects)
+			answer := rejectedReply(409, CodeSequenceReused, "this seq was used for another message", 0)
+			g.finishPublication(now, item, answer, effects)
 			return
 		}
 		g.finishPublication(now, item, acceptedReply(map[string]any{"again": true}), effects)
 		return
 	}
 	if request.Seq <= from.lastSeq && now.Sub(from.arrived) > ephemeralSeqRetention {
-		g.finishPublication(now, item, rejectedReply(409, "old-seq", "this seq is not above the sender's newest", 0), effects)
+		answer := rejectedReply(409, CodeSequenceStale, "this seq is not above the sender's newest", 0)
+		g.finishPublication(now, item, answer, effects)
 		return
 	}
 	// A sender that published through another gateway before may retry a message that was already
@@ -40,7 +42,7 @@
 			g.finishPublication(
 				now,
 				item,
-				rejectedReply(503, "no-neighbours", "the overlay is being mended", retryShortDelay),
+				rejectedReply(503, CodeOverlayUnstable, "the overlay is being mended", retryShortDelay),
 				effects,
 			)
 			return
--- a/internal/gateway/expired_topic.go
+++ b/internal/gateway/expired_topic.go
@@ -55,8 +55,8 @@
 	if !open {
 		return
 	}
-	g.emitFinalEvent(now, id, session, codePlaceLost, effects)
-	g.closeSession(now, CloseSession{Session: id, Reason: codePlaceLost}, effects)
+	g.emitFinalEvent(now, id, session, CodeCursorExpired, effects)
+	g.closeSession(now, CloseSession{Session: id, Reason: CodeCursorExpired}, effects)
 }
 
 // catchUpAgain has a live subscription catch up from its newest delivered record.
--- a/internal/gateway/expired_topic_test.go
+++ b/internal/gateway/expired_topic_test.go
@@ -48,7 +48,7 @@
 // goneSessions returns the sessions that were closed because records have expired.
 func (f *topicFixture) goneSessions() (sessions []uint64) {
 	for _, deliver := range f.effects.Deliveries {
-		if event := deliver.Event.(Event); event.Event == "gone" && event.Code == codePlaceLost && deliver.Close {
+		if event := deliver.Event.(Event); event.Event == "gone" && event.Code == CodeCursorExpired && deliver.Close {
 			sessions = append(sessions, deliver.Session)
 		}
 	}
--- a/internal/gateway/fetch.go
+++ b/internal/gateway/fetch.go
@@ -67,7 +67,7 @@
 		return
 	}
 	if operation.joinFailed {
-		g.failFetch(now, id, operation, "no-neighbours", effects)
+		g.failFetch(now, id, operation, CodeOverlayUnstable, effects)
 		return
 	}
 	operation.pendingJoins = 0
@@ -121,7 +121,7 @@
 	effects *statemachine.Effects,
 ) time.Time {
 	if !operation.deadline.After(now) {
-		g.failFetch(now, id, operation, "no-answer", effects)
+		g.failFetch(now, id, operation, CodeNoAnswer, effects)
 		return time.Time{}
 	}
 	next := operation.deadline
@@ -257,7 +257,7 @@
 	g.answerSubscribe(
 		now,
 		operation.request,
-		rejectedReply(410, codePlaceLost, "what was missed is older than the space holds; subscribe without the cursor", 0),
+		expiredCursorReply(),
 		effects,
 	)
 }
--- a/internal/gateway/forms_test.go
+++ b/internal/gateway/forms_test.go
@@ -67,7 +67,7 @@
 		if _, code := openCursor(cursorKey, "origin-2", text); code != "other-origin" {
 			t.Errorf("cursor %d of another client is rejected as %q", position+1, code)
 		}
-		if _, code := openCursor([]byte("another-key-01234567"), "origin-1", text); code != codeBadCursor {
+		if _, code := openCursor([]byte("another-key-01234567"), "origin-1", text); code != CodeBadCursor {
 			t.Errorf("cursor %d under another key is rejected as %q", position+1, code)
 		}
 	}
--- a/internal/gateway/policy.go
+++ b/internal/gateway/policy.go
@@ -108,15 +108,15 @@
 	gateway := request.Gateway
 	switch {
 	case gateway.stopping && (!request.Routed || !gateway.servesWhileStopping(now)):
-		return Verdict{Reply: rejectedReply(503, "stopping", "this daemon is stopping", retryShortDelay)}
+		return Verdict{Reply: rejectedReply(503, CodeStopping, "this daemon is stopping", retryShortDelay)}
 	case gateway.newerVersion > gateway.viewClient.Version:
 		return Verdict{
 			NeedsRefresh: true,
-			Reply:        rejectedReply(503, "behind", "this daemon is catching up with the configuration", retryShortDelay),
+			Reply:        rejectedReply(503, CodeBehind, "this daemon is catching up with the configuration", retryShortDelay),
 		}
 	case !gateway.Confirmed(now):
 		return Verdict{
-			Reply: rejectedReply(503, "unconfirmed", "this daemon can't confirm its configuration", retryLongDelay),
+			Reply: rejectedReply(503, CodeUnconfirmed, "this daemon can't confirm its configuration", retryLongDelay),
 		}
 	}
 	return allowed
@@ -129,7 +129,7 @@
 
 func (senderPolicy) Evaluate(_ time.Time, request *PolicyRequest) Verdict {
 	if request.Kind == RequestPublish && request.Sender != request.Client {
-		return Verdict{Reply: rejectedReply(403, "wrong-sender", "a client may publish only under its own name", 0)}
+		return Verdict{Reply: rejectedReply(403, CodeWrongSender, "a client may publish only under its own name", 0)}
 	}
 	return allowed
 }
@@ -143,16 +143,16 @@
 	if request.Routed {
 		if request.Kind == RequestPublish && !ValidRoutedTopic(request.Topic) ||
 			len(request.Paths) > 0 && !ValidRoutedTopic(request.Paths[0].Path) {
-			return Verdict{Reply: rejectedReply(400, "bad-topic", "a routed topic must be a name without blanks", 0)}
+			return Verdict{Reply: rejectedReply(400, CodeBadTopic, "a routed topic must be a name without blanks", 0)}
 		}
 		return allowed
 	}
 	if request.Kind == RequestPublish && !ValidTopic(request.Topic) {
-		return Verdict{Reply: rejectedReply(400, "bad-topic", "a topic must be a path of non-empty parts", 0)}
+		return Verdict{Reply: rejectedReply(400, CodeBadTopic, "a topic must be a path of non-empty parts", 0)}
 	}
 	for _, interest := range request.Paths {
 		if !ValidTopic(interest.Path) && (!interest.Prefix || interest.Path != "") {
-			return Verdict{Reply: rejectedReply(400, "bad-topic", "a topic must be a path of non-empty parts", 0)}
+			return Verdict{Reply: rejectedReply(400, CodeBadTopic, "a topic must be a path of non-empty parts", 0)}
 		}
 	}
 	return allowed
@@ -199,7 +199,7 @@
 		if _, found := request.Gateway.spaces[name]; !found {
 			return Verdict{
 				NeedsRefresh: true,
-				Reply:        rejectedReply(404, "no-such-space", fmt.Sprintf("no space is named %q", name), 0),
+				Reply:        rejectedReply(404, CodeNoSuchSpace, fmt.Sprintf("no space is named %q", name), 0),
 			}
 		}
 	}
@@ -231,7 +231,7 @@
 			return Verdict{
 				Reply: rejectedReply(
 					403,
-					"not-allowed",
+					CodeNotAllowed,
 					fmt.Sprintf("the space %q does not let this origin %s", name, request.Kind),
 					0,
 				),
@@ -252,11 +252,11 @@
 	}
 	if maxBytes := request.Gateway.spaces[request.Space].space.DataBytes; len(request.Data) > maxBytes {
 		return Verdict{
-			Reply: rejectedReply(413, "too-large", fmt.Sprintf("%d bytes exceed the limit %d", len(request.Data), maxBytes), 0),
+			Reply: rejectedReply(413, CodeTooLarge, fmt.Sprintf("%d bytes exceed the limit %d", len(request.Data), maxBytes), 0),
 		}
 	}
 	if request.Seq == 0 {
-		return Verdict{Reply: rejectedReply(400, "bad-seq", "seq must be at least 1", 0)}
+		return Verdict{Reply: rejectedReply(400, CodeBadSequence, "seq must be at least 1", 0)}
 	}
 	return allowed
 }
@@ -287,7 +287,7 @@
 	}
 	if rp.count[request.Space] >= maxRate {
 		retryAfter := now.Truncate(time.Second).Add(time.Second).Sub(now)
-		return Verdict{Reply: rejectedReply(429, "too-many", "the space's rate is used up", retryAfter)}
+		return Verdict{Reply: rejectedReply(429, CodeRateExceeded, "the space's rate is used up", retryAfter)}
 	}
 	rp.count[request.Space]++
 	return allowed
--- a/internal/gateway/publish.go
+++ b/internal/gateway/publish.go
@@ -94,7 +94,7 @@
 		if now.Sub(senderState.blockedAt) < blockDuration {
 			answer(rejectedReply(
 				503,
-				"earlier-refused",
+				CodeEarlierUnaccepted,
 				"an earlier seq of this sender has no accepted answer; send that one first",
 				retryLongDelay,
 			))
@@ -103,7 +103,7 @@
 		senderState.blocked = 0
 	}
 	if len(senderState.queue) >= maxSenderQueue {
-		answer(rejectedReply(429, "queue-full", "too many publications of this sender wait", retryLongDelay))
+		answer(rejectedReply(429, CodeQueueFull, "too many publications of this sender wait", retryLongDelay))
 		return
 	}
 	g.ring.Record(now, request.RequestName, g.messageNameOf(policyRequest), request.Client, "judged",
@@ -148,7 +148,7 @@
 		state, found := g.spaces[item.request.Space]
 		if !found {
 			senderState.queue = senderState.queue[1:]
-			g.answerPublication(now, item, rejectedReply(404, "no-such-space", "the space was removed", 0), effects)
+			g.answerPublication(now, item, rejectedReply(404, CodeNoSuchSpace, "the space was removed", 0), effects)
 			continue
 		}
 		if state.space.Retention == config.Durable {
@@ -189,7 +189,7 @@
 			g.answerPublication(
 				now,
 				behind,
-				rejectedReply(503, "earlier-refused", "an earlier seq of this sender was not accepted", retryLongDelay),
+				rejectedReply(503, CodeEarlierUnaccepted, "an earlier seq of this sender was not accepted", retryLongDelay),
 				effects,
 			)
 		}
@@ -267,7 +267,7 @@
 // is unsettled, since this or an earlier attempt may still be appended.
 func overdueReply() Reply {
 	if statemachine.Mutated("refuse-what-is-open") {
-		return rejectedReply(503, "no-answer", "", 0)
+		return rejectedReply(503, CodeNoAnswer, "", 0)
 	}
-	return unsettledReply("no-answer", "the store did not answer; send the same seq again", retryLongDelay)
+	return unsettledReply(CodeNoAnswer, "the store did not answer; send the same seq again", retryLongDelay)
 }
--- a/internal/gateway/routed_publish.go
+++ b/internal/gateway/routed_publish.go
@@ -257,7 +257,7 @@
 			g.answerRoutedPublication(
 				now,
 				item,
-				unsettledReply("no-answer", "the store did not answer; send the same seq again", retryShortDelay),
+				unsettledReply(CodeNoAnswer, "the store did not answer; send the same seq again", retryShortDelay),
 				effects,
 			)
 			continue
--- a/internal/gateway/sender.go
+++ b/internal/gateway/sender.go
@@ -104,7 +104,7 @@
 			g.finishPublication(
 				now,
 				item,
-				rejectedReply(503, "not-placed", "the space's partitions are not placed yet", retryLongDelay),
+				rejectedReply(503, CodeNotPlaced, "the space's partitions are not placed yet", retryLongDelay),
 				effects,
 			)
 			return
@@ -163,7 +163,7 @@
 		g.finishPublication(
 			now,
 			senderState.queue[0],
-			rejectedReply(503, "partition-moving", "a partition of the space is being taken over", retryLongDelay),
+			rejectedReply(503, CodePartitionMoving, "a partition of the space is being taken over", retryLongDelay),
 			effects,
 		)
 		return
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -137,24 +137,24 @@
 	}
 	switch {
 	case g.stopping:
-		effects.Respond(request.Request, rejectedReply(503, "stopping", "this daemon is stopping", retryShortDelay))
+		effects.Respond(request.Request, rejectedReply(503, CodeStopping, "this daemon is stopping", retryShortDelay))
 		return
 	case !g.Confirmed(now):
 		effects.Respond(
 			request.Request,
-			rejectedReply(503, "unconfirmed", "this daemon can't confirm its configuration", retryLongDelay),
+			rejectedReply(503, CodeUnconfirmed, "this daemon can't confirm its configuration", retryLongDelay),
 		)
 		return
 	case request.AdapterPings && !g.tryAdmit(now):
 		effects.Respond(
 			request.Request,
-			rejectedReply(503, "busy", "this daemon's link can't serve more callers at once", retryShortDelay),
+			rejectedReply(503, CodeBusy, "this daemon's link can't serve more callers at once", retryShortDelay),
 		)
 		return
 	case len(g.sessions) >= g.settings.MaxClients:
 		effects.Respond(
 			request.Request,
-			rejectedReply(503, "full", "this daemon holds all the channels it may", retryShortDelay),
+			rejectedReply(503, CodeFull, "this daemon holds all the channels it may", retryShortDelay),
 		)
 		return
 	}
@@ -256,10 +256,10 @@
 		if now.Sub(session.movedAt) > moveCloseDelay {
 			effects.Deliveries = append(effects.Deliveries, statemachine.Delivery{
 				Session: id,
-				Event:   Event{Event: "gone", Code: "moved"},
+				Event:   Event{Event: "gone", Code: CodeMoved},
 				Close:   true,
 			})
-			g.closeSession(now, CloseSession{Session: id, Reason: "moved"}, effects)
+			g.closeSession(now, CloseSession{Session: id, Reason: CodeMoved}, effects)
 		}
 		return
 	}
@@ -281,7 +281,7 @@
 func (g *Gateway) pong(now time.Time, request Pong, effects *statemachine.Effects) {
 	session, found := g.sessions[request.Session]
 	if !found || session.client != request.Client {
-		effects.Respond(request.Request, rejectedReply(404, "no-such-channel", "this channel is not open here", 0))
+		effects.Respond(request.Request, rejectedReply(404, CodeNoSuchSession, "this channel is not open here", 0))
 		return
 	}
 	session.pongAt = now
--- a/internal/gateway/subscription.go
+++ b/internal/gateway/subscription.go
@@ -51,12 +51,12 @@
 	answer := func(response Reply) { g.answerSubscribe(now, request, response, effects) }
 	session, found := g.sessions[request.Session]
 	if !found || session.client != request.Client {
-		answer(rejectedReply(404, "no-such-channel", "this channel is not open here", 0))
+		answer(rejectedReply(404, CodeNoSuchSession, "this channel is not open here", 0))
 		return
 	}
 	session.pongAt = now
 	if !session.movedAt.IsZero() {
-		answer(rejectedReply(409, "moved", "this channel was asked to move", 0))
+		answer(rejectedReply(409, CodeMoved, "this channel was asked to move", 0))
 		return
 	}
 	resumeFrom, code := g.resumeCursor(&request)
@@ -75,7 +75,7 @@
 		return
 	}
 	if len(session.subscriptions)+len(request.Interests) > maxInterests {
-		answer(rejectedReply(429, "too-many-subscriptions", "a channel can have at most 256 subscriptions", 0))
+		answer(rejectedReply(429, CodeTooManySubscriptions, "a channel can have at most 256 subscriptions", 0))
 		return
 	}
 	for space, sequences := range resumeFrom.Marks {
@@ -314,7 +314,7 @@
 	}
 	session, found := g.sessions[request.Session]
 	if !found || session.client != request.Client {
-		effects.Respond(request.Request, rejectedReply(404, "no-such-channel", "this channel is not open here", 0))
+		effects.Respond(request.Request, rejectedReply(404, CodeNoSuchSession, "this channel is not open here", 0))
 		return
 	}
 	for _, interest := range request.Interests {
--- a/internal/gateway/topic_delivery.go
+++ b/internal/gateway/topic_delivery.go
@@ -214,7 +214,7 @@
 			topic.reserve(now, subscription)
 			response := rejectedReply(
 				503,
-				"no-answer",
+				CodeNoAnswer,
 				"the place could not be found in time; nothing is subscribed",
 				retryShortDelay,
 			)
@@ -310,7 +310,7 @@
 				g.rejectTopicSubscription(
 					now,
 					subscription,
-					rejectedReply(404, "no-such-space", "the space was removed", 0),
+					rejectedReply(404, CodeNoSuchSpace, "the space was removed", 0),
 					effects,
 				)
 				continue
@@ -321,7 +321,7 @@
 					Event: "ended",
 					Space: topic.space,
 					Topic: name,
-					Code:  "space-removed",
+					Code:  CodeSpaceRemoved,
 				}, effects)
 			}
 		}
--- a/internal/gateway/topic_subscription.go
+++ b/internal/gateway/topic_subscription.go
@@ -16,15 +16,15 @@
 	session, found := g.sessions[request.Session]
 	switch {
 	case !found || session.client != request.Client:
-		answer(rejectedReply(404, "no-such-channel", "this channel is not open here", 0))
+		answer(rejectedReply(404, CodeNoSuchSession, "this channel is not open here", 0))
 		return
 	case len(request.Interests) != 1 || request.Interests[0].Prefix:
-		answer(rejectedReply(400, "one-topic", "a request subscribes to one routed topic only", 0))
+		answer(rejectedReply(400, CodeOneTopic, "a request subscribes to one routed topic only", 0))
 		return
 	}
 	session.pongAt = now
 	if !session.movedAt.IsZero() {
-		answer(rejectedReply(409, "moved", "this channel was asked to move", retryShortDelay))
+		answer(rejectedReply(409, CodeMoved, "this channel was asked to move", retryShortDelay))
 		return
 	}
 	name := request.Interests[0].Path
@@ -44,14 +44,14 @@
 	}
 	if existing, subscribed := session.routed[name]; subscribed {
 		if existing.catchingUp {
-			answer(rejectedReply(409, "underway", "this subscription is being taken up", retryShortDelay))
+			answer(rejectedReply(409, CodeSubscriptionUnderway, "this subscription is being taken up", retryShortDelay))
 			return
 		}
 		g.replyTopicSubscription(now, request, existing.deliveredUpTo, effects)
 		return
 	}
 	if len(session.routed)+len(session.subscriptions) >= g.config.SubscriptionsPerSession {
-		answer(rejectedReply(429, "too-many-subscriptions", "the channel has reached its limit of subscriptions", 0))
+		answer(rejectedReply(429, CodeTooManySubscriptions, "the channel has reached its limit of subscriptions", 0))
 		return
 	}
 	g.startRouted(now, session, request, interest, effects)
@@ -75,7 +75,7 @@
 	if request.Cursor != "" && request.Cursor != "-" {
 		offset, valid := parseTopicCursor(request.Cursor)
 		if !valid {
-			response := rejectedReply(400, codeBadCursor, "the cursor was not issued by this fleet", 0)
+			response := rejectedReply(400, CodeBadCursor, "the cursor was not issued by this fleet", 0)
 			g.answerSubscribe(now, request, response, effects)
 			return
 		}
@@ -297,7 +297,7 @@
 func (g *Gateway) unsubscribeRouted(now time.Time, request Unsubscribe, effects *statemachine.Effects) {
 	session, found := g.sessions[request.Session]
 	if !found || session.client != request.Client {
-		effects.Respond(request.Request, rejectedReply(404, "no-such-channel", "this channel is not open here", 0))
+		effects.Respond(request.Request, rejectedReply(404, CodeNoSuchSession, "this channel is not open here", 0))
 		return
 	}
 	session.pongAt = now
@@ -307,7 +307,7 @@
 			g.answerSubscribe(
 				now,
 				subscription.request,
-				rejectedReply(409, "unsubscribed", "the subscription was ended before it was taken up", retryShortDelay),
+				rejectedReply(409, CodeUnsubscribed, "the subscription was ended before it was taken up", retryShortDelay),
 				effects,
 			)
 		}
@@ -348,7 +348,7 @@
 			g.rejectTopicSubscription(
 				now,
 				subscription,
-				rejectedReply(410, codePlaceLost, "what was missed is older than the space holds; subscribe without the cursor", 0),
+				expiredCursorReply(),
 				effects,
 			)
 		}
@@ -364,7 +364,7 @@
 	effects *statemachine.Effects,
 ) {
 	session, open := g.sessions[subscription.session]
-	if open && subscription.request.Request == 0 && response.Code == codePlaceLost {
+	if open && subscription.request.Request == 0 && response.Code == CodeCursorExpired {
 		g.closeExpiredSession(now, subscription.session, effects)
 	} else if open {
 		g.dropTopicSubscription(now, session, subscription.topic.name, effects)
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -149,7 +149,7 @@
 			}
 		}
 		if ended {
-			g.emit(id, Event{Event: "ended", Space: name, Code: "space-removed"}, effects)
+			g.emit(id, Event{Event: "ended", Space: name, Code: CodeSpaceRemoved}, effects)
 		}
 	}
 	for trackerName := range statemachine.Sorted(g.trackers) {
@@ -159,7 +159,7 @@
 	}
 	for _, sender := range statemachine.Sorted(g.sendersOf(name)) {
 		for _, waiting := range sender.queue {
-			g.answerPublication(now, waiting, rejectedReply(404, "no-such-space", "the space was removed", 0), effects)
+			g.answerPublication(now, waiting, rejectedReply(404, CodeNoSuchSpace, "the space was removed", 0), effects)
 		}
 		sender.queue = nil
 	}
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -140,7 +140,7 @@
 	if err != nil {
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
-			s.writeReply(writer, name, rejection(http.StatusRequestEntityTooLarge, "too-large", err.Error()))
+			s.writeReply(writer, name, rejection(http.StatusRequestEntityTooLarge, gateway.CodeTooLarge, err.Error()))
 		} else {
 			s.writeReply(writer, name, rejection(http.StatusBadRequest, "malformed", err.Error()))
 		}
@@ -185,7 +185,7 @@
 	value, alive := s.host.Call(command)
 	answer, matches := value.(gateway.Reply)
 	if !alive || !matches {
-		answer = rejection(http.StatusServiceUnavailable, "stopping", "this daemon is stopping")
+		answer = rejection(http.StatusServiceUnavailable, gateway.CodeStopping, "this daemon is stopping")
 		answer.Outcome, answer.RetryAfter = gateway.OutcomeUnsettled, 250*time.Millisecond
 	}
 	s.writeReply(writer, name, answer)
@@ -231,7 +231,7 @@
 	if !alive || !matches || answer.Outcome != gateway.OutcomeAccepted {
 		s.host.DetachSession(number)
 		if !matches {
-			answer = rejection(http.StatusServiceUnavailable, "stopping", "this daemon is stopping")
+			answer = rejection(http.StatusServiceUnavailable, gateway.CodeStopping, "this daemon is stopping")
 			answer.RetryAfter = 250 * time.Millisecond
 		}
 		s.writeReply(writer, name, answer)
@@ -378,7 +378,7 @@
 		return
 	}
 	if !fit {
-		s.writeReply(writer, name, rejection(http.StatusNotFound, "no-such-channel", "this channel is not open here"))
+		s.writeReply(writer, name, rejection(http.StatusNotFound, gateway.CodeNoSuchSession, "this channel is not open here"))
 		return
 	}
 	s.execute(writer, name, func(local uint64) any {
@@ -490,7 +490,7 @@
 	})
 	answer, matches := value.(gateway.Reply)
 	if !alive || !matches {
-		answer = rejection(http.StatusServiceUnavailable, "stopping", "this daemon is stopping")
+		answer = rejection(http.StatusServiceUnavailable, gateway.CodeStopping, "this daemon is stopping")
 		answer.RetryAfter = 250 * time.Millisecond
 	} else if answer.Outcome == gateway.OutcomeAccepted {
 		answer.Fields = map[string]any{"count": answer.SubscriberCount}
--- a/internal/lineserver/command.go
+++ b/internal/lineserver/command.go
@@ -39,11 +39,11 @@
 // Error codes of commands that the server rejects itself, without the gateway.
 const (
 	CodeMalformed    = "malformed"
-	CodeTooLarge     = "too-large"
-	CodeNotOpen      = "no-such-channel"
+	CodeTooLarge     = gateway.CodeTooLarge
+	CodeNotOpen      = gateway.CodeNoSuchSession
 	CodeAlreadyOpen  = "already-open"
 	CodeNotAuthentic = "not-authentic"
-	CodeStopping     = "stopping"
+	CodeStopping     = gateway.CodeStopping
 )
 
 // Command is one command of a client. Its slices refer to the read buffer and are
--- a/internal/partition/topic_tail.go
+++ b/internal/partition/topic_tail.go
@@ -44,7 +44,7 @@
 	_ struct{} `cbor:",toarray"`
 	// Discarded is the topic's newest record that is no longer readable; zero if there is none.
 	Discarded expiredTopic
-	// Records are the readable expired records of the topic, in order.
+	// Records are the readable expired records of the topic, in order. There is at least one.
 	Records []Record
 }
 
--- a/internal/simulator/client.go
+++ b/internal/simulator/client.go
@@ -224,13 +224,13 @@
 					simulation.Checker.Subscribed(c.Name, checker.Interest{Space: interest.Space, Path: interest.Path, Prefix: interest.Prefix}, simulation.Now)
 				}
 			}
-		case answer.Code == "place-lost":
+		case answer.Code == gateway.CodeCursorExpired:
 			simulation.trace("%s: cursor expired, disconnected %s ago", c.Name, simulation.Now.Sub(c.disconnectedAt))
 			simulation.Checker.CursorExpired(c.Name, c.disconnectedAt, simulation.Now)
 			c.Closed = true
-		case answer.Code == "no-such-channel" || answer.Code == "moved":
+		case answer.Code == gateway.CodeNoSuchSession || answer.Code == gateway.CodeMoved:
 			c.disconnect(turn, 20*time.Millisecond)
-		case answer.Code == "no-such-space" && c.brief != "":
+		case answer.Code == gateway.CodeNoSuchSpace && c.brief != "":
 			c.leave()
 		case answer.RetryAfter > 0:
 			simulation.Checker.RequestRejected(answer.Code, c.Name+" subscribes", simulation.calmSince(), simulation.Now)
@@ -358,7 +358,7 @@
 // expected lists the rejection codes that are caused by actions of clients and operators and
 // not by a daemon that does not serve: the session was moved, an earlier sequence number is
 // still being retried, or the space was removed.
-var expected = []string{"moved", "earlier-refused", "no-such-space"}
+var expected = []string{gateway.CodeMoved, gateway.CodeEarlierUnaccepted, gateway.CodeNoSuchSpace}
 
 // attempt sends a publication once.
 func (c *Client) attempt(item *outgoing) {
@@ -430,7 +430,7 @@
 			}
 		}, func(value any, alive bool) {
 			answer, matches := value.(gateway.Reply)
-			if alive && matches && answer.Outcome == gateway.OutcomeRejected && answer.RetryAfter == 0 && answer.Code != "no-such-space" {
+			if alive && matches && answer.Outcome == gateway.OutcomeRejected && answer.RetryAfter == 0 && answer.Code != gateway.CodeNoSuchSpace {
 				simulation.Checker.Violate(checker.Duplicate, "%s was accepted, and its resend was rejected: %s", item.message, answer.Code)
 			}
 		})
--- a/internal/simulator/topic_client.go
+++ b/internal/simulator/topic_client.go
@@ -478,17 +478,17 @@
 				each.cursor = answer.Cursor
 			}
 			simulation.saveCursor(each)
-		case answer.Code == "place-lost":
+		case answer.Code == gateway.CodeCursorExpired:
 			entry.Expired(simulation.Now)
 			each.cursor, each.after, each.entry = "", checker.Post{}, nil
 			again(simulation.between(0, 100*time.Millisecond))
-		case answer.Code == "no-such-space":
+		case answer.Code == gateway.CodeNoSuchSpace:
 			each.unrouted = true
 			simulation.Checker.Handled("a subscription", topic, false, sent, simulation.Now)
 			again(simulation.between(300*time.Millisecond, 900*time.Millisecond))
 		case each.unsubscribing:
 			// The client unsubscribed before the response arrived.
-		case answer.Code == "moved" || answer.Code == "no-such-channel":
+		case answer.Code == gateway.CodeMoved || answer.Code == gateway.CodeNoSuchSession:
 			tc.reportUnlessMoved(answer.Code, "subscription of "+tc.Name)
 			tc.disconnect(turn, true, simulation.between(0, 50*time.Millisecond))
 		default:
@@ -508,7 +508,7 @@
 }
 
 func (tc *TopicClient) reportUnlessMoved(code, what string) {
-	if code != "moved" {
+	if code != gateway.CodeMoved {
 		tc.reportRejection(code, what)
 	}
 }
@@ -589,7 +589,7 @@
 		case answer.Outcome == gateway.OutcomeAccepted:
 			simulation.Checker.Handled("a count", topic, true, sent, simulation.Now)
 			simulation.Checker.Counted(topic, answer.SubscriberCount, simulation.calmSince(), simulation.Now)
-		case answer.Code == "no-such-space":
+		case answer.Code == gateway.CodeNoSuchSpace:
 			simulation.Checker.Handled("a count", topic, false, sent, simulation.Now)
 		default:
 			tc.reportRejection(answer.Code, "count by "+tc.Name)
@@ -630,7 +630,7 @@
 	simulation := tc.simulation
 	item.inFlight = false
 	simulation.Checker.PostAnswered(item.name, outcome, simulation.Now)
-	if outcome != string(gateway.OutcomeAccepted) && code != "cut-off" && code != "moved" && code != "no-such-space" {
+	if outcome != string(gateway.OutcomeAccepted) && code != "cut-off" && code != gateway.CodeMoved && code != gateway.CodeNoSuchSpace {
 		tc.reportRejection(code, fmt.Sprintf("%s/%d on %s", item.name.Sender, item.name.Seq, item.topic))
 	}
 }
@@ -681,10 +681,10 @@
 			}
 		case answer.Outcome == gateway.OutcomeUnsettled:
 			again(simulation.between(retryDelay/2, 2*retryDelay))
-		case answer.Code == "no-such-space":
+		case answer.Code == gateway.CodeNoSuchSpace:
 			simulation.Checker.Handled("a publication", item.topic, false, sent, simulation.Now)
 			tc.finish(item)
-		case answer.RetryAfter > 0 || answer.Code == "old-seq":
+		case answer.RetryAfter > 0 || answer.Code == gateway.CodeSequenceStale:
 			simulation.Checker.PostDenied(name, simulation.Now)
 			if item.renewals++; item.renewals > maxRenewals || late() {
 				tc.finish(item)
@@ -729,7 +729,7 @@
 			return
 		}
 		tc.post(item, func(answer gateway.Reply) {
-			if answer.Outcome == gateway.OutcomeRejected && answer.RetryAfter == 0 && answer.Code != "no-such-space" && simulation.Now.Sub(accepted) < deduplicationSpan {
+			if answer.Outcome == gateway.OutcomeRejected && answer.RetryAfter == 0 && answer.Code != gateway.CodeNoSuchSpace && simulation.Now.Sub(accepted) < deduplicationSpan {
 				simulation.Checker.ResendRejected(item.name, answer.Code)
 			}
 		})
