--- a/internal/simulator/silent_topics_test.go
+++ b/internal/simulator/silent_topics_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"dahlialock/internal/membership"
+	"dahlialock/internal/partition"
 )
 
 // Times of a run in which topics fall silent and are resumed after their first messages have
@@ -63,6 +64,14 @@
 	}
 }
 
+// limitMemory leaves the stores so little memory that most superseded records are discarded when they
+// expire, but no others.
+func (st *silentTopics) limitMemory() {
+	for _, store := range st.run.Nodes(membership.KindStore) {
+		store.Machine.(*partition.Store).SetMemoryBytes(scarceMemory)
+	}
+}
+
 // resume ends the reader's connection. After the first messages have expired and second ones were
 // published, the reader and new clients resume from its cursors. It returns the violations of the run.
 func (st *silentTopics) resume(t trial) []string {
@@ -144,10 +153,12 @@
 }
 
 // reportsMissing resumes cursors of subscriptions that were requested while their gateway had been cut
-// off from the stores for longer than a tail spans. It returns also whether they were confirmed then.
+// off from the stores for longer than a tail spans. The stores have no room for records that are superseded.
+// It returns also whether the subscriptions were confirmed meanwhile.
 func reportsMissing(t trial, seed uint64) (violations []string, confirmed bool) {
 	t.Helper()
 	silent := startSilentTopics(seed)
+	silent.limitMemory()
 	run, reading := silent.run, silent.run.Nodes(membership.KindGateway)[1]
 	silent.reader.ignoreRejections = true
 	for _, store := range run.Nodes(membership.KindStore) {
@@ -195,6 +206,8 @@
 	cutAfter           = 3 * time.Millisecond
 	awayAfterCut       = 2 * time.Second
 	longerThanTailSpan = 14 * time.Second
+	// scarceMemory is the memory in bytes of a store that has no room for superseded records.
+	scarceMemory = 64 << 10
 	// replacedWithin is the time in which a store that lost its disk has all its replicas again.
 	replacedWithin = 8 * time.Second
 )
