--- a/internal/checker/topics.go
+++ b/internal/checker/topics.go
@@ -27,8 +27,8 @@
 	WrongRoute = "wrong-route"
 	Presence   = "presence"
 	LateInCalm = "late-in-calm"
-	// BrokenPromise is a message that was delivered although its sender was told, about its
-	// sequence number, that it never would be.
+	// BrokenPromise is a message that was delivered although a gateway had confirmed to its sender
+	// that it never would be.
 	BrokenPromise = "broken-promise"
 )
 
@@ -49,8 +49,8 @@
 	refused      int
 	accepted     bool
 	acceptedAt   time.Time
-	// deniedAt is when the sender was first told that the message never will be delivered; zero if
-	// it was not told so.
+	// deniedAt is when a gateway first confirmed that the message never will be delivered; zero if
+	// none did.
 	deniedAt time.Time
 }
 
@@ -219,8 +219,8 @@
 	}
 }
 
-// PostDenied records that the sender was told that the message is not appended and never will be. It
-// may then send the message under another sequence number, so the promise holds for all attempts:
+// PostDenied records that a gateway confirmed that the message is not appended and never will be. The
+// sender may then send the message under another sequence number, so the promise holds for all attempts:
 // those through any gateway, before and after it.
 func (c *Checker) PostDenied(name Post, at time.Time) {
 	if each := c.Topics.posts[name]; each.deniedAt.IsZero() {
@@ -419,8 +419,8 @@
 					c.Violate(AllRejected, "%s got %v on %s, though every attempt was rejected", each.name, name, each.topic)
 				}
 				if !sent.deniedAt.IsZero() {
-					c.Violate(BrokenPromise, "%s got %v on %s, though %s was told that it never would be delivered",
-						each.name, name, each.topic, name.Sender)
+					c.Violate(BrokenPromise, "%s got %v on %s, though a gateway had confirmed that it never would be delivered",
+						each.name, name, each.topic)
 				}
 			}
 			for _, other := range subscriptions[position+1:] {
--- a/internal/gateway/expired_topic.go
+++ b/internal/gateway/expired_topic.go
@@ -22,7 +22,7 @@
 
 // restartExpiredTopic restarts a topic of which this gateway lacks records after an offset that no store
 // has any more. Nothing can follow for the live subscriptions that lack them too: the next record would
-// pass over the missing ones, of which it is unknown to whom they are owed. Their sessions are closed, and
+// skip the missing ones, which some of them may have to receive. Their sessions are closed, and
 // their clients subscribe again with their cursors. The other subscriptions began later; they catch up
 // from where each of them is.
 func (g *Gateway) restartExpiredTopic(
--- a/internal/gateway/expired_topic_mutation_test.go
+++ b/internal/gateway/expired_topic_mutation_test.go
@@ -10,7 +10,7 @@
 	"dahlialock/internal/statemachine"
 )
 
-// Unless an expired topic is restarted, its subscribers wait for ever and are not told.
+// Unless an expired topic is restarted, its sessions stay open, and nothing is delivered to them.
 func TestRestartOfExpiredTopicIsNeeded(t *testing.T) {
 	defer statemachine.Mutate("expired-topics-stay")()
 	fixture := laggingTopic(t, false)
--- a/internal/gateway/expired_topic_test.go
+++ b/internal/gateway/expired_topic_test.go
@@ -56,7 +56,7 @@
 }
 
 // A subscriber that stays must not wait for ever for a record that no store has any more, with all later
-// ones behind it: it is told by the end of its session, and subscribes again with its cursor.
+// ones behind it: its session is closed, and it subscribes again with its cursor.
 func TestSubscriberIsToldThatMissingRecordHasExpired(t *testing.T) {
 	fixture := laggingTopic(t, false)
 	assert.Equal(t, fixture.rejectExpired(t), uint64(5))
@@ -92,7 +92,7 @@
 	assert.Equal(t, len(fixture.effects.Deliveries), 2)
 }
 
-// A later subscription whose own place has expired is told as well.
+// The session of a later subscription whose own cursor has expired is closed as well.
 func TestLaterSubscriptionIsToldThatItsPlaceHasExpired(t *testing.T) {
 	fixture := laggingTopic(t, true)
 	fixture.rejectExpired(t)
--- a/internal/gateway/publish_reply_test.go
+++ b/internal/gateway/publish_reply_test.go
@@ -75,7 +75,7 @@
 }
 
 // A client sends a message that was rejected, and may be retried, under a new sequence number. The old
-// number may be in the log of a leader that this gateway can't ask, or that can't tell yet: it must not be
+// number may be in the log of a leader that this gateway can't reach, or that can't decide yet: it must not be
 // rejected, or the message arrives twice.
 func TestNumberThatNoLeaderDecidedIsNotRejected(t *testing.T) {
 	for code, prepare := range map[string]func(fixture *publishingFixture){
@@ -108,7 +108,7 @@
 	}
 }
 
-// What a leader's log decides is told: a number below an accepted one will never be appended.
+// A number that the leader's log excludes is rejected: one below an accepted number is never appended.
 func TestNumberThatLeaderDecidedIsRejected(t *testing.T) {
 	fixture := newPublishingFixture()
 	fixture.place()
--- a/internal/partition/tail_limits_test.go
+++ b/internal/partition/tail_limits_test.go
@@ -119,7 +119,7 @@
 }
 
 // A cursor must not be rejected for an older message that its subscription need not receive because large
-// messages on other topics have expired meanwhile.
+// messages on other topics have expired.
 func TestCursorIsNotRejectedAfterLargeMessagesOnOtherTopics(t *testing.T) {
 	const small, large = 100, 300
 	cluster := newCluster(t, 1)
--- a/internal/partition/topic_tail_test.go
+++ b/internal/partition/topic_tail_test.go
@@ -62,7 +62,7 @@
 	log.expire(at(120), boardRetention(), dedupWindow)
 	assert.Equal(t, log.BaseOffset, uint64(3))
 	_, expired := readableAfter(log, 0)
-	assert.Assert(t, !expired, "nobody knows that the second message was acknowledged")
+	assert.Assert(t, !expired, "the second message may not be acknowledged")
 	discardSuperseded(at(120), log)
 	_, expired = readableAfter(log, 0)
 	assert.Assert(t, expired)
@@ -179,8 +179,8 @@
 	assert.Assert(t, log.hasExpired(5, []string{"t9"}, nil))
 }
 
-// A message of which nobody knows whether it was acknowledged must not be a reason to reject a cursor: it
-// is owed to nobody if its acknowledgement was lost. Neither must two of them be that follow each other.
+// A message must not be a reason to reject a cursor if its acknowledgement may have been lost: then no
+// subscription has to receive it. Neither must two such messages in succession.
 func TestCursorIsNotRejectedForUnacknowledgedMessages(t *testing.T) {
 	log := filledLog(config.SharedPartitionName(3),
 		Record{Topic: "t", Sender: "s", Seq: 1, AppendedAt: at(0)},
--- a/internal/simulator/promise_test.go
+++ b/internal/simulator/promise_test.go
@@ -63,8 +63,8 @@
 }
 
 // A sequence number that was answered with an unsettled outcome, or with none, may be in the logs of the
-// stores. No gateway may tell the sender that its message never will be appended while it can't ask a
-// leader: the sender then publishes the message again under a new number, and it arrives twice.
+// stores. No gateway may confirm that its message never will be appended unless a leader has decided that:
+// the sender then publishes the message again under a new number, and it arrives twice.
 func TestNumberThatMayBeAppendedIsNotDenied(t *testing.T) {
 	for seed := range uint64(promiseSeeds) {
 		assert.Equal(t, fmt.Sprint(publishThroughQuorumKills(seed)), "[]", "seed %d", seed)
--- a/internal/simulator/silent_topics_test.go
+++ b/internal/simulator/silent_topics_test.go
@@ -153,8 +153,8 @@
 }
 
 // reportsMissing resumes cursors of subscriptions that were requested while their gateway had been cut
-// off from the stores for longer than a tail spans. The stores have no room for records that are superseded.
-// It returns also whether the subscriptions were confirmed meanwhile.
+// off from the stores for longer than a tail spans. The stores don't keep superseded records.
+// It returns also whether the subscriptions were confirmed before the links were restored.
 func reportsMissing(t trial, seed uint64) (violations []string, confirmed bool) {
 	t.Helper()
 	silent := startSilentTopics(seed)
@@ -206,7 +206,7 @@
 	cutAfter           = 3 * time.Millisecond
 	awayAfterCut       = 2 * time.Second
 	longerThanTailSpan = 14 * time.Second
-	// scarceMemory is the memory in bytes of a store that has no room for superseded records.
+	// scarceMemory is the memory in bytes of a store that discards superseded records.
 	scarceMemory = 64 << 10
 	// replacedWithin is the time in which a store that lost its disk has all its replicas again.
 	replacedWithin = 8 * time.Second
@@ -220,7 +220,7 @@
 }
 
 // A cursor must not be rejected because of messages that were never acknowledged to their publisher: it is
-// not known whether they are owed to anyone.
+// not known whether any subscription has to receive them.
 func TestCursorIsResumedThoughUnacknowledgedMessagesHaveExpired(t *testing.T) {
 	for seed := range uint64(silentTopicSeeds) {
 		assert.Equal(t, fmt.Sprint(acknowledgementsLost(t, seed)), "[]", "seed %d", seed)
