--- a/internal/partition/tail_limits_test.go
+++ b/internal/partition/tail_limits_test.go
@@ -28,12 +28,14 @@
 
 // A topic's tail must not be displaced by messages that others send to other topics.
 func TestSmallMessagesOutlastLargeOnesOfOtherTopics(t *testing.T) {
-	const topics = 200
-	small, large := expiredLog(0, topics, 230), expiredLog(1, topics, largeMessage)
+	const topics, smallMessage = 200, 230
+	small, large := expiredLog(0, topics, smallMessage), expiredLog(1, topics, largeMessage)
 	limit := topics * largeMessage / 2
 	discardExcess(at(1000), logsOf(small, large), tailRetention.tailSpan, tailLimits{superseded: limit, total: limit})
 	assert.Equal(t, len(small.Tails), topics)
-	assert.Assert(t, len(large.Tails) > topics/3 && len(large.Tails) < topics/2, "%d tails", len(large.Tails))
+	roomForLarge := limit - topics*(smallMessage+recordOverheadBytes)
+	assert.Equal(t, len(large.Tails), roomForLarge/(largeMessage+recordOverheadBytes))
+	assert.Equal(t, len(large.ExpiredTopics), topics)
 	for topic := range topics {
 		_, kept := large.Tails[fmt.Sprint("t1-", topic)]
 		assert.Equal(t, kept, topic >= topics-len(large.Tails), "the oldest are discarded, not %d", topic)
